--- /dev/null
+++ b/crates/gather/src/shard.rs
@@ -0,0 +1,189 @@
+//! One shard of a query: a race between its replicas.
+
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use bergamot_base::{Deadline, Name, Searcher, Shard};
+use bergamot_query::{Partial, Pin, Reason, Shape};
+use bergamot_upstream::protocol::{Found, Search};
+use bergamot_upstream::{Call, Candidate, Client, Fault, Next, Race, rank};
+use futures::StreamExt;
+use futures::future::BoxFuture;
+use futures::stream::FuturesUnordered;
+use tokio_util::sync::{CancellationToken, DropGuard};
+
+use crate::holding::Holding;
+use crate::service::Inner;
+use crate::tail::{Tail, lock};
+
+/// The part of the time left after which a hedge is made while the pace is unknown.
+const FIRST_HEDGE: u32 = 3;
+
+/// What all shards of one sub-query share.
+pub(crate) struct Job {
+    pub(crate) id: Name,
+    pub(crate) pin: Pin,
+    pub(crate) shape: Shape,
+    pub(crate) deadline: Deadline,
+    pub(crate) holding: Arc<Holding>,
+    pub(crate) tail: Arc<Mutex<Tail>>,
+}
+
+/// What became of a shard.
+pub(crate) struct Ended {
+    pub(crate) result: Result<Partial, Reason>,
+    pub(crate) attempts: u32,
+}
+
+type Attempt<'a> = BoxFuture<'a, (Searcher, Result<Found, Fault>, Duration)>;
+
+/// The attempts at one shard that are running.
+struct Attempts<'a> {
+    inner: &'a Inner,
+    job: &'a Job,
+    shard: Shard,
+    running: FuturesUnordered<Attempt<'a>>,
+    guards: Vec<DropGuard>,
+    count: u32,
+}
+
+/// Runs one shard of a query to its end.
+///
+/// Whatever ends it, the attempts still running are cancelled: their guards drop.
+pub(crate) async fn run(inner: &Inner, job: &Job, shard: Shard) -> Ended {
+    let mut race = Race::new(order(inner, job, shard));
+    let running = FuturesUnordered::new();
+    let mut attempts = Attempts { inner, job, shard, running, guards: Vec::new(), count: 0 };
+    let result = drive(&mut race, &mut attempts).await;
+    inner.meter.attempts.inc_by(u64::from(attempts.count));
+    Ended { result, attempts: attempts.count }
+}
+
+async fn drive(race: &mut Race, attempts: &mut Attempts<'_>) -> Result<Partial, Reason> {
+    let job = attempts.job;
+    let settings = attempts.inner.node.settings();
+    match race.start() {
+        Next::Send(first) => attempts.send(first),
+        Next::Miss(reason) => return Err(reason),
+        Next::Wait => {}
+    }
+    {
+        let mut tail = lock(&job.tail);
+        tail.hedges.earn();
+        tail.retries.earn();
+    }
+    let hedge_at = Instant::now() + hedge_delay(job, settings.gather.hedge_floor);
+    let mut hedging = settings.gather.hedge;
+    loop {
+        tokio::select! {
+            biased;
+            Some((searcher, result, took)) = attempts.running.next() => {
+                let reason = match result.map(|found| accept(job, attempts.shard, found)) {
+                    Ok(Ok(partial)) => {
+                        race.win(searcher);
+                        lock(&job.tail).pace.record(took);
+                        return Ok(partial);
+                    }
+                    Ok(Err(reason)) => reason,
+                    Err(fault) => {
+                        log::debug!("upstream: Sub-query {} failed: {fault}.", job.id);
+                        fault.reason
+                    }
+                };
+                match retry(race, attempts, searcher, reason) {
+                    Next::Send(next) => attempts.send(next),
+                    Next::Wait => {}
+                    Next::Miss(reason) => return Err(reason),
+                }
+            }
+            () = tokio::time::sleep_until(hedge_at.into()), if hedging => {
+                hedging = false;
+                let next = race.hedge(&mut lock(&job.tail).hedges);
+                if let Some(next) = next {
+                    attempts.send(next);
+                }
+            }
+            () = tokio::time::sleep_until(job.deadline.instant().into()) => {
+                return Err(Reason::Deadline);
+            }
+        }
+    }
+}
+
+fn retry(race: &mut Race, attempts: &Attempts<'_>, searcher: Searcher, reason: Reason) -> Next {
+    let mut tail = lock(&attempts.job.tail);
+    if attempts.inner.node.settings().gather.retry {
+        return race.fail(searcher, reason, &mut tail.retries);
+    }
+    race.fail(searcher, reason, &mut bergamot_upstream::Budget::new(0.0, 0.0))
+}
+
+impl Attempts<'_> {
+    fn send(&mut self, searcher: Searcher) {
+        let job = self.job;
+        let Some(client) = job.holding.fleet.client(searcher).map(Arc::clone) else { return };
+        self.count += 1;
+        let document = &job.holding.current.document;
+        let position = document.shards[self.shard].position;
+        let cancel = CancellationToken::new();
+        self.guards.push(cancel.clone().drop_guard());
+        let call = Call {
+            id: Name::from(format!("{}.{position}.{}", job.id, self.count)),
+            deadline: job.deadline,
+            cancel,
+        };
+        let search = Search {
+            shard: position,
+            epoch: job.pin.epoch,
+            version: job.pin.version,
+            query: job.shape.clone(),
+        };
+        let node = Arc::clone(&self.inner.node);
+        self.running.push(Box::pin(async move {
+            let started = Instant::now();
+            let result = client.search(&call, &search, || node.is_awake()).await;
+            (searcher, result, started.elapsed())
+        }));
+    }
+}
+
+/// Checks that an answer is for the shard and the snapshot that were asked for.
+fn accept(job: &Job, shard: Shard, found: Found) -> Result<Partial, Reason> {
+    let position = job.holding.current.document.shards[shard].position;
+    if found.shard != position {
+        return Err(Reason::BadReply);
+    }
+    let pin = Pin { epoch: found.epoch, version: found.version, ..job.pin };
+    if pin != job.pin {
+        return Err(Reason::WrongSnapshot);
+    }
+    Ok(Partial { shard, pin, documents: found.documents, hits: found.hits })
+}
+
+/// The order in which the replicas are tried.
+fn order(inner: &Inner, job: &Job, shard: Shard) -> Vec<Searcher> {
+    let replicas = &job.holding.current.document.shards[shard].replicas;
+    let clients: Vec<(Searcher, &Arc<Client>)> = replicas
+        .iter()
+        .filter_map(|searcher| job.holding.fleet.client(*searcher).map(|c| (*searcher, c)))
+        .collect();
+    let healths: Vec<_> = clients.iter().map(|(_, client)| client.health().clone()).collect();
+    let candidates: Vec<_> = clients
+        .iter()
+        .zip(&healths)
+        .map(|((searcher, client), health)| {
+            let slots = client.slots();
+            Candidate { searcher: *searcher, health, load: slots.load(), slots: slots.width() }
+        })
+        .collect();
+    if inner.node.settings().gather.pick {
+        return rank(Instant::now(), Some(job.pin.version), &candidates);
+    }
+    let staying = candidates.iter().filter(|candidate| !candidate.health.is_leaving());
+    staying.map(|candidate| candidate.searcher).collect()
+}
+
+fn hedge_delay(job: &Job, floor: Duration) -> Duration {
+    let left = job.deadline.left(Instant::now());
+    lock(&job.tail).pace.p95().map_or(left / FIRST_HEDGE, |p95| p95.max(floor))
+}
--- /dev/null
+++ b/crates/members/src/view.rs
@@ -0,0 +1,148 @@
+//! One member's view of all members.
+//!
+//! Invariant: within a run, a final state is never left, and no report about an
+//! earlier run changes anything. The platform's list lags; it can add members that
+//! nobody has heard of and remove members that nobody can reach, and nothing else.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::fmt;
+use std::net::Ipv4Addr;
+
+use bergamot_base::{Name, hash_bytes};
+
+use crate::record::{Endpoint, Record, Role, State};
+
+/// An instance as the platform's list gives it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Listed {
+    /// The IPv4 number of the instance.
+    pub ip: Ipv4Addr,
+    /// The availability zone.
+    pub zone: Name,
+    /// Whether the platform says that the instance is leaving.
+    pub leaving: bool,
+}
+
+/// One member's view of all members.
+#[derive(Clone, Debug, Default)]
+pub struct View {
+    records: BTreeMap<Endpoint, Record>,
+    listed: BTreeSet<Ipv4Addr>,
+    listed_leaving: BTreeSet<Ipv4Addr>,
+    hash: u64,
+    changes: u64,
+}
+
+impl View {
+    /// Takes in a report and tells whether it changed the view.
+    pub fn apply(&mut self, record: &Record) -> bool {
+        let known = self.records.get(&record.endpoint);
+        if known.is_some_and(|known| !record.overrides(known)) {
+            return false;
+        }
+        self.hash ^= known.map_or(0, Record::hash) ^ record.hash();
+        self.changes += 1;
+        self.records.insert(record.endpoint, record.clone());
+        true
+    }
+
+    /// Takes in the platform's list and returns the reports that follow from it.
+    ///
+    /// Members known from elsewhere are left alone, unless they are unreachable and
+    /// no longer listed: then they are gone for good.
+    pub fn apply_list(&mut self, list: &[Listed]) -> Vec<Record> {
+        self.listed = list.iter().map(|listed| listed.ip).collect();
+        self.listed_leaving =
+            list.iter().filter(|listed| listed.leaving).map(|listed| listed.ip).collect();
+        let mut news = Vec::new();
+        for listed in list {
+            for role in [Role::Entry, Role::Gather] {
+                let endpoint = Endpoint { ip: listed.ip, role };
+                if !self.records.contains_key(&endpoint) && !listed.leaving {
+                    let zone = Name::clone(&listed.zone);
+                    let state = State::Alive;
+                    let seed = Record { endpoint, zone, incarnation: 0, counter: 0, state };
+                    self.apply(&seed);
+                }
+            }
+        }
+        let gone: Vec<_> = self
+            .records
+            .values()
+            .filter(|record| {
+                record.state == State::Unreachable && !self.listed.contains(&record.endpoint.ip)
+            })
+            .map(|record| Record { state: State::Left, ..record.clone() })
+            .collect();
+        for record in gone {
+            self.apply(&record);
+            news.push(record);
+        }
+        news
+    }
+
+    /// Returns the report about an endpoint.
+    pub fn get(&self, endpoint: Endpoint) -> Option<&Record> {
+        self.records.get(&endpoint)
+    }
+
+    /// Iterates over all reports.
+    pub fn iter(&self) -> impl Iterator<Item = &Record> {
+        self.records.values()
+    }
+
+    /// Iterates over the members of a role that keep their place.
+    pub fn placed(&self, role: Role) -> impl Iterator<Item = &Record> {
+        self.records
+            .values()
+            .filter(move |record| record.endpoint.role == role && record.state.keeps_place())
+    }
+
+    /// Tells whether new work may be sent to an endpoint.
+    pub fn takes_work(&self, endpoint: Endpoint) -> bool {
+        self.records.get(&endpoint).is_some_and(|record| record.state.takes_work())
+            && !self.listed_leaving.contains(&endpoint.ip)
+    }
+
+    /// Returns the hash of all reports, to compare views with.
+    pub fn hash(&self) -> u64 {
+        self.hash
+    }
+
+    /// Returns the hash of the set of members that keep their place, which changes
+    /// only when homes may have to change.
+    pub fn places_hash(&self) -> u64 {
+        self.placed(Role::Gather).fold(0, |sum, record| {
+            sum ^ record.endpoint.hash() ^ hash_bytes(record.zone.as_bytes()).rotate_left(1)
+        })
+    }
+
+    /// Counts how often the view has changed.
+    pub fn changes(&self) -> u64 {
+        self.changes
+    }
+
+    /// Returns how many members are known.
+    pub fn len(&self) -> usize {
+        self.records.len()
+    }
+
+    /// Tells whether no member is known.
+    pub fn is_empty(&self) -> bool {
+        self.records.is_empty()
+    }
+}
+
+impl fmt::Display for View {
+    /// Writes the text form that dumps and tests use: one line a member.
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for record in self.records.values() {
+            write!(f, "{record}")?;
+            if self.listed_leaving.contains(&record.endpoint.ip) {
+                f.write_str(" listed-leaving")?;
+            }
+            writeln!(f)?;
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/node/src/node.rs
@@ -0,0 +1,391 @@
+//! One run of a daemon as the fleet sees it.
+
+use std::collections::HashSet;
+use std::fmt;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use arc_swap::{ArcSwap, ArcSwapOption};
+use bergamot_base::{Incarnation, Name, Seed};
+use bergamot_config::{Document, Floor, Parcel, Settings, Verdict};
+use bergamot_members::{
+    Digest, Endpoint, Homes, Outgoing, Prober, Record, Role, Rumour, State, Timing, View,
+};
+use bergamot_net::{Fault, listen};
+use prometheus::Registry;
+use rand::RngExt;
+use rand::rngs::StdRng;
+use tokio::net::UdpSocket;
+use tokio::sync::{broadcast, watch};
+use tokio_util::sync::CancellationToken;
+
+use crate::awake::Awake;
+use crate::meter::Meter;
+use crate::{admin, control, platform, pulls};
+
+/// How many reports of leaving searchers may wait for the service to take them.
+const LEAVING_BUFFER: usize = 4096;
+
+/// How often a starting node tries to get a document.
+const RETRY: Duration = Duration::from_millis(200);
+
+/// How long a farewell is given to reach peers before the sockets close.
+const FAREWELL: Duration = Duration::from_millis(50);
+
+/// How many times a farewell is sent.
+const FAREWELLS: usize = 3;
+
+/// A part of the state dump: its title and what to write.
+pub type Dump = Box<dyn Fn() -> String + Send + Sync>;
+
+/// The document in force, with the parts in which it travels.
+#[derive(Debug)]
+pub struct Current {
+    /// The document.
+    pub document: Document,
+    pub(crate) parcel: Parcel,
+}
+
+/// What the control loop changes under one lock.
+#[derive(Debug)]
+pub(crate) struct Control {
+    pub(crate) view: View,
+    pub(crate) prober: Prober,
+    pub(crate) floor: Floor,
+    pub(crate) rng: StdRng,
+    homes_of: (u64, u64),
+}
+
+/// One run of a daemon as the fleet sees it.
+pub struct Node {
+    settings: Arc<Settings>,
+    me: Endpoint,
+    incarnation: Incarnation,
+    pub(crate) control: Mutex<Control>,
+    current: ArcSwapOption<Current>,
+    homes: ArcSwap<Homes>,
+    changed: watch::Sender<u64>,
+    leaving: broadcast::Sender<(SocketAddr, Option<Name>)>,
+    pub(crate) awake: Awake,
+    pub(crate) socket: UdpSocket,
+    pub(crate) refused: Mutex<HashSet<u64>>,
+    pub(crate) pulling: tokio::sync::Mutex<()>,
+    pub(crate) stop: CancellationToken,
+    meter: Meter,
+    registry: Registry,
+    dumps: Mutex<Vec<(&'static str, Dump)>>,
+}
+
+impl fmt::Debug for Node {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "Node({} {:x})", self.me, self.incarnation)
+    }
+}
+
+impl Node {
+    /// Binds the control and admin sockets and starts the control loops.
+    ///
+    /// The node has no document yet; see [`Node::join`].
+    pub async fn start(settings: Arc<Settings>, role: Role) -> Result<Arc<Self>, Fault> {
+        let me = Endpoint { ip: settings.instance.address, role };
+        let incarnation = new_incarnation();
+        let address = control_address(&settings, me);
+        let socket =
+            UdpSocket::bind(address).await.map_err(|e| Fault::new("bind control", address, e))?;
+        let stream_listener = listen(address).await?;
+        let admin_listener = listen(admin_address(&settings, me)).await?;
+        let registry = Registry::new();
+        let node = Arc::new(Self {
+            me,
+            incarnation,
+            control: Mutex::new(Control::new(&settings, me, incarnation)),
+            current: ArcSwapOption::empty(),
+            homes: ArcSwap::default(),
+            changed: watch::Sender::new(0),
+            leaving: broadcast::Sender::new(LEAVING_BUFFER),
+            awake: Awake::new(settings.control.pause),
+            socket,
+            refused: Mutex::default(),
+            pulling: tokio::sync::Mutex::default(),
+            stop: CancellationToken::new(),
+            meter: Meter::new(&registry),
+            registry,
+            dumps: Mutex::default(),
+            settings,
+        });
+        tokio::spawn(control::run(Arc::clone(&node)));
+        tokio::spawn(control::pulse(Arc::clone(&node)));
+        tokio::spawn(pulls::serve(Arc::clone(&node), stream_listener));
+        tokio::spawn(admin::serve(Arc::clone(&node), admin_listener));
+        log::info!("node: {me} started with incarnation {incarnation:x}.");
+        Ok(node)
+    }
+
+    /// Joins the fleet: reads the platform, asks peers, and returns once a document is
+    /// in force. Before that nothing may be served.
+    pub async fn join(self: &Arc<Self>) {
+        platform::read_list(self).await;
+        loop {
+            pulls::catch_up(self, true).await;
+            if self.current().is_some() {
+                break;
+            }
+            log::warn!("node: No document yet; neither the platform nor a peer gave one.");
+            tokio::time::sleep(RETRY).await;
+            platform::read_list(self).await;
+        }
+        tokio::spawn(platform::poll_list(Arc::clone(self)));
+        tokio::spawn(platform::follow_document(Arc::clone(self)));
+    }
+
+    /// Says farewell: from now on nobody names this run or sends it new work.
+    pub async fn leave(&self, state: State) {
+        log::info!("node: {} says farewell as {state}.", self.me);
+        for _ in 0..FAREWELLS {
+            let out = {
+                let mut control = self.lock();
+                let digest = self.digest(&control);
+                let Control { prober, view, .. } = &mut *control;
+                prober.farewell(state, view, digest)
+            };
+            self.transmit(out);
+            tokio::time::sleep(FAREWELL).await;
+        }
+    }
+
+    /// Stops the control loops for good.
+    pub fn close(&self) {
+        self.stop.cancel();
+    }
+
+    /// Returns the settings.
+    pub fn settings(&self) -> &Arc<Settings> {
+        &self.settings
+    }
+
+    /// Returns where this daemon is found.
+    pub fn me(&self) -> Endpoint {
+        self.me
+    }
+
+    /// Returns the number of this run.
+    pub fn incarnation(&self) -> Incarnation {
+        self.incarnation
+    }
+
+    /// Returns the document in force.
+    pub fn current(&self) -> Option<Arc<Current>> {
+        self.current.load_full()
+    }
+
+    /// Returns the homes of all cells.
+    pub fn homes(&self) -> Arc<Homes> {
+        self.homes.load_full()
+    }
+
+    /// Returns a receiver that wakes when the document or the homes change.
+    pub fn changes(&self) -> watch::Receiver<u64> {
+        self.changed.subscribe()
+    }
+
+    /// Returns a receiver of searchers that peers or the platform report as leaving.
+    pub fn leaving(&self) -> broadcast::Receiver<(SocketAddr, Option<Name>)> {
+        self.leaving.subscribe()
+    }
+
+    /// Tells the fleet that a searcher is leaving.
+    pub fn report_leaving(&self, searcher: SocketAddr, run: Option<Name>) {
+        self.lock().prober.spread(Rumour::Leaving { searcher, run });
+    }
+
+    pub(crate) fn heard_leaving(&self, searcher: SocketAddr, run: Option<Name>) {
+        // Without a subscriber, as in an entry, there is nobody to tell.
+        let _ = self.leaving.send((searcher, run));
+    }
+
+    /// Tells whether new work may be sent to an endpoint.
+    pub fn takes_work(&self, endpoint: Endpoint) -> bool {
+        self.lock().view.takes_work(endpoint)
+    }
+
+    /// Runs a function on the view of the members.
+    pub fn with_view<T>(&self, read: impl FnOnce(&View) -> T) -> T {
+        read(&self.lock().view)
+    }
+
+    /// Finds the entry of a run, or tells that the run is gone for good.
+    pub fn find_run(&self, incarnation: Incarnation) -> Option<Record> {
+        self.lock().view.iter().find(|record| record.incarnation == incarnation).cloned()
+    }
+
+    /// Tells whether new work may start right now.
+    pub fn is_awake(&self) -> bool {
+        self.awake.is_awake(Instant::now())
+    }
+
+    /// Waits, shortly, until new work may start.
+    pub async fn awake(&self) -> bool {
+        self.awake.wait().await
+    }
+
+    /// Catches up with a sender that has a higher revision, within a bound.
+    pub async fn catch_up_to(self: &Arc<Self>, revision: u64, bound: Duration) -> bool {
+        let ahead = || self.current().is_some_and(|current| current.document.revision >= revision);
+        if ahead() {
+            return true;
+        }
+        // Whether in time or not, what counts is the document afterwards.
+        let _ = tokio::time::timeout(bound, pulls::catch_up(self, false)).await;
+        ahead()
+    }
+
+    /// Returns the metrics of the node.
+    pub fn meter(&self) -> &Meter {
+        &self.meter
+    }
+
+    /// Returns the registry for more metrics.
+    pub fn registry(&self) -> &Registry {
+        &self.registry
+    }
+
+    /// Adds a part to the state dump.
+    pub fn add_dump(&self, title: &'static str, dump: Dump) {
+        self.dumps.lock().unwrap_or_else(PoisonError::into_inner).push((title, dump));
+    }
+
+    /// Writes the state of the process as text.
+    pub fn dump(&self) -> String {
+        let mut text = format!("[node]\n{} incarnation {:x}\n", self.me, self.incarnation);
+        if let Some(current) = self.current() {
+            text += &format!("\n[document]\n{}", current.document);
+        }
+        {
+            let control = self.lock();
+            text += &format!("clashes {}\n\n[members]\n{}", control.floor.clashes(), control.view);
+        }
+        text += &format!("\n[homes]\n{}", self.homes());
+        for (title, dump) in self.dumps.lock().unwrap_or_else(PoisonError::into_inner).iter() {
+            text += &format!("\n[{title}]\n{}", dump());
+        }
+        text
+    }
+
+    /// Puts a checked document in force if it is newer, and tells peers.
+    pub(crate) fn adopt(&self, document: Document) -> Verdict {
+        let (revision, hash) = (document.revision, document.hash);
+        let parcel = Parcel::split(&document);
+        let mut control = self.lock();
+        let verdict = control.floor.adopt(revision, hash);
+        match verdict {
+            Verdict::Newer => {
+                self.current.store(Some(Arc::new(Current { document, parcel })));
+                self.meter.revision.set(revision as i64);
+                control.homes_of = (0, 0);
+                self.refresh_homes(&mut control);
+                let digest = self.digest(&control);
+                let Control { prober, view, .. } = &mut *control;
+                let out = prober.announce(view, digest);
+                drop(control);
+                self.transmit(out);
+                log::info!("config: Revision {revision} is in force.");
+            }
+            Verdict::Clash => {
+                self.meter.clashes.set(control.floor.clashes() as i64);
+                drop(control);
+                log::error!("config: Revision {revision} came with other content; ours stays.");
+            }
+            Verdict::Same | Verdict::Older => {}
+        }
+        verdict
+    }
+
+    /// Computes the homes anew where the members or the document have changed.
+    pub(crate) fn refresh_homes(&self, control: &mut Control) {
+        self.meter.members.set(control.view.len() as i64);
+        let Some(current) = self.current() else { return };
+        let key = (current.document.hash, control.view.places_hash());
+        if control.homes_of == key {
+            return;
+        }
+        control.homes_of = key;
+        let gathers = control.view.placed(Role::Gather);
+        let homes = Homes::compute(&current.document.layout, gathers);
+        self.homes.store(Arc::new(homes));
+        self.changed.send_modify(|count| *count += 1);
+    }
+
+    pub(crate) fn digest(&self, control: &Control) -> Digest {
+        Digest {
+            revision: control.floor.revision(),
+            hash: control.floor.hash(),
+            view: control.view.hash(),
+        }
+    }
+
+    /// Sends datagrams; what the socket does not take at once is lost, as on any network.
+    pub(crate) fn transmit(&self, out: Vec<Outgoing>) {
+        for outgoing in out {
+            let bytes = bergamot_wire::encode(outgoing.datagram);
+            let address = control_address(&self.settings, outgoing.to);
+            self.meter.datagrams.with_label_values(&["out"]).inc();
+            self.meter.datagram_bytes.with_label_values(&["out"]).inc_by(bytes.len() as u64);
+            if let Err(error) = self.socket.try_send_to(&bytes, address) {
+                log::debug!("node: Datagram to {address} was not sent: {error}.");
+            }
+        }
+    }
+
+    pub(crate) fn lock(&self) -> MutexGuard<'_, Control> {
+        self.control.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Control {
+    fn new(settings: &Settings, me: Endpoint, incarnation: Incarnation) -> Self {
+        let now = Instant::now();
+        let zone = Name::clone(&settings.instance.zone);
+        let me = Record { endpoint: me, zone, incarnation, counter: 0, state: State::Alive };
+        let timing = Timing {
+            probe: settings.control.probe,
+            answer: settings.control.answer,
+            suspicion: settings.control.suspicion,
+        };
+        let mut view = View::default();
+        view.apply(&me);
+        let seed = Seed(incarnation);
+        Self {
+            view,
+            prober: Prober::new(now, timing, me, seed.generator("prober")),
+            floor: Floor::default(),
+            rng: seed.generator("node"),
+            homes_of: (0, 0),
+        }
+    }
+}
+
+/// Returns where the control sockets of an endpoint listen.
+pub(crate) fn control_address(settings: &Settings, endpoint: Endpoint) -> SocketAddr {
+    let port = match endpoint.role {
+        Role::Entry => settings.ports.entry_control,
+        Role::Gather => settings.ports.gather_control,
+    };
+    SocketAddr::from((endpoint.ip, port))
+}
+
+fn admin_address(settings: &Settings, endpoint: Endpoint) -> SocketAddr {
+    let port = match endpoint.role {
+        Role::Entry => settings.ports.entry_admin,
+        Role::Gather => settings.ports.gather_admin,
+    };
+    SocketAddr::from((endpoint.ip, port))
+}
+
+/// Makes the number of a run: the time in milliseconds, so that later runs at one
+/// address override earlier ones, then random bits, so that no two runs are alike.
+fn new_incarnation() -> Incarnation {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    let random: u16 = rand::rng().random();
+    (since.as_millis() as u64) << 16 | u64::from(random)
+}
--- /dev/null
+++ b/crates/node/src/pulls.rs
@@ -0,0 +1,144 @@
+//! Pulling documents and views from peers, and answering their pulls.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bergamot_config::{Document, Refusal, Verdict};
+use bergamot_members::{Datagram, Digest, Endpoint};
+use bergamot_net::Fault;
+use bergamot_wire::{Bundle, Pull, pull, serve_pulls};
+use rand::RngExt;
+use tokio::net::TcpListener;
+
+use crate::node::{Control, Node, control_address};
+use crate::platform;
+
+/// How many peers are asked when a node starts or wakes.
+const PEERS: usize = 3;
+
+/// How long one pull may take.
+const TIMEOUT: Duration = Duration::from_millis(1500);
+
+/// One datagram in so many that shows another view leads to an exchange of views.
+///
+/// Views differ for a moment after every change, while rumours are on their way; only
+/// a lasting difference needs the exchange, and it is met sooner or later.
+const VIEW_EXCHANGE: u32 = 64;
+
+/// Answers pulls until the node closes.
+pub(crate) async fn serve(node: Arc<Node>, listener: TcpListener) {
+    let stop = node.stop.clone();
+    serve_pulls(listener, stop, move |request| answer(&node, &request)).await;
+}
+
+fn answer(node: &Node, request: &Pull) -> Bundle {
+    let parcel = node
+        .current()
+        .filter(|current| current.document.revision > request.revision)
+        .map(|current| current.parcel.clone().without(&request.held));
+    let Some(theirs) = &request.view else { return Bundle { parcel, view: Vec::new() } };
+    let mut control = node.lock();
+    let view = control.view.iter().cloned().collect();
+    let Control { prober, view: ours, .. } = &mut *control;
+    prober.learn_all(Instant::now(), theirs, ours);
+    node.refresh_homes(&mut control);
+    Bundle { parcel, view }
+}
+
+/// Compares what a peer has in force with ours and pulls what we lack.
+pub(crate) fn compare(node: &Arc<Node>, datagram: &Datagram, ours: Digest) {
+    let theirs = datagram.digest;
+    let from = datagram.from.endpoint;
+    if theirs.revision > ours.revision {
+        let node = Arc::clone(node);
+        tokio::spawn(async move {
+            // One pull at a time: a second one would fetch the same document.
+            let Ok(_one) = node.pulling.try_lock() else { return };
+            exchange(&node, from, false).await;
+        });
+    } else if theirs.revision == ours.revision && theirs.hash != ours.hash && ours.revision > 0 {
+        node.meter().clashes.set(1);
+        log::error!("config: {from} has revision {} with other content.", theirs.revision);
+    } else if theirs.view != ours.view {
+        let drawn = node.lock().rng.random_ratio(1, VIEW_EXCHANGE);
+        if drawn {
+            let node = Arc::clone(node);
+            tokio::spawn(async move { exchange(&node, from, true).await });
+        }
+    }
+}
+
+/// Asks the platform and several peers at once and takes the highest revision.
+pub(crate) async fn catch_up(node: &Arc<Node>, with_platform: bool) {
+    let peers = {
+        let mut control = node.lock();
+        let Control { prober, view, .. } = &mut *control;
+        prober.peers(view, PEERS)
+    };
+    let mut asked = tokio::task::JoinSet::new();
+    for peer in peers {
+        let node = Arc::clone(node);
+        asked.spawn(async move { exchange(&node, peer, true).await });
+    }
+    if with_platform {
+        let node = Arc::clone(node);
+        asked.spawn(async move { platform::read_document(&node).await });
+    }
+    asked.join_all().await;
+}
+
+/// Makes one exchange with a peer; failures are counted and otherwise harmless.
+async fn exchange(node: &Arc<Node>, peer: Endpoint, with_view: bool) {
+    let address = control_address(node.settings(), peer);
+    let result = match try_exchange(node, address, with_view).await {
+        Ok(()) => "done",
+        Err(fault) => {
+            log::debug!("node: Pull failed: {fault}.");
+            "failed"
+        }
+    };
+    node.meter().pulls.with_label_values(&[result]).inc();
+}
+
+async fn try_exchange(
+    node: &Arc<Node>,
+    peer: SocketAddr,
+    with_view: bool,
+) -> Result<(), Fault> {
+    let current = node.current();
+    let view = with_view.then(|| node.with_view(|view| view.iter().cloned().collect()));
+    let request = Pull {
+        revision: current.as_ref().map_or(0, |current| current.document.revision),
+        held: current.as_ref().map_or_else(Vec::new, |current| current.parcel.hashes()),
+        view,
+    };
+    let bundle = pull(node.settings().instance.address, peer, &request, TIMEOUT).await?;
+    if with_view {
+        let mut control = node.lock();
+        let Control { prober, view, .. } = &mut *control;
+        prober.learn_all(Instant::now(), &bundle.view, view);
+        node.refresh_homes(&mut control);
+    }
+    if let Some(parcel) = bundle.parcel {
+        let held = current.as_ref().map(|current| &current.parcel);
+        offer(node, parcel.assemble(held), peer);
+    }
+    Ok(())
+}
+
+/// Puts a document in force if it is whole and newer; refuses it whole otherwise.
+pub(crate) fn offer(node: &Node, checked: Result<Document, Refusal>, from: SocketAddr) {
+    match checked {
+        Ok(document) => {
+            let revision = document.revision;
+            if node.adopt(document) == Verdict::Older {
+                log::debug!("config: {from} gave revision {revision}, which is older than ours.");
+            }
+        }
+        Err(refusal) => {
+            node.meter().refused_documents.inc();
+            log::error!("config: Refused a document from {from}: {refusal}");
+        }
+    }
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -1,1 +1,14 @@
-//! Placeholder.
+//! Stand-ins for searchers, the configuration service and the instance list.
+//!
+//! They speak the platform's published protocols and fail on request: stragglers, cold
+//! starts, sheds, drains, lying status, refused connections, a service that is down or
+//! stale, a list that lags. They are small, are not shipped to users, and record each
+//! effect so that histories can be checked. See `docs/RUNNING.md`.
+
+mod corpus;
+mod platform;
+mod searcher;
+
+pub use corpus::Corpus;
+pub use platform::{Counts, Instance, Platform};
+pub use searcher::{Effect, Faults, Geography, Limits, Searcher, SearcherSettings};
--- /dev/null
+++ b/crates/standin/src/searcher.rs
@@ -0,0 +1,497 @@
+//! A searcher: one shard's replica with few slots and few connections.
+
+use std::collections::{BTreeSet, HashMap};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use bergamot_base::{Epoch, Name, Seed, Version};
+use bergamot_net::{Body, Fault, json, listen, read_body, text};
+use bergamot_upstream::protocol::{self, Found, Receipt, Search, Write};
+use hyper::body::Incoming;
+use hyper::header::{HeaderName, HeaderValue};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Method, Request, Response, StatusCode};
+use hyper_util::rt::TokioIo;
+use rand::rngs::StdRng;
+use rand::RngExt;
+use serde::{Deserialize, Serialize};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Semaphore;
+use tokio_util::sync::CancellationToken;
+
+use crate::corpus::Corpus;
+
+/// The largest request body.
+const LARGEST_BODY: usize = 1 << 20;
+
+/// The shape parameter of the tail of ordinary service times: the largest of an
+/// ordinary request is this many times the mean.
+const SPREAD: f64 = 2.0;
+
+/// Where instances and searchers are, for the latency between them.
+#[derive(Clone, Debug, Default)]
+pub struct Geography {
+    /// The zone of each instance.
+    pub zones: HashMap<Ipv4Addr, Name>,
+    /// The region of each zone.
+    pub regions: HashMap<Name, Name>,
+    /// One way between zones of one region.
+    pub between_zones: Duration,
+    /// One way between regions.
+    pub between_regions: Duration,
+}
+
+impl Geography {
+    /// Returns the latency one way from an instance to a zone.
+    fn one_way(&self, from: IpAddr, to: &Name) -> Duration {
+        let IpAddr::V4(from) = from else { return Duration::ZERO };
+        let Some(zone) = self.zones.get(&from) else { return Duration::ZERO };
+        if zone == to {
+            Duration::ZERO
+        } else if self.regions.get(zone) == self.regions.get(to) {
+            self.between_zones
+        } else {
+            self.between_regions
+        }
+    }
+}
+
+/// What a searcher can bear.
+#[derive(Clone, Copy, Debug)]
+pub struct Limits {
+    /// How many requests it works on at once.
+    pub slots: usize,
+    /// How many connections it accepts.
+    pub connections: usize,
+    /// What a new connection costs.
+    pub connect_cost: Duration,
+    /// The mean time of an ordinary request.
+    pub service_time: Duration,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            slots: 2,
+            connections: 25,
+            connect_cost: Duration::from_millis(6),
+            service_time: Duration::from_millis(2),
+        }
+    }
+}
+
+/// How a searcher fails, changed while it runs.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Faults {
+    /// The part of requests that straggle.
+    pub straggle: f64,
+    /// By how much a straggler takes longer.
+    pub straggle_factor: f64,
+    /// By how much every request takes longer.
+    pub slow_factor: f64,
+    /// The part of requests that are shed.
+    pub shed: f64,
+    /// Whether the searcher says that it is leaving.
+    pub leaving: bool,
+    /// Whether new work is refused because the searcher is leaving.
+    pub gone: bool,
+    /// Whether answers name and hold another version than they say was asked.
+    pub wrong_version: bool,
+    /// The part of replies that are cut after half of the body.
+    pub cut: f64,
+    /// The part of writes that take effect and are then cut before the reply.
+    pub cut_writes: f64,
+    /// The versions that the status claims, where it lies.
+    pub claimed: Option<Vec<Version>>,
+}
+
+/// What a searcher did, for histories.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(tag = "effect", rename_all = "snake_case")]
+pub enum Effect {
+    /// A sub-query was worked on.
+    Search {
+        /// The name of the attempt.
+        request: Name,
+    },
+    /// A write took effect.
+    Write {
+        /// The idempotency key.
+        key: Name,
+        /// The record.
+        record: Name,
+        /// The entry.
+        body: Name,
+    },
+}
+
+/// The settings of a searcher.
+#[derive(Clone, Debug)]
+pub struct SearcherSettings {
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Its availability zone.
+    pub zone: Name,
+    /// What it can bear.
+    pub limits: Limits,
+    /// Its documents.
+    pub corpus: Corpus,
+    /// The versions that it holds at the start.
+    pub versions: Vec<Version>,
+    /// The seed of its service times and faults.
+    pub seed: Seed,
+    /// Where instances are.
+    pub geography: Arc<Geography>,
+}
+
+#[derive(Debug)]
+struct State {
+    versions: BTreeSet<Version>,
+    corpora: HashMap<Epoch, Corpus>,
+    faults: Faults,
+    rng: StdRng,
+    running: HashMap<Name, CancellationToken>,
+    effects: Vec<Effect>,
+    ledger: u64,
+    cold_until: Option<Instant>,
+}
+
+#[derive(Debug)]
+struct Inner {
+    settings: SearcherSettings,
+    run: Name,
+    state: Mutex<State>,
+    slots: Semaphore,
+    open: AtomicUsize,
+    peak: AtomicUsize,
+    accepted: AtomicUsize,
+    over: AtomicUsize,
+    searches: AtomicUsize,
+    stop: CancellationToken,
+}
+
+/// A searcher that runs until it is dropped.
+#[derive(Debug)]
+pub struct Searcher(Arc<Inner>);
+
+impl Searcher {
+    /// Starts a searcher.
+    pub async fn start(settings: SearcherSettings) -> Result<Self, Fault> {
+        let listener = listen(settings.address).await?;
+        let mut rng = settings.seed.generator(&format!("searcher {}", settings.address));
+        let run = Name::from(format!("{:016x}", rand::rng().random::<u64>()));
+        let state = State {
+            versions: settings.versions.iter().copied().collect(),
+            corpora: HashMap::from([(settings.corpus.epoch, settings.corpus.clone())]),
+            faults: Faults::default(),
+            rng: rand::SeedableRng::from_rng(&mut rng),
+            running: HashMap::new(),
+            effects: Vec::new(),
+            ledger: 0,
+            cold_until: None,
+        };
+        let inner = Arc::new(Inner {
+            run,
+            state: Mutex::new(state),
+            slots: Semaphore::new(settings.limits.slots),
+            open: AtomicUsize::new(0),
+            peak: AtomicUsize::new(0),
+            accepted: AtomicUsize::new(0),
+            over: AtomicUsize::new(0),
+            searches: AtomicUsize::new(0),
+            stop: CancellationToken::new(),
+            settings,
+        });
+        tokio::spawn(accept(Arc::clone(&inner), listener));
+        Ok(Self(inner))
+    }
+
+    /// Returns where the searcher listens.
+    pub fn address(&self) -> SocketAddr {
+        self.0.settings.address
+    }
+
+    /// Changes how the searcher fails.
+    pub fn set_faults(&self, faults: Faults) {
+        self.0.lock().faults = faults;
+    }
+
+    /// Changes which versions the searcher holds.
+    pub fn set_versions(&self, versions: impl IntoIterator<Item = Version>) {
+        self.0.lock().versions = versions.into_iter().collect();
+    }
+
+    /// Makes the searcher cold: requests take three times as long for a while.
+    pub fn chill(&self, time: Duration) {
+        self.0.lock().cold_until = Some(Instant::now() + time);
+    }
+
+    /// Adds the documents of another epoch, as repartitioning does.
+    pub fn add_epoch(&self, corpus: Corpus) {
+        self.0.lock().corpora.insert(corpus.epoch, corpus);
+    }
+
+    /// Returns what the searcher did so far.
+    pub fn effects(&self) -> Vec<Effect> {
+        self.0.lock().effects.clone()
+    }
+
+    /// Returns the most connections open at once, and how many came above the limit.
+    pub fn connections(&self) -> (usize, usize) {
+        (self.0.peak.load(Ordering::Relaxed), self.0.over.load(Ordering::Relaxed))
+    }
+
+    /// Returns how many connections were accepted.
+    pub fn accepted(&self) -> usize {
+        self.0.accepted.load(Ordering::Relaxed)
+    }
+
+    /// Returns how many sub-queries arrived.
+    pub fn searches(&self) -> usize {
+        self.0.searches.load(Ordering::Relaxed)
+    }
+
+    /// Stops at once, cutting every connection.
+    pub fn kill(&self) {
+        self.0.stop.cancel();
+    }
+}
+
+impl Drop for Searcher {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+async fn accept(inner: Arc<Inner>, listener: TcpListener) {
+    loop {
+        let accepted = tokio::select! {
+            () = inner.stop.cancelled() => return,
+            accepted = listener.accept() => accepted,
+        };
+        let Ok((stream, peer)) = accepted else { continue };
+        let open = inner.open.fetch_add(1, Ordering::Relaxed) + 1;
+        if open > inner.settings.limits.connections {
+            inner.open.fetch_sub(1, Ordering::Relaxed);
+            inner.over.fetch_add(1, Ordering::Relaxed);
+            continue;
+        }
+        inner.peak.fetch_max(open, Ordering::Relaxed);
+        inner.accepted.fetch_add(1, Ordering::Relaxed);
+        let inner = Arc::clone(&inner);
+        tokio::spawn(async move {
+            tokio::select! {
+                () = inner.stop.cancelled() => {}
+                () = connection(&inner, stream, peer) => {}
+            }
+            inner.open.fetch_sub(1, Ordering::Relaxed);
+        });
+    }
+}
+
+async fn connection(inner: &Arc<Inner>, stream: TcpStream, peer: SocketAddr) {
+    // Failure only costs time.
+    let _ = stream.set_nodelay(true);
+    tokio::time::sleep(inner.settings.limits.connect_cost).await;
+    let one_way = inner.settings.geography.one_way(peer.ip(), &inner.settings.zone);
+    let service = service_fn(move |request| {
+        let inner = Arc::clone(inner);
+        async move {
+            tokio::time::sleep(one_way).await;
+            let reply = inner.handle(request).await;
+            tokio::time::sleep(one_way).await;
+            reply.ok_or_else(|| std::io::Error::other("cut on purpose"))
+        }
+    });
+    // A cut connection is what the caller sees; there is nothing to add here.
+    let _ = http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
+}
+
+impl Inner {
+    /// Answers a request, or nothing where the connection is to be cut.
+    async fn handle(&self, request: Request<Incoming>) -> Option<Response<Body>> {
+        let path = request.uri().path().to_owned();
+        let mut response = match (request.method(), path.as_str()) {
+            (&Method::POST, protocol::SEARCH) => self.search(request).await?,
+            (&Method::POST, protocol::WRITE) => self.write(request).await?,
+            (&Method::GET, protocol::STATUS) => json(StatusCode::OK, "{}"),
+            (&Method::DELETE, path) if path.starts_with(protocol::REQUESTS) => {
+                self.cancel(&path[protocol::REQUESTS.len()..])
+            }
+            (&Method::GET, "/effects") => {
+                json(StatusCode::OK, serde_json::to_vec(&self.lock().effects).ok()?)
+            }
+            (&Method::POST, "/faults") => self.take_faults(request).await,
+            _ => text(StatusCode::NOT_FOUND, "unknown path"),
+        };
+        self.mark(&mut response, path == protocol::STATUS);
+        Some(response)
+    }
+
+    /// Adds the headers that every answer carries.
+    fn mark(&self, response: &mut Response<Body>, status: bool) {
+        let state = self.lock();
+        let held: Vec<Version> = state.versions.iter().copied().collect();
+        let claimed = state.faults.claimed.clone().filter(|_| status).unwrap_or(held);
+        let versions: Vec<_> = claimed.iter().map(ToString::to_string).collect();
+        let mut set = |name: &'static str, value: &str| {
+            if let Ok(value) = HeaderValue::from_str(value) {
+                response.headers_mut().insert(HeaderName::from_static(name), value);
+            }
+        };
+        set(protocol::RUN, &self.run);
+        set(protocol::VERSIONS, &versions.join(","));
+        if state.faults.leaving || state.faults.gone {
+            set(protocol::LEAVING, "1");
+        }
+    }
+
+    async fn search(&self, request: Request<Incoming>) -> Option<Response<Body>> {
+        self.searches.fetch_add(1, Ordering::Relaxed);
+        let (id, left) = headers(&request);
+        let body = read_body(request, LARGEST_BODY).await.ok()?;
+        let Ok(search) = serde_json::from_slice::<Search>(&body) else {
+            return Some(text(StatusCode::BAD_REQUEST, "not a search"));
+        };
+        if let Some(refusal) = self.refuse() {
+            return Some(refusal);
+        }
+        let cancel = CancellationToken::new();
+        self.lock().running.insert(Name::clone(&id), cancel.clone());
+        let worked = tokio::select! {
+            () = cancel.cancelled() => None,
+            worked = tokio::time::timeout(left, self.work()) => worked.ok(),
+        };
+        self.lock().running.remove(&id);
+        if worked.is_none() {
+            return Some(text(StatusCode::GATEWAY_TIMEOUT, "cancelled or late"));
+        }
+        self.lock().effects.push(Effect::Search { request: id });
+        self.found(&search)
+    }
+
+    fn found(&self, search: &Search) -> Option<Response<Body>> {
+        let mut state = self.lock();
+        let corpus = state.corpora.get(&search.epoch).cloned();
+        let held = state.versions.contains(&search.version);
+        let cut = state.draw(|faults| faults.cut);
+        let wrong = state.faults.wrong_version;
+        drop(state);
+        let Some(corpus) = corpus.filter(|corpus| held && corpus.position == search.shard) else {
+            return Some(text(StatusCode::CONFLICT, "not held"));
+        };
+        if cut {
+            return None;
+        }
+        let version = if wrong { search.version + 1 } else { search.version };
+        let (documents, hits) = corpus.search(&search.query, version);
+        let Search { shard, epoch, .. } = *search;
+        let found = Found { shard, epoch, version, documents, hits };
+        Some(json(StatusCode::OK, serde_json::to_vec(&found).ok()?))
+    }
+
+    async fn write(&self, request: Request<Incoming>) -> Option<Response<Body>> {
+        let (_, left) = headers(&request);
+        let key = request.headers().get(protocol::KEY)?.to_str().ok()?;
+        let key = Name::from(key);
+        let body = read_body(request, LARGEST_BODY).await.ok()?;
+        let Ok(write) = serde_json::from_slice::<Write>(&body) else {
+            return Some(not_run(StatusCode::BAD_REQUEST, "not a write"));
+        };
+        if let Some(refusal) = self.refuse() {
+            let status = refusal.status();
+            return Some(not_run(status, "refused"));
+        }
+        if tokio::time::timeout(left, self.work()).await.is_err() {
+            return Some(not_run(StatusCode::GATEWAY_TIMEOUT, "late"));
+        }
+        let mut state = self.lock();
+        state.ledger += 1;
+        let receipt = Name::from(format!("{}-{}", self.run, state.ledger));
+        state.effects.push(Effect::Write { key, record: write.record, body: write.body });
+        let cut = state.draw(|faults| faults.cut_writes);
+        drop(state);
+        if cut {
+            return None;
+        }
+        Some(json(StatusCode::OK, serde_json::to_vec(&Receipt { receipt }).ok()?))
+    }
+
+    /// Waits for a slot and takes the time that a request takes.
+    async fn work(&self) {
+        let slot = self.slots.acquire().await;
+        let time = self.lock().service_time(self.settings.limits.service_time);
+        tokio::time::sleep(time).await;
+        drop(slot);
+    }
+
+    fn refuse(&self) -> Option<Response<Body>> {
+        let mut state = self.lock();
+        if state.faults.gone {
+            return Some(text(StatusCode::GONE, "leaving"));
+        }
+        state.draw(|faults| faults.shed).then(|| text(StatusCode::SERVICE_UNAVAILABLE, "shed"))
+    }
+
+    fn cancel(&self, id: &str) -> Response<Body> {
+        if let Some(running) = self.lock().running.get(id) {
+            running.cancel();
+        }
+        text(StatusCode::OK, "cancelled")
+    }
+
+    async fn take_faults(&self, request: Request<Incoming>) -> Response<Body> {
+        let body = read_body(request, LARGEST_BODY).await.unwrap_or_default();
+        match serde_json::from_slice(&body) {
+            Ok(faults) => {
+                self.lock().faults = faults;
+                text(StatusCode::OK, "taken")
+            }
+            Err(error) => text(StatusCode::BAD_REQUEST, error.to_string()),
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl State {
+    fn draw(&mut self, part: impl Fn(&Faults) -> f64) -> bool {
+        let part = part(&self.faults);
+        part > 0.0 && self.rng.random::<f64>() < part
+    }
+
+    /// Draws a service time: half of the mean at least, with a short tail, times what
+    /// straggling, slowness and cold add.
+    fn service_time(&mut self, mean: Duration) -> Duration {
+        let draw: f64 = self.rng.random();
+        let mut factor = 0.5 + (SPREAD - 0.5) * draw.powi(2);
+        if self.draw(|faults| faults.straggle) {
+            factor *= self.faults.straggle_factor.max(1.0);
+        }
+        factor *= self.faults.slow_factor.max(1.0);
+        if self.cold_until.is_some_and(|until| Instant::now() < until) {
+            factor *= 3.0;
+        }
+        mean.mul_f64(factor)
+    }
+}
+
+fn headers(request: &Request<Incoming>) -> (Name, Duration) {
+    let text = |name| request.headers().get(name).and_then(|value| value.to_str().ok());
+    let left = text(protocol::DEADLINE).and_then(|text| text.parse().ok()).unwrap_or(1_000_000);
+    (Name::from(text(protocol::REQUEST).unwrap_or_default()), Duration::from_micros(left))
+}
+
+fn not_run(status: StatusCode, cause: &'static str) -> Response<Body> {
+    let mut response = text(status, cause);
+    response
+        .headers_mut()
+        .insert(HeaderName::from_static(protocol::NOT_RUN), HeaderValue::from_static("1"));
+    response
+}
--- /dev/null
+++ b/crates/wire/src/stream.rs
@@ -0,0 +1,135 @@
+//! Pulling documents and views over a WebSocket.
+//!
+//! One exchange: the puller says what it holds and gets what it lacks. Connections
+//! are short, since a member pulls from any other and rarely from the same one twice.
+
+use std::net::{Ipv4Addr, SocketAddr};
+use std::time::Duration;
+
+use bergamot_base::Revision;
+use bergamot_config::Parcel;
+use bergamot_members::Record;
+use bergamot_net::{Fault, dial};
+use futures::{SinkExt, StreamExt};
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
+use tokio::net::{TcpListener, TcpStream};
+use tokio_tungstenite::tungstenite::{Error, Message};
+use tokio_tungstenite::{WebSocketStream, accept_async, client_async};
+use tokio_util::sync::CancellationToken;
+
+/// How long the serving side of one exchange may take.
+const SERVE: Duration = Duration::from_secs(5);
+
+/// What a puller holds.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Pull {
+    /// The revision in force at the puller, zero for none.
+    #[serde(rename = "r")]
+    pub revision: Revision,
+    /// The hashes of the sections that the puller holds.
+    #[serde(rename = "h")]
+    pub held: Vec<u64>,
+    /// The puller's own view, where views are to be exchanged.
+    #[serde(rename = "v")]
+    pub view: Option<Vec<Record>>,
+}
+
+/// What a puller lacks.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Bundle {
+    /// The document in force, where it is newer.
+    #[serde(rename = "p")]
+    pub parcel: Option<Parcel>,
+    /// The whole view, where it was asked for.
+    #[serde(rename = "v")]
+    pub view: Vec<Record>,
+}
+
+/// Pulls from a peer within a timeout.
+pub async fn pull(
+    local: Ipv4Addr,
+    peer: SocketAddr,
+    request: &Pull,
+    timeout: Duration,
+) -> Result<Bundle, Fault> {
+    let exchange = async {
+        let stream = dial(local, peer, timeout).await?;
+        let address = format!("ws://{peer}/");
+        let (mut socket, _) = client_async(address, stream)
+            .await
+            .map_err(|error| Fault::new("open control stream", peer, error))?;
+        send(&mut socket, request, peer).await?;
+        let bundle = receive(&mut socket, peer).await?;
+        // The exchange is over whether or not the close reaches the peer.
+        let _ = socket.close(None).await;
+        Ok(bundle)
+    };
+    tokio::time::timeout(timeout, exchange)
+        .await
+        .map_err(|elapsed| Fault::new("pull", peer, elapsed))?
+}
+
+/// Answers pulls until `stop`.
+pub async fn serve_pulls<F>(listener: TcpListener, stop: CancellationToken, answer: F)
+where
+    F: Fn(Pull) -> Bundle + Clone + Send + Sync + 'static,
+{
+    loop {
+        let accepted = tokio::select! {
+            () = stop.cancelled() => return,
+            accepted = listener.accept() => accepted,
+        };
+        let Ok((stream, peer)) = accepted else { continue };
+        let answer = answer.clone();
+        tokio::spawn(async move {
+            let exchange = tokio::time::timeout(SERVE, serve_one(stream, peer, answer));
+            match exchange.await {
+                Ok(Ok(())) => {}
+                Ok(Err(fault)) => log::debug!("wire: Pull failed: {fault}."),
+                Err(elapsed) => log::debug!("wire: Pull by {peer} failed: {elapsed}."),
+            }
+        });
+    }
+}
+
+async fn serve_one(
+    stream: TcpStream,
+    peer: SocketAddr,
+    answer: impl Fn(Pull) -> Bundle,
+) -> Result<(), Fault> {
+    let mut socket = accept_async(stream)
+        .await
+        .map_err(|error| Fault::new("accept control stream", peer, error))?;
+    let request = receive(&mut socket, peer).await?;
+    send(&mut socket, &answer(request), peer).await?;
+    while let Some(Ok(_)) = socket.next().await {}
+    Ok(())
+}
+
+async fn send<T: Serialize>(
+    socket: &mut WebSocketStream<TcpStream>,
+    message: &T,
+    peer: SocketAddr,
+) -> Result<(), Fault> {
+    let mut bytes = Vec::new();
+    ciborium::into_writer(message, &mut bytes)
+        .map_err(|error| Fault::new("encode control message", peer, error))?;
+    socket
+        .send(Message::binary(bytes))
+        .await
+        .map_err(|error| Fault::new("send control message", peer, error))
+}
+
+async fn receive<T: DeserializeOwned>(
+    socket: &mut WebSocketStream<TcpStream>,
+    peer: SocketAddr,
+) -> Result<T, Fault> {
+    let message = socket
+        .next()
+        .await
+        .unwrap_or(Err(Error::ConnectionClosed))
+        .map_err(|error| Fault::new("receive control message", peer, error))?;
+    ciborium::from_reader(&message.into_data()[..])
+        .map_err(|error| Fault::new("decode control message", peer, error))
+}
--- /dev/null
+++ b/daemons/src/bin/bergamotctl.rs
@@ -0,0 +1,162 @@
+//! The operators' command line.
+
+use std::net::{Ipv4Addr, SocketAddr};
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+use std::time::Duration;
+
+use bergamot_config::Document;
+use bergamot_net::fetch;
+use bergamotstand::{Failure, load_settings, usage};
+use gumdrop::Options;
+
+const PROGRAM: &str = "bergamotctl";
+const ABOUT: &str = "checks documents and settings, and asks daemons for their state";
+
+/// How long an exchange with a daemon may take.
+const TIMEOUT: Duration = Duration::from_secs(5);
+
+#[derive(Debug, Options)]
+struct Arguments {
+    #[options(help = "show this text")]
+    help: bool,
+    #[options(help = "show the version", short = "V")]
+    version: bool,
+    #[options(command)]
+    command: Option<Command>,
+}
+
+#[derive(Debug, Options)]
+enum Command {
+    #[options(help = "check settings files and configuration documents")]
+    Check(Check),
+    #[options(help = "print the state of a daemon")]
+    Dump(Dump),
+    #[options(help = "print the addresses that an entry gives to callers")]
+    Addresses(Addresses),
+}
+
+#[derive(Debug, Options)]
+struct Check {
+    #[options(help = "show this text")]
+    help: bool,
+    #[options(help = "a settings file (INI)", meta = "FILE")]
+    settings: Vec<PathBuf>,
+    #[options(help = "a configuration document (JSON)", meta = "FILE")]
+    document: Vec<PathBuf>,
+    #[options(help = "print the text form of valid documents")]
+    print: bool,
+}
+
+#[derive(Debug, Options)]
+struct Dump {
+    #[options(help = "show this text")]
+    help: bool,
+    #[options(free, help = "the admin address of a daemon, such as 127.0.0.1:7403")]
+    admin: Vec<SocketAddr>,
+    #[options(help = "print the metrics in place of the state")]
+    metrics: bool,
+}
+
+#[derive(Debug, Options)]
+struct Addresses {
+    #[options(help = "show this text")]
+    help: bool,
+    #[options(free, help = "the callers' address of an entry, such as 127.0.0.1:7400")]
+    entry: Vec<SocketAddr>,
+    #[options(help = "the caller's availability zone", meta = "ZONE")]
+    zone: Option<String>,
+}
+
+fn main() -> ExitCode {
+    let args: Vec<String> = std::env::args().skip(1).collect();
+    let arguments = match Arguments::parse_args_default(&args) {
+        Ok(arguments) => arguments,
+        Err(error) => return Failure::Usage { cause: error.to_string() }.report(PROGRAM),
+    };
+    if arguments.version {
+        println!("{PROGRAM} {}", env!("CARGO_PKG_VERSION"));
+        return ExitCode::SUCCESS;
+    }
+    let result = match arguments.command {
+        Some(Command::Check(options)) if options.help => help::<Check>("check"),
+        Some(Command::Dump(options)) if options.help => help::<Dump>("dump"),
+        Some(Command::Addresses(options)) if options.help => help::<Addresses>("addresses"),
+        Some(Command::Check(options)) => check(&options),
+        Some(Command::Dump(options)) => dump(&options),
+        Some(Command::Addresses(options)) => addresses(&options),
+        None if arguments.help => help::<Arguments>(""),
+        None => Err(wrong("a command is needed: check, dump or addresses")),
+    };
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(failure) => failure.report(PROGRAM),
+    }
+}
+
+#[expect(clippy::unnecessary_wraps, reason = "all commands have one type")]
+fn help<T: Options>(command: &str) -> Result<(), Failure> {
+    println!("{}", usage::<T>(format!("{PROGRAM} {command}").trim_end(), ABOUT));
+    Ok(())
+}
+
+fn wrong(cause: &str) -> Failure {
+    Failure::Usage { cause: cause.to_owned() }
+}
+
+fn check(options: &Check) -> Result<(), Failure> {
+    if options.settings.is_empty() && options.document.is_empty() {
+        return Err(wrong("check needs --settings FILE or --document FILE"));
+    }
+    for path in &options.settings {
+        load_settings(path)?;
+        println!("{}: settings are valid", path.display());
+    }
+    for path in &options.document {
+        let document = load_document(path)?;
+        println!("{}: document is valid, revision {}", path.display(), document.revision);
+        if options.print {
+            print!("{document}");
+        }
+    }
+    Ok(())
+}
+
+fn load_document(path: &Path) -> Result<Document, Failure> {
+    let name = path.to_string_lossy();
+    let text = std::fs::read(path).map_err(|source| Failure::Unreadable {
+        step: bergamot_base::Step("read document"),
+        peer: bergamot_base::Peer::File(name.as_ref().into()),
+        source,
+    })?;
+    Document::parse(&text).map_err(|refusal| Failure::Refused { source: refusal.at(&name) })
+}
+
+fn dump(options: &Dump) -> Result<(), Failure> {
+    if options.admin.is_empty() {
+        return Err(wrong("dump needs the admin address of a daemon"));
+    }
+    let path = if options.metrics { "/metrics" } else { "/state" };
+    options.admin.iter().try_for_each(|admin| print_reply(*admin, path))
+}
+
+fn addresses(options: &Addresses) -> Result<(), Failure> {
+    let [entry] = options.entry[..] else {
+        return Err(wrong("addresses needs the callers' address of one entry"));
+    };
+    let zone = options.zone.as_ref().map(|zone| format!("?zone={zone}")).unwrap_or_default();
+    print_reply(entry, &format!("/v1/addresses{zone}"))
+}
+
+#[tokio::main(flavor = "current_thread")]
+async fn print_reply(daemon: SocketAddr, path: &str) -> Result<(), Failure> {
+    let local = Ipv4Addr::UNSPECIFIED;
+    let reply = fetch(local, daemon, path, TIMEOUT).await.map_err(Failure::failed)?;
+    let text = String::from_utf8_lossy(reply.body());
+    if !reply.status().is_success() {
+        let status = reply.status();
+        return Err(Failure::failed(format!("get {path} {daemon}: status {status}: {text}")));
+    }
+    println!("{}", text.trim_end());
+    Ok(())
+}
--- a/daemons/src/lib.rs
+++ b/daemons/src/lib.rs
@@ -1,1 +1,10 @@
-//! Placeholder.
+//! What the daemons and the operators' command line share.
+//!
+//! The programs are thin: they read options and settings, start a service of the
+//! library, and wait for a stop signal. Exit codes: 0 after a graceful stop, 1 when the
+//! service can't start or an exchange fails, 2 when options, settings or a document are
+//! wrong. See `docs/operations/running.md`.
+
+mod launch;
+
+pub use launch::{Failure, load_settings, run, usage};
