--- /dev/null
+++ b/crates/bench/src/cluster.rs
@@ -0,0 +1,125 @@
+//! A deployment that runs in this process, over loopback.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use bergamot_base::Version;
+use bergamot_config::Settings;
+use bergamot_net::Fault;
+use bergamot_standin::{Platform, Searcher};
+
+use crate::deployment::Deployment;
+use crate::history::History;
+
+/// The daemons of one instance.
+#[derive(Debug)]
+pub struct Instance {
+    /// The entry.
+    pub entry: bergamot_entry::Running,
+    /// The gather.
+    pub gather: bergamot_gather::Running,
+}
+
+/// A deployment that runs.
+#[derive(Debug)]
+pub struct Cluster {
+    /// What runs.
+    pub deployment: Deployment,
+    /// The platform.
+    pub platform: Platform,
+    /// The searchers, in the order of the document, with the service of each.
+    pub searchers: Vec<(usize, Searcher)>,
+    /// The instances by number.
+    pub instances: BTreeMap<usize, Instance>,
+    base: Settings,
+}
+
+impl Cluster {
+    /// Starts the platform, the searchers and every instance.
+    pub async fn start(deployment: Deployment, base: Settings) -> Result<Self, Fault> {
+        let mut cluster = Self::start_stand_ins(deployment, base, &[1]).await?;
+        let starts: Vec<_> = (0..cluster.deployment.instances)
+            .map(|number| {
+                let settings = cluster.settings(number);
+                async move { (number, start_instance(settings).await) }
+            })
+            .collect();
+        for (number, instance) in futures::future::join_all(starts).await {
+            cluster.instances.insert(number, instance?);
+        }
+        Ok(cluster)
+    }
+
+    /// Starts the platform and the searchers only.
+    pub async fn start_stand_ins(
+        deployment: Deployment,
+        base: Settings,
+        versions: &[Version],
+    ) -> Result<Self, Fault> {
+        let [configuration, instances] = deployment.platform();
+        let platform = Platform::start(configuration, instances).await?;
+        platform.publish(&deployment.document(1));
+        platform.list(deployment.list(0..deployment.instances));
+        let mut searchers = Vec::new();
+        for (service, settings) in deployment.searchers(versions) {
+            searchers.push((service, Searcher::start(settings).await?));
+        }
+        Ok(Self {
+            deployment,
+            platform,
+            searchers,
+            instances: BTreeMap::new(),
+            base,
+        })
+    }
+
+    /// Starts the daemons of one more instance.
+    pub async fn add(&mut self, number: usize) -> Result<(), Fault> {
+        let instance = start_instance(self.settings(number)).await?;
+        self.instances.insert(number, instance);
+        Ok(())
+    }
+
+    /// Stops the daemons of an instance gracefully.
+    pub async fn remove(&mut self, number: usize) {
+        if let Some(instance) = self.instances.remove(&number) {
+            futures::future::join(instance.entry.stop(), instance.gather.stop()).await;
+        }
+    }
+
+    /// Adds what the searchers did to a history.
+    pub fn collect(&self, history: &mut History) {
+        for (_, searcher) in &self.searchers {
+            history
+                .effects
+                .insert(searcher.address(), searcher.effects());
+        }
+    }
+
+    /// Returns the most connections a searcher had against its limit, over all
+    /// searchers, and how many connections came above a limit.
+    pub fn connections(&self) -> (f64, usize) {
+        self.searchers
+            .iter()
+            .fold((0.0, 0), |(worst, over), (service, searcher)| {
+                let (peak, above) = searcher.connections();
+                let limit = self.deployment.services[*service].limits.connections;
+                (f64::max(worst, peak as f64 / limit as f64), over + above)
+            })
+    }
+
+    fn settings(&self, number: usize) -> Arc<Settings> {
+        Arc::new(self.deployment.settings(number, &self.base))
+    }
+}
+
+/// Starts both daemons of an instance at once, as after a boot.
+async fn start_instance(settings: Arc<Settings>) -> Result<Instance, Fault> {
+    let entry = bergamot_entry::Entry::start(Arc::clone(&settings));
+    let gather = bergamot_gather::Gather::start(settings);
+    let (entry, gather) = futures::future::join(entry, gather).await;
+    Ok(Instance {
+        entry: entry?,
+        gather: gather?,
+    })
+}
--- /dev/null
+++ b/crates/bench/src/score.rs
@@ -0,0 +1,154 @@
+//! Percentiles, always beside their denominators.
+
+use std::collections::BTreeMap;
+use std::fmt;
+use std::time::Duration;
+
+use bergamot_base::Name;
+use hdrhistogram::Histogram;
+
+use crate::history::{Ending, History, Request};
+
+/// The longest time that is told apart, in microseconds.
+const LONGEST_US: u64 = 120_000_000;
+
+/// The score of one service.
+#[derive(Clone, Debug)]
+pub struct Score {
+    /// How many requests were offered.
+    pub offered: usize,
+    /// How many requests ended in each way.
+    pub endings: BTreeMap<&'static str, usize>,
+    /// The mean coverage over all offered requests.
+    pub coverage: f64,
+    /// Sub-queries for each shard asked.
+    pub extra: f64,
+    times: Histogram<u64>,
+}
+
+impl Score {
+    /// Scores the requests of one service.
+    pub fn of<'a>(requests: impl Iterator<Item = &'a Request>) -> Self {
+        let mut times = Histogram::new_with_bounds(1, LONGEST_US, 3)
+            .expect("the bounds of the histogram are constants and valid");
+        let (mut offered, mut coverage) = (0, 0.0);
+        let (mut attempts, mut asked) = (0, 0);
+        let mut endings = BTreeMap::new();
+        for request in requests {
+            offered += 1;
+            times.saturating_record(request.took().as_micros().max(1) as u64);
+            *endings.entry(label(request.ending)).or_default() += 1;
+            match &request.answer {
+                Some(answer) => {
+                    coverage += answer.answered as f64 / answer.asked.max(1) as f64;
+                    attempts += u64::from(answer.attempts);
+                    asked += answer.asked;
+                }
+                None if request.ending == Ending::Complete => coverage += 1.0,
+                None => {}
+            }
+        }
+        Self {
+            offered,
+            endings,
+            coverage: coverage / offered.max(1) as f64,
+            extra: if asked == 0 {
+                1.0
+            } else {
+                attempts as f64 / asked as f64
+            },
+            times,
+        }
+    }
+
+    /// Returns a percentile over all offered requests.
+    pub fn percentile(&self, percent: f64) -> Duration {
+        Duration::from_micros(self.times.value_at_percentile(percent))
+    }
+
+    /// Returns how many requests ended in a way.
+    pub fn ended(&self, ending: Ending) -> usize {
+        self.endings.get(label(ending)).copied().unwrap_or(0)
+    }
+}
+
+fn label(ending: Ending) -> &'static str {
+    match ending {
+        Ending::Complete => "complete",
+        Ending::Partial => "partial",
+        Ending::Refused => "refused",
+        Ending::NotRun => "not_run",
+        Ending::Unknown => "unknown",
+        Ending::Failed => "failed",
+        Ending::Lost => "lost",
+    }
+}
+
+/// The scores of all services of a run.
+#[derive(Clone, Debug)]
+pub struct Card(pub BTreeMap<Name, Score>);
+
+impl Card {
+    /// Scores a history service by service.
+    pub fn of(history: &History) -> Self {
+        let mut services: Vec<_> = history
+            .requests
+            .iter()
+            .map(|request| Name::clone(&request.service))
+            .collect();
+        services.sort();
+        services.dedup();
+        let score = |service: &Name| {
+            let own = history
+                .requests
+                .iter()
+                .filter(|request| request.service == *service);
+            (Name::clone(service), Score::of(own))
+        };
+        Self(services.iter().map(score).collect())
+    }
+}
+
+impl fmt::Display for Card {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        writeln!(
+            f,
+            "{:<32} {:>7} {:>8} {:>7} {:>7} {:>7} {:>7} {:>6} {:>5} {:>8} {:>8} {:>8} {:>8} {:>6}",
+            "service",
+            "offered",
+            "complete",
+            "partial",
+            "refused",
+            "not_run",
+            "unknown",
+            "failed",
+            "lost",
+            "p50 ms",
+            "p99 ms",
+            "p99.9 ms",
+            "coverage",
+            "extra"
+        )?;
+        for (service, score) in &self.0 {
+            let ms = |percent| score.percentile(percent).as_secs_f64() * 1e3;
+            writeln!(
+                f,
+                "{service:<32} {:>7} {:>8} {:>7} {:>7} {:>7} {:>7} {:>6} {:>5} {:>8.1} {:>8.1} {:>8.1} {:>8.4} {:>6.3}",
+                score.offered,
+                score.ended(Ending::Complete),
+                score.ended(Ending::Partial),
+                score.ended(Ending::Refused),
+                score.ended(Ending::NotRun),
+                score.ended(Ending::Unknown),
+                score.ended(Ending::Failed),
+                score.ended(Ending::Lost),
+                ms(50.0),
+                ms(99.0),
+                ms(99.9),
+                score.coverage,
+                score.extra
+            )?;
+        }
+        Ok(())
+    }
+}
--- a/crates/config/src/document.rs
+++ b/crates/config/src/document.rs
@@ -17,9 +17,7 @@
 use crate::flaw::{Flaw, Refusal};
 use crate::layout::Layout;
 use crate::reader::{Flaws, Reader};
-use crate::row::{
-    Class, Place, Preference, SearcherRow, ServiceRow, ShardRow, WorkspaceRow,
-};
+use crate::row::{Class, Place, Preference, SearcherRow, ServiceRow, ShardRow, WorkspaceRow};
 
 /// The largest document, as the platform's service holds no more.
 pub(crate) const LARGEST: usize = 1 << 20;
@@ -31,7 +29,14 @@
 const PLACE: &[&str] = &["zone", "region"];
 const WORKSPACE: &[&str] = &["name", "in_flight", "services"];
 const SERVICE: &[&str] = &[
-    "name", "prefer", "class", "epoch", "deadline_ms", "slots", "connections", "hedge_percent",
+    "name",
+    "prefer",
+    "class",
+    "epoch",
+    "deadline_ms",
+    "slots",
+    "connections",
+    "hedge_percent",
     "shards",
 ];
 const SHARD: &[&str] = &["replicas"];
@@ -65,14 +70,26 @@
 impl Document {
     /// Parses and verifies a document, or refuses it with every fault.
     pub fn parse(text: &[u8]) -> Result<Self, Refusal> {
-        let refuse = |flaws| Refusal { step: Step("check document"), peer: Peer::Here, flaws };
+        let refuse = |flaws| Refusal {
+            step: Step("check document"),
+            peer: Peer::Here,
+            flaws,
+        };
         if text.len() > LARGEST {
             let found = format!("{} bytes", text.len());
-            return Err(refuse(vec![Flaw::new("document", found, format!("{LARGEST} bytes"))]));
+            return Err(refuse(vec![Flaw::new(
+                "document",
+                found,
+                format!("{LARGEST} bytes"),
+            )]));
         }
         let source: Value = serde_json::from_slice(text).map_err(|error| {
             let place = format!("line {} column {}", error.line(), error.column());
-            refuse(vec![Flaw::new(place, error.to_string(), "a whole JSON object")])
+            refuse(vec![Flaw::new(
+                place,
+                error.to_string(),
+                "a whole JSON object",
+            )])
         })?;
         Self::from_source(source).map_err(refuse)
     }
@@ -105,12 +122,17 @@
 
     /// Finds a service by the names in a caller's path.
     pub fn service(&self, workspace: &str, service: &str) -> Option<Service> {
-        self.names.get(&(Name::from(workspace), Name::from(service))).copied()
+        self.names
+            .get(&(Name::from(workspace), Name::from(service)))
+            .copied()
     }
 
     /// Returns the region of a zone, or the zone itself where it is not published.
     pub fn region<'a>(&'a self, zone: &'a str) -> &'a str {
-        self.places.iter().find(|place| &*place.zone == zone).map_or(zone, |place| &place.region)
+        self.places
+            .iter()
+            .find(|place| &*place.zone == zone)
+            .map_or(zone, |place| &place.region)
     }
 
     /// Returns the JSON from which the document was made.
@@ -123,7 +145,12 @@
     /// Writes the text form that dumps and tests use: one line a service.
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         writeln!(f, "document r{} hash {:016x}", self.revision, self.hash)?;
-        writeln!(f, "instances {} zones {}", self.instances, self.places.len())?;
+        writeln!(
+            f,
+            "instances {} zones {}",
+            self.instances,
+            self.places.len()
+        )?;
         writeln!(f, "{}", self.layout)?;
         for (id, service) in self.services.iter() {
             let workspace = &self.workspaces[service.workspace].name;
@@ -160,7 +187,9 @@
 
 impl Walk {
     fn top(&mut self, source: &Value) {
-        let Some(top) = Reader::open("", source, TOP, &mut self.flaws) else { return };
+        let Some(top) = Reader::open("", source, TOP, &mut self.flaws) else {
+            return;
+        };
         self.revision = top.number("revision", 1..=u64::MAX >> 1, None, &mut self.flaws);
         self.instances =
             top.number("instances", 1..=MOST_INSTANCES, None, &mut self.flaws) as usize;
@@ -173,21 +202,30 @@
     }
 
     fn place(&mut self, place: String, value: &Value) {
-        let Some(reader) = Reader::open(place, value, PLACE, &mut self.flaws) else { return };
+        let Some(reader) = Reader::open(place, value, PLACE, &mut self.flaws) else {
+            return;
+        };
         let zone = reader.name("zone", &mut self.flaws);
         let region = reader.name("region", &mut self.flaws);
         if self.places.iter().any(|known| known.zone == zone) {
-            self.flaws.push(Flaw::new(reader.path("zone"), &*zone, "each zone once"));
+            self.flaws
+                .push(Flaw::new(reader.path("zone"), &*zone, "each zone once"));
         }
         self.places.push(Place { zone, region });
     }
 
     fn workspace(&mut self, place: String, value: &Value) {
-        let Some(reader) = Reader::open(place, value, WORKSPACE, &mut self.flaws) else { return };
+        let Some(reader) = Reader::open(place, value, WORKSPACE, &mut self.flaws) else {
+            return;
+        };
         let name = reader.name("name", &mut self.flaws);
         let in_flight = reader.number("in_flight", 1..=100_000, Some(256), &mut self.flaws);
         if self.workspaces.values().any(|known| known.name == name) {
-            self.flaws.push(Flaw::new(reader.path("name"), &*name, "each workspace once"));
+            self.flaws.push(Flaw::new(
+                reader.path("name"),
+                &*name,
+                "each workspace once",
+            ));
         }
         let id = self.workspaces.push(WorkspaceRow {
             name: Name::clone(&name),
@@ -200,16 +238,25 @@
     }
 
     fn service(&mut self, place: String, value: &Value, workspace: Workspace, owner: &Name) {
-        let Some(reader) = Reader::open(place, value, SERVICE, &mut self.flaws) else { return };
+        let Some(reader) = Reader::open(place, value, SERVICE, &mut self.flaws) else {
+            return;
+        };
         let name = reader.name("name", &mut self.flaws);
         let service = self.service_row(&reader, workspace, Name::clone(&name));
         let id = self.services.push(service);
         self.workspaces[workspace].services.push(id);
-        if self.names.insert((Name::clone(owner), Name::clone(&name)), id).is_some() {
-            self.flaws.push(Flaw::new(reader.path("name"), &*name, "each service once"));
+        if self
+            .names
+            .insert((Name::clone(owner), Name::clone(&name)), id)
+            .is_some()
+        {
+            self.flaws
+                .push(Flaw::new(reader.path("name"), &*name, "each service once"));
         }
-        for (position, (place, value)) in
-            reader.list("shards", &mut self.flaws).into_iter().enumerate()
+        for (position, (place, value)) in reader
+            .list("shards", &mut self.flaws)
+            .into_iter()
+            .enumerate()
         {
             self.shard(place, value, id, position);
         }
@@ -217,13 +264,20 @@
 
     fn service_row(&mut self, reader: &Reader<'_>, workspace: Workspace, name: Name) -> ServiceRow {
         let flaws = &mut self.flaws;
-        let preferences = [("time", Preference::Time), ("coverage", Preference::Coverage)];
+        let preferences = [
+            ("time", Preference::Time),
+            ("coverage", Preference::Coverage),
+        ];
         let classes = [("interactive", Class::Interactive), ("bulk", Class::Bulk)];
         ServiceRow {
             workspace,
             name,
-            preference: reader.choice("prefer", &preferences, flaws).unwrap_or(Preference::Time),
-            class: reader.choice("class", &classes, flaws).unwrap_or(Class::Bulk),
+            preference: reader
+                .choice("prefer", &preferences, flaws)
+                .unwrap_or(Preference::Time),
+            class: reader
+                .choice("class", &classes, flaws)
+                .unwrap_or(Class::Bulk),
             epoch: reader.number("epoch", 1..=u64::MAX >> 1, None, flaws),
             deadline: Duration::from_millis(reader.number(
                 "deadline_ms",
@@ -239,8 +293,14 @@
     }
 
     fn shard(&mut self, place: String, value: &Value, service: Service, position: usize) {
-        let Some(reader) = Reader::open(place, value, SHARD, &mut self.flaws) else { return };
-        let id = self.shards.push(ShardRow { service, position, replicas: Vec::new() });
+        let Some(reader) = Reader::open(place, value, SHARD, &mut self.flaws) else {
+            return;
+        };
+        let id = self.shards.push(ShardRow {
+            service,
+            position,
+            replicas: Vec::new(),
+        });
         self.services[service].shards.push(id);
         for (place, value) in reader.list("replicas", &mut self.flaws) {
             self.replica(place, value, id);
@@ -248,7 +308,9 @@
     }
 
     fn replica(&mut self, place: String, value: &Value, shard: Shard) {
-        let Some(reader) = Reader::open(place, value, REPLICA, &mut self.flaws) else { return };
+        let Some(reader) = Reader::open(place, value, REPLICA, &mut self.flaws) else {
+            return;
+        };
         let zone = reader.name("zone", &mut self.flaws);
         let Some(address) =
             reader.parsed::<SocketAddr>("address", "an IP number and a port", &mut self.flaws)
@@ -256,13 +318,25 @@
             return;
         };
         if !self.places.iter().any(|known| known.zone == zone) {
-            self.flaws.push(Flaw::new(reader.path("zone"), &*zone, "a zone listed in places"));
+            self.flaws.push(Flaw::new(
+                reader.path("zone"),
+                &*zone,
+                "a zone listed in places",
+            ));
         }
         if !self.addresses.insert(address) {
             let found = address.to_string();
-            self.flaws.push(Flaw::new(reader.path("address"), found, "each searcher once"));
+            self.flaws.push(Flaw::new(
+                reader.path("address"),
+                found,
+                "each searcher once",
+            ));
         }
-        let id = self.searchers.push(SearcherRow { shard, address, zone });
+        let id = self.searchers.push(SearcherRow {
+            shard,
+            address,
+            zone,
+        });
         self.shards[shard].replicas.push(id);
     }
 }
--- a/crates/config/src/layout.rs
+++ b/crates/config/src/layout.rs
@@ -58,7 +58,10 @@
         shards: &Table<Shard, ShardRow>,
     ) -> Self {
         let searchers: usize = shards.values().map(|shard| shard.replicas.len()).sum();
-        let wanted = searchers.div_ceil(LARGEST_CELL).max(instances / MOST_HOMES).max(1);
+        let wanted = searchers
+            .div_ceil(LARGEST_CELL)
+            .max(instances / MOST_HOMES)
+            .max(1);
         let size = searchers.div_ceil(wanted).max(1);
         let cells = fill(shards, size);
         let places = cells
@@ -68,8 +71,16 @@
         let homes = (instances / cells.len().max(1))
             .clamp(FEWEST_HOMES, MOST_HOMES)
             .min(instances);
-        let shares = services.values().map(|service| share(service.connections, homes)).collect();
-        Self { cells, homes, places, shares }
+        let shares = services
+            .values()
+            .map(|service| share(service.connections, homes))
+            .collect();
+        Self {
+            cells,
+            homes,
+            places,
+            shares,
+        }
     }
 
     /// Returns the cell of a shard.
@@ -86,10 +97,19 @@
 /// Puts shards into cells in document order; the places table relies on that order.
 fn fill(shards: &Table<Shard, ShardRow>, size: usize) -> Table<Cell, CellRow> {
     let mut cells = Table::new();
-    let mut current = CellRow { shards: Vec::new(), searchers: 0 };
+    let mut current = CellRow {
+        shards: Vec::new(),
+        searchers: 0,
+    };
     for (shard, row) in shards.iter() {
         if current.searchers >= size {
-            let full = std::mem::replace(&mut current, CellRow { shards: Vec::new(), searchers: 0 });
+            let full = std::mem::replace(
+                &mut current,
+                CellRow {
+                    shards: Vec::new(),
+                    searchers: 0,
+                },
+            );
             cells.push(full);
         }
         current.shards.push(shard);
@@ -105,7 +125,17 @@
 
 impl fmt::Display for Layout {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let largest = self.cells.values().map(|cell| cell.searchers).max().unwrap_or(0);
-        write!(f, "cells {} of at most {largest} searchers, homes {}", self.cells.len(), self.homes)
+        let largest = self
+            .cells
+            .values()
+            .map(|cell| cell.searchers)
+            .max()
+            .unwrap_or(0);
+        write!(
+            f,
+            "cells {} of at most {largest} searchers, homes {}",
+            self.cells.len(),
+            self.homes
+        )
     }
 }
--- a/crates/config/src/row.rs
+++ b/crates/config/src/row.rs
@@ -4,9 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use bergamot_base::{
-    Epoch, Name, Searcher, Service, Shard, Workspace, hash_bytes,
-};
+use bergamot_base::{Epoch, Name, Searcher, Service, Shard, Workspace, hash_bytes};
 
 /// What a service gives up first when it can't have both.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -34,7 +34,9 @@
     type Bounds = (u64, u64);
 
     fn read(text: &str, bounds: &Self::Bounds) -> Option<Self> {
-        text.parse().ok().filter(|number| (bounds.0..=bounds.1).contains(number))
+        text.parse()
+            .ok()
+            .filter(|number| (bounds.0..=bounds.1).contains(number))
     }
 
     fn allowed(bounds: &Self::Bounds) -> String {
@@ -46,7 +48,9 @@
     type Bounds = (u16, u16);
 
     fn read(text: &str, bounds: &Self::Bounds) -> Option<Self> {
-        text.parse().ok().filter(|port| (bounds.0..=bounds.1).contains(port))
+        text.parse()
+            .ok()
+            .filter(|port| (bounds.0..=bounds.1).contains(port))
     }
 
     fn allowed(bounds: &Self::Bounds) -> String {
@@ -87,7 +91,9 @@
     type Bounds = ();
 
     fn read(text: &str, _bounds: &()) -> Option<Self> {
-        text.parse().ok().filter(|address: &Self| !address.is_unspecified())
+        text.parse()
+            .ok()
+            .filter(|address: &Self| !address.is_unspecified())
     }
 
     fn allowed(_bounds: &()) -> String {
@@ -215,8 +221,11 @@
 }
 
 fn known(section: &str) -> String {
-    let keys: Vec<_> =
-        Settings::KEYS.iter().filter(|key| key.section == section).map(|key| key.name).collect();
+    let keys: Vec<_> = Settings::KEYS
+        .iter()
+        .filter(|key| key.section == section)
+        .map(|key| key.name)
+        .collect();
     if keys.is_empty() {
         let mut sections: Vec<_> = Settings::KEYS.iter().map(|key| key.section).collect();
         sections.dedup();
@@ -228,7 +237,11 @@
 impl Settings {
     /// Parses and checks the text of an INI file, or refuses it with every fault.
     pub fn parse(text: &str) -> Result<Self, Refusal> {
-        let refuse = |flaws| Refusal { step: Step("check settings"), peer: Peer::Here, flaws };
+        let refuse = |flaws| Refusal {
+            step: Step("check settings"),
+            peer: Peer::Here,
+            flaws,
+        };
         let ini = Ini::load_from_str(text).map_err(|error| {
             let place = format!("line {} column {}", error.line, error.col);
             refuse(vec![Flaw::new(place, &*error.msg, "INI sections and keys")])
@@ -244,7 +257,11 @@
             }
         }
         settings.check(&mut flaws);
-        if flaws.is_empty() { Ok(settings) } else { Err(refuse(flaws)) }
+        if flaws.is_empty() {
+            Ok(settings)
+        } else {
+            Err(refuse(flaws))
+        }
     }
 
     /// Checks what no single key can know.
--- a/crates/entry/src/mute.rs
+++ b/crates/entry/src/mute.rs
@@ -44,7 +44,9 @@
 
     /// Tells whether a mute gather is to be tried again, and notes the trial.
     pub(crate) fn try_again(&mut self, gather: SocketAddr, now: Instant) -> bool {
-        let Some(silence) = self.0.get_mut(&gather) else { return true };
+        let Some(silence) = self.0.get_mut(&gather) else {
+            return true;
+        };
         let last = silence.tried.or(silence.since).unwrap_or(now);
         let due = now.saturating_duration_since(last) >= TRIAL;
         if due {
--- a/crates/entry/src/search.rs
+++ b/crates/entry/src/search.rs
@@ -114,7 +114,9 @@
         let mut tried = Vec::new();
         let mut best: Option<(Plan, Outcome)> = None;
         for _ in 0..MOST_PLANS {
-            let Some(version) = self.version(query, service, &current).await else { break };
+            let Some(version) = self.version(query, service, &current).await else {
+                break;
+            };
             if tried.contains(&(current.document.revision, version)) {
                 break;
             }
@@ -125,9 +127,8 @@
             attempts += sent;
             let outcome = merge.finish(&plan.shape);
             let again = worth_planning_again(&outcome);
-            let better = |(_, best): &(Plan, Outcome)| {
-                outcome.coverage.answered > best.coverage.answered
-            };
+            let better =
+                |(_, best): &(Plan, Outcome)| outcome.coverage.answered > best.coverage.answered;
             if best.as_ref().is_none_or(better) {
                 best = Some((plan, outcome));
             }
@@ -139,11 +140,18 @@
                 self.node.catch_up_to(revision, left / 2).await;
             }
             // The document may have changed: find the service in the new one by name.
-            let Some((fresh, found)) = self.relocate(&current, service) else { break };
+            let Some((fresh, found)) = self.relocate(&current, service) else {
+                break;
+            };
             (current, service) = (fresh, found);
         }
         let (plan, Outcome { hits, coverage }) = best?;
-        Some(Found { plan, hits, coverage, attempts })
+        Some(Found {
+            plan,
+            hits,
+            coverage,
+            attempts,
+        })
     }
 
     /// Finds a service of one document in the document that is in force now.
@@ -203,7 +211,9 @@
             let order = homes.order(cell, service);
             async move {
                 for home in order.into_iter().filter(|home| self.node.takes_work(*home)) {
-                    let Ok(client) = self.channels.get(self.address(home)).await else { continue };
+                    let Ok(client) = self.channels.get(self.address(home)).await else {
+                        continue;
+                    };
                     let context = context(deadline);
                     let versions = client.versions(context, document.revision, service).await;
                     if let Ok(Ok(versions)) = versions {
@@ -238,7 +248,10 @@
                     for partial in reply.partials {
                         let shard = partial.shard;
                         if let Err(rejection) = merge.offer(partial) {
-                            log::warn!("query: {} got a wrong answer of {shard}: {rejection:?}.", query.id);
+                            log::warn!(
+                                "query: {} got a wrong answer of {shard}: {rejection:?}.",
+                                query.id
+                            );
                         }
                     }
                 }
@@ -347,7 +360,9 @@
             Ok(reply) => {
                 lock(&self.mutes).answered(address);
                 reply.map_err(|refusal| match refusal {
-                    Refusal::Revision(theirs) if theirs > plan.pin.revision => Silent::Ahead(theirs),
+                    Refusal::Revision(theirs) if theirs > plan.pin.revision => {
+                        Silent::Ahead(theirs)
+                    }
                     Refusal::Revision(_) | Refusal::NotHome | Refusal::Asleep => Silent::Homeless,
                 })
             }
@@ -370,7 +385,11 @@
 /// Tells whether another version may cover what this one could not.
 fn worth_planning_again(outcome: &Outcome) -> bool {
     let moved = |reason| matches!(reason, Reason::VersionGone | Reason::WrongSnapshot);
-    outcome.coverage.missing.iter().any(|missing| moved(missing.reason))
+    outcome
+        .coverage
+        .missing
+        .iter()
+        .any(|missing| moved(missing.reason))
 }
 
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
--- a/crates/entry/src/service.rs
+++ b/crates/entry/src/service.rs
@@ -117,8 +117,14 @@
             let _ = self.callers.await;
             let _ = self.peers.await;
         };
-        if tokio::time::timeout(settings.drain, finished).await.is_err() {
-            log::warn!("entry: Requests were still in flight after {:?}.", settings.drain);
+        if tokio::time::timeout(settings.drain, finished)
+            .await
+            .is_err()
+        {
+            log::warn!(
+                "entry: Requests were still in flight after {:?}.",
+                settings.drain
+            );
         }
         node.leave(State::Left).await;
         node.close();
@@ -126,26 +132,42 @@
     }
 }
 
-fn serve_callers(inner: &Arc<Inner>, listener: TcpListener, stop: CancellationToken) -> JoinHandle<()> {
+fn serve_callers(
+    inner: &Arc<Inner>,
+    listener: TcpListener,
+    stop: CancellationToken,
+) -> JoinHandle<()> {
     let inner = Arc::clone(inner);
     tokio::spawn(serve(listener, stop, move |request, _peer| {
         http::handle(Arc::clone(&inner), request)
     }))
 }
 
-fn serve_peers(inner: &Arc<Inner>, listener: TcpListener, stop: CancellationToken) -> JoinHandle<()> {
+fn serve_peers(
+    inner: &Arc<Inner>,
+    listener: TcpListener,
+    stop: CancellationToken,
+) -> JoinHandle<()> {
     let server = Server(Arc::clone(&inner.writer));
-    tokio::spawn(serve_requests(listener, stop, move |stream, tracker: TaskTracker| {
-        let requests = transport(stream).execute(Requests::serve(server.clone()));
-        tokio::spawn(run_requests(requests, tracker));
-    }))
+    tokio::spawn(serve_requests(
+        listener,
+        stop,
+        move |stream, tracker: TaskTracker| {
+            let requests = transport(stream).execute(Requests::serve(server.clone()));
+            tokio::spawn(run_requests(requests, tracker));
+        },
+    ))
 }
 
 fn add_dumps(inner: &Arc<Inner>) {
     let this = Arc::clone(inner);
-    inner.node.add_dump("admission", Box::new(move || this.door.dump()));
+    inner
+        .node
+        .add_dump("admission", Box::new(move || this.door.dump()));
     let this = Arc::clone(inner);
-    inner.node.add_dump("writes", Box::new(move || this.writer.dump()));
+    inner
+        .node
+        .add_dump("writes", Box::new(move || this.writer.dump()));
 }
 
 /// The requests that an entry answers to other entries.
@@ -165,7 +187,13 @@
         let now = Instant::now();
         let left = context.deadline.saturating_duration_since(now);
         let deadline = Deadline::after(now, left).less(FORWARD_MARGIN);
-        let order = Order { workspace, service, record, body, deadline };
+        let order = Order {
+            workspace,
+            service,
+            record,
+            body,
+            deadline,
+        };
         self.0.run_own(key, order).await
     }
 }
--- a/crates/entry/src/write.rs
+++ b/crates/entry/src/write.rs
@@ -56,7 +56,11 @@
     pub(crate) fn new(node: Arc<Node>, searcher: Arc<Searcher>) -> Arc<Self> {
         let window = node.settings().entry.keys;
         let owner = Owner::new(node.incarnation(), Instant::now(), window);
-        let book = Book { owner, waiting: HashMap::new(), serial: 0 };
+        let book = Book {
+            owner,
+            waiting: HashMap::new(),
+            serial: 0,
+        };
         Arc::new(Self {
             peers: Channels::new(node.settings().instance.address),
             node,
@@ -75,7 +79,10 @@
         let mut book = self.lock();
         book.serial += 1;
         let unique = Name::from(format!("entry-{}", book.serial));
-        Key { prefix: book.owner.prefix(Instant::now()), unique }
+        Key {
+            prefix: book.owner.prefix(Instant::now()),
+            unique,
+        }
     }
 
     /// Writes the text form that dumps use.
@@ -129,7 +136,10 @@
                 Err((true, receiver))
             }
             Decision::Join => {
-                let sender = book.waiting.entry(key.clone()).or_insert_with(|| watch::Sender::new(None));
+                let sender = book
+                    .waiting
+                    .entry(key.clone())
+                    .or_insert_with(|| watch::Sender::new(None));
                 Err((false, sender.subscribe()))
             }
         }
@@ -164,12 +174,18 @@
             record: Name::clone(&order.record),
             body: Name::clone(&order.body),
         };
-        for home in self.node.homes().order(document.layout.cell(shard), service) {
+        for home in self
+            .node
+            .homes()
+            .order(document.layout.cell(shard), service)
+        {
             if !self.node.takes_work(home) {
                 continue;
             }
             let address = self.searcher.address(home);
-            let Ok(client) = self.searcher.channels().get(address).await else { continue };
+            let Ok(client) = self.searcher.channels().get(address).await else {
+                continue;
+            };
             if order.deadline.passed(Instant::now()) {
                 return Outcome::not_run("the deadline passed before sending");
             }
@@ -196,9 +212,20 @@
         }
         let port = self.node.settings().ports.entry_peers;
         let address = SocketAddr::from((record.endpoint.ip, port));
-        let Ok(client) = self.peers.get(address).await else { return Owner::lost(false) };
-        let Order { workspace, service, record, body, deadline } = order;
-        match client.execute(context(deadline), workspace, service, key, record, body).await {
+        let Ok(client) = self.peers.get(address).await else {
+            return Owner::lost(false);
+        };
+        let Order {
+            workspace,
+            service,
+            record,
+            body,
+            deadline,
+        } = order;
+        match client
+            .execute(context(deadline), workspace, service, key, record, body)
+            .await
+        {
             Ok(outcome) => outcome,
             Err(error) => {
                 log::debug!("write: Forwarding to {address} failed: {error}.");
--- a/crates/gather/src/holding.rs
+++ b/crates/gather/src/holding.rs
@@ -34,8 +34,14 @@
             .flat_map(|shard| document.shards[*shard].replicas.iter().copied())
             .collect();
         let none = Fleet::default();
-        let fleet = before.map_or(&none, |before| &before.fleet).next(document, settings, &held);
-        Self { current, cells, fleet }
+        let fleet = before
+            .map_or(&none, |before| &before.fleet)
+            .next(document, settings, &held);
+        Self {
+            current,
+            cells,
+            fleet,
+        }
     }
 
     /// Tells whether the gather homes the cell of every one of the shards.
@@ -52,7 +58,9 @@
     pub(crate) fn versions(&self, shard: Shard) -> Vec<Version> {
         let mut versions = BTreeSet::new();
         for searcher in &self.current.document.shards[shard].replicas {
-            let Some(client) = self.fleet.client(*searcher) else { continue };
+            let Some(client) = self.fleet.client(*searcher) else {
+                continue;
+            };
             let health = client.health();
             if !health.is_leaving() {
                 versions.extend(health.versions());
--- a/crates/gather/src/keeper.rs
+++ b/crates/gather/src/keeper.rs
@@ -40,8 +40,12 @@
             report = reports.recv() => report,
         };
         // A lagging receiver loses old reports; the searchers' own answers remain.
-        let Ok((searcher, run)) = report else { continue };
-        let Some(holding) = inner.holding() else { continue };
+        let Ok((searcher, run)) = report else {
+            continue;
+        };
+        let Some(holding) = inner.holding() else {
+            continue;
+        };
         if let Some(client) = holding.fleet.at(searcher)
             && client.health().told_leaving(run.as_ref())
         {
@@ -60,7 +64,9 @@
             () = stop.cancelled() => return,
             () = tokio::time::sleep(ROUND) => {}
         }
-        let Some(holding) = inner.holding() else { continue };
+        let Some(holding) = inner.holding() else {
+            continue;
+        };
         let asking = Instant::now() >= next_status;
         if asking {
             next_status = Instant::now() + period;
@@ -87,7 +93,10 @@
     };
     let Some(run) = run else { return };
     if leaving && reported.insert((client.address(), Name::clone(&run))) {
-        log::info!("upstream: Searcher {} is leaving; passed on.", client.address());
+        log::info!(
+            "upstream: Searcher {} is leaving; passed on.",
+            client.address()
+        );
         inner.node.report_leaving(client.address(), Some(run));
     }
 }
--- a/crates/gather/src/service.rs
+++ b/crates/gather/src/service.rs
@@ -56,7 +56,9 @@
 
     /// Takes in a change of the document or the homes.
     pub(crate) fn refresh(&self) {
-        let Some(current) = self.node.current() else { return };
+        let Some(current) = self.node.current() else {
+            return;
+        };
         let before = self.holding();
         let homes = self.node.homes();
         let settings = self.node.settings();
@@ -78,7 +80,11 @@
         }
         let holding = self.holding().ok_or(Refusal::Asleep)?;
         let ours = holding.current.document.revision;
-        if ours == revision { Ok(holding) } else { Err(Refusal::Revision(ours)) }
+        if ours == revision {
+            Ok(holding)
+        } else {
+            Err(Refusal::Revision(ours))
+        }
     }
 }
 
@@ -117,12 +123,20 @@
         tokio::spawn(keeper::listen(Arc::clone(&inner), stop.clone()));
         tokio::spawn(keeper::keep(Arc::clone(&inner), stop.clone()));
         let server = Server(Arc::clone(&inner));
-        let served = tokio::spawn(serve_requests(listener, stop.clone(), move |stream, tracker: TaskTracker| {
-            let requests = transport(stream).execute(Requests::serve(server.clone()));
-            tokio::spawn(run_requests(requests, tracker));
-        }));
+        let served = tokio::spawn(serve_requests(
+            listener,
+            stop.clone(),
+            move |stream, tracker: TaskTracker| {
+                let requests = transport(stream).execute(Requests::serve(server.clone()));
+                tokio::spawn(run_requests(requests, tracker));
+            },
+        ));
         log::info!("gather: Serving at {address}.");
-        Ok(Running { inner, stop, served })
+        Ok(Running {
+            inner,
+            stop,
+            served,
+        })
     }
 }
 
@@ -161,10 +175,15 @@
 
 fn add_dumps(inner: &Arc<Inner>) {
     let this = Arc::clone(inner);
-    let upstream = move || this.holding().map_or_else(String::new, |holding| holding.fleet.dump());
+    let upstream = move || {
+        this.holding()
+            .map_or_else(String::new, |holding| holding.fleet.dump())
+    };
     inner.node.add_dump("upstream", Box::new(upstream));
     let this = Arc::clone(inner);
-    inner.node.add_dump("tails", Box::new(move || this.tails.dump()));
+    inner
+        .node
+        .add_dump("tails", Box::new(move || this.tails.dump()));
 }
 
 /// The requests that a gather answers.
@@ -197,8 +216,21 @@
             return Err(Refusal::NotHome);
         }
         let tail = self.0.tails.of(&holding.current.document, query.service);
-        let SubQuery { id, pin, shards, shape, .. } = query;
-        let job = Job { id, pin, shape, deadline, holding, tail };
+        let SubQuery {
+            id,
+            pin,
+            shards,
+            shape,
+            ..
+        } = query;
+        let job = Job {
+            id,
+            pin,
+            shape,
+            deadline,
+            holding,
+            tail,
+        };
         Ok(self.search_shards(&job, &shards).await)
     }
 
@@ -210,7 +242,11 @@
             return Err(Refusal::NotHome);
         }
         let outcome = self.write_once(&holding, &order, deadline).await;
-        self.0.meter.writes.with_label_values(&[&outcome.status.to_string()]).inc();
+        self.0
+            .meter
+            .writes
+            .with_label_values(&[&outcome.status.to_string()])
+            .inc();
         Ok(outcome)
     }
 
@@ -224,7 +260,9 @@
         let document = &holding.current.document;
         let row = document.services.get(service).ok_or(Refusal::NotHome)?;
         let homed = row.shards.iter().filter(|shard| holding.homes(&[**shard]));
-        Ok(homed.map(|shard| (*shard, holding.versions(*shard))).collect())
+        Ok(homed
+            .map(|shard| (*shard, holding.versions(*shard)))
+            .collect())
     }
 }
 
@@ -236,7 +274,10 @@
             partials: Vec::with_capacity(shards.len()),
             missing: Vec::new(),
             attempts: 0,
-            versions: shards.iter().map(|shard| (*shard, job.holding.versions(*shard))).collect(),
+            versions: shards
+                .iter()
+                .map(|shard| (*shard, job.holding.versions(*shard)))
+                .collect(),
         };
         for (shard, ended) in shards.iter().zip(ended) {
             reply.attempts += ended.attempts;
@@ -256,7 +297,12 @@
     }
 
     /// Sends a write to the first replica that stays, and to no other.
-    async fn write_once(&self, holding: &Holding, order: &WriteOrder, deadline: Deadline) -> Outcome {
+    async fn write_once(
+        &self,
+        holding: &Holding,
+        order: &WriteOrder,
+        deadline: Deadline,
+    ) -> Outcome {
         let replicas = &holding.current.document.shards[order.shard].replicas;
         let Some(client) = first_staying(holding, replicas) else {
             return Outcome::not_run(format!("every replica is leaving ({})", Reason::Leaving));
@@ -266,7 +312,10 @@
             deadline,
             cancel: CancellationToken::new(),
         };
-        let write = Write { record: Name::clone(&order.record), body: Name::clone(&order.body) };
+        let write = Write {
+            record: Name::clone(&order.record),
+            body: Name::clone(&order.body),
+        };
         let node = &self.0.node;
         let key = order.key.to_string();
         match client.write(&call, &key, &write, || node.is_awake()).await {
@@ -284,7 +333,9 @@
         .filter_map(|searcher| holding.fleet.client(*searcher))
         .filter(|client| !client.health().is_leaving())
         .collect();
-    let healthy = staying.iter().find(|client| !client.health().is_ejected(now));
+    let healthy = staying
+        .iter()
+        .find(|client| !client.health().is_ejected(now));
     healthy.or(staying.first()).copied()
 }
 
--- a/crates/gather/src/tail.rs
+++ b/crates/gather/src/tail.rs
@@ -52,8 +52,15 @@
         let tails = self.0.lock().unwrap_or_else(PoisonError::into_inner);
         let mut text = String::new();
         for ((workspace, service), tail) in tails.iter() {
-            let Tail { pace, hedges, retries } = &*lock(tail);
-            let _ = writeln!(text, "{workspace}/{service} {pace} hedges {hedges} retries {retries}");
+            let Tail {
+                pace,
+                hedges,
+                retries,
+            } = &*lock(tail);
+            let _ = writeln!(
+                text,
+                "{workspace}/{service} {pace} hedges {hedges} retries {retries}"
+            );
         }
         text
     }
--- a/crates/members/src/homes.rs
+++ b/crates/members/src/homes.rs
@@ -28,14 +28,24 @@
     /// Computes the homes from a layout and the gathers that keep their place.
     pub fn compute<'a>(layout: &Layout, gathers: impl Iterator<Item = &'a Record>) -> Self {
         let members: Vec<_> = gathers
-            .map(|record| (record.endpoint, record.endpoint.hash(), Name::clone(&record.zone)))
+            .map(|record| {
+                (
+                    record.endpoint,
+                    record.endpoint.hash(),
+                    Name::clone(&record.zone),
+                )
+            })
             .collect();
         if members.is_empty() {
-            return Self { cells: layout.cells.keys().map(|_| Vec::new()).collect() };
+            return Self {
+                cells: layout.cells.keys().map(|_| Vec::new()).collect(),
+            };
         }
         let zones = zone_numbers(&members);
         let cap = (layout.cells.len() * layout.homes).div_ceil(members.len());
-        let zone_cap = layout.homes.div_ceil(zones.iter().max().map_or(1, |last| last + 1));
+        let zone_cap = layout
+            .homes
+            .div_ceil(zones.iter().max().map_or(1, |last| last + 1));
         let mut loads = vec![0; members.len()];
         let mut scratch = Vec::with_capacity(members.len());
         let cells = layout
@@ -44,7 +54,10 @@
             .map(|cell| {
                 scratch.clear();
                 scratch.extend((0..members.len()).filter(|i| loads[*i] < cap).map(|i| {
-                    (std::cmp::Reverse(hash_pair(members[i].1, cell.index() as u64)), i)
+                    (
+                        std::cmp::Reverse(hash_pair(members[i].1, cell.index() as u64)),
+                        i,
+                    )
                 }));
                 scratch.sort_unstable();
                 let chosen = choose(&scratch, &zones, layout.homes, zone_cap);
@@ -75,21 +88,33 @@
 
     /// Returns the cells that a member homes.
     pub fn cells_of(&self, member: Endpoint) -> Vec<Cell> {
-        let homed = self.cells.iter().filter(|(_, homes)| homes.contains(&member));
+        let homed = self
+            .cells
+            .iter()
+            .filter(|(_, homes)| homes.contains(&member));
         homed.map(|(cell, _)| cell).collect()
     }
 
     /// Iterates over the cells and their homes.
     pub fn iter(&self) -> impl Iterator<Item = (Cell, &[Endpoint])> {
-        self.cells.iter().map(|(cell, homes)| (cell, homes.as_slice()))
+        self.cells
+            .iter()
+            .map(|(cell, homes)| (cell, homes.as_slice()))
     }
 }
 
 /// Numbers the zones in the order of their names.
 fn zone_numbers(members: &[(Endpoint, u64, Name)]) -> Vec<usize> {
     let names: BTreeMap<&str, ()> = members.iter().map(|(_, _, zone)| (&**zone, ())).collect();
-    let numbers: HashMap<&str, usize> = names.keys().enumerate().map(|(i, name)| (*name, i)).collect();
-    members.iter().map(|(_, _, zone)| numbers[&**zone]).collect()
+    let numbers: HashMap<&str, usize> = names
+        .keys()
+        .enumerate()
+        .map(|(i, name)| (*name, i))
+        .collect();
+    members
+        .iter()
+        .map(|(_, _, zone)| numbers[&**zone])
+        .collect()
 }
 
 /// Takes the best members within the parts of their zones, then fills up with any.
--- a/crates/members/src/prober.rs
+++ b/crates/members/src/prober.rs
@@ -114,7 +114,10 @@
     /// Returns datagrams that tell a few members at once what is in force.
     pub fn announce(&mut self, view: &View, digest: Digest) -> Vec<Outgoing> {
         let targets = self.sample(view, FANOUT, None);
-        targets.into_iter().map(|to| self.datagram(to, Kind::News, view, digest)).collect()
+        targets
+            .into_iter()
+            .map(|to| self.datagram(to, Kind::News, view, digest))
+            .collect()
     }
 
     /// Picks members to ask for what they have in force.
@@ -135,7 +138,10 @@
             .filter(|pending| !pending.asked)
             .map(|pending| pending.sent + self.timing.answer);
         let suspects = self.suspects.values().min().copied();
-        [asking, suspects].into_iter().flatten().fold(self.next_probe, Instant::min)
+        [asking, suspects]
+            .into_iter()
+            .flatten()
+            .fold(self.next_probe, Instant::min)
     }
 
     /// Does what is due: asks helpers, suspects, pings the next member.
@@ -194,7 +200,8 @@
         }
         self.rumours.add(Rumour::Member(record.clone()));
         if record.state == State::Suspect {
-            self.suspects.insert(record.endpoint, now + self.timing.suspicion);
+            self.suspects
+                .insert(record.endpoint, now + self.timing.suspicion);
         } else {
             self.suspects.remove(&record.endpoint);
         }
@@ -211,7 +218,11 @@
     }
 
     fn acknowledged(&mut self, number: u64, view: &View, digest: Digest) -> Vec<Outgoing> {
-        if self.pending.as_ref().is_some_and(|pending| pending.number == number) {
+        if self
+            .pending
+            .as_ref()
+            .is_some_and(|pending| pending.number == number)
+        {
             self.pending = None;
         }
         match self.relays.remove(&number) {
@@ -239,20 +250,30 @@
     fn ask_helpers(&mut self, now: Instant, view: &View, digest: Digest) -> Vec<Outgoing> {
         let answer = self.timing.answer;
         let late = |pending: &&mut Pending| !pending.asked && now >= pending.sent + answer;
-        let Some(pending) = self.pending.as_mut().filter(late) else { return Vec::new() };
+        let Some(pending) = self.pending.as_mut().filter(late) else {
+            return Vec::new();
+        };
         pending.asked = true;
         let (target, number) = (pending.target, pending.number);
         let helpers = self.sample(view, HELPERS, Some(target));
         let ask = Kind::Ask(number, target);
-        helpers.into_iter().map(|to| self.datagram(to, ask, view, digest)).collect()
+        helpers
+            .into_iter()
+            .map(|to| self.datagram(to, ask, view, digest))
+            .collect()
     }
 
     fn suspect(&mut self, now: Instant, target: Endpoint, view: &mut View) {
-        let Some(known) = view.get(target) else { return };
+        let Some(known) = view.get(target) else {
+            return;
+        };
         if known.state != State::Alive {
             return;
         }
-        let suspicion = Record { state: State::Suspect, ..known.clone() };
+        let suspicion = Record {
+            state: State::Suspect,
+            ..known.clone()
+        };
         self.learn(now, &suspicion, view);
     }
 
@@ -265,9 +286,14 @@
             .collect();
         for endpoint in due {
             self.suspects.remove(&endpoint);
-            let Some(known) = view.get(endpoint) else { continue };
+            let Some(known) = view.get(endpoint) else {
+                continue;
+            };
             if known.state == State::Suspect {
-                let unreachable = Record { state: State::Unreachable, ..known.clone() };
+                let unreachable = Record {
+                    state: State::Unreachable,
+                    ..known.clone()
+                };
                 self.learn(now, &unreachable, view);
             }
         }
@@ -280,7 +306,12 @@
         }
         let target = self.round.pop()?;
         let number = self.next_number();
-        self.pending = Some(Pending { target, number, sent: now, asked: false });
+        self.pending = Some(Pending {
+            target,
+            number,
+            sent: now,
+            asked: false,
+        });
         Some(self.datagram(target, Kind::Ping(number), view, digest))
     }
 
@@ -296,15 +327,29 @@
         let candidates: Vec<_> = self
             .others(view)
             .filter(|endpoint| Some(*endpoint) != except)
-            .filter(|endpoint| view.get(*endpoint).is_some_and(|known| known.state.takes_work()))
+            .filter(|endpoint| {
+                view.get(*endpoint)
+                    .is_some_and(|known| known.state.takes_work())
+            })
             .collect();
         candidates.sample(&mut self.rng, count).copied().collect()
     }
 
     fn datagram(&mut self, to: Endpoint, kind: Kind, view: &View, digest: Digest) -> Outgoing {
-        let digest = Digest { view: view.hash(), ..digest };
+        let digest = Digest {
+            view: view.hash(),
+            ..digest
+        };
         let rumours = self.rumours.take(view.len());
-        Outgoing { to, datagram: Datagram { kind, from: self.me.clone(), digest, rumours } }
+        Outgoing {
+            to,
+            datagram: Datagram {
+                kind,
+                from: self.me.clone(),
+                digest,
+                rumours,
+            },
+        }
     }
 
     fn next_number(&mut self) -> u64 {
--- a/crates/members/src/view.rs
+++ b/crates/members/src/view.rs
@@ -52,16 +52,28 @@
     /// no longer listed: then they are gone for good.
     pub fn apply_list(&mut self, list: &[Listed]) -> Vec<Record> {
         self.listed = list.iter().map(|listed| listed.ip).collect();
-        self.listed_leaving =
-            list.iter().filter(|listed| listed.leaving).map(|listed| listed.ip).collect();
+        self.listed_leaving = list
+            .iter()
+            .filter(|listed| listed.leaving)
+            .map(|listed| listed.ip)
+            .collect();
         let mut news = Vec::new();
         for listed in list {
             for role in [Role::Entry, Role::Gather] {
-                let endpoint = Endpoint { ip: listed.ip, role };
+                let endpoint = Endpoint {
+                    ip: listed.ip,
+                    role,
+                };
                 if !self.records.contains_key(&endpoint) && !listed.leaving {
                     let zone = Name::clone(&listed.zone);
                     let state = State::Alive;
-                    let seed = Record { endpoint, zone, incarnation: 0, counter: 0, state };
+                    let seed = Record {
+                        endpoint,
+                        zone,
+                        incarnation: 0,
+                        counter: 0,
+                        state,
+                    };
                     self.apply(&seed);
                 }
             }
@@ -72,7 +84,10 @@
             .filter(|record| {
                 record.state == State::Unreachable && !self.listed.contains(&record.endpoint.ip)
             })
-            .map(|record| Record { state: State::Left, ..record.clone() })
+            .map(|record| Record {
+                state: State::Left,
+                ..record.clone()
+            })
             .collect();
         for record in gone {
             self.apply(&record);
@@ -100,7 +115,9 @@
 
     /// Tells whether new work may be sent to an endpoint.
     pub fn takes_work(&self, endpoint: Endpoint) -> bool {
-        self.records.get(&endpoint).is_some_and(|record| record.state.takes_work())
+        self.records
+            .get(&endpoint)
+            .is_some_and(|record| record.state.takes_work())
             && !self.listed_leaving.contains(&endpoint.ip)
     }
 
--- a/crates/net/src/dial.rs
+++ b/crates/net/src/dial.rs
@@ -21,7 +21,11 @@
 impl Fault {
     /// Describes an error.
     pub fn new(step: &'static str, peer: impl Into<Peer>, cause: impl fmt::Display) -> Self {
-        Self { step: Step(step), peer: peer.into(), cause: cause.to_string() }
+        Self {
+            step: Step(step),
+            peer: peer.into(),
+            cause: cause.to_string(),
+        }
     }
 }
 
@@ -41,7 +45,9 @@
 ) -> Result<TcpStream, Fault> {
     let fault = |cause: &dyn fmt::Display| Fault::new("dial", remote, cause);
     let socket = TcpSocket::new_v4().map_err(|error| fault(&error))?;
-    socket.bind(SocketAddr::from((local, 0))).map_err(|error| fault(&error))?;
+    socket
+        .bind(SocketAddr::from((local, 0)))
+        .map_err(|error| fault(&error))?;
     let stream = tokio::time::timeout(timeout, socket.connect(remote))
         .await
         .map_err(|elapsed| fault(&elapsed))?
@@ -52,5 +58,7 @@
 
 /// Listens at an address.
 pub async fn listen(address: SocketAddr) -> Result<TcpListener, Fault> {
-    TcpListener::bind(address).await.map_err(|error| Fault::new("listen", address, error))
+    TcpListener::bind(address)
+        .await
+        .map_err(|error| Fault::new("listen", address, error))
 }
--- a/crates/net/src/serve.rs
+++ b/crates/net/src/serve.rs
@@ -33,7 +33,9 @@
             () = stop.cancelled() => break,
             accepted = listener.accept() => accepted,
         };
-        let Ok((stream, peer)) = accepted else { continue };
+        let Ok((stream, peer)) = accepted else {
+            continue;
+        };
         // Without it, small replies wait for acknowledgements; failure only costs time.
         let _ = stream.set_nodelay(true);
         let handler = handler.clone();
@@ -104,6 +106,8 @@
 fn reply(status: StatusCode, body: impl Into<Bytes>, kind: &'static str) -> Response<Body> {
     let mut response = Response::new(Full::new(body.into()));
     *response.status_mut() = status;
-    response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static(kind));
+    response
+        .headers_mut()
+        .insert(CONTENT_TYPE, HeaderValue::from_static(kind));
     response
 }
--- a/crates/node/src/meter.rs
+++ b/crates/node/src/meter.rs
@@ -33,36 +33,60 @@
         let counters = |name: &str, help: &str, label: &str| {
             let counters = IntCounterVec::new(Opts::new(name, help), &[label])
                 .expect("metric names are constants and valid");
-            registry.register(Box::new(counters.clone())).expect("metric names are unique");
+            registry
+                .register(Box::new(counters.clone()))
+                .expect("metric names are unique");
             counters
         };
         let gauge = |name: &str, help: &str| {
             let gauge = IntGauge::new(name, help).expect("metric names are constants and valid");
-            registry.register(Box::new(gauge.clone())).expect("metric names are unique");
+            registry
+                .register(Box::new(gauge.clone()))
+                .expect("metric names are unique");
             gauge
         };
         let counter = |name: &str, help: &str| {
             let counter =
                 IntCounter::new(name, help).expect("metric names are constants and valid");
-            registry.register(Box::new(counter.clone())).expect("metric names are unique");
+            registry
+                .register(Box::new(counter.clone()))
+                .expect("metric names are unique");
             counter
         };
         Self {
-            datagrams: counters("bergamot_control_datagrams_total", "Control datagrams.", "direction"),
+            datagrams: counters(
+                "bergamot_control_datagrams_total",
+                "Control datagrams.",
+                "direction",
+            ),
             datagram_bytes: counters(
                 "bergamot_control_datagram_bytes_total",
                 "Bytes of control datagrams.",
                 "direction",
             ),
-            pulls: counters("bergamot_control_pulls_total", "Exchanges begun over control streams.", "result"),
-            platform_reads: counters("bergamot_platform_reads_total", "Reads of the platform.", "what"),
+            pulls: counters(
+                "bergamot_control_pulls_total",
+                "Exchanges begun over control streams.",
+                "result",
+            ),
+            platform_reads: counters(
+                "bergamot_platform_reads_total",
+                "Reads of the platform.",
+                "what",
+            ),
             platform_failures: counters(
                 "bergamot_platform_failures_total",
                 "Reads of the platform that failed.",
                 "what",
             ),
-            refused_documents: counter("bergamot_documents_refused_total", "Documents refused whole."),
-            clashes: gauge("bergamot_document_clashes", "Documents of our revision with other content."),
+            refused_documents: counter(
+                "bergamot_documents_refused_total",
+                "Documents refused whole.",
+            ),
+            clashes: gauge(
+                "bergamot_document_clashes",
+                "Documents of our revision with other content.",
+            ),
             revision: gauge("bergamot_document_revision", "The revision in force."),
             members: gauge("bergamot_members", "Members in the view."),
             pauses: counter("bergamot_pauses_total", "How often the process slept."),
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -88,11 +88,15 @@
     ///
     /// The node has no document yet; see [`Node::join`].
     pub async fn start(settings: Arc<Settings>, role: Role) -> Result<Arc<Self>, Fault> {
-        let me = Endpoint { ip: settings.instance.address, role };
+        let me = Endpoint {
+            ip: settings.instance.address,
+            role,
+        };
         let incarnation = new_incarnation();
         let address = control_address(&settings, me);
-        let socket =
-            UdpSocket::bind(address).await.map_err(|e| Fault::new("bind control", address, e))?;
+        let socket = UdpSocket::bind(address)
+            .await
+            .map_err(|e| Fault::new("bind control", address, e))?;
         let stream_listener = listen(address).await?;
         let admin_listener = listen(admin_address(&settings, me)).await?;
         let registry = Registry::new();
@@ -216,7 +220,11 @@
 
     /// Finds the entry of a run, or tells that the run is gone for good.
     pub fn find_run(&self, incarnation: Incarnation) -> Option<Record> {
-        self.lock().view.iter().find(|record| record.incarnation == incarnation).cloned()
+        self.lock()
+            .view
+            .iter()
+            .find(|record| record.incarnation == incarnation)
+            .cloned()
     }
 
     /// Tells whether new work may start right now.
@@ -231,7 +239,10 @@
 
     /// Catches up with a sender that has a higher revision, within a bound.
     pub async fn catch_up_to(self: &Arc<Self>, revision: u64, bound: Duration) -> bool {
-        let ahead = || self.current().is_some_and(|current| current.document.revision >= revision);
+        let ahead = || {
+            self.current()
+                .is_some_and(|current| current.document.revision >= revision)
+        };
         if ahead() {
             return true;
         }
@@ -252,7 +263,10 @@
 
     /// Adds a part to the state dump.
     pub fn add_dump(&self, title: &'static str, dump: Dump) {
-        self.dumps.lock().unwrap_or_else(PoisonError::into_inner).push((title, dump));
+        self.dumps
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .push((title, dump));
     }
 
     /// Writes the state of the process as text.
@@ -263,10 +277,19 @@
         }
         {
             let control = self.lock();
-            text += &format!("clashes {}\n\n[members]\n{}", control.floor.clashes(), control.view);
+            text += &format!(
+                "clashes {}\n\n[members]\n{}",
+                control.floor.clashes(),
+                control.view
+            );
         }
         text += &format!("\n[homes]\n{}", self.homes());
-        for (title, dump) in self.dumps.lock().unwrap_or_else(PoisonError::into_inner).iter() {
+        for (title, dump) in self
+            .dumps
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .iter()
+        {
             text += &format!("\n[{title}]\n{}", dump());
         }
         text
@@ -280,7 +303,8 @@
         let verdict = control.floor.adopt(revision, hash);
         match verdict {
             Verdict::Newer => {
-                self.current.store(Some(Arc::new(Current { document, parcel })));
+                self.current
+                    .store(Some(Arc::new(Current { document, parcel })));
                 self.meter.revision.set(revision as i64);
                 control.homes_of = (0, 0);
                 self.refresh_homes(&mut control);
@@ -304,7 +328,9 @@
     /// Computes the homes anew where the members or the document have changed.
     pub(crate) fn refresh_homes(&self, control: &mut Control) {
         self.meter.members.set(control.view.len() as i64);
-        let Some(current) = self.current() else { return };
+        let Some(current) = self.current() else {
+            return;
+        };
         let key = (current.document.hash, control.view.places_hash());
         if control.homes_of == key {
             return;
@@ -330,7 +356,10 @@
             let bytes = bergamot_wire::encode(outgoing.datagram);
             let address = control_address(&self.settings, outgoing.to);
             self.meter.datagrams.with_label_values(&["out"]).inc();
-            self.meter.datagram_bytes.with_label_values(&["out"]).inc_by(bytes.len() as u64);
+            self.meter
+                .datagram_bytes
+                .with_label_values(&["out"])
+                .inc_by(bytes.len() as u64);
             if let Err(error) = self.socket.try_send_to(&bytes, address) {
                 log::debug!("node: Datagram to {address} was not sent: {error}.");
             }
@@ -346,7 +375,13 @@
     fn new(settings: &Settings, me: Endpoint, incarnation: Incarnation) -> Self {
         let now = Instant::now();
         let zone = Name::clone(&settings.instance.zone);
-        let me = Record { endpoint: me, zone, incarnation, counter: 0, state: State::Alive };
+        let me = Record {
+            endpoint: me,
+            zone,
+            incarnation,
+            counter: 0,
+            state: State::Alive,
+        };
         let timing = Timing {
             probe: settings.control.probe,
             answer: settings.control.answer,
@@ -385,7 +420,9 @@
 /// Makes the number of a run: the time in milliseconds, so that later runs at one
 /// address override earlier ones, then random bits, so that no two runs are alike.
 fn new_incarnation() -> Incarnation {
-    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    let since = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
     let random: u16 = rand::rng().random();
     (since.as_millis() as u64) << 16 | u64::from(random)
 }
--- a/crates/query/src/shape.rs
+++ b/crates/query/src/shape.rs
@@ -9,7 +9,7 @@
 
 /// The shape of a query.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(tag = "shape", rename_all = "snake_case", deny_unknown_fields)]
+#[serde(rename_all = "snake_case")]
 pub enum Shape {
     /// Every document of every shard, in the order of their keys.
     Scan,
--- a/crates/upstream/src/client.rs
+++ b/crates/upstream/src/client.rs
@@ -46,7 +46,12 @@
 
 impl Fault {
     pub(crate) fn new(step: Step, peer: Peer, cause: &str) -> Self {
-        Self { step, peer, cause: cause.to_owned(), reason: Reason::Unreachable }
+        Self {
+            step,
+            peer,
+            cause: cause.to_owned(),
+            reason: Reason::Unreachable,
+        }
     }
 
     fn because(self, reason: Reason) -> Self {
@@ -56,7 +61,11 @@
 
 impl fmt::Display for Fault {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{} {}: {} ({})", self.step, self.peer, self.cause, self.reason)
+        write!(
+            f,
+            "{} {}: {} ({})",
+            self.step, self.peer, self.cause, self.reason
+        )
     }
 }
 
@@ -95,7 +104,13 @@
 
 impl Client {
     /// Makes the client of a searcher.
-    pub fn new(address: SocketAddr, pool: Arc<Pool>, slots: usize, queue: usize, guess: Duration) -> Arc<Self> {
+    pub fn new(
+        address: SocketAddr,
+        pool: Arc<Pool>,
+        slots: usize,
+        queue: usize,
+        guess: Duration,
+    ) -> Arc<Self> {
         Arc::new(Self {
             address,
             pool,
@@ -139,7 +154,9 @@
         };
         if !self.may_start(call, &may_send) {
             lease.give_back().await;
-            return Err(self.fault("send", "no longer allowed").because(Reason::Deadline));
+            return Err(self
+                .fault("send", "no longer allowed")
+                .because(Reason::Deadline));
         }
         let request = self.request(Method::POST, protocol::SEARCH, call, search);
         let started = Instant::now();
@@ -152,7 +169,9 @@
             drop(slot);
             reply
         });
-        let reply = exchange.await.map_err(|error| self.fault("send", &error.to_string()))??;
+        let reply = exchange
+            .await
+            .map_err(|error| self.fault("send", &error.to_string()))??;
         self.read(&reply, started.elapsed())
     }
 
@@ -178,18 +197,24 @@
         }
         if !self.may_start(call, &may_send) {
             lease.give_back().await;
-            return Effect::NotRun("no longer allowed at the last moment before sending".to_owned());
+            return Effect::NotRun(
+                "no longer allowed at the last moment before sending".to_owned(),
+            );
         }
         let sent = lease.sender().try_send_request(request);
         let outcome = tokio::time::timeout_at(call.deadline.instant().into(), sent).await;
         let effect = match outcome {
-            Err(_elapsed) => Effect::Unknown("the deadline passed after the write was sent".to_owned()),
-            Ok(Err(error)) if error.message().is_some() => {
-                Effect::NotRun(format!("the connection closed before sending: {}", error.error()))
-            }
-            Ok(Err(error)) => {
-                Effect::Unknown(format!("the connection failed after sending: {}", error.error()))
+            Err(_elapsed) => {
+                Effect::Unknown("the deadline passed after the write was sent".to_owned())
             }
+            Ok(Err(error)) if error.message().is_some() => Effect::NotRun(format!(
+                "the connection closed before sending: {}",
+                error.error()
+            )),
+            Ok(Err(error)) => Effect::Unknown(format!(
+                "the connection failed after sending: {}",
+                error.error()
+            )),
             Ok(Ok(response)) => self.effect(lease, response, call).await,
         };
         drop(slot);
@@ -198,8 +223,16 @@
 
     /// Asks for the status, to learn the run, its versions and whether it leaves.
     pub async fn status(self: &Arc<Self>, deadline: Deadline) -> Result<(), Fault> {
-        let call = Call { id: Name::from("status"), deadline, cancel: CancellationToken::new() };
-        let lease = self.pool.lease(deadline).await.inspect_err(|_| self.failed())?;
+        let call = Call {
+            id: Name::from("status"),
+            deadline,
+            cancel: CancellationToken::new(),
+        };
+        let lease = self
+            .pool
+            .lease(deadline)
+            .await
+            .inspect_err(|_| self.failed())?;
         let request = self.request(Method::GET, protocol::STATUS, &call, &());
         self.exchange(lease, request, &call).await.map(|_reply| ())
     }
@@ -208,13 +241,19 @@
         let (sender, receiver) = oneshot::channel();
         let entry = self.slots().enter(Instant::now(), call.deadline, sender);
         match entry {
-            Entry::Go => Ok(Slot { client: Arc::clone(self), took: None }),
+            Entry::Go => Ok(Slot {
+                client: Arc::clone(self),
+                took: None,
+            }),
             Entry::Refuse(after) => {
                 let cause = format!("the queue is full, come back in {} ms", after.as_millis());
                 Err(self.fault("wait for a slot", &cause).because(Reason::Busy))
             }
             Entry::Wait => {
-                let waiting = Waiting { client: self, receiver: Some(receiver) };
+                let waiting = Waiting {
+                    client: self,
+                    receiver: Some(receiver),
+                };
                 tokio::select! {
                     slot = waiting.slot() => slot,
                     () = call.cancel.cancelled() => Err(self.fault("wait for a slot", "cancelled")),
@@ -229,10 +268,19 @@
     /// The checks at the last moment before bytes leave.
     fn may_start(&self, call: &Call, may_send: &impl Fn() -> bool) -> bool {
         let leaving = self.health().is_leaving();
-        !leaving && !call.deadline.passed(Instant::now()) && !call.cancel.is_cancelled() && may_send()
+        !leaving
+            && !call.deadline.passed(Instant::now())
+            && !call.cancel.is_cancelled()
+            && may_send()
     }
 
-    fn request<T: Serialize>(&self, method: Method, path: &str, call: &Call, content: &T) -> Request<Full<Bytes>> {
+    fn request<T: Serialize>(
+        &self,
+        method: Method,
+        path: &str,
+        call: &Call,
+        content: &T,
+    ) -> Request<Full<Bytes>> {
         let body = serde_json::to_vec(content).expect("protocol types always serialize");
         let left = call.deadline.left(Instant::now()).as_micros().to_string();
         Request::builder()
@@ -283,12 +331,16 @@
     ) -> Result<Response<Bytes>, Fault> {
         tokio::time::timeout(DRAIN, reply)
             .await
-            .unwrap_or_else(|_elapsed| Err(self.fault("read reply", "late").because(Reason::Deadline)))
+            .unwrap_or_else(|_elapsed| {
+                Err(self.fault("read reply", "late").because(Reason::Deadline))
+            })
     }
 
     /// Cancels a request at the searcher by its name, if a connection is free for it.
     fn cancel(self: &Arc<Self>, call: &Call) {
-        let Some(mut lease) = self.pool.lease_idle() else { return };
+        let Some(mut lease) = self.pool.lease_idle() else {
+            return;
+        };
         let path = format!("{}{}", protocol::REQUESTS, call.id);
         let request = self.request(Method::DELETE, &path, call, &());
         tokio::spawn(tokio::time::timeout(DRAIN, async move {
@@ -305,21 +357,40 @@
         response: Response<hyper::body::Incoming>,
     ) -> Result<Response<Bytes>, Fault> {
         let (parts, body) = response.into_parts();
-        let whole = Limited::new(body, LARGEST_REPLY).collect().await.map_err(|error| {
-            self.failed();
-            self.fault("read reply", &error.to_string()).because(Reason::BadReply)
-        })?;
+        let whole = Limited::new(body, LARGEST_REPLY)
+            .collect()
+            .await
+            .map_err(|error| {
+                self.failed();
+                self.fault("read reply", &error.to_string())
+                    .because(Reason::BadReply)
+            })?;
         Ok(Response::from_parts(parts, whole.to_bytes()))
     }
 
     /// Learns from the headers of any reply.
     fn note<T>(&self, response: &Response<T>) {
-        let header = |name| response.headers().get(name).and_then(|value| value.to_str().ok());
-        let Some(run) = header(protocol::RUN) else { return };
+        let header = |name| {
+            response
+                .headers()
+                .get(name)
+                .and_then(|value| value.to_str().ok())
+        };
+        let Some(run) = header(protocol::RUN) else {
+            return;
+        };
         let mut health = self.health();
-        health.seen(Instant::now(), &Name::from(run), header(protocol::LEAVING).is_some());
+        health.seen(
+            Instant::now(),
+            &Name::from(run),
+            header(protocol::LEAVING).is_some(),
+        );
         if let Some(versions) = header(protocol::VERSIONS) {
-            health.holds(versions.split(',').filter_map(|version| version.parse().ok()));
+            health.holds(
+                versions
+                    .split(',')
+                    .filter_map(|version| version.parse().ok()),
+            );
         }
     }
 
@@ -328,25 +399,28 @@
             StatusCode::OK => {
                 let found = serde_json::from_slice(reply.body()).map_err(|error| {
                     self.failed();
-                    self.fault("decode reply", &error.to_string()).because(Reason::BadReply)
+                    self.fault("decode reply", &error.to_string())
+                        .because(Reason::BadReply)
                 })?;
                 self.health().answered(took);
                 Ok(found)
             }
-            StatusCode::CONFLICT => {
-                Err(self.fault("search", "version not held").because(Reason::VersionGone))
-            }
+            StatusCode::CONFLICT => Err(self
+                .fault("search", "version not held")
+                .because(Reason::VersionGone)),
             StatusCode::SERVICE_UNAVAILABLE => {
                 self.failed();
                 Err(self.fault("search", "shed").because(Reason::Busy))
             }
             StatusCode::GONE => Err(self.fault("search", "leaving").because(Reason::Leaving)),
-            StatusCode::GATEWAY_TIMEOUT => {
-                Err(self.fault("search", "deadline passed there").because(Reason::Deadline))
-            }
+            StatusCode::GATEWAY_TIMEOUT => Err(self
+                .fault("search", "deadline passed there")
+                .because(Reason::Deadline)),
             status => {
                 self.failed();
-                Err(self.fault("search", status.as_str()).because(Reason::BadReply))
+                Err(self
+                    .fault("search", status.as_str())
+                    .because(Reason::BadReply))
             }
         }
     }
@@ -430,17 +504,23 @@
         let granted = receiver.await;
         self.receiver = None;
         match granted {
-            Ok(()) => Ok(Slot { client: Arc::clone(self.client), took: None }),
-            Err(_closed) => {
-                Err(self.client.fault("wait for a slot", "deadline").because(Reason::Deadline))
-            }
+            Ok(()) => Ok(Slot {
+                client: Arc::clone(self.client),
+                took: None,
+            }),
+            Err(_closed) => Err(self
+                .client
+                .fault("wait for a slot", "deadline")
+                .because(Reason::Deadline)),
         }
     }
 }
 
 impl Drop for Waiting<'_> {
     fn drop(&mut self) {
-        let Some(mut receiver) = self.receiver.take() else { return };
+        let Some(mut receiver) = self.receiver.take() else {
+            return;
+        };
         receiver.close();
         if receiver.try_recv().is_ok() {
             hand_on(self.client, None);
--- a/crates/upstream/src/slots.rs
+++ b/crates/upstream/src/slots.rs
@@ -42,7 +42,14 @@
     /// Makes the queue for a number of slots and at most `longest` waiters.
     pub fn new(slots: usize, longest: usize) -> Self {
         let queue = BTreeMap::new();
-        Self { slots, longest, busy: 0, serial: 0, queue, mean: FIRST_GUESS }
+        Self {
+            slots,
+            longest,
+            busy: 0,
+            serial: 0,
+            queue,
+            mean: FIRST_GUESS,
+        }
     }
 
     /// Changes the number of slots; work already let through stays.
@@ -104,6 +111,12 @@
 impl<T> fmt::Display for Slots<T> {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let mean = self.mean.as_secs_f64() * 1e3;
-        write!(f, "slots {}/{} queued {} mean {mean:.1} ms", self.busy, self.slots, self.queue.len())
+        write!(
+            f,
+            "slots {}/{} queued {} mean {mean:.1} ms",
+            self.busy,
+            self.slots,
+            self.queue.len()
+        )
     }
 }
--- a/crates/wire/src/stream.rs
+++ b/crates/wire/src/stream.rs
@@ -80,7 +80,9 @@
             () = stop.cancelled() => return,
             accepted = listener.accept() => accepted,
         };
-        let Ok((stream, peer)) = accepted else { continue };
+        let Ok((stream, peer)) = accepted else {
+            continue;
+        };
         let answer = answer.clone();
         tokio::spawn(async move {
             let exchange = tokio::time::timeout(SERVE, serve_one(stream, peer, answer));
--- a/crates/write/src/key.rs
+++ b/crates/write/src/key.rs
@@ -43,7 +43,9 @@
 
 impl fmt::Display for Flaw {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str("a write_prefix from /v1/addresses, a hyphen and 1 to 128 of A-Z, a-z, 0-9, _ and -")
+        f.write_str(
+            "a write_prefix from /v1/addresses, a hyphen and 1 to 128 of A-Z, a-z, 0-9, _ and -",
+        )
     }
 }
 
@@ -63,7 +65,10 @@
             incarnation: number(incarnation).ok_or(Flaw)?,
             window: number(window).ok_or(Flaw)?,
         };
-        Ok(Self { prefix, unique: Name::from(unique) })
+        Ok(Self {
+            prefix,
+            unique: Name::from(unique),
+        })
     }
 }
 
