--- a/crates/admission/src/gate.rs
+++ b/crates/admission/src/gate.rs
@@ -45,13 +45,7 @@
 impl Gate {
     /// Makes a gate that admits `bound` requests at once.
     pub fn new(bound: usize) -> Self {
-        Self {
-            bound,
-            interactive: 0,
-            bulk: 0,
-            mean: Duration::from_millis(20),
-            refused: 0,
-        }
+        Self { bound, interactive: 0, bulk: 0, mean: Duration::from_millis(20), refused: 0 }
     }
 
     /// Changes the bound; work already admitted stays.
@@ -62,18 +56,14 @@
     /// Admits a request or refuses it at once.
     pub fn enter(&mut self, class: Class) -> Result<(), Refusal> {
         let running = self.interactive + self.bulk;
-        let floor = (self.bound * FLOOR_PERCENT)
-            .div_ceil(100)
-            .min(self.bound - 1);
+        let floor = (self.bound * FLOOR_PERCENT).div_ceil(100).min(self.bound - 1);
         let free = match class {
             Class::Interactive => running < self.bound,
             Class::Bulk => running < self.bound && self.bulk < self.bound - floor,
         };
         if !free {
             self.refused += 1;
-            return Err(Refusal {
-                retry_after: self.wait(),
-            });
+            return Err(Refusal { retry_after: self.wait() });
         }
         *self.count(class) += 1;
         Ok(())
--- a/crates/base/src/hash.rs
+++ b/crates/base/src/hash.rs
@@ -20,7 +20,5 @@
 
 /// Hashes several byte strings, each closed off so that borders matter.
 pub fn hash_parts<'a>(parts: impl IntoIterator<Item = &'a [u8]>) -> u64 {
-    parts
-        .into_iter()
-        .fold(0, |sum, part| hash_pair(sum, hash_bytes(part)))
+    parts.into_iter().fold(0, |sum, part| hash_pair(sum, hash_bytes(part)))
 }
--- a/crates/base/src/id.rs
+++ b/crates/base/src/id.rs
@@ -50,21 +50,9 @@
 
 entity!(Workspace, "ws", "A tenant's workspace in a document.");
 entity!(Service, "svc", "A service of a workspace.");
-entity!(
-    Shard,
-    "shard",
-    "A shard of any service, numbered over the whole document."
-);
-entity!(
-    Searcher,
-    "searcher",
-    "A searcher, numbered over the whole document."
-);
-entity!(
-    Cell,
-    "cell",
-    "A group of shards whose searchers share one set of homes."
-);
+entity!(Shard, "shard", "A shard of any service, numbered over the whole document.");
+entity!(Searcher, "searcher", "A searcher, numbered over the whole document.");
+entity!(Cell, "cell", "A group of shards whose searchers share one set of homes.");
 
 /// A vector that can only be indexed by its own entity.
 #[derive(Clone, PartialEq, Eq)]
@@ -76,10 +64,7 @@
 impl<K: Entity, V> Table<K, V> {
     /// Makes an empty table.
     pub fn new() -> Self {
-        Self {
-            rows: Vec::new(),
-            key: PhantomData,
-        }
+        Self { rows: Vec::new(), key: PhantomData }
     }
 
     /// Appends a row and returns the entity that names it.
@@ -106,10 +91,7 @@
 
     /// Iterates over the rows with their entities.
     pub fn iter(&self) -> impl Iterator<Item = (K, &V)> {
-        self.rows
-            .iter()
-            .enumerate()
-            .map(|(i, row)| (K::from_index(i), row))
+        self.rows.iter().enumerate().map(|(i, row)| (K::from_index(i), row))
     }
 
     /// Iterates over the entities.
@@ -130,25 +112,22 @@
 }
 
 impl<K: Entity, V> FromIterator<V> for Table<K, V> {
-    fn from_iter<I: IntoIterator<Item = V>>(rows: I) -> Self {
-        Self {
-            rows: rows.into_iter().collect(),
-            key: PhantomData,
-        }
+    fn from_iter<T: IntoIterator<Item = V>>(iter: T) -> Self {
+        Self { rows: iter.into_iter().collect(), key: PhantomData }
     }
 }
 
 impl<K: Entity, V> Index<K> for Table<K, V> {
     type Output = V;
 
-    fn index(&self, key: K) -> &V {
-        &self.rows[key.index()]
+    fn index(&self, index: K) -> &V {
+        &self.rows[index.index()]
     }
 }
 
 impl<K: Entity, V> IndexMut<K> for Table<K, V> {
-    fn index_mut(&mut self, key: K) -> &mut V {
-        &mut self.rows[key.index()]
+    fn index_mut(&mut self, index: K) -> &mut V {
+        &mut self.rows[index.index()]
     }
 }
 
--- a/crates/base/tests/base.rs
+++ b/crates/base/tests/base.rs
@@ -31,10 +31,7 @@
     let mut table = Table::<Shard, &str>::new();
     let first = table.push("a");
     let second = table.push("b");
-    assert_eq!(
-        (first.to_string(), second.to_string()),
-        ("shard0".into(), "shard1".into())
-    );
+    assert_eq!((first.to_string(), second.to_string()), ("shard0".into(), "shard1".into()));
     assert_eq!(table[second], "b");
     assert_eq!(table.get(Shard::from_index(2)), None);
     assert_eq!(Searcher::from_index(3).to_string(), "searcher3");
--- a/crates/bench/src/caller.rs
+++ b/crates/bench/src/caller.rs
@@ -14,10 +14,10 @@
 use hyper::Request;
 
 /// How long a caller waits past the deadline before it counts a request as lost.
-pub const GRACE: Duration = Duration::from_millis(1000);
+pub const GRACE: Duration = Duration::from_secs(1);
 
 /// How long asking for addresses may take.
-const ASK: Duration = Duration::from_millis(1000);
+const ASK: Duration = Duration::from_secs(1);
 
 /// The idle connections of callers, by entry.
 type Idle = Mutex<HashMap<SocketAddr, Vec<Client>>>;
@@ -36,13 +36,7 @@
     /// Makes callers of a zone who know some entries' addresses from before.
     pub fn new(zone: Name, first: Vec<SocketAddr>) -> Self {
         let held = tokio::sync::Mutex::default();
-        Self {
-            zone,
-            first,
-            held,
-            idle: Idle::default(),
-            turn: Mutex::new(0),
-        }
+        Self { zone, first, held, idle: Idle::default(), turn: Mutex::new(0) }
     }
 
     /// Returns the entry to use and the prefix for write keys.
@@ -51,10 +45,7 @@
     /// one that takes the request.
     pub async fn address(&self) -> Option<(SocketAddr, String)> {
         let mut held = self.held.lock().await;
-        if held
-            .as_ref()
-            .is_none_or(|(until, _)| Instant::now() >= *until)
-        {
+        if held.as_ref().is_none_or(|(until, _)| Instant::now() >= *until) {
             *held = self.ask(held.take()).await;
         }
         let (_, answer) = held.as_ref()?;
@@ -66,10 +57,7 @@
             .filter_map(|target| target.address.parse().ok())
             .collect();
         let turn = self.next_turn();
-        Some((
-            *near.get(turn % near.len().max(1))?,
-            answer.write_prefix.clone(),
-        ))
+        Some((*near.get(turn % near.len().max(1))?, answer.write_prefix.clone()))
     }
 
     /// Forgets the addresses, as after a failed connection.
@@ -90,10 +78,7 @@
                 None => Client::connect(Ipv4Addr::UNSPECIFIED, entry, timeout).await?,
             };
             let reply = client.send(request).await?;
-            let closing = reply
-                .headers()
-                .get("connection")
-                .is_some_and(|value| value == "close");
+            let closing = reply.headers().get("connection").is_some_and(|value| value == "close");
             if !closing && client.is_open() {
                 self.put(entry, client);
             }
@@ -108,10 +93,7 @@
         let known = before.iter().flat_map(|(_, answer)| &answer.addresses);
         let known = known.filter_map(|target| target.address.parse().ok());
         let turn = self.next_turn() % self.first.len().max(1);
-        let first = self.first[turn..]
-            .iter()
-            .chain(&self.first[..turn])
-            .copied();
+        let first = self.first[turn..].iter().chain(&self.first[..turn]).copied();
         for entry in known.chain(first).collect::<Vec<SocketAddr>>() {
             let path = format!("/v1/addresses?zone={}", self.zone);
             let Ok(reply) = fetch(Ipv4Addr::UNSPECIFIED, entry, &path, ASK).await else {
@@ -128,19 +110,13 @@
     }
 
     fn next_turn(&self) -> usize {
-        let mut turn = self
-            .turn
-            .lock()
-            .unwrap_or_else(std::sync::PoisonError::into_inner);
+        let mut turn = self.turn.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
         *turn += 1;
         *turn
     }
 
     fn take(&self, entry: SocketAddr) -> Option<Client> {
-        let mut idle = self
-            .idle
-            .lock()
-            .unwrap_or_else(std::sync::PoisonError::into_inner);
+        let mut idle = self.idle.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
         let clients = idle.get_mut(&entry)?;
         while let Some(client) = clients.pop() {
             if client.is_open() {
@@ -151,10 +127,7 @@
     }
 
     fn put(&self, entry: SocketAddr, client: Client) {
-        let mut idle = self
-            .idle
-            .lock()
-            .unwrap_or_else(std::sync::PoisonError::into_inner);
+        let mut idle = self.idle.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
         idle.entry(entry).or_default().push(client);
     }
 }
--- a/crates/bench/src/check.rs
+++ b/crates/bench/src/check.rs
@@ -73,65 +73,40 @@
 
 fn check_request(request: &Request, report: &mut impl FnMut(Promise, String)) {
     if request.ending == Ending::Lost {
-        report(
-            Promise::NoLoss,
-            format!("got no final answer from {}", request.entry),
-        );
+        report(Promise::NoLoss, format!("got no final answer from {}", request.entry));
     }
     let Some(answer) = &request.answer else {
         return;
     };
     let stamp = format!("v{}e{}", answer.version, answer.epoch);
     for found in answer.stamps.iter().filter(|found| ***found != *stamp) {
-        report(
-            Promise::Snapshot,
-            format!("names {stamp} and holds {found}"),
-        );
+        report(Promise::Snapshot, format!("names {stamp} and holds {found}"));
     }
     if answer.complete != (answer.missing.is_empty() && answer.answered == answer.asked) {
-        report(
-            Promise::Coverage,
-            "says complete against its own counts".to_owned(),
-        );
+        report(Promise::Coverage, "says complete against its own counts".to_owned());
     }
     if answer.answered + answer.missing.len() != answer.asked {
-        report(
-            Promise::Coverage,
-            "does not name every shard that is missing".to_owned(),
-        );
+        report(Promise::Coverage, "does not name every shard that is missing".to_owned());
     }
     if answer.complete && answer.hits < answer.expected {
         let (hits, expected) = (answer.hits, answer.expected);
-        report(
-            Promise::Coverage,
-            format!("says complete with {hits} of {expected} hits"),
-        );
+        report(Promise::Coverage, format!("says complete with {hits} of {expected} hits"));
     }
     if (request.ending == Ending::Complete) != answer.complete {
-        report(
-            Promise::Coverage,
-            "was taken for what it does not say".to_owned(),
-        );
+        report(Promise::Coverage, "was taken for what it does not say".to_owned());
     }
     if answer.foreign || answer.hits > answer.expected {
-        report(
-            Promise::OwnAnswer,
-            "holds documents that were not asked for".to_owned(),
-        );
+        report(Promise::OwnAnswer, "holds documents that were not asked for".to_owned());
     }
 }
 
 /// Counts the effects of each write key and compares them with what callers were told.
 fn check_writes(history: &History) -> Vec<Violation> {
     let mut effects = HashMap::<&Name, usize>::new();
-    let writes = history
-        .effects
-        .values()
-        .flatten()
-        .filter_map(|effect| match effect {
-            Effect::Write { key, .. } => Some(key),
-            Effect::Search { .. } => None,
-        });
+    let writes = history.effects.values().flatten().filter_map(|effect| match effect {
+        Effect::Write { key, .. } => Some(key),
+        Effect::Search { .. } => None,
+    });
     for key in writes {
         *effects.entry(key).or_default() += 1;
     }
@@ -145,28 +120,19 @@
     for (key, count) in &effects {
         if *count > 1 {
             let detail = format!("key {key} took effect {count} times");
-            violations.push(Violation {
-                promise: Promise::AtMostOnce,
-                detail,
-            });
+            violations.push(Violation { promise: Promise::AtMostOnce, detail });
         }
     }
     for (key, endings) in told {
         let count = effects.get(key).copied().unwrap_or(0);
         if endings.contains(&Ending::Complete) && count == 0 {
             let detail = format!("key {key} is said to be done and had no effect");
-            violations.push(Violation {
-                promise: Promise::AtMostOnce,
-                detail,
-            });
+            violations.push(Violation { promise: Promise::AtMostOnce, detail });
         }
         // A key may be tried again after "not run": then the last answer counts.
         if endings.last() == Some(&Ending::NotRun) && count > 0 {
             let detail = format!("key {key} is said not to have run and took effect");
-            violations.push(Violation {
-                promise: Promise::NotRun,
-                detail,
-            });
+            violations.push(Violation { promise: Promise::NotRun, detail });
         }
     }
     violations.sort_by(|a, b| (a.promise, &a.detail).cmp(&(b.promise, &b.detail)));
@@ -175,8 +141,5 @@
 
 /// Counts the violations of a promise.
 pub fn count(violations: &[Violation], promise: Promise) -> usize {
-    violations
-        .iter()
-        .filter(|violation| violation.promise == promise)
-        .count()
+    violations.iter().filter(|violation| violation.promise == promise).count()
 }
--- a/crates/bench/src/cluster.rs
+++ b/crates/bench/src/cluster.rs
@@ -64,13 +64,7 @@
         for (service, settings) in deployment.searchers(versions) {
             searchers.push((service, Searcher::start(settings).await?));
         }
-        Ok(Self {
-            deployment,
-            platform,
-            searchers,
-            instances: BTreeMap::new(),
-            base,
-        })
+        Ok(Self { deployment, platform, searchers, instances: BTreeMap::new(), base })
     }
 
     /// Starts the daemons of one more instance.
@@ -90,22 +84,18 @@
     /// Adds what the searchers did to a history.
     pub fn collect(&self, history: &mut History) {
         for (_, searcher) in &self.searchers {
-            history
-                .effects
-                .insert(searcher.address(), searcher.effects());
+            history.effects.insert(searcher.address(), searcher.effects());
         }
     }
 
     /// Returns the most connections a searcher had against its limit, over all
     /// searchers, and how many connections came above a limit.
     pub fn connections(&self) -> (f64, usize) {
-        self.searchers
-            .iter()
-            .fold((0.0, 0), |(worst, over), (service, searcher)| {
-                let (peak, above) = searcher.connections();
-                let limit = self.deployment.services[*service].limits.connections;
-                (f64::max(worst, peak as f64 / limit as f64), over + above)
-            })
+        self.searchers.iter().fold((0.0, 0), |(worst, over), (service, searcher)| {
+            let (peak, above) = searcher.connections();
+            let limit = self.deployment.services[*service].limits.connections;
+            (f64::max(worst, peak as f64 / limit as f64), over + above)
+        })
     }
 
     fn settings(&self, number: usize) -> Arc<Settings> {
@@ -118,8 +108,5 @@
     let entry = bergamot_entry::Entry::start(Arc::clone(&settings));
     let gather = bergamot_gather::Gather::start(settings);
     let (entry, gather) = futures::future::join(entry, gather).await;
-    Ok(Instance {
-        entry: entry?,
-        gather: gather?,
-    })
+    Ok(Instance { entry: entry?, gather: gather? })
 }
--- a/crates/bench/src/deployment.rs
+++ b/crates/bench/src/deployment.rs
@@ -76,12 +76,7 @@
 
 fn limits(slots: usize, connections: usize, cost_ms: u64) -> Limits {
     let connect_cost = Duration::from_millis(cost_ms);
-    Limits {
-        slots,
-        connections,
-        connect_cost,
-        ..Limits::default()
-    }
+    Limits { slots, connections, connect_cost, ..Limits::default() }
 }
 
 impl Deployment {
@@ -104,30 +99,9 @@
             regions: vec!["yvr-south", "ylw-east", "yxs-main"],
             services: vec![
                 spec("queue-board", Use::Scan, 20, limits(2, 25, 6), "bulk", 20.0),
-                spec(
-                    "ramp-desk",
-                    Use::Top,
-                    30,
-                    limits(2, 25, 6),
-                    "interactive",
-                    30.0,
-                ),
-                spec(
-                    "pad-tablet",
-                    Use::Record,
-                    4,
-                    limits(2, 110, 1),
-                    "interactive",
-                    30.0,
-                ),
-                spec(
-                    "glycol-ledger",
-                    Use::Write,
-                    2,
-                    limits(2, 110, 1),
-                    "interactive",
-                    15.0,
-                ),
+                spec("ramp-desk", Use::Top, 30, limits(2, 25, 6), "interactive", 30.0),
+                spec("pad-tablet", Use::Record, 4, limits(2, 110, 1), "interactive", 30.0),
+                spec("glycol-ledger", Use::Write, 2, limits(2, 110, 1), "interactive", 15.0),
             ],
             instances: 8,
             to_callers: Duration::from_millis(1),
@@ -154,42 +128,10 @@
             workspace: "caldermuir",
             regions: vec!["leith-hall", "govan-hall", "dens-hall"],
             services: vec![
-                spec(
-                    "adviser-desk",
-                    Use::Scan,
-                    20,
-                    2,
-                    limits(2, 25, 6),
-                    "bulk",
-                    20.0,
-                ),
-                spec(
-                    "provider-feed",
-                    Use::Top,
-                    30,
-                    2,
-                    limits(2, 25, 6),
-                    "interactive",
-                    30.0,
-                ),
-                spec(
-                    "call-centre",
-                    Use::Record,
-                    5,
-                    2,
-                    limits(3, 40, 1),
-                    "interactive",
-                    30.0,
-                ),
-                spec(
-                    "compliance-log",
-                    Use::Write,
-                    1,
-                    5,
-                    limits(3, 40, 1),
-                    "interactive",
-                    15.0,
-                ),
+                spec("adviser-desk", Use::Scan, 20, 2, limits(2, 25, 6), "bulk", 20.0),
+                spec("provider-feed", Use::Top, 30, 2, limits(2, 25, 6), "interactive", 30.0),
+                spec("call-centre", Use::Record, 5, 2, limits(3, 40, 1), "interactive", 30.0),
+                spec("compliance-log", Use::Write, 1, 5, limits(3, 40, 1), "interactive", 15.0),
             ],
             instances: 8,
             to_callers: Duration::from_millis(3),
@@ -203,10 +145,7 @@
         let zones = |region: &'static str| {
             ["a", "b"].map(|zone| (Name::from(format!("{region}-{zone}")), Name::from(region)))
         };
-        self.regions
-            .iter()
-            .flat_map(|region| zones(region))
-            .collect()
+        self.regions.iter().flat_map(|region| zones(region)).collect()
     }
 
     /// Returns the address of an instance, counted from zero.
@@ -280,10 +219,7 @@
         let zones = self.zones();
         // Two zones a region: a stride of three changes the region and the zone.
         let zone = Name::clone(&zones[(number * 3 + number / 2) % zones.len()].0);
-        (
-            SocketAddr::from(([127, a, b, 2], SEARCHER_PORT + number as u16)),
-            zone,
-        )
+        (SocketAddr::from(([127, a, b, 2], SEARCHER_PORT + number as u16)), zone)
     }
 
     /// Returns the settings of every searcher, with the service of each.
@@ -317,16 +253,9 @@
     }
 
     fn geography(&self) -> Geography {
-        let zones = (0..self.instances)
-            .map(|n| (self.instance(n), self.zone(n)))
-            .collect();
+        let zones = (0..self.instances).map(|n| (self.instance(n), self.zone(n))).collect();
         let regions: HashMap<Name, Name> = self.zones().into_iter().collect();
-        Geography {
-            zones,
-            regions,
-            between_zones: BETWEEN_ZONES,
-            between_regions: BETWEEN_REGIONS,
-        }
+        Geography { zones, regions, between_zones: BETWEEN_ZONES, between_regions: BETWEEN_REGIONS }
     }
 
     /// Returns the instance list with the given instances.
--- a/crates/bench/src/history.rs
+++ b/crates/bench/src/history.rs
@@ -93,28 +93,18 @@
 #[serde(tag = "line", rename_all = "snake_case")]
 enum Line {
     Request(Request),
-    Effect {
-        searcher: SocketAddr,
-        effect: Effect,
-    },
+    Effect { searcher: SocketAddr, effect: Effect },
 }
 
 impl History {
     /// Writes the history, one JSON line a request or effect.
     pub fn save(&self, file: &mut impl Write) -> std::io::Result<()> {
         for request in &self.requests {
-            writeln!(
-                file,
-                "{}",
-                serde_json::to_string(&Line::Request(request.clone()))?
-            )?;
+            writeln!(file, "{}", serde_json::to_string(&Line::Request(request.clone()))?)?;
         }
         for (searcher, effects) in &self.effects {
             for effect in effects {
-                let line = Line::Effect {
-                    searcher: *searcher,
-                    effect: effect.clone(),
-                };
+                let line = Line::Effect { searcher: *searcher, effect: effect.clone() };
                 writeln!(file, "{}", serde_json::to_string(&line)?)?;
             }
         }
@@ -141,10 +131,7 @@
 
     /// Counts the requests that ended in a way.
     pub fn count(&self, ending: Ending) -> usize {
-        self.requests
-            .iter()
-            .filter(|request| request.ending == ending)
-            .count()
+        self.requests.iter().filter(|request| request.ending == ending).count()
     }
 }
 
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -13,3 +13,4 @@
 pub mod load;
 pub mod quickstart;
 pub mod score;
+pub mod stand_ins;
--- a/crates/bench/src/load.rs
+++ b/crates/bench/src/load.rs
@@ -50,12 +50,7 @@
                 break;
             }
             let (number, zone) = (rng.random(), rng.random_range(0..zones));
-            arrivals.push(Arrival {
-                due: Duration::from_secs_f64(due),
-                service,
-                number,
-                zone,
-            });
+            arrivals.push(Arrival { due: Duration::from_secs_f64(due), service, number, zone });
         }
     }
     arrivals.sort_by_key(|arrival| arrival.due);
@@ -66,9 +61,8 @@
 ///
 /// `scale` multiplies the rates of the deployment.
 pub async fn run(deployment: &Deployment, seed: Seed, time: Duration, scale: f64) -> History {
-    let first: Vec<SocketAddr> = (0..deployment.instances)
-        .map(|n| (deployment.instance(n), 7400).into())
-        .collect();
+    let first: Vec<SocketAddr> =
+        (0..deployment.instances).map(|n| (deployment.instance(n), 7400).into()).collect();
     let callers: Vec<_> = deployment
         .zones()
         .into_iter()
@@ -85,10 +79,7 @@
         let (deployment, requests) = (Arc::clone(&deployment), Arc::clone(&requests));
         running.spawn(async move {
             let request = one(&deployment, &caller, &arrival, due).await;
-            requests
-                .lock()
-                .unwrap_or_else(PoisonError::into_inner)
-                .push(request);
+            requests.lock().unwrap_or_else(PoisonError::into_inner).push(request);
         });
         while running.try_join_next().is_some() {}
     }
@@ -96,10 +87,7 @@
     let mut requests = requests.lock().unwrap_or_else(PoisonError::into_inner);
     let mut requests = std::mem::take(&mut *requests);
     requests.sort_by_key(|request| request.due_us);
-    History {
-        requests,
-        ..History::default()
-    }
+    History { requests, ..History::default() }
 }
 
 /// Sends one request and reads its final answer.
@@ -146,14 +134,8 @@
     let (action, body) = match spec.usage {
         Use::Scan => ("query", serde_json::json!({"shape": "scan"})),
         Use::Top => ("query", serde_json::json!({"shape": "top", "k": FEW})),
-        Use::Record => (
-            "query",
-            serde_json::json!({"shape": "record", "key": record}),
-        ),
-        Use::Write => (
-            "write",
-            serde_json::json!({"record": record, "body": "entry"}),
-        ),
+        Use::Record => ("query", serde_json::json!({"shape": "record", "key": record})),
+        Use::Write => ("write", serde_json::json!({"record": record, "body": "entry"})),
     };
     let path = format!("/v1/{}/{}/{action}", deployment.workspace, spec.name);
     let mut http =
@@ -163,8 +145,7 @@
         http = http.header("idempotency-key", &key);
         request.key = Some(Name::from(key));
     }
-    http.body(Full::new(Bytes::from(body.to_string())))
-        .expect("the parts of a request are valid")
+    http.body(Full::new(Bytes::from(body.to_string()))).expect("the parts of a request are valid")
 }
 
 fn take_reply(spec: &ServiceSpec, reply: &Reply, request: &mut Request) {
@@ -182,11 +163,7 @@
     let Ok(body) = serde_json::from_slice::<Body>(reply.body()) else {
         return;
     };
-    request.ending = if body.complete {
-        Ending::Complete
-    } else {
-        Ending::Partial
-    };
+    request.ending = if body.complete { Ending::Complete } else { Ending::Partial };
     let Some(part) = body.services.first() else {
         return;
     };
@@ -200,12 +177,7 @@
         epoch: part.epoch,
         asked: part.coverage.asked,
         answered: part.coverage.answered,
-        missing: part
-            .coverage
-            .missing
-            .iter()
-            .map(|missing| missing.shard)
-            .collect(),
+        missing: part.coverage.missing.iter().map(|missing| missing.shard).collect(),
         complete: body.complete,
         attempts: body.attempts,
         stamps: stamps(&body.hits),
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use bergamot_base::Seed;
-use bergamot_bench::quickstart;
+use bergamot_bench::{quickstart, stand_ins};
 use gumdrop::Options;
 
 const PROGRAM: &str = "bergamot-bench";
@@ -23,6 +23,24 @@
 enum Command {
     #[options(help = "run both tenants of the brief with stand-ins, and check the history")]
     Quickstart(Quickstart),
+    #[options(help = "run the stand-ins of one tenant, for daemons started by hand")]
+    StandIns(StandIns),
+}
+
+#[derive(Debug, Options)]
+struct StandIns {
+    #[options(help = "show this text")]
+    help: bool,
+    #[options(help = "fraser-basin or caldermuir", default = "fraser-basin")]
+    tenant: String,
+    #[options(help = "the seed", default = "1")]
+    seed: u64,
+    #[options(
+        help = "where to write the document and the settings",
+        default = "run",
+        meta = "DIR"
+    )]
+    out: std::path::PathBuf,
 }
 
 #[derive(Debug, Options)]
@@ -54,6 +72,8 @@
     match arguments.command {
         Some(Command::Quickstart(options)) if !options.help => quick_start(&options),
         Some(Command::Quickstart(_)) => help::<Quickstart>("quickstart"),
+        Some(Command::StandIns(options)) if !options.help => run_stand_ins(&options),
+        Some(Command::StandIns(_)) => help::<StandIns>("stand-ins"),
         None => help::<Arguments>(""),
     }
 }
@@ -66,13 +86,43 @@
     ExitCode::SUCCESS
 }
 
+#[tokio::main]
+async fn run_stand_ins(options: &StandIns) -> ExitCode {
+    let Some(deployment) = stand_ins::tenant(&options.tenant, Seed(options.seed)) else {
+        eprintln!("{PROGRAM}: tenant {}, allowed: fraser-basin or caldermuir", options.tenant);
+        return ExitCode::from(2);
+    };
+    let written = match stand_ins::write_files(&deployment, &options.out) {
+        Ok(written) => written,
+        Err(error) => {
+            eprintln!("{PROGRAM}: write files {}: {error}", options.out.display());
+            return ExitCode::FAILURE;
+        }
+    };
+    let _running = match stand_ins::start(deployment).await {
+        Ok(running) => running,
+        Err(fault) => {
+            eprintln!("{PROGRAM}: {fault}");
+            return ExitCode::FAILURE;
+        }
+    };
+    for path in written {
+        println!("wrote {}", path.display());
+    }
+    println!("stand-ins of {} are running; stop with SIGINT or SIGTERM", options.tenant);
+    match bergamot_node::stop_signal(false).await {
+        Ok(_) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("{PROGRAM}: wait for a signal: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
 #[tokio::main]
 async fn quick_start(options: &Quickstart) -> ExitCode {
     let time = Duration::from_secs(options.seconds);
-    println!(
-        "quickstart: seed {}, {} s of load",
-        options.seed, options.seconds
-    );
+    println!("quickstart: seed {}, {} s of load", options.seed, options.seconds);
     let summary = match quickstart::run(Seed(options.seed), time, [[41, 1], [41, 2]]).await {
         Ok(summary) => summary,
         Err(fault) => {
@@ -90,9 +140,5 @@
         }
     }
     println!("{}", summary.line());
-    if summary.passed() {
-        ExitCode::SUCCESS
-    } else {
-        ExitCode::FAILURE
-    }
+    if summary.passed() { ExitCode::SUCCESS } else { ExitCode::FAILURE }
 }
--- a/crates/bench/src/quickstart.rs
+++ b/crates/bench/src/quickstart.rs
@@ -55,18 +55,14 @@
 
 /// Runs both tenants in this process and checks what they saw.
 pub async fn run(seed: Seed, time: Duration, blocks: [[u8; 2]; 2]) -> Result<Summary, Fault> {
-    let deployments = [
-        Deployment::fraser_basin(blocks[0], seed),
-        Deployment::caldermuir(blocks[1], seed),
-    ];
+    let deployments =
+        [Deployment::fraser_basin(blocks[0], seed), Deployment::caldermuir(blocks[1], seed)];
     let mut clusters = Vec::new();
     for deployment in deployments {
         clusters.push(Cluster::start(deployment, Settings::default()).await?);
     }
     tokio::time::sleep(WARM_UP).await;
-    let loads = clusters
-        .iter()
-        .map(|cluster| load::run(&cluster.deployment, seed, time, 1.0));
+    let loads = clusters.iter().map(|cluster| load::run(&cluster.deployment, seed, time, 1.0));
     let histories = futures::future::join_all(loads).await;
     let mut whole = History::default();
     for (cluster, mut history) in clusters.iter().zip(histories) {
@@ -93,11 +89,5 @@
     let doubled = count(&violations, Promise::AtMostOnce);
     let mixed = count(&violations, Promise::Snapshot);
     let other = violations.len() - lost - doubled - mixed;
-    Summary {
-        history,
-        lost,
-        doubled,
-        mixed,
-        other,
-    }
+    Summary { history, lost, doubled, mixed, other }
 }
--- a/crates/bench/src/score.rs
+++ b/crates/bench/src/score.rs
@@ -52,11 +52,7 @@
             offered,
             endings,
             coverage: coverage / offered.max(1) as f64,
-            extra: if asked == 0 {
-                1.0
-            } else {
-                attempts as f64 / asked as f64
-            },
+            extra: if asked == 0 { 1.0 } else { attempts as f64 / asked as f64 },
             times,
         }
     }
@@ -91,18 +87,12 @@
 impl Card {
     /// Scores a history service by service.
     pub fn of(history: &History) -> Self {
-        let mut services: Vec<_> = history
-            .requests
-            .iter()
-            .map(|request| Name::clone(&request.service))
-            .collect();
+        let mut services: Vec<_> =
+            history.requests.iter().map(|request| Name::clone(&request.service)).collect();
         services.sort();
         services.dedup();
         let score = |service: &Name| {
-            let own = history
-                .requests
-                .iter()
-                .filter(|request| request.service == *service);
+            let own = history.requests.iter().filter(|request| request.service == *service);
             (Name::clone(service), Score::of(own))
         };
         Self(services.iter().map(score).collect())
--- /dev/null
+++ b/crates/bench/src/stand_ins.rs
@@ -0,0 +1,50 @@
+//! Stand-ins as a process of their own, for daemons that are started by hand.
+
+use std::fmt::Write as _;
+use std::path::{Path, PathBuf};
+
+use bergamot_base::Seed;
+use bergamot_config::Settings;
+
+use crate::cluster::Cluster;
+use crate::deployment::Deployment;
+
+/// The part of loopback on which hand-started deployments run.
+const BLOCK: [u8; 2] = [42, 1];
+
+/// Returns the deployment of a tenant by its workspace.
+pub fn tenant(workspace: &str, seed: Seed) -> Option<Deployment> {
+    let tenants = [Deployment::fraser_basin(BLOCK, seed), Deployment::caldermuir(BLOCK, seed)];
+    tenants.into_iter().find(|tenant| tenant.workspace == workspace)
+}
+
+/// Writes the document and the settings of each instance into a folder.
+pub fn write_files(deployment: &Deployment, folder: &Path) -> std::io::Result<Vec<PathBuf>> {
+    std::fs::create_dir_all(folder)?;
+    let mut written = vec![folder.join("document.json")];
+    std::fs::write(&written[0], deployment.document(1))?;
+    for number in 0..deployment.instances {
+        let path = folder.join(format!("instance-{number}.ini"));
+        std::fs::write(&path, settings_text(deployment, number))?;
+        written.push(path);
+    }
+    Ok(written)
+}
+
+/// Returns the settings file of an instance.
+pub fn settings_text(deployment: &Deployment, number: usize) -> String {
+    let [configuration, instances] = deployment.platform();
+    let mut text = String::new();
+    let _ = writeln!(text, "[instance]");
+    let _ = writeln!(text, "address = {}", deployment.instance(number));
+    let _ = writeln!(text, "zone = {}", deployment.zone(number));
+    let _ = writeln!(text, "\n[platform]");
+    let _ = writeln!(text, "configuration = {configuration}");
+    let _ = writeln!(text, "instances = {instances}");
+    text
+}
+
+/// Starts the platform and the searchers of a tenant.
+pub async fn start(deployment: Deployment) -> Result<Cluster, bergamot_net::Fault> {
+    Cluster::start_stand_ins(deployment, Settings::default(), &[1]).await
+}
--- a/crates/config/src/document.rs
+++ b/crates/config/src/document.rs
@@ -70,26 +70,14 @@
 impl Document {
     /// Parses and verifies a document, or refuses it with every fault.
     pub fn parse(text: &[u8]) -> Result<Self, Refusal> {
-        let refuse = |flaws| Refusal {
-            step: Step("check document"),
-            peer: Peer::Here,
-            flaws,
-        };
+        let refuse = |flaws| Refusal { step: Step("check document"), peer: Peer::Here, flaws };
         if text.len() > LARGEST {
             let found = format!("{} bytes", text.len());
-            return Err(refuse(vec![Flaw::new(
-                "document",
-                found,
-                format!("{LARGEST} bytes"),
-            )]));
+            return Err(refuse(vec![Flaw::new("document", found, format!("{LARGEST} bytes"))]));
         }
         let source: Value = serde_json::from_slice(text).map_err(|error| {
             let place = format!("line {} column {}", error.line(), error.column());
-            refuse(vec![Flaw::new(
-                place,
-                error.to_string(),
-                "a whole JSON object",
-            )])
+            refuse(vec![Flaw::new(place, error.to_string(), "a whole JSON object")])
         })?;
         Self::from_source(source).map_err(refuse)
     }
@@ -122,17 +110,17 @@
 
     /// Finds a service by the names in a caller's path.
     pub fn service(&self, workspace: &str, service: &str) -> Option<Service> {
-        self.names
-            .get(&(Name::from(workspace), Name::from(service)))
-            .copied()
+        self.names.get(&(Name::from(workspace), Name::from(service))).copied()
     }
 
     /// Returns the region of a zone, or the zone itself where it is not published.
     pub fn region<'a>(&'a self, zone: &'a str) -> &'a str {
-        self.places
-            .iter()
-            .find(|place| &*place.zone == zone)
-            .map_or(zone, |place| &place.region)
+        self.places.iter().find(|place| &*place.zone == zone).map_or(zone, |place| &place.region)
+    }
+
+    /// Returns the number of regions.
+    pub fn regions(&self) -> usize {
+        self.places.iter().map(|place| &place.region).collect::<HashSet<_>>().len()
     }
 
     /// Returns the JSON from which the document was made.
@@ -145,12 +133,7 @@
     /// Writes the text form that dumps and tests use: one line a service.
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         writeln!(f, "document r{} hash {:016x}", self.revision, self.hash)?;
-        writeln!(
-            f,
-            "instances {} zones {}",
-            self.instances,
-            self.places.len()
-        )?;
+        writeln!(f, "instances {} zones {}", self.instances, self.places.len())?;
         writeln!(f, "{}", self.layout)?;
         for (id, service) in self.services.iter() {
             let workspace = &self.workspaces[service.workspace].name;
@@ -208,8 +191,7 @@
         let zone = reader.name("zone", &mut self.flaws);
         let region = reader.name("region", &mut self.flaws);
         if self.places.iter().any(|known| known.zone == zone) {
-            self.flaws
-                .push(Flaw::new(reader.path("zone"), &*zone, "each zone once"));
+            self.flaws.push(Flaw::new(reader.path("zone"), &*zone, "each zone once"));
         }
         self.places.push(Place { zone, region });
     }
@@ -221,11 +203,7 @@
         let name = reader.name("name", &mut self.flaws);
         let in_flight = reader.number("in_flight", 1..=100_000, Some(256), &mut self.flaws);
         if self.workspaces.values().any(|known| known.name == name) {
-            self.flaws.push(Flaw::new(
-                reader.path("name"),
-                &*name,
-                "each workspace once",
-            ));
+            self.flaws.push(Flaw::new(reader.path("name"), &*name, "each workspace once"));
         }
         let id = self.workspaces.push(WorkspaceRow {
             name: Name::clone(&name),
@@ -245,18 +223,11 @@
         let service = self.service_row(&reader, workspace, Name::clone(&name));
         let id = self.services.push(service);
         self.workspaces[workspace].services.push(id);
-        if self
-            .names
-            .insert((Name::clone(owner), Name::clone(&name)), id)
-            .is_some()
-        {
-            self.flaws
-                .push(Flaw::new(reader.path("name"), &*name, "each service once"));
+        if self.names.insert((Name::clone(owner), Name::clone(&name)), id).is_some() {
+            self.flaws.push(Flaw::new(reader.path("name"), &*name, "each service once"));
         }
-        for (position, (place, value)) in reader
-            .list("shards", &mut self.flaws)
-            .into_iter()
-            .enumerate()
+        for (position, (place, value)) in
+            reader.list("shards", &mut self.flaws).into_iter().enumerate()
         {
             self.shard(place, value, id, position);
         }
@@ -264,20 +235,13 @@
 
     fn service_row(&mut self, reader: &Reader<'_>, workspace: Workspace, name: Name) -> ServiceRow {
         let flaws = &mut self.flaws;
-        let preferences = [
-            ("time", Preference::Time),
-            ("coverage", Preference::Coverage),
-        ];
+        let preferences = [("time", Preference::Time), ("coverage", Preference::Coverage)];
         let classes = [("interactive", Class::Interactive), ("bulk", Class::Bulk)];
         ServiceRow {
             workspace,
             name,
-            preference: reader
-                .choice("prefer", &preferences, flaws)
-                .unwrap_or(Preference::Time),
-            class: reader
-                .choice("class", &classes, flaws)
-                .unwrap_or(Class::Bulk),
+            preference: reader.choice("prefer", &preferences, flaws).unwrap_or(Preference::Time),
+            class: reader.choice("class", &classes, flaws).unwrap_or(Class::Bulk),
             epoch: reader.number("epoch", 1..=u64::MAX >> 1, None, flaws),
             deadline: Duration::from_millis(reader.number(
                 "deadline_ms",
@@ -296,11 +260,7 @@
         let Some(reader) = Reader::open(place, value, SHARD, &mut self.flaws) else {
             return;
         };
-        let id = self.shards.push(ShardRow {
-            service,
-            position,
-            replicas: Vec::new(),
-        });
+        let id = self.shards.push(ShardRow { service, position, replicas: Vec::new() });
         self.services[service].shards.push(id);
         for (place, value) in reader.list("replicas", &mut self.flaws) {
             self.replica(place, value, id);
@@ -318,25 +278,13 @@
             return;
         };
         if !self.places.iter().any(|known| known.zone == zone) {
-            self.flaws.push(Flaw::new(
-                reader.path("zone"),
-                &*zone,
-                "a zone listed in places",
-            ));
+            self.flaws.push(Flaw::new(reader.path("zone"), &*zone, "a zone listed in places"));
         }
         if !self.addresses.insert(address) {
             let found = address.to_string();
-            self.flaws.push(Flaw::new(
-                reader.path("address"),
-                found,
-                "each searcher once",
-            ));
+            self.flaws.push(Flaw::new(reader.path("address"), found, "each searcher once"));
         }
-        let id = self.searchers.push(SearcherRow {
-            shard,
-            address,
-            zone,
-        });
+        let id = self.searchers.push(SearcherRow { shard, address, zone });
         self.shards[shard].replicas.push(id);
     }
 }
--- a/crates/config/src/flaw.rs
+++ b/crates/config/src/flaw.rs
@@ -23,21 +23,13 @@
         found: impl Into<String>,
         allowed: impl Into<String>,
     ) -> Self {
-        Self {
-            place: place.into(),
-            found: found.into(),
-            allowed: allowed.into(),
-        }
+        Self { place: place.into(), found: found.into(), allowed: allowed.into() }
     }
 }
 
 impl fmt::Display for Flaw {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(
-            f,
-            "{}: found {}, allowed: {}",
-            self.place, self.found, self.allowed
-        )
+        write!(f, "{}: found {}, allowed: {}", self.place, self.found, self.allowed)
     }
 }
 
@@ -57,17 +49,10 @@
     /// Refuses the input that came from a named file.
     #[must_use]
     pub fn at(self, file: &str) -> Self {
-        Self {
-            peer: Peer::File(Name::from(file)),
-            ..self
-        }
+        Self { peer: Peer::File(Name::from(file)), ..self }
     }
 }
 
 fn list(flaws: &[Flaw]) -> String {
-    flaws
-        .iter()
-        .map(|flaw| format!("  {flaw}"))
-        .collect::<Vec<_>>()
-        .join("\n")
+    flaws.iter().map(|flaw| format!("  {flaw}")).collect::<Vec<_>>().join("\n")
 }
--- a/crates/config/src/layout.rs
+++ b/crates/config/src/layout.rs
@@ -27,6 +27,12 @@
 /// homes together hold 24 of the 25 connections that a searcher accepts.
 const MOST_HOMES: usize = 12;
 
+/// How many instances there are for each home of a cell, between the fewest and the
+/// most: a small fleet has few homes with several connections each, so that one queue
+/// can fill a searcher's slots; a large one has many homes, so that cells are large and
+/// a query goes to few gathers.
+const INSTANCES_PER_HOME: usize = 8;
+
 /// The fewest homes of a cell, so that two may fail at once.
 const FEWEST_HOMES: usize = 3;
 
@@ -58,29 +64,14 @@
         shards: &Table<Shard, ShardRow>,
     ) -> Self {
         let searchers: usize = shards.values().map(|shard| shard.replicas.len()).sum();
-        let wanted = searchers
-            .div_ceil(LARGEST_CELL)
-            .max(instances / MOST_HOMES)
-            .max(1);
+        let homes = (instances / INSTANCES_PER_HOME).clamp(FEWEST_HOMES, MOST_HOMES).min(instances);
+        let wanted = searchers.div_ceil(LARGEST_CELL).max(instances / homes).max(1);
         let size = searchers.div_ceil(wanted).max(1);
         let cells = fill(shards, size);
-        let places = cells
-            .iter()
-            .flat_map(|(cell, row)| row.shards.iter().map(move |_| cell))
-            .collect();
-        let homes = (instances / cells.len().max(1))
-            .clamp(FEWEST_HOMES, MOST_HOMES)
-            .min(instances);
-        let shares = services
-            .values()
-            .map(|service| share(service.connections, homes))
-            .collect();
-        Self {
-            cells,
-            homes,
-            places,
-            shares,
-        }
+        let places =
+            cells.iter().flat_map(|(cell, row)| row.shards.iter().map(move |_| cell)).collect();
+        let shares = services.values().map(|service| share(service.connections, homes)).collect();
+        Self { cells, homes, places, shares }
     }
 
     /// Returns the cell of a shard.
@@ -97,19 +88,11 @@
 /// Puts shards into cells in document order; the places table relies on that order.
 fn fill(shards: &Table<Shard, ShardRow>, size: usize) -> Table<Cell, CellRow> {
     let mut cells = Table::new();
-    let mut current = CellRow {
-        shards: Vec::new(),
-        searchers: 0,
-    };
+    let mut current = CellRow { shards: Vec::new(), searchers: 0 };
     for (shard, row) in shards.iter() {
         if current.searchers >= size {
-            let full = std::mem::replace(
-                &mut current,
-                CellRow {
-                    shards: Vec::new(),
-                    searchers: 0,
-                },
-            );
+            let full =
+                std::mem::replace(&mut current, CellRow { shards: Vec::new(), searchers: 0 });
             cells.push(full);
         }
         current.shards.push(shard);
@@ -125,17 +108,7 @@
 
 impl fmt::Display for Layout {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let largest = self
-            .cells
-            .values()
-            .map(|cell| cell.searchers)
-            .max()
-            .unwrap_or(0);
-        write!(
-            f,
-            "cells {} of at most {largest} searchers, homes {}",
-            self.cells.len(),
-            self.homes
-        )
+        let largest = self.cells.values().map(|cell| cell.searchers).max().unwrap_or(0);
+        write!(f, "cells {} of at most {largest} searchers, homes {}", self.cells.len(), self.homes)
     }
 }
--- a/crates/config/src/parcel.rs
+++ b/crates/config/src/parcel.rs
@@ -42,27 +42,16 @@
         for workspace in workspaces(&mut head) {
             if let Some(services) = workspace.get_mut("services").and_then(Value::as_array_mut) {
                 let count = services.len();
-                texts.extend(
-                    services
-                        .drain(..)
-                        .map(|service| Name::from(service.to_string())),
-                );
+                texts.extend(services.drain(..).map(|service| Name::from(service.to_string())));
                 workspace["services"] = Value::from(count);
             }
         }
         texts.insert(0, Name::from(head.to_string()));
         let sections = texts
             .into_iter()
-            .map(|text| Section {
-                hash: hash_bytes(text.as_bytes()),
-                text: Some(text),
-            })
+            .map(|text| Section { hash: hash_bytes(text.as_bytes()), text: Some(text) })
             .collect();
-        Self {
-            revision: document.revision,
-            hash: document.hash,
-            sections,
-        }
+        Self { revision: document.revision, hash: document.hash, sections }
     }
 
     /// Drops the text of each section that the receiver holds.
@@ -83,11 +72,7 @@
 
     /// Puts the document together again, with the help of the parcel held before.
     pub fn assemble(&self, held: Option<&Self>) -> Result<Document, Refusal> {
-        let refuse = |flaws| Refusal {
-            step: Step("assemble document"),
-            peer: Peer::Here,
-            flaws,
-        };
+        let refuse = |flaws| Refusal { step: Step("assemble document"), peer: Peer::Here, flaws };
         let known: HashMap<u64, &Name> = held
             .into_iter()
             .flat_map(|parcel| &parcel.sections)
@@ -97,10 +82,7 @@
         for (i, section) in self.sections.iter().enumerate() {
             let flaw =
                 |found: &str| refuse(vec![Flaw::new(format!("section {i}"), found, "its text")]);
-            let text = section
-                .text
-                .as_ref()
-                .or_else(|| known.get(&section.hash).copied());
+            let text = section.text.as_ref().or_else(|| known.get(&section.hash).copied());
             let text = text.ok_or_else(|| flaw("no text"))?;
             if hash_bytes(text.as_bytes()) != section.hash {
                 return Err(flaw("a text of another hash"));
@@ -110,29 +92,18 @@
             values.push(value);
         }
         let source = join(values).ok_or_else(|| {
-            refuse(vec![Flaw::new(
-                "sections",
-                "a wrong count",
-                "one for each service",
-            )])
+            refuse(vec![Flaw::new("sections", "a wrong count", "one for each service")])
         })?;
         let document = Document::from_source(source).map_err(refuse)?;
         if document.hash == self.hash && document.revision == self.revision {
             return Ok(document);
         }
-        Err(refuse(vec![Flaw::new(
-            "document",
-            "another hash or revision",
-            "that of the parcel",
-        )]))
+        Err(refuse(vec![Flaw::new("document", "another hash or revision", "that of the parcel")]))
     }
 }
 
 fn workspaces(head: &mut Value) -> impl Iterator<Item = &mut Value> {
-    head.get_mut("workspaces")
-        .and_then(Value::as_array_mut)
-        .into_iter()
-        .flatten()
+    head.get_mut("workspaces").and_then(Value::as_array_mut).into_iter().flatten()
 }
 
 /// Puts the services back into the places that the head counts.
--- a/crates/config/src/reader.rs
+++ b/crates/config/src/reader.rs
@@ -35,27 +35,20 @@
     ) -> Option<Self> {
         let place = place.into();
         let Some(object) = value.as_object() else {
+            let place = if place.is_empty() { "document".to_owned() } else { place };
             flaws.push(Flaw::new(place, kind(value), "an object"));
             return None;
         };
         let reader = Self { place, object };
         for key in object.keys().filter(|key| !known.contains(&key.as_str())) {
-            flaws.push(Flaw::new(
-                reader.path(key),
-                "an unknown key",
-                known.join(", "),
-            ));
+            flaws.push(Flaw::new(reader.path(key), "an unknown key", known.join(", ")));
         }
         Some(reader)
     }
 
     /// Returns the path of a key.
     pub(crate) fn path(&self, key: &str) -> String {
-        if self.place.is_empty() {
-            key.to_owned()
-        } else {
-            format!("{}.{key}", self.place)
-        }
+        if self.place.is_empty() { key.to_owned() } else { format!("{}.{key}", self.place) }
     }
 
     /// Reads a whole number within a range, or its default where one is given.
@@ -81,11 +74,7 @@
 
     /// Reads a name.
     pub(crate) fn name(&self, key: &str, flaws: &mut Flaws) -> Name {
-        let text = self
-            .object
-            .get(key)
-            .and_then(Value::as_str)
-            .unwrap_or_default();
+        let text = self.object.get(key).and_then(Value::as_str).unwrap_or_default();
         if !is_name(text) {
             let found = self.object.get(key).map_or("nothing".to_owned(), kind);
             flaws.push(Flaw::new(self.path(key), found, NAME_RULE));
@@ -102,10 +91,7 @@
     ) -> Option<T> {
         let value = self.object.get(key);
         let text = value.and_then(Value::as_str).unwrap_or_default();
-        let chosen = words
-            .iter()
-            .find(|(word, _)| *word == text)
-            .map(|(_, chosen)| *chosen);
+        let chosen = words.iter().find(|(word, _)| *word == text).map(|(_, chosen)| *chosen);
         if chosen.is_none() {
             let allowed: Vec<_> = words.iter().map(|(word, _)| *word).collect();
             let found = value.map_or("nothing".to_owned(), kind);
@@ -122,9 +108,7 @@
         flaws: &mut Flaws,
     ) -> Option<T> {
         let value = self.object.get(key);
-        let parsed = value
-            .and_then(Value::as_str)
-            .and_then(|text| text.parse().ok());
+        let parsed = value.and_then(Value::as_str).and_then(|text| text.parse().ok());
         if parsed.is_none() {
             let found = value.map_or("nothing".to_owned(), kind);
             flaws.push(Flaw::new(self.path(key), found, allowed));
@@ -135,24 +119,13 @@
     /// Reads a list that must not be empty, with the path of each item.
     pub(crate) fn list(&self, key: &str, flaws: &mut Flaws) -> Vec<(String, &'a Value)> {
         let value = self.object.get(key);
-        let items = value
-            .and_then(Value::as_array)
-            .map(Vec::as_slice)
-            .unwrap_or_default();
+        let items = value.and_then(Value::as_array).map(Vec::as_slice).unwrap_or_default();
         if items.is_empty() {
             let found = value.map_or("nothing".to_owned(), kind);
-            flaws.push(Flaw::new(
-                self.path(key),
-                found,
-                "a list with at least one item",
-            ));
+            flaws.push(Flaw::new(self.path(key), found, "a list with at least one item"));
         }
         let path = self.path(key);
-        items
-            .iter()
-            .enumerate()
-            .map(|(i, item)| (format!("{path}[{i}]"), item))
-            .collect()
+        items.iter().enumerate().map(|(i, item)| (format!("{path}[{i}]"), item)).collect()
     }
 }
 
--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -34,9 +34,7 @@
     type Bounds = (u64, u64);
 
     fn read(text: &str, bounds: &Self::Bounds) -> Option<Self> {
-        text.parse()
-            .ok()
-            .filter(|number| (bounds.0..=bounds.1).contains(number))
+        text.parse().ok().filter(|number| (bounds.0..=bounds.1).contains(number))
     }
 
     fn allowed(bounds: &Self::Bounds) -> String {
@@ -48,9 +46,7 @@
     type Bounds = (u16, u16);
 
     fn read(text: &str, bounds: &Self::Bounds) -> Option<Self> {
-        text.parse()
-            .ok()
-            .filter(|port| (bounds.0..=bounds.1).contains(port))
+        text.parse().ok().filter(|port| (bounds.0..=bounds.1).contains(port))
     }
 
     fn allowed(bounds: &Self::Bounds) -> String {
@@ -91,9 +87,7 @@
     type Bounds = ();
 
     fn read(text: &str, _bounds: &()) -> Option<Self> {
-        text.parse()
-            .ok()
-            .filter(|address: &Self| !address.is_unspecified())
+        text.parse().ok().filter(|address: &Self| !address.is_unspecified())
     }
 
     fn allowed(_bounds: &()) -> String {
@@ -179,8 +173,8 @@
     platform {
         configuration: SocketAddr = SocketAddr::from(([127, 0, 0, 1], 7300)), (), "The configuration service.";
         instances: SocketAddr = SocketAddr::from(([127, 0, 0, 1], 7301)), (), "The instance list.";
-        timeout: Duration = Duration::from_millis(1000), (10, 60_000), "How long one read of the platform may take.";
-        poll: Duration = Duration::from_millis(1000), (50, 600_000), "How often the instance list is read.";
+        timeout: Duration = Duration::from_secs(1), (10, 60_000), "How long one read of the platform may take.";
+        poll: Duration = Duration::from_secs(1), (50, 600_000), "How often the instance list is read.";
     }
     ports {
         entry_callers: u16 = 7400, (1, 65_535), "Callers' HTTP on each entry.";
@@ -194,20 +188,20 @@
     control {
         probe: Duration = Duration::from_millis(500), (20, 60_000), "How often one other member is probed.";
         answer: Duration = Duration::from_millis(150), (5, 60_000), "How long a probe may stay unanswered before others are asked.";
-        suspicion: Duration = Duration::from_millis(2000), (50, 600_000), "How long a suspect may refute before it counts as unreachable.";
-        direct: Duration = Duration::from_millis(10_000), (100, 3_600_000), "The shortest time between two direct reads of the configuration service.";
+        suspicion: Duration = Duration::from_secs(2), (50, 600_000), "How long a suspect may refute before it counts as unreachable.";
+        direct: Duration = Duration::from_secs(10), (100, 3_600_000), "The shortest time between two direct reads of the configuration service.";
         pause: Duration = Duration::from_millis(400), (50, 60_000), "A gap of the clock above this means that the process slept.";
         readers: u64 = 2, (1, 16), "How many members of each zone hold a watch on the configuration service.";
     }
     entry {
         body_bytes: u64 = 65_536, (64, 16_777_216), "The largest request body.";
         shortest_deadline: Duration = Duration::from_millis(1), (1, 60_000), "The shortest deadline that a caller may ask for.";
-        longest_deadline: Duration = Duration::from_millis(30_000), (1, 600_000), "The longest deadline that a caller may ask for.";
+        longest_deadline: Duration = Duration::from_secs(30), (1, 600_000), "The longest deadline that a caller may ask for.";
         margin: Duration = Duration::from_millis(4), (0, 10_000), "The part of a deadline kept for the merge and the way back.";
-        address_ttl: Duration = Duration::from_millis(3000), (10, 3_600_000), "How long a caller may keep an address answer.";
+        address_ttl: Duration = Duration::from_secs(3), (10, 3_600_000), "How long a caller may keep an address answer.";
         failover: Duration = Duration::from_millis(15), (1, 60_000), "How long the first home of a cell may stay silent before the second is asked too.";
-        keys: Duration = Duration::from_millis(600_000), (1000, 86_400_000), "How long a write key can be used.";
-        drain: Duration = Duration::from_millis(30_000), (100, 3_600_000), "The longest time that a planned stop waits for requests in flight.";
+        keys: Duration = Duration::from_mins(10), (1000, 86_400_000), "How long a write key can be used.";
+        drain: Duration = Duration::from_secs(30), (100, 3_600_000), "The longest time that a planned stop waits for requests in flight.";
     }
     gather {
         hedge: bool = true, (), "Whether slow sub-queries are hedged to another replica.";
@@ -221,11 +215,8 @@
 }
 
 fn known(section: &str) -> String {
-    let keys: Vec<_> = Settings::KEYS
-        .iter()
-        .filter(|key| key.section == section)
-        .map(|key| key.name)
-        .collect();
+    let keys: Vec<_> =
+        Settings::KEYS.iter().filter(|key| key.section == section).map(|key| key.name).collect();
     if keys.is_empty() {
         let mut sections: Vec<_> = Settings::KEYS.iter().map(|key| key.section).collect();
         sections.dedup();
@@ -237,11 +228,7 @@
 impl Settings {
     /// Parses and checks the text of an INI file, or refuses it with every fault.
     pub fn parse(text: &str) -> Result<Self, Refusal> {
-        let refuse = |flaws| Refusal {
-            step: Step("check settings"),
-            peer: Peer::Here,
-            flaws,
-        };
+        let refuse = |flaws| Refusal { step: Step("check settings"), peer: Peer::Here, flaws };
         let ini = Ini::load_from_str(text).map_err(|error| {
             let place = format!("line {} column {}", error.line, error.col);
             refuse(vec![Flaw::new(place, &*error.msg, "INI sections and keys")])
@@ -250,18 +237,14 @@
         let mut flaws = Vec::new();
         for (section, keys) in &ini {
             let section = section.unwrap_or_default();
-            for (key, text) in keys.iter() {
+            for (key, text) in keys {
                 if let Err(allowed) = settings.set(section, key, text) {
                     flaws.push(Flaw::new(format!("[{section}] {key}"), text, allowed));
                 }
             }
         }
         settings.check(&mut flaws);
-        if flaws.is_empty() {
-            Ok(settings)
-        } else {
-            Err(refuse(flaws))
-        }
+        if flaws.is_empty() { Ok(settings) } else { Err(refuse(flaws)) }
     }
 
     /// Checks what no single key can know.
--- /dev/null
+++ b/crates/config/tests/filetests.rs
@@ -0,0 +1,26 @@
+//! Documents, settings and layouts with their stated outcomes.
+
+use std::error::Error;
+use std::path::Path;
+
+use bergamot_config::{Document, Settings};
+use bergamot_filetest::check;
+
+fn document(path: &Path) -> Result<(), Box<dyn Error>> {
+    check(path, |input| match Document::parse(input.as_bytes()) {
+        Ok(document) => document.to_string(),
+        Err(refusal) => refusal.at("document.json").to_string(),
+    })
+}
+
+fn settings(path: &Path) -> Result<(), Box<dyn Error>> {
+    check(path, |input| match Settings::parse(input) {
+        Ok(settings) => format!("{:#?}\n{:#?}", settings.instance, settings.platform),
+        Err(refusal) => refusal.at("settings.ini").to_string(),
+    })
+}
+
+datatest_stable::harness! {
+    { test = document, root = "tests/filetests/documents", pattern = r"\.txt$" },
+    { test = settings, root = "tests/filetests/settings", pattern = r"\.txt$" },
+}
--- /dev/null
+++ b/crates/config/tests/properties.rs
@@ -0,0 +1,75 @@
+//! Properties of the revision floor and of parcels.
+
+use bergamot_config::{Document, Floor, Parcel, Verdict};
+use proptest::prelude::*;
+
+fn document(revision: u64, epochs: &[u64]) -> Document {
+    let services: Vec<_> = epochs
+        .iter()
+        .enumerate()
+        .map(|(i, epoch)| {
+            serde_json::json!({
+                "name": format!("s{i}"), "prefer": "time", "class": "bulk", "epoch": epoch,
+                "deadline_ms": 50, "slots": 2, "connections": 25,
+                "shards": [{"replicas": [{"address": format!("127.0.0.1:{}", 1000 + i), "zone": "z"}]}]
+            })
+        })
+        .collect();
+    let (first, second) = services.split_at(services.len() / 2);
+    let text = serde_json::json!({
+        "revision": revision, "instances": 8, "places": [{"zone": "z", "region": "r"}],
+        "workspaces": [{"name": "a", "services": first}, {"name": "b", "services": second}]
+    });
+    Document::parse(text.to_string().as_bytes()).expect("the document is valid")
+}
+
+proptest! {
+    #[test]
+    fn the_floor_never_falls_whatever_is_offered(
+        offers in proptest::collection::vec((0_u64..6, 0_u64..3), 1..60),
+    ) {
+        let mut floor = Floor::default();
+        let mut held = (0, 0);
+        for (revision, hash) in offers {
+            let verdict = floor.adopt(revision, hash);
+            if verdict == Verdict::Newer {
+                prop_assert!(revision > held.0);
+                held = (revision, hash);
+            }
+            prop_assert_eq!((floor.revision(), floor.hash()), held);
+        }
+    }
+
+    #[test]
+    fn a_parcel_yields_the_document_that_was_split(
+        before in proptest::collection::vec(1_u64..4, 2..6),
+        after in proptest::collection::vec(1_u64..4, 2..6),
+    ) {
+        let (old, new) = (document(1, &before), document(2, &after));
+        let held = Parcel::split(&old);
+        let sent = Parcel::split(&new).without(&held.hashes());
+        let got = sent.assemble(Some(&held)).expect("the parcel and the held one are whole");
+        prop_assert_eq!(got.hash, new.hash);
+        prop_assert_eq!(got.to_string(), new.to_string());
+    }
+}
+
+#[test]
+fn a_parcel_that_lacks_a_section_is_refused() {
+    let (old, new) = (document(1, &[1, 1]), document(2, &[2, 1]));
+    let sent = Parcel::split(&new).without(&Parcel::split(&old).hashes());
+    let refusal = sent.assemble(None).expect_err("a section's text is missing");
+    assert!(refusal.to_string().contains("section"), "{refusal}");
+    let mut damaged = Parcel::split(&new);
+    damaged.sections[1].text = Some("{}".into());
+    let refusal = damaged.assemble(None).expect_err("a section is damaged");
+    assert!(refusal.to_string().contains("another hash"), "{refusal}");
+}
+
+#[test]
+fn an_unchanged_section_does_not_travel() {
+    let (old, new) = (document(1, &[1, 1, 1, 1]), document(2, &[1, 1, 9, 1]));
+    let sent = Parcel::split(&new).without(&Parcel::split(&old).hashes());
+    let travelling = sent.sections.iter().filter(|section| section.text.is_some()).count();
+    assert_eq!(travelling, 2, "the head with the revision, and the one service that changed");
+}
--- a/crates/entry/src/answer.rs
+++ b/crates/entry/src/answer.rs
@@ -95,50 +95,24 @@
 impl Refused {
     /// Refuses what the caller can only mend by asking otherwise.
     pub(crate) fn bad(status: StatusCode, step: &str, cause: impl Into<Name>) -> Self {
-        let fault = Fault {
-            step: step.into(),
-            peer: "caller".into(),
-            cause: cause.into(),
-        };
-        Self {
-            status,
-            fault,
-            retry_after: None,
-        }
+        let fault = Fault { step: step.into(), peer: "caller".into(), cause: cause.into() };
+        Self { status, fault, retry_after: None }
     }
 
     /// Refuses what may succeed later, and says when.
     pub(crate) fn later(step: &str, peer: &str, cause: impl Into<Name>, after: Duration) -> Self {
-        let fault = Fault {
-            step: step.into(),
-            peer: peer.into(),
-            cause: cause.into(),
-        };
-        Self {
-            status: StatusCode::SERVICE_UNAVAILABLE,
-            fault,
-            retry_after: Some(after),
-        }
+        let fault = Fault { step: step.into(), peer: peer.into(), cause: cause.into() };
+        Self { status: StatusCode::SERVICE_UNAVAILABLE, fault, retry_after: Some(after) }
     }
 
     pub(crate) fn response(self, request: &Name) -> Response<Body> {
-        let retry_after_ms = self
-            .retry_after
-            .map(|after| after.as_millis().max(1) as u64);
-        let body = ErrorBody {
-            request: Name::clone(request),
-            error: self.fault,
-            retry_after_ms,
-        };
+        let retry_after_ms = self.retry_after.map(|after| after.as_millis().max(1) as u64);
+        let body = ErrorBody { request: Name::clone(request), error: self.fault, retry_after_ms };
         let mut response = encode(self.status, &body);
         set(&mut response, REQUEST, request);
         if let Some(after) = retry_after_ms {
             set(&mut response, RETRY_AFTER_MS, &after.to_string());
-            set(
-                &mut response,
-                RETRY_AFTER,
-                &after.div_ceil(1000).to_string(),
-            );
+            set(&mut response, RETRY_AFTER, &after.div_ceil(1000).to_string());
         }
         response
     }
@@ -148,24 +122,12 @@
     pub(crate) fn response(&self) -> Response<Body> {
         let mut response = encode(StatusCode::OK, self);
         let join = |texts: Vec<String>| texts.join(",");
-        let coverage = self
-            .services
-            .iter()
-            .map(|part| part.coverage.to_string())
-            .collect();
-        let versions = self
-            .services
-            .iter()
-            .map(|part| part.version.to_string())
-            .collect();
+        let coverage = self.services.iter().map(|part| part.coverage.to_string()).collect();
+        let versions = self.services.iter().map(|part| part.version.to_string()).collect();
         let state = if self.complete { "complete" } else { "partial" };
         set(&mut response, REQUEST, &self.request);
         set(&mut response, REVISION, &self.revision.to_string());
-        set(
-            &mut response,
-            COVERAGE,
-            &format!("{} {state}", join(coverage)),
-        );
+        set(&mut response, COVERAGE, &format!("{} {state}", join(coverage)));
         set(&mut response, VERSION, &join(versions));
         response
     }
@@ -173,18 +135,8 @@
 
 impl WriteAnswer {
     pub(crate) fn new(request: Name, key: Name, outcome: Outcome) -> Self {
-        let Outcome {
-            status,
-            reason,
-            receipt,
-        } = outcome;
-        Self {
-            request,
-            key,
-            outcome: status,
-            reason,
-            receipt,
-        }
+        let Outcome { status, reason, receipt } = outcome;
+        Self { request, key, outcome: status, reason, receipt }
     }
 
     pub(crate) fn response(&self, revision: Revision) -> Response<Body> {
@@ -198,11 +150,7 @@
         set(&mut response, REVISION, &revision.to_string());
         set(&mut response, OUTCOME, &self.outcome.to_string());
         if self.outcome == Status::NotRun {
-            set(
-                &mut response,
-                RETRY_AFTER_MS,
-                &NOT_RUN_RETRY.as_millis().to_string(),
-            );
+            set(&mut response, RETRY_AFTER_MS, &NOT_RUN_RETRY.as_millis().to_string());
         }
         response
     }
@@ -212,10 +160,7 @@
 const NOT_RUN_RETRY: Duration = Duration::from_millis(100);
 
 fn encode<T: Serialize>(status: StatusCode, body: &T) -> Response<Body> {
-    json(
-        status,
-        serde_json::to_vec(body).expect("answer types always serialize"),
-    )
+    json(status, serde_json::to_vec(body).expect("answer types always serialize"))
 }
 
 fn set(response: &mut Response<Body>, name: HeaderName, value: &str) {
--- a/crates/entry/src/door.rs
+++ b/crates/entry/src/door.rs
@@ -41,12 +41,7 @@
         gate.enter(class)?;
         drop(gates);
         let workspace = Name::clone(&workspace.name);
-        Ok(Admitted {
-            door: Arc::clone(self),
-            workspace,
-            class,
-            since: Instant::now(),
-        })
+        Ok(Admitted { door: Arc::clone(self), workspace, class, since: Instant::now() })
     }
 
     /// Writes the text form that dumps use: one line a workspace.
--- a/crates/entry/src/http.rs
+++ b/crates/entry/src/http.rs
@@ -69,14 +69,8 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 enum Route {
     Addresses,
-    Query {
-        workspace: Name,
-        services: Vec<Name>,
-    },
-    Write {
-        workspace: Name,
-        service: Name,
-    },
+    Query { workspace: Name, services: Vec<Name> },
+    Write { workspace: Name, service: Name },
 }
 
 /// Answers a caller's request.
@@ -90,20 +84,14 @@
             response
         }
         Err(refused) => {
-            let outcome = if refused.retry_after.is_some() {
-                "refused"
-            } else {
-                "bad"
-            };
+            let outcome = if refused.retry_after.is_some() { "refused" } else { "bad" };
             inner.meter.record(&name, outcome, started.elapsed());
             log::debug!("entry: {id} refused: {:?}.", refused.fault);
             refused.response(&id)
         }
     };
     if inner.is_draining() {
-        response
-            .headers_mut()
-            .insert(CONNECTION, HeaderValue::from_static("close"));
+        response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
     response
 }
@@ -118,15 +106,9 @@
     match route(request.method(), request.uri().path()) {
         Ok(Route::Addresses) => {
             let zone = zone_of(request.uri().query());
-            (
-                Name::from("addresses"),
-                answer_addresses(inner, zone.as_deref()),
-            )
+            (Name::from("addresses"), answer_addresses(inner, zone.as_deref()))
         }
-        Ok(Route::Query {
-            workspace,
-            services,
-        }) => {
+        Ok(Route::Query { workspace, services }) => {
             let name = Name::from(format!("{workspace}/{}", services.join(",")));
             let outcome = answer_query(inner, id, request, &workspace, &services).await;
             // A metric label that callers could make up would grow without bound.
@@ -153,21 +135,16 @@
             workspace: workspace.into(),
             services: services.split(',').map(Name::from).collect(),
         },
-        ["v1", workspace, service, "write"] => Route::Write {
-            workspace: workspace.into(),
-            service: service.into(),
-        },
+        ["v1", workspace, service, "write"] => {
+            Route::Write { workspace: workspace.into(), service: service.into() }
+        }
         _ => {
             let allowed = "unknown path; use /v1/addresses, /v1/WORKSPACE/SERVICE/query or \
                            /v1/WORKSPACE/SERVICE/write";
             return Err(Refused::bad(StatusCode::NOT_FOUND, "route", allowed));
         }
     };
-    let wanted = if route == Route::Addresses {
-        Method::GET
-    } else {
-        Method::POST
-    };
+    let wanted = if route == Route::Addresses { Method::GET } else { Method::POST };
     if *method != wanted {
         let cause = format!("method {method}, allowed: {wanted}");
         return Err(Refused::bad(StatusCode::METHOD_NOT_ALLOWED, "route", cause));
@@ -177,10 +154,7 @@
 
 fn zone_of(query: Option<&str>) -> Option<String> {
     let pairs = query?.split('&').filter_map(|pair| pair.split_once('='));
-    pairs
-        .into_iter()
-        .find(|(key, _)| *key == "zone")
-        .map(|(_, zone)| zone.to_owned())
+    pairs.into_iter().find(|(key, _)| *key == "zone").map(|(_, zone)| zone.to_owned())
 }
 
 fn answer_addresses(inner: &Inner, zone: Option<&str>) -> Outcome {
@@ -189,9 +163,8 @@
     let zone = zone.unwrap_or(&settings.instance.zone);
     let serial = inner.next_serial();
     let port = settings.ports.entry_callers;
-    let targets = inner
-        .node
-        .with_view(|view| addresses(view, &current.document, zone, port, serial));
+    let targets =
+        inner.node.with_view(|view| addresses(view, &current.document, zone, port, serial));
     let answer = Addresses {
         ttl_ms: settings.entry.address_ttl.as_millis() as u64,
         write_prefix: inner.writer.prefix().to_string(),
@@ -238,24 +211,14 @@
             deadline,
         })
         .collect();
-    let runs = queries
-        .iter()
-        .map(|query| inner.searcher.run(query, Arc::clone(&current)));
-    let found: Vec<Found> = futures::future::join_all(runs)
-        .await
-        .into_iter()
-        .flatten()
-        .collect();
+    let runs = queries.iter().map(|query| inner.searcher.run(query, Arc::clone(&current)));
+    let found: Vec<Found> = futures::future::join_all(runs).await.into_iter().flatten().collect();
     if found.len() < services.len() || found.iter().all(|part| part.coverage.answered == 0) {
         let cause = describe_nothing(&found);
         return Err(Refused::later("search", "searchers", cause, EMPTY_RETRY));
     }
     let answer = combine(id, &shape, found);
-    let outcome = if answer.complete {
-        "complete"
-    } else {
-        "partial"
-    };
+    let outcome = if answer.complete { "complete" } else { "partial" };
     Ok((outcome, answer.response()))
 }
 
@@ -313,26 +276,17 @@
         Refused::bad(StatusCode::BAD_REQUEST, "read body", cause)
     })?;
     let workspace_row = &current.document.workspaces[row.workspace];
-    let _admitted = inner
-        .door
-        .enter(workspace_row, row.class)
-        .map_err(|refusal| {
-            Refused::later(
-                "admit",
-                "here",
-                "the workspace's requests in flight are at their limit; the write was not run",
-                refusal.retry_after,
-            )
-        })?;
+    let _admitted = inner.door.enter(workspace_row, row.class).map_err(|refusal| {
+        Refused::later(
+            "admit",
+            "here",
+            "the workspace's requests in flight are at their limit; the write was not run",
+            refusal.retry_after,
+        )
+    })?;
     awake(inner).await?;
     let key = key.unwrap_or_else(|| inner.writer.own_key());
-    let order = Order {
-        workspace,
-        service,
-        record,
-        body,
-        deadline: deadline.less(SHORT_MARGIN),
-    };
+    let order = Order { workspace, service, record, body, deadline: deadline.less(SHORT_MARGIN) };
     let outcome = inner.writer.run(key.clone(), order).await;
     let answer = WriteAnswer::new(Name::clone(id), Name::from(key.to_string()), outcome);
     let label = match answer.outcome {
@@ -345,12 +299,7 @@
 
 fn current(inner: &Inner) -> Result<Arc<Current>, Refused> {
     inner.node.current().ok_or_else(|| {
-        Refused::later(
-            "start",
-            "here",
-            "no document is in force yet",
-            CATCH_UP_RETRY,
-        )
+        Refused::later("start", "here", "no document is in force yet", CATCH_UP_RETRY)
     })
 }
 
@@ -358,12 +307,7 @@
     if inner.node.awake().await {
         return Ok(());
     }
-    Err(Refused::later(
-        "wake",
-        "here",
-        "the entry slept and catches up",
-        CATCH_UP_RETRY,
-    ))
+    Err(Refused::later("wake", "here", "the entry slept and catches up", CATCH_UP_RETRY))
 }
 
 fn find_services(
@@ -373,18 +317,13 @@
 ) -> Result<Vec<Service>, Refused> {
     let unknown = |cause: String| Refused::bad(StatusCode::NOT_FOUND, "find service", cause);
     if names.len() > MOST_SERVICES {
-        return Err(unknown(format!(
-            "{} services, allowed: at most {MOST_SERVICES}",
-            names.len()
-        )));
+        return Err(unknown(format!("{} services, allowed: at most {MOST_SERVICES}", names.len())));
     }
     let mut services = Vec::with_capacity(names.len());
     for name in names {
         let found = current.document.service(workspace, name).ok_or_else(|| {
             let revision = current.document.revision;
-            unknown(format!(
-                "no service {workspace}/{name} in revision {revision}"
-            ))
+            unknown(format!("no service {workspace}/{name} in revision {revision}"))
         })?;
         if services.contains(&found) {
             return Err(unknown(format!("service {name} is named twice")));
@@ -401,11 +340,7 @@
     };
     let settings = &inner.node.settings().entry;
     let (shortest, longest) = (settings.shortest_deadline, settings.longest_deadline);
-    let asked = value
-        .to_str()
-        .ok()
-        .and_then(|text| text.parse().ok())
-        .map(Duration::from_millis);
+    let asked = value.to_str().ok().and_then(|text| text.parse().ok()).map(Duration::from_millis);
     match asked {
         Some(asked) if (shortest..=longest).contains(&asked) => Ok(Deadline::after(now, asked)),
         _ => {
@@ -413,11 +348,7 @@
             let cause = format!(
                 "header {DEADLINE} is {value:?}, allowed: whole milliseconds from {shortest} to {longest}"
             );
-            Err(Refused::bad(
-                StatusCode::BAD_REQUEST,
-                "read deadline",
-                cause,
-            ))
+            Err(Refused::bad(StatusCode::BAD_REQUEST, "read deadline", cause))
         }
     }
 }
@@ -447,11 +378,7 @@
             Rejection::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Rejection::Cut => StatusCode::BAD_REQUEST,
         };
-        Refused::bad(
-            status,
-            "read body",
-            format!("{rejection}, allowed: at most {limit} bytes"),
-        )
+        Refused::bad(status, "read body", format!("{rejection}, allowed: at most {limit} bytes"))
     })
 }
 
@@ -472,9 +399,7 @@
 
 /// Takes the caller's name for the request if it is a fit one, else makes one.
 fn request_id(inner: &Inner, headers: &HeaderMap) -> Name {
-    let theirs = headers
-        .get(REQUEST_ID)
-        .and_then(|value| value.to_str().ok());
+    let theirs = headers.get(REQUEST_ID).and_then(|value| value.to_str().ok());
     let fit = |id: &&str| {
         let allowed = |byte: u8| byte.is_ascii_alphanumeric() || byte == b'-' || byte == b'_';
         (1..=LONGEST_ID).contains(&id.len()) && id.bytes().all(allowed)
--- a/crates/entry/src/meter.rs
+++ b/crates/entry/src/meter.rs
@@ -19,24 +19,18 @@
         let opts = Opts::new("bergamot_requests_total", "Callers' requests, by outcome.");
         let requests =
             IntCounterVec::new(opts, &labels).expect("metric names are constants and valid");
-        registry
-            .register(Box::new(requests.clone()))
-            .expect("metric names are unique");
+        registry.register(Box::new(requests.clone())).expect("metric names are unique");
         let buckets = exponential_buckets(0.001, 1.6, 20).expect("the buckets are constants");
         let opts = HistogramOpts::new("bergamot_request_seconds", "Time to the final answer.");
         let seconds = HistogramVec::new(opts.buckets(buckets), &labels)
             .expect("metric names are constants and valid");
-        registry
-            .register(Box::new(seconds.clone()))
-            .expect("metric names are unique");
+        registry.register(Box::new(seconds.clone())).expect("metric names are unique");
         Self { requests, seconds }
     }
 
     /// Records a request that has its final answer.
     pub(crate) fn record(&self, service: &str, outcome: &str, took: Duration) {
         self.requests.with_label_values(&[service, outcome]).inc();
-        self.seconds
-            .with_label_values(&[service, outcome])
-            .observe(took.as_secs_f64());
+        self.seconds.with_label_values(&[service, outcome]).observe(took.as_secs_f64());
     }
 }
--- a/crates/entry/src/plan.rs
+++ b/crates/entry/src/plan.rs
@@ -27,25 +27,12 @@
     ) -> Self {
         let document = &current.document;
         let row = &document.services[service];
-        let pin = Pin {
-            revision: document.revision,
-            epoch: row.epoch,
-            version,
-        };
+        let pin = Pin { revision: document.revision, epoch: row.epoch, version };
         let mut cells = BTreeMap::<Cell, Vec<Shard>>::new();
         for shard in shape.shards(row) {
-            cells
-                .entry(document.layout.cell(shard))
-                .or_default()
-                .push(shard);
-        }
-        Self {
-            current,
-            service,
-            pin,
-            shape,
-            cells,
+            cells.entry(document.layout.cell(shard)).or_default().push(shard);
         }
+        Self { current, service, pin, shape, cells }
     }
 
     /// Starts the merge of the plan's answers.
@@ -53,10 +40,6 @@
         let document = &self.current.document;
         let asked = self.cells.values().flatten();
         let positions = asked.map(|shard| (*shard, document.shards[*shard].position));
-        Merge::new(
-            self.pin,
-            document.services[self.service].shards.len(),
-            positions,
-        )
+        Merge::new(self.pin, document.services[self.service].shards.len(), positions)
     }
 }
--- a/crates/entry/src/search.rs
+++ b/crates/entry/src/search.rs
@@ -146,12 +146,7 @@
             (current, service) = (fresh, found);
         }
         let (plan, Outcome { hits, coverage }) = best?;
-        Some(Found {
-            plan,
-            hits,
-            coverage,
-            attempts,
-        })
+        Some(Found { plan, hits, coverage, attempts })
     }
 
     /// Finds a service of one document in the document that is in force now.
@@ -385,11 +380,7 @@
 /// Tells whether another version may cover what this one could not.
 fn worth_planning_again(outcome: &Outcome) -> bool {
     let moved = |reason| matches!(reason, Reason::VersionGone | Reason::WrongSnapshot);
-    outcome
-        .coverage
-        .missing
-        .iter()
-        .any(|missing| moved(missing.reason))
+    outcome.coverage.missing.iter().any(|missing| moved(missing.reason))
 }
 
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
--- a/crates/entry/src/service.rs
+++ b/crates/entry/src/service.rs
@@ -25,7 +25,7 @@
 use crate::write::{FORWARD_MARGIN, Order, Writer};
 
 /// How long peers may need to hear a farewell, on top of the life of address answers.
-const SETTLE: Duration = Duration::from_millis(1000);
+const SETTLE: Duration = Duration::from_secs(1);
 
 /// What the parts of an entry share.
 #[derive(Debug)]
@@ -117,14 +117,8 @@
             let _ = self.callers.await;
             let _ = self.peers.await;
         };
-        if tokio::time::timeout(settings.drain, finished)
-            .await
-            .is_err()
-        {
-            log::warn!(
-                "entry: Requests were still in flight after {:?}.",
-                settings.drain
-            );
+        if tokio::time::timeout(settings.drain, finished).await.is_err() {
+            log::warn!("entry: Requests were still in flight after {:?}.", settings.drain);
         }
         node.leave(State::Left).await;
         node.close();
@@ -149,25 +143,17 @@
     stop: CancellationToken,
 ) -> JoinHandle<()> {
     let server = Server(Arc::clone(&inner.writer));
-    tokio::spawn(serve_requests(
-        listener,
-        stop,
-        move |stream, tracker: TaskTracker| {
-            let requests = transport(stream).execute(Requests::serve(server.clone()));
-            tokio::spawn(run_requests(requests, tracker));
-        },
-    ))
+    tokio::spawn(serve_requests(listener, stop, move |stream, tracker: TaskTracker| {
+        let requests = transport(stream).execute(Requests::serve(server.clone()));
+        tokio::spawn(run_requests(requests, tracker));
+    }))
 }
 
 fn add_dumps(inner: &Arc<Inner>) {
     let this = Arc::clone(inner);
-    inner
-        .node
-        .add_dump("admission", Box::new(move || this.door.dump()));
+    inner.node.add_dump("admission", Box::new(move || this.door.dump()));
     let this = Arc::clone(inner);
-    inner
-        .node
-        .add_dump("writes", Box::new(move || this.writer.dump()));
+    inner.node.add_dump("writes", Box::new(move || this.writer.dump()));
 }
 
 /// The requests that an entry answers to other entries.
@@ -187,13 +173,7 @@
         let now = Instant::now();
         let left = context.deadline.saturating_duration_since(now);
         let deadline = Deadline::after(now, left).less(FORWARD_MARGIN);
-        let order = Order {
-            workspace,
-            service,
-            record,
-            body,
-            deadline,
-        };
+        let order = Order { workspace, service, record, body, deadline };
         self.0.run_own(key, order).await
     }
 }
--- a/crates/entry/src/write.rs
+++ b/crates/entry/src/write.rs
@@ -56,11 +56,7 @@
     pub(crate) fn new(node: Arc<Node>, searcher: Arc<Searcher>) -> Arc<Self> {
         let window = node.settings().entry.keys;
         let owner = Owner::new(node.incarnation(), Instant::now(), window);
-        let book = Book {
-            owner,
-            waiting: HashMap::new(),
-            serial: 0,
-        };
+        let book = Book { owner, waiting: HashMap::new(), serial: 0 };
         Arc::new(Self {
             peers: Channels::new(node.settings().instance.address),
             node,
@@ -79,10 +75,7 @@
         let mut book = self.lock();
         book.serial += 1;
         let unique = Name::from(format!("entry-{}", book.serial));
-        Key {
-            prefix: book.owner.prefix(Instant::now()),
-            unique,
-        }
+        Key { prefix: book.owner.prefix(Instant::now()), unique }
     }
 
     /// Writes the text form that dumps use.
@@ -136,10 +129,8 @@
                 Err((true, receiver))
             }
             Decision::Join => {
-                let sender = book
-                    .waiting
-                    .entry(key.clone())
-                    .or_insert_with(|| watch::Sender::new(None));
+                let sender =
+                    book.waiting.entry(key.clone()).or_insert_with(|| watch::Sender::new(None));
                 Err((false, sender.subscribe()))
             }
         }
@@ -174,11 +165,7 @@
             record: Name::clone(&order.record),
             body: Name::clone(&order.body),
         };
-        for home in self
-            .node
-            .homes()
-            .order(document.layout.cell(shard), service)
-        {
+        for home in self.node.homes().order(document.layout.cell(shard), service) {
             if !self.node.takes_work(home) {
                 continue;
             }
@@ -215,17 +202,8 @@
         let Ok(client) = self.peers.get(address).await else {
             return Owner::lost(false);
         };
-        let Order {
-            workspace,
-            service,
-            record,
-            body,
-            deadline,
-        } = order;
-        match client
-            .execute(context(deadline), workspace, service, key, record, body)
-            .await
-        {
+        let Order { workspace, service, record, body, deadline } = order;
+        match client.execute(context(deadline), workspace, service, key, record, body).await {
             Ok(outcome) => outcome,
             Err(error) => {
                 log::debug!("write: Forwarding to {address} failed: {error}.");
--- a/crates/gather/src/holding.rs
+++ b/crates/gather/src/holding.rs
@@ -34,14 +34,8 @@
             .flat_map(|shard| document.shards[*shard].replicas.iter().copied())
             .collect();
         let none = Fleet::default();
-        let fleet = before
-            .map_or(&none, |before| &before.fleet)
-            .next(document, settings, &held);
-        Self {
-            current,
-            cells,
-            fleet,
-        }
+        let fleet = before.map_or(&none, |before| &before.fleet).next(document, settings, &held);
+        Self { current, cells, fleet }
     }
 
     /// Tells whether the gather homes the cell of every one of the shards.
--- a/crates/gather/src/keeper.rs
+++ b/crates/gather/src/keeper.rs
@@ -93,10 +93,7 @@
     };
     let Some(run) = run else { return };
     if leaving && reported.insert((client.address(), Name::clone(&run))) {
-        log::info!(
-            "upstream: Searcher {} is leaving; passed on.",
-            client.address()
-        );
+        log::info!("upstream: Searcher {} is leaving; passed on.", client.address());
         inner.node.report_leaving(client.address(), Some(run));
     }
 }
--- a/crates/gather/src/meter.rs
+++ b/crates/gather/src/meter.rs
@@ -24,39 +24,24 @@
         let vector = |name: &str, help: &str| {
             let metric = IntCounterVec::new(Opts::new(name, help), &["outcome"])
                 .expect("metric names are constants and valid");
-            registry
-                .register(Box::new(metric.clone()))
-                .expect("metric names are unique");
+            registry.register(Box::new(metric.clone())).expect("metric names are unique");
             metric
         };
         let gauge = |name: &str, help: &str| {
             let metric = IntGauge::new(name, help).expect("metric names are constants and valid");
-            registry
-                .register(Box::new(metric.clone()))
-                .expect("metric names are unique");
+            registry.register(Box::new(metric.clone())).expect("metric names are unique");
             metric
         };
         let attempts = IntCounter::new("bergamot_attempts_total", "Sub-queries sent to searchers.")
             .expect("metric names are constants and valid");
-        registry
-            .register(Box::new(attempts.clone()))
-            .expect("metric names are unique");
+        registry.register(Box::new(attempts.clone())).expect("metric names are unique");
         Self {
             shards: vector("bergamot_shards_total", "Shards asked, by outcome."),
             attempts,
-            writes: vector(
-                "bergamot_gather_writes_total",
-                "Writes sent to searchers, by outcome.",
-            ),
-            connections: gauge(
-                "bergamot_upstream_connections",
-                "Connections open to searchers.",
-            ),
+            writes: vector("bergamot_gather_writes_total", "Writes sent to searchers, by outcome."),
+            connections: gauge("bergamot_upstream_connections", "Connections open to searchers."),
             dials: gauge("bergamot_upstream_dials", "Dials to searchers held now."),
-            refused: gauge(
-                "bergamot_upstream_refused_dials",
-                "Dials that searchers refused.",
-            ),
+            refused: gauge("bergamot_upstream_refused_dials", "Dials that searchers refused."),
         }
     }
 }
--- a/crates/gather/src/service.rs
+++ b/crates/gather/src/service.rs
@@ -80,11 +80,7 @@
         }
         let holding = self.holding().ok_or(Refusal::Asleep)?;
         let ours = holding.current.document.revision;
-        if ours == revision {
-            Ok(holding)
-        } else {
-            Err(Refusal::Revision(ours))
-        }
+        if ours == revision { Ok(holding) } else { Err(Refusal::Revision(ours)) }
     }
 }
 
@@ -132,11 +128,7 @@
             },
         ));
         log::info!("gather: Serving at {address}.");
-        Ok(Running {
-            inner,
-            stop,
-            served,
-        })
+        Ok(Running { inner, stop, served })
     }
 }
 
@@ -175,15 +167,10 @@
 
 fn add_dumps(inner: &Arc<Inner>) {
     let this = Arc::clone(inner);
-    let upstream = move || {
-        this.holding()
-            .map_or_else(String::new, |holding| holding.fleet.dump())
-    };
+    let upstream = move || this.holding().map_or_else(String::new, |holding| holding.fleet.dump());
     inner.node.add_dump("upstream", Box::new(upstream));
     let this = Arc::clone(inner);
-    inner
-        .node
-        .add_dump("tails", Box::new(move || this.tails.dump()));
+    inner.node.add_dump("tails", Box::new(move || this.tails.dump()));
 }
 
 /// The requests that a gather answers.
@@ -216,21 +203,8 @@
             return Err(Refusal::NotHome);
         }
         let tail = self.0.tails.of(&holding.current.document, query.service);
-        let SubQuery {
-            id,
-            pin,
-            shards,
-            shape,
-            ..
-        } = query;
-        let job = Job {
-            id,
-            pin,
-            shape,
-            deadline,
-            holding,
-            tail,
-        };
+        let SubQuery { id, pin, shards, shape, .. } = query;
+        let job = Job { id, pin, shape, deadline, holding, tail };
         Ok(self.search_shards(&job, &shards).await)
     }
 
@@ -242,11 +216,7 @@
             return Err(Refusal::NotHome);
         }
         let outcome = self.write_once(&holding, &order, deadline).await;
-        self.0
-            .meter
-            .writes
-            .with_label_values(&[&outcome.status.to_string()])
-            .inc();
+        self.0.meter.writes.with_label_values(&[&outcome.status.to_string()]).inc();
         Ok(outcome)
     }
 
@@ -260,9 +230,7 @@
         let document = &holding.current.document;
         let row = document.services.get(service).ok_or(Refusal::NotHome)?;
         let homed = row.shards.iter().filter(|shard| holding.homes(&[**shard]));
-        Ok(homed
-            .map(|shard| (*shard, holding.versions(*shard)))
-            .collect())
+        Ok(homed.map(|shard| (*shard, holding.versions(*shard))).collect())
     }
 }
 
@@ -274,10 +242,7 @@
             partials: Vec::with_capacity(shards.len()),
             missing: Vec::new(),
             attempts: 0,
-            versions: shards
-                .iter()
-                .map(|shard| (*shard, job.holding.versions(*shard)))
-                .collect(),
+            versions: shards.iter().map(|shard| (*shard, job.holding.versions(*shard))).collect(),
         };
         for (shard, ended) in shards.iter().zip(ended) {
             reply.attempts += ended.attempts;
@@ -312,10 +277,7 @@
             deadline,
             cancel: CancellationToken::new(),
         };
-        let write = Write {
-            record: Name::clone(&order.record),
-            body: Name::clone(&order.body),
-        };
+        let write = Write { record: Name::clone(&order.record), body: Name::clone(&order.body) };
         let node = &self.0.node;
         let key = order.key.to_string();
         match client.write(&call, &key, &write, || node.is_awake()).await {
@@ -333,9 +295,7 @@
         .filter_map(|searcher| holding.fleet.client(*searcher))
         .filter(|client| !client.health().is_leaving())
         .collect();
-    let healthy = staying
-        .iter()
-        .find(|client| !client.health().is_ejected(now));
+    let healthy = staying.iter().find(|client| !client.health().is_ejected(now));
     healthy.or(staying.first()).copied()
 }
 
--- a/crates/gather/src/shard.rs
+++ b/crates/gather/src/shard.rs
@@ -53,20 +53,10 @@
 pub(crate) async fn run(inner: &Inner, job: &Job, shard: Shard) -> Ended {
     let mut race = Race::new(order(inner, job, shard));
     let running = FuturesUnordered::new();
-    let mut attempts = Attempts {
-        inner,
-        job,
-        shard,
-        running,
-        guards: Vec::new(),
-        count: 0,
-    };
+    let mut attempts = Attempts { inner, job, shard, running, guards: Vec::new(), count: 0 };
     let result = drive(&mut race, &mut attempts).await;
     inner.meter.attempts.inc_by(u64::from(attempts.count));
-    Ended {
-        result,
-        attempts: attempts.count,
-    }
+    Ended { result, attempts: attempts.count }
 }
 
 async fn drive(race: &mut Race, attempts: &mut Attempts<'_>) -> Result<Partial, Reason> {
@@ -125,11 +115,7 @@
     if attempts.inner.node.settings().gather.retry {
         return race.fail(searcher, reason, &mut tail.retries);
     }
-    race.fail(
-        searcher,
-        reason,
-        &mut bergamot_upstream::Budget::new(0.0, 0.0),
-    )
+    race.fail(searcher, reason, &mut bergamot_upstream::Budget::new(0.0, 0.0))
 }
 
 impl Attempts<'_> {
@@ -169,20 +155,11 @@
     if found.shard != position {
         return Err(Reason::BadReply);
     }
-    let pin = Pin {
-        epoch: found.epoch,
-        version: found.version,
-        ..job.pin
-    };
+    let pin = Pin { epoch: found.epoch, version: found.version, ..job.pin };
     if pin != job.pin {
         return Err(Reason::WrongSnapshot);
     }
-    Ok(Partial {
-        shard,
-        pin,
-        documents: found.documents,
-        hits: found.hits,
-    })
+    Ok(Partial { shard, pin, documents: found.documents, hits: found.hits })
 }
 
 /// The order in which the replicas are tried.
@@ -192,36 +169,23 @@
         .iter()
         .filter_map(|searcher| job.holding.fleet.client(*searcher).map(|c| (*searcher, c)))
         .collect();
-    let healths: Vec<_> = clients
-        .iter()
-        .map(|(_, client)| client.health().clone())
-        .collect();
+    let healths: Vec<_> = clients.iter().map(|(_, client)| client.health().clone()).collect();
     let candidates: Vec<_> = clients
         .iter()
         .zip(&healths)
         .map(|((searcher, client), health)| {
             let slots = client.slots();
-            Candidate {
-                searcher: *searcher,
-                health,
-                load: slots.load(),
-                slots: slots.width(),
-            }
+            Candidate { searcher: *searcher, health, load: slots.load(), slots: slots.width() }
         })
         .collect();
     if inner.node.settings().gather.pick {
         return rank(Instant::now(), Some(job.pin.version), &candidates);
     }
-    let staying = candidates
-        .iter()
-        .filter(|candidate| !candidate.health.is_leaving());
+    let staying = candidates.iter().filter(|candidate| !candidate.health.is_leaving());
     staying.map(|candidate| candidate.searcher).collect()
 }
 
 fn hedge_delay(job: &Job, floor: Duration) -> Duration {
     let left = job.deadline.left(Instant::now());
-    lock(&job.tail)
-        .pace
-        .p95()
-        .map_or(left / FIRST_HEDGE, |p95| p95.max(floor))
+    lock(&job.tail).pace.p95().map_or(left / FIRST_HEDGE, |p95| p95.max(floor))
 }
--- a/crates/gather/src/tail.rs
+++ b/crates/gather/src/tail.rs
@@ -26,7 +26,10 @@
 /// The tails of all services, by the names of workspace and service, which outlive
 /// changes of the document.
 #[derive(Debug, Default)]
-pub(crate) struct Tails(Mutex<HashMap<(Name, Name), Arc<Mutex<Tail>>>>);
+pub(crate) struct Tails(Mutex<HashMap<ServiceName, Arc<Mutex<Tail>>>>);
+
+/// The names of a workspace and one of its services.
+type ServiceName = (Name, Name);
 
 impl Tails {
     /// Returns the tail of a service, with its hedge budget as now configured.
@@ -52,15 +55,9 @@
         let tails = self.0.lock().unwrap_or_else(PoisonError::into_inner);
         let mut text = String::new();
         for ((workspace, service), tail) in tails.iter() {
-            let Tail {
-                pace,
-                hedges,
-                retries,
-            } = &*lock(tail);
-            let _ = writeln!(
-                text,
-                "{workspace}/{service} {pace} hedges {hedges} retries {retries}"
-            );
+            let Tail { pace, hedges, retries } = &*lock(tail);
+            let _ =
+                writeln!(text, "{workspace}/{service} {pace} hedges {hedges} retries {retries}");
         }
         text
     }
--- a/crates/members/src/homes.rs
+++ b/crates/members/src/homes.rs
@@ -5,12 +5,16 @@
 //! members of the highest weights that have not reached their cap and whose zone has
 //! not reached its part. The cap is the mean number of cells a member, rounded up.
 //!
-//! Invariant: the same layout and the same members give the same homes in every
-//! process, no member homes more cells than the cap, and a cell's homes are distinct.
-//! Members that can't be reached keep their place, so the homes don't grow on both
-//! sides of a partition (docs/design/0002-homes-and-cells.md).
+//! Members that can't be reached keep their place, so that the homes don't grow on both
+//! sides of a partition. Where too few homes of a cell can be reached, the reachable
+//! members of the next weights stand in for them. Invariant: the same layout and the
+//! same members give the same homes in every process; a cell's homes are distinct; and
+//! with `s` parts that can't reach each other, where `s` is at most the number of
+//! regions, a cell has at most `2 * homes` homes and stand-ins over all parts, which is
+//! what the shares leave room for (docs/design/0002-homes-and-cells.md).
 
-use std::collections::{BTreeMap, HashMap};
+use std::cmp::Reverse;
+use std::collections::{BTreeSet, HashMap};
 use std::fmt;
 
 use bergamot_base::{Cell, Entity, Name, Service, Table, hash_pair};
@@ -24,47 +28,48 @@
     cells: Table<Cell, Vec<Endpoint>>,
 }
 
+/// A gather as the computation sees it.
+struct Member {
+    endpoint: Endpoint,
+    hash: u64,
+    zone: usize,
+    reachable: bool,
+}
+
+/// The members in the order of their weights for one cell.
+type Ranking = Vec<(Reverse<u64>, usize)>;
+
 impl Homes {
     /// Computes the homes from a layout and the gathers that keep their place.
-    pub fn compute<'a>(layout: &Layout, gathers: impl Iterator<Item = &'a Record>) -> Self {
-        let members: Vec<_> = gathers
-            .map(|record| {
-                (
-                    record.endpoint,
-                    record.endpoint.hash(),
-                    Name::clone(&record.zone),
-                )
-            })
-            .collect();
+    ///
+    /// `regions` is the number of regions, the parts into which the fleet may fall.
+    pub fn compute<'a>(
+        layout: &Layout,
+        regions: usize,
+        gathers: impl Iterator<Item = &'a Record>,
+    ) -> Self {
+        let members = number_zones(&gathers.collect::<Vec<_>>());
         if members.is_empty() {
-            return Self {
-                cells: layout.cells.keys().map(|_| Vec::new()).collect(),
-            };
+            return Self { cells: layout.cells.keys().map(|_| Vec::new()).collect() };
         }
-        let zones = zone_numbers(&members);
+        let zones = 1 + members.iter().map(|member| member.zone).max().unwrap_or(0);
         let cap = (layout.cells.len() * layout.homes).div_ceil(members.len());
-        let zone_cap = layout
-            .homes
-            .div_ceil(zones.iter().max().map_or(1, |last| last + 1));
+        let zone_cap = layout.homes.div_ceil(zones);
+        let fewest = (layout.homes / regions.saturating_sub(1).max(1)).max(1);
         let mut loads = vec![0; members.len()];
-        let mut scratch = Vec::with_capacity(members.len());
+        let mut ranking = Ranking::with_capacity(members.len());
         let cells = layout
             .cells
             .keys()
             .map(|cell| {
-                scratch.clear();
-                scratch.extend((0..members.len()).filter(|i| loads[*i] < cap).map(|i| {
-                    (
-                        std::cmp::Reverse(hash_pair(members[i].1, cell.index() as u64)),
-                        i,
-                    )
-                }));
-                scratch.sort_unstable();
-                let chosen = choose(&scratch, &zones, layout.homes, zone_cap);
-                for i in &chosen {
-                    loads[*i] += 1;
+                rank(cell, &members, &mut ranking);
+                let room = |member: usize| loads[member] < cap;
+                let mut chosen = choose(&ranking, &members, layout.homes, zone_cap, room);
+                for member in &chosen {
+                    loads[*member] += 1;
                 }
-                chosen.into_iter().map(|i| members[i].0).collect()
+                stand_in(&ranking, &members, fewest, &mut chosen);
+                chosen.into_iter().map(|member| members[member].endpoint).collect()
             })
             .collect();
         Self { cells }
@@ -88,60 +93,76 @@
 
     /// Returns the cells that a member homes.
     pub fn cells_of(&self, member: Endpoint) -> Vec<Cell> {
-        let homed = self
-            .cells
-            .iter()
-            .filter(|(_, homes)| homes.contains(&member));
+        let homed = self.cells.iter().filter(|(_, homes)| homes.contains(&member));
         homed.map(|(cell, _)| cell).collect()
     }
 
     /// Iterates over the cells and their homes.
     pub fn iter(&self) -> impl Iterator<Item = (Cell, &[Endpoint])> {
-        self.cells
-            .iter()
-            .map(|(cell, homes)| (cell, homes.as_slice()))
+        self.cells.iter().map(|(cell, homes)| (cell, homes.as_slice()))
     }
 }
 
-/// Numbers the zones in the order of their names.
-fn zone_numbers(members: &[(Endpoint, u64, Name)]) -> Vec<usize> {
-    let names: BTreeMap<&str, ()> = members.iter().map(|(_, _, zone)| (&**zone, ())).collect();
-    let numbers: HashMap<&str, usize> = names
-        .keys()
-        .enumerate()
-        .map(|(i, name)| (*name, i))
-        .collect();
-    members
-        .iter()
-        .map(|(_, _, zone)| numbers[&**zone])
-        .collect()
+/// Makes the members with their zones numbered in the order of the names.
+fn number_zones(records: &[&Record]) -> Vec<Member> {
+    let names: BTreeSet<&Name> = records.iter().map(|record| &record.zone).collect();
+    let numbers: HashMap<&Name, usize> = names.iter().enumerate().map(|(i, n)| (*n, i)).collect();
+    let member = |record: &&Record| Member {
+        endpoint: record.endpoint,
+        hash: record.endpoint.hash(),
+        zone: numbers[&record.zone],
+        reachable: record.state.takes_work(),
+    };
+    records.iter().map(member).collect()
 }
 
-/// Takes the best members within the parts of their zones, then fills up with any.
+fn rank(cell: Cell, members: &[Member], ranking: &mut Ranking) {
+    let weight = |member: &Member| Reverse(hash_pair(member.hash, cell.index() as u64));
+    ranking.clear();
+    ranking.extend(members.iter().enumerate().map(|(i, member)| (weight(member), i)));
+    ranking.sort_unstable();
+}
+
+/// Takes the best members with room within the parts of their zones, then any with room.
 fn choose(
-    ranked: &[(std::cmp::Reverse<u64>, usize)],
-    zones: &[usize],
+    ranking: &Ranking,
+    members: &[Member],
     wanted: usize,
     zone_cap: usize,
+    room: impl Fn(usize) -> bool,
 ) -> Vec<usize> {
     let mut used = HashMap::<usize, usize>::new();
     let mut chosen = Vec::with_capacity(wanted);
-    for (_, member) in ranked {
-        let count = used.entry(zones[*member]).or_default();
-        if chosen.len() < wanted && *count < zone_cap {
+    let mut passed = Vec::new();
+    for (_, member) in ranking {
+        if chosen.len() == wanted {
+            break;
+        }
+        if !room(*member) {
+            continue;
+        }
+        let count = used.entry(members[*member].zone).or_default();
+        if *count < zone_cap {
             *count += 1;
             chosen.push(*member);
+        } else {
+            passed.push(*member);
         }
     }
-    let spare: Vec<_> = ranked.iter().map(|(_, member)| *member).collect();
-    for member in spare {
-        if chosen.len() < wanted && !chosen.contains(&member) {
-            chosen.push(member);
-        }
-    }
+    chosen.extend(passed.into_iter().take(wanted - chosen.len()));
     chosen
 }
 
+/// Adds reachable members until `fewest` of the homes can be reached.
+fn stand_in(ranking: &Ranking, members: &[Member], fewest: usize, chosen: &mut Vec<usize>) {
+    let reachable = chosen.iter().filter(|member| members[**member].reachable).count();
+    let wanted = fewest.saturating_sub(reachable);
+    let others = ranking.iter().map(|(_, member)| *member);
+    let others = others.filter(|member| members[*member].reachable && !chosen.contains(member));
+    let more: Vec<usize> = others.take(wanted).collect();
+    chosen.extend(more);
+}
+
 impl fmt::Display for Homes {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         for (cell, homes) in self.cells.iter() {
--- a/crates/members/src/prober.rs
+++ b/crates/members/src/prober.rs
@@ -114,10 +114,7 @@
     /// Returns datagrams that tell a few members at once what is in force.
     pub fn announce(&mut self, view: &View, digest: Digest) -> Vec<Outgoing> {
         let targets = self.sample(view, FANOUT, None);
-        targets
-            .into_iter()
-            .map(|to| self.datagram(to, Kind::News, view, digest))
-            .collect()
+        targets.into_iter().map(|to| self.datagram(to, Kind::News, view, digest)).collect()
     }
 
     /// Picks members to ask for what they have in force.
@@ -138,10 +135,7 @@
             .filter(|pending| !pending.asked)
             .map(|pending| pending.sent + self.timing.answer);
         let suspects = self.suspects.values().min().copied();
-        [asking, suspects]
-            .into_iter()
-            .flatten()
-            .fold(self.next_probe, Instant::min)
+        [asking, suspects].into_iter().flatten().fold(self.next_probe, Instant::min)
     }
 
     /// Does what is due: asks helpers, suspects, pings the next member.
@@ -200,8 +194,7 @@
         }
         self.rumours.add(Rumour::Member(record.clone()));
         if record.state == State::Suspect {
-            self.suspects
-                .insert(record.endpoint, now + self.timing.suspicion);
+            self.suspects.insert(record.endpoint, now + self.timing.suspicion);
         } else {
             self.suspects.remove(&record.endpoint);
         }
@@ -218,11 +211,7 @@
     }
 
     fn acknowledged(&mut self, number: u64, view: &View, digest: Digest) -> Vec<Outgoing> {
-        if self
-            .pending
-            .as_ref()
-            .is_some_and(|pending| pending.number == number)
-        {
+        if self.pending.as_ref().is_some_and(|pending| pending.number == number) {
             self.pending = None;
         }
         match self.relays.remove(&number) {
@@ -257,10 +246,7 @@
         let (target, number) = (pending.target, pending.number);
         let helpers = self.sample(view, HELPERS, Some(target));
         let ask = Kind::Ask(number, target);
-        helpers
-            .into_iter()
-            .map(|to| self.datagram(to, ask, view, digest))
-            .collect()
+        helpers.into_iter().map(|to| self.datagram(to, ask, view, digest)).collect()
     }
 
     fn suspect(&mut self, now: Instant, target: Endpoint, view: &mut View) {
@@ -270,10 +256,7 @@
         if known.state != State::Alive {
             return;
         }
-        let suspicion = Record {
-            state: State::Suspect,
-            ..known.clone()
-        };
+        let suspicion = Record { state: State::Suspect, ..known.clone() };
         self.learn(now, &suspicion, view);
     }
 
@@ -290,10 +273,7 @@
                 continue;
             };
             if known.state == State::Suspect {
-                let unreachable = Record {
-                    state: State::Unreachable,
-                    ..known.clone()
-                };
+                let unreachable = Record { state: State::Unreachable, ..known.clone() };
                 self.learn(now, &unreachable, view);
             }
         }
@@ -306,12 +286,7 @@
         }
         let target = self.round.pop()?;
         let number = self.next_number();
-        self.pending = Some(Pending {
-            target,
-            number,
-            sent: now,
-            asked: false,
-        });
+        self.pending = Some(Pending { target, number, sent: now, asked: false });
         Some(self.datagram(target, Kind::Ping(number), view, digest))
     }
 
@@ -327,29 +302,20 @@
         let candidates: Vec<_> = self
             .others(view)
             .filter(|endpoint| Some(*endpoint) != except)
-            .filter(|endpoint| {
-                view.get(*endpoint)
-                    .is_some_and(|known| known.state.takes_work())
-            })
+            .filter(|endpoint| view.get(*endpoint).is_some_and(|known| known.state.takes_work()))
             .collect();
         candidates.sample(&mut self.rng, count).copied().collect()
     }
 
     fn datagram(&mut self, to: Endpoint, kind: Kind, view: &View, digest: Digest) -> Outgoing {
-        let digest = Digest {
-            view: view.hash(),
-            ..digest
-        };
-        let rumours = self.rumours.take(view.len());
-        Outgoing {
-            to,
-            datagram: Datagram {
-                kind,
-                from: self.me.clone(),
-                digest,
-                rumours,
-            },
+        let digest = Digest { view: view.hash(), ..digest };
+        let mut rumours = self.rumours.take(view.len());
+        // A member that is doubted must hear of it whenever it is spoken to, also long
+        // after the rumour has died down; else it could never refute.
+        if let Some(doubted) = view.get(to).filter(|known| known.state != State::Alive) {
+            rumours.insert(0, Rumour::Member(doubted.clone()));
         }
+        Outgoing { to, datagram: Datagram { kind, from: self.me.clone(), digest, rumours } }
     }
 
     fn next_number(&mut self) -> u64 {
--- a/crates/members/src/reader.rs
+++ b/crates/members/src/reader.rs
@@ -19,15 +19,9 @@
 /// Returns the readers: the `per_zone` members of the highest weight in each zone.
 pub fn readers(view: &View, per_zone: usize) -> Vec<Endpoint> {
     let mut zones = BTreeMap::<&str, Vec<(u64, Endpoint)>>::new();
-    for record in view
-        .iter()
-        .filter(|record| view.takes_work(record.endpoint))
-    {
+    for record in view.iter().filter(|record| view.takes_work(record.endpoint)) {
         let weight = hash_pair(record.endpoint.hash(), SALT);
-        zones
-            .entry(&record.zone)
-            .or_default()
-            .push((weight, record.endpoint));
+        zones.entry(&record.zone).or_default().push((weight, record.endpoint));
     }
     let mut chosen = Vec::new();
     for ranked in zones.values_mut() {
--- a/crates/members/src/record.rs
+++ b/crates/members/src/record.rs
@@ -145,13 +145,7 @@
 
 impl fmt::Display for Record {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let Self {
-            endpoint,
-            zone,
-            incarnation,
-            counter,
-            state,
-        } = self;
+        let Self { endpoint, zone, incarnation, counter, state } = self;
         write!(f, "{endpoint} {zone} {incarnation:x}.{counter} {state}")
     }
 }
--- a/crates/members/src/rumour.rs
+++ b/crates/members/src/rumour.rs
@@ -73,14 +73,10 @@
     pub fn take(&mut self, fleet: usize) -> Vec<Rumour> {
         self.queue.sort_by_key(|(sent, _)| *sent);
         let most = REPEAT * (usize::BITS - fleet.leading_zeros()).max(1);
-        let taken = self
-            .queue
-            .iter_mut()
-            .take(PER_DATAGRAM)
-            .map(|(sent, rumour)| {
-                *sent += 1;
-                rumour.clone()
-            });
+        let taken = self.queue.iter_mut().take(PER_DATAGRAM).map(|(sent, rumour)| {
+            *sent += 1;
+            rumour.clone()
+        });
         let taken = taken.collect();
         self.queue.retain(|(sent, _)| *sent < most);
         taken
--- a/crates/members/src/view.rs
+++ b/crates/members/src/view.rs
@@ -8,7 +8,7 @@
 use std::fmt;
 use std::net::Ipv4Addr;
 
-use bergamot_base::{Name, hash_bytes};
+use bergamot_base::{Name, hash_bytes, hash_pair};
 
 use crate::record::{Endpoint, Record, Role, State};
 
@@ -52,28 +52,16 @@
     /// no longer listed: then they are gone for good.
     pub fn apply_list(&mut self, list: &[Listed]) -> Vec<Record> {
         self.listed = list.iter().map(|listed| listed.ip).collect();
-        self.listed_leaving = list
-            .iter()
-            .filter(|listed| listed.leaving)
-            .map(|listed| listed.ip)
-            .collect();
+        self.listed_leaving =
+            list.iter().filter(|listed| listed.leaving).map(|listed| listed.ip).collect();
         let mut news = Vec::new();
         for listed in list {
             for role in [Role::Entry, Role::Gather] {
-                let endpoint = Endpoint {
-                    ip: listed.ip,
-                    role,
-                };
+                let endpoint = Endpoint { ip: listed.ip, role };
                 if !self.records.contains_key(&endpoint) && !listed.leaving {
                     let zone = Name::clone(&listed.zone);
                     let state = State::Alive;
-                    let seed = Record {
-                        endpoint,
-                        zone,
-                        incarnation: 0,
-                        counter: 0,
-                        state,
-                    };
+                    let seed = Record { endpoint, zone, incarnation: 0, counter: 0, state };
                     self.apply(&seed);
                 }
             }
@@ -84,10 +72,7 @@
             .filter(|record| {
                 record.state == State::Unreachable && !self.listed.contains(&record.endpoint.ip)
             })
-            .map(|record| Record {
-                state: State::Left,
-                ..record.clone()
-            })
+            .map(|record| Record { state: State::Left, ..record.clone() })
             .collect();
         for record in gone {
             self.apply(&record);
@@ -115,9 +100,7 @@
 
     /// Tells whether new work may be sent to an endpoint.
     pub fn takes_work(&self, endpoint: Endpoint) -> bool {
-        self.records
-            .get(&endpoint)
-            .is_some_and(|record| record.state.takes_work())
+        self.records.get(&endpoint).is_some_and(|record| record.state.takes_work())
             && !self.listed_leaving.contains(&endpoint.ip)
     }
 
@@ -126,11 +109,12 @@
         self.hash
     }
 
-    /// Returns the hash of the set of members that keep their place, which changes
-    /// only when homes may have to change.
+    /// Returns the hash of the gathers that keep their place, with whether they can be
+    /// reached. It changes only when homes may have to change.
     pub fn places_hash(&self) -> u64 {
         self.placed(Role::Gather).fold(0, |sum, record| {
-            sum ^ record.endpoint.hash() ^ hash_bytes(record.zone.as_bytes()).rotate_left(1)
+            let reachable = u64::from(record.state.takes_work());
+            sum ^ hash_pair(record.endpoint.hash() ^ reachable, hash_bytes(record.zone.as_bytes()))
         })
     }
 
--- /dev/null
+++ b/crates/members/tests/filetests.rs
@@ -0,0 +1,181 @@
+//! Traces of views, probers and homes.
+
+use std::collections::BTreeMap;
+use std::error::Error;
+use std::net::Ipv4Addr;
+use std::path::Path;
+use std::time::{Duration, Instant};
+
+use bergamot_base::{Name, Seed};
+use bergamot_filetest::{check, trace};
+use bergamot_members::{
+    Digest, Endpoint, Listed, Outgoing, Prober, Record, Role, State, Timing, View,
+};
+
+fn view(path: &Path) -> Result<(), Box<dyn Error>> {
+    check(path, |input| {
+        let mut view = View::default();
+        trace(input, |_now, command| view_step(&mut view, command))
+    })
+}
+
+fn view_step(view: &mut View, command: &[&str]) -> String {
+    match command {
+        ["apply", member, incarnation, counter, state] => {
+            let changed = view.apply(&record(member, incarnation, counter, state));
+            let known = view.get(endpoint(member)).map(ToString::to_string);
+            format!("{} {}", if changed { "news" } else { "old" }, known.unwrap_or_default())
+        }
+        ["list", items @ ..] => {
+            let listed = |item: &&str| {
+                let (name, leaving) = match item.strip_suffix('!') {
+                    Some(name) => (name, true),
+                    None => (*item, false),
+                };
+                Listed { ip: endpoint(name).ip, zone: Name::from("z"), leaving }
+            };
+            let news = view.apply_list(&items.iter().map(listed).collect::<Vec<_>>());
+            news.iter().map(ToString::to_string).collect::<Vec<_>>().join(", ")
+        }
+        ["takes_work", member] => view.takes_work(endpoint(member)).to_string(),
+        ["placed"] => {
+            let placed = view.placed(Role::Gather).map(|record| record.endpoint.to_string());
+            placed.collect::<Vec<_>>().join(" ")
+        }
+        ["dump"] => view.to_string().trim_end().replace('\n', " | "),
+        _ => "unknown command".to_owned(),
+    }
+}
+
+/// A member is written as a number: the last of its IP number; it is a gather.
+fn endpoint(member: &str) -> Endpoint {
+    let last = member.parse().unwrap_or(0);
+    Endpoint { ip: Ipv4Addr::new(127, 0, 0, last), role: Role::Gather }
+}
+
+fn record(member: &str, incarnation: &str, counter: &str, state: &str) -> Record {
+    let state = match state {
+        "alive" => State::Alive,
+        "suspect" => State::Suspect,
+        "unreachable" => State::Unreachable,
+        "leaving" => State::Leaving,
+        _ => State::Left,
+    };
+    Record {
+        endpoint: endpoint(member),
+        zone: Name::from("z"),
+        incarnation: incarnation.parse().unwrap_or(0),
+        counter: counter.parse().unwrap_or(0),
+        state,
+    }
+}
+
+/// Members of a trace; datagrams go to those that are up, at once.
+struct Net {
+    members: BTreeMap<Endpoint, (Prober, View)>,
+    down: Vec<Endpoint>,
+    sent: usize,
+}
+
+fn prober(path: &Path) -> Result<(), Box<dyn Error>> {
+    check(path, |input| {
+        let mut net = Net { members: BTreeMap::new(), down: Vec::new(), sent: 0 };
+        trace(input, |now, command| net.step(now, command))
+    })
+}
+
+impl Net {
+    fn step(&mut self, now: Instant, command: &[&str]) -> String {
+        match command {
+            ["start", members @ ..] => {
+                let known: Vec<_> = members.iter().map(|m| record(m, "0", "0", "alive")).collect();
+                for member in members {
+                    self.start(now, member, &known);
+                }
+                self.members.len().to_string()
+            }
+            ["run", ms] => {
+                self.run(now, Duration::from_millis(ms.parse().unwrap_or(0)));
+                self.states()
+            }
+            ["down", member] => {
+                self.down.push(endpoint(member));
+                self.states()
+            }
+            ["up", member] => {
+                self.down.retain(|down| *down != endpoint(member));
+                self.states()
+            }
+            ["leave", member] => {
+                let (prober, view) = self.members.get_mut(&endpoint(member)).expect("is started");
+                let out = prober.farewell(State::Leaving, view, Digest::default());
+                self.deliver(now, out);
+                self.states()
+            }
+            ["rate"] => format!("{} datagrams", std::mem::take(&mut self.sent)),
+            _ => "unknown command".to_owned(),
+        }
+    }
+
+    fn start(&mut self, now: Instant, member: &str, known: &[Record]) {
+        let timing = Timing {
+            probe: Duration::from_millis(100),
+            answer: Duration::from_millis(30),
+            suspicion: Duration::from_millis(300),
+        };
+        let me = record(member, "1", "0", "alive");
+        let mut view = View::default();
+        for record in known {
+            view.apply(record);
+        }
+        view.apply(&me);
+        let rng = Seed(1).generator(member);
+        self.members.insert(me.endpoint, (Prober::new(now, timing, me, rng), view));
+    }
+
+    /// Lets time pass in small steps.
+    fn run(&mut self, now: Instant, time: Duration) {
+        let mut moment = now;
+        while moment < now + time {
+            moment += Duration::from_millis(10);
+            let endpoints: Vec<_> = self.members.keys().copied().collect();
+            for endpoint in
+                endpoints.into_iter().filter(|e| !self.down.contains(e)).collect::<Vec<_>>()
+            {
+                let (prober, view) = self.members.get_mut(&endpoint).expect("is a key");
+                let out = prober.tick(moment, view, Digest::default());
+                self.deliver(moment, out);
+            }
+        }
+    }
+
+    fn deliver(&mut self, now: Instant, out: Vec<Outgoing>) {
+        let mut queue = out;
+        while let Some(Outgoing { to, datagram }) = queue.pop() {
+            self.sent += 1;
+            if self.down.contains(&to) || self.down.contains(&datagram.from.endpoint) {
+                continue;
+            }
+            if let Some((prober, view)) = self.members.get_mut(&to) {
+                queue.extend(prober.receive(now, &datagram, view, Digest::default()));
+            }
+        }
+    }
+
+    /// What the first member that is up believes of every gather.
+    fn states(&self) -> String {
+        let observer = self.members.iter().find(|(endpoint, _)| !self.down.contains(endpoint));
+        let Some((_, (_, view))) = observer else {
+            return "nobody is up".to_owned();
+        };
+        let gathers = view.iter().filter(|record| record.endpoint.role == Role::Gather);
+        let states =
+            gathers.map(|r| format!("{}:{}.{}", r.endpoint.ip.octets()[3], r.state, r.counter));
+        states.collect::<Vec<_>>().join(" ")
+    }
+}
+
+datatest_stable::harness! {
+    { test = view, root = "tests/filetests/view", pattern = r"\.txt$" },
+    { test = prober, root = "tests/filetests/prober", pattern = r"\.txt$" },
+}
--- a/crates/net/src/client.rs
+++ b/crates/net/src/client.rs
@@ -50,15 +50,9 @@
         if let Ok(host) = self.remote.to_string().parse() {
             request.headers_mut().entry("host").or_insert(host);
         }
-        self.sender
-            .ready()
-            .await
-            .map_err(|error| fault("connect", &error))?;
-        let response = self
-            .sender
-            .send_request(request)
-            .await
-            .map_err(|error| fault("send", &error))?;
+        self.sender.ready().await.map_err(|error| fault("connect", &error))?;
+        let response =
+            self.sender.send_request(request).await.map_err(|error| fault("send", &error))?;
         let (parts, body) = response.into_parts();
         let whole = Limited::new(body, LARGEST)
             .collect()
--- a/crates/net/src/dial.rs
+++ b/crates/net/src/dial.rs
@@ -5,10 +5,12 @@
 use std::time::Duration;
 
 use bergamot_base::{Peer, Step};
+use snafu::Snafu;
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 
 /// An error of the network.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Snafu)]
+#[snafu(display("{step} {peer}: {cause}"))]
 pub struct Fault {
     /// What was being done.
     pub step: Step,
@@ -21,22 +23,10 @@
 impl Fault {
     /// Describes an error.
     pub fn new(step: &'static str, peer: impl Into<Peer>, cause: impl fmt::Display) -> Self {
-        Self {
-            step: Step(step),
-            peer: peer.into(),
-            cause: cause.to_string(),
-        }
+        Self { step: Step(step), peer: peer.into(), cause: cause.to_string() }
     }
 }
 
-impl fmt::Display for Fault {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{} {}: {}", self.step, self.peer, self.cause)
-    }
-}
-
-impl std::error::Error for Fault {}
-
 /// Dials from the instance's own address within a timeout.
 pub async fn dial(
     local: Ipv4Addr,
@@ -45,9 +35,7 @@
 ) -> Result<TcpStream, Fault> {
     let fault = |cause: &dyn fmt::Display| Fault::new("dial", remote, cause);
     let socket = TcpSocket::new_v4().map_err(|error| fault(&error))?;
-    socket
-        .bind(SocketAddr::from((local, 0)))
-        .map_err(|error| fault(&error))?;
+    socket.bind(SocketAddr::from((local, 0))).map_err(|error| fault(&error))?;
     let stream = tokio::time::timeout(timeout, socket.connect(remote))
         .await
         .map_err(|elapsed| fault(&elapsed))?
@@ -58,7 +46,5 @@
 
 /// Listens at an address.
 pub async fn listen(address: SocketAddr) -> Result<TcpListener, Fault> {
-    TcpListener::bind(address)
-        .await
-        .map_err(|error| Fault::new("listen", address, error))
+    TcpListener::bind(address).await.map_err(|error| Fault::new("listen", address, error))
 }
--- a/crates/net/src/serve.rs
+++ b/crates/net/src/serve.rs
@@ -106,8 +106,6 @@
 fn reply(status: StatusCode, body: impl Into<Bytes>, kind: &'static str) -> Response<Body> {
     let mut response = Response::new(Full::new(body.into()));
     *response.status_mut() = status;
-    response
-        .headers_mut()
-        .insert(CONTENT_TYPE, HeaderValue::from_static(kind));
+    response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static(kind));
     response
 }
--- a/crates/node/src/admin.rs
+++ b/crates/node/src/admin.rs
@@ -23,10 +23,7 @@
     match (method, path) {
         (&Method::GET, "/metrics") => {
             let metrics = TextEncoder::new().encode_to_string(&node.registry().gather());
-            text(
-                StatusCode::OK,
-                metrics.unwrap_or_else(|error| error.to_string()),
-            )
+            text(StatusCode::OK, metrics.unwrap_or_else(|error| error.to_string()))
         }
         (&Method::GET, "/state") => text(StatusCode::OK, node.dump()),
         _ => text(StatusCode::NOT_FOUND, "GET /metrics or GET /state\n"),
--- a/crates/node/src/awake.rs
+++ b/crates/node/src/awake.rs
@@ -22,10 +22,7 @@
 impl Awake {
     pub(crate) fn new(longest: Duration) -> Self {
         let pulse = Mutex::new(Pulse::new(Instant::now(), longest));
-        Self {
-            pulse,
-            current: watch::Sender::new(true),
-        }
+        Self { pulse, current: watch::Sender::new(true) }
     }
 
     /// Beats the pulse; returns the pause where there was one.
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -35,7 +35,7 @@
 
 fn receive(node: &Arc<Node>, datagram: &Datagram) {
     let mut control = node.lock();
-    let digest = node.digest(&control);
+    let digest = control.digest();
     let changes = control.view.changes();
     let Control { prober, view, .. } = &mut *control;
     let out = prober.receive(Instant::now(), datagram, view, digest);
@@ -55,7 +55,7 @@
 
 fn tick(node: &Arc<Node>) {
     let mut control = node.lock();
-    let digest = node.digest(&control);
+    let digest = control.digest();
     let changes = control.view.changes();
     let Control { prober, view, .. } = &mut *control;
     let out = prober.tick(Instant::now(), view, digest);
@@ -77,11 +77,7 @@
             continue;
         };
         node.meter().pauses.inc();
-        log::warn!(
-            "node: {} slept for {} ms and catches up.",
-            role(&node),
-            gap.as_millis()
-        );
+        log::warn!("node: {} slept for {} ms and catches up.", role(&node), gap.as_millis());
         // A bound on the whole of it: peers that don't answer must not keep us idle.
         let _ = tokio::time::timeout(BEAT * 5, pulls::catch_up(&node, false)).await;
         node.awake.caught_up();
--- a/crates/node/src/meter.rs
+++ b/crates/node/src/meter.rs
@@ -33,24 +33,18 @@
         let counters = |name: &str, help: &str, label: &str| {
             let counters = IntCounterVec::new(Opts::new(name, help), &[label])
                 .expect("metric names are constants and valid");
-            registry
-                .register(Box::new(counters.clone()))
-                .expect("metric names are unique");
+            registry.register(Box::new(counters.clone())).expect("metric names are unique");
             counters
         };
         let gauge = |name: &str, help: &str| {
             let gauge = IntGauge::new(name, help).expect("metric names are constants and valid");
-            registry
-                .register(Box::new(gauge.clone()))
-                .expect("metric names are unique");
+            registry.register(Box::new(gauge.clone())).expect("metric names are unique");
             gauge
         };
         let counter = |name: &str, help: &str| {
             let counter =
                 IntCounter::new(name, help).expect("metric names are constants and valid");
-            registry
-                .register(Box::new(counter.clone()))
-                .expect("metric names are unique");
+            registry.register(Box::new(counter.clone())).expect("metric names are unique");
             counter
         };
         Self {
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -1,7 +1,7 @@
 //! One run of a daemon as the fleet sees it.
 
 use std::collections::HashSet;
-use std::fmt;
+use std::fmt::{self, Write as _};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -88,15 +88,11 @@
     ///
     /// The node has no document yet; see [`Node::join`].
     pub async fn start(settings: Arc<Settings>, role: Role) -> Result<Arc<Self>, Fault> {
-        let me = Endpoint {
-            ip: settings.instance.address,
-            role,
-        };
+        let me = Endpoint { ip: settings.instance.address, role };
         let incarnation = new_incarnation();
         let address = control_address(&settings, me);
-        let socket = UdpSocket::bind(address)
-            .await
-            .map_err(|e| Fault::new("bind control", address, e))?;
+        let socket =
+            UdpSocket::bind(address).await.map_err(|e| Fault::new("bind control", address, e))?;
         let stream_listener = listen(address).await?;
         let admin_listener = listen(admin_address(&settings, me)).await?;
         let registry = Registry::new();
@@ -149,7 +145,7 @@
         for _ in 0..FAREWELLS {
             let out = {
                 let mut control = self.lock();
-                let digest = self.digest(&control);
+                let digest = control.digest();
                 let Control { prober, view, .. } = &mut *control;
                 prober.farewell(state, view, digest)
             };
@@ -220,11 +216,7 @@
 
     /// Finds the entry of a run, or tells that the run is gone for good.
     pub fn find_run(&self, incarnation: Incarnation) -> Option<Record> {
-        self.lock()
-            .view
-            .iter()
-            .find(|record| record.incarnation == incarnation)
-            .cloned()
+        self.lock().view.iter().find(|record| record.incarnation == incarnation).cloned()
     }
 
     /// Tells whether new work may start right now.
@@ -239,10 +231,7 @@
 
     /// Catches up with a sender that has a higher revision, within a bound.
     pub async fn catch_up_to(self: &Arc<Self>, revision: u64, bound: Duration) -> bool {
-        let ahead = || {
-            self.current()
-                .is_some_and(|current| current.document.revision >= revision)
-        };
+        let ahead = || self.current().is_some_and(|current| current.document.revision >= revision);
         if ahead() {
             return true;
         }
@@ -263,34 +252,23 @@
 
     /// Adds a part to the state dump.
     pub fn add_dump(&self, title: &'static str, dump: Dump) {
-        self.dumps
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .push((title, dump));
+        self.dumps.lock().unwrap_or_else(PoisonError::into_inner).push((title, dump));
     }
 
     /// Writes the state of the process as text.
     pub fn dump(&self) -> String {
         let mut text = format!("[node]\n{} incarnation {:x}\n", self.me, self.incarnation);
         if let Some(current) = self.current() {
-            text += &format!("\n[document]\n{}", current.document);
+            let _ = write!(text, "\n[document]\n{}", current.document);
         }
         {
             let control = self.lock();
-            text += &format!(
-                "clashes {}\n\n[members]\n{}",
-                control.floor.clashes(),
-                control.view
-            );
+            let clashes = control.floor.clashes();
+            let _ = write!(text, "clashes {clashes}\n\n[members]\n{}", control.view);
         }
-        text += &format!("\n[homes]\n{}", self.homes());
-        for (title, dump) in self
-            .dumps
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .iter()
-        {
-            text += &format!("\n[{title}]\n{}", dump());
+        let _ = write!(text, "\n[homes]\n{}", self.homes());
+        for (title, dump) in self.dumps.lock().unwrap_or_else(PoisonError::into_inner).iter() {
+            let _ = write!(text, "\n[{title}]\n{}", dump());
         }
         text
     }
@@ -303,12 +281,11 @@
         let verdict = control.floor.adopt(revision, hash);
         match verdict {
             Verdict::Newer => {
-                self.current
-                    .store(Some(Arc::new(Current { document, parcel })));
+                self.current.store(Some(Arc::new(Current { document, parcel })));
                 self.meter.revision.set(revision as i64);
                 control.homes_of = (0, 0);
                 self.refresh_homes(&mut control);
-                let digest = self.digest(&control);
+                let digest = control.digest();
                 let Control { prober, view, .. } = &mut *control;
                 let out = prober.announce(view, digest);
                 drop(control);
@@ -337,29 +314,18 @@
         }
         control.homes_of = key;
         let gathers = control.view.placed(Role::Gather);
-        let homes = Homes::compute(&current.document.layout, gathers);
+        let homes = Homes::compute(&current.document.layout, current.document.regions(), gathers);
         self.homes.store(Arc::new(homes));
         self.changed.send_modify(|count| *count += 1);
     }
 
-    pub(crate) fn digest(&self, control: &Control) -> Digest {
-        Digest {
-            revision: control.floor.revision(),
-            hash: control.floor.hash(),
-            view: control.view.hash(),
-        }
-    }
-
     /// Sends datagrams; what the socket does not take at once is lost, as on any network.
     pub(crate) fn transmit(&self, out: Vec<Outgoing>) {
         for outgoing in out {
             let bytes = bergamot_wire::encode(outgoing.datagram);
             let address = control_address(&self.settings, outgoing.to);
             self.meter.datagrams.with_label_values(&["out"]).inc();
-            self.meter
-                .datagram_bytes
-                .with_label_values(&["out"])
-                .inc_by(bytes.len() as u64);
+            self.meter.datagram_bytes.with_label_values(&["out"]).inc_by(bytes.len() as u64);
             if let Err(error) = self.socket.try_send_to(&bytes, address) {
                 log::debug!("node: Datagram to {address} was not sent: {error}.");
             }
@@ -372,16 +338,15 @@
 }
 
 impl Control {
+    /// Returns what is in force, as peers are told.
+    pub(crate) fn digest(&self) -> Digest {
+        Digest { revision: self.floor.revision(), hash: self.floor.hash(), view: self.view.hash() }
+    }
+
     fn new(settings: &Settings, me: Endpoint, incarnation: Incarnation) -> Self {
         let now = Instant::now();
         let zone = Name::clone(&settings.instance.zone);
-        let me = Record {
-            endpoint: me,
-            zone,
-            incarnation,
-            counter: 0,
-            state: State::Alive,
-        };
+        let me = Record { endpoint: me, zone, incarnation, counter: 0, state: State::Alive };
         let timing = Timing {
             probe: settings.control.probe,
             answer: settings.control.answer,
@@ -420,9 +385,7 @@
 /// Makes the number of a run: the time in milliseconds, so that later runs at one
 /// address override earlier ones, then random bits, so that no two runs are alike.
 fn new_incarnation() -> Incarnation {
-    let since = SystemTime::now()
-        .duration_since(UNIX_EPOCH)
-        .unwrap_or_default();
+    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
     let random: u16 = rand::rng().random();
     (since.as_millis() as u64) << 16 | u64::from(random)
 }
--- a/crates/node/src/platform.rs
+++ b/crates/node/src/platform.rs
@@ -79,10 +79,7 @@
     loop {
         let members = node.with_view(bergamot_members::View::len) as u32;
         let shortest = node.settings().platform.poll;
-        let interval = jitter(
-            &node,
-            shortest.max(Duration::from_secs(1) * members / LIST_READS),
-        );
+        let interval = jitter(&node, shortest.max(Duration::from_secs(1) * members / LIST_READS));
         tokio::select! {
             () = node.stop.cancelled() => return,
             () = tokio::time::sleep(interval) => read_list(&node).await,
@@ -99,10 +96,7 @@
     match serde_json::from_slice::<Vec<Item>>(reply.body()) {
         Ok(items) => take_list(node, &items),
         Err(error) => {
-            node.meter()
-                .platform_failures
-                .with_label_values(&["instances"])
-                .inc();
+            node.meter().platform_failures.with_label_values(&["instances"]).inc();
             log::warn!("node: The instance list can't be read: {error}.");
         }
     }
@@ -114,20 +108,13 @@
     for item in items {
         let leaving = &*item.state == "leaving";
         if let Ok(ip) = item.address.parse() {
-            instances.push(Listed {
-                ip,
-                zone: Name::clone(&item.zone),
-                leaving,
-            });
+            instances.push(Listed { ip, zone: Name::clone(&item.zone), leaving });
         } else if let Ok(searcher) = item.address.parse::<SocketAddr>() {
             if leaving {
                 node.heard_leaving(searcher, None);
             }
         } else {
-            log::warn!(
-                "node: The instance list names {}, which is no address.",
-                item.address
-            );
+            log::warn!("node: The instance list names {}, which is no address.", item.address);
         }
     }
     let mut control = node.lock();
@@ -138,9 +125,7 @@
 }
 
 async fn watch_once(node: &Arc<Node>) {
-    let after = node
-        .current()
-        .map_or(0, |current| current.document.revision);
+    let after = node.current().map_or(0, |current| current.document.revision);
     let path = format!("/v1/watch?after={after}&wait_ms={}", WATCH.as_millis());
     let timeout = WATCH + node.settings().platform.timeout;
     let reply = tokio::select! {
@@ -160,10 +145,7 @@
     let known = |refused: &mut std::collections::HashSet<u64>| !refused.insert(hash);
     let parsed = Document::parse(reply.body());
     if parsed.is_err() {
-        let mut refused = node
-            .refused
-            .lock()
-            .unwrap_or_else(std::sync::PoisonError::into_inner);
+        let mut refused = node.refused.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
         if known(&mut refused) {
             return;
         }
@@ -188,27 +170,20 @@
         Ok(reply) => format!("status {}", reply.status()),
         Err(fault) => fault.to_string(),
     };
-    node.meter()
-        .platform_failures
-        .with_label_values(&[what])
-        .inc();
+    node.meter().platform_failures.with_label_values(&[what]).inc();
     log::debug!("node: Reading the platform's {what} failed: {cause}.");
     None
 }
 
 fn is_reader(node: &Node) -> bool {
     let per_zone = node.settings().control.readers as usize;
-    node.with_view(|view| readers(view, per_zone))
-        .contains(&node.me())
+    node.with_view(|view| readers(view, per_zone)).contains(&node.me())
 }
 
 fn direct_interval(node: &Node) -> Duration {
     let members = node.with_view(bergamot_members::View::len) as u32;
     let shortest = node.settings().control.direct;
-    jitter(
-        node,
-        shortest.max(Duration::from_secs(1) * members / DIRECT_READS),
-    )
+    jitter(node, shortest.max(Duration::from_secs(1) * members / DIRECT_READS))
 }
 
 /// Spreads a period over half to one and a half of itself.
--- a/crates/node/src/pulls.rs
+++ b/crates/node/src/pulls.rs
@@ -38,16 +38,11 @@
         .filter(|current| current.document.revision > request.revision)
         .map(|current| current.parcel.clone().without(&request.held));
     let Some(theirs) = &request.view else {
-        return Bundle {
-            parcel,
-            view: Vec::new(),
-        };
+        return Bundle { parcel, view: Vec::new() };
     };
     let mut control = node.lock();
     let view = control.view.iter().cloned().collect();
-    let Control {
-        prober, view: ours, ..
-    } = &mut *control;
+    let Control { prober, view: ours, .. } = &mut *control;
     prober.learn_all(Instant::now(), theirs, ours);
     node.refresh_homes(&mut control);
     Bundle { parcel, view }
@@ -68,10 +63,7 @@
         });
     } else if theirs.revision == ours.revision && theirs.hash != ours.hash && ours.revision > 0 {
         node.meter().clashes.set(1);
-        log::error!(
-            "config: {from} has revision {} with other content.",
-            theirs.revision
-        );
+        log::error!("config: {from} has revision {} with other content.", theirs.revision);
     } else if theirs.view != ours.view {
         let drawn = node.lock().rng.random_ratio(1, VIEW_EXCHANGE);
         if drawn {
@@ -117,12 +109,8 @@
     let current = node.current();
     let view = with_view.then(|| node.with_view(|view| view.iter().cloned().collect()));
     let request = Pull {
-        revision: current
-            .as_ref()
-            .map_or(0, |current| current.document.revision),
-        held: current
-            .as_ref()
-            .map_or_else(Vec::new, |current| current.parcel.hashes()),
+        revision: current.as_ref().map_or(0, |current| current.document.revision),
+        held: current.as_ref().map_or_else(Vec::new, |current| current.parcel.hashes()),
         view,
     };
     let bundle = pull(node.settings().instance.address, peer, &request, TIMEOUT).await?;
--- a/crates/query/src/merge.rs
+++ b/crates/query/src/merge.rs
@@ -68,30 +68,14 @@
 impl Merge {
     /// Starts a merge over the shards to be asked, each with its map position.
     pub fn new(pin: Pin, map: usize, asked: impl IntoIterator<Item = (Shard, usize)>) -> Self {
-        let slot = |position| Slot {
-            position,
-            answered: false,
-            reason: Reason::Deadline,
-        };
-        let shards = asked
-            .into_iter()
-            .map(|(shard, position)| (shard, slot(position)))
-            .collect();
-        Self {
-            pin,
-            map,
-            shards,
-            documents: 0,
-            hits: Vec::new(),
-        }
+        let slot = |position| Slot { position, answered: false, reason: Reason::Deadline };
+        let shards = asked.into_iter().map(|(shard, position)| (shard, slot(position))).collect();
+        Self { pin, map, shards, documents: 0, hits: Vec::new() }
     }
 
     /// Takes a partial answer in, or refuses it.
     pub fn offer(&mut self, partial: Partial) -> Result<(), Rejection> {
-        let slot = self
-            .shards
-            .get_mut(&partial.shard)
-            .ok_or(Rejection::NotAsked)?;
+        let slot = self.shards.get_mut(&partial.shard).ok_or(Rejection::NotAsked)?;
         if slot.answered {
             return Err(Rejection::Repeated);
         }
@@ -114,11 +98,7 @@
 
     /// Returns the shards that have not answered.
     pub fn open(&self) -> Vec<Shard> {
-        self.shards
-            .iter()
-            .filter(|(_, slot)| !slot.answered)
-            .map(|(shard, _)| *shard)
-            .collect()
+        self.shards.iter().filter(|(_, slot)| !slot.answered).map(|(shard, _)| *shard).collect()
     }
 
     /// Tells whether every shard that was asked has answered.
@@ -134,10 +114,7 @@
             .shards
             .values()
             .filter(|slot| !slot.answered)
-            .map(|slot| Missing {
-                shard: slot.position,
-                reason: slot.reason,
-            })
+            .map(|slot| Missing { shard: slot.position, reason: slot.reason })
             .collect();
         let coverage = Coverage {
             map: self.map,
@@ -147,9 +124,6 @@
             complete: missing.is_empty(),
             missing,
         };
-        Outcome {
-            hits: self.hits,
-            coverage,
-        }
+        Outcome { hits: self.hits, coverage }
     }
 }
--- a/crates/query/src/pin.rs
+++ b/crates/query/src/pin.rs
@@ -51,8 +51,7 @@
     ///
     /// Shards of which nothing is known don't vote: the query finds out.
     pub fn newest(&self, shards: &[Shard]) -> Option<Version> {
-        self.common(shards)
-            .and_then(|versions| versions.last().copied())
+        self.common(shards).and_then(|versions| versions.last().copied())
     }
 
     /// Returns the newest common version, or else the newest that most shards hold.
@@ -62,17 +61,10 @@
     pub fn best(&self, shards: &[Shard]) -> Option<Version> {
         self.newest(shards).or_else(|| {
             let mut counts = BTreeMap::<Version, usize>::new();
-            for version in shards
-                .iter()
-                .filter_map(|shard| self.shards.get(shard))
-                .flatten()
-            {
+            for version in shards.iter().filter_map(|shard| self.shards.get(shard)).flatten() {
                 *counts.entry(*version).or_default() += 1;
             }
-            counts
-                .into_iter()
-                .max_by_key(|&(version, count)| (count, version))
-                .map(|(v, _)| v)
+            counts.into_iter().max_by_key(|&(version, count)| (count, version)).map(|(v, _)| v)
         })
     }
 
@@ -91,16 +83,11 @@
                 .and_modify(|common| *common = &*common & versions)
                 .or_insert_with(|| versions.clone());
         }
-        services
-            .into_iter()
-            .map(|(service, held)| (service, held.into_iter().collect()))
-            .collect()
+        services.into_iter().map(|(service, held)| (service, held.into_iter().collect())).collect()
     }
 
     /// Iterates over the shards and their versions.
     pub fn iter(&self) -> impl Iterator<Item = (Shard, Vec<Version>)> + '_ {
-        self.shards
-            .iter()
-            .map(|(shard, held)| (*shard, held.iter().copied().collect()))
+        self.shards.iter().map(|(shard, held)| (*shard, held.iter().copied().collect()))
     }
 }
--- /dev/null
+++ b/crates/query/tests/properties.rs
@@ -0,0 +1,46 @@
+//! Properties of the merge under any order of offers.
+
+use bergamot_base::{Entity, Name, Shard};
+use bergamot_query::{Hit, Merge, Partial, Pin, Reason, Shape};
+use proptest::prelude::*;
+
+const PIN: Pin = Pin { revision: 3, epoch: 2, version: 7 };
+const SHARDS: usize = 6;
+
+/// An answer that may be for a wrong snapshot or a shard that was not asked.
+fn partial() -> impl Strategy<Value = Partial> {
+    (0..SHARDS + 2, 6_u64..9, 1_u64..4, 0_u64..100).prop_map(|(shard, version, epoch, rank)| {
+        let key = Name::from(format!("{shard}-{rank}"));
+        let body = Name::from(format!("v{version}e{epoch}"));
+        Partial {
+            shard: Shard::from_index(shard),
+            pin: Pin { version, epoch, ..PIN },
+            documents: 1,
+            hits: vec![Hit { key, rank, body }],
+        }
+    })
+}
+
+proptest! {
+    #[test]
+    fn nothing_but_the_pin_is_merged_and_every_shard_counts_once(
+        partials in proptest::collection::vec(partial(), 0..30),
+    ) {
+        let asked = (0..SHARDS).map(|i| (Shard::from_index(i), i));
+        let mut merge = Merge::new(PIN, SHARDS, asked);
+        for partial in partials {
+            merge.miss(partial.shard, Reason::Busy);
+            // Refusals are part of the property.
+            let _ = merge.offer(partial);
+        }
+        let whole = merge.whole();
+        let outcome = merge.finish(&Shape::Scan);
+        let stamp = format!("v{}e{}", PIN.version, PIN.epoch);
+        prop_assert!(outcome.hits.iter().all(|hit| *hit.body == *stamp));
+        let coverage = outcome.coverage;
+        prop_assert_eq!(coverage.complete, whole);
+        prop_assert_eq!(coverage.answered as u64, coverage.documents);
+        prop_assert_eq!(coverage.answered, outcome.hits.len());
+        prop_assert_eq!(coverage.answered + coverage.missing.len(), SHARDS);
+    }
+}
--- a/crates/standin/src/corpus.rs
+++ b/crates/standin/src/corpus.rs
@@ -27,9 +27,7 @@
 
     /// Returns the keys that the shard holds.
     fn keys(&self) -> impl Iterator<Item = Name> + '_ {
-        (0..self.documents)
-            .map(Self::key)
-            .filter(|key| self.holds(key))
+        (0..self.documents).map(Self::key).filter(|key| self.holds(key))
     }
 
     fn holds(&self, key: &str) -> bool {
@@ -40,11 +38,7 @@
     pub fn hit(&self, key: &Name, version: Version) -> Hit {
         let rank = hash_pair(hash_bytes(key.as_bytes()), version) >> 32;
         let body = Name::from(format!("{key}@v{version}e{}", self.epoch));
-        Hit {
-            key: Name::clone(key),
-            rank,
-            body,
-        }
+        Hit { key: Name::clone(key), rank, body }
     }
 
     /// Searches the shard and returns its size and the hits.
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -128,10 +128,7 @@
                     document: self.document_reads.load(Ordering::Relaxed),
                     instances: self.instance_reads.load(Ordering::Relaxed),
                 };
-                json(
-                    StatusCode::OK,
-                    serde_json::to_vec(&counts).unwrap_or_default(),
-                )
+                json(StatusCode::OK, serde_json::to_vec(&counts).unwrap_or_default())
             }
             (&Method::POST, "/down") => self.set_down(true),
             (&Method::POST, "/up") => self.set_down(false),
@@ -165,14 +162,9 @@
     async fn watch(&self, query: Option<&str>) -> Response<Body> {
         self.document_reads.fetch_add(1, Ordering::Relaxed);
         let number = |name: &str| {
-            let pairs = query
-                .unwrap_or_default()
-                .split('&')
-                .filter_map(|pair| pair.split_once('='));
-            pairs
-                .into_iter()
-                .find(|(key, _)| *key == name)
-                .and_then(|(_, n)| n.parse().ok())
+            let pairs =
+                query.unwrap_or_default().split('&').filter_map(|pair| pair.split_once('='));
+            pairs.into_iter().find(|(key, _)| *key == name).and_then(|(_, n)| n.parse().ok())
         };
         let after: u64 = number("after").unwrap_or(0);
         let wait = Duration::from_millis(number("wait_ms").unwrap_or(1000));
@@ -190,10 +182,7 @@
     }
 
     async fn take_document(&self, request: Request<Incoming>) -> Response<Body> {
-        match read_body(request, LARGEST)
-            .await
-            .map(|body| String::from_utf8(body.to_vec()))
-        {
+        match read_body(request, LARGEST).await.map(|body| String::from_utf8(body.to_vec())) {
             Ok(Ok(document)) => {
                 self.publish(&document);
                 text(StatusCode::OK, "published")
@@ -221,14 +210,8 @@
 /// Reads the revision loosely: the service publishes whatever operators give it.
 fn published(text: &str) -> Published {
     let value: serde_json::Value = serde_json::from_str(text).unwrap_or_default();
-    let revision = value
-        .get("revision")
-        .and_then(serde_json::Value::as_u64)
-        .unwrap_or(u64::MAX);
-    Published {
-        text: Name::from(text),
-        revision,
-    }
+    let revision = value.get("revision").and_then(serde_json::Value::as_u64).unwrap_or(u64::MAX);
+    Published { text: Name::from(text), revision }
 }
 
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
--- a/crates/standin/src/searcher.rs
+++ b/crates/standin/src/searcher.rs
@@ -186,9 +186,7 @@
     /// Starts a searcher.
     pub async fn start(settings: SearcherSettings) -> Result<Self, Fault> {
         let listener = listen(settings.address).await?;
-        let mut rng = settings
-            .seed
-            .generator(&format!("searcher {}", settings.address));
+        let mut rng = settings.seed.generator(&format!("searcher {}", settings.address));
         let run = Name::from(format!("{:016x}", rand::rng().random::<u64>()));
         let state = State {
             versions: settings.versions.iter().copied().collect(),
@@ -248,10 +246,7 @@
 
     /// Returns the most connections open at once, and how many came above the limit.
     pub fn connections(&self) -> (usize, usize) {
-        (
-            self.0.peak.load(Ordering::Relaxed),
-            self.0.over.load(Ordering::Relaxed),
-        )
+        (self.0.peak.load(Ordering::Relaxed), self.0.over.load(Ordering::Relaxed))
     }
 
     /// Returns how many connections were accepted.
@@ -308,10 +303,7 @@
     // Failure only costs time.
     let _ = stream.set_nodelay(true);
     tokio::time::sleep(inner.settings.limits.connect_cost).await;
-    let one_way = inner
-        .settings
-        .geography
-        .one_way(peer.ip(), &inner.settings.zone);
+    let one_way = inner.settings.geography.one_way(peer.ip(), &inner.settings.zone);
     let service = service_fn(move |request| {
         let inner = Arc::clone(inner);
         async move {
@@ -322,9 +314,7 @@
         }
     });
     // A cut connection is what the caller sees; there is nothing to add here.
-    let _ = http1::Builder::new()
-        .serve_connection(TokioIo::new(stream), service)
-        .await;
+    let _ = http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
 }
 
 impl Inner {
@@ -338,10 +328,9 @@
             (&Method::DELETE, path) if path.starts_with(protocol::REQUESTS) => {
                 self.cancel(&path[protocol::REQUESTS.len()..])
             }
-            (&Method::GET, "/effects") => json(
-                StatusCode::OK,
-                serde_json::to_vec(&self.lock().effects).ok()?,
-            ),
+            (&Method::GET, "/effects") => {
+                json(StatusCode::OK, serde_json::to_vec(&self.lock().effects).ok()?)
+            }
             (&Method::POST, "/faults") => self.take_faults(request).await,
             _ => text(StatusCode::NOT_FOUND, "unknown path"),
         };
@@ -353,18 +342,11 @@
     fn mark(&self, response: &mut Response<Body>, status: bool) {
         let state = self.lock();
         let held: Vec<Version> = state.versions.iter().copied().collect();
-        let claimed = state
-            .faults
-            .claimed
-            .clone()
-            .filter(|_| status)
-            .unwrap_or(held);
+        let claimed = state.faults.claimed.clone().filter(|_| status).unwrap_or(held);
         let versions: Vec<_> = claimed.iter().map(ToString::to_string).collect();
         let mut set = |name: &'static str, value: &str| {
             if let Ok(value) = HeaderValue::from_str(value) {
-                response
-                    .headers_mut()
-                    .insert(HeaderName::from_static(name), value);
+                response.headers_mut().insert(HeaderName::from_static(name), value);
             }
         };
         set(protocol::RUN, &self.run);
@@ -411,20 +393,10 @@
         if cut {
             return None;
         }
-        let version = if wrong {
-            search.version + 1
-        } else {
-            search.version
-        };
+        let version = if wrong { search.version + 1 } else { search.version };
         let (documents, hits) = corpus.search(&search.query, version);
         let Search { shard, epoch, .. } = *search;
-        let found = Found {
-            shard,
-            epoch,
-            version,
-            documents,
-            hits,
-        };
+        let found = Found { shard, epoch, version, documents, hits };
         Some(json(StatusCode::OK, serde_json::to_vec(&found).ok()?))
     }
 
@@ -446,20 +418,13 @@
         let mut state = self.lock();
         state.ledger += 1;
         let receipt = Name::from(format!("{}-{}", self.run, state.ledger));
-        state.effects.push(Effect::Write {
-            key,
-            record: write.record,
-            body: write.body,
-        });
+        state.effects.push(Effect::Write { key, record: write.record, body: write.body });
         let cut = state.draw(|faults| faults.cut_writes);
         drop(state);
         if cut {
             return None;
         }
-        Some(json(
-            StatusCode::OK,
-            serde_json::to_vec(&Receipt { receipt }).ok()?,
-        ))
+        Some(json(StatusCode::OK, serde_json::to_vec(&Receipt { receipt }).ok()?))
     }
 
     /// Waits for a slot and takes the time that a request takes.
@@ -475,9 +440,7 @@
         if state.faults.gone {
             return Some(text(StatusCode::GONE, "leaving"));
         }
-        state
-            .draw(|faults| faults.shed)
-            .then(|| text(StatusCode::SERVICE_UNAVAILABLE, "shed"))
+        state.draw(|faults| faults.shed).then(|| text(StatusCode::SERVICE_UNAVAILABLE, "shed"))
     }
 
     fn cancel(&self, id: &str) -> Response<Body> {
@@ -526,26 +489,15 @@
 }
 
 fn headers(request: &Request<Incoming>) -> (Name, Duration) {
-    let text = |name| {
-        request
-            .headers()
-            .get(name)
-            .and_then(|value| value.to_str().ok())
-    };
-    let left = text(protocol::DEADLINE)
-        .and_then(|text| text.parse().ok())
-        .unwrap_or(1_000_000);
-    (
-        Name::from(text(protocol::REQUEST).unwrap_or_default()),
-        Duration::from_micros(left),
-    )
+    let text = |name| request.headers().get(name).and_then(|value| value.to_str().ok());
+    let left = text(protocol::DEADLINE).and_then(|text| text.parse().ok()).unwrap_or(1_000_000);
+    (Name::from(text(protocol::REQUEST).unwrap_or_default()), Duration::from_micros(left))
 }
 
 fn not_run(status: StatusCode, cause: &'static str) -> Response<Body> {
     let mut response = text(status, cause);
-    response.headers_mut().insert(
-        HeaderName::from_static(protocol::NOT_RUN),
-        HeaderValue::from_static("1"),
-    );
+    response
+        .headers_mut()
+        .insert(HeaderName::from_static(protocol::NOT_RUN), HeaderValue::from_static("1"));
     response
 }
--- a/crates/upstream/src/budget.rs
+++ b/crates/upstream/src/budget.rs
@@ -19,13 +19,7 @@
 impl Budget {
     /// Makes a full bucket that earns `fraction` tokens a unit, up to `reserve`.
     pub fn new(fraction: f64, reserve: f64) -> Self {
-        Self {
-            fraction,
-            reserve,
-            tokens: reserve,
-            spent: 0,
-            denied: 0,
-        }
+        Self { fraction, reserve, tokens: reserve, spent: 0, denied: 0 }
     }
 
     /// Changes what a unit of work earns.
@@ -53,10 +47,6 @@
 
 impl fmt::Display for Budget {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(
-            f,
-            "tokens {:.1} spent {} denied {}",
-            self.tokens, self.spent, self.denied
-        )
+        write!(f, "tokens {:.1} spent {} denied {}", self.tokens, self.spent, self.denied)
     }
 }
--- a/crates/upstream/src/choose.rs
+++ b/crates/upstream/src/choose.rs
@@ -31,11 +31,7 @@
 impl Candidate<'_> {
     fn expected(&self, now: Instant) -> Duration {
         let rounds = 1 + self.load / self.slots.max(1);
-        let cold = if self.health.is_cold(now) {
-            COLD_FACTOR
-        } else {
-            1
-        };
+        let cold = if self.health.is_cold(now) { COLD_FACTOR } else { 1 };
         self.health.mean() * rounds as u32 * cold
     }
 
--- a/crates/upstream/src/client.rs
+++ b/crates/upstream/src/client.rs
@@ -6,7 +6,6 @@
 //! late reply is ever taken for another request's. A write is sent once: after its
 //! first byte may have left, every doubt is [`Effect::Unknown`].
 
-use std::fmt;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
@@ -17,6 +16,7 @@
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::{Method, Request, Response, StatusCode};
 use serde::Serialize;
+use snafu::Snafu;
 use tokio::sync::oneshot;
 use tokio_util::sync::CancellationToken;
 
@@ -32,7 +32,8 @@
 const DRAIN: Duration = Duration::from_millis(250);
 
 /// An error of an exchange with a searcher.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Snafu)]
+#[snafu(display("{step} {peer}: {cause} ({reason})"))]
 pub struct Fault {
     /// What was being done.
     pub step: Step,
@@ -46,12 +47,7 @@
 
 impl Fault {
     pub(crate) fn new(step: Step, peer: Peer, cause: &str) -> Self {
-        Self {
-            step,
-            peer,
-            cause: cause.to_owned(),
-            reason: Reason::Unreachable,
-        }
+        Self { step, peer, cause: cause.to_owned(), reason: Reason::Unreachable }
     }
 
     fn because(self, reason: Reason) -> Self {
@@ -59,18 +55,6 @@
     }
 }
 
-impl fmt::Display for Fault {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(
-            f,
-            "{} {}: {} ({})",
-            self.step, self.peer, self.cause, self.reason
-        )
-    }
-}
-
-impl std::error::Error for Fault {}
-
 /// What a call carries besides its content.
 #[derive(Clone, Debug)]
 pub struct Call {
@@ -154,9 +138,7 @@
         };
         if !self.may_start(call, &may_send) {
             lease.give_back().await;
-            return Err(self
-                .fault("send", "no longer allowed")
-                .because(Reason::Deadline));
+            return Err(self.fault("send", "no longer allowed").because(Reason::Deadline));
         }
         let request = self.request(Method::POST, protocol::SEARCH, call, search);
         let started = Instant::now();
@@ -169,9 +151,7 @@
             drop(slot);
             reply
         });
-        let reply = exchange
-            .await
-            .map_err(|error| self.fault("send", &error.to_string()))??;
+        let reply = exchange.await.map_err(|error| self.fault("send", &error.to_string()))??;
         self.read(&reply, started.elapsed())
     }
 
@@ -207,14 +187,12 @@
             Err(_elapsed) => {
                 Effect::Unknown("the deadline passed after the write was sent".to_owned())
             }
-            Ok(Err(error)) if error.message().is_some() => Effect::NotRun(format!(
-                "the connection closed before sending: {}",
-                error.error()
-            )),
-            Ok(Err(error)) => Effect::Unknown(format!(
-                "the connection failed after sending: {}",
-                error.error()
-            )),
+            Ok(Err(error)) if error.message().is_some() => {
+                Effect::NotRun(format!("the connection closed before sending: {}", error.error()))
+            }
+            Ok(Err(error)) => {
+                Effect::Unknown(format!("the connection failed after sending: {}", error.error()))
+            }
             Ok(Ok(response)) => self.effect(lease, response, call).await,
         };
         drop(slot);
@@ -223,16 +201,8 @@
 
     /// Asks for the status, to learn the run, its versions and whether it leaves.
     pub async fn status(self: &Arc<Self>, deadline: Deadline) -> Result<(), Fault> {
-        let call = Call {
-            id: Name::from("status"),
-            deadline,
-            cancel: CancellationToken::new(),
-        };
-        let lease = self
-            .pool
-            .lease(deadline)
-            .await
-            .inspect_err(|_| self.failed())?;
+        let call = Call { id: Name::from("status"), deadline, cancel: CancellationToken::new() };
+        let lease = self.pool.lease(deadline).await.inspect_err(|_| self.failed())?;
         let request = self.request(Method::GET, protocol::STATUS, &call, &());
         self.exchange(lease, request, &call).await.map(|_reply| ())
     }
@@ -241,19 +211,13 @@
         let (sender, receiver) = oneshot::channel();
         let entry = self.slots().enter(Instant::now(), call.deadline, sender);
         match entry {
-            Entry::Go => Ok(Slot {
-                client: Arc::clone(self),
-                took: None,
-            }),
+            Entry::Go => Ok(Slot { client: Arc::clone(self), took: None }),
             Entry::Refuse(after) => {
                 let cause = format!("the queue is full, come back in {} ms", after.as_millis());
                 Err(self.fault("wait for a slot", &cause).because(Reason::Busy))
             }
             Entry::Wait => {
-                let waiting = Waiting {
-                    client: self,
-                    receiver: Some(receiver),
-                };
+                let waiting = Waiting { client: self, receiver: Some(receiver) };
                 tokio::select! {
                     slot = waiting.slot() => slot,
                     () = call.cancel.cancelled() => Err(self.fault("wait for a slot", "cancelled")),
@@ -329,11 +293,9 @@
         &self,
         reply: impl Future<Output = Result<Response<Bytes>, Fault>>,
     ) -> Result<Response<Bytes>, Fault> {
-        tokio::time::timeout(DRAIN, reply)
-            .await
-            .unwrap_or_else(|_elapsed| {
-                Err(self.fault("read reply", "late").because(Reason::Deadline))
-            })
+        tokio::time::timeout(DRAIN, reply).await.unwrap_or_else(|_elapsed| {
+            Err(self.fault("read reply", "late").because(Reason::Deadline))
+        })
     }
 
     /// Cancels a request at the searcher by its name, if a connection is free for it.
@@ -357,40 +319,23 @@
         response: Response<hyper::body::Incoming>,
     ) -> Result<Response<Bytes>, Fault> {
         let (parts, body) = response.into_parts();
-        let whole = Limited::new(body, LARGEST_REPLY)
-            .collect()
-            .await
-            .map_err(|error| {
-                self.failed();
-                self.fault("read reply", &error.to_string())
-                    .because(Reason::BadReply)
-            })?;
+        let whole = Limited::new(body, LARGEST_REPLY).collect().await.map_err(|error| {
+            self.failed();
+            self.fault("read reply", &error.to_string()).because(Reason::BadReply)
+        })?;
         Ok(Response::from_parts(parts, whole.to_bytes()))
     }
 
     /// Learns from the headers of any reply.
     fn note<T>(&self, response: &Response<T>) {
-        let header = |name| {
-            response
-                .headers()
-                .get(name)
-                .and_then(|value| value.to_str().ok())
-        };
+        let header = |name| response.headers().get(name).and_then(|value| value.to_str().ok());
         let Some(run) = header(protocol::RUN) else {
             return;
         };
         let mut health = self.health();
-        health.seen(
-            Instant::now(),
-            &Name::from(run),
-            header(protocol::LEAVING).is_some(),
-        );
+        health.seen(Instant::now(), &Name::from(run), header(protocol::LEAVING).is_some());
         if let Some(versions) = header(protocol::VERSIONS) {
-            health.holds(
-                versions
-                    .split(',')
-                    .filter_map(|version| version.parse().ok()),
-            );
+            health.holds(versions.split(',').filter_map(|version| version.parse().ok()));
         }
     }
 
@@ -399,28 +344,25 @@
             StatusCode::OK => {
                 let found = serde_json::from_slice(reply.body()).map_err(|error| {
                     self.failed();
-                    self.fault("decode reply", &error.to_string())
-                        .because(Reason::BadReply)
+                    self.fault("decode reply", &error.to_string()).because(Reason::BadReply)
                 })?;
                 self.health().answered(took);
                 Ok(found)
             }
-            StatusCode::CONFLICT => Err(self
-                .fault("search", "version not held")
-                .because(Reason::VersionGone)),
+            StatusCode::CONFLICT => {
+                Err(self.fault("search", "version not held").because(Reason::VersionGone))
+            }
             StatusCode::SERVICE_UNAVAILABLE => {
                 self.failed();
                 Err(self.fault("search", "shed").because(Reason::Busy))
             }
             StatusCode::GONE => Err(self.fault("search", "leaving").because(Reason::Leaving)),
-            StatusCode::GATEWAY_TIMEOUT => Err(self
-                .fault("search", "deadline passed there")
-                .because(Reason::Deadline)),
+            StatusCode::GATEWAY_TIMEOUT => {
+                Err(self.fault("search", "deadline passed there").because(Reason::Deadline))
+            }
             status => {
                 self.failed();
-                Err(self
-                    .fault("search", status.as_str())
-                    .because(Reason::BadReply))
+                Err(self.fault("search", status.as_str()).because(Reason::BadReply))
             }
         }
     }
@@ -504,14 +446,10 @@
         let granted = receiver.await;
         self.receiver = None;
         match granted {
-            Ok(()) => Ok(Slot {
-                client: Arc::clone(self.client),
-                took: None,
-            }),
-            Err(_closed) => Err(self
-                .client
-                .fault("wait for a slot", "deadline")
-                .because(Reason::Deadline)),
+            Ok(()) => Ok(Slot { client: Arc::clone(self.client), took: None }),
+            Err(_closed) => {
+                Err(self.client.fault("wait for a slot", "deadline").because(Reason::Deadline))
+            }
         }
     }
 }
--- a/crates/upstream/src/fleet.rs
+++ b/crates/upstream/src/fleet.rs
@@ -57,14 +57,7 @@
             let client = self.clients.get(&row.address).map_or_else(
                 || {
                     let guess = distance(document, settings, &row.zone);
-                    fresh(
-                        settings.instance.address,
-                        row.address,
-                        share,
-                        slots,
-                        settings,
-                        guess,
-                    )
+                    fresh(settings.instance.address, row.address, share, slots, settings, guess)
                 },
                 Arc::clone,
             );
--- a/crates/upstream/src/pool.rs
+++ b/crates/upstream/src/pool.rs
@@ -72,23 +72,9 @@
 impl Pool {
     /// Makes an empty pool.
     pub fn new(local: Ipv4Addr, remote: SocketAddr, share: usize, dial: Duration) -> Arc<Self> {
-        let usage = Usage {
-            share,
-            ..Usage::default()
-        };
-        let state = State {
-            usage,
-            idle: Vec::new(),
-            shrunk: None,
-            closing: false,
-        };
-        Arc::new(Self {
-            local,
-            remote,
-            dial,
-            state: Mutex::new(state),
-            freed: Notify::new(),
-        })
+        let usage = Usage { share, ..Usage::default() };
+        let state = State { usage, idle: Vec::new(), shrunk: None, closing: false };
+        Arc::new(Self { local, remote, dial, state: Mutex::new(state), freed: Notify::new() })
     }
 
     /// Changes the share; connections above it close when they are returned.
@@ -109,10 +95,7 @@
     /// Returns the counts.
     pub fn usage(&self) -> Usage {
         let state = self.lock();
-        Usage {
-            idle: state.idle.len(),
-            ..state.usage
-        }
+        Usage { idle: state.idle.len(), ..state.usage }
     }
 
     /// Opens one connection ahead of need, if the share has room.
@@ -156,10 +139,7 @@
     }
 
     fn lend(self: &Arc<Self>, sender: Sender) -> Lease {
-        Lease {
-            pool: Arc::clone(self),
-            sender: Some(sender),
-        }
+        Lease { pool: Arc::clone(self), sender: Some(sender) }
     }
 
     fn pop(&self) -> Option<Sender> {
@@ -185,10 +165,7 @@
 
     /// Dials into a reserved place, which is given back on failure or cancellation.
     async fn dial(self: &Arc<Self>) -> Result<Sender, Fault> {
-        let mut place = Place {
-            pool: self,
-            kept: false,
-        };
+        let mut place = Place { pool: self, kept: false };
         let dialled = tokio::time::timeout(self.dial, self.handshake()).await;
         let sender = dialled
             .unwrap_or_else(|_elapsed| Err(self.fault("dial", "timeout")))
@@ -206,10 +183,7 @@
             .await
             .map_err(|error| fault("handshake", &error))?;
         tokio::spawn(connection);
-        sender
-            .ready()
-            .await
-            .map_err(|error| fault("handshake", &error))?;
+        sender.ready().await.map_err(|error| fault("handshake", &error))?;
         Ok(sender)
     }
 
@@ -282,9 +256,7 @@
 impl Lease {
     /// Returns the connection for sending.
     pub(crate) fn sender(&mut self) -> &mut Sender {
-        self.sender
-            .as_mut()
-            .expect("a lease holds its connection until it is given back")
+        self.sender.as_mut().expect("a lease holds its connection until it is given back")
     }
 
     /// Returns the connection to the pool once it has become ready for more work.
@@ -293,10 +265,7 @@
             return;
         };
         let pool = Arc::clone(&self.pool);
-        let place = Place {
-            pool: &pool,
-            kept: false,
-        };
+        let place = Place { pool: &pool, kept: false };
         if sender.ready().await.is_ok() {
             let mut place = place;
             place.kept = true;
--- a/crates/upstream/src/slots.rs
+++ b/crates/upstream/src/slots.rs
@@ -30,7 +30,7 @@
 /// The slots of one searcher as one home uses them, with its queue of waiters.
 #[derive(Debug)]
 pub struct Slots<T> {
-    slots: usize,
+    width: usize,
     longest: usize,
     busy: usize,
     serial: u64,
@@ -42,24 +42,17 @@
     /// Makes the queue for a number of slots and at most `longest` waiters.
     pub fn new(slots: usize, longest: usize) -> Self {
         let queue = BTreeMap::new();
-        Self {
-            slots,
-            longest,
-            busy: 0,
-            serial: 0,
-            queue,
-            mean: FIRST_GUESS,
-        }
+        Self { width: slots, longest, busy: 0, serial: 0, queue, mean: FIRST_GUESS }
     }
 
     /// Changes the number of slots; work already let through stays.
     pub fn resize(&mut self, slots: usize) {
-        self.slots = slots;
+        self.width = slots;
     }
 
     /// Returns the number of slots.
     pub fn width(&self) -> usize {
-        self.slots
+        self.width
     }
 
     /// Returns how much work is let through or waits.
@@ -69,7 +62,7 @@
 
     /// Lets work through, queues it or refuses it at once.
     pub fn enter(&mut self, now: Instant, deadline: Deadline, waiter: T) -> Entry {
-        if self.busy < self.slots {
+        if self.busy < self.width {
             self.busy += 1;
             return Entry::Go;
         }
@@ -91,7 +84,7 @@
             self.mean = (self.mean * (SMOOTHING - 1) + took) / SMOOTHING;
         }
         self.busy = self.busy.saturating_sub(1);
-        if self.busy >= self.slots {
+        if self.busy >= self.width {
             return None;
         }
         while let Some(((deadline, _), waiter)) = self.queue.pop_first() {
@@ -104,7 +97,7 @@
     }
 
     fn wait(&self, ahead: usize) -> Duration {
-        self.mean * (ahead + 1) as u32 / self.slots.max(1) as u32
+        self.mean * (ahead + 1) as u32 / self.width.max(1) as u32
     }
 }
 
@@ -115,7 +108,7 @@
             f,
             "slots {}/{} queued {} mean {mean:.1} ms",
             self.busy,
-            self.slots,
+            self.width,
             self.queue.len()
         )
     }
--- a/crates/wire/src/channel.rs
+++ b/crates/wire/src/channel.rs
@@ -57,10 +57,7 @@
 impl<C: Connect> Channels<C> {
     /// Makes the set without a connection.
     pub fn new(local: Ipv4Addr) -> Self {
-        Self {
-            local,
-            open: Mutex::default(),
-        }
+        Self { local, open: Mutex::default() }
     }
 
     /// Returns the client of a peer, dialling where there is none.
@@ -142,8 +139,6 @@
 }
 
 fn framed(stream: TcpStream) -> Framed<TcpStream, LengthDelimitedCodec> {
-    let codec = LengthDelimitedCodec::builder()
-        .max_frame_length(LARGEST_MESSAGE)
-        .new_codec();
+    let codec = LengthDelimitedCodec::builder().max_frame_length(LARGEST_MESSAGE).new_codec();
     Framed::new(stream, codec)
 }
--- a/crates/wire/src/datagram.rs
+++ b/crates/wire/src/datagram.rs
@@ -1,15 +1,15 @@
 //! Control datagrams as CBOR.
 
-use std::fmt;
-
 use bergamot_base::{Peer, Step};
 use bergamot_members::Datagram;
+use snafu::Snafu;
 
 /// The largest datagram that is sent or taken, in bytes, so that it fits one packet.
 pub const LARGEST_DATAGRAM: usize = 1400;
 
 /// A datagram that can't be read.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Snafu)]
+#[snafu(display("{step} {peer}: {cause}"))]
 pub struct Garbled {
     /// What was being done.
     pub step: Step,
@@ -19,14 +19,6 @@
     pub cause: String,
 }
 
-impl fmt::Display for Garbled {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{} {}: {}", self.step, self.peer, self.cause)
-    }
-}
-
-impl std::error::Error for Garbled {}
-
 /// Encodes a datagram and drops the last rumours where it would not fit one packet.
 pub fn encode(mut datagram: Datagram) -> Vec<u8> {
     loop {
--- a/crates/wire/src/rpc.rs
+++ b/crates/wire/src/rpc.rs
@@ -4,10 +4,7 @@
 //! daemon that has another one in force refuses it with its own revision. Entities in
 //! a message are therefore always read against the document they were made from.
 
-#![allow(
-    missing_docs,
-    reason = "tarpc's macro makes items that can't carry documentation"
-)]
+#![allow(missing_docs, reason = "tarpc's macro makes items that can't carry documentation")]
 
 use bergamot_base::{Deadline, Name, Revision, Service, Shard, Version};
 use bergamot_query::{Partial, Pin, Reason, Shape};
--- a/crates/wire/src/stream.rs
+++ b/crates/wire/src/stream.rs
@@ -132,6 +132,6 @@
         .await
         .unwrap_or(Err(Error::ConnectionClosed))
         .map_err(|error| Fault::new("receive control message", peer, error))?;
-    ciborium::from_reader(&message.into_data()[..])
+    ciborium::from_reader(&*message.into_data())
         .map_err(|error| Fault::new("decode control message", peer, error))
 }
--- a/crates/write/src/key.rs
+++ b/crates/write/src/key.rs
@@ -65,10 +65,7 @@
             incarnation: number(incarnation).ok_or(Flaw)?,
             window: number(window).ok_or(Flaw)?,
         };
-        Ok(Self {
-            prefix,
-            unique: Name::from(unique),
-        })
+        Ok(Self { prefix, unique: Name::from(unique) })
     }
 }
 
--- a/crates/write/src/outcome.rs
+++ b/crates/write/src/outcome.rs
@@ -50,19 +50,11 @@
 
     /// Reports a write that did not run.
     pub fn not_run(reason: impl Into<Name>) -> Self {
-        Self {
-            status: Status::NotRun,
-            reason: reason.into(),
-            receipt: None,
-        }
+        Self { status: Status::NotRun, reason: reason.into(), receipt: None }
     }
 
     /// Reports a write of which nobody can say whether it ran.
     pub fn unknown(reason: impl Into<Name>) -> Self {
-        Self {
-            status: Status::Unknown,
-            reason: reason.into(),
-            receipt: None,
-        }
+        Self { status: Status::Unknown, reason: reason.into(), receipt: None }
     }
 }
--- a/crates/write/src/owner.rs
+++ b/crates/write/src/owner.rs
@@ -61,21 +61,12 @@
 impl Owner {
     /// Starts the memory of a run whose keys are usable for `window` to twice that.
     pub fn new(incarnation: Incarnation, start: Instant, window: Duration) -> Self {
-        Self {
-            incarnation,
-            start,
-            window,
-            entries: HashMap::new(),
-            swept: 0,
-        }
+        Self { incarnation, start, window, entries: HashMap::new(), swept: 0 }
     }
 
     /// Returns the prefix for keys that are made now.
     pub fn prefix(&self, now: Instant) -> Prefix {
-        Prefix {
-            incarnation: self.incarnation,
-            window: self.current(now),
-        }
+        Prefix { incarnation: self.incarnation, window: self.current(now) }
     }
 
     /// Decides about a request with a key and the digest of its content.
@@ -88,10 +79,7 @@
         match self.entries.get_mut(key) {
             Some(entry) if entry.digest != digest => return Decision::Conflict,
             Some(Entry { outcome: None, .. }) => return Decision::Join,
-            Some(Entry {
-                outcome: Some(outcome),
-                ..
-            }) if outcome.status != Status::NotRun => {
+            Some(Entry { outcome: Some(outcome), .. }) if outcome.status != Status::NotRun => {
                 return Decision::Replay(outcome.clone());
             }
             Some(entry) => {
@@ -106,13 +94,7 @@
         if self.entries.len() >= MOST {
             return Decision::Full;
         }
-        self.entries.insert(
-            key.clone(),
-            Entry {
-                digest,
-                outcome: None,
-            },
-        );
+        self.entries.insert(key.clone(), Entry { digest, outcome: None });
         Decision::Execute
     }
 
@@ -125,9 +107,7 @@
 
     /// Returns the outcome of a key, if it has one.
     pub fn outcome(&self, key: &Key) -> Option<&Outcome> {
-        self.entries
-            .get(key)
-            .and_then(|entry| entry.outcome.as_ref())
+        self.entries.get(key).and_then(|entry| entry.outcome.as_ref())
     }
 
     /// Returns the digest of a write's content, which must not change under a key.
@@ -163,11 +143,7 @@
 
 impl fmt::Display for Owner {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let running = self
-            .entries
-            .values()
-            .filter(|entry| entry.outcome.is_none())
-            .count();
+        let running = self.entries.values().filter(|entry| entry.outcome.is_none()).count();
         let count = |status| {
             let has = |entry: &&Entry| entry.outcome.as_ref().is_some_and(|o| o.status == status);
             self.entries.values().filter(has).count()
--- a/daemons/src/bin/bergamotctl.rs
+++ b/daemons/src/bin/bergamotctl.rs
@@ -62,10 +62,7 @@
 struct Addresses {
     #[options(help = "show this text")]
     help: bool,
-    #[options(
-        free,
-        help = "the callers' address of an entry, such as 127.0.0.1:7400"
-    )]
+    #[options(free, help = "the callers' address of an entry, such as 127.0.0.1:7400")]
     entry: Vec<SocketAddr>,
     #[options(help = "the caller's availability zone", meta = "ZONE")]
     zone: Option<String>,
@@ -76,10 +73,7 @@
     let arguments = match Arguments::parse_args_default(&args) {
         Ok(arguments) => arguments,
         Err(error) => {
-            return Failure::Usage {
-                cause: error.to_string(),
-            }
-            .report(PROGRAM);
+            return Failure::Usage { cause: error.to_string() }.report(PROGRAM);
         }
     };
     if arguments.version {
@@ -104,17 +98,12 @@
 
 #[expect(clippy::unnecessary_wraps, reason = "all commands have one type")]
 fn help<T: Options>(command: &str) -> Result<(), Failure> {
-    println!(
-        "{}",
-        usage::<T>(format!("{PROGRAM} {command}").trim_end(), ABOUT)
-    );
+    println!("{}", usage::<T>(format!("{PROGRAM} {command}").trim_end(), ABOUT));
     Ok(())
 }
 
 fn wrong(cause: &str) -> Failure {
-    Failure::Usage {
-        cause: cause.to_owned(),
-    }
+    Failure::Usage { cause: cause.to_owned() }
 }
 
 fn check(options: &Check) -> Result<(), Failure> {
@@ -127,11 +116,7 @@
     }
     for path in &options.document {
         let document = load_document(path)?;
-        println!(
-            "{}: document is valid, revision {}",
-            path.display(),
-            document.revision
-        );
+        println!("{}: document is valid, revision {}", path.display(), document.revision);
         if options.print {
             print!("{document}");
         }
@@ -146,50 +131,33 @@
         peer: bergamot_base::Peer::File(name.as_ref().into()),
         source,
     })?;
-    Document::parse(&text).map_err(|refusal| Failure::Refused {
-        source: refusal.at(&name),
-    })
+    Document::parse(&text).map_err(|refusal| Failure::Refused { source: refusal.at(&name) })
 }
 
 fn dump(options: &Dump) -> Result<(), Failure> {
     if options.admin.is_empty() {
         return Err(wrong("dump needs the admin address of a daemon"));
     }
-    let path = if options.metrics {
-        "/metrics"
-    } else {
-        "/state"
-    };
-    options
-        .admin
-        .iter()
-        .try_for_each(|admin| print_reply(*admin, path))
+    let path = if options.metrics { "/metrics" } else { "/state" };
+    options.admin.iter().try_for_each(|admin| print_reply(*admin, path))
 }
 
 fn addresses(options: &Addresses) -> Result<(), Failure> {
     let [entry] = options.entry[..] else {
         return Err(wrong("addresses needs the callers' address of one entry"));
     };
-    let zone = options
-        .zone
-        .as_ref()
-        .map(|zone| format!("?zone={zone}"))
-        .unwrap_or_default();
+    let zone = options.zone.as_ref().map(|zone| format!("?zone={zone}")).unwrap_or_default();
     print_reply(entry, &format!("/v1/addresses{zone}"))
 }
 
 #[tokio::main(flavor = "current_thread")]
 async fn print_reply(daemon: SocketAddr, path: &str) -> Result<(), Failure> {
     let local = Ipv4Addr::UNSPECIFIED;
-    let reply = fetch(local, daemon, path, TIMEOUT)
-        .await
-        .map_err(Failure::failed)?;
+    let reply = fetch(local, daemon, path, TIMEOUT).await.map_err(Failure::failed)?;
     let text = String::from_utf8_lossy(reply.body());
     if !reply.status().is_success() {
         let status = reply.status();
-        return Err(Failure::failed(format!(
-            "get {path} {daemon}: status {status}: {text}"
-        )));
+        return Err(Failure::failed(format!("get {path} {daemon}: status {status}: {text}")));
     }
     println!("{}", text.trim_end());
     Ok(())
--- a/daemons/src/launch.rs
+++ b/daemons/src/launch.rs
@@ -50,9 +50,7 @@
 impl Failure {
     /// Wraps the error of a service.
     pub fn failed(cause: impl fmt::Display) -> Self {
-        Self::Failed {
-            cause: cause.to_string(),
-        }
+        Self::Failed { cause: cause.to_string() }
     }
 
     /// Prints the failure and returns the exit code for it.
@@ -71,35 +69,26 @@
 fn read(step: &'static str, path: &Path) -> Result<String, Failure> {
     std::fs::read_to_string(path).map_err(|source| {
         let peer = Peer::File(Name::from(path.to_string_lossy()));
-        Failure::Unreadable {
-            step: Step(step),
-            peer,
-            source,
-        }
+        Failure::Unreadable { step: Step(step), peer, source }
     })
 }
 
 /// Reads and checks a settings file.
 pub fn load_settings(path: &Path) -> Result<Settings, Failure> {
     let text = read("read settings", path)?;
-    Settings::parse(&text).map_err(|refusal| Failure::Refused {
-        source: refusal.at(&path.to_string_lossy()),
-    })
+    Settings::parse(&text)
+        .map_err(|refusal| Failure::Refused { source: refusal.at(&path.to_string_lossy()) })
 }
 
 /// Returns the text of `--help`.
 pub fn usage<T: Options>(program: &str, about: &str) -> String {
-    let mut text = format!(
-        "{program}: {about}\n\nUsage: {program} [OPTIONS]\n\n{}",
-        T::usage()
-    );
-    if let Some(commands) = T::command_list() {
-        text += &format!("\n\nCommands:\n{commands}");
-    }
-    text
+    let commands =
+        T::command_list().map(|commands| format!("\n\nCommands:\n{commands}")).unwrap_or_default();
+    format!("{program}: {about}\n\nUsage: {program} [OPTIONS]\n\n{}{commands}", T::usage())
 }
 
 /// The options of a daemon.
+#[expect(clippy::struct_excessive_bools, reason = "each is a flag of the command line")]
 #[derive(Debug, Options)]
 struct Daemon {
     #[options(help = "show this text")]
@@ -129,10 +118,7 @@
     let options = match Daemon::parse_args_default(&args) {
         Ok(options) => options,
         Err(error) => {
-            return Failure::Usage {
-                cause: error.to_string(),
-            }
-            .report(program);
+            return Failure::Usage { cause: error.to_string() }.report(program);
         }
     };
     if options.help {
@@ -148,10 +134,7 @@
         return ExitCode::SUCCESS;
     }
     let Some(path) = options.settings else {
-        return Failure::Usage {
-            cause: "--settings FILE is needed".to_owned(),
-        }
-        .report(program);
+        return Failure::Usage { cause: "--settings FILE is needed".to_owned() }.report(program);
     };
     let settings = match load_settings(&path) {
         Ok(settings) => settings,
@@ -185,10 +168,7 @@
         running = start(Arc::new(settings)) => running.map_err(Failure::failed)?,
         _ = &mut asked => return Ok(ExitCode::SUCCESS),
     };
-    asked
-        .await
-        .map_err(Failure::failed)?
-        .map_err(Failure::failed)?;
+    asked.await.map_err(Failure::failed)?.map_err(Failure::failed)?;
     tokio::select! {
         () = stop(running) => Ok(ExitCode::SUCCESS),
         asked = stop_signal(true) => match asked {
