--- /dev/null
+++ b/daemons/tests/command_line.rs
@@ -0,0 +1,71 @@
+//! Options, settings and documents that are wrong are refused with what is allowed.
+
+mod support;
+
+use support::{CTL, ENTRY, GATHER, printed, run};
+
+/// Writes a file for one test.
+fn file(name: &str, text: &str) -> String {
+    let path = std::env::temp_dir().join(format!("bergamot-{}-{name}", std::process::id()));
+    std::fs::write(&path, text).expect("the temporary folder can be written");
+    path.to_string_lossy().into_owned()
+}
+
+#[test]
+fn every_program_has_help_and_version() {
+    for program in [CTL, ENTRY, GATHER] {
+        let (help, code) = printed(&run(program, &["--help"]));
+        assert!(help.contains("--version"), "{help}");
+        assert_eq!(code, Some(0));
+        let (version, code) = printed(&run(program, &["--version"]));
+        assert!(version.trim_end().ends_with(env!("CARGO_PKG_VERSION")), "{version}");
+        assert_eq!(code, Some(0));
+    }
+}
+
+#[test]
+fn unknown_options_are_refused() {
+    for program in [CTL, ENTRY, GATHER] {
+        let (text, code) = printed(&run(program, &["--bogus"]));
+        assert!(text.contains("--bogus"), "{text}");
+        assert_eq!(code, Some(2));
+    }
+}
+
+#[test]
+fn a_wrong_key_in_settings_is_named_with_what_is_allowed() {
+    let path = file("wrong-key.ini", "[instance]\nadress = 127.0.0.1\n");
+    for args in [["--settings", path.as_str(), "--check"], ["check", "--settings", path.as_str()]] {
+        let program = if args[0] == "check" { CTL } else { ENTRY };
+        let (text, code) = printed(&run(program, &args));
+        assert!(text.contains("wrong-key.ini"), "{text}");
+        assert!(text.contains("[instance] adress: found 127.0.0.1"), "{text}");
+        assert!(text.contains("one of the keys address, zone"), "{text}");
+        assert_eq!(code, Some(2));
+    }
+    std::fs::remove_file(path).expect("the file is this test's own");
+}
+
+#[test]
+fn a_truncated_document_is_refused_whole() {
+    let path = file("truncated.json", r#"{"revision": 7, "instances": 8, "places": ["#);
+    let (text, code) = printed(&run(CTL, &["check", "--document", &path]));
+    assert!(text.contains("truncated.json"), "{text}");
+    assert!(text.contains("EOF"), "{text}");
+    assert_eq!(code, Some(2));
+    std::fs::remove_file(path).expect("the file is this test's own");
+}
+
+#[test]
+fn a_missing_file_is_named() {
+    let (text, code) = printed(&run(CTL, &["check", "--document", "no-such-file.json"]));
+    assert!(text.contains("read document no-such-file.json"), "{text}");
+    assert_eq!(code, Some(2));
+}
+
+#[test]
+fn a_daemon_that_does_not_answer_is_named() {
+    let (text, code) = printed(&run(CTL, &["dump", "127.0.0.1:1"]));
+    assert!(text.contains("dial 127.0.0.1:1"), "{text}");
+    assert_eq!(code, Some(1));
+}
--- /dev/null
+++ b/daemons/tests/path.rs
@@ -0,0 +1,167 @@
+//! The whole path as separate processes: answers, errors, state and a graceful stop.
+
+mod support;
+
+use bergamot_base::Seed;
+use bergamot_bench::deployment::Deployment;
+use support::{Bed, CTL, get, post, printed, run, until};
+
+const SCAN: &str = r#"{"shape": "scan"}"#;
+const QUEUE: &str = "/v1/fraser-basin/queue-board/query";
+
+/// A path, headers and a body, with the status and the step that must come back.
+type Case<'a> = (&'a str, &'a [(&'a str, &'a str)], &'a str, u16, &'a str);
+
+/// Waits until a query on every shard of the queue board is complete.
+async fn warm(bed: &Bed) {
+    let entry = bed.entry(0);
+    until("a scan is complete", || async move {
+        post(entry, QUEUE, &[], SCAN).await.1["complete"] == true
+    })
+    .await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_is_served_from_one_end_to_the_other() {
+    let mut bed = Bed::start(Deployment::fraser_basin([50, 1], Seed(1)), 2, "").await;
+    bed.add(0).await;
+    bed.add(1).await;
+    warm(&bed).await;
+    let entry = bed.entry(1);
+
+    let (status, scan) = post(entry, QUEUE, &[], SCAN).await;
+    assert_eq!(status, 200);
+    assert_eq!(scan["hits"].as_array().map(Vec::len), Some(400), "every document of the service");
+    assert_eq!(scan["services"][0]["coverage"]["answered"], 20);
+    assert_eq!(scan["services"][0]["version"], 1);
+    assert_eq!(scan["revision"], 1);
+
+    let path = "/v1/fraser-basin/ramp-desk/query";
+    let (_, top) = post(entry, path, &[], r#"{"shape": "top", "k": 3}"#).await;
+    assert_eq!(top["hits"].as_array().map(Vec::len), Some(3));
+    let ranks: Vec<u64> = (0..3).filter_map(|i| top["hits"][i]["rank"].as_u64()).collect();
+    assert!(ranks.is_sorted(), "{ranks:?}");
+
+    let path = "/v1/fraser-basin/pad-tablet/query";
+    let (_, record) = post(entry, path, &[], r#"{"shape": "record", "key": "doc-7"}"#).await;
+    assert_eq!(record["hits"][0]["key"], "doc-7");
+    assert_eq!(record["services"][0]["coverage"]["asked"], 1);
+
+    let path = "/v1/fraser-basin/queue-board,ramp-desk/query";
+    let (_, both) = post(entry, path, &[], SCAN).await;
+    assert_eq!(both["services"].as_array().map(Vec::len), Some(2), "coverage service by service");
+    assert_eq!(both["complete"], true);
+
+    let path = "/v1/fraser-basin/glycol-ledger/write";
+    let write = r#"{"record": "doc-1", "body": "20 l type IV"}"#;
+    let (status, done) = post(entry, path, &[], write).await;
+    assert_eq!((status, &done["outcome"]), (200, &"done".into()));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_key_takes_effect_once_at_whichever_entry_it_arrives() {
+    let mut bed = Bed::start(Deployment::fraser_basin([50, 2], Seed(1)), 2, "").await;
+    bed.add(0).await;
+    bed.add(1).await;
+    warm(&bed).await;
+    let addresses: serde_json::Value =
+        serde_json::from_str(&get(bed.entry(0), "/v1/addresses").await).expect("valid JSON");
+    let key = format!("{}-order-1", addresses["write_prefix"].as_str().expect("a prefix"));
+    let path = "/v1/fraser-basin/glycol-ledger/write";
+    let headers = [("idempotency-key", key.as_str())];
+    let write = r#"{"record": "doc-1", "body": "20 l type IV"}"#;
+    let mut receipts = Vec::new();
+    for entry in [bed.entry(1), bed.entry(0), bed.entry(1)] {
+        let (_, answer) = post(entry, path, &headers, write).await;
+        assert_eq!(answer["outcome"], "done", "{answer}");
+        receipts.push(answer["receipt"].clone());
+    }
+    receipts.dedup();
+    assert_eq!(receipts.len(), 1, "one effect, one receipt");
+    let other = r#"{"record": "doc-2", "body": "another"}"#;
+    let (_, conflict) = post(bed.entry(0), path, &headers, other).await;
+    assert_eq!(conflict["outcome"], "not_run", "a key is for one request: {conflict}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn what_callers_get_wrong_is_told_with_step_and_peer() {
+    let mut bed = Bed::start(Deployment::fraser_basin([50, 3], Seed(1)), 1, "").await;
+    bed.add(0).await;
+    warm(&bed).await;
+    let entry = bed.entry(0);
+    let big = format!(r#"{{"shape": "scan", "pad": "{}"}}"#, "x".repeat(70_000));
+    let cases: [Case<'_>; 9] = [
+        ("/v1/fraser-basin/nothing/query", &[], SCAN, 404, "find service"),
+        ("/v1/nobody/queue-board/query", &[], SCAN, 404, "find service"),
+        ("/v2/anything", &[], SCAN, 404, "route"),
+        (QUEUE, &[("x-deadline-ms", "soon")], SCAN, 400, "read deadline"),
+        (QUEUE, &[("x-deadline-ms", "0")], SCAN, 400, "read deadline"),
+        (QUEUE, &[], &big, 413, "read body"),
+        (QUEUE, &[], r#"{"shape": "sc"#, 400, "read body"),
+        (QUEUE, &[], r#"{"shape": "top", "k": 0}"#, 400, "read body"),
+        (
+            "/v1/fraser-basin/glycol-ledger/write",
+            &[("idempotency-key", "x")],
+            "{}",
+            400,
+            "read key",
+        ),
+    ];
+    for (path, headers, body, status, step) in cases {
+        let (got, answer) = post(entry, path, headers, body).await;
+        assert_eq!(got, status, "{path} {answer}");
+        assert_eq!(answer["error"]["step"], step, "{path} {answer}");
+        assert_eq!(answer["error"]["peer"], "caller", "{path} {answer}");
+    }
+    let (_, after) = post(entry, QUEUE, &[], SCAN).await;
+    assert_eq!(after["complete"], true, "bad input loses nothing");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn state_and_metrics_stand_on_their_own_listener() {
+    let mut bed = Bed::start(Deployment::fraser_basin([50, 4], Seed(1)), 1, "").await;
+    bed.add(0).await;
+    warm(&bed).await;
+    let admin = bed.entry_admin(0).to_string();
+    let (state, code) = printed(&run(CTL, &["dump", &admin]));
+    assert_eq!(code, Some(0));
+    for part in ["[node]", "document r1", "[members]", "[homes]", "[admission]", "[writes]"] {
+        assert!(state.contains(part), "{part} in {state}");
+    }
+    let gather = get(bed.gather_admin(0), "/state").await;
+    assert!(gather.contains("[upstream]") && gather.contains("connections"), "{gather}");
+    let metrics = get(bed.entry_admin(0), "/metrics").await;
+    assert!(metrics.contains("bergamot_requests_total"), "{metrics}");
+    let (addresses, code) = printed(&run(CTL, &["addresses", &bed.entry(0).to_string()]));
+    assert_eq!(code, Some(0));
+    assert!(addresses.contains("write_prefix"), "{addresses}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stop_signal_ends_both_daemons_with_success() {
+    let extra = "[entry]\naddress_ttl = 200\n";
+    let mut bed = Bed::start(Deployment::fraser_basin([50, 5], Seed(1)), 1, extra).await;
+    bed.add(0).await;
+    warm(&bed).await;
+    let mut instance = bed.instances.remove(0);
+    instance.entry.signal("TERM");
+    // A second one asks for nothing more: what is in flight is still finished.
+    instance.entry.signal("TERM");
+    assert_eq!(instance.entry.wait(), Some(0));
+    instance.gather.signal("TERM");
+    assert_eq!(instance.gather.wait(), Some(0));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn one_instance_stands_in_for_listed_ones_that_never_came() {
+    let extra = "[control]\nprobe = 100\nanswer = 40\nsuspicion = 200\n";
+    let mut bed = Bed::start(Deployment::fraser_basin([50, 6], Seed(1)), 8, extra).await;
+    bed.add(5).await;
+    let entry = bed.entry(5);
+    until("a scan is complete", || async move {
+        post(entry, QUEUE, &[], SCAN).await.1["complete"] == true
+    })
+    .await;
+    let (_, over) = bed.stand_ins.connections();
+    assert_eq!(over, 0, "no connection above a limit");
+}
