--- a/crates/bench/src/cluster.rs
+++ b/crates/bench/src/cluster.rs
@@ -76,9 +76,24 @@
 
     /// Stops the daemons of an instance gracefully.
     pub async fn remove(&mut self, number: usize) {
-        if let Some(instance) = self.instances.remove(&number) {
-            futures::future::join(instance.entry.stop(), instance.gather.stop()).await;
-        }
+        self.remove_together(&[number]).await;
+    }
+
+    /// Stops the daemons of several instances gracefully at the same time.
+    pub async fn remove_together(&mut self, numbers: &[usize]) {
+        let leaving: Vec<_> =
+            numbers.iter().filter_map(|number| self.instances.remove(number)).collect();
+        let stops = leaving.into_iter().map(|instance| async move {
+            futures::future::join(instance.entry.stop(), instance.gather.stop()).await
+        });
+        futures::future::join_all(stops).await;
+    }
+
+    /// Returns the searchers of a service.
+    pub fn searchers_of(&self, name: &str) -> Vec<&Searcher> {
+        let named = |service: usize| self.deployment.services[service].name == name;
+        let own = self.searchers.iter().filter(|(service, _)| named(*service));
+        own.map(|(_, searcher)| searcher).collect()
     }
 
     /// Adds what the searchers did to a history.
--- a/crates/bench/src/load.rs
+++ b/crates/bench/src/load.rs
@@ -9,6 +9,7 @@
 use std::time::{Duration, Instant};
 
 use bergamot_base::{Name, Seed};
+use bergamot_config::Settings;
 use bergamot_entry::{Answer as Body, ErrorBody, WriteAnswer};
 use bergamot_net::Reply;
 use bergamot_query::Hit;
@@ -57,16 +58,36 @@
     arrivals
 }
 
+/// What load to send.
+#[derive(Clone, Debug)]
+pub struct Load {
+    /// The seed of arrivals.
+    pub seed: Seed,
+    /// For how long requests arrive.
+    pub time: Duration,
+    /// What multiplies the rates of the deployment.
+    pub scale: f64,
+    /// The entries that callers know from before.
+    pub entries: Vec<SocketAddr>,
+}
+
+impl Load {
+    /// The load of a deployment at its own rates, on all of its instances.
+    pub fn of(deployment: &Deployment, time: Duration) -> Self {
+        let port = Settings::default().ports.entry_callers;
+        let entry = |number| SocketAddr::from((deployment.instance(number), port));
+        let entries = (0..deployment.instances).map(entry).collect();
+        Self { seed: deployment.seed, time, scale: 1.0, entries }
+    }
+}
+
 /// Sends load to a deployment and returns what callers saw.
-///
-/// `scale` multiplies the rates of the deployment.
-pub async fn run(deployment: &Deployment, seed: Seed, time: Duration, scale: f64) -> History {
-    let first: Vec<SocketAddr> =
-        (0..deployment.instances).map(|n| (deployment.instance(n), 7400).into()).collect();
+pub async fn run(deployment: &Deployment, load: Load) -> History {
+    let Load { seed, time, scale, entries } = load;
     let callers: Vec<_> = deployment
         .zones()
         .into_iter()
-        .map(|(zone, _)| Arc::new(Caller::new(zone, first.clone())))
+        .map(|(zone, _)| Arc::new(Caller::new(zone, entries.clone())))
         .collect();
     let start = Instant::now();
     let deployment = Arc::new(deployment.clone());
--- a/crates/bench/src/quickstart.rs
+++ b/crates/bench/src/quickstart.rs
@@ -10,7 +10,7 @@
 use crate::cluster::Cluster;
 use crate::deployment::Deployment;
 use crate::history::{Ending, History};
-use crate::load;
+use crate::load::{self, Load};
 use crate::score::Card;
 
 /// How long the connections are given to warm before the load starts.
@@ -62,7 +62,9 @@
         clusters.push(Cluster::start(deployment, Settings::default()).await?);
     }
     tokio::time::sleep(WARM_UP).await;
-    let loads = clusters.iter().map(|cluster| load::run(&cluster.deployment, seed, time, 1.0));
+    let loads = clusters
+        .iter()
+        .map(|cluster| load::run(&cluster.deployment, Load::of(&cluster.deployment, time)));
     let histories = futures::future::join_all(loads).await;
     let mut whole = History::default();
     for (cluster, mut history) in clusters.iter().zip(histories) {
--- a/crates/bench/src/stand_ins.rs
+++ b/crates/bench/src/stand_ins.rs
@@ -1,6 +1,7 @@
 //! Stand-ins as a process of their own, for daemons that are started by hand.
 
 use std::fmt::Write as _;
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 
 use bergamot_base::Seed;
@@ -25,15 +26,15 @@
     std::fs::write(&written[0], deployment.document(1))?;
     for number in 0..deployment.instances {
         let path = folder.join(format!("instance-{number}.ini"));
-        std::fs::write(&path, settings_text(deployment, number))?;
+        std::fs::write(&path, settings_text(deployment, number, deployment.platform()))?;
         written.push(path);
     }
     Ok(written)
 }
 
-/// Returns the settings file of an instance.
-pub fn settings_text(deployment: &Deployment, number: usize) -> String {
-    let [configuration, instances] = deployment.platform();
+/// Returns the settings file of an instance that reads a platform.
+pub fn settings_text(deployment: &Deployment, number: usize, platform: [SocketAddr; 2]) -> String {
+    let [configuration, instances] = platform;
     let mut text = String::new();
     let _ = writeln!(text, "[instance]");
     let _ = writeln!(text, "address = {}", deployment.instance(number));
--- /dev/null
+++ b/crates/bench/tests/answers.rs
@@ -0,0 +1,146 @@
+//! Answers under failure: one snapshot, true coverage, each caller's own answer.
+
+mod support;
+
+use std::collections::HashSet;
+use std::time::Duration;
+
+use bergamot_bench::history::{Ending, History};
+use bergamot_standin::{Corpus, Faults};
+use support::{assert_held, start, under_load};
+
+const SECOND: Duration = Duration::from_secs(1);
+const STEP: Duration = Duration::from_millis(15);
+
+fn versions(history: &History) -> HashSet<u64> {
+    history.requests.iter().filter_map(|request| Some(request.answer.as_ref()?.version)).collect()
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_version_rolls_out_during_queries_and_never_mixes() {
+    let cluster = start([60, 1]).await;
+    let history = under_load(&cluster, 5 * SECOND, async {
+        for (_, searcher) in &cluster.searchers {
+            searcher.set_versions([1, 2]);
+            tokio::time::sleep(STEP).await;
+        }
+        for (_, searcher) in &cluster.searchers {
+            searcher.set_versions([2]);
+            tokio::time::sleep(STEP).await;
+        }
+    })
+    .await;
+    assert_held(&history);
+    assert_eq!(versions(&history), HashSet::from([1, 2]), "both versions were read");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_version_that_is_gone_ends_in_a_fresh_plan_or_a_truthful_part() {
+    let cluster = start([60, 2]).await;
+    let history = under_load(&cluster, 3 * SECOND, async {
+        tokio::time::sleep(SECOND).await;
+        // No overlap at all: the old version is gone before the new one is known.
+        for (_, searcher) in &cluster.searchers {
+            searcher.set_versions([2]);
+        }
+    })
+    .await;
+    assert_held(&history);
+    assert!(versions(&history).contains(&2), "the new version is found");
+    let late: Vec<_> =
+        history.requests.iter().filter(|request| request.due_us > 2_500_000).collect();
+    assert!(late.iter().all(|request| request.ending == Ending::Complete), "and is whole again");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn repartitioning_during_queries_never_mixes_epochs() {
+    let cluster = start([60, 3]).await;
+    let spec = cluster.deployment.services[0].clone();
+    let history = under_load(&cluster, 4 * SECOND, async {
+        tokio::time::sleep(SECOND).await;
+        // The new map turns the order of the shards around; searchers hold both.
+        for (number, searcher) in cluster.searchers_of(spec.name).into_iter().enumerate() {
+            let position = spec.shards - 1 - number / spec.replicas;
+            let Corpus { shards, documents, .. } =
+                Corpus { position, shards: spec.shards, epoch: 2, documents: spec.documents };
+            searcher.add_epoch(Corpus { position, shards, epoch: 2, documents });
+        }
+        cluster.platform.publish(&repartitioned(&cluster.deployment.document(2)));
+    })
+    .await;
+    assert_held(&history);
+    let epochs: HashSet<u64> = history
+        .requests
+        .iter()
+        .filter_map(|request| Some(request.answer.as_ref()?.epoch))
+        .collect();
+    assert_eq!(epochs, HashSet::from([1, 2]), "both maps were used");
+}
+
+/// Turns the shards of the first service around under a new epoch.
+fn repartitioned(document: &str) -> String {
+    let mut document: serde_json::Value = serde_json::from_str(document).expect("valid JSON");
+    let service = &mut document["workspaces"][0]["services"][0];
+    service["epoch"] = 2.into();
+    service["shards"].as_array_mut().expect("a list").reverse();
+    document.to_string()
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn replicas_that_lie_about_their_version_are_never_merged() {
+    let cluster = start([60, 4]).await;
+    let liar = Faults { wrong_version: true, ..Faults::default() };
+    let boaster = Faults { claimed: Some(vec![1, 9]), ..Faults::default() };
+    for (number, (_, searcher)) in cluster.searchers.iter().enumerate() {
+        match number % 4 {
+            0 => searcher.set_faults(liar.clone()),
+            1 => searcher.set_faults(boaster.clone()),
+            _ => {}
+        }
+    }
+    let history = under_load(&cluster, 3 * SECOND, async {}).await;
+    assert_held(&history);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn cut_and_shed_replies_never_cross_or_pass_for_whole() {
+    let cluster = start([60, 5]).await;
+    let faults =
+        Faults { cut: 0.1, shed: 0.1, straggle: 0.1, straggle_factor: 30.0, ..Faults::default() };
+    for (_, searcher) in &cluster.searchers {
+        searcher.set_faults(faults.clone());
+    }
+    let history = under_load(&cluster, 4 * SECOND, async {}).await;
+    assert_held(&history);
+    let (_, over) = cluster.connections();
+    assert_eq!(over, 0, "no connection above a limit");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_service_without_a_live_shard_says_so() {
+    let cluster = start([60, 6]).await;
+    // Both replicas of the first shard of the queue board die.
+    for searcher in &cluster.searchers_of("queue-board")[..2] {
+        searcher.kill();
+    }
+    let history = under_load(&cluster, 2 * SECOND, async {}).await;
+    assert_held(&history);
+    let board = history.requests.iter().filter(|request| request.service.ends_with("queue-board"));
+    for answer in board.filter_map(|request| request.answer.as_ref()) {
+        assert_eq!((answer.complete, &*answer.missing), (false, &[0][..]), "{answer:?}");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn writes_in_doubt_are_unknown_and_take_effect_at_most_once() {
+    let cluster = start([60, 7]).await;
+    let faults = Faults { cut_writes: 0.3, shed: 0.2, ..Faults::default() };
+    for searcher in cluster.searchers_of("glycol-ledger") {
+        searcher.set_faults(faults.clone());
+    }
+    let history = under_load(&cluster, 4 * SECOND, async {}).await;
+    assert_held(&history);
+    for ending in [Ending::Complete, Ending::Unknown, Ending::NotRun] {
+        assert!(history.count(ending) > 0, "some writes end as {ending:?}");
+    }
+}
--- /dev/null
+++ b/crates/bench/tests/fleet.rs
@@ -0,0 +1,176 @@
+//! The fleet under change: leaving searchers, rolling replacement, configuration.
+
+mod support;
+
+use std::time::Duration;
+
+use bergamot_base::Name;
+use bergamot_bench::cluster::Cluster;
+use bergamot_bench::history::Ending;
+use bergamot_bench::load::Load;
+use bergamot_standin::{Faults, Instance};
+use support::{assert_held, settings, start, start_with, under_load, until};
+
+const SECOND: Duration = Duration::from_secs(1);
+
+fn searches(cluster: &Cluster, service: &str) -> usize {
+    cluster.searchers_of(service).iter().step_by(2).map(|searcher| searcher.searches()).sum()
+}
+
+fn revisions(cluster: &Cluster) -> Vec<u64> {
+    let nodes = cluster.instances.values().flat_map(|i| [i.entry.node(), i.gather.node()]);
+    nodes.map(|node| node.current().map_or(0, |current| current.document.revision)).collect()
+}
+
+async fn all_have(cluster: &Cluster, revision: u64) {
+    until(&format!("revision {revision} is in force everywhere"), || async {
+        revisions(cluster).iter().all(|have| *have == revision)
+    })
+    .await;
+}
+
+/// A service of `queue-board` whose even searchers are leaving gets no new work.
+async fn no_new_work(cluster: &Cluster, mark: impl Future<Output = ()>) {
+    let history = under_load(cluster, 6 * SECOND, async {
+        tokio::time::sleep(SECOND).await;
+        mark.await;
+        // "After a few seconds": the promise that is checked.
+        tokio::time::sleep(3 * SECOND).await;
+        let settled = searches(cluster, "queue-board");
+        tokio::time::sleep(SECOND).await;
+        assert_eq!(searches(cluster, "queue-board"), settled, "no new work after a few seconds");
+    })
+    .await;
+    assert_held(&history);
+    // A busy machine may make some answers late, and then they say so.
+    assert!(history.count(Ending::Complete) * 2 > history.requests.len(), "others take the work");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn searchers_that_say_they_leave_get_no_new_work() {
+    let cluster = start([61, 1]).await;
+    let leaving = Faults { leaving: true, ..Faults::default() };
+    no_new_work(&cluster, async {
+        for searcher in cluster.searchers_of("queue-board").iter().step_by(2) {
+            searcher.set_faults(leaving.clone());
+        }
+    })
+    .await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn searchers_that_the_list_says_leave_get_no_new_work_even_when_the_list_goes_stale() {
+    let cluster = start([61, 2]).await;
+    let stale = cluster.deployment.list(0..8);
+    let mut fresh = stale.clone();
+    for searcher in cluster.searchers_of("queue-board").iter().step_by(2) {
+        fresh.push(Instance {
+            address: Name::from(searcher.address().to_string()),
+            zone: Name::from("yvr-south-a"),
+            state: Name::from("leaving"),
+        });
+    }
+    no_new_work(&cluster, async {
+        cluster.platform.list(fresh);
+        tokio::time::sleep(SECOND).await;
+        // The list forgets again: a stale list must not bring them back.
+        cluster.platform.list(stale);
+    })
+    .await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn the_whole_fleet_is_replaced_two_at_a_time_and_nothing_is_cut() {
+    let mut cluster = start([61, 3]).await;
+    let deployment = cluster.deployment.clone();
+    let loaded = deployment.clone();
+    let load = tokio::spawn(async move {
+        bergamot_bench::load::run(&loaded, Load::of(&loaded, 18 * SECOND)).await
+    });
+    for round in 0..4 {
+        let (old, new) = ([2 * round, 2 * round + 1], [8 + 2 * round, 9 + 2 * round]);
+        for number in new {
+            cluster.add(number).await.expect("the addresses are free");
+        }
+        cluster.platform.list(deployment.list(2 * round + 2..10 + 2 * round));
+        cluster.remove_together(&old).await;
+    }
+    let mut history = load.await.expect("the load ran to its end");
+    cluster.collect(&mut history);
+    assert_held(&history);
+    let (_, over) = cluster.connections();
+    assert_eq!(over, 0, "no connection above a limit while homes are replaced");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_accepted_document_is_in_force_everywhere_and_never_reverts() {
+    let cluster = start([61, 4]).await;
+    let document = |revision| cluster.deployment.document(revision);
+    cluster.platform.publish(&document(5));
+    all_have(&cluster, 5).await;
+    // The service answers with older values for a while.
+    cluster.platform.set_stale(Some(&document(3)));
+    tokio::time::sleep(2 * SECOND).await;
+    assert!(revisions(&cluster).iter().all(|have| *have == 5), "a stale service changes nothing");
+    cluster.platform.set_stale(None);
+    // Two operators race; the later revision wins wherever it arrives first.
+    cluster.platform.publish(&document(8));
+    cluster.platform.publish(&document(7));
+    all_have(&cluster, 8).await;
+    tokio::time::sleep(2 * SECOND).await;
+    assert!(
+        revisions(&cluster).iter().all(|have| *have == 8),
+        "the lower revision never comes back"
+    );
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_faulty_document_is_refused_whole_and_the_one_in_force_stays() {
+    let cluster = start([61, 5]).await;
+    let good = cluster.deployment.document(2);
+    let cut = &good[..good.len() / 2];
+    let wrong =
+        good.replace("\"slots\":2", "\"slots\":0").replace("\"revision\":2", "\"revision\":4");
+    for faulty in [cut, &wrong] {
+        cluster.platform.publish(faulty);
+        tokio::time::sleep(2 * SECOND).await;
+        assert!(revisions(&cluster).iter().all(|have| *have == 1), "revision 1 stays in force");
+    }
+    cluster.platform.publish(&cluster.deployment.document(5));
+    all_have(&cluster, 5).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_started_instance_beside_a_stale_service_serves_what_the_fleet_has() {
+    let mut cluster = start([61, 6]).await;
+    let (old, new) = (cluster.deployment.document(1), cluster.deployment.document(6));
+    cluster.platform.publish(&new);
+    all_have(&cluster, 6).await;
+    cluster.platform.set_stale(Some(&old));
+    cluster.add(8).await.expect("the address is free");
+    assert_eq!(revisions(&cluster).iter().min(), Some(&6), "taken from peers before it serves");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_fleet_serves_and_grows_while_the_platform_is_down() {
+    let mut cluster = start([61, 7]).await;
+    cluster.platform.set_down(true);
+    let history = under_load(&cluster, 3 * SECOND, async {}).await;
+    assert_held(&history);
+    cluster.platform.set_down(false);
+    cluster.platform.publish(&cluster.deployment.document(2));
+    all_have(&cluster, 2).await;
+    cluster.add(8).await.expect("the address is free");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn reads_of_the_configuration_service_come_from_a_few_readers() {
+    let cluster = start_with([61, 8], settings()).await;
+    let before = cluster.platform.counts().document;
+    cluster.platform.publish(&cluster.deployment.document(2));
+    all_have(&cluster, 2).await;
+    let reads = cluster.platform.counts().document - before;
+    let daemons = 2 * cluster.instances.len() as u64;
+    // Two readers in each of six zones renew their watch; direct reads are rare.
+    assert!(reads <= 2 * daemons, "{reads} reads by {daemons} daemons for one change");
+}
--- /dev/null
+++ b/crates/bench/tests/support/mod.rs
@@ -0,0 +1,100 @@
+//! A cluster in this process under load, with faults, and the check of its history.
+
+#![allow(dead_code, reason = "each test file uses a part of the support")]
+
+use std::time::{Duration, Instant};
+
+use bergamot_base::Seed;
+use bergamot_bench::check::{Promise, Violation, check};
+use bergamot_bench::cluster::Cluster;
+use bergamot_bench::deployment::Deployment;
+use bergamot_bench::history::{Ending, History};
+use bergamot_bench::load::{self, Load};
+use bergamot_config::Settings;
+
+/// The seed of all tests, so that a failure can be repeated.
+pub const SEED: Seed = Seed(7);
+
+/// How long anything that must happen is waited for.
+pub const PATIENCE: Duration = Duration::from_secs(20);
+
+/// The time of the load that tells whether everything is connected.
+const SHORT: Duration = Duration::from_millis(200);
+
+/// Settings that let tests be short: everything periodic happens more often.
+pub fn settings() -> Settings {
+    let mut settings = Settings::default();
+    settings.control.probe = Duration::from_millis(100);
+    settings.control.answer = Duration::from_millis(40);
+    settings.control.suspicion = Duration::from_millis(400);
+    settings.control.direct = Duration::from_secs(1);
+    settings.platform.poll = Duration::from_millis(300);
+    settings.gather.status = Duration::from_millis(100);
+    settings.entry.address_ttl = Duration::from_millis(300);
+    settings
+}
+
+/// Starts Fraser Basin at its size and waits until every searcher is connected.
+pub async fn start(block: [u8; 2]) -> Cluster {
+    start_with(block, settings()).await
+}
+
+/// Starts Fraser Basin with settings of one's own.
+pub async fn start_with(block: [u8; 2], settings: Settings) -> Cluster {
+    let deployment = Deployment::fraser_basin(block, SEED);
+    let cluster = Cluster::start(deployment, settings).await.expect("the block is this test's own");
+    warm(&cluster).await;
+    cluster
+}
+
+/// Waits until a short load is complete.
+pub async fn warm(cluster: &Cluster) {
+    until("a short load is complete", || async {
+        let history = load::run(&cluster.deployment, Load::of(&cluster.deployment, SHORT)).await;
+        !history.requests.is_empty() && history.count(Ending::Complete) == history.requests.len()
+    })
+    .await;
+}
+
+/// Waits until a condition holds.
+pub async fn until<F: Future<Output = bool>>(what: &str, condition: impl Fn() -> F) {
+    let end = Instant::now() + PATIENCE;
+    while Instant::now() < end {
+        if condition().await {
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    panic!("waited in vain until {what}");
+}
+
+/// Runs load beside a script of faults and returns the history with the effects.
+pub async fn under_load(
+    cluster: &Cluster,
+    time: Duration,
+    script: impl Future<Output = ()>,
+) -> History {
+    let load = load::run(&cluster.deployment, Load::of(&cluster.deployment, time));
+    let (mut history, ()) = futures::future::join(load, script).await;
+    cluster.collect(&mut history);
+    history
+}
+
+/// Asserts that every promise held, and that the load was not just refused.
+pub fn assert_held(history: &History) {
+    assert_held_but(history, |_| false);
+}
+
+/// Asserts that every promise held but for violations that are expected.
+pub fn assert_held_but(history: &History, expected: impl Fn(&Violation) -> bool) {
+    let violations: Vec<_> = check(history).into_iter().filter(|v| !expected(v)).collect();
+    let lines: Vec<_> = violations.iter().map(ToString::to_string).collect();
+    assert!(lines.is_empty(), "seed {SEED:?}:\n{}", lines.join("\n"));
+    let complete = history.count(Ending::Complete);
+    assert!(complete > 0, "something was answered");
+}
+
+/// Tells whether a violation is a request that was lost.
+pub fn is_loss(violation: &Violation) -> bool {
+    violation.promise == Promise::NoLoss
+}
--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -4,6 +4,7 @@
 //! default, range and meaning. The struct, the defaults, the check and the help
 //! text are made from it.
 
+use std::collections::HashSet;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::time::Duration;
 
@@ -235,9 +236,13 @@
         })?;
         let mut settings = Self::default();
         let mut flaws = Vec::new();
+        let mut seen = HashSet::new();
         for (section, keys) in &ini {
             let section = section.unwrap_or_default();
             for (key, text) in keys {
+                if !seen.insert((section, key)) {
+                    flaws.push(Flaw::new(format!("[{section}] {key}"), text, "each key once"));
+                }
                 if let Err(allowed) = settings.set(section, key, text) {
                     flaws.push(Flaw::new(format!("[{section}] {key}"), text, allowed));
                 }
--- a/crates/entry/src/search.rs
+++ b/crates/entry/src/search.rs
@@ -312,7 +312,7 @@
     }
 
     /// The homes of a cell to ask, in order; mute ones go last unless a trial is due.
-    fn candidates(&self, cell: Cell, service: Service) -> Vec<Endpoint> {
+    pub(crate) fn candidates(&self, cell: Cell, service: Service) -> Vec<Endpoint> {
         let order = self.node.homes().order(cell, service);
         let now = Instant::now();
         let limit = self.node.settings().entry.failover * 2;
--- a/crates/entry/src/write.rs
+++ b/crates/entry/src/write.rs
@@ -165,10 +165,7 @@
             record: Name::clone(&order.record),
             body: Name::clone(&order.body),
         };
-        for home in self.node.homes().order(document.layout.cell(shard), service) {
-            if !self.node.takes_work(home) {
-                continue;
-            }
+        for home in self.searcher.candidates(document.layout.cell(shard), service) {
             let address = self.searcher.address(home);
             let Ok(client) = self.searcher.channels().get(address).await else {
                 continue;
--- a/crates/gather/src/keeper.rs
+++ b/crates/gather/src/keeper.rs
@@ -1,6 +1,7 @@
 //! The upkeep of a gather: which searchers it holds, warm connections, status, news.
 
 use std::collections::HashSet;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -31,26 +32,13 @@
     }
 }
 
-/// Takes in reports of leaving searchers until `stop`.
-pub(crate) async fn listen(inner: Arc<Inner>, stop: CancellationToken) {
-    let mut reports = inner.node.leaving();
-    loop {
-        let report = tokio::select! {
-            () = stop.cancelled() => return,
-            report = reports.recv() => report,
-        };
-        // A lagging receiver loses old reports; the searchers' own answers remain.
-        let Ok((searcher, run)) = report else {
-            continue;
-        };
-        let Some(holding) = inner.holding() else {
-            continue;
-        };
-        if let Some(client) = holding.fleet.at(searcher)
-            && client.health().told_leaving(run.as_ref())
-        {
-            log::info!("upstream: Searcher {searcher} is leaving, says the fleet.");
-        }
+/// Takes in the word that a run of a searcher is leaving.
+pub(crate) fn told_leaving(inner: &Inner, searcher: SocketAddr, run: Option<&Name>) {
+    let Some(holding) = inner.holding() else { return };
+    if let Some(client) = holding.fleet.at(searcher)
+        && client.health().told_leaving(run)
+    {
+        log::info!("upstream: Searcher {searcher} is leaving, says the fleet.");
     }
 }
 
@@ -86,7 +74,7 @@
 }
 
 /// Passes on, once a run, that a searcher said itself that it is leaving.
-fn report(inner: &Inner, client: &Client, reported: &mut HashSet<(std::net::SocketAddr, Name)>) {
+fn report(inner: &Inner, client: &Client, reported: &mut HashSet<(SocketAddr, Name)>) {
     let (leaving, run) = {
         let health = client.health();
         (health.is_leaving(), health.run().map(Name::clone))
@@ -94,7 +82,7 @@
     let Some(run) = run else { return };
     if leaving && reported.insert((client.address(), Name::clone(&run))) {
         log::info!("upstream: Searcher {} is leaving; passed on.", client.address());
-        inner.node.report_leaving(client.address(), Some(run));
+        inner.node.report_leaving(client.address(), run);
     }
 }
 
--- a/crates/gather/src/service.rs
+++ b/crates/gather/src/service.rs
@@ -63,6 +63,12 @@
         let homes = self.node.homes();
         let settings = self.node.settings();
         let next = Holding::next(before.as_deref(), current, &homes, self.node.me(), settings);
+        // Searchers that are held from now on may have been reported before.
+        for (searcher, run) in self.node.leaving() {
+            if let Some(client) = next.fleet.at(searcher) {
+                client.health().told_leaving(Some(&run));
+            }
+        }
         self.holding.store(Some(Arc::new(next)));
     }
 
@@ -114,9 +120,14 @@
         });
         inner.refresh();
         add_dumps(&inner);
+        let this = Arc::downgrade(&inner);
+        inner.node.on_leaving(Box::new(move |searcher, run| {
+            if let Some(inner) = this.upgrade() {
+                keeper::told_leaving(&inner, searcher, run);
+            }
+        }));
         let stop = CancellationToken::new();
         tokio::spawn(keeper::follow(Arc::clone(&inner), stop.clone()));
-        tokio::spawn(keeper::listen(Arc::clone(&inner), stop.clone()));
         tokio::spawn(keeper::keep(Arc::clone(&inner), stop.clone()));
         let server = Server(Arc::clone(&inner));
         let served = tokio::spawn(serve_requests(
--- a/crates/members/src/rumour.rs
+++ b/crates/members/src/rumour.rs
@@ -32,9 +32,9 @@
         /// The searcher.
         #[serde(rename = "a")]
         searcher: SocketAddr,
-        /// The run, where known.
+        /// The run.
         #[serde(rename = "r")]
-        run: Option<Name>,
+        run: Name,
     },
 }
 
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -47,7 +47,7 @@
     node.transmit(out);
     for rumour in leaving {
         if let Rumour::Leaving { searcher, run } = rumour {
-            node.heard_leaving(searcher, run);
+            node.heard_leaving(searcher, Some(run));
         }
     }
     pulls::compare(node, datagram, digest);
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -17,7 +17,7 @@
 mod signal;
 
 pub use meter::Meter;
-pub use node::{Current, Dump, Node};
+pub use node::{Current, Dump, LeavingSink, Node};
 pub use signal::{Stop, stop_signal};
 
 /// Re-exported so that services register metrics with the node's registry.
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -1,9 +1,9 @@
 //! One run of a daemon as the fleet sees it.
 
-use std::collections::HashSet;
+use std::collections::{BTreeMap, HashSet};
 use std::fmt::{self, Write as _};
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use arc_swap::{ArcSwap, ArcSwapOption};
@@ -17,15 +17,15 @@
 use rand::RngExt;
 use rand::rngs::StdRng;
 use tokio::net::UdpSocket;
-use tokio::sync::{broadcast, watch};
+use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
 
 use crate::awake::Awake;
 use crate::meter::Meter;
 use crate::{admin, control, platform, pulls};
 
-/// How many reports of leaving searchers may wait for the service to take them.
-const LEAVING_BUFFER: usize = 4096;
+/// How many leaving searchers are remembered for members that wake up or start.
+const MOST_LEAVING: usize = 4096;
 
 /// How often a starting node tries to get a document.
 const RETRY: Duration = Duration::from_millis(200);
@@ -36,6 +36,9 @@
 /// How many times a farewell is sent.
 const FAREWELLS: usize = 3;
 
+/// What a service does with the word that a run of a searcher is leaving.
+pub type LeavingSink = Box<dyn Fn(SocketAddr, Option<&Name>) + Send + Sync>;
+
 /// A part of the state dump: its title and what to write.
 pub type Dump = Box<dyn Fn() -> String + Send + Sync>;
 
@@ -66,7 +69,9 @@
     current: ArcSwapOption<Current>,
     homes: ArcSwap<Homes>,
     changed: watch::Sender<u64>,
-    leaving: broadcast::Sender<(SocketAddr, Option<Name>)>,
+    leaving: Mutex<BTreeMap<SocketAddr, Name>>,
+    pub(crate) listed_leaving: Mutex<HashSet<SocketAddr>>,
+    leaving_sink: OnceLock<LeavingSink>,
     pub(crate) awake: Awake,
     pub(crate) socket: UdpSocket,
     pub(crate) refused: Mutex<HashSet<u64>>,
@@ -103,7 +108,9 @@
             current: ArcSwapOption::empty(),
             homes: ArcSwap::default(),
             changed: watch::Sender::new(0),
-            leaving: broadcast::Sender::new(LEAVING_BUFFER),
+            leaving: Mutex::default(),
+            listed_leaving: Mutex::default(),
+            leaving_sink: OnceLock::new(),
             awake: Awake::new(settings.control.pause),
             socket,
             refused: Mutex::default(),
@@ -189,19 +196,42 @@
         self.changed.subscribe()
     }
 
-    /// Returns a receiver of searchers that peers or the platform report as leaving.
-    pub fn leaving(&self) -> broadcast::Receiver<(SocketAddr, Option<Name>)> {
-        self.leaving.subscribe()
+    /// Sets what is done, at once, with the word that a searcher is leaving.
+    pub fn on_leaving(&self, sink: LeavingSink) {
+        if self.leaving_sink.set(sink).is_err() {
+            log::error!("node: The sink for leaving searchers was set twice; the first stays.");
+        }
     }
 
     /// Tells the fleet that a searcher is leaving.
-    pub fn report_leaving(&self, searcher: SocketAddr, run: Option<Name>) {
+    pub fn report_leaving(&self, searcher: SocketAddr, run: Name) {
+        self.remember_leaving(searcher, Name::clone(&run));
         self.lock().prober.spread(Rumour::Leaving { searcher, run });
     }
 
+    /// Takes in the word that a searcher is leaving.
     pub(crate) fn heard_leaving(&self, searcher: SocketAddr, run: Option<Name>) {
-        // Without a subscriber, as in an entry, there is nobody to tell.
-        let _ = self.leaving.send((searcher, run));
+        if let Some(sink) = self.leaving_sink.get() {
+            sink(searcher, run.as_ref());
+        }
+        if let Some(run) = run {
+            self.remember_leaving(searcher, run);
+        }
+    }
+
+    /// Remembers the word for members that start or wake up when the rumour is over.
+    fn remember_leaving(&self, searcher: SocketAddr, run: Name) {
+        let mut leaving = self.leaving.lock().unwrap_or_else(PoisonError::into_inner);
+        leaving.insert(searcher, run);
+        if leaving.len() > MOST_LEAVING {
+            leaving.pop_first();
+        }
+    }
+
+    /// Returns the searchers known to be leaving, with the runs that are.
+    pub fn leaving(&self) -> Vec<(SocketAddr, Name)> {
+        let leaving = self.leaving.lock().unwrap_or_else(PoisonError::into_inner);
+        leaving.iter().map(|(searcher, run)| (*searcher, Name::clone(run))).collect()
     }
 
     /// Tells whether new work may be sent to an endpoint.
--- a/crates/node/src/platform.rs
+++ b/crates/node/src/platform.rs
@@ -6,8 +6,9 @@
 //! comes from peers. Invariant: the reads of the whole fleet stay below
 //! `readers * (1 / WATCH + changes) + DIRECT_READS` a second, whatever its size.
 
+use std::collections::HashSet;
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::{Arc, PoisonError};
 use std::time::Duration;
 
 use bergamot_base::{Name, hash_bytes};
@@ -105,18 +106,20 @@
 /// Takes in the list: instances by IP number, searchers by IP number and port.
 fn take_list(node: &Node, items: &[Item]) {
     let mut instances = Vec::new();
+    let mut listed_leaving = HashSet::new();
     for item in items {
         let leaving = &*item.state == "leaving";
         if let Ok(ip) = item.address.parse() {
             instances.push(Listed { ip, zone: Name::clone(&item.zone), leaving });
         } else if let Ok(searcher) = item.address.parse::<SocketAddr>() {
             if leaving {
-                node.heard_leaving(searcher, None);
+                listed_leaving.insert(searcher);
             }
         } else {
             log::warn!("node: The instance list names {}, which is no address.", item.address);
         }
     }
+    hear_listed(node, listed_leaving);
     let mut control = node.lock();
     for record in control.view.apply_list(&instances) {
         control.prober.spread(Rumour::Member(record));
@@ -124,6 +127,18 @@
     node.refresh_homes(&mut control);
 }
 
+/// Takes in the searchers that the list says are leaving and did not say so before.
+///
+/// The list names no run. Said again, it may mean a run that is long gone, and must not
+/// touch the one that took its place.
+fn hear_listed(node: &Node, listed: HashSet<SocketAddr>) {
+    let mut before = node.listed_leaving.lock().unwrap_or_else(PoisonError::into_inner);
+    for searcher in listed.difference(&before) {
+        node.heard_leaving(*searcher, None);
+    }
+    *before = listed;
+}
+
 async fn watch_once(node: &Arc<Node>) {
     let after = node.current().map_or(0, |current| current.document.revision);
     let path = format!("/v1/watch?after={after}&wait_ms={}", WATCH.as_millis());
@@ -142,10 +157,10 @@
 /// Takes in a document. One that was refused before is not parsed again.
 fn take_document(node: &Node, reply: &Reply) {
     let hash = hash_bytes(reply.body());
-    let known = |refused: &mut std::collections::HashSet<u64>| !refused.insert(hash);
+    let known = |refused: &mut HashSet<u64>| !refused.insert(hash);
     let parsed = Document::parse(reply.body());
     if parsed.is_err() {
-        let mut refused = node.refused.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
+        let mut refused = node.refused.lock().unwrap_or_else(PoisonError::into_inner);
         if known(&mut refused) {
             return;
         }
--- a/crates/node/src/pulls.rs
+++ b/crates/node/src/pulls.rs
@@ -38,14 +38,15 @@
         .filter(|current| current.document.revision > request.revision)
         .map(|current| current.parcel.clone().without(&request.held));
     let Some(theirs) = &request.view else {
-        return Bundle { parcel, view: Vec::new() };
+        return Bundle { parcel, ..Bundle::default() };
     };
     let mut control = node.lock();
     let view = control.view.iter().cloned().collect();
     let Control { prober, view: ours, .. } = &mut *control;
     prober.learn_all(Instant::now(), theirs, ours);
     node.refresh_homes(&mut control);
-    Bundle { parcel, view }
+    drop(control);
+    Bundle { parcel, view, leaving: node.leaving() }
 }
 
 /// Compares what a peer has in force with ours and pulls what we lack.
@@ -120,6 +121,9 @@
         prober.learn_all(Instant::now(), &bundle.view, view);
         node.refresh_homes(&mut control);
     }
+    for (searcher, run) in bundle.leaving {
+        node.heard_leaving(searcher, Some(run));
+    }
     if let Some(parcel) = bundle.parcel {
         let held = current.as_ref().map(|current| &current.parcel);
         offer(node, parcel.assemble(held), peer);
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -5,10 +5,12 @@
 //! stale, a list that lags. They are small, are not shipped to users, and record each
 //! effect so that histories can be checked. See `docs/RUNNING.md`.
 
+mod border;
 mod corpus;
 mod platform;
 mod searcher;
 
+pub use border::{Border, Way};
 pub use corpus::Corpus;
 pub use platform::{Counts, Instance, Platform};
 pub use searcher::{Effect, Faults, Geography, Limits, Searcher, SearcherSettings};
--- a/crates/upstream/src/health.rs
+++ b/crates/upstream/src/health.rs
@@ -88,10 +88,11 @@
     /// Another run at the same address starts afresh, and cold.
     pub fn seen(&mut self, now: Instant, run: &Name, leaving: bool) {
         if self.run.as_ref() != Some(run) {
+            // The word that a run is leaving may come before the run was ever seen.
+            self.leaving &= self.run.is_none();
             self.restarted = self.run.is_some();
             self.run = Some(Name::clone(run));
             self.first_seen = Some(now);
-            self.leaving = false;
             self.versions.clear();
         }
         self.leaving |= leaving;
@@ -104,6 +105,9 @@
         let ours = run.is_none() || run == self.run.as_ref() || self.run.is_none();
         let news = ours && !self.leaving;
         self.leaving |= ours;
+        if ours && self.run.is_none() {
+            self.run = run.cloned();
+        }
         news
     }
 
--- a/crates/wire/src/stream.rs
+++ b/crates/wire/src/stream.rs
@@ -6,7 +6,7 @@
 use std::net::{Ipv4Addr, SocketAddr};
 use std::time::Duration;
 
-use bergamot_base::Revision;
+use bergamot_base::{Name, Revision};
 use bergamot_config::Parcel;
 use bergamot_members::Record;
 use bergamot_net::{Fault, dial};
@@ -44,6 +44,10 @@
     /// The whole view, where it was asked for.
     #[serde(rename = "v")]
     pub view: Vec<Record>,
+    /// The searchers known to be leaving, with the runs that are, where the view was
+    /// asked for.
+    #[serde(rename = "l")]
+    pub leaving: Vec<(SocketAddr, Name)>,
 }
 
 /// Pulls from a peer within a timeout.
--- a/daemons/src/launch.rs
+++ b/daemons/src/launch.rs
@@ -11,6 +11,9 @@
 use gumdrop::Options;
 use snafu::Snafu;
 
+/// What is logged unless `RUST_LOG` says otherwise; tarpc logs every request at `info`.
+const LOG_FILTER: &str = "info,tarpc=warn";
+
 /// The exit code for wrong options, settings or documents.
 const EXIT_USAGE: u8 = 2;
 
@@ -144,7 +147,7 @@
         println!("{}: settings are valid", path.display());
         return ExitCode::SUCCESS;
     }
-    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
+    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or(LOG_FILTER)).init();
     match serve(settings, start, stop) {
         Ok(code) => code,
         Err(failure) => failure.report(program),
--- a/daemons/tests/support/mod.rs
+++ b/daemons/tests/support/mod.rs
@@ -19,6 +19,9 @@
 /// How long anything that must happen is waited for.
 pub const PATIENCE: Duration = Duration::from_secs(20);
 
+/// The callers' port of entries, unless a test changes it.
+pub const ENTRY_PORT: u16 = 7400;
+
 pub const ENTRY: &str = env!("CARGO_BIN_EXE_bergamot-entry");
 pub const GATHER: &str = env!("CARGO_BIN_EXE_bergamot-gather");
 pub const CTL: &str = env!("CARGO_BIN_EXE_bergamotctl");
@@ -32,7 +35,7 @@
         let child = Command::new(program)
             .arg("--settings")
             .arg(settings)
-            .env("RUST_LOG", "warn")
+            .env("RUST_LOG", "warn,tarpc=off")
             .stdout(Stdio::null())
             .spawn()
             .expect("the program was built with the test");
@@ -100,28 +103,43 @@
 
     /// Starts the daemons of an instance and waits until its entry serves.
     pub async fn add(&mut self, number: usize) {
-        let settings = self.settings(number);
+        let platform = self.stand_ins.deployment.platform();
+        self.add_with(number, platform, "", ENTRY_PORT).await;
+    }
+
+    /// Starts the daemons of an instance that reads another platform, with more settings
+    /// and another callers' port.
+    pub async fn add_with(
+        &mut self,
+        number: usize,
+        platform: [SocketAddr; 2],
+        more: &str,
+        port: u16,
+    ) {
+        let settings = self.settings_with(number, platform, more);
         let gather = Daemon::start(GATHER, &settings);
         let entry = Daemon::start(ENTRY, &settings);
         self.instances.push(Instance { entry, gather });
-        let address = self.entry(number);
-        until("the entry serves", || async move {
-            fetch(Ipv4Addr::UNSPECIFIED, address, "/v1/addresses", PATIENCE).await.is_ok()
-        })
-        .await;
+        let address = SocketAddr::from((self.entry(number).ip(), port));
+        serves(address).await;
     }
 
     /// Writes the settings file of an instance.
     pub fn settings(&self, number: usize) -> PathBuf {
+        self.settings_with(number, self.stand_ins.deployment.platform(), "")
+    }
+
+    fn settings_with(&self, number: usize, platform: [SocketAddr; 2], more: &str) -> PathBuf {
         let path = self.folder.join(format!("instance-{number}.ini"));
-        let text = stand_ins::settings_text(&self.stand_ins.deployment, number);
-        std::fs::write(&path, text + &self.extra).expect("the temporary folder can be written");
+        let text = stand_ins::settings_text(&self.stand_ins.deployment, number, platform);
+        std::fs::write(&path, text + &self.extra + more)
+            .expect("the temporary folder can be written");
         path
     }
 
     /// Returns the callers' address of an instance.
     pub fn entry(&self, number: usize) -> SocketAddr {
-        (self.stand_ins.deployment.instance(number), 7400).into()
+        (self.stand_ins.deployment.instance(number), ENTRY_PORT).into()
     }
 
     /// Returns the admin address of an instance's entry.
@@ -142,6 +160,14 @@
     }
 }
 
+/// Waits until an entry answers.
+pub async fn serves(entry: SocketAddr) {
+    until("the entry serves", || async move {
+        fetch(Ipv4Addr::UNSPECIFIED, entry, "/v1/addresses", PATIENCE).await.is_ok()
+    })
+    .await;
+}
+
 /// Waits until a condition holds.
 pub async fn until<F: Future<Output = bool>>(what: &str, condition: impl Fn() -> F) {
     let end = Instant::now() + PATIENCE;
