Measure the slopes behind the capacity page

Change: bergamot-bench capacity measures the control plane with real nodes as tasks, the pure structures up to 1,800 daemons, and the data path with one entry and one gather, fits lines and rewrites the tables of a page.

--- /dev/null
+++ b/crates/bench/src/capacity/data.rs
@@ -0,0 +1,205 @@
+//! The data path: one entry and one gather against searchers that answer at once.
+
+use std::fmt::Write as _;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bergamot_base::Seed;
+use bergamot_config::Settings;
+use bergamot_net::Client;
+use bergamot_standin::{Platform, Searcher};
+use bytes::Bytes;
+use hdrhistogram::Histogram;
+use http_body_util::Full;
+use hyper::Request;
+
+use crate::capacity::fit::Fit;
+use crate::capacity::process::{cpu, runtime};
+use crate::capacity::size::Size;
+use crate::deployment::{Deployment, ServiceSpec, Use};
+
+/// The shards that a query asks.
+const SHARDS: [usize; 4] = [5, 20, 50, 100];
+
+/// How long queries are sent at each size.
+const TIME: Duration = Duration::from_secs(6);
+
+/// How many callers ask one after the other.
+const CALLERS: usize = 4;
+
+/// The service time of searchers in this measurement: what is left is our own.
+const SERVICE: Duration = Duration::from_micros(1);
+
+struct Row {
+    shards: f64,
+    queries: f64,
+    entry_us: f64,
+    gather_us: f64,
+    p50: f64,
+    p99: f64,
+    attempts: f64,
+}
+
+/// What was measured of the data path.
+pub(crate) struct Data {
+    rows: Vec<Row>,
+}
+
+pub(crate) fn measure(quick: bool) -> Data {
+    let shards = if quick { &SHARDS[..2] } else { &SHARDS[..] };
+    Data {
+        rows: shards.iter().enumerate().map(|(i, shards)| measure_one(i as u8, *shards)).collect(),
+    }
+}
+
+fn deployment(block: u8, shards: usize) -> Deployment {
+    let mut deployment = Deployment::fraser_basin([44, block], Seed(1));
+    let board = deployment.services[0].clone();
+    let limits = bergamot_standin::Limits {
+        slots: 4,
+        connections: 110,
+        service_time: SERVICE,
+        ..board.limits
+    };
+    let service = ServiceSpec {
+        shards,
+        limits,
+        usage: Use::Top,
+        documents: 20 * shards,
+        deadline: Duration::from_secs(1),
+        ..board
+    };
+    deployment.services = vec![service];
+    deployment.instances = 1;
+    deployment
+}
+
+fn measure_one(block: u8, shards: usize) -> Row {
+    let deployment = deployment(block, shards);
+    let others = runtime("standin", 3);
+    let entry_runtime = runtime("entry", 2);
+    let gather_runtime = runtime("gather", 2);
+    let settings = Arc::new(deployment.settings(0, &Settings::default()));
+    let [configuration, list] = deployment.platform();
+    let (platform, searchers) = others.block_on(async {
+        let platform = Platform::start(configuration, list).await.expect("the block is ours");
+        platform.publish(&deployment.document(1));
+        platform.list(deployment.list(0..1));
+        let mut searchers = Vec::new();
+        for (_, mut settings) in deployment.searchers(&[1]) {
+            settings.geography = Arc::default();
+            searchers.push(Searcher::start(settings).await.expect("the block is ours"));
+        }
+        (platform, searchers)
+    });
+    let (for_gather, for_entry) = (Arc::clone(&settings), settings);
+    let gather = gather_runtime
+        .block_on(bergamot_gather::Gather::start(for_gather))
+        .expect("the block is ours");
+    let entry =
+        entry_runtime.block_on(bergamot_entry::Entry::start(for_entry)).expect("the block is ours");
+    std::thread::sleep(Duration::from_secs(2));
+    others.block_on(ask(&deployment, Duration::from_millis(500)));
+    let before = (cpu("entry"), cpu("gather"), attempts(&searchers));
+    let (times, queries) = others.block_on(ask(&deployment, TIME));
+    let queries = queries as f64;
+    let row = Row {
+        shards: shards as f64,
+        queries,
+        entry_us: (cpu("entry") - before.0) * 1e6 / queries,
+        gather_us: (cpu("gather") - before.1) * 1e6 / queries,
+        p50: times.value_at_quantile(0.5) as f64 / 1e3,
+        p99: times.value_at_quantile(0.99) as f64 / 1e3,
+        attempts: (attempts(&searchers) - before.2) as f64 / queries / shards as f64,
+    };
+    drop((entry, gather, platform, searchers));
+    for runtime in [entry_runtime, gather_runtime, others] {
+        runtime.shutdown_timeout(Duration::from_secs(1));
+    }
+    row
+}
+
+fn attempts(searchers: &[Searcher]) -> usize {
+    searchers.iter().map(Searcher::searches).sum()
+}
+
+/// Sends queries one after the other from several callers; returns their times in µs.
+async fn ask(deployment: &Deployment, time: Duration) -> (Histogram<u64>, u64) {
+    let entry = (deployment.instance(0), 7400).into();
+    let path = format!("/v1/{}/{}/query", deployment.workspace, deployment.services[0].name);
+    let asks = (0..CALLERS).map(|_| {
+        let path = path.clone();
+        tokio::spawn(async move {
+            let mut times = Histogram::<u64>::new(3).expect("the precision is valid");
+            let local = std::net::Ipv4Addr::UNSPECIFIED;
+            let mut client = Client::connect(local, entry, time).await.expect("the entry listens");
+            let end = Instant::now() + time;
+            while Instant::now() < end {
+                let body = Full::new(Bytes::from_static(br#"{"shape": "top", "k": 5}"#));
+                let request = Request::post(&path).body(body).expect("a valid request");
+                let start = Instant::now();
+                if client.send(request).await.is_ok_and(|reply| reply.status().is_success()) {
+                    times.saturating_record(start.elapsed().as_micros() as u64);
+                }
+            }
+            times
+        })
+    });
+    let mut all = Histogram::<u64>::new(3).expect("the precision is valid");
+    for times in futures::future::join_all(asks).await.into_iter().flatten() {
+        all.add(times).expect("both have one precision");
+    }
+    let count = all.len();
+    (all, count)
+}
+
+impl Data {
+    pub(crate) fn tables(&self, size: &Size) -> Vec<(&'static str, String)> {
+        let mut measured = String::from(
+            "| shards | queries answered | entry, µs of processor a query | gather, µs of processor a query | p50 ms | p99 ms | sub-queries a shard |\n|---|---|---|---|---|---|---|\n",
+        );
+        for row in &self.rows {
+            let Row { shards, queries, entry_us, gather_us, p50, p99, attempts } = row;
+            let _ = writeln!(
+                measured,
+                "| {shards} | {queries} | {entry_us:.0} | {gather_us:.0} | {p50:.2} | {p99:.2} | {attempts:.3} |"
+            );
+        }
+        let fit = |y: fn(&Row) -> f64| {
+            Fit::of(&self.rows.iter().map(|row| (row.shards, y(row))).collect::<Vec<_>>())
+        };
+        let (entry, gather) = (fit(|row| row.entry_us), fit(|row| row.gather_us));
+        let _ = writeln!(measured, "\nFits (x = shards): entry {entry} µs; gather {gather} µs.");
+        let fan_out = size.fan_out as f64;
+        let per_entry = size.queries / size.instances as f64;
+        let per_gather = size.queries * fan_out / size.instances as f64;
+        let mut table = String::from("| quantity | sum | value |\n|---|---|---|\n");
+        let mut line = |what: &str, sum: String, value: f64| {
+            let _ = writeln!(table, "| {what} | {sum} | {value:.1} |");
+        };
+        line(
+            "entry, cores",
+            format!(
+                "{per_entry:.0} queries/s x ({:.0} + {:.1} x {fan_out}) µs",
+                entry.base, entry.slope
+            ),
+            per_entry * entry.at(fan_out) / 1e6,
+        );
+        line(
+            "gather, cores, one HTTP exchange a sub-query",
+            format!("{per_gather:.0} sub-queries/s x {:.1} µs", gather.slope),
+            per_gather * gather.slope / 1e6,
+        );
+        line(
+            "what batching has to save for 4 cores a gather, times",
+            "cores / 4".to_owned(),
+            per_gather * gather.slope / 1e6 / 4.0,
+        );
+        line(
+            "bytes a second a gather at 500 B a sub-query both ways, MB/s (the 500 B are a guess)",
+            format!("{per_gather:.0} x 500 B"),
+            per_gather * 500.0 / 1e6,
+        );
+        vec![("data", measured), ("data-at-size", table)]
+    }
+}
--- /dev/null
+++ b/crates/bench/src/capacity/mod.rs
@@ -0,0 +1,36 @@
+//! The measurements behind `docs/CAPACITY.md`.
+//!
+//! Slopes are measured on this machine at several sizes, fitted by least squares, and
+//! taken to the size that the users design for. The tables of the page are rewritten
+//! from one run, so that the page can't go stale unseen: text outside of the marked
+//! blocks holds no measured number.
+
+mod control;
+mod data;
+mod fit;
+mod page;
+mod process;
+mod size;
+mod state;
+
+use std::path::Path;
+
+pub use fit::Fit;
+pub use page::rewrite;
+pub use size::Size;
+
+/// Runs every measurement and rewrites the tables of a page.
+pub fn run(page: &Path, quick: bool) -> std::io::Result<()> {
+    let size = Size::default();
+    let state = state::measure(&size);
+    let control = control::measure(quick);
+    let data = data::measure(quick);
+    let mut tables = vec![("machine", process::machine()), ("connections", size.connections())];
+    tables.extend(state.tables(&size));
+    tables.extend(control.tables(&size, &state));
+    tables.extend(data.tables(&size));
+    for (name, table) in &tables {
+        println!("## {name}\n\n{table}");
+    }
+    rewrite(page, &tables)
+}
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -6,6 +6,7 @@
 //! history whether the promises held. See `docs/RUNNING.md`.
 
 pub mod caller;
+pub mod capacity;
 pub mod check;
 pub mod cluster;
 pub mod deployment;
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use bergamot_base::Seed;
-use bergamot_bench::{quickstart, stand_ins};
+use bergamot_bench::{capacity, quickstart, stand_ins};
 use gumdrop::Options;
 
 const PROGRAM: &str = "bergamot-bench";
@@ -25,6 +25,22 @@
     Quickstart(Quickstart),
     #[options(help = "run the stand-ins of one tenant, for daemons started by hand")]
     StandIns(StandIns),
+    #[options(help = "measure the slopes and rewrite the tables of docs/CAPACITY.md")]
+    Capacity(Capacity),
+}
+
+#[derive(Debug, Options)]
+struct Capacity {
+    #[options(help = "show this text")]
+    help: bool,
+    #[options(
+        help = "the page whose tables are rewritten",
+        default = "docs/CAPACITY.md",
+        meta = "FILE"
+    )]
+    page: std::path::PathBuf,
+    #[options(help = "fewer and smaller sizes, for a quick look")]
+    quick: bool,
 }
 
 #[derive(Debug, Options)]
@@ -73,6 +89,8 @@
         Some(Command::Quickstart(options)) if !options.help => quick_start(&options),
         Some(Command::Quickstart(_)) => help::<Quickstart>("quickstart"),
         Some(Command::StandIns(options)) if !options.help => run_stand_ins(&options),
+        Some(Command::Capacity(options)) if !options.help => measure_capacity(&options),
+        Some(Command::Capacity(_)) => help::<Capacity>("capacity"),
         Some(Command::StandIns(_)) => help::<StandIns>("stand-ins"),
         None => help::<Arguments>(""),
     }
@@ -86,6 +104,16 @@
     ExitCode::SUCCESS
 }
 
+fn measure_capacity(options: &Capacity) -> ExitCode {
+    match capacity::run(&options.page, options.quick) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("{PROGRAM}: rewrite {}: {error}", options.page.display());
+            ExitCode::FAILURE
+        }
+    }
+}
+
 #[tokio::main]
 async fn run_stand_ins(options: &StandIns) -> ExitCode {
     let Some(deployment) = stand_ins::tenant(&options.tenant, Seed(options.seed)) else {
--- a/crates/node/src/meter.rs
+++ b/crates/node/src/meter.rs
@@ -11,6 +11,8 @@
     pub datagram_bytes: IntCounterVec,
     /// Exchanges over control streams that this node began, by result.
     pub pulls: IntCounterVec,
+    /// Bytes that came back in those exchanges.
+    pub pull_bytes: IntCounter,
     /// Reads of the platform, by what was read.
     pub platform_reads: IntCounterVec,
     /// Reads of the platform that failed, by what was read.
@@ -63,6 +65,10 @@
                 "Exchanges begun over control streams.",
                 "result",
             ),
+            pull_bytes: counter(
+                "bergamot_control_pull_bytes_total",
+                "Bytes that came back over control streams.",
+            ),
             platform_reads: counters(
                 "bergamot_platform_reads_total",
                 "Reads of the platform.",
--- a/crates/node/src/pulls.rs
+++ b/crates/node/src/pulls.rs
@@ -114,7 +114,9 @@
         held: current.as_ref().map_or_else(Vec::new, |current| current.parcel.hashes()),
         view,
     };
-    let bundle = pull(node.settings().instance.address, peer, &request, TIMEOUT).await?;
+    let local = node.settings().instance.address;
+    let (bundle, bytes) = pull(local, peer, &request, TIMEOUT).await?;
+    node.meter().pull_bytes.inc_by(bytes as u64);
     if with_view {
         let mut control = node.lock();
         let Control { prober, view, .. } = &mut *control;
--- a/crates/wire/src/stream.rs
+++ b/crates/wire/src/stream.rs
@@ -50,13 +50,13 @@
     pub leaving: Vec<(SocketAddr, Name)>,
 }
 
-/// Pulls from a peer within a timeout.
+/// Pulls from a peer within a timeout; returns also how many bytes came back.
 pub async fn pull(
     local: Ipv4Addr,
     peer: SocketAddr,
     request: &Pull,
     timeout: Duration,
-) -> Result<Bundle, Fault> {
+) -> Result<(Bundle, usize), Fault> {
     let exchange = async {
         let stream = dial(local, peer, timeout).await?;
         let address = format!("ws://{peer}/");
@@ -64,10 +64,10 @@
             .await
             .map_err(|error| Fault::new("open control stream", peer, error))?;
         send(&mut socket, request, peer).await?;
-        let bundle = receive(&mut socket, peer).await?;
+        let answer = receive(&mut socket, peer).await?;
         // The exchange is over whether or not the close reaches the peer.
         let _ = socket.close(None).await;
-        Ok(bundle)
+        Ok(answer)
     };
     tokio::time::timeout(timeout, exchange)
         .await
@@ -107,7 +107,7 @@
     let mut socket = accept_async(stream)
         .await
         .map_err(|error| Fault::new("accept control stream", peer, error))?;
-    let request = receive(&mut socket, peer).await?;
+    let (request, _) = receive(&mut socket, peer).await?;
     send(&mut socket, &answer(request), peer).await?;
     while let Some(Ok(_)) = socket.next().await {}
     Ok(())
@@ -130,12 +130,14 @@
 async fn receive<T: DeserializeOwned>(
     socket: &mut WebSocketStream<TcpStream>,
     peer: SocketAddr,
-) -> Result<T, Fault> {
+) -> Result<(T, usize), Fault> {
     let message = socket
         .next()
         .await
         .unwrap_or(Err(Error::ConnectionClosed))
         .map_err(|error| Fault::new("receive control message", peer, error))?;
-    ciborium::from_reader(&*message.into_data())
-        .map_err(|error| Fault::new("decode control message", peer, error))
+    let bytes = message.into_data();
+    let value = ciborium::from_reader(&*bytes)
+        .map_err(|error| Fault::new("decode control message", peer, error))?;
+    Ok((value, bytes.len()))
 }
