--- a/crates/bench/src/capacity/control.rs
+++ b/crates/bench/src/capacity/control.rs
@@ -1,6 +1,5 @@
 //! The control plane: real nodes as tasks of one process, at several sizes.
 
-use std::fmt::Write as _;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -16,6 +15,7 @@
 use crate::capacity::process::{cpu, memory, runtime};
 use crate::capacity::size::Size;
 use crate::capacity::state::Costs;
+use crate::capacity::table::Table;
 
 /// The sizes of fleets, in instances with two daemons each.
 const FLEETS: [usize; 5] = [4, 16, 32, 64, 128];
@@ -32,14 +32,18 @@
 /// How long a change may take before the run is given up.
 const LONGEST: Duration = Duration::from_secs(30);
 
+/// How long the news of the start may take to die down.
+const LONGEST_SETTLE: Duration = Duration::from_secs(150);
+
 /// What was measured at one size.
 struct Row {
     daemons: f64,
     datagrams: f64,
     bytes: f64,
+    busy_bytes: f64,
     pulls: f64,
     core: f64,
-    memory_kb: f64,
+    total_kb: f64,
     reads: f64,
     list_reads: f64,
     reads_after: f64,
@@ -73,10 +77,13 @@
     let start = Instant::now();
     let fleet = Fleet::start(block, instances);
     let join = start.elapsed().as_secs_f64();
-    // Rumours of the start die down first.
-    std::thread::sleep(STEADY);
     let daemons = fleet.nodes.len() as f64;
-    let memory_kb = (memory() - before) / daemons / 1024.0;
+    // At first everything is news and every datagram is full.
+    let (at_start, began) = (fleet.sums(), Instant::now());
+    std::thread::sleep(STEADY);
+    let busy_bytes = (fleet.sums()[1] - at_start[1]) / began.elapsed().as_secs_f64() / daemons;
+    fleet.settle();
+    let total_kb = (memory() - before) / 1024.0;
     let (sums, counts, cpu_before) = (fleet.sums(), fleet.platform.counts(), cpu("member"));
     std::thread::sleep(STEADY);
     let seconds = STEADY.as_secs_f64();
@@ -95,9 +102,10 @@
         daemons,
         datagrams: each(0),
         bytes: each(1) + each(3),
+        busy_bytes,
         pulls: each(2),
         core,
-        memory_kb,
+        total_kb,
         reads: (counts_after.document - counts.document) as f64 / seconds,
         list_reads: (counts_after.instances - counts.instances) as f64 / seconds,
         reads_after,
@@ -164,6 +172,14 @@
         sums
     }
 
+    /// Waits until the news of the start has died down.
+    fn settle(&self) {
+        let end = Instant::now() + LONGEST_SETTLE;
+        while Instant::now() < end && self.nodes.iter().any(|node| node.rumours() > 0) {
+            std::thread::sleep(Duration::from_millis(500));
+        }
+    }
+
     /// Publishes a revision and returns when it was in force at each node, in seconds.
     fn change(&self, revision: u64) -> Vec<f64> {
         let waits: Vec<_> = self
@@ -205,114 +221,137 @@
     }
 }
 
+/// The columns of the table of what was measured.
+const COLUMNS: [&str; 13] = [
+    "daemons",
+    "datagrams out /s each",
+    "bytes /s each, steady",
+    "bytes /s each, all is news",
+    "pulls /s each",
+    "core each, %",
+    "memory of all, KB",
+    "document reads /s, all",
+    "list reads /s, all",
+    "document reads in the second after a change, all",
+    "in force, p50 ms",
+    "in force, worst ms",
+    "all joined, s",
+];
+
+impl Row {
+    fn cells(&self) -> [String; 13] {
+        let ms = |seconds: f64| format!("{:.0}", seconds * 1e3);
+        [
+            self.daemons.to_string(),
+            format!("{:.2}", self.datagrams),
+            format!("{:.0}", self.bytes),
+            format!("{:.0}", self.busy_bytes),
+            format!("{:.3}", self.pulls),
+            format!("{:.3}", self.core * 100.0),
+            format!("{:.0}", self.total_kb),
+            format!("{:.2}", self.reads),
+            format!("{:.2}", self.list_reads),
+            format!("{:.0}", self.reads_after),
+            ms(self.force_p50),
+            ms(self.force_worst),
+            format!("{:.2}", self.join),
+        ]
+    }
+}
+
 impl Control {
     fn fit(&self, x: fn(f64) -> f64, y: fn(&Row) -> f64) -> Fit {
         let points: Vec<_> = self.rows.iter().map(|row| (x(row.daemons), y(row))).collect();
         Fit::of(&points)
     }
 
+    fn mean(&self, y: fn(&Row) -> f64) -> f64 {
+        self.rows.iter().map(y).sum::<f64>() / self.rows.len() as f64
+    }
+
     pub(crate) fn tables(&self, size: &Size, state: &Costs) -> Vec<(&'static str, String)> {
-        let mut measured = String::from(
-            "| daemons | datagrams out /s each | bytes /s each | pulls /s each | core each, % | memory each, KB | document reads /s, all | list reads /s, all | document reads in the second after a change, all | in force, p50 ms | in force, worst ms | all joined, s |\n|---|---|---|---|---|---|---|---|---|---|---|---|\n",
-        );
+        let mut measured = Table::new(&COLUMNS);
         for row in &self.rows {
-            let _ = writeln!(
-                measured,
-                "| {} | {:.2} | {:.0} | {:.3} | {:.3} | {:.0} | {:.2} | {:.2} | {:.0} | {:.0} | {:.0} | {:.2} |",
-                row.daemons,
-                row.datagrams,
-                row.bytes,
-                row.pulls,
-                row.core * 100.0,
-                row.memory_kb,
-                row.reads,
-                row.list_reads,
-                row.reads_after,
-                row.force_p50 * 1e3,
-                row.force_worst * 1e3,
-                row.join
-            );
+            measured.row(&row.cells());
         }
-        vec![("control", measured), ("control-at-size", self.at_size(size, state))]
+        let mut at_size =
+            Table::new(&["quantity", "from", "at the letter's size", "the letter allows"]);
+        self.traffic(size, state, &mut at_size);
+        self.processor(size, state, &mut at_size);
+        self.memory(state.megabytes(size), &mut at_size);
+        self.changes(size, &mut at_size);
+        vec![("control", measured.text()), ("control-at-size", at_size.text())]
     }
 
-    /// What the fits give at the letter's size, beside what the letter allows.
-    fn at_size(&self, size: &Size, state: &Costs) -> String {
-        let daemons = size.daemons();
-        let same = |x: f64| x;
-        let bytes = self.fit(same, |row| row.bytes);
-        let core = self.fit(same, |row| row.core);
-        let memory = self.fit(same, |row| row.memory_kb);
-        let force = self.fit(f64::log2, |row| row.force_worst);
-        let log = f64::log2(daemons);
-        // News of members: each change is told by each member a bounded number of times.
-        let changes = (3.0 * size.restarts + 2.0 * size.failures) / 86_400.0;
-        let repeats = 3.0 * (log.floor() + 1.0);
-        let rumour_bytes = changes * repeats * 70.0;
-        let mut table = String::from(
-            "| quantity | from | at the letter's size | the letter allows |\n|---|---|---|---|\n",
-        );
-        let mut row = |what: &str, from: String, value: String, allowed: &str| {
-            let _ = writeln!(table, "| {what} | {from} | {value} | {allowed} |");
-        };
-        let total = bytes.at(daemons) + rumour_bytes + state.document_bytes(size);
-        row(
-            "control bytes out, KB/s",
-            format!(
-                "steady {bytes}; members' news {changes:.3}/s x {repeats:.0} x 70 B; documents {:.0} B/s",
-                state.document_bytes(size)
-            ),
-            format!("{:.2}", total / 1024.0),
-            "7",
-        );
-        let cores = core.at(daemons) + state.homes_core(size) + state.document_core(size);
-        row(
-            "control processor time, % of a core",
-            format!(
-                "steady {core} of a core; homes {:.3}%; documents {:.3}%",
-                state.homes_core(size) * 100.0,
-                state.document_core(size) * 100.0
-            ),
-            format!("{:.2}", cores * 100.0),
-            "1.1",
+    fn traffic(&self, size: &Size, state: &Costs, table: &mut Table) {
+        let fit = self.fit(|x| x, |row| row.bytes);
+        let (steady, documents) = (self.mean(|row| row.bytes), state.document_bytes(size));
+        // Each change is told by each member a number of times that grows with the
+        // logarithm of the fleet.
+        let changes = size.member_changes();
+        let repeats = 3.0 * (size.daemons().log2().floor() + 1.0);
+        let news = changes * repeats * RUMOUR_BYTES;
+        let from = format!(
+            "steady mean {steady:.0} B/s (fit {fit}); members' news {changes:.3}/s x {repeats:.0} x {RUMOUR_BYTES} B = {news:.0} B/s; documents {documents:.0} B/s"
         );
-        row(
-            "control memory, MB",
-            format!("node {memory} KB; view and two documents {:.1} MB", state.megabytes(size)),
-            format!("{:.1}", memory.at(daemons) / 1024.0 + state.megabytes(size)),
-            "32",
+        let total = (steady + news + documents) / 1024.0;
+        table.row(&["control bytes, KB/s".into(), from, format!("{total:.2}"), "7".into()]);
+        let busy = self.rows.iter().map(|row| row.busy_bytes).fold(0.0, f64::max) / 1024.0;
+        let from = "most of the runs; every datagram is full then, so it grows no further";
+        table.row(&[
+            "control bytes while all is news, KB/s".into(),
+            from.into(),
+            format!("{busy:.2}"),
+            "7".into(),
+        ]);
+    }
+
+    fn processor(&self, size: &Size, state: &Costs, table: &mut Table) {
+        let fit = self.fit(|x| x, |row| row.core * 100.0);
+        let (homes, documents) =
+            (state.homes_core(size) * 100.0, state.document_core(size) * 100.0);
+        let steady = self.mean(|row| row.core) * 100.0;
+        let from = format!(
+            "steady mean {steady:.3}% (fit {fit}); homes {homes:.3}%; documents {documents:.3}%"
         );
-        row(
-            "a change in force everywhere, worst, s",
-            format!("x = log2 of daemons: {force}"),
-            format!("{:.2}", force.at(log)),
-            "6",
+        let total = steady + homes + documents;
+        table.row(&[
+            "control processor time, % of a core".into(),
+            from,
+            format!("{total:.2}"),
+            "1.1".into(),
+        ]);
+    }
+
+    fn memory(&self, structures: f64, table: &mut Table) {
+        let fit = self.fit(|x| x, |row| row.total_kb);
+        let from = format!(
+            "KB of all nodes of one process: {fit}; a daemon has the base and one slope; view and two documents {structures:.1} MB"
         );
+        let total = (fit.base.max(0.0) + fit.slope) / 1024.0 + structures;
+        table.row(&["control memory, MB".into(), from, format!("{total:.1}"), "32".into()]);
+    }
+
+    fn changes(&self, size: &Size, table: &mut Table) {
+        let force = self.fit(f64::log2, |row| row.force_worst);
         let readers = 2.0 * size.zones as f64;
-        row(
-            "document reads /s, steady",
-            format!("{readers} readers / 20 s + 10 /s direct"),
-            format!("{:.1}", readers / 20.0 + 10.0),
-            "2000",
-        );
-        row(
-            "document reads in the second after a change",
-            format!("{readers} readers renew their watch + 10 direct"),
-            format!("{:.0}", readers + 10.0),
-            "2000",
-        );
-        row(
-            "document reads when a zone starts at once",
-            format!("{daemons} / {} daemons, one read each", size.zones),
-            format!("{:.0}", daemons / size.zones as f64),
-            "2000 in a second",
-        );
-        row(
-            "list reads /s, steady",
-            "50 /s over the fleet".to_owned(),
-            "50".to_owned(),
-            "not given",
-        );
-        table
+        let zone = size.daemons() / size.zones as f64;
+        let mut row = |what: &str, from: String, value: String, allowed: &str| {
+            table.row(&[what.into(), from, value, allowed.into()]);
+        };
+        let at_size = format!("{:.2}", force.at(size.daemons().log2()));
+        let from = format!("x = log2 of daemons: {force}");
+        row("a change in force everywhere, worst of ten, s", from, at_size, "6");
+        let from = format!("{readers} readers / 20 s + 10 direct");
+        row("document reads /s, steady", from, format!("{:.1}", readers / 20.0 + 10.0), "2000");
+        let from = format!("{readers} readers renew their watch + 10 direct");
+        let reads = format!("{:.0}", readers + 10.0);
+        row("document reads in the second after a change", from, reads, "2000");
+        let from = format!("{} daemons / {} zones, one read each", size.daemons(), size.zones);
+        row("document reads when a zone starts at once", from, format!("{zone:.0}"), "2000");
+        row("list reads /s, steady", "50 /s over the fleet".into(), "50".into(), "not given");
     }
 }
+
+/// The size of one rumour about a member in a datagram, in bytes, rounded up.
+const RUMOUR_BYTES: f64 = 50.0;
--- a/crates/bench/src/capacity/data.rs
+++ b/crates/bench/src/capacity/data.rs
@@ -1,6 +1,5 @@
 //! The data path: one entry and one gather against searchers that answer at once.
 
-use std::fmt::Write as _;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -16,6 +15,7 @@
 use crate::capacity::fit::Fit;
 use crate::capacity::process::{cpu, runtime};
 use crate::capacity::size::Size;
+use crate::capacity::table::Table;
 use crate::deployment::{Deployment, ServiceSpec, Use};
 
 /// The shards that a query asks.
@@ -27,9 +27,6 @@
 /// How many callers ask one after the other.
 const CALLERS: usize = 4;
 
-/// The service time of searchers in this measurement: what is left is our own.
-const SERVICE: Duration = Duration::from_micros(1);
-
 struct Row {
     shards: f64,
     queries: f64,
@@ -58,7 +55,9 @@
     let limits = bergamot_standin::Limits {
         slots: 4,
         connections: 110,
-        service_time: SERVICE,
+        // What is left is our own time.
+        service_time: Duration::ZERO,
+        connect_cost: Duration::ZERO,
         ..board.limits
     };
     let service = ServiceSpec {
@@ -139,7 +138,8 @@
                 let request = Request::post(&path).body(body).expect("a valid request");
                 let start = Instant::now();
                 if client.send(request).await.is_ok_and(|reply| reply.status().is_success()) {
-                    times.saturating_record(start.elapsed().as_micros() as u64);
+                    let took = start.elapsed().as_micros() as u64;
+                    times.record(took).expect("the histogram grows");
                 }
             }
             times
@@ -155,51 +155,66 @@
 
 impl Data {
     pub(crate) fn tables(&self, size: &Size) -> Vec<(&'static str, String)> {
-        let mut measured = String::from(
-            "| shards | queries answered | entry, µs of processor a query | gather, µs of processor a query | p50 ms | p99 ms | sub-queries a shard |\n|---|---|---|---|---|---|---|\n",
-        );
+        let points = |y: fn(&Row) -> f64| {
+            let points: Vec<_> = self.rows.iter().map(|row| (row.shards, y(row))).collect();
+            Fit::of(&points)
+        };
+        let (entry, gather) = (points(|row| row.entry_us), points(|row| row.gather_us));
+        let mut measured = Table::new(&COLUMNS);
         for row in &self.rows {
-            let Row { shards, queries, entry_us, gather_us, p50, p99, attempts } = row;
-            let _ = writeln!(
-                measured,
-                "| {shards} | {queries} | {entry_us:.0} | {gather_us:.0} | {p50:.2} | {p99:.2} | {attempts:.3} |"
-            );
+            measured.row(&row.cells());
         }
-        let fit = |y: fn(&Row) -> f64| {
-            Fit::of(&self.rows.iter().map(|row| (row.shards, y(row))).collect::<Vec<_>>())
-        };
-        let (entry, gather) = (fit(|row| row.entry_us), fit(|row| row.gather_us));
-        let _ = writeln!(measured, "\nFits (x = shards): entry {entry} µs; gather {gather} µs.");
-        let fan_out = size.fan_out as f64;
-        let per_entry = size.queries / size.instances as f64;
-        let per_gather = size.queries * fan_out / size.instances as f64;
-        let mut table = String::from("| quantity | sum | value |\n|---|---|---|\n");
-        let mut line = |what: &str, sum: String, value: f64| {
-            let _ = writeln!(table, "| {what} | {sum} | {value:.1} |");
-        };
-        line(
-            "entry, cores",
-            format!(
-                "{per_entry:.0} queries/s x ({:.0} + {:.1} x {fan_out}) µs",
-                entry.base, entry.slope
-            ),
-            per_entry * entry.at(fan_out) / 1e6,
-        );
-        line(
-            "gather, cores, one HTTP exchange a sub-query",
-            format!("{per_gather:.0} sub-queries/s x {:.1} µs", gather.slope),
-            per_gather * gather.slope / 1e6,
-        );
-        line(
-            "what batching has to save for 4 cores a gather, times",
-            "cores / 4".to_owned(),
-            per_gather * gather.slope / 1e6 / 4.0,
-        );
-        line(
-            "bytes a second a gather at 500 B a sub-query both ways, MB/s (the 500 B are a guess)",
-            format!("{per_gather:.0} x 500 B"),
-            per_gather * 500.0 / 1e6,
-        );
-        vec![("data", measured), ("data-at-size", table)]
+        measured.note(&format!("Fits (x = shards): entry {entry} µs; gather {gather} µs."));
+        vec![("data", measured.text()), ("data-at-size", at_size(size, entry, gather))]
+    }
+}
+
+/// The columns of the table of what was measured.
+const COLUMNS: [&str; 7] = [
+    "shards",
+    "queries answered",
+    "entry, µs of processor a query",
+    "gather, µs of processor a query",
+    "p50 ms",
+    "p99 ms",
+    "sub-queries a shard",
+];
+
+impl Row {
+    fn cells(&self) -> [String; 7] {
+        [
+            self.shards.to_string(),
+            self.queries.to_string(),
+            format!("{:.0}", self.entry_us),
+            format!("{:.0}", self.gather_us),
+            format!("{:.2}", self.p50),
+            format!("{:.2}", self.p99),
+            format!("{:.3}", self.attempts),
+        ]
     }
 }
+
+/// What the fits give at the letter's size.
+fn at_size(size: &Size, entry: Fit, gather: Fit) -> String {
+    let fan_out = size.fan_out as f64;
+    let per_entry = size.queries / size.instances as f64;
+    let per_gather = size.queries * fan_out / size.instances as f64;
+    let mut table = Table::new(&["quantity", "sum", "value"]);
+    let mut row = |what: &str, sum: String, value: f64| {
+        table.row(&[what.into(), sum, format!("{value:.1}")]);
+    };
+    let Fit { base, slope, .. } = entry;
+    let sum = format!("{per_entry:.0} queries/s x ({base:.0} + {slope:.1} x {fan_out}) µs");
+    row("entry, cores", sum, per_entry * entry.at(fan_out) / 1e6);
+    let cores = per_gather * gather.slope / 1e6;
+    let sum = format!("{per_gather:.0} sub-queries/s x {:.1} µs", gather.slope);
+    row("gather, cores, one HTTP exchange a sub-query", sum, cores);
+    row("what batching has to save for 4 cores a gather, times", "cores / 4".into(), cores / 4.0);
+    let sum = format!("{per_gather:.0} x {GUESSED_BYTES} B");
+    let what = "traffic of a gather at 500 B a sub-query (a guess), MB/s";
+    row(what, sum, per_gather * GUESSED_BYTES / 1e6);
+    table.text()
+}
+
+/// A guess of what a sub-query takes on the wire, both ways.
+const GUESSED_BYTES: f64 = 500.0;
--- a/crates/bench/src/capacity/mod.rs
+++ b/crates/bench/src/capacity/mod.rs
@@ -12,6 +12,7 @@
 mod process;
 mod size;
 mod state;
+mod table;
 
 use std::path::Path;
 
@@ -26,7 +27,7 @@
     let control = control::measure(quick);
     let data = data::measure(quick);
     let mut tables = vec![("machine", process::machine()), ("connections", size.connections())];
-    tables.extend(state.tables(&size));
+    tables.extend(state.tables());
     tables.extend(control.tables(&size, &state));
     tables.extend(data.tables(&size));
     for (name, table) in &tables {
--- a/crates/bench/src/capacity/size.rs
+++ b/crates/bench/src/capacity/size.rs
@@ -1,10 +1,10 @@
 //! The size that the users design for, and what follows from it by arithmetic.
 
-use std::fmt::Write as _;
-
 use bergamot_config::Document;
 use serde_json::json;
 
+use crate::capacity::table::Table;
+
 /// The size of the letter.
 #[derive(Clone, Copy, Debug)]
 pub struct Size {
@@ -59,6 +59,14 @@
         2.0 * self.instances as f64
     }
 
+    /// Returns how many changes of members there are a second.
+    ///
+    /// A restart is a member that leaves and one that comes, and either may be doubted in
+    /// between; a failure is doubted and then gone.
+    pub fn member_changes(&self) -> f64 {
+        (3.0 * self.restarts + 2.0 * self.failures) / 86_400.0
+    }
+
     /// Returns a document of this size: services of 980 shards, as far as the searchers
     /// go, with one replica each but for what is left over.
     pub fn document(&self, revision: u64) -> String {
@@ -98,89 +106,59 @@
         let document = self.parsed(1);
         let layout = &document.layout;
         let service = document.services.keys().next().expect("there is a service");
-        let (cells, homes, share) = (layout.cells.len(), layout.homes, layout.share(service));
-        let cell = self.searchers as f64 / cells as f64;
-        let held = cells as f64 * homes as f64 / self.instances as f64;
-        let shards_in_cell = cell / 2.0;
-        let cells_asked = (self.fan_out as f64 / shards_in_cell).ceil();
-        let per_gather = held * cell * share as f64;
-        let flat = self.daemons() * self.searchers as f64;
-        let allowed = self.searchers as f64 * self.limit as f64;
-        let moved = 7.0 * self.restarts / 2.0 * cell * share as f64 / 86_400.0;
-        let mut table = String::from("| quantity | sum | value |\n|---|---|---|\n");
+        let (homes, share) = (layout.homes as f64, layout.share(service) as f64);
+        let (cells, searchers) = (layout.cells.len() as f64, self.searchers as f64);
+        let (instances, limit) = (self.instances as f64, self.limit as f64);
+        let cell = searchers / cells;
+        let held = cells * homes / instances;
+        let moved = MOVED * self.restarts / 2.0 * cell * share / 86_400.0;
+        let sub_queries = self.queries * self.fan_out as f64;
+        let mut table = Table::new(&["quantity", "sum", "value"]);
         let mut row = |what: &str, sum: String, value: f64| {
-            let _ = writeln!(table, "| {what} | {sum} | {value:.1} |");
+            table.row(&[what.into(), sum, format!("{value:.1}")]);
         };
+        let daemons = self.daemons();
+        row("a flat mesh", format!("{daemons} daemons x {searchers}"), daemons * searchers);
+        row("what searchers allow", format!("{searchers} x {limit}"), searchers * limit);
+        row("cells", format!("max({searchers} / 128, {instances} / homes)"), cells);
+        row("homes of a cell", "instances / 8, between 3 and 12".into(), homes);
+        row("searchers of a cell", format!("{searchers} / {cells}"), cell);
+        row("cells that a gather homes", format!("{cells} x {homes} / {instances}"), held);
         row(
-            "connections of a flat mesh",
-            format!("{} daemons x {} searchers", self.daemons(), self.searchers),
-            flat,
-        );
-        row(
-            "connections that searchers allow",
-            format!("{} x {}", self.searchers, self.limit),
-            allowed,
-        );
-        row("cells", format!("max(searchers / 128, {} / 12)", self.instances), cells as f64);
-        row("homes of a cell", "instances / 8, between 3 and 12".to_owned(), homes as f64);
-        row("searchers of a cell", format!("{} / {cells}", self.searchers), cell);
-        row("cells a gather homes", format!("{cells} x {homes} / {}", self.instances), held);
-        row(
-            "connections a searcher has, steady",
-            format!("{homes} x {share}"),
-            (homes * share) as f64,
-        );
-        row(
-            "connections a searcher has, all homes replaced at once",
-            format!("2 x {homes} x {share}"),
-            (2 * homes * share) as f64,
-        );
-        row("connections a gather holds", format!("{held:.2} x {cell:.1} x {share}"), per_gather);
-        row(
-            "cells that a query of 980 shards asks",
-            format!("{} / {shards_in_cell:.1}", self.fan_out),
-            cells_asked,
-        );
-        row(
-            "new connections a second for restarts",
-            format!("7 homes moved x {} / 2 gathers a day x {cell:.1} / 86400", self.restarts),
-            moved,
-        );
-        row(
-            "searcher time for them, ms a second over all searchers",
-            format!("{moved:.1} x {} ms", self.connect_cost * 1e3),
-            moved * self.connect_cost * 1e3,
-        );
-        row(
-            "sub-queries a second",
-            format!("{} x {}", self.queries, self.fan_out),
-            self.queries * self.fan_out as f64,
+            "connections of a gather",
+            format!("{held:.1} x {cell:.1} x {share}"),
+            held * cell * share,
         );
+        row("connections of a searcher, steady", format!("{homes} x {share}"), homes * share);
+        let sum = format!("2 x {homes} x {share}");
+        row("connections of a searcher, all homes replaced at once", sum, 2.0 * homes * share);
+        let asked = (self.fan_out as f64 / (cell / 2.0)).ceil();
+        row("cells that a query asks", format!("{} / ({cell:.1} / 2)", self.fan_out), asked);
+        let sum =
+            format!("{MOVED} homes x {} / 2 gathers a day x {cell:.1} / 86400", self.restarts);
+        row("new connections a second for restarts", sum, moved);
+        let sum = format!("{moved:.1} x {} ms", self.connect_cost * 1e3);
+        row("searchers' time for them, ms a second", sum, moved * self.connect_cost * 1e3);
+        let sum = format!("{} x {}", self.queries, self.fan_out);
+        row("sub-queries a second", sum, sub_queries);
         row(
             "sub-queries a second a searcher",
-            format!("that / {}", self.searchers),
-            self.queries * self.fan_out as f64 / self.searchers as f64,
-        );
-        row(
-            "time a slot may take for one, µs, at 2 slots",
-            "2 / that".to_owned(),
-            2e6 * self.searchers as f64 / (self.queries * self.fan_out as f64),
-        );
-        row(
-            "sub-queries a second a gather",
-            format!("sub-queries / {}", self.instances),
-            self.queries * self.fan_out as f64 / self.instances as f64,
+            format!("that / {searchers}"),
+            sub_queries / searchers,
         );
         row(
-            "queries a second an entry",
-            format!("{} / {}", self.queries, self.instances),
-            self.queries / self.instances as f64,
+            "µs that a slot may take, at 2 slots",
+            "2 / that".into(),
+            2e6 * searchers / sub_queries,
         );
-        row(
-            "percentile of one searcher that the 99th of 980 needs, %",
-            "100 x 0.99^(1/980)".to_owned(),
-            100.0 * 0.99_f64.powf(1.0 / self.fan_out as f64),
-        );
-        table
+        row("sub-queries a second a gather", format!("all / {instances}"), sub_queries / instances);
+        let percentile = 100.0 * 0.99_f64.powf(1.0 / self.fan_out as f64);
+        let what = "percentile of one searcher that the 99th of 980 needs";
+        table.row(&[what.into(), "100 x 0.99^(1/980)".into(), format!("{percentile:.4}")]);
+        table.text()
     }
 }
+
+/// Homes that are new when one gather is replaced, rounded up from the measured mean in
+/// the table of the document.
+const MOVED: f64 = 7.0;
--- a/crates/bench/src/capacity/state.rs
+++ b/crates/bench/src/capacity/state.rs
@@ -1,6 +1,5 @@
 //! What the pure structures cost at sizes up to the letter's.
 
-use std::fmt::Write as _;
 use std::net::Ipv4Addr;
 use std::time::Instant;
 
@@ -13,6 +12,7 @@
 use crate::capacity::fit::Fit;
 use crate::capacity::process::memory;
 use crate::capacity::size::Size;
+use crate::capacity::table::Table;
 
 /// How often a cost is measured for its mean.
 const ROUNDS: usize = 20;
@@ -28,7 +28,7 @@
     rows: Vec<Row>,
     homes: Fit,
     view: Fit,
-    document: Document1,
+    document: DocumentCosts,
 }
 
 struct Row {
@@ -38,7 +38,7 @@
 }
 
 /// The costs of one document of the letter's size.
-struct Document1 {
+struct DocumentCosts {
     bytes: usize,
     parse_ms: f64,
     assemble_ms: f64,
@@ -83,6 +83,8 @@
 }
 
 pub(crate) fn measure(size: &Size) -> Costs {
+    // First, while no freed memory hides what is taken.
+    let document = measure_document(size);
     let mut rows = Vec::new();
     for instances in FLEETS {
         let part = instances as f64 / size.instances as f64;
@@ -103,35 +105,27 @@
         &rows.iter().map(|row| (row.daemons.powi(2) / 1e6, row.homes_ms)).collect::<Vec<_>>(),
     );
     let view = Fit::of(&points(|row| row.view_kb));
-    Costs { homes, view, document: measure_document(size), rows }
+    Costs { homes, view, document, rows }
 }
 
-fn measure_document(size: &Size) -> Document1 {
+fn measure_document(size: &Size) -> DocumentCosts {
     let text = size.document(1);
     let document = size.parsed(1);
-    let next = text.replacen("\"epoch\":1", "\"epoch\":2", 1).replacen(
-        "\"revision\":1",
-        "\"revision\":2",
-        1,
-    );
+    // One replica of one shard moves, under a new revision.
+    let next = text.replacen("10.0.0.1:9000", "10.9.9.9:9000", 1);
+    let next = next.replacen("\"revision\":1", "\"revision\":2", 1);
     let next = Document::parse(next.as_bytes()).expect("the changed document is valid");
-    let held = Parcel::split(&document);
-    let sent = Parcel::split(&next).without(&held.hashes());
+    let sent = Parcel::of(&next).without(&Parcel::of(&document).hashes());
     let mut wire = Vec::new();
     ciborium::into_writer(&sent, &mut wire).expect("parcels always serialize");
     let (moved, idle) = replaced(size, &document);
-    Document1 {
+    DocumentCosts {
         bytes: text.len(),
         parse_ms: milliseconds(ROUNDS, || drop(Document::parse(text.as_bytes()))),
-        assemble_ms: milliseconds(ROUNDS, || drop(sent.assemble(Some(&held)))),
+        assemble_ms: milliseconds(ROUNDS, || drop(sent.assemble(Some(&document)))),
         memory_kb: {
             let before = memory();
-            let copies: Vec<_> = (0..10)
-                .map(|_| {
-                    let document = size.parsed(1);
-                    (Parcel::split(&document), document)
-                })
-                .collect();
+            let copies: Vec<_> = (0..10).map(|_| size.parsed(1)).collect();
             let after = memory();
             drop(copies);
             (after - before) / 10.0 / 1024.0
@@ -180,10 +174,7 @@
 impl Costs {
     /// The processor time for computing the homes, in parts of a core, at the letter's size.
     pub(crate) fn homes_core(&self, size: &Size) -> f64 {
-        // A restart is a member that leaves, one that comes, and both can be seen as
-        // unreachable in between: three changes at the most.
-        let changes = (3.0 * size.restarts + 2.0 * size.failures) / 86_400.0;
-        changes * self.homes.at(size.daemons().powi(2) / 1e6) / 1e3
+        size.member_changes() * self.homes.at(size.daemons().powi(2) / 1e6) / 1e3
     }
 
     /// The processor time for taking in changes of the document, in parts of a core.
@@ -201,42 +192,32 @@
         size.changes / 86_400.0 * self.document.changed_bytes as f64
     }
 
-    pub(crate) fn tables(&self, size: &Size) -> Vec<(&'static str, String)> {
-        let mut fleets =
-            String::from("| daemons | homes of all cells, ms | one view, KB |\n|---|---|---|\n");
-        for row in &self.rows {
-            let _ =
-                writeln!(fleets, "| {} | {:.2} | {:.0} |", row.daemons, row.homes_ms, row.view_kb);
+    pub(crate) fn tables(&self) -> Vec<(&'static str, String)> {
+        let mut fleets = Table::new(&["daemons", "homes of all cells, ms", "one view, KB"]);
+        for Row { daemons, homes_ms, view_kb } in &self.rows {
+            fleets.row(&[daemons.to_string(), format!("{homes_ms:.2}"), format!("{view_kb:.0}")]);
         }
-        let _ = writeln!(
-            fleets,
-            "\nFits: homes (x = daemons² / 10⁶) {}; view (x = daemons) {}.",
-            self.homes, self.view
-        );
-        let Document1 { bytes, parse_ms, assemble_ms, memory_kb, changed_bytes, moved, idle } =
-            &self.document;
+        let Self { homes, view, .. } = self;
+        fleets
+            .note(&format!("Fits: homes (x = daemons² / 10⁶) {homes}; view (x = daemons) {view}."));
+        vec![("state", fleets.text()), ("document", self.document.table())]
+    }
+}
+
+impl DocumentCosts {
+    fn table(&self) -> String {
         let (full, bare) = datagram_bytes();
-        let mut document = String::from("| quantity | value |\n|---|---|\n");
-        for (what, value) in [
-            ("the document, KB of JSON".to_owned(), *bytes as f64 / 1024.0),
-            ("parsing and verifying it, ms".to_owned(), *parse_ms),
-            (
-                "assembling it from one changed section and the held ones, ms".to_owned(),
-                *assemble_ms,
-            ),
-            ("document and parcel in memory, KB".to_owned(), *memory_kb),
-            (
-                "one changed section of 980 shards on the wire, KB".to_owned(),
-                *changed_bytes as f64 / 1024.0,
-            ),
-            ("homes that are new when one gather is replaced (mean of 20)".to_owned(), *moved),
-            ("gathers that home no cell, %".to_owned(), idle * 100.0),
-            ("a control datagram with ten rumours, bytes".to_owned(), full as f64),
-            ("a control datagram without rumours, bytes".to_owned(), bare as f64),
-        ] {
-            let _ = writeln!(document, "| {what} | {value:.1} |");
-        }
-        let _ = size;
-        vec![("state", fleets), ("document", document)]
+        let mut table = Table::new(&["quantity", "value"]);
+        let mut row = |what: &str, value: f64| table.row(&[what.into(), format!("{value:.1}")]);
+        row("the document, KB of JSON", self.bytes as f64 / 1024.0);
+        row("parsing and verifying it, ms", self.parse_ms);
+        row("assembling it from the changed sections and the held ones, ms", self.assemble_ms);
+        row("the document in memory, KB", self.memory_kb);
+        row("a change of one replica on the wire, KB", self.changed_bytes as f64 / 1024.0);
+        row("homes that are new when one gather is replaced, mean of 20", self.moved);
+        row("gathers that home no cell, %", self.idle * 100.0);
+        row("a control datagram with ten rumours, bytes", full as f64);
+        row("a control datagram without rumours, bytes", bare as f64);
+        table.text()
     }
 }
--- a/crates/config/src/document.rs
+++ b/crates/config/src/document.rs
@@ -9,15 +9,14 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use bergamot_base::{
-    Name, Peer, Revision, Searcher, Service, Shard, Step, Table, Workspace, hash_bytes,
-};
+use bergamot_base::{Name, Peer, Revision, Searcher, Service, Shard, Step, Table, Workspace};
 use serde_json::Value;
 
 use crate::flaw::{Flaw, Refusal};
 use crate::layout::Layout;
 use crate::reader::{Flaws, Reader};
 use crate::row::{Class, Place, Preference, SearcherRow, ServiceRow, ShardRow, WorkspaceRow};
+use crate::section::{self, Section};
 
 /// The largest document, as the platform's service holds no more.
 pub(crate) const LARGEST: usize = 1 << 20;
@@ -63,7 +62,7 @@
     pub searchers: Table<Searcher, SearcherRow>,
     /// The cells and what each home may hold.
     pub layout: Layout,
-    source: Value,
+    sections: Vec<Section>,
     names: HashMap<(Name, Name), Service>,
 }
 
@@ -90,9 +89,8 @@
             return Err(walk.flaws);
         }
         let layout = Layout::compute(walk.instances, &walk.services, &walk.shards);
-        // Serialized from the parsed tree, whose keys are sorted: white space and
-        // the order of keys in the published text don't change the hash.
-        let hash = hash_bytes(source.to_string().as_bytes());
+        let sections = section::split(source);
+        let hash = section::hash(&sections);
         Ok(Self {
             revision: walk.revision,
             hash,
@@ -103,7 +101,7 @@
             shards: walk.shards,
             searchers: walk.searchers,
             layout,
-            source,
+            sections,
             names: walk.names,
         })
     }
@@ -123,9 +121,12 @@
         self.places.iter().map(|place| &place.region).collect::<HashSet<_>>().len()
     }
 
-    /// Returns the JSON from which the document was made.
-    pub fn source(&self) -> &Value {
-        &self.source
+    /// Returns the parts in which the document travels.
+    ///
+    /// They are all that is kept of the JSON: the parsed tree of a large document takes
+    /// more than ten times as much memory.
+    pub fn sections(&self) -> &[Section] {
+        &self.sections
     }
 }
 
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -14,11 +14,13 @@
 mod parcel;
 mod reader;
 pub mod row;
+mod section;
 mod settings;
 
 pub use document::Document;
 pub use flaw::{Flaw, Refusal};
 pub use floor::{Floor, Verdict};
 pub use layout::Layout;
-pub use parcel::{Parcel, Section};
+pub use parcel::Parcel;
+pub use section::Section;
 pub use settings::{Key, Settings};
--- a/crates/config/src/parcel.rs
+++ b/crates/config/src/parcel.rs
@@ -1,6 +1,6 @@
-//! A document split into sections that travel by content hash.
+//! A document on its way between two daemons.
 //!
-//! A change mostly touches one service. A daemon that is behind sends the hashes
+//! A daemon that is behind sends the hashes
 //! of the sections it holds and gets only the others back. Invariant: a parcel
 //! that [`Parcel::assemble`] accepts yields the very document that was split; a
 //! missing or damaged section is a fault, never a smaller document.
@@ -13,15 +13,7 @@
 
 use crate::document::Document;
 use crate::flaw::{Flaw, Refusal};
-
-/// One section: its content hash and, where the receiver lacks it, its text.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Section {
-    /// The hash of the text.
-    pub hash: u64,
-    /// The JSON text, absent where the receiver holds it already.
-    pub text: Option<Name>,
-}
+use crate::section::{self, Section};
 
 /// A document on its way between two daemons.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -30,27 +22,14 @@
     pub revision: Revision,
     /// The hash of the whole document.
     pub hash: u64,
-    /// The document without its services, then each service in order.
+    /// The sections in order.
     pub sections: Vec<Section>,
 }
 
 impl Parcel {
-    /// Splits a document.
-    pub fn split(document: &Document) -> Self {
-        let mut head = document.source().clone();
-        let mut texts = Vec::new();
-        for workspace in workspaces(&mut head) {
-            if let Some(services) = workspace.get_mut("services").and_then(Value::as_array_mut) {
-                let count = services.len();
-                texts.extend(services.drain(..).map(|service| Name::from(service.to_string())));
-                workspace["services"] = Value::from(count);
-            }
-        }
-        texts.insert(0, Name::from(head.to_string()));
-        let sections = texts
-            .into_iter()
-            .map(|text| Section { hash: hash_bytes(text.as_bytes()), text: Some(text) })
-            .collect();
+    /// Packs a document.
+    pub fn of(document: &Document) -> Self {
+        let sections = document.sections().to_vec();
         Self { revision: document.revision, hash: document.hash, sections }
     }
 
@@ -70,12 +49,12 @@
         self.sections.iter().map(|section| section.hash).collect()
     }
 
-    /// Puts the document together again, with the help of the parcel held before.
-    pub fn assemble(&self, held: Option<&Self>) -> Result<Document, Refusal> {
+    /// Puts the document together again, with the help of the document held before.
+    pub fn assemble(&self, held: Option<&Document>) -> Result<Document, Refusal> {
         let refuse = |flaws| Refusal { step: Step("assemble document"), peer: Peer::Here, flaws };
         let known: HashMap<u64, &Name> = held
             .into_iter()
-            .flat_map(|parcel| &parcel.sections)
+            .flat_map(Document::sections)
             .filter_map(|section| section.text.as_ref().map(|text| (section.hash, text)))
             .collect();
         let mut values = Vec::with_capacity(self.sections.len());
@@ -91,7 +70,7 @@
                 serde_json::from_str(text).map_err(|error| flaw(&error.to_string()))?;
             values.push(value);
         }
-        let source = join(values).ok_or_else(|| {
+        let source = section::join(values).ok_or_else(|| {
             refuse(vec![Flaw::new("sections", "a wrong count", "one for each service")])
         })?;
         let document = Document::from_source(source).map_err(refuse)?;
@@ -101,22 +80,3 @@
         Err(refuse(vec![Flaw::new("document", "another hash or revision", "that of the parcel")]))
     }
 }
-
-fn workspaces(head: &mut Value) -> impl Iterator<Item = &mut Value> {
-    head.get_mut("workspaces").and_then(Value::as_array_mut).into_iter().flatten()
-}
-
-/// Puts the services back into the places that the head counts.
-fn join(values: Vec<Value>) -> Option<Value> {
-    let mut values = values.into_iter();
-    let mut head = values.next()?;
-    for workspace in workspaces(&mut head) {
-        let count = workspace.get("services")?.as_u64()? as usize;
-        let services: Vec<Value> = values.by_ref().take(count).collect();
-        if services.len() != count {
-            return None;
-        }
-        workspace["services"] = Value::from(services);
-    }
-    values.next().is_none().then_some(head)
-}
--- /dev/null
+++ b/crates/config/src/section.rs
@@ -0,0 +1,93 @@
+//! The sections of a document: the parts in which it travels, by content hash.
+//!
+//! A change mostly touches a few shards of one service. A document is cut into its head
+//! without the services, the head of each service without its shards, and the shards in
+//! chunks. Invariant: [`join`] of what [`split`] made is the document again, and the
+//! hash of a document depends on its content only, not on white space or the order of
+//! keys: texts are written from the parsed tree, whose keys are sorted.
+
+use bergamot_base::{Name, hash_bytes, hash_parts};
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
+
+/// How many shards one section holds.
+const CHUNK: usize = 64;
+
+/// One section: its content hash and, where the receiver lacks it, its text.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Section {
+    /// The hash of the text.
+    pub hash: u64,
+    /// The JSON text, absent where the receiver holds it already.
+    pub text: Option<Name>,
+}
+
+impl Section {
+    fn new(value: &Value) -> Self {
+        let text = Name::from(value.to_string());
+        Self { hash: hash_bytes(text.as_bytes()), text: Some(text) }
+    }
+}
+
+/// Returns the hash of the whole document.
+pub(crate) fn hash(sections: &[Section]) -> u64 {
+    let hashes: Vec<_> = sections.iter().map(|section| section.hash.to_le_bytes()).collect();
+    hash_parts(hashes.iter().map(<[u8; 8]>::as_slice))
+}
+
+/// Cuts a document into sections, in the order in which [`join`] reads them.
+pub(crate) fn split(mut source: Value) -> Vec<Section> {
+    let mut sections = Vec::new();
+    for workspace in list_mut(&mut source, "workspaces") {
+        for mut service in take_list(workspace, "services") {
+            let shards = take_list(&mut service, "shards");
+            sections.push(Section::new(&service));
+            sections.extend(shards.chunks(CHUNK).map(|chunk| Section::new(&Value::from(chunk))));
+        }
+    }
+    sections.insert(0, Section::new(&source));
+    sections
+}
+
+/// Puts the parsed sections of a document together again, or nothing where they don't
+/// fit each other.
+pub(crate) fn join(values: Vec<Value>) -> Option<Value> {
+    let mut values = values.into_iter();
+    let mut source = values.next()?;
+    for workspace in list_mut(&mut source, "workspaces") {
+        let count = workspace.get("services")?.as_u64()? as usize;
+        let mut services = Vec::new();
+        for _ in 0..count {
+            services.push(join_service(&mut values)?);
+        }
+        workspace["services"] = Value::from(services);
+    }
+    values.next().is_none().then_some(source)
+}
+
+fn join_service(values: &mut impl Iterator<Item = Value>) -> Option<Value> {
+    let mut service = values.next()?;
+    let count = service.get("shards")?.as_u64()? as usize;
+    let mut shards = Vec::new();
+    while shards.len() < count {
+        match values.next()? {
+            Value::Array(chunk) if !chunk.is_empty() => shards.extend(chunk),
+            _ => return None,
+        }
+    }
+    service["shards"] = Value::from(shards);
+    Some(service)
+}
+
+/// Takes a list out of an object and leaves its length behind.
+fn take_list(object: &mut Value, key: &str) -> Vec<Value> {
+    let Some(list) = object.get_mut(key) else { return Vec::new() };
+    let Some(items) = list.as_array_mut() else { return Vec::new() };
+    let items = std::mem::take(items);
+    *list = Value::from(items.len());
+    items
+}
+
+fn list_mut<'a>(object: &'a mut Value, key: &str) -> impl Iterator<Item = &'a mut Value> {
+    object.get_mut(key).and_then(Value::as_array_mut).into_iter().flatten()
+}
--- a/crates/config/tests/properties.rs
+++ b/crates/config/tests/properties.rs
@@ -46,9 +46,8 @@
         after in proptest::collection::vec(1_u64..4, 2..6),
     ) {
         let (old, new) = (document(1, &before), document(2, &after));
-        let held = Parcel::split(&old);
-        let sent = Parcel::split(&new).without(&held.hashes());
-        let got = sent.assemble(Some(&held)).expect("the parcel and the held one are whole");
+        let sent = Parcel::of(&new).without(&Parcel::of(&old).hashes());
+        let got = sent.assemble(Some(&old)).expect("the parcel and the held document are whole");
         prop_assert_eq!(got.hash, new.hash);
         prop_assert_eq!(got.to_string(), new.to_string());
     }
@@ -57,10 +56,10 @@
 #[test]
 fn a_parcel_that_lacks_a_section_is_refused() {
     let (old, new) = (document(1, &[1, 1]), document(2, &[2, 1]));
-    let sent = Parcel::split(&new).without(&Parcel::split(&old).hashes());
+    let sent = Parcel::of(&new).without(&Parcel::of(&old).hashes());
     let refusal = sent.assemble(None).expect_err("a section's text is missing");
     assert!(refusal.to_string().contains("section"), "{refusal}");
-    let mut damaged = Parcel::split(&new);
+    let mut damaged = Parcel::of(&new);
     damaged.sections[1].text = Some("{}".into());
     let refusal = damaged.assemble(None).expect_err("a section is damaged");
     assert!(refusal.to_string().contains("another hash"), "{refusal}");
@@ -69,7 +68,7 @@
 #[test]
 fn an_unchanged_section_does_not_travel() {
     let (old, new) = (document(1, &[1, 1, 1, 1]), document(2, &[1, 1, 9, 1]));
-    let sent = Parcel::split(&new).without(&Parcel::split(&old).hashes());
+    let sent = Parcel::of(&new).without(&Parcel::of(&old).hashes());
     let travelling = sent.sections.iter().filter(|section| section.text.is_some()).count();
-    assert_eq!(travelling, 2, "the head with the revision, and the one service that changed");
+    assert_eq!(travelling, 2, "the head with the revision, and the head of the one service");
 }
--- a/crates/members/src/prober.rs
+++ b/crates/members/src/prober.rs
@@ -117,6 +117,11 @@
         targets.into_iter().map(|to| self.datagram(to, Kind::News, view, digest)).collect()
     }
 
+    /// Returns how much news is still passed on.
+    pub fn rumours(&self) -> usize {
+        self.rumours.len()
+    }
+
     /// Picks members to ask for what they have in force.
     pub fn peers(&mut self, view: &View, count: usize) -> Vec<Endpoint> {
         self.sample(view, count, None)
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -8,7 +8,7 @@
 
 use arc_swap::{ArcSwap, ArcSwapOption};
 use bergamot_base::{Incarnation, Name, Seed};
-use bergamot_config::{Document, Floor, Parcel, Settings, Verdict};
+use bergamot_config::{Document, Floor, Settings, Verdict};
 use bergamot_members::{
     Digest, Endpoint, Homes, Outgoing, Prober, Record, Role, Rumour, State, Timing, View,
 };
@@ -42,12 +42,11 @@
 /// A part of the state dump: its title and what to write.
 pub type Dump = Box<dyn Fn() -> String + Send + Sync>;
 
-/// The document in force, with the parts in which it travels.
+/// The document in force.
 #[derive(Debug)]
 pub struct Current {
     /// The document.
     pub document: Document,
-    pub(crate) parcel: Parcel,
 }
 
 /// What the control loop changes under one lock.
@@ -270,6 +269,11 @@
         ahead()
     }
 
+    /// Returns how much news this node still passes on.
+    pub fn rumours(&self) -> usize {
+        self.lock().prober.rumours()
+    }
+
     /// Returns the metrics of the node.
     pub fn meter(&self) -> &Meter {
         &self.meter
@@ -306,12 +310,11 @@
     /// Puts a checked document in force if it is newer, and tells peers.
     pub(crate) fn adopt(&self, document: Document) -> Verdict {
         let (revision, hash) = (document.revision, document.hash);
-        let parcel = Parcel::split(&document);
         let mut control = self.lock();
         let verdict = control.floor.adopt(revision, hash);
         match verdict {
             Verdict::Newer => {
-                self.current.store(Some(Arc::new(Current { document, parcel })));
+                self.current.store(Some(Arc::new(Current { document })));
                 self.meter.revision.set(revision as i64);
                 control.homes_of = (0, 0);
                 self.refresh_homes(&mut control);
--- a/crates/node/src/pulls.rs
+++ b/crates/node/src/pulls.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use bergamot_config::{Document, Refusal, Verdict};
+use bergamot_config::{Document, Parcel, Refusal, Verdict};
 use bergamot_members::{Datagram, Digest, Endpoint};
 use bergamot_net::Fault;
 use bergamot_wire::{Bundle, Pull, pull, serve_pulls};
@@ -36,7 +36,7 @@
     let parcel = node
         .current()
         .filter(|current| current.document.revision > request.revision)
-        .map(|current| current.parcel.clone().without(&request.held));
+        .map(|current| Parcel::of(&current.document).without(&request.held));
     let Some(theirs) = &request.view else {
         return Bundle { parcel, ..Bundle::default() };
     };
@@ -111,7 +111,9 @@
     let view = with_view.then(|| node.with_view(|view| view.iter().cloned().collect()));
     let request = Pull {
         revision: current.as_ref().map_or(0, |current| current.document.revision),
-        held: current.as_ref().map_or_else(Vec::new, |current| current.parcel.hashes()),
+        held: current
+            .as_ref()
+            .map_or_else(Vec::new, |current| Parcel::of(&current.document).hashes()),
         view,
     };
     let local = node.settings().instance.address;
@@ -127,7 +129,7 @@
         node.heard_leaving(searcher, Some(run));
     }
     if let Some(parcel) = bundle.parcel {
-        let held = current.as_ref().map(|current| &current.parcel);
+        let held = current.as_ref().map(|current| &current.document);
         offer(node, parcel.assemble(held), peer);
     }
     Ok(())
--- a/crates/standin/src/searcher.rs
+++ b/crates/standin/src/searcher.rs
@@ -302,14 +302,14 @@
 async fn connection(inner: &Arc<Inner>, stream: TcpStream, peer: SocketAddr) {
     // Failure only costs time.
     let _ = stream.set_nodelay(true);
-    tokio::time::sleep(inner.settings.limits.connect_cost).await;
+    wait(inner.settings.limits.connect_cost).await;
     let one_way = inner.settings.geography.one_way(peer.ip(), &inner.settings.zone);
     let service = service_fn(move |request| {
         let inner = Arc::clone(inner);
         async move {
-            tokio::time::sleep(one_way).await;
+            wait(one_way).await;
             let reply = inner.handle(request).await;
-            tokio::time::sleep(one_way).await;
+            wait(one_way).await;
             reply.ok_or_else(|| std::io::Error::other("cut on purpose"))
         }
     });
@@ -431,7 +431,7 @@
     async fn work(&self) {
         let slot = self.slots.acquire().await;
         let time = self.lock().service_time(self.settings.limits.service_time);
-        tokio::time::sleep(time).await;
+        wait(time).await;
         drop(slot);
     }
 
@@ -488,6 +488,13 @@
     }
 }
 
+/// Sleeps, unless there is no time to sleep for: a timer takes a millisecond at least.
+async fn wait(time: Duration) {
+    if !time.is_zero() {
+        tokio::time::sleep(time).await;
+    }
+}
+
 fn headers(request: &Request<Incoming>) -> (Name, Duration) {
     let text = |name| request.headers().get(name).and_then(|value| value.to_str().ok());
     let left = text(protocol::DEADLINE).and_then(|text| text.parse().ok()).unwrap_or(1_000_000);
