--- a/crates/bench/src/capacity/state.rs
+++ b/crates/bench/src/capacity/state.rs
@@ -105,7 +105,7 @@
         &rows.iter().map(|row| (row.daemons.powi(2) / 1e6, row.homes_ms)).collect::<Vec<_>>(),
     );
     let view = Fit::of(&points(|row| row.view_kb));
-    Costs { homes, view, document, rows }
+    Costs { rows, homes, view, document }
 }
 
 fn measure_document(size: &Size) -> DocumentCosts {
--- a/crates/bench/src/capacity/table.rs
+++ b/crates/bench/src/capacity/table.rs
@@ -1,5 +1,7 @@
 //! Tables in the form of the pages.
 
+use std::fmt::Write as _;
+
 /// A table with a head.
 #[derive(Debug)]
 pub(crate) struct Table(String);
@@ -13,12 +15,12 @@
 
     /// Adds a row.
     pub(crate) fn row(&mut self, cells: &[String]) {
-        self.0 += &format!("| {} |\n", cells.join(" | "));
+        let _ = writeln!(self.0, "| {} |", cells.join(" | "));
     }
 
     /// Adds a line below the table.
     pub(crate) fn note(&mut self, text: &str) {
-        self.0 += &format!("\n{text}\n");
+        let _ = writeln!(self.0, "\n{text}");
     }
 
     /// Returns the table.
--- a/crates/bench/src/cluster.rs
+++ b/crates/bench/src/cluster.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
+use std::time::Duration;
 
 use bergamot_base::Version;
 use bergamot_config::Settings;
@@ -89,6 +90,26 @@
         futures::future::join_all(stops).await;
     }
 
+    /// Kills a searcher and starts another run at its address, cold.
+    pub async fn restart_searcher(
+        &mut self,
+        number: usize,
+        versions: &[Version],
+    ) -> Result<(), Fault> {
+        let (_, settings) = self.deployment.searchers(versions).swap_remove(number);
+        let (service, old) = &mut self.searchers[number];
+        let service = *service;
+        old.kill();
+        let before = old.effects();
+        // The old run's listener closes a moment after the kill.
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        let fresh = Searcher::start(settings).await?;
+        fresh.chill(Duration::from_secs(1));
+        fresh.remember(before);
+        self.searchers[number] = (service, fresh);
+        Ok(())
+    }
+
     /// Returns the searchers of a service.
     pub fn searchers_of(&self, name: &str) -> Vec<&Searcher> {
         let named = |service: usize| self.deployment.services[service].name == name;
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -4,7 +4,13 @@
 use std::time::Duration;
 
 use bergamot_base::Seed;
-use bergamot_bench::{capacity, quickstart, stand_ins};
+use bergamot_bench::check::check;
+use bergamot_bench::experiment::{self, Plan, Ratio, Run, Scenario};
+use bergamot_bench::history::{Ending, History};
+use bergamot_bench::leaving::{self, Word};
+use bergamot_bench::storm::Storm;
+use bergamot_bench::{capacity, plot, quickstart, stand_ins};
+use bergamot_config::Settings;
 use gumdrop::Options;
 
 const PROGRAM: &str = "bergamot-bench";
@@ -25,10 +31,54 @@
     Quickstart(Quickstart),
     #[options(help = "run the stand-ins of one tenant, for daemons started by hand")]
     StandIns(StandIns),
+    #[options(help = "run pairs of faults under load, drawn from seeds, and check the history")]
+    Storm(StormOptions),
+    #[options(help = "compare the policy with the naive plan on matched seeds")]
+    Policy(PolicyOptions),
+    #[options(help = "measure how long searchers that leave still get new work")]
+    Leaving(LeavingOptions),
     #[options(help = "measure the slopes and rewrite the tables of docs/CAPACITY.md")]
     Capacity(Capacity),
 }
 
+#[derive(Debug, Options)]
+struct StormOptions {
+    #[options(help = "show this text")]
+    help: bool,
+    #[options(help = "the first seed", default = "1")]
+    seed: u64,
+    #[options(help = "how many seeds", default = "3")]
+    seeds: u64,
+    #[options(help = "how many rounds a seed", default = "6")]
+    rounds: usize,
+}
+
+#[derive(Debug, Options)]
+struct PolicyOptions {
+    #[options(help = "show this text")]
+    help: bool,
+    #[options(help = "the first seed", default = "1")]
+    seed: u64,
+    #[options(help = "how many seeds", default = "1")]
+    seeds: u64,
+    #[options(help = "how many seconds of load a run", default = "8")]
+    seconds: u64,
+    #[options(help = "only scenarios whose names contain this", meta = "NAME")]
+    only: Option<String>,
+    #[options(help = "save NAME.csv and NAME.svg", meta = "NAME")]
+    save: Option<std::path::PathBuf>,
+}
+
+#[derive(Debug, Options)]
+struct LeavingOptions {
+    #[options(help = "show this text")]
+    help: bool,
+    #[options(help = "the first seed", default = "1")]
+    seed: u64,
+    #[options(help = "how many seeds", default = "3")]
+    seeds: u64,
+}
+
 #[derive(Debug, Options)]
 struct Capacity {
     #[options(help = "show this text")]
@@ -89,6 +139,12 @@
         Some(Command::Quickstart(options)) if !options.help => quick_start(&options),
         Some(Command::Quickstart(_)) => help::<Quickstart>("quickstart"),
         Some(Command::StandIns(options)) if !options.help => run_stand_ins(&options),
+        Some(Command::Storm(options)) if !options.help => run_storms(&options),
+        Some(Command::Storm(_)) => help::<StormOptions>("storm"),
+        Some(Command::Policy(options)) if !options.help => compare(&options),
+        Some(Command::Policy(_)) => help::<PolicyOptions>("policy"),
+        Some(Command::Leaving(options)) if !options.help => measure_leaving(&options),
+        Some(Command::Leaving(_)) => help::<LeavingOptions>("leaving"),
         Some(Command::Capacity(options)) if !options.help => measure_capacity(&options),
         Some(Command::Capacity(_)) => help::<Capacity>("capacity"),
         Some(Command::StandIns(_)) => help::<StandIns>("stand-ins"),
@@ -104,6 +160,121 @@
     ExitCode::SUCCESS
 }
 
+#[tokio::main]
+async fn run_storms(options: &StormOptions) -> ExitCode {
+    let mut violations = 0;
+    for seed in options.seed..options.seed + options.seeds {
+        match run_storm(seed, options.rounds).await {
+            Ok(found) => violations += found,
+            Err(fault) => {
+                eprintln!("{PROGRAM}: {fault}");
+                return ExitCode::FAILURE;
+            }
+        }
+    }
+    println!("storm: seeds={} rounds={} violations={violations}", options.seeds, options.rounds);
+    if violations == 0 { ExitCode::SUCCESS } else { ExitCode::FAILURE }
+}
+
+/// Runs the rounds of one seed and returns how many violations there were.
+async fn run_storm(seed: u64, rounds: usize) -> Result<usize, bergamot_net::Fault> {
+    let block = [45, 1 + (seed % 200) as u8];
+    let mut storm = Storm::start(Seed(seed), block, Settings::default()).await?;
+    let mut whole = History::default();
+    for round in 0..rounds {
+        let (history, [first, second]) = storm.round().await?;
+        let (offered, complete) = (history.requests.len(), history.count(Ending::Complete));
+        println!(
+            "seed {seed} round {round}: {first} and {second}: offered {offered} complete {complete}"
+        );
+        whole.requests.extend(history.requests);
+    }
+    let (peak, over) = storm.finish(&mut whole);
+    let violations = check(&whole);
+    for violation in &violations {
+        println!("violation {violation}");
+    }
+    println!("seed {seed}: peak connections {:.0}% of the limit, {over} above it", peak * 100.0);
+    Ok(violations.len())
+}
+
+fn compare(options: &PolicyOptions) -> ExitCode {
+    let result = compare_all(options).and_then(|runs| {
+        let Some(path) = &options.save else { return Ok(()) };
+        experiment::save(&runs, &path.with_extension("csv")).map_err(|error| error.to_string())?;
+        plot::draw(&runs, &path.with_extension("svg")).map_err(|error| error.to_string())
+    });
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("{PROGRAM}: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+#[tokio::main]
+async fn compare_all(options: &PolicyOptions) -> Result<Vec<Run>, String> {
+    let time = Duration::from_secs(options.seconds);
+    let only = options.only.as_deref().unwrap_or_default();
+    let mut runs = Vec::new();
+    let mut overall: Option<Ratio> = None;
+    for seed in options.seed..options.seed + options.seeds {
+        for scenario in Scenario::ALL {
+            if !format!("{scenario:?}").contains(only) {
+                continue;
+            }
+            let mut pair = Vec::new();
+            for (plan, block) in [(Plan::Naive, 47), (Plan::Chosen, 48)] {
+                let run = experiment::run(scenario, plan, Seed(seed), time, block)
+                    .await
+                    .map_err(|fault| fault.to_string())?;
+                let peak = run.peak * 100.0;
+                println!(
+                    "\n{scenario:?} {plan:?} seed {seed}: dials {} peak {peak:.0}% over {}",
+                    run.dials, run.over
+                );
+                print!("{}", run.card);
+                pair.push(run);
+            }
+            let ratio = Ratio::of(&pair[0], &pair[1]);
+            println!("{scenario:?} seed {seed}: {}", ratio.line());
+            overall = Some(overall.map_or(ratio, |worst| worst.worse(ratio)));
+            runs.extend(pair);
+        }
+    }
+    if let Some(worst) = overall {
+        println!("\n{}", worst.line());
+    }
+    Ok(runs)
+}
+
+#[tokio::main]
+async fn measure_leaving(options: &LeavingOptions) -> ExitCode {
+    println!("| word | seed | searchers | p50 ms | p90 ms | worst ms |\n|---|---|---|---|---|---|");
+    for word in [Word::Answers, Word::List] {
+        for seed in options.seed..options.seed + options.seeds {
+            let block = [46, 1 + (seed % 100) as u8 + if word == Word::List { 100 } else { 0 }];
+            let times = match leaving::run(Seed(seed), block, word).await {
+                Ok(times) => times,
+                Err(fault) => {
+                    eprintln!("{PROGRAM}: {fault}");
+                    return ExitCode::FAILURE;
+                }
+            };
+            let at = |part: f64| times[((times.len() - 1) as f64 * part) as usize].as_millis();
+            println!(
+                "| {word:?} | {seed} | {} | {} | {} | {} |",
+                times.len(),
+                at(0.5),
+                at(0.9),
+                at(1.0)
+            );
+        }
+    }
+    ExitCode::SUCCESS
+}
+
 fn measure_capacity(options: &Capacity) -> ExitCode {
     match capacity::run(&options.page, options.quick) {
         Ok(()) => ExitCode::SUCCESS,
--- a/crates/bench/tests/fleet.rs
+++ b/crates/bench/tests/fleet.rs
@@ -174,3 +174,23 @@
     // Two readers in each of six zones renew their watch; direct reads are rare.
     assert!(reads <= 2 * daemons, "{reads} reads by {daemons} daemons for one change");
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn two_documents_of_one_revision_raise_an_alarm_and_change_nothing() {
+    let cluster = start([61, 9]).await;
+    let first = cluster.deployment.document(3);
+    cluster.platform.publish(&first);
+    all_have(&cluster, 3).await;
+    let hashes = |cluster: &Cluster| -> Vec<u64> {
+        let nodes = cluster.instances.values().flat_map(|i| [i.entry.node(), i.gather.node()]);
+        nodes.filter_map(|node| Some(node.current()?.document.hash)).collect()
+    };
+    let before = hashes(&cluster);
+    cluster.platform.publish(&first.replace("\"deadline_ms\":150", "\"deadline_ms\":151"));
+    until("some daemon has noticed", || async {
+        let mut nodes = cluster.instances.values().map(|instance| instance.entry.node());
+        nodes.any(|node| node.meter().clashes.get() > 0)
+    })
+    .await;
+    assert_eq!(hashes(&cluster), before, "what is in force stays");
+}
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -30,6 +30,9 @@
 /// How often a starting node tries to get a document.
 const RETRY: Duration = Duration::from_millis(200);
 
+/// How many attempts to get a document share one line of the log.
+const ATTEMPTS_PER_LINE: u32 = 25;
+
 /// How long a farewell is given to reach peers before the sockets close.
 const FAREWELL: Duration = Duration::from_millis(50);
 
@@ -132,12 +135,16 @@
     /// in force. Before that nothing may be served.
     pub async fn join(self: &Arc<Self>) {
         platform::read_list(self).await;
+        let mut attempt = 0;
         loop {
             pulls::catch_up(self, true).await;
             if self.current().is_some() {
                 break;
             }
-            log::warn!("node: No document yet; neither the platform nor a peer gave one.");
+            if attempt % ATTEMPTS_PER_LINE == 0 {
+                log::warn!("node: No document yet; neither the platform nor a peer gave one.");
+            }
+            attempt += 1;
             tokio::time::sleep(RETRY).await;
             platform::read_list(self).await;
         }
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -1,7 +1,7 @@
 //! The platform: the configuration service and the instance list.
 
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -47,7 +47,8 @@
     document: watch::Sender<Published>,
     stale: Mutex<Option<Published>>,
     instances: Mutex<Vec<Instance>>,
-    down: std::sync::atomic::AtomicBool,
+    down: AtomicBool,
+    configuration_down: AtomicBool,
     document_reads: AtomicU64,
     instance_reads: AtomicU64,
 }
@@ -66,7 +67,8 @@
             document: watch::Sender::new(Published::default()),
             stale: Mutex::default(),
             instances: Mutex::default(),
-            down: std::sync::atomic::AtomicBool::new(false),
+            down: AtomicBool::new(false),
+            configuration_down: AtomicBool::new(false),
             document_reads: AtomicU64::new(0),
             instance_reads: AtomicU64::new(0),
         });
@@ -94,6 +96,12 @@
     /// Makes both services answer 503, or answer again.
     pub fn set_down(&self, down: bool) {
         self.inner.down.store(down, Ordering::Relaxed);
+        self.set_configuration_down(down);
+    }
+
+    /// Makes only the configuration service answer 503, or answer again.
+    pub fn set_configuration_down(&self, down: bool) {
+        self.inner.configuration_down.store(down, Ordering::Relaxed);
     }
 
     /// Makes the service answer with an older document, or with the published one again.
@@ -119,7 +127,10 @@
 impl Inner {
     async fn handle(self: Arc<Self>, request: Request<Incoming>) -> Response<Body> {
         let path = request.uri().path().to_owned();
-        let down = self.down.load(Ordering::Relaxed);
+        let down = match path.as_str() {
+            "/v1/instances" => self.down.load(Ordering::Relaxed),
+            _ => self.configuration_down.load(Ordering::Relaxed),
+        };
         match (request.method(), path.as_str()) {
             (&Method::POST, "/publish") => self.take_document(request).await,
             (&Method::POST, "/instances") => self.take_instances(request).await,
@@ -146,6 +157,7 @@
 
     fn set_down(&self, down: bool) -> Response<Body> {
         self.down.store(down, Ordering::Relaxed);
+        self.configuration_down.store(down, Ordering::Relaxed);
         text(StatusCode::OK, "taken")
     }
 
--- a/crates/standin/src/searcher.rs
+++ b/crates/standin/src/searcher.rs
@@ -162,6 +162,7 @@
     effects: Vec<Effect>,
     ledger: u64,
     cold_until: Option<Instant>,
+    last_search: Option<Instant>,
 }
 
 #[derive(Debug)]
@@ -197,6 +198,7 @@
             effects: Vec::new(),
             ledger: 0,
             cold_until: None,
+            last_search: None,
         };
         let inner = Arc::new(Inner {
             run,
@@ -219,11 +221,31 @@
         self.0.settings.address
     }
 
+    /// Returns the availability zone.
+    pub fn zone(&self) -> &Name {
+        &self.0.settings.zone
+    }
+
     /// Changes how the searcher fails.
     pub fn set_faults(&self, faults: Faults) {
         self.0.lock().faults = faults;
     }
 
+    /// Returns how the searcher fails now.
+    pub fn faults(&self) -> Faults {
+        self.0.lock().faults.clone()
+    }
+
+    /// Puts what an earlier run at this address did before what this one does.
+    pub fn remember(&self, before: Vec<Effect>) {
+        self.0.lock().effects.splice(..0, before);
+    }
+
+    /// Returns when the last sub-query arrived.
+    pub fn last_search(&self) -> Option<Instant> {
+        self.0.lock().last_search
+    }
+
     /// Changes which versions the searcher holds.
     pub fn set_versions(&self, versions: impl IntoIterator<Item = Version>) {
         self.0.lock().versions = versions.into_iter().collect();
@@ -358,6 +380,7 @@
 
     async fn search(&self, request: Request<Incoming>) -> Option<Response<Body>> {
         self.searches.fetch_add(1, Ordering::Relaxed);
+        self.lock().last_search = Some(Instant::now());
         let (id, left) = headers(&request);
         let body = read_body(request, LARGEST_BODY).await.ok()?;
         let Ok(search) = serde_json::from_slice::<Search>(&body) else {
