--- a/crates/bench/src/cluster.rs
+++ b/crates/bench/src/cluster.rs
@@ -12,6 +12,9 @@
 use crate::deployment::Deployment;
 use crate::history::History;
 
+/// How long sockets may take to close.
+const CLOSING: Duration = Duration::from_millis(500);
+
 /// The daemons of one instance.
 #[derive(Debug)]
 pub struct Instance {
@@ -110,6 +113,16 @@
         Ok(())
     }
 
+    /// Ends everything at once and returns when its addresses are free again.
+    pub async fn close(self) {
+        for instance in self.instances.into_values() {
+            instance.entry.abort();
+            instance.gather.abort();
+        }
+        drop((self.platform, self.searchers));
+        tokio::time::sleep(CLOSING).await;
+    }
+
     /// Returns the searchers of a service.
     pub fn searchers_of(&self, name: &str) -> Vec<&Searcher> {
         let named = |service: usize| self.deployment.services[service].name == name;
--- a/crates/bench/src/experiment.rs
+++ b/crates/bench/src/experiment.rs
@@ -186,7 +186,9 @@
     let (history, ()) = futures::future::join(load, script).await;
     let (peak, over) = cluster.connections();
     let card = Card::of(&history);
-    Ok(Run { scenario, plan, card, dials: dials(&cluster) - before, peak, over })
+    let dials = dials(&cluster) - before;
+    cluster.close().await;
+    Ok(Run { scenario, plan, card, dials, peak, over })
 }
 
 /// The chosen plan over the naive one, worst service.
--- a/crates/bench/src/leaving.rs
+++ b/crates/bench/src/leaving.rs
@@ -46,6 +46,7 @@
         })
         .collect();
     times.sort();
+    cluster.close().await;
     Ok(times)
 }
 
--- a/crates/entry/src/service.rs
+++ b/crates/entry/src/service.rs
@@ -16,7 +16,6 @@
 use tokio::net::TcpListener;
 use tokio::task::JoinHandle;
 use tokio_util::sync::CancellationToken;
-use tokio_util::task::TaskTracker;
 
 use crate::door::Door;
 use crate::http;
@@ -101,6 +100,12 @@
         &self.inner.node
     }
 
+    /// Ends at once and without a farewell, as a crash does. For tests and measurements.
+    pub fn abort(self) {
+        self.stop.cancel();
+        self.inner.node.close();
+    }
+
     /// Stops gracefully: says farewell, serves until the last address answer that named
     /// this entry has expired, finishes what is in flight, then closes.
     pub async fn stop(self) {
@@ -143,17 +148,22 @@
     stop: CancellationToken,
 ) -> JoinHandle<()> {
     let server = Server(Arc::clone(&inner.writer));
-    tokio::spawn(serve_requests(listener, stop, move |stream, tracker: TaskTracker| {
+    tokio::spawn(serve_requests(listener, stop, move |stream, open| {
         let requests = transport(stream).execute(Requests::serve(server.clone()));
-        tokio::spawn(run_requests(requests, tracker));
+        tokio::spawn(run_requests(requests, open));
     }))
 }
 
+/// Adds the parts of the state dump. They hold the service weakly: the node that keeps
+/// them is itself a part of the service.
 fn add_dumps(inner: &Arc<Inner>) {
-    let this = Arc::clone(inner);
-    inner.node.add_dump("admission", Box::new(move || this.door.dump()));
-    let this = Arc::clone(inner);
-    inner.node.add_dump("writes", Box::new(move || this.writer.dump()));
+    let part = |title, dump: fn(&Inner) -> String| {
+        let this = Arc::downgrade(inner);
+        let text = move || this.upgrade().map_or_else(String::new, |inner| dump(&inner));
+        inner.node.add_dump(title, Box::new(text));
+    };
+    part("admission", |inner| inner.door.dump());
+    part("writes", |inner| inner.writer.dump());
 }
 
 /// The requests that an entry answers to other entries.
--- a/crates/gather/src/service.rs
+++ b/crates/gather/src/service.rs
@@ -21,7 +21,6 @@
 use tarpc::context::Context;
 use tarpc::server::Channel;
 use tokio_util::sync::CancellationToken;
-use tokio_util::task::TaskTracker;
 
 use crate::holding::Holding;
 use crate::keeper;
@@ -54,6 +53,10 @@
         self.holding.load_full()
     }
 
+    fn dump_upstream(&self) -> String {
+        self.holding().map_or_else(String::new, |holding| holding.fleet.dump())
+    }
+
     /// Takes in a change of the document or the homes.
     pub(crate) fn refresh(&self) {
         let Some(current) = self.node.current() else {
@@ -130,14 +133,10 @@
         tokio::spawn(keeper::follow(Arc::clone(&inner), stop.clone()));
         tokio::spawn(keeper::keep(Arc::clone(&inner), stop.clone()));
         let server = Server(Arc::clone(&inner));
-        let served = tokio::spawn(serve_requests(
-            listener,
-            stop.clone(),
-            move |stream, tracker: TaskTracker| {
-                let requests = transport(stream).execute(Requests::serve(server.clone()));
-                tokio::spawn(run_requests(requests, tracker));
-            },
-        ));
+        let served = tokio::spawn(serve_requests(listener, stop.clone(), move |stream, open| {
+            let requests = transport(stream).execute(Requests::serve(server.clone()));
+            tokio::spawn(run_requests(requests, open));
+        }));
         log::info!("gather: Serving at {address}.");
         Ok(Running { inner, stop, served })
     }
@@ -149,6 +148,12 @@
         &self.inner.node
     }
 
+    /// Ends at once and without a farewell, as a crash does. For tests and measurements.
+    pub fn abort(self) {
+        self.stop.cancel();
+        self.inner.node.close();
+    }
+
     /// Stops gracefully: says farewell, serves until nothing comes in any more and
     /// nothing is in flight, then closes.
     pub async fn stop(self) {
@@ -176,12 +181,16 @@
     }
 }
 
+/// Adds the parts of the state dump. They hold the service weakly: the node that keeps
+/// them is itself a part of the service.
 fn add_dumps(inner: &Arc<Inner>) {
-    let this = Arc::clone(inner);
-    let upstream = move || this.holding().map_or_else(String::new, |holding| holding.fleet.dump());
-    inner.node.add_dump("upstream", Box::new(upstream));
-    let this = Arc::clone(inner);
-    inner.node.add_dump("tails", Box::new(move || this.tails.dump()));
+    let part = |title, dump: fn(&Inner) -> String| {
+        let this = Arc::downgrade(inner);
+        let text = move || this.upgrade().map_or_else(String::new, |inner| dump(&inner));
+        inner.node.add_dump(title, Box::new(text));
+    };
+    part("upstream", |inner| inner.dump_upstream());
+    part("tails", |inner| inner.tails.dump());
 }
 
 /// The requests that a gather answers.
--- a/crates/wire/src/channel.rs
+++ b/crates/wire/src/channel.rs
@@ -91,14 +91,24 @@
 pub async fn serve_requests(
     listener: TcpListener,
     stop: CancellationToken,
-    serve: impl Fn(TcpStream, TaskTracker),
+    serve: impl Fn(TcpStream, Connection),
 ) {
-    let tracker = TaskTracker::new();
+    let open = Connection { tracker: TaskTracker::new(), closed: CancellationToken::new() };
     while let Some(stream) = accept(&listener, &stop).await {
-        serve(stream, tracker.clone());
+        serve(stream, open.clone());
     }
-    tracker.close();
-    tracker.wait().await;
+    open.tracker.close();
+    open.tracker.wait().await;
+    open.closed.cancel();
+}
+
+/// What the connections of one listener share.
+#[derive(Clone, Debug)]
+pub struct Connection {
+    /// The requests in flight.
+    tracker: TaskTracker,
+    /// Cancelled once the listener has stopped and nothing is in flight.
+    closed: CancellationToken,
 }
 
 /// Makes the server's side of a connection.
@@ -128,13 +138,20 @@
 }
 
 /// Runs each request of a connection as a task of its own.
-pub async fn run_requests<F>(requests: impl Stream<Item = F>, tracker: TaskTracker)
+///
+/// Ends, and closes the connection, when the peer does or the listener has stopped.
+pub async fn run_requests<F>(requests: impl Stream<Item = F>, open: Connection)
 where
     F: Future<Output = ()> + Send + 'static,
 {
     let mut requests = std::pin::pin!(requests);
-    while let Some(request) = requests.next().await {
-        tracker.spawn(request);
+    loop {
+        let request = tokio::select! {
+            () = open.closed.cancelled() => return,
+            request = requests.next() => request,
+        };
+        let Some(request) = request else { return };
+        open.tracker.spawn(request);
     }
 }
 
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -11,7 +11,7 @@
 mod rpc;
 mod stream;
 
-pub use channel::{Channels, Connect, run_requests, serve_requests, transport};
+pub use channel::{Channels, Connect, Connection, run_requests, serve_requests, transport};
 pub use datagram::{Garbled, LARGEST_DATAGRAM, decode, encode};
 pub use rpc::{
     Entry, EntryClient, EntryRequest, EntryResponse, Gather, GatherClient, GatherRequest,
