Answer at once for a version that every live replica is known to lack

Ruled out: replica choice, which puts the one that lacks the version last. Change: a gather that knows from their last answers that no live replica holds the pin says so without asking; the reply carries what they hold.

--- a/crates/gather/src/holding.rs
+++ b/crates/gather/src/holding.rs
@@ -7,7 +7,7 @@
 use bergamot_config::Settings;
 use bergamot_members::{Endpoint, Homes};
 use bergamot_node::Current;
-use bergamot_upstream::Fleet;
+use bergamot_upstream::{Client, Fleet};
 
 /// What a gather holds under one document.
 #[derive(Clone, Debug)]
@@ -48,13 +48,16 @@
         })
     }
 
+    /// Iterates over the clients of a shard's replicas.
+    pub(crate) fn clients(&self, shard: Shard) -> impl Iterator<Item = &Arc<Client>> {
+        let replicas = &self.current.document.shards[shard].replicas;
+        replicas.iter().filter_map(|searcher| self.fleet.client(*searcher))
+    }
+
     /// Returns the versions that the live replicas of a shard hold.
     pub(crate) fn versions(&self, shard: Shard) -> Vec<Version> {
         let mut versions = BTreeSet::new();
-        for searcher in &self.current.document.shards[shard].replicas {
-            let Some(client) = self.fleet.client(*searcher) else {
-                continue;
-            };
+        for client in self.clients(shard) {
             let health = client.health();
             if !health.is_leaving() {
                 versions.extend(health.versions());
--- a/crates/gather/src/shard.rs
+++ b/crates/gather/src/shard.rs
@@ -51,6 +51,9 @@
 ///
 /// Whatever ends it, the attempts still running are cancelled: their guards drop.
 pub(crate) async fn run(inner: &Inner, job: &Job, shard: Shard) -> Ended {
+    if is_gone(job, shard) {
+        return Ended { result: Err(Reason::VersionGone), attempts: 0 };
+    }
     let mut race = Race::new(order(inner, job, shard));
     let running = FuturesUnordered::new();
     let mut attempts = Attempts { inner, job, shard, running, guards: Vec::new(), count: 0 };
@@ -162,12 +165,31 @@
     Ok(Partial { shard, pin, documents: found.documents, hits: found.hits })
 }
 
+/// Tells whether every live replica is known to lack the pinned version.
+///
+/// Asking them all the same would cost a sub-query each to learn what their last answers
+/// said. The reply carries what they do hold, so the entry plans again at once.
+fn is_gone(job: &Job, shard: Shard) -> bool {
+    let mut live = 0;
+    for client in job.holding.clients(shard) {
+        let health = client.health();
+        if health.is_leaving() {
+            continue;
+        }
+        if health.versions().is_empty() || health.versions().contains(&job.pin.version) {
+            return false;
+        }
+        live += 1;
+    }
+    live > 0
+}
+
 /// The order in which the replicas are tried.
 fn order(inner: &Inner, job: &Job, shard: Shard) -> Vec<Searcher> {
     let replicas = &job.holding.current.document.shards[shard].replicas;
     let clients: Vec<(Searcher, &Arc<Client>)> = replicas
         .iter()
-        .filter_map(|searcher| job.holding.fleet.client(*searcher).map(|c| (*searcher, c)))
+        .filter_map(|searcher| Some((*searcher, job.holding.fleet.client(*searcher)?)))
         .collect();
     let healths: Vec<_> = clients.iter().map(|(_, client)| client.health().clone()).collect();
     let candidates: Vec<_> = clients
