--- a/crates/gather/src/shard.rs
+++ b/crates/gather/src/shard.rs
@@ -65,18 +65,17 @@
 async fn drive(race: &mut Race, attempts: &mut Attempts<'_>) -> Result<Partial, Reason> {
     let job = attempts.job;
     let settings = attempts.inner.node.settings();
-    let first = match race.start() {
-        Next::Send(first) => first,
+    match race.start() {
+        Next::Send(first) => attempts.send(first),
         Next::Miss(reason) => return Err(reason),
-        Next::Wait => return Err(Reason::Unreachable),
-    };
-    attempts.send(first);
+        Next::Wait => {}
+    }
     {
         let mut tail = lock(&job.tail);
         tail.hedges.earn();
         tail.retries.earn();
     }
-    let hedge_at = Instant::now() + hedge_delay(job, first, settings.gather.hedge_floor);
+    let hedge_at = Instant::now() + hedge_delay(job, settings.gather.hedge_floor);
     let mut hedging = settings.gather.hedge;
     loop {
         tokio::select! {
@@ -208,12 +207,7 @@
     staying.map(|candidate| candidate.searcher).collect()
 }
 
-/// How long the first replica may take before another is asked: the 95th percentile of
-/// its own answers, as near and far replicas differ by more than their tails. While that
-/// is unknown, the service's stands in.
-fn hedge_delay(job: &Job, first: Searcher, floor: Duration) -> Duration {
+fn hedge_delay(job: &Job, floor: Duration) -> Duration {
     let left = job.deadline.left(Instant::now());
-    let own = job.holding.fleet.client(first).and_then(|client| client.p95());
-    let pace = own.or_else(|| lock(&job.tail).pace.p95());
-    pace.map_or(left / FIRST_HEDGE, |p95| p95.max(floor))
+    lock(&job.tail).pace.p95().map_or(left / FIRST_HEDGE, |p95| p95.max(floor))
 }
--- a/crates/upstream/src/client.rs
+++ b/crates/upstream/src/client.rs
@@ -21,7 +21,6 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::health::Health;
-use crate::pace::Pace;
 use crate::pool::{Lease, Pool};
 use crate::protocol::{self, Found, Receipt, Search, Write};
 use crate::slots::{Entry, Slots};
@@ -85,7 +84,6 @@
     pool: Arc<Pool>,
     slots: Mutex<Slots<oneshot::Sender<()>>>,
     health: Mutex<Health>,
-    pace: Mutex<Pace>,
 }
 
 impl Client {
@@ -102,7 +100,6 @@
             pool,
             slots: Mutex::new(Slots::new(slots, queue)),
             health: Mutex::new(Health::new(guess)),
-            pace: Mutex::default(),
         })
     }
 
@@ -121,11 +118,6 @@
         self.health.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Returns the 95th percentile of the searcher's own recent answers, once known.
-    pub fn p95(&self) -> Option<Duration> {
-        self.pace.lock().unwrap_or_else(PoisonError::into_inner).p95()
-    }
-
     /// Returns the queue before the searcher's slots.
     pub fn slots(&self) -> MutexGuard<'_, Slots<oneshot::Sender<()>>> {
         self.slots.lock().unwrap_or_else(PoisonError::into_inner)
@@ -355,7 +347,6 @@
                     self.fault("decode reply", &error.to_string()).because(Reason::BadReply)
                 })?;
                 self.health().answered(took);
-                self.pace.lock().unwrap_or_else(PoisonError::into_inner).record(took);
                 Ok(found)
             }
             StatusCode::CONFLICT => {
--- a/crates/upstream/src/pace.rs
+++ b/crates/upstream/src/pace.rs
@@ -1,4 +1,4 @@
-//! The recent latency of a searcher or a service, for the time of a hedge.
+//! The recent latency of a service's sub-queries, for the time of a hedge.
 
 use std::fmt;
 use std::time::Duration;
