Ask the first replica once more when all replicas of a shard are slow

Cause: with 30 shards and one request in fifty straggling, both replicas straggle in 1.2% of the queries, so two attempts can't bring the 99th down. Ruled out before: the delay of the hedge and its budget.

--- a/crates/gather/src/shard.rs
+++ b/crates/gather/src/shard.rs
@@ -1,5 +1,6 @@
 //! One shard of a query: a race between its replicas.
 
+use std::collections::HashMap;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -19,6 +20,9 @@
 /// The part of the time left after which a hedge is made while the pace is unknown.
 const FIRST_HEDGE: u32 = 3;
 
+/// How many hedges one shard may have.
+const MOST_HEDGES: u32 = 2;
+
 /// What all shards of one sub-query share.
 pub(crate) struct Job {
     pub(crate) id: Name,
@@ -35,7 +39,10 @@
     pub(crate) attempts: u32,
 }
 
-type Attempt<'a> = BoxFuture<'a, (Searcher, Result<Found, Fault>, Duration)>;
+/// The end of an attempt: its number, the searcher, the result and the time it took.
+type Finished = (u32, Searcher, Result<Found, Fault>, Duration);
+
+type Attempt<'a> = BoxFuture<'a, Finished>;
 
 /// The attempts at one shard that are running.
 struct Attempts<'a> {
@@ -43,7 +50,8 @@
     job: &'a Job,
     shard: Shard,
     running: FuturesUnordered<Attempt<'a>>,
-    guards: Vec<DropGuard>,
+    /// The number of the attempt that counts at each searcher, and what cancels it.
+    latest: HashMap<Searcher, (u32, DropGuard)>,
     count: u32,
 }
 
@@ -56,7 +64,7 @@
     }
     let mut race = Race::new(order(inner, job, shard));
     let running = FuturesUnordered::new();
-    let mut attempts = Attempts { inner, job, shard, running, guards: Vec::new(), count: 0 };
+    let mut attempts = Attempts { inner, job, shard, running, latest: HashMap::new(), count: 0 };
     let result = drive(&mut race, &mut attempts).await;
     inner.meter.attempts.inc_by(u64::from(attempts.count));
     Ended { result, attempts: attempts.count }
@@ -75,12 +83,16 @@
         tail.hedges.earn();
         tail.retries.earn();
     }
-    let hedge_at = Instant::now() + hedge_delay(job, settings.gather.hedge_floor);
-    let mut hedging = settings.gather.hedge;
+    let delay = hedge_delay(job, settings.gather.hedge_floor);
+    let mut hedge_at = Instant::now() + delay;
+    let mut hedges = if settings.gather.hedge { MOST_HEDGES } else { 0 };
     loop {
         tokio::select! {
             biased;
-            Some((searcher, result, took)) = attempts.running.next() => {
+            Some((number, searcher, result, took)) = attempts.running.next() => {
+                if !attempts.counts(number, searcher) {
+                    continue;
+                }
                 let reason = match result.map(|found| accept(job, attempts.shard, found)) {
                     Ok(Ok(partial)) => {
                         race.win(searcher);
@@ -99,8 +111,9 @@
                     Next::Miss(reason) => return Err(reason),
                 }
             }
-            () = tokio::time::sleep_until(hedge_at.into()), if hedging => {
-                hedging = false;
+            () = tokio::time::sleep_until(hedge_at.into()), if hedges > 0 => {
+                hedges -= 1;
+                hedge_at = Instant::now() + delay;
                 let next = race.hedge(&mut lock(&job.tail).hedges);
                 if let Some(next) = next {
                     attempts.send(next);
@@ -122,16 +135,23 @@
 }
 
 impl Attempts<'_> {
+    /// Tells whether an attempt is the one that counts at its searcher.
+    fn counts(&self, number: u32, searcher: Searcher) -> bool {
+        self.latest.get(&searcher).is_some_and(|(latest, _)| *latest == number)
+    }
+
     fn send(&mut self, searcher: Searcher) {
         let job = self.job;
         let Some(client) = job.holding.fleet.client(searcher).map(Arc::clone) else {
             return;
         };
         self.count += 1;
+        let number = self.count;
         let document = &job.holding.current.document;
         let position = document.shards[self.shard].position;
         let cancel = CancellationToken::new();
-        self.guards.push(cancel.clone().drop_guard());
+        // An earlier attempt at the searcher is cancelled: its guard drops.
+        self.latest.insert(searcher, (number, cancel.clone().drop_guard()));
         let call = Call {
             id: Name::from(format!("{}.{position}.{}", job.id, self.count)),
             deadline: job.deadline,
@@ -147,7 +167,7 @@
         self.running.push(Box::pin(async move {
             let started = Instant::now();
             let result = client.search(&call, &search, || node.is_awake()).await;
-            (searcher, result, started.elapsed())
+            (number, searcher, result, started.elapsed())
         }));
     }
 }
--- a/crates/upstream/src/race.rs
+++ b/crates/upstream/src/race.rs
@@ -1,7 +1,11 @@
 //! The attempts at one shard: first, hedge, retry, and who wins.
 //!
-//! Invariant: a searcher is asked at most once, the race ends exactly once, and
-//! nothing is sent after it has ended.
+//! Straggling is mostly a matter of the request and not of the searcher. When every
+//! replica has been asked and all are slow, the first is asked once more in place of its
+//! first attempt, which is cancelled: it has no more work than before.
+//!
+//! Invariant: at most one attempt at a searcher runs at a time, the race ends exactly
+//! once, and nothing is sent after it has ended.
 
 use std::collections::VecDeque;
 
@@ -26,6 +30,7 @@
 pub struct Race {
     untried: VecDeque<Searcher>,
     running: Vec<Searcher>,
+    again: Option<Searcher>,
     worst: Reason,
     ended: bool,
 }
@@ -33,12 +38,9 @@
 impl Race {
     /// Prepares a race over replicas in the order in which to ask them.
     pub fn new(order: impl IntoIterator<Item = Searcher>) -> Self {
-        Self {
-            untried: order.into_iter().collect(),
-            running: Vec::new(),
-            worst: Reason::Leaving,
-            ended: false,
-        }
+        let untried: VecDeque<Searcher> = order.into_iter().collect();
+        let again = untried.front().copied();
+        Self { untried, running: Vec::new(), again, worst: Reason::Leaving, ended: false }
     }
 
     /// Starts with the first replica, if there is any.
@@ -46,11 +48,19 @@
         self.send().map_or_else(|| self.end(), Next::Send)
     }
 
-    /// Asks another replica while one is slow, if there is one and the budget allows.
+    /// Asks another replica while all that were asked are slow, if the budget allows.
+    ///
+    /// Where none is left it returns the first replica once more: the caller puts a fresh
+    /// attempt in place of the one that runs there.
     pub fn hedge(&mut self, budget: &mut Budget) -> Option<Searcher> {
-        if self.ended || self.untried.is_empty() || !budget.spend() {
+        let again = self.again.filter(|first| self.running.contains(first));
+        if self.ended || (self.untried.is_empty() && again.is_none()) || !budget.spend() {
             return None;
         }
+        if self.untried.is_empty() {
+            self.again = None;
+            return again;
+        }
         self.send()
     }
 
