--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -4,6 +4,7 @@
 //! typed indices into the tables of one configuration document, so that a
 //! searcher can't be mistaken for a shard; see `docs/GLOSSARY.md`.
 
+mod budget;
 mod deadline;
 mod fault;
 mod hash;
@@ -11,6 +12,7 @@
 mod pulse;
 mod seed;
 
+pub use budget::Budget;
 pub use deadline::Deadline;
 pub use fault::{Peer, Step};
 pub use hash::{hash_bytes, hash_pair, hash_parts};
--- a/crates/bench/src/experiment.rs
+++ b/crates/bench/src/experiment.rs
@@ -128,6 +128,8 @@
     pub scenario: Scenario,
     /// Under which plan.
     pub plan: Plan,
+    /// With which seed.
+    pub seed: Seed,
     /// The scores of the services.
     pub card: Card,
     /// New connections during the load.
@@ -152,6 +154,7 @@
     let mut whole = Run {
         scenario,
         plan,
+        seed,
         card: Card(std::collections::BTreeMap::new()),
         dials: 0,
         peak: 0.0,
@@ -172,6 +175,7 @@
     deployment: Deployment,
     time: Duration,
 ) -> Result<Run, Fault> {
+    let seed = deployment.seed;
     let cluster = Cluster::start(deployment, plan.settings()).await?;
     tokio::time::sleep(WARM_UP).await;
     let dials = |cluster: &Cluster| -> usize {
@@ -188,7 +192,7 @@
     let card = Card::of(&history);
     let dials = dials(&cluster) - before;
     cluster.close().await;
-    Ok(Run { scenario, plan, card, dials, peak, over })
+    Ok(Run { scenario, plan, seed, card, dials, peak, over })
 }
 
 /// The chosen plan over the naive one, worst service.
@@ -255,13 +259,14 @@
 /// Writes the runs as CSV.
 pub fn save(runs: &[Run], path: &Path) -> std::io::Result<()> {
     let mut text = String::from(
-        "scenario,plan,service,offered,complete,partial,refused,not_run,unknown,failed,lost,\
+        "scenario,plan,seed,service,offered,complete,partial,refused,not_run,unknown,failed,lost,\
          p50_ms,p99_ms,p999_ms,coverage,attempts_per_shard,dials,peak,over_limit\n",
     );
     for run in runs {
         for (service, score) in &run.card.0 {
             let ms = |percent| score.percentile(percent).as_secs_f64() * 1e3;
-            let _ = write!(text, "{:?},{:?},{service},{}", run.scenario, run.plan, score.offered);
+            let Run { scenario, plan, seed, .. } = run;
+            let _ = write!(text, "{scenario:?},{plan:?},{},{service},{}", seed.0, score.offered);
             for ending in [
                 Ending::Complete,
                 Ending::Partial,
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -19,3 +19,4 @@
 pub mod score;
 pub mod stand_ins;
 pub mod storm;
+pub mod wait;
--- a/crates/bench/tests/answers.rs
+++ b/crates/bench/tests/answers.rs
@@ -6,8 +6,12 @@
 use std::time::Duration;
 
 use bergamot_bench::history::{Ending, History};
+use bergamot_net::Client;
 use bergamot_standin::{Corpus, Faults};
-use support::{assert_held, start, under_load};
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::Request;
+use support::{assert_held, start, under_load, until};
 
 const SECOND: Duration = Duration::from_secs(1);
 const STEP: Duration = Duration::from_millis(15);
@@ -144,3 +148,29 @@
         assert!(history.count(ending) > 0, "some writes end as {ending:?}");
     }
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_caller_who_hangs_up_cancels_the_work_down_to_the_searchers() {
+    let cluster = start([60, 8]).await;
+    // Longer than patience, so that only a cancellation ends the work in time.
+    let slow = Faults { slow_factor: 100_000.0, ..Faults::default() };
+    let board = cluster.searchers_of("queue-board");
+    for searcher in &board {
+        searcher.set_faults(slow.clone());
+    }
+    let running = || board.iter().map(|searcher| searcher.running()).sum::<usize>();
+    let entry = (cluster.deployment.instance(0), 7400).into();
+    let caller = tokio::spawn(async move {
+        let local = std::net::Ipv4Addr::UNSPECIFIED;
+        let mut client = Client::connect(local, entry, SECOND).await.expect("the entry listens");
+        let request = Request::post("/v1/fraser-basin/queue-board/query")
+            .header("x-deadline-ms", "30000")
+            .body(Full::new(Bytes::from_static(br#"{"shape": "scan"}"#)))
+            .expect("a valid request");
+        client.send(request).await
+    });
+    until("every shard is being searched", || async { running() >= 20 }).await;
+    // The connection closes with its task.
+    caller.abort();
+    until("no shard is being searched any more", || async { running() == 0 }).await;
+}
--- a/crates/bench/tests/fleet.rs
+++ b/crates/bench/tests/fleet.rs
@@ -115,6 +115,9 @@
     cluster.platform.set_stale(None);
     // Two operators race; the later revision wins wherever it arrives first.
     cluster.platform.publish(&document(8));
+    // The service keeps only what was published last: a revision counts as accepted once
+    // some daemon has seen it, and from then on it must win everywhere.
+    until("some daemon has revision 8", || async { revisions(&cluster).contains(&8) }).await;
     cluster.platform.publish(&document(7));
     all_have(&cluster, 8).await;
     tokio::time::sleep(2 * SECOND).await;
--- a/crates/entry/src/http.rs
+++ b/crates/entry/src/http.rs
@@ -3,31 +3,22 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use bergamot_base::{Deadline, Name, Service};
+use bergamot_base::{Name, Service};
 use bergamot_config::row::Preference;
 use bergamot_members::{Answer as Addresses, addresses};
-use bergamot_net::{Body, Rejection, json, read_body};
+use bergamot_net::{Body, json};
 use bergamot_node::Current;
 use bergamot_query::Shape;
-use bergamot_write::Key;
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, HeaderValue};
-use hyper::{HeaderMap, Method, Request, Response, StatusCode};
-use serde::Deserialize;
+use hyper::{Method, Request, Response, StatusCode};
 
 use crate::answer::{Answer, Refused, ServiceAnswer, WriteAnswer};
+use crate::read::{WriteBody, body, deadline, key, request_id, shape, write_body};
 use crate::search::{Found, Query};
 use crate::service::Inner;
 use crate::write::Order;
 
-/// The header with which a caller names a request.
-const REQUEST_ID: &str = "x-request-id";
-/// The header with a caller's deadline, in milliseconds.
-const DEADLINE: &str = "x-deadline-ms";
-/// The header with a write key.
-const KEY: &str = "idempotency-key";
-/// The longest name of a request, in bytes.
-const LONGEST_ID: usize = 64;
 /// The most services that one query may ask.
 const MOST_SERVICES: usize = 16;
 /// The margin of services that prefer coverage: enough to write the answer out.
@@ -37,34 +28,6 @@
 /// When to come back after an answer without a single shard.
 const EMPTY_RETRY: Duration = Duration::from_millis(250);
 
-/// The body of a write.
-#[derive(Debug, Deserialize)]
-#[serde(deny_unknown_fields)]
-struct WriteBody {
-    record: Name,
-    body: Name,
-}
-
-/// The body of a query. It is a type of its own because the form that callers write,
-/// with the shape as one of the fields, can't travel in the codec between daemons.
-#[derive(Debug, Deserialize)]
-#[serde(tag = "shape", rename_all = "snake_case", deny_unknown_fields)]
-enum QueryBody {
-    Scan {},
-    Top { k: u32 },
-    Record { key: Name },
-}
-
-impl From<QueryBody> for Shape {
-    fn from(body: QueryBody) -> Self {
-        match body {
-            QueryBody::Scan {} => Self::Scan,
-            QueryBody::Top { k } => Self::Top { k },
-            QueryBody::Record { key } => Self::Record { key },
-        }
-    }
-}
-
 /// What a path names.
 #[derive(Clone, Debug, PartialEq, Eq)]
 enum Route {
@@ -211,7 +174,7 @@
             deadline,
         })
         .collect();
-    let runs = queries.iter().map(|query| inner.searcher.run(query, Arc::clone(&current)));
+    let runs = queries.iter().map(|query| inner.runner.run(query, Arc::clone(&current)));
     let found: Vec<Found> = futures::future::join_all(runs).await.into_iter().flatten().collect();
     if found.len() < services.len() || found.iter().all(|part| part.coverage.answered == 0) {
         let cause = describe_nothing(&found);
@@ -271,10 +234,7 @@
     let deadline = deadline(inner, request.headers(), row.deadline)?;
     let key = key(request.headers())?;
     let body = body(inner, request).await?;
-    let WriteBody { record, body } = serde_json::from_slice(&body).map_err(|error| {
-        let cause = format!("{error}, allowed: {{\"record\": KEY, \"body\": TEXT}}");
-        Refused::bad(StatusCode::BAD_REQUEST, "read body", cause)
-    })?;
+    let WriteBody { record, body } = write_body(&body)?;
     let workspace_row = &current.document.workspaces[row.workspace];
     let _admitted = inner.door.enter(workspace_row, row.class).map_err(|refusal| {
         Refused::later(
@@ -332,83 +292,3 @@
     }
     Ok(services)
 }
-
-fn deadline(inner: &Inner, headers: &HeaderMap, default: Duration) -> Result<Deadline, Refused> {
-    let now = Instant::now();
-    let Some(value) = headers.get(DEADLINE) else {
-        return Ok(Deadline::after(now, default));
-    };
-    let settings = &inner.node.settings().entry;
-    let (shortest, longest) = (settings.shortest_deadline, settings.longest_deadline);
-    let asked = value.to_str().ok().and_then(|text| text.parse().ok()).map(Duration::from_millis);
-    match asked {
-        Some(asked) if (shortest..=longest).contains(&asked) => Ok(Deadline::after(now, asked)),
-        _ => {
-            let (shortest, longest) = (shortest.as_millis(), longest.as_millis());
-            let cause = format!(
-                "header {DEADLINE} is {value:?}, allowed: whole milliseconds from {shortest} to {longest}"
-            );
-            Err(Refused::bad(StatusCode::BAD_REQUEST, "read deadline", cause))
-        }
-    }
-}
-
-fn key(headers: &HeaderMap) -> Result<Option<Key>, Refused> {
-    let Some(value) = headers.get(KEY) else {
-        return Ok(None);
-    };
-    let parsed = value.to_str().ok().map(str::parse::<Key>);
-    match parsed {
-        Some(Ok(key)) => Ok(Some(key)),
-        Some(Err(flaw)) => {
-            let cause = format!("header {KEY} is {value:?}, allowed: {flaw}");
-            Err(Refused::bad(StatusCode::BAD_REQUEST, "read key", cause))
-        }
-        None => {
-            let cause = format!("header {KEY} is not text");
-            Err(Refused::bad(StatusCode::BAD_REQUEST, "read key", cause))
-        }
-    }
-}
-
-async fn body(inner: &Inner, request: Request<Incoming>) -> Result<bytes::Bytes, Refused> {
-    let limit = inner.node.settings().entry.body_bytes as usize;
-    read_body(request, limit).await.map_err(|rejection| {
-        let status = match rejection {
-            Rejection::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
-            Rejection::Cut => StatusCode::BAD_REQUEST,
-        };
-        Refused::bad(status, "read body", format!("{rejection}, allowed: at most {limit} bytes"))
-    })
-}
-
-fn shape(body: &[u8]) -> Result<Shape, Refused> {
-    let bad = |cause: String| Refused::bad(StatusCode::BAD_REQUEST, "read body", cause);
-    let body: QueryBody = serde_json::from_slice(body).map_err(|error| {
-        bad(format!(
-            "{error}, allowed: {{\"shape\":\"scan\"}}, {{\"shape\":\"top\",\"k\":N}} or \
-             {{\"shape\":\"record\",\"key\":KEY}}"
-        ))
-    })?;
-    let shape = Shape::from(body);
-    match shape.flaw() {
-        Some(allowed) => Err(bad(format!("{shape:?}, allowed: {allowed}"))),
-        None => Ok(shape),
-    }
-}
-
-/// Takes the caller's name for the request if it is a fit one, else makes one.
-fn request_id(inner: &Inner, headers: &HeaderMap) -> Name {
-    let theirs = headers.get(REQUEST_ID).and_then(|value| value.to_str().ok());
-    let fit = |id: &&str| {
-        let allowed = |byte: u8| byte.is_ascii_alphanumeric() || byte == b'-' || byte == b'_';
-        (1..=LONGEST_ID).contains(&id.len()) && id.bytes().all(allowed)
-    };
-    // A suffix of our own keeps two callers' equal names apart at the searchers.
-    let serial = inner.next_serial();
-    let own = format!("{:x}-{serial:x}", inner.node.incarnation());
-    match theirs.filter(fit) {
-        Some(id) => Name::from(format!("{id}.{own}")),
-        None => Name::from(own),
-    }
-}
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -11,6 +11,7 @@
 mod meter;
 mod mute;
 mod plan;
+mod read;
 mod search;
 mod service;
 mod write;
--- a/crates/entry/src/search.rs
+++ b/crates/entry/src/search.rs
@@ -9,7 +9,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
-use bergamot_base::{Cell, Deadline, Name, Service, Shard, Version};
+use bergamot_base::{Budget, Cell, Deadline, Name, Service, Shard, Version};
 use bergamot_members::{Endpoint, Role};
 use bergamot_node::{Current, Node};
 use bergamot_query::{Catalog, Coverage, Hit, Merge, Outcome, Reason, Shape};
@@ -62,40 +62,22 @@
 
 /// What an entry needs for running queries.
 #[derive(Debug)]
-pub(crate) struct Searcher {
+pub(crate) struct Runner {
     node: Arc<Node>,
     channels: Channels<GatherClient>,
     catalog: Mutex<(u64, Catalog)>,
     mutes: Mutex<Mutes>,
-    seconds: Mutex<Tokens>,
+    seconds: Mutex<Budget>,
 }
 
-/// The tokens for second requests to another home of a cell.
-#[derive(Debug)]
-struct Tokens(f64);
-
-impl Tokens {
-    fn earn(&mut self) {
-        self.0 = (self.0 + SECOND_FRACTION).min(SECOND_RESERVE);
-    }
-
-    fn spend(&mut self) -> bool {
-        let granted = self.0 >= 1.0;
-        if granted {
-            self.0 -= 1.0;
-        }
-        granted
-    }
-}
-
-impl Searcher {
+impl Runner {
     pub(crate) fn new(node: Arc<Node>) -> Self {
         Self {
             channels: Channels::new(node.settings().instance.address),
             node,
             catalog: Mutex::default(),
             mutes: Mutex::default(),
-            seconds: Mutex::new(Tokens(SECOND_RESERVE)),
+            seconds: Mutex::new(Budget::new(SECOND_FRACTION, SECOND_RESERVE)),
         }
     }
 
--- a/crates/entry/src/service.rs
+++ b/crates/entry/src/service.rs
@@ -20,7 +20,7 @@
 use crate::door::Door;
 use crate::http;
 use crate::meter::Meter;
-use crate::search::Searcher;
+use crate::search::Runner;
 use crate::write::{FORWARD_MARGIN, Order, Writer};
 
 /// How long peers may need to hear a farewell, on top of the life of address answers.
@@ -32,7 +32,7 @@
     pub(crate) node: Arc<Node>,
     pub(crate) meter: Meter,
     pub(crate) door: Arc<Door>,
-    pub(crate) searcher: Arc<Searcher>,
+    pub(crate) runner: Arc<Runner>,
     pub(crate) writer: Arc<Writer>,
     draining: AtomicBool,
     serial: AtomicU64,
@@ -70,12 +70,12 @@
         let callers = listen((ip, settings.ports.entry_callers).into()).await?;
         let peers = listen((ip, settings.ports.entry_peers).into()).await?;
         node.join().await;
-        let searcher = Arc::new(Searcher::new(Arc::clone(&node)));
+        let runner = Arc::new(Runner::new(Arc::clone(&node)));
         let inner = Arc::new(Inner {
             meter: Meter::new(node.registry()),
             door: Arc::default(),
-            writer: Writer::new(Arc::clone(&node), Arc::clone(&searcher)),
-            searcher,
+            writer: Writer::new(Arc::clone(&node), Arc::clone(&runner)),
+            runner,
             node,
             draining: AtomicBool::new(false),
             serial: AtomicU64::new(0),
--- a/crates/entry/src/write.rs
+++ b/crates/entry/src/write.rs
@@ -16,7 +16,7 @@
 use bergamot_write::{Decision, Key, Outcome, Owner, Prefix};
 use tokio::sync::watch;
 
-use crate::search::Searcher;
+use crate::search::Runner;
 
 /// A write as a caller asked for it.
 #[derive(Clone, Debug)]
@@ -47,20 +47,20 @@
 #[derive(Debug)]
 pub(crate) struct Writer {
     node: Arc<Node>,
-    searcher: Arc<Searcher>,
+    runner: Arc<Runner>,
     peers: Channels<EntryClient>,
     book: Mutex<Book>,
 }
 
 impl Writer {
-    pub(crate) fn new(node: Arc<Node>, searcher: Arc<Searcher>) -> Arc<Self> {
+    pub(crate) fn new(node: Arc<Node>, runner: Arc<Runner>) -> Arc<Self> {
         let window = node.settings().entry.keys;
         let owner = Owner::new(node.incarnation(), Instant::now(), window);
         let book = Book { owner, waiting: HashMap::new(), serial: 0 };
         Arc::new(Self {
             peers: Channels::new(node.settings().instance.address),
             node,
-            searcher,
+            runner,
             book: Mutex::new(book),
         })
     }
@@ -165,9 +165,9 @@
             record: Name::clone(&order.record),
             body: Name::clone(&order.body),
         };
-        for home in self.searcher.candidates(document.layout.cell(shard), service) {
-            let address = self.searcher.address(home);
-            let Ok(client) = self.searcher.channels().get(address).await else {
+        for home in self.runner.candidates(document.layout.cell(shard), service) {
+            let address = self.runner.address(home);
+            let Ok(client) = self.runner.channels().get(address).await else {
                 continue;
             };
             if order.deadline.passed(Instant::now()) {
@@ -179,7 +179,7 @@
                     log::debug!("write: {home} refused {key}: {refusal:?}.");
                 }
                 Err(error) => {
-                    self.searcher.channels().forget(address).await;
+                    self.runner.channels().forget(address).await;
                     return Outcome::unknown(format!("the gather {home} was lost: {error}"));
                 }
             }
--- a/crates/gather/src/service.rs
+++ b/crates/gather/src/service.rs
@@ -189,7 +189,7 @@
         let text = move || this.upgrade().map_or_else(String::new, |inner| dump(&inner));
         inner.node.add_dump(title, Box::new(text));
     };
-    part("upstream", |inner| inner.dump_upstream());
+    part("upstream", Inner::dump_upstream);
     part("tails", |inner| inner.tails.dump());
 }
 
--- a/crates/gather/src/tail.rs
+++ b/crates/gather/src/tail.rs
@@ -4,9 +4,9 @@
 use std::fmt::Write as _;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
-use bergamot_base::{Name, Service};
+use bergamot_base::{Budget, Name, Service};
 use bergamot_config::Document;
-use bergamot_upstream::{Budget, Pace};
+use bergamot_upstream::Pace;
 
 /// Hedges that may be made before any work has earned them.
 const HEDGE_RESERVE: f64 = 10.0;
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -9,8 +9,10 @@
 mod corpus;
 mod platform;
 mod searcher;
+mod terms;
 
 pub use border::{Border, Way};
 pub use corpus::Corpus;
 pub use platform::{Counts, Instance, Platform};
-pub use searcher::{Effect, Faults, Geography, Limits, Searcher, SearcherSettings};
+pub use searcher::{Searcher, SearcherSettings};
+pub use terms::{Effect, Faults, Geography, Limits};
--- a/crates/upstream/src/lib.rs
+++ b/crates/upstream/src/lib.rs
@@ -3,11 +3,10 @@
 //! Searchers have few connections and fewer slots. A home holds its share of
 //! connections ([`Pool`]), lets only as many sub-queries through as there are slots
 //! ([`Slots`]), picks the better replica ([`rank`]), hedges and retries inside
-//! budgets ([`Race`], [`Budget`]) and sends nothing new to a searcher that leaves
+//! budgets ([`Race`], [`bergamot_base::Budget`]) and sends nothing new to a searcher that leaves
 //! ([`Health`]). Decisions are pure and take `now`; only [`Client`] and [`Pool`]
 //! touch sockets. See `docs/design/0005-tails-and-scarcity.md`.
 
-mod budget;
 mod choose;
 mod client;
 mod fleet;
@@ -18,7 +17,6 @@
 mod race;
 mod slots;
 
-pub use budget::Budget;
 pub use choose::{Candidate, rank};
 pub use client::{Call, Client, Effect, Fault};
 pub use fleet::{Count, Fleet};
--- a/crates/upstream/src/race.rs
+++ b/crates/upstream/src/race.rs
@@ -9,11 +9,9 @@
 
 use std::collections::VecDeque;
 
-use bergamot_base::Searcher;
+use bergamot_base::{Budget, Searcher};
 use bergamot_query::Reason;
 
-use crate::budget::Budget;
-
 /// What to do after a failure.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Next {
--- a/crates/upstream/tests/filetests.rs
+++ b/crates/upstream/tests/filetests.rs
@@ -4,10 +4,10 @@
 use std::path::Path;
 use std::time::{Duration, Instant};
 
-use bergamot_base::{Deadline, Entity, Name, Searcher};
+use bergamot_base::{Budget, Deadline, Entity, Name, Searcher};
 use bergamot_filetest::{check, trace};
 use bergamot_query::Reason;
-use bergamot_upstream::{Budget, Candidate, Entry, Health, Next, Race, Slots, rank};
+use bergamot_upstream::{Candidate, Entry, Health, Next, Race, Slots, rank};
 
 fn slots(path: &Path) -> Result<(), Box<dyn Error>> {
     check(path, |input| {
