Don't parse a refused document again, and don't ask for it in a loop

Cause: found by reading the change. A document that was refused before was parsed before the check that should have spared it; and a reader whose watch is answered at once with a document that it refuses asked again at once, so a faulty document kept each reader reading the service without a pause. Change: the check comes first, and a watch that put nothing in force is followed by the pause of a failed one.

--- a/crates/node/src/platform.rs
+++ b/crates/node/src/platform.rs
@@ -148,7 +148,14 @@
         reply = read(node, "document", &path, timeout) => reply,
     };
     match reply {
-        Some(reply) if reply.status() == StatusCode::OK => take_document(node, &reply),
+        Some(reply) if reply.status() == StatusCode::OK => {
+            take_document(node, &reply);
+            // What was not put in force is offered again at once: don't ask at once.
+            let now = node.current().map_or(0, |current| current.document.revision);
+            if now == after {
+                tokio::time::sleep(jitter(node, BACKOFF)).await;
+            }
+        }
         Some(_unchanged) => {}
         None => tokio::time::sleep(jitter(node, BACKOFF)).await,
     }
@@ -157,13 +164,13 @@
 /// Takes in a document. One that was refused before is not parsed again.
 fn take_document(node: &Node, reply: &Reply) {
     let hash = hash_bytes(reply.body());
-    let known = |refused: &mut HashSet<u64>| !refused.insert(hash);
+    let refused = || node.refused.lock().unwrap_or_else(PoisonError::into_inner);
+    if refused().contains(&hash) {
+        return;
+    }
     let parsed = Document::parse(reply.body());
     if parsed.is_err() {
-        let mut refused = node.refused.lock().unwrap_or_else(PoisonError::into_inner);
-        if known(&mut refused) {
-            return;
-        }
+        refused().insert(hash);
     }
     pulls::offer(node, parsed, node.settings().platform.configuration);
 }
