--- /dev/null
+++ b/crates/declaration/tests/declaration.rs
@@ -0,0 +1,94 @@
+//! Routes are found by host and longest prefix, flaws are named, weights are kept.
+
+use std::time::Duration;
+
+use bergamot_base::Name;
+use bergamot_declaration::{Declaration, Gather, Kind, Route, Service, Share, Split, Target};
+
+fn route(host: &str, prefix: &str, target: Target) -> Route {
+    Route {
+        name: Name::from(format!("{host}{prefix}")),
+        host: host.into(),
+        prefix: prefix.into(),
+        kind: Kind::Idempotent,
+        timeout: Duration::from_secs(1),
+        target_latency: None,
+        attempts: 2,
+        priority: 1,
+        target,
+    }
+}
+
+fn declaration(routes: Vec<Route>) -> Declaration {
+    let service = Service { connections: 26 };
+    let services = ["a", "b"].map(|name| (Name::from(name), service.clone())).into();
+    Declaration { version: 1, routes, services, ..Declaration::default() }
+}
+
+fn gather(shards: usize, min_coverage: f64) -> Gather {
+    let shards = (0..shards).map(|shard| Name::from(format!("s{shard}"))).collect();
+    Gather { shards, top_k: 5, min_coverage }
+}
+
+#[test]
+fn the_longest_prefix_wins_whatever_the_order() {
+    let one = |host, prefix| route(host, prefix, Target::Service("a".into()));
+    let routes = vec![
+        one("x.example", "/"),
+        one("x.example", "/a/b/"),
+        one("x.example", "/a/"),
+        one("y.example", "/a/"),
+    ];
+    let declaration = declaration(routes).check().expect("it is valid");
+    let found = |host, path| declaration.find(host, path).map(|route| route.name.to_string());
+    assert_eq!(found("x.example", "/a/b/c").as_deref(), Some("x.example/a/b/"));
+    assert_eq!(found("X.Example:80", "/a/c").as_deref(), Some("x.example/a/"));
+    assert_eq!(found("x.example", "/a").as_deref(), Some("x.example/"));
+    assert_eq!(found("y.example", "/b/"), None);
+    assert_eq!(found("z.example", "/a/"), None);
+}
+
+#[test]
+fn every_flaw_is_named() {
+    let mut faulty = route("x", "a/", Target::Service("gone".into()));
+    faulty.attempts = 0;
+    let weights = vec![Share { service: "a".into(), weight: 0.0 }];
+    let split = route("x", "/s/", Target::Split(weights));
+    let mut twice = gather(1, 1.5);
+    twice.shards = vec!["a".into(), "a".into()];
+    let mut gathered = route("x", "/s/", Target::Gather(twice));
+    gathered.kind = Kind::NonIdempotent;
+    let refusal = declaration(vec![faulty, split, gathered]).check().expect_err("it is faulty");
+    let places: Vec<_> = refusal.flaws.iter().map(|flaw| &*flaw.place).collect();
+    let wanted = [
+        "routes[0].prefix",
+        "routes[0].attempts",
+        "routes[0].target",
+        "routes[1].split",
+        "routes[2].gather",
+        "routes[2].min_coverage",
+        "routes[2].kind",
+        "routes[2]",
+    ];
+    assert_eq!(places, wanted);
+}
+
+#[test]
+fn the_fewest_shards_are_counted_without_rounding_errors() {
+    assert_eq!(gather(20, 0.89).fewest(), 18);
+    assert_eq!(gather(100, 0.89).fewest(), 89);
+    assert_eq!(gather(20, 0.75).fewest(), 15);
+    assert_eq!(gather(90, 0.95).fewest(), 86);
+    assert_eq!(gather(3, 0.0).fewest(), 1);
+}
+
+#[test]
+fn a_split_keeps_its_weights_within_a_few_requests() {
+    let shares =
+        [Share { service: "a".into(), weight: 7.0 }, Share { service: "b".into(), weight: 3.0 }];
+    let mut split = Split::default();
+    let drawn: Vec<_> = (0..20).filter_map(|_| split.next(&shares)).collect();
+    assert_eq!(drawn.iter().filter(|name| &***name == "a").count(), 14);
+    let first: Vec<_> = drawn[..10].iter().filter(|name| &***name == "b").collect();
+    assert_eq!(first.len(), 3);
+}
--- /dev/null
+++ b/crates/dispatch/src/lib.rs
@@ -0,0 +1,24 @@
+//! The decisions about one request: whom to ask, when to ask another, when to answer.
+//!
+//! Everything here is pure: time and events go in, decisions come out, and no test needs
+//! a socket. [`Outlook`] estimates how long a searcher will take, [`rank`] orders the
+//! searchers, [`Allowance`] bounds the additional attempts of the whole fleet without a
+//! message between its members, [`Patience`] sets the moments of a request, [`Ending`]
+//! says what may follow the end of an exchange, [`Tally`] when a gathered answer goes
+//! out, and [`greatest`] what it holds. See `docs/design/0009-platform.md`.
+
+mod allowance;
+mod ending;
+mod outlook;
+mod patience;
+mod rank;
+mod record;
+mod tally;
+
+pub use allowance::{Allowance, Terms};
+pub use ending::Ending;
+pub use outlook::Outlook;
+pub use patience::Patience;
+pub use rank::{Candidate, Distance, rank};
+pub use record::{RECORD, greatest};
+pub use tally::{Tally, Verdict};
--- /dev/null
+++ b/crates/dispatch/src/outlook.rs
@@ -0,0 +1,147 @@
+//! How long a searcher is expected to take, from what this member has seen of it.
+//!
+//! Three signals: the mean of recent answers, which holds distance and speed; the age of
+//! the oldest request that is still unanswered, which shows a pause or a silence long
+//! before any answer could; and the share of recent failures. Estimates fade towards the
+//! best that was seen, so that a searcher that was slow is tried again after some seconds.
+//! Invariant: an answer after a long silence counts almost alone, one in a busy second
+//! counts an eighth, so neither a single outlier nor old news decides.
+
+use std::time::{Duration, Instant};
+
+/// The least weight of a new sample.
+const LEAST_WEIGHT: f64 = 0.125;
+
+/// The time after which an old estimate counts a third beside a new sample, in seconds.
+const MEMORY: f64 = 1.0;
+
+/// The time in which an estimate fades half the way to the best that was seen, in seconds.
+const FADE: f64 = 2.0;
+
+/// How fast the best that was seen gives way to slower answers, a sample.
+const BEST_DRIFT: f64 = 0.005;
+
+/// How much longer a searcher that has just started is taken to need.
+const COLD: f64 = 1.6;
+
+/// How many times longer a searcher is taken to need if all its recent answers failed.
+const FAILING: f64 = 8.0;
+
+/// How many times its estimate a request must be unanswered before its age counts.
+const OVERDUE: f64 = 1.5;
+
+/// The time in which the share of failures fades by half, in seconds.
+const FORGIVE: f64 = 2.0;
+
+/// What one member has seen of one searcher.
+#[derive(Clone, Debug)]
+pub struct Outlook {
+    mean: f64,
+    best: f64,
+    seen: Option<Instant>,
+    failing: f64,
+    failed: Option<Instant>,
+    running: Vec<Instant>,
+}
+
+impl Outlook {
+    /// Starts with a guess that is made from the distance.
+    pub fn new(guess: Duration) -> Self {
+        let guess = millis(guess);
+        Self {
+            mean: guess,
+            best: guess,
+            seen: None,
+            failing: 0.0,
+            failed: None,
+            running: Vec::new(),
+        }
+    }
+
+    /// Records that a request was sent.
+    pub fn send(&mut self, now: Instant) {
+        self.running.push(now);
+    }
+
+    /// Records that a request that was sent at `sent` has ended without an answer.
+    pub fn end(&mut self, sent: Instant) {
+        if let Some(position) = self.running.iter().position(|running| *running == sent) {
+            self.running.swap_remove(position);
+        }
+    }
+
+    /// Records an answer to a request that was sent at `sent`.
+    pub fn answer(&mut self, sent: Instant, now: Instant) {
+        self.end(sent);
+        let took = millis(now.saturating_duration_since(sent));
+        self.best = if self.seen.is_none() { took } else { self.best.min(took) };
+        self.best += (took - self.best) * BEST_DRIFT;
+        self.sample(took, now);
+        self.note(0.0, now);
+    }
+
+    /// Records that a request was abandoned: it would have taken at least this long.
+    pub fn abandon(&mut self, sent: Instant, now: Instant) {
+        self.end(sent);
+        let took = millis(now.saturating_duration_since(sent));
+        if took > self.mean(now) {
+            self.sample(took, now);
+        }
+    }
+
+    /// Records a failure.
+    pub fn fail(&mut self, now: Instant) {
+        self.note(1.0, now);
+    }
+
+    /// Returns how many requests are unanswered.
+    pub fn running(&self) -> usize {
+        self.running.len()
+    }
+
+    /// Estimates how long one more request will take, in milliseconds.
+    pub fn expected(&self, now: Instant, slots: usize, cold: bool) -> f64 {
+        let mean = self.mean(now);
+        let oldest = self.running.iter().min().map_or(0.0, |sent| millis(now - *sent));
+        let overdue = if oldest > mean * OVERDUE { oldest } else { 0.0 };
+        let queue = 1.0 + self.running.len() as f64 / slots.max(1) as f64;
+        let cold = if cold { COLD } else { 1.0 };
+        let failing = 1.0 + (FAILING - 1.0) * self.failing(now);
+        (mean * queue * cold + overdue) * failing
+    }
+
+    fn mean(&self, now: Instant) -> f64 {
+        let Some(seen) = self.seen else {
+            return self.mean;
+        };
+        let fade = 0.5_f64.powf(seconds(now, seen) / FADE);
+        self.best + (self.mean - self.best).max(0.0) * fade
+    }
+
+    fn failing(&self, now: Instant) -> f64 {
+        self.failed
+            .map_or(0.0, |failed| self.failing * 0.5_f64.powf(seconds(now, failed) / FORGIVE))
+    }
+
+    fn sample(&mut self, took: f64, now: Instant) {
+        let age = self.seen.map_or(f64::INFINITY, |seen| seconds(now, seen));
+        let weight = (1.0 - (-age / MEMORY).exp()).max(LEAST_WEIGHT);
+        let mean = self.mean(now);
+        self.mean = mean + (took - mean) * weight;
+        self.seen = Some(now);
+    }
+
+    fn note(&mut self, failure: f64, now: Instant) {
+        let before = self.failing(now);
+        self.failing = before + (failure - before) * LEAST_WEIGHT * 2.0;
+        self.failed = Some(now);
+    }
+}
+
+fn millis(duration: Duration) -> f64 {
+    duration.as_secs_f64() * 1e3
+}
+
+fn seconds(now: Instant, then: Instant) -> f64 {
+    now.saturating_duration_since(then).as_secs_f64()
+}
--- /dev/null
+++ b/crates/dispatch/src/rank.rs
@@ -0,0 +1,66 @@
+//! The order in which the searchers of a service are asked.
+//!
+//! The lowest expected time goes first. The expected time is widened by a small random
+//! part, so that members that know the same don't all choose the same. Invariant: every
+//! candidate stays in the order; one whose entry is missing from the registry goes after
+//! all others, since it may be leaving.
+
+use std::time::Duration;
+
+/// How far apart the expected times of two searchers may be drawn, as a part of them.
+const SPREAD: f64 = 0.1;
+
+/// How far a searcher is from this member.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Distance {
+    /// In the same availability zone.
+    Zone,
+    /// In another availability zone of the same region.
+    Region,
+    /// In another region.
+    Far,
+}
+
+impl Distance {
+    /// Measures the distance between two places, each a zone with its region.
+    pub fn between(here: (&str, Option<&str>), there: (&str, Option<&str>)) -> Self {
+        match (here, there) {
+            _ if here.0 == there.0 => Self::Zone,
+            ((_, Some(a)), (_, Some(b))) if a == b => Self::Region,
+            _ => Self::Far,
+        }
+    }
+
+    /// Guesses how long a searcher takes of which nothing has been seen.
+    ///
+    /// Ten milliseconds of work, and the round trips of the deployments' pages: 3 ms
+    /// between zones, 16 ms between regions.
+    pub fn guess(self) -> Duration {
+        Duration::from_millis(match self {
+            Self::Zone => 10,
+            Self::Region => 13,
+            Self::Far => 26,
+        })
+    }
+}
+
+/// A searcher that could be asked.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Candidate<T> {
+    /// The searcher.
+    pub searcher: T,
+    /// Whether its entry is missing from the registry at the moment.
+    pub missing: bool,
+    /// How long it is expected to take, in milliseconds.
+    pub expected: f64,
+}
+
+/// Orders the candidates, the best first; `draw` returns numbers from 0 to 1.
+pub fn rank<T>(mut candidates: Vec<Candidate<T>>, mut draw: impl FnMut() -> f64) -> Vec<T> {
+    for candidate in &mut candidates {
+        candidate.expected *= 1.0 + SPREAD * draw();
+    }
+    candidates
+        .sort_by(|a, b| a.missing.cmp(&b.missing).then_with(|| a.expected.total_cmp(&b.expected)));
+    candidates.into_iter().map(|candidate| candidate.searcher).collect()
+}
--- /dev/null
+++ b/crates/dispatch/tests/dispatch.rs
@@ -0,0 +1,175 @@
+//! The decisions about a request, without sockets or sleeping.
+
+use std::time::{Duration, Instant};
+
+use bergamot_declaration::{Kind, Route, Target};
+use bergamot_dispatch::{
+    Allowance, Candidate, Ending, Outlook, Patience, Tally, Terms, Verdict, greatest, rank,
+};
+use bytes::Bytes;
+use proptest::prelude::*;
+
+const MS: Duration = Duration::from_millis(1);
+
+#[test]
+fn only_a_certain_end_lets_a_request_that_may_run_once_be_sent_again() {
+    use Ending::{Failed, NotRun, NotSent, Unknown};
+    for ending in [NotSent, NotRun] {
+        assert!(ending.did_not_run() && ending.may_resend(Kind::NonIdempotent));
+    }
+    for ending in [Failed, Unknown] {
+        assert!(!ending.did_not_run() && !ending.may_resend(Kind::NonIdempotent));
+        assert!(ending.may_resend(Kind::Idempotent));
+    }
+}
+
+#[test]
+fn a_gathered_answer_waits_until_the_target_and_never_goes_out_below_its_coverage() {
+    let mut tally = Tally::new(20, 18);
+    for _ in 0..17 {
+        tally.arrive();
+    }
+    assert_eq!(tally.verdict(true), Verdict::Wait);
+    tally.arrive();
+    assert_eq!((tally.verdict(false), tally.verdict(true)), (Verdict::Wait, Verdict::Answer));
+    tally.miss();
+    tally.miss();
+    assert_eq!((tally.verdict(false), tally.absent()), (Verdict::Answer, 2));
+}
+
+#[test]
+fn a_gather_fails_as_soon_as_its_coverage_is_out_of_reach() {
+    let mut tally = Tally::new(20, 18);
+    for _ in 0..3 {
+        tally.miss();
+    }
+    assert_eq!(tally.verdict(false), Verdict::Fail);
+}
+
+/// A searcher that pauses shows it by an unanswered request, before any answer is late.
+#[test]
+fn a_searcher_that_pauses_is_passed_over_while_its_request_is_unanswered() {
+    let now = Instant::now();
+    let (mut near, mut far) = (Outlook::new(MS * 10), Outlook::new(MS * 26));
+    for outlook in [&mut near, &mut far] {
+        outlook.send(now);
+    }
+    near.answer(now, now + MS * 11);
+    far.answer(now, now + MS * 27);
+    let now = now + MS * 20;
+    assert!(near.expected(now, 2, false) < far.expected(now, 2, false));
+    near.send(now);
+    let later = now + MS * 40;
+    assert!(near.expected(later, 2, false) > far.expected(later, 2, false));
+    near.answer(now, later);
+    for beat in 0..20 {
+        let sent = later + MS * 60 * beat;
+        near.send(sent);
+        near.answer(sent, sent + MS * 11);
+    }
+    let after = later + MS * 60 * 21;
+    assert!(near.expected(after, 2, false) < far.expected(after, 2, false));
+}
+
+/// Some searchers work several times as long for seconds: a few answers must show it, and
+/// some seconds later they must be tried again.
+#[test]
+fn a_slow_searcher_is_left_within_a_few_answers_and_tried_again_later() {
+    let start = Instant::now();
+    let mut near = Outlook::new(MS * 10);
+    let mut now = start;
+    for took in [11, 11, 11, 66, 66, 66, 66] {
+        near.send(now);
+        near.answer(now, now + MS * took);
+        now += MS * 100;
+    }
+    assert!(near.expected(now, 2, false) > 27.0);
+    assert!(near.expected(now + Duration::from_secs(8), 2, false) < 27.0);
+}
+
+#[test]
+fn a_searcher_that_fails_without_delay_does_not_look_fast() {
+    let mut now = Instant::now();
+    let mut near = Outlook::new(MS * 10);
+    for turn in 0..20 {
+        near.send(now);
+        if turn % 2 == 0 {
+            near.end(now);
+            near.fail(now + MS);
+        } else {
+            near.answer(now, now + MS * 11);
+        }
+        now += MS * 50;
+    }
+    assert!(near.expected(now, 2, false) > 27.0);
+}
+
+#[test]
+fn missing_entries_go_last_and_the_faster_first() {
+    let candidate = |searcher, missing, expected| Candidate { searcher, missing, expected };
+    let all =
+        vec![candidate('a', true, 1.0), candidate('b', false, 30.0), candidate('c', false, 10.0)];
+    assert_eq!(rank(all, || 0.5), ['c', 'b', 'a']);
+}
+
+#[test]
+fn the_moments_of_a_request_stay_within_the_callers_patience() {
+    let route = Route {
+        name: "r".into(),
+        host: "h".into(),
+        prefix: "/".into(),
+        kind: Kind::Idempotent,
+        timeout: MS * 1200,
+        target_latency: Some(MS * 120),
+        attempts: 2,
+        priority: 1,
+        target: Target::Service("s".into()),
+    };
+    let patience = Patience::new(&route, Some(MS * 1200));
+    assert_eq!((patience.target, patience.end), (MS * 108, MS * 1180));
+    assert!(patience.hedge < MS * 45 && patience.offer == MS * 30);
+    let short = Patience::new(&route, Some(MS * 30));
+    assert!(short.hedge <= MS * 15 && short.target <= short.end && short.end <= MS * 15);
+}
+
+proptest! {
+    #[test]
+    fn the_greatest_records_are_those_of_a_full_sort(
+        parts in prop::collection::vec(prop::collection::vec(any::<u8>(), 0..200), 0..8),
+        count in 0_usize..30,
+    ) {
+        let mut all: Vec<Vec<u8>> = parts
+            .iter()
+            .flat_map(|part| part.chunks_exact(16).map(<[u8]>::to_vec))
+            .collect();
+        all.sort_by(|a, b| b.cmp(a));
+        let wanted: Vec<u8> = all.into_iter().take(count).flatten().collect();
+        let parts: Vec<Bytes> = parts.into_iter().map(Bytes::from).collect();
+        prop_assert_eq!(greatest(&parts, count), wanted);
+    }
+
+    /// Whatever the pattern of requests and attempts over several members, what they spend
+    /// in any window stays within the users' bound for it.
+    #[test]
+    fn members_together_stay_within_the_bound_of_every_window(
+        steps in prop::collection::vec((0_u64..120, 0_usize..4, any::<bool>()), 1..600),
+    ) {
+        let terms = Terms { ratio: 0.2, slack: 8.0, window: Duration::from_secs(10) };
+        let start = Instant::now();
+        let mut members = vec![Allowance::new(start); 4];
+        let (mut now, mut requests, mut extra) = (start, Vec::new(), Vec::new());
+        for (gap, member, tries) in steps {
+            now += MS * gap as u32;
+            if tries && members[member].spend(now, &terms, 4) {
+                extra.push(now);
+            } else if !tries {
+                members[member].earn(now, &terms);
+                requests.push(now);
+            }
+            let within = |moment: &&Instant| now - **moment < terms.window;
+            let seen = requests.iter().filter(within).count() as f64;
+            let spent = extra.iter().filter(within).count() as f64;
+            prop_assert!(spent <= terms.ratio * seen + terms.slack, "{spent} of {seen}");
+        }
+    }
+}
--- /dev/null
+++ b/crates/front/src/daemon.rs
@@ -0,0 +1,213 @@
+//! Start, service and planned stop of the daemon.
+//!
+//! A planned stop: the members and the platform are told at once, so no caller is sent here
+//! any more; callers who were sent here before are served until their address answers have
+//! expired; then the listener closes, what is in flight is finished, and the process ends.
+//! Invariant: every request that was read gets its answer before the process ends.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use bergamot_feed::{Listing, News, Sink, Source, Update, follow};
+use bergamot_members::{Record, Role, State};
+use bergamot_net::{Body, Fault, listen, serve, text};
+use bergamot_peers::{Caller, Peers, Place, choose};
+use bergamot_relay::{Dialect, Relay};
+use hyper::header::{CONNECTION, HeaderValue};
+use hyper::{Response, StatusCode, Uri};
+use tokio::task::JoinHandle;
+use tokio::time::{Instant, sleep, sleep_until};
+use tokio_util::sync::CancellationToken;
+
+use crate::caller;
+use crate::face::Face;
+use crate::settings::Settings;
+
+/// How often members are counted and searchers whose entries are missing are removed.
+const TICK: Duration = Duration::from_millis(100);
+
+/// What the handlers share.
+struct Inner {
+    settings: Settings,
+    face: Face,
+    relay: Arc<Relay>,
+    peers: Arc<Peers>,
+    leaving: AtomicBool,
+}
+
+/// A running daemon.
+pub struct Daemon {
+    inner: Arc<Inner>,
+    stop: CancellationToken,
+    close: CancellationToken,
+    callers: JoinHandle<()>,
+}
+
+impl std::fmt::Debug for Daemon {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "Daemon({})", self.inner.settings.callers)
+    }
+}
+
+impl Daemon {
+    /// Binds the listeners and starts to follow what is published.
+    pub async fn start(
+        settings: Settings,
+        face: Face,
+        dialect: Dialect,
+        relay: bergamot_relay::Settings,
+        peers: bergamot_peers::Settings,
+        source: Source,
+    ) -> Result<Self, Fault> {
+        let (stop, close) = (CancellationToken::new(), CancellationToken::new());
+        let relay = Relay::new(relay, dialect);
+        let peers = Peers::start(peers, stop.clone()).await?;
+        let inner =
+            Arc::new(Inner { settings, face, relay, peers, leaving: AtomicBool::new(false) });
+        let sink = sink(&inner);
+        tokio::spawn(follow(source, sink, bergamot_feed::Settings::default(), stop.clone()));
+        tokio::spawn(tick(Arc::clone(&inner), stop.clone()));
+        let readiness = listen(inner.settings.readiness).await?;
+        let answering = Arc::clone(&inner);
+        tokio::spawn(serve(readiness, stop.clone(), move |request, _peer| {
+            let reply = answering.readiness(request.uri());
+            async move { reply }
+        }));
+        let directory = listen(inner.settings.directory).await?;
+        let answering = Arc::clone(&inner);
+        tokio::spawn(serve(directory, stop.clone(), move |request, _peer| {
+            let reply = answering.directory(request.uri());
+            async move { reply }
+        }));
+        let listener = listen(inner.settings.callers).await?;
+        let answering = Arc::clone(&inner);
+        let callers = tokio::spawn(serve(listener, close.clone(), move |request, _peer| {
+            let inner = Arc::clone(&answering);
+            async move {
+                let relay = Arc::clone(&inner.relay);
+                let mut response = caller::answer(relay, inner.face, request).await;
+                if inner.is_leaving() {
+                    response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+                }
+                response
+            }
+        }));
+        Ok(Self { inner, stop, close, callers })
+    }
+
+    /// Stops as planned; returns once everything that was read is answered.
+    pub async fn stop(self) {
+        let settings = &self.inner.settings;
+        let (linger, end) = (Instant::now() + settings.linger, Instant::now() + settings.stop);
+        log::info!("front: event=leaving linger_ms={}", settings.linger.as_millis());
+        self.inner.leaving.store(true, Ordering::Relaxed);
+        self.inner.peers.farewell();
+        sleep_until(linger).await;
+        self.close.cancel();
+        if tokio::time::timeout_at(end, self.callers).await.is_err() {
+            log::warn!("front: event=stopped_late cause=\"requests are still in flight\"");
+        }
+        self.stop.cancel();
+        log::info!("front: event=stopped");
+    }
+}
+
+impl Inner {
+    fn is_leaving(&self) -> bool {
+        self.leaving.load(Ordering::Relaxed)
+    }
+
+    fn is_ready(&self) -> bool {
+        !self.is_leaving() && self.relay.version() > 0
+    }
+
+    fn readiness(&self, uri: &Uri) -> Response<Body> {
+        if !(self.face.asks_ready)(uri) {
+            return text(StatusCode::NOT_FOUND, "no such question");
+        }
+        let status = if self.is_ready() { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
+        text(status, "")
+    }
+
+    fn directory(&self, uri: &Uri) -> Response<Body> {
+        let Some(origin) = (self.face.origin)(uri) else {
+            return text(StatusCode::NOT_FOUND, "no such question");
+        };
+        let caller = Caller { zone: &origin.zone, region: &origin.region };
+        let addresses = choose(caller, &self.ready_instances(), &self.relay.covered());
+        if addresses.is_empty() {
+            return text(StatusCode::SERVICE_UNAVAILABLE, "no instance is ready");
+        }
+        (self.face.addresses)(&addresses, self.settings.ttl)
+    }
+
+    /// Lists the instances to which callers may be sent.
+    ///
+    /// A member that is alive is taken to be ready: one that has no declaration yet gets it
+    /// before an address answer could reach a caller.
+    fn ready_instances(&self) -> Vec<Place<SocketAddr>> {
+        let regions = &self.relay.settings().regions;
+        let port = self.settings.callers.port();
+        let own = self.settings.callers.ip();
+        let place = |record: &Record| {
+            let region = regions.get(&record.zone).unwrap_or(&record.zone);
+            let instance = SocketAddr::from((record.endpoint.ip, port));
+            Place { instance, zone: record.zone.clone(), region: region.clone() }
+        };
+        let may_serve = |record: &&Record| {
+            let here = own == record.endpoint.ip;
+            let ready = if here { self.is_ready() } else { record.state == State::Alive };
+            record.endpoint.role == Role::Entry && ready
+        };
+        self.peers.with_view(|view| view.iter().filter(may_serve).map(place).collect())
+    }
+}
+
+async fn tick(inner: Arc<Inner>, stop: CancellationToken) {
+    while !stop.is_cancelled() {
+        inner.relay.tick(inner.peers.working());
+        inner.peers.set_revision(inner.relay.version());
+        sleep(TICK).await;
+    }
+}
+
+fn sink(inner: &Arc<Inner>) -> Sink {
+    let (listing, update, away) = (Arc::clone(inner), Arc::clone(inner), Arc::clone(inner));
+    Sink {
+        listing: Box::new(move |news| take_listing(&listing.relay, news)),
+        update: Box::new(move |news| take_update(&update.relay, news)),
+        away: Box::new(move |is_away| away.relay.set_store_away(is_away)),
+    }
+}
+
+fn take_listing(relay: &Relay, listing: Listing) {
+    if let Some(declaration) = listing.declaration {
+        relay.declare(*declaration);
+    }
+    let now = std::time::Instant::now();
+    relay.with_registry(|registry| registry.replace(listing.upstreams, now));
+}
+
+fn take_update(relay: &Relay, update: Update) {
+    for news in update.news {
+        match news {
+            News::Declared(declaration) => {
+                relay.declare(*declaration);
+            }
+            News::Published(upstream) => {
+                let (id, state) = (upstream.id.clone(), upstream.state);
+                if relay.with_registry(|registry| registry.publish(upstream)) {
+                    log::info!("feed: event=searcher_changed searcher={id} state={state:?}");
+                }
+            }
+            News::Disappeared(id) => {
+                let now = std::time::Instant::now();
+                if relay.with_registry(|registry| registry.disappear(&id, now)) {
+                    log::info!("feed: event=searcher_missing searcher={id}");
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/front/src/settings.rs
@@ -0,0 +1,38 @@
+//! The settings of the daemon.
+
+use std::net::{Ipv4Addr, SocketAddr};
+use std::time::Duration;
+
+/// The settings of the daemon.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// Where callers' requests are taken.
+    pub callers: SocketAddr,
+    /// Where the question whether this instance is ready is answered.
+    pub readiness: SocketAddr,
+    /// Where callers ask which addresses to use.
+    pub directory: SocketAddr,
+    /// How long callers may keep an address answer.
+    ///
+    /// Short, so that a lost instance is left soon; asking again costs little.
+    pub ttl: Duration,
+    /// How long a planned stop goes on serving, so that callers with an older address
+    /// answer are served: three times the life of an answer, and a little more.
+    pub linger: Duration,
+    /// How long after the signal a planned stop has ended, whatever still runs.
+    pub stop: Duration,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        let here = |port| SocketAddr::from((Ipv4Addr::LOCALHOST, port));
+        Self {
+            callers: here(7400),
+            readiness: here(7404),
+            directory: here(7405),
+            ttl: Duration::from_secs(1),
+            linger: Duration::from_millis(3600),
+            stop: Duration::from_millis(5600),
+        }
+    }
+}
--- /dev/null
+++ b/crates/peers/tests/directory.rs
@@ -0,0 +1,55 @@
+//! Callers are sent to ready instances beside the searchers.
+
+use std::collections::BTreeMap;
+
+use bergamot_base::Name;
+use bergamot_peers::{Caller, Place, choose};
+
+fn place(instance: u8, zone: &str, region: &str) -> Place<u8> {
+    Place { instance, zone: zone.into(), region: region.into() }
+}
+
+fn fleet() -> Vec<Place<u8>> {
+    vec![
+        place(1, "a", "east"),
+        place(2, "a", "east"),
+        place(3, "b", "west"),
+        place(4, "b", "west"),
+        place(5, "c", "north"),
+        place(6, "c", "north"),
+    ]
+}
+
+fn covered(counts: &[(&str, usize)]) -> BTreeMap<Name, usize> {
+    counts.iter().map(|(region, count)| (Name::from(*region), *count)).collect()
+}
+
+const fn caller(zone: &'static str, region: &'static str) -> Caller<'static> {
+    Caller { zone, region }
+}
+
+#[test]
+fn callers_stay_in_their_region_where_it_holds_searchers() {
+    let covered = covered(&[("east", 20), ("west", 20), ("north", 2)]);
+    assert_eq!(choose(caller("a", "east"), &fleet(), &covered), [1, 2]);
+    assert_eq!(choose(caller("b", "west"), &fleet(), &covered), [3, 4]);
+}
+
+#[test]
+fn callers_of_a_region_without_searchers_go_where_these_are() {
+    let covered = covered(&[("east", 20), ("west", 20), ("north", 2)]);
+    assert_eq!(choose(caller("c", "north"), &fleet(), &covered), [1, 2, 3, 4]);
+}
+
+#[test]
+fn one_instance_alone_is_not_all_that_a_caller_is_told() {
+    let covered = covered(&[("east", 20), ("west", 20)]);
+    let ready: Vec<_> = fleet().into_iter().filter(|place| place.instance != 2).collect();
+    assert_eq!(choose(caller("a", "east"), &ready, &covered), [1, 3, 4]);
+}
+
+#[test]
+fn any_ready_instance_is_named_where_nothing_is_known_of_searchers() {
+    let ready = vec![place(5, "c", "north")];
+    assert_eq!(choose(caller("a", "east"), &ready, &BTreeMap::new()), [5]);
+}
--- /dev/null
+++ b/crates/relay/src/link.rs
@@ -0,0 +1,50 @@
+//! One incarnation of a searcher as this member sees it: connections and an outlook.
+
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Instant;
+
+use bergamot_dispatch::{Candidate, Distance, Outlook};
+use bergamot_registry::Upstream;
+use bergamot_upstream::Pool;
+
+use crate::settings::Settings;
+
+/// What is added to the expected time of a searcher whose connections are all taken, in
+/// milliseconds: more than any searcher takes, so that it is asked last.
+const SATURATED: f64 = 10_000.0;
+
+/// One incarnation of a searcher.
+#[derive(Debug)]
+pub(crate) struct Link {
+    pub(crate) upstream: Arc<Upstream>,
+    pub(crate) pool: Arc<Pool>,
+    outlook: Mutex<Outlook>,
+}
+
+impl Link {
+    /// Makes the link to a searcher of which nothing has been seen.
+    pub(crate) fn new(upstream: Arc<Upstream>, share: usize, settings: &Settings) -> Arc<Self> {
+        let region = |zone: &str| settings.regions.get(zone).map(|region| &**region);
+        let here = (&*settings.zone, region(&settings.zone));
+        let there = (&*upstream.zone, region(&upstream.zone));
+        let guess = Distance::between(here, there).guess();
+        let pool = Pool::new(settings.address, upstream.address, share, settings.dial);
+        Arc::new(Self { upstream, pool, outlook: Mutex::new(Outlook::new(guess)) })
+    }
+
+    /// Returns what this member has seen of the searcher.
+    pub(crate) fn outlook(&self) -> MutexGuard<'_, Outlook> {
+        self.outlook.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Describes the searcher for the choice among those of its service.
+    pub(crate) fn candidate(self: &Arc<Self>, missing: bool, now: Instant) -> Candidate<Arc<Self>> {
+        let cold = now < self.upstream.warm_at;
+        let mut expected = self.outlook().expected(now, self.upstream.slots, cold);
+        let usage = self.pool.usage();
+        if usage.idle == 0 && usage.open >= usage.share {
+            expected += SATURATED;
+        }
+        Candidate { searcher: Arc::clone(self), missing, expected }
+    }
+}
--- /dev/null
+++ b/crates/relay/src/race.rs
@@ -0,0 +1,156 @@
+//! The attempts for one request at one service: first, hedge, next after a failure.
+//!
+//! Invariants: at most as many searchers may run the request as the route allows; each
+//! arrival beyond the first is paid from the service's allowance; a request that may run
+//! once at most has one attempt at a time, and another only after a certain end.
+
+use std::sync::Arc;
+use std::time::Instant;
+
+use bergamot_base::Name;
+use bergamot_declaration::Kind;
+use bergamot_dispatch::{Ending, Patience};
+use tokio::sync::mpsc;
+use tokio::time::sleep_until;
+
+use crate::attempt::{Attempt, Outcome};
+use crate::exchange::Miss;
+use crate::message::{Job, Passed};
+use crate::relay::Relay;
+
+/// How many attempts that did not run are made beyond those that the route allows.
+const MOST_REFUSED: usize = 2;
+
+/// The end of a race without a winner.
+#[derive(Clone, Debug)]
+pub(crate) struct Lost {
+    /// The worst end of all attempts: what may be said about the request.
+    pub(crate) ending: Ending,
+    /// Whether the time was up.
+    pub(crate) late: bool,
+    /// A searcher's own failure that can be passed on.
+    pub(crate) failure: Option<Passed>,
+}
+
+/// The attempts for one request at one service.
+pub(crate) struct Race<'a> {
+    relay: &'a Arc<Relay>,
+    job: &'a Arc<Job>,
+    service: &'a Name,
+    patience: Patience,
+    tried: Vec<Name>,
+    running: Vec<Attempt>,
+    arrived: usize,
+    refused: usize,
+    lost: Lost,
+    results: (mpsc::UnboundedSender<Outcome>, mpsc::UnboundedReceiver<Outcome>),
+}
+
+impl<'a> Race<'a> {
+    /// Prepares the attempts at a service.
+    pub(crate) fn new(
+        relay: &'a Arc<Relay>,
+        job: &'a Arc<Job>,
+        service: &'a Name,
+        patience: Patience,
+    ) -> Self {
+        Self {
+            relay,
+            job,
+            service,
+            patience,
+            tried: Vec::new(),
+            running: Vec::new(),
+            arrived: 0,
+            refused: 0,
+            lost: Lost { ending: Ending::NotSent, late: false, failure: None },
+            results: mpsc::unbounded_channel(),
+        }
+    }
+
+    /// Runs attempts until one wins, none can follow, or the time is up.
+    pub(crate) async fn run(mut self) -> Result<Passed, Lost> {
+        let received = self.job.request.received;
+        let end = received + self.patience.end;
+        let mut hedge = (self.job.kind == Kind::Idempotent).then(|| received + self.patience.hedge);
+        if !self.next() {
+            return Err(self.lost);
+        }
+        loop {
+            let due = hedge.unwrap_or(end).min(end);
+            tokio::select! {
+                biased;
+                outcome = self.results.1.recv() => {
+                    let Some((link, outcome)) = outcome else { return Err(self.lost) };
+                    self.running.retain(|attempt| !Arc::ptr_eq(&attempt.link, &link));
+                    match outcome {
+                        Ok(passed) => return Ok(passed),
+                        Err(miss) => self.record(&link.upstream.id, miss),
+                    }
+                    if self.running.is_empty() && !(self.may_follow() && self.next()) {
+                        return Err(self.lost);
+                    }
+                }
+                () = sleep_until(due.into()) => {
+                    if due >= end {
+                        self.lost.late = true;
+                        self.lost.ending = Ending::Unknown.max(self.lost.ending);
+                        return Err(self.lost);
+                    }
+                    hedge = None;
+                    self.next();
+                }
+            }
+        }
+    }
+
+    /// Takes in the end of an attempt.
+    fn record(&mut self, id: &Name, miss: Miss) {
+        let request = &self.job.request.id;
+        let (service, ending, cause) = (self.service, miss.ending, &miss.cause);
+        log::info!(
+            "relay: event=attempt_failed request={request:?} service={service} searcher={id} \
+             ending={ending:?} cause=\"{cause}\""
+        );
+        if ending.did_not_run() {
+            self.refused += 1;
+            self.arrived -= usize::from(ending == Ending::NotSent);
+        }
+        self.lost.ending = self.lost.ending.max(ending);
+        if miss.failure.is_some() {
+            self.lost.failure = miss.failure;
+        }
+    }
+
+    fn may_follow(&self) -> bool {
+        self.lost.ending.may_resend(self.job.kind) && self.refused <= MOST_REFUSED
+    }
+
+    /// Starts the next attempt, if a searcher is left and the bounds allow it.
+    fn next(&mut self) -> bool {
+        let ran = self.tried.len() - self.refused;
+        if ran >= self.job.attempts {
+            return false;
+        }
+        let Some(link) = self.relay.choose(self.service, &self.tried) else {
+            return false;
+        };
+        if self.arrived > 0 && !self.relay.spend(self.service) {
+            return false;
+        }
+        self.arrived += 1;
+        self.tried.push(Name::clone(&link.upstream.id));
+        let received = self.job.request.received;
+        let offer = (received + self.patience.offer).max(Instant::now() + self.patience.offer);
+        let end = received + self.patience.end;
+        let results = self.results.0.clone();
+        self.running.push(Attempt::start(
+            self.relay,
+            link,
+            self.job,
+            (offer.min(end), end),
+            results,
+        ));
+        true
+    }
+}
--- /dev/null
+++ b/crates/relay/src/relay.rs
@@ -0,0 +1,302 @@
+//! What is in force at this member, and the way of a request through it.
+
+use std::collections::{BTreeMap, HashMap};
+use std::fmt;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use bergamot_base::{Name, Revision, hash_bytes};
+use bergamot_config::{Floor, Verdict};
+use bergamot_declaration::{Declaration, Route, Split, Target};
+use bergamot_dispatch::{Allowance, Patience, rank};
+use bergamot_registry::{Registry, Upstream};
+use rand::RngExt;
+
+use crate::dialect::Dialect;
+use crate::gather::gather;
+use crate::link::Link;
+use crate::message::{Cause, Job, Refusal, Reply, Request};
+use crate::race::Race;
+use crate::settings::Settings;
+
+/// When a caller may come back after a refusal.
+///
+/// Most reasons pass within this time: a pause of a searcher, a full queue, a connection
+/// that is being opened. Callers heed at most a third of the time that they have left.
+pub(crate) const RETRY_AFTER: Duration = Duration::from_millis(200);
+
+/// When a caller may come back to an instance that has just started.
+const START_RETRY: Duration = Duration::from_millis(300);
+
+/// The part of a searcher's connections that all members together open.
+///
+/// A connection that is being closed still counts at the searcher for a moment.
+const CONNECTIONS_PART: f64 = 0.9;
+
+/// How many connections a searcher is taken to accept where that is not declared.
+const ASSUMED_CONNECTIONS: usize = 16;
+
+#[derive(Default)]
+struct State {
+    floor: Floor,
+    declaration: Option<Arc<Declaration>>,
+    registry: Registry,
+    links: HashMap<Name, Arc<Link>>,
+    splits: HashMap<Name, Split>,
+    allowances: HashMap<Name, Allowance>,
+    members: usize,
+    store_is_away: bool,
+}
+
+/// What is in force at this member.
+pub struct Relay {
+    settings: Settings,
+    dialect: Dialect,
+    state: Mutex<State>,
+}
+
+impl fmt::Debug for Relay {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "Relay({})", self.settings.address)
+    }
+}
+
+impl Relay {
+    /// Makes a relay that knows no declaration and no searcher yet.
+    pub fn new(settings: Settings, dialect: Dialect) -> Arc<Self> {
+        let state = State { members: 1, ..State::default() };
+        Arc::new(Self { settings, dialect, state: Mutex::new(state) })
+    }
+
+    /// Returns the settings.
+    pub fn settings(&self) -> &Settings {
+        &self.settings
+    }
+
+    pub(crate) fn dialect(&self) -> &Dialect {
+        &self.dialect
+    }
+
+    /// Puts a checked declaration in force if it is newer than the one that is.
+    pub fn declare(&self, declaration: Declaration) -> Verdict {
+        let hash = hash_bytes(format!("{:?}", declaration.routes).as_bytes());
+        let mut state = self.lock();
+        let verdict = state.floor.adopt(declaration.version, hash);
+        if verdict == Verdict::Newer {
+            let (version, routes) = (declaration.version, declaration.routes.len());
+            log::info!("relay: event=declaration_in_force version={version} routes={routes}");
+            let names = |name: &Name| declaration.routes.iter().any(|route| route.name == *name);
+            state.splits.retain(|name, _| names(name));
+            state.declaration = Some(Arc::new(declaration));
+            self.share(&state);
+        }
+        verdict
+    }
+
+    /// Returns the declaration in force.
+    pub fn declaration(&self) -> Option<Arc<Declaration>> {
+        self.lock().declaration.clone()
+    }
+
+    /// Returns the version in force, zero for none.
+    pub fn version(&self) -> Revision {
+        self.lock().floor.revision()
+    }
+
+    /// Changes the registry.
+    pub fn with_registry<T>(&self, change: impl FnOnce(&mut Registry) -> T) -> T {
+        change(&mut self.lock().registry)
+    }
+
+    /// Notes whether the store can be read.
+    pub fn set_store_away(&self, away: bool) {
+        let mut state = self.lock();
+        if state.store_is_away && !away {
+            state.registry.regained(Instant::now());
+        }
+        state.store_is_away = away;
+    }
+
+    /// Notes how many members share the searchers, and does what is due now and then.
+    pub fn tick(&self, members: usize) {
+        let mut state = self.lock();
+        let away = state.store_is_away;
+        for id in state.registry.expire(Instant::now(), away) {
+            log::info!("relay: event=searcher_gone searcher={id} cause=\"its entry is missing\"");
+        }
+        let changed = state.members != members;
+        state.members = members;
+        let State { registry, links, .. } = &mut *state;
+        links.retain(|id, link| {
+            let known = registry.contains(id);
+            if !known || !registry.takes_work(id) {
+                link.pool.close();
+            }
+            known
+        });
+        if changed {
+            self.share(&state);
+        }
+    }
+
+    /// Counts for how many services each region holds a searcher that takes work.
+    pub fn covered(&self) -> BTreeMap<Name, usize> {
+        let state = self.lock();
+        let mut services: BTreeMap<Name, std::collections::BTreeSet<Name>> = BTreeMap::new();
+        let Some(declaration) = &state.declaration else {
+            return BTreeMap::new();
+        };
+        for service in declaration.routes.iter().flat_map(|route| route.target.services()) {
+            for (upstream, _missing) in state.registry.usable(service) {
+                if let Some(region) = self.settings.regions.get(&upstream.zone) {
+                    let covered = services.entry(Name::clone(region)).or_default();
+                    covered.insert(Name::clone(service));
+                }
+            }
+        }
+        services.into_iter().map(|(region, covered)| (region, covered.len())).collect()
+    }
+
+    /// Takes a request to its end.
+    pub async fn handle(self: &Arc<Self>, request: Request) -> Reply {
+        let Some(declaration) = self.declaration() else {
+            let retry_after = Some(START_RETRY);
+            return Reply::Refused(Refusal { cause: Cause::NotReady, retry_after });
+        };
+        let Some(route) = declaration.find(&request.host, request.uri.path()) else {
+            return Reply::Refused(Refusal { cause: Cause::NoRoute, retry_after: None });
+        };
+        let patience = Patience::new(route, request.deadline);
+        let job = Arc::new(Job {
+            request,
+            kind: route.kind,
+            attempts: route.attempts,
+            answered: AtomicBool::new(false),
+        });
+        match &route.target {
+            Target::Gather(shards) => gather(self, &job, shards, patience).await,
+            Target::Service(service) => self.pass(&job, service, patience).await,
+            Target::Split(shares) => {
+                let service = self.lock().splits.entry(route_key(route)).or_default().next(shares);
+                match service {
+                    Some(service) => self.pass(&job, &service, patience).await,
+                    None => Reply::Refused(Refusal { cause: Cause::NotRun, retry_after: None }),
+                }
+            }
+        }
+    }
+
+    async fn pass(self: &Arc<Self>, job: &Arc<Job>, service: &Name, patience: Patience) -> Reply {
+        self.earn(service);
+        let lost = match Race::new(self, job, service, patience).run().await {
+            Ok(passed) => {
+                job.answered.store(true, Ordering::Relaxed);
+                return Reply::Passed(passed);
+            }
+            Err(lost) => lost,
+        };
+        if let Some(failure) = lost.failure {
+            return Reply::Passed(failure);
+        }
+        let cause = match () {
+            () if lost.ending.did_not_run() => Cause::NotRun,
+            () if lost.late => Cause::Late,
+            () => Cause::Lost,
+        };
+        let request = &job.request.id;
+        log::info!("relay: event=refused request={request:?} service={service} outcome={cause:?}");
+        Reply::Refused(Refusal { cause, retry_after: Some(RETRY_AFTER) })
+    }
+
+    /// Chooses the searcher for the next attempt among those not tried yet.
+    pub(crate) fn choose(&self, service: &str, tried: &[Name]) -> Option<Arc<Link>> {
+        let now = Instant::now();
+        let mut state = self.lock();
+        let share = share(&state, service);
+        let State { registry, links, .. } = &mut *state;
+        let candidates = registry
+            .usable(service)
+            .filter(|(upstream, _)| !tried.contains(&upstream.id))
+            .map(|(upstream, missing)| self.link(links, upstream, share).candidate(missing, now))
+            .collect();
+        drop(state);
+        let mut rng = rand::rng();
+        rank(candidates, || rng.random()).into_iter().next()
+    }
+
+    fn link(
+        &self,
+        links: &mut HashMap<Name, Arc<Link>>,
+        upstream: &Arc<Upstream>,
+        share: usize,
+    ) -> Arc<Link> {
+        let link = links
+            .entry(Name::clone(&upstream.id))
+            .or_insert_with(|| Link::new(Arc::clone(upstream), share, &self.settings));
+        Arc::clone(link)
+    }
+
+    /// Tells whether a service has a searcher that may be asked.
+    pub(crate) fn has_searcher(&self, service: &str) -> bool {
+        self.lock().registry.usable(service).next().is_some()
+    }
+
+    /// Tells whether new work may be sent to an incarnation.
+    pub(crate) fn takes_work(&self, id: &str) -> bool {
+        self.lock().registry.takes_work(id)
+    }
+
+    /// Notes that an incarnation has ended, since another answered at its address.
+    pub(crate) fn ended(&self, id: &Name, other: Option<&str>) {
+        let other = other.unwrap_or("unnamed");
+        if self.lock().registry.end(id) {
+            log::info!(
+                "relay: event=searcher_gone searcher={id} cause=\"{other} has its address\""
+            );
+        }
+    }
+
+    /// Counts a request for a service.
+    pub(crate) fn earn(&self, service: &Name) {
+        let now = Instant::now();
+        let terms = &self.settings.terms;
+        self.lock().allowance(service, now).earn(now, terms);
+    }
+
+    /// Spends one additional attempt at a service, if the bound has room for it.
+    pub(crate) fn spend(&self, service: &Name) -> bool {
+        let now = Instant::now();
+        let mut state = self.lock();
+        let members = state.members;
+        state.allowance(service, now).spend(now, &self.settings.terms, members)
+    }
+
+    /// Gives every link its share of connections.
+    fn share(&self, state: &State) {
+        for link in state.links.values() {
+            link.pool.resize(share(state, &link.upstream.service));
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl State {
+    fn allowance(&mut self, service: &Name, now: Instant) -> &mut Allowance {
+        self.allowances.entry(Name::clone(service)).or_insert_with(|| Allowance::new(now))
+    }
+}
+
+/// Returns how many connections this member may open to each searcher of a service.
+fn share(state: &State, service: &str) -> usize {
+    let declared = state.declaration.as_ref().and_then(|declared| declared.connections(service));
+    let all = declared.unwrap_or(ASSUMED_CONNECTIONS) as f64 * CONNECTIONS_PART;
+    ((all / state.members.max(1) as f64) as usize).max(1)
+}
+
+fn route_key(route: &Route) -> Name {
+    Name::clone(&route.name)
+}
--- /dev/null
+++ b/crates/relay/src/settings.rs
@@ -0,0 +1,44 @@
+//! The settings of a relay.
+
+use std::collections::BTreeMap;
+use std::net::Ipv4Addr;
+use std::time::Duration;
+
+use bergamot_base::Name;
+use bergamot_dispatch::Terms;
+
+/// The settings of a relay.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// The IPv4 number from which connections leave.
+    pub address: Ipv4Addr,
+    /// The availability zone of this instance.
+    pub zone: Name,
+    /// The region of each availability zone.
+    pub regions: BTreeMap<Name, Name>,
+    /// The bound on additional attempts at each service, over the whole fleet.
+    pub terms: Terms,
+    /// How long a new connection may take: several round trips between regions (16 ms).
+    pub dial: Duration,
+    /// How long an attempt that lost goes on, so that its connection can be used again.
+    ///
+    /// Longer than the pauses of searchers (250 ms), shorter than the half second within
+    /// which the work of a caller who left must end.
+    pub grace: Duration,
+    /// The largest answer that is taken from a searcher, in bytes.
+    pub largest_answer: usize,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            address: Ipv4Addr::LOCALHOST,
+            zone: Name::from("local"),
+            regions: BTreeMap::new(),
+            terms: Terms::default(),
+            dial: Duration::from_millis(300),
+            grace: Duration::from_millis(300),
+            largest_answer: 16 << 20,
+        }
+    }
+}
--- a/crates/upstream/src/pool.rs
+++ b/crates/upstream/src/pool.rs
@@ -15,13 +15,26 @@
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use tokio::sync::Notify;
+use tokio::task::AbortHandle;
 
 use crate::client::Fault;
 
 /// How long a share stays shrunk after a refusal.
 const SHRUNK: Duration = Duration::from_secs(2);
 
-type Sender = SendRequest<Full<Bytes>>;
+/// An open connection: the sending side, and the task that owns the socket.
+#[derive(Debug)]
+struct Sender {
+    request: SendRequest<Full<Bytes>>,
+    socket: AbortHandle,
+}
+
+impl Sender {
+    /// Closes the socket now. Dropped alone, it would close when the task next runs.
+    fn close(self) {
+        self.socket.abort();
+    }
+}
 
 /// The counts of a pool.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -145,7 +158,7 @@
     fn pop(&self) -> Option<Sender> {
         let mut state = self.lock();
         while let Some(sender) = state.idle.pop() {
-            if sender.is_ready() {
+            if sender.request.is_ready() {
                 return Some(sender);
             }
             state.usage.open -= 1;
@@ -179,12 +192,12 @@
         let stream = bergamot_net::dial(self.local, self.remote, self.dial)
             .await
             .map_err(|error| fault("dial", &error.cause))?;
-        let (mut sender, connection) = http1::handshake(TokioIo::new(stream))
+        let (mut request, connection) = http1::handshake(TokioIo::new(stream))
             .await
             .map_err(|error| fault("handshake", &error))?;
-        tokio::spawn(connection);
-        sender.ready().await.map_err(|error| fault("handshake", &error))?;
-        Ok(sender)
+        let socket = tokio::spawn(connection).abort_handle();
+        request.ready().await.map_err(|error| fault("handshake", &error))?;
+        Ok(Sender { request, socket })
     }
 
     /// Shrinks the share to what is open after the searcher refused a connection.
@@ -198,7 +211,7 @@
     fn put(&self, sender: Sender) {
         let mut state = self.lock();
         let limit = state.limit(Instant::now());
-        if sender.is_closed() || state.usage.open > limit {
+        if sender.request.is_closed() || state.usage.open > limit {
             state.usage.open -= 1;
         } else {
             state.idle.push(sender);
@@ -255,18 +268,22 @@
 
 impl Lease {
     /// Returns the connection for sending.
-    pub(crate) fn sender(&mut self) -> &mut Sender {
-        self.sender.as_mut().expect("a lease holds its connection until it is given back")
+    pub fn sender(&mut self) -> &mut SendRequest<Full<Bytes>> {
+        &mut self
+            .sender
+            .as_mut()
+            .expect("a lease holds its connection until it is given back")
+            .request
     }
 
     /// Returns the connection to the pool once it has become ready for more work.
-    pub(crate) async fn give_back(mut self) {
+    pub async fn give_back(mut self) {
         let Some(mut sender) = self.sender.take() else {
             return;
         };
         let pool = Arc::clone(&self.pool);
         let place = Place { pool: &pool, kept: false };
-        if sender.ready().await.is_ok() {
+        if sender.request.ready().await.is_ok() {
             let mut place = place;
             place.kept = true;
             pool.put(sender);
@@ -276,7 +293,8 @@
 
 impl Drop for Lease {
     fn drop(&mut self) {
-        if self.sender.take().is_some() {
+        if let Some(sender) = self.sender.take() {
+            sender.close();
             self.pool.release();
         }
     }
