Count requests, attempts and their ends, with a line of counts in the log

Cause: nothing told where the bytes between regions come from. Change: prometheus metrics in the relay, summed up in one log line in ten seconds.

--- a/crates/front/src/daemon.rs
+++ b/crates/front/src/daemon.rs
@@ -28,6 +28,9 @@
 /// How often members are counted and searchers whose entries are missing are removed.
 const TICK: Duration = Duration::from_millis(100);
 
+/// How many ticks share one line of counts in the log: one line in ten seconds.
+const TICKS_PER_SUMMARY: u32 = 100;
+
 /// What the handlers share.
 struct Inner {
     settings: Settings,
@@ -166,9 +169,14 @@
 }
 
 async fn tick(inner: Arc<Inner>, stop: CancellationToken) {
+    let mut ticks = 0_u32;
     while !stop.is_cancelled() {
         inner.relay.tick(inner.peers.working());
         inner.peers.set_revision(inner.relay.version());
+        ticks = ticks.wrapping_add(1);
+        if ticks.is_multiple_of(TICKS_PER_SUMMARY) {
+            inner.relay.log_summary();
+        }
         sleep(TICK).await;
     }
 }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -12,6 +12,7 @@
 mod gather;
 mod link;
 mod message;
+mod meter;
 mod race;
 mod relay;
 mod settings;
--- a/crates/relay/src/link.rs
+++ b/crates/relay/src/link.rs
@@ -18,6 +18,7 @@
 pub(crate) struct Link {
     pub(crate) upstream: Arc<Upstream>,
     pub(crate) pool: Arc<Pool>,
+    pub(crate) distance: Distance,
     outlook: Mutex<Outlook>,
 }
 
@@ -27,9 +28,10 @@
         let region = |zone: &str| settings.regions.get(zone).map(|region| &**region);
         let here = (&*settings.zone, region(&settings.zone));
         let there = (&*upstream.zone, region(&upstream.zone));
-        let guess = Distance::between(here, there).guess();
+        let distance = Distance::between(here, there);
         let pool = Pool::new(settings.address, upstream.address, share, settings.dial);
-        Arc::new(Self { upstream, pool, outlook: Mutex::new(Outlook::new(guess)) })
+        let outlook = Mutex::new(Outlook::new(distance.guess()));
+        Arc::new(Self { upstream, pool, distance, outlook })
     }
 
     /// Returns what this member has seen of the searcher.
--- /dev/null
+++ b/crates/relay/src/meter.rs
@@ -0,0 +1,194 @@
+//! Counters and histograms of the relay; docs/METRICS.md says what to do when one moves.
+
+use std::time::Duration;
+
+use bergamot_dispatch::{Distance, Ending};
+use prometheus::{
+    HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
+};
+
+use crate::message::{Cause, Reply};
+
+/// The upper ends of the latency buckets, in seconds: around the declared target latencies
+/// of 80 to 600 ms, and up to the longest timeouts.
+const BUCKETS: [f64; 12] = [0.01, 0.02, 0.04, 0.06, 0.08, 0.1, 0.12, 0.2, 0.4, 0.6, 1.2, 4.0];
+
+/// Why an attempt is made.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Reason {
+    /// It is the first.
+    First,
+    /// The first is silent.
+    Hedge,
+    /// The one before it failed.
+    Retry,
+}
+
+impl Reason {
+    fn label(self) -> &'static str {
+        match self {
+            Self::First => "first",
+            Self::Hedge => "hedge",
+            Self::Retry => "retry",
+        }
+    }
+}
+
+/// The metrics of a relay.
+#[derive(Debug)]
+pub(crate) struct Meter {
+    registry: Registry,
+    requests: IntCounterVec,
+    latency: HistogramVec,
+    attempts: IntCounterVec,
+    endings: IntCounterVec,
+    pub(crate) denied: IntCounter,
+    pub(crate) missing_parts: IntCounter,
+    pub(crate) version: IntGauge,
+    pub(crate) searchers: IntGauge,
+    pub(crate) members: IntGauge,
+    pub(crate) connections: IntGauge,
+    pub(crate) store_away: IntGauge,
+}
+
+impl Meter {
+    /// Makes the metrics and their registry.
+    pub(crate) fn new() -> Self {
+        let registry = Registry::new();
+        let counters = |name: &str, help: &str, labels: &[&str]| {
+            let made = IntCounterVec::new(Opts::new(name, help), labels);
+            register(&registry, made.expect("the names of metrics are valid"))
+        };
+        let counter = |name: &str, help: &str| {
+            let made = IntCounter::with_opts(Opts::new(name, help));
+            register(&registry, made.expect("the names of metrics are valid"))
+        };
+        let gauge = |name: &str, help: &str| {
+            let made = IntGauge::with_opts(Opts::new(name, help));
+            register(&registry, made.expect("the names of metrics are valid"))
+        };
+        let latency = HistogramOpts::new("bergamot_relay_request_seconds", "Time to the answer.")
+            .buckets(BUCKETS.to_vec());
+        let latency = HistogramVec::new(latency, &["route"]);
+        Self {
+            requests: counters(
+                "bergamot_relay_requests_total",
+                "Callers' requests by route and outcome.",
+                &["route", "outcome"],
+            ),
+            latency: register(&registry, latency.expect("the names of metrics are valid")),
+            attempts: counters(
+                "bergamot_relay_attempts_total",
+                "Attempts at searchers by reason and distance.",
+                &["reason", "distance"],
+            ),
+            endings: counters(
+                "bergamot_relay_endings_total",
+                "Attempts that brought no success, by what their end means.",
+                &["ending"],
+            ),
+            denied: counter(
+                "bergamot_relay_denied_total",
+                "Additional attempts that the bound did not allow.",
+            ),
+            missing_parts: counter(
+                "bergamot_relay_missing_parts_total",
+                "Shards that were missing from answers.",
+            ),
+            version: gauge("bergamot_relay_declaration_version", "The version in force."),
+            searchers: gauge("bergamot_relay_searchers", "Searchers that are known."),
+            members: gauge("bergamot_relay_members", "Members that share the searchers."),
+            connections: gauge("bergamot_relay_connections", "Open connections to searchers."),
+            store_away: gauge("bergamot_relay_store_away", "Whether the store can't be read."),
+            registry,
+        }
+    }
+
+    /// Returns the registry, for the text form.
+    pub(crate) fn registry(&self) -> &Registry {
+        &self.registry
+    }
+
+    /// Counts an attempt.
+    pub(crate) fn attempt(&self, reason: Reason, distance: Distance) {
+        let distance = match distance {
+            Distance::Zone => "zone",
+            Distance::Region => "region",
+            Distance::Far => "far",
+        };
+        self.attempts.with_label_values(&[reason.label(), distance]).inc();
+    }
+
+    /// Counts the end of an attempt without success.
+    pub(crate) fn ending(&self, ending: Ending) {
+        let ending = match ending {
+            Ending::NotSent => "not_sent",
+            Ending::NotRun => "not_run",
+            Ending::Failed => "failed",
+            Ending::Unknown => "unknown",
+        };
+        self.endings.with_label_values(&[ending]).inc();
+    }
+
+    /// Counts a request and what became of it.
+    pub(crate) fn request(&self, route: &str, reply: &Reply, took: Duration) {
+        self.requests.with_label_values(&[route, outcome(reply)]).inc();
+        self.latency.with_label_values(&[route]).observe(took.as_secs_f64());
+        if let Reply::Whole(whole) = reply {
+            self.missing_parts.inc_by(whole.missing as u64);
+        }
+    }
+
+    /// Forgets the routes that are no longer declared, so that the metrics stay bounded.
+    pub(crate) fn forget_routes(&self) {
+        self.requests.reset();
+        self.latency.reset();
+    }
+
+    /// Writes the attempts by reason and distance, for the summary in the log.
+    pub(crate) fn summary(&self) -> String {
+        let mut words = Vec::new();
+        for family in self.registry.gather() {
+            let Some(name) = family.name().strip_prefix("bergamot_relay_") else { continue };
+            if ![
+                "attempts_total",
+                "endings_total",
+                "denied_total",
+                "missing_parts_total",
+                "connections",
+            ]
+            .contains(&name)
+            {
+                continue;
+            }
+            for metric in family.get_metric() {
+                let labels: Vec<&str> =
+                    metric.get_label().iter().map(|label| label.value()).collect();
+                let value = metric.get_counter().get_value() + metric.get_gauge().get_value();
+                words.push(format!("{name}.{}={value}", labels.join(".")));
+            }
+        }
+        words.join(" ")
+    }
+}
+
+/// Names the outcome of a request for its metric and its log line.
+pub(crate) fn outcome(reply: &Reply) -> &'static str {
+    match reply {
+        Reply::Passed(_) => "passed",
+        Reply::Whole(whole) if whole.missing == 0 => "complete",
+        Reply::Whole(_) => "partial",
+        Reply::Refused(refusal) => match refusal.cause {
+            Cause::NotReady => "not_ready",
+            Cause::NoRoute => "no_route",
+            Cause::NotRun => "not_run",
+            Cause::Lost => "lost",
+            Cause::Late => "late",
+        },
+    }
+}
+
+fn register<T: prometheus::core::Collector + Clone + 'static>(registry: &Registry, metric: T) -> T {
+    registry.register(Box::new(metric.clone())).expect("each metric is registered once");
+    metric
+}
--- a/crates/relay/src/race.rs
+++ b/crates/relay/src/race.rs
@@ -16,6 +16,7 @@
 use crate::attempt::{Attempt, Outcome};
 use crate::exchange::Miss;
 use crate::message::{Job, Passed};
+use crate::meter::Reason;
 use crate::relay::Relay;
 
 /// How many attempts that did not run are made beyond those that the route allows.
@@ -73,7 +74,7 @@
         let received = self.job.request.received;
         let end = received + self.patience.end;
         let mut hedge = (self.job.kind == Kind::Idempotent).then(|| received + self.patience.hedge);
-        if !self.next() {
+        if !self.next(Reason::First) {
             return Err(self.lost);
         }
         loop {
@@ -87,7 +88,7 @@
                         Ok(passed) => return Ok(passed),
                         Err(miss) => self.record(&link.upstream.id, miss),
                     }
-                    if self.running.is_empty() && !(self.may_follow() && self.next()) {
+                    if self.running.is_empty() && !(self.may_follow() && self.next(Reason::Retry)) {
                         return Err(self.lost);
                     }
                 }
@@ -98,7 +99,7 @@
                         return Err(self.lost);
                     }
                     hedge = None;
-                    self.next();
+                    self.next(Reason::Hedge);
                 }
             }
         }
@@ -112,6 +113,7 @@
             "relay: event=attempt_failed request={request:?} service={service} searcher={id} \
              ending={ending:?} cause=\"{cause}\""
         );
+        self.relay.meter().ending(ending);
         if ending.did_not_run() {
             self.refused += 1;
             self.arrived -= usize::from(ending == Ending::NotSent);
@@ -127,7 +129,7 @@
     }
 
     /// Starts the next attempt, if a searcher is left and the bounds allow it.
-    fn next(&mut self) -> bool {
+    fn next(&mut self, reason: Reason) -> bool {
         let ran = self.tried.len() - self.refused;
         if ran >= self.job.attempts {
             return false;
@@ -138,6 +140,7 @@
         if self.arrived > 0 && !self.relay.spend(self.service) {
             return false;
         }
+        self.relay.meter().attempt(reason, link.distance);
         self.arrived += 1;
         self.tried.push(Name::clone(&link.upstream.id));
         let received = self.job.request.received;
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -17,6 +17,7 @@
 use crate::gather::gather;
 use crate::link::Link;
 use crate::message::{Cause, Job, Refusal, Reply, Request};
+use crate::meter::Meter;
 use crate::race::Race;
 use crate::settings::Settings;
 
@@ -53,6 +54,7 @@
 pub struct Relay {
     settings: Settings,
     dialect: Dialect,
+    meter: Meter,
     state: Mutex<State>,
 }
 
@@ -66,7 +68,7 @@
     /// Makes a relay that knows no declaration and no searcher yet.
     pub fn new(settings: Settings, dialect: Dialect) -> Arc<Self> {
         let state = State { members: 1, ..State::default() };
-        Arc::new(Self { settings, dialect, state: Mutex::new(state) })
+        Arc::new(Self { settings, dialect, meter: Meter::new(), state: Mutex::new(state) })
     }
 
     /// Returns the settings.
@@ -78,6 +80,20 @@
         &self.dialect
     }
 
+    pub(crate) fn meter(&self) -> &Meter {
+        &self.meter
+    }
+
+    /// Returns the metrics, for the text form.
+    pub fn metrics(&self) -> &prometheus::Registry {
+        self.meter.registry()
+    }
+
+    /// Writes a line of counts to the log.
+    pub fn log_summary(&self) {
+        log::info!("relay: event=summary {}", self.meter.summary());
+    }
+
     /// Puts a checked declaration in force if it is newer than the one that is.
     pub fn declare(&self, declaration: Declaration) -> Verdict {
         let hash = hash_bytes(format!("{:?}", declaration.routes).as_bytes());
@@ -88,6 +104,8 @@
             log::info!("relay: event=declaration_in_force version={version} routes={routes}");
             let names = |name: &Name| declaration.routes.iter().any(|route| route.name == *name);
             state.splits.retain(|name, _| names(name));
+            self.meter.forget_routes();
+            self.meter.version.set(version as i64);
             state.declaration = Some(Arc::new(declaration));
             self.share(&state);
         }
@@ -116,6 +134,7 @@
             state.registry.regained(Instant::now());
         }
         state.store_is_away = away;
+        self.meter.store_away.set(i64::from(away));
     }
 
     /// Notes how many members share the searchers, and does what is due now and then.
@@ -135,6 +154,10 @@
             }
             known
         });
+        let open: usize = state.links.values().map(|link| link.pool.usage().open).sum();
+        self.meter.connections.set(open as i64);
+        self.meter.searchers.set(state.registry.len() as i64);
+        self.meter.members.set(members as i64);
         if changed {
             self.share(&state);
         }
@@ -167,6 +190,13 @@
         let Some(route) = declaration.find(&request.host, request.uri.path()) else {
             return Reply::Refused(Refusal { cause: Cause::NoRoute, retry_after: None });
         };
+        let received = request.received;
+        let reply = self.route(route, request).await;
+        self.meter.request(&route.name, &reply, received.elapsed());
+        reply
+    }
+
+    async fn route(self: &Arc<Self>, route: &Route, request: Request) -> Reply {
         let patience = Patience::new(route, request.deadline);
         let job = Arc::new(Job {
             request,
@@ -269,7 +299,11 @@
         let now = Instant::now();
         let mut state = self.lock();
         let members = state.members;
-        state.allowance(service, now).spend(now, &self.settings.terms, members)
+        let granted = state.allowance(service, now).spend(now, &self.settings.terms, members);
+        if !granted {
+            self.meter.denied.inc();
+        }
+        granted
     }
 
     /// Gives every link its share of connections.
