Ask shards of another region through a member there, and read the store through few members

Change: a member beside the searchers asks them, merges and sends one answer; what it misses is asked of others by the sender. One reader a zone watches the store; the others follow it, with the store's own revisions, so that any member can take over. A far searcher comes first only if the near ones are clearly slower.

--- a/crates/dispatch/src/patience.rs
+++ b/crates/dispatch/src/patience.rs
@@ -27,6 +27,12 @@
 /// A caller who is refused within a quarter of it can still be served in time elsewhere.
 const OFFER_PART: f64 = 0.25;
 
+/// The part of the target latency after which a member in another region has answered.
+///
+/// Its answer takes two crossings and the slowest of several searchers there; what is
+/// missing then can still be asked of another region in time.
+const DELEGATE_PART: f64 = 0.45;
+
 /// The target latency that is assumed where none is declared, as a part of the timeout.
 const ASSUMED_TARGET: f64 = 0.25;
 
@@ -35,6 +41,8 @@
 pub struct Patience {
     /// When a silent searcher is hedged.
     pub hedge: Duration,
+    /// When a member in another region that was asked has answered.
+    pub delegate: Duration,
     /// When an answer with the declared coverage goes out.
     pub target: Duration,
     /// When the request gets its final answer, whatever there is.
@@ -51,6 +59,7 @@
         let target = route.target_latency.unwrap_or(route.timeout.mul_f64(ASSUMED_TARGET));
         Self {
             hedge: target.mul_f64(HEDGE_PART).min(end),
+            delegate: target.mul_f64(DELEGATE_PART).min(end),
             target: target.saturating_sub(TARGET_MARGIN).max(target / 2).min(end),
             end,
             offer: target.mul_f64(OFFER_PART).min(end),
--- a/crates/feed/src/follow.rs
+++ b/crates/feed/src/follow.rs
@@ -1,52 +1,78 @@
-//! The loop that lists once and then watches, through outages and forgotten history.
+//! The loop that keeps the mirror up to date, through outages and forgotten history.
 //!
 //! Invariants: news is taken in the order of the store's revisions; after forgotten history
 //! everything is listed anew, so nothing that was missed stays unknown; the sink hears of
 //! an outage before it hears anything that was published after it.
 
-use std::time::Duration;
+use std::net::Ipv4Addr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
 
+use futures::future::BoxFuture;
 use rand::RngExt;
+use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
 
-use crate::source::{Listing, Source, Trouble, Update};
+use crate::mirror::{Change, Mirror};
+use crate::origin::{Origin, Origins};
+use crate::source::{News, Source, Trouble};
 
 /// The periods of the loop.
 #[derive(Clone, Copy, Debug)]
 pub struct Settings {
-    /// How long a watch waits at the store.
+    /// How long a watch waits.
     ///
-    /// A connection that went silent is noticed only after this time, and a declaration
-    /// must be in force within 3 s.
+    /// A connection that went silent is noticed only after it, and news must be in force
+    /// within 3 s; each watch at the store is a call that is paid for.
     pub wait: Duration,
-    /// How long the loop waits after news before it asks for more.
+    /// How old a member's knowledge may be for it to be relied on: a watch, and its answer.
+    pub stale: Duration,
+    /// How long a reader waits after news before it asks the store for more.
     ///
-    /// Changes come in series; each watch that ends costs a call.
+    /// Changes come in series, and each watch that ends is a call.
     pub settle: Duration,
-    /// The shortest wait after a failed call.
-    pub shortest_backoff: Duration,
-    /// The longest wait after a failed call: still well within the bound for news.
-    pub longest_backoff: Duration,
+    /// How long a start waits for other members before it takes itself for a reader.
+    pub join: Duration,
 }
 
 impl Default for Settings {
     fn default() -> Self {
         Self {
-            wait: Duration::from_millis(1500),
-            settle: Duration::from_millis(150),
-            shortest_backoff: Duration::from_millis(100),
-            longest_backoff: Duration::from_millis(800),
+            wait: Duration::from_millis(1200),
+            stale: Duration::from_millis(1800),
+            settle: Duration::from_millis(250),
+            join: Duration::from_millis(300),
         }
     }
 }
 
+/// A question to a member, with the revision after which its news is wanted.
+pub type Asking = Box<
+    dyn Fn(Ipv4Addr, u64, Duration) -> BoxFuture<'static, Result<bergamot_wire::News, Trouble>>
+        + Send
+        + Sync,
+>;
+
+/// What the loop knows of other members.
+pub struct Members {
+    /// Tells whether this member reads the store, and which others do, the preferred first.
+    /// Nothing is returned while no other member is known that should be.
+    pub readers: Box<dyn Fn() -> Option<(bool, Vec<Ipv4Addr>)> + Send + Sync>,
+    /// Asks a member for news.
+    pub ask: Asking,
+}
+
+impl std::fmt::Debug for Members {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("Members")
+    }
+}
+
 /// Who takes the news in.
 pub struct Sink {
-    /// Takes in everything that is published.
-    pub listing: Box<dyn Fn(Listing) + Send + Sync>,
-    /// Takes in changes.
-    pub update: Box<dyn Fn(Update) + Send + Sync>,
-    /// Hears whether the store can be read.
+    /// Takes in what a record says.
+    pub news: Box<dyn Fn(News) + Send + Sync>,
+    /// Hears whether the store can be heard of.
     pub away: Box<dyn Fn(bool) + Send + Sync>,
 }
 
@@ -56,88 +82,175 @@
     }
 }
 
-/// Follows a store until `stop`.
-pub async fn follow(source: Source, sink: Sink, settings: Settings, stop: CancellationToken) {
-    let mut state = Follower { sink, settings, failures: 0 };
+/// The mirror, shared with those who answer the questions of other members.
+#[derive(Debug)]
+pub struct Shared {
+    mirror: Mutex<Mirror>,
+    changed: watch::Sender<u64>,
+}
+
+impl Default for Shared {
+    fn default() -> Self {
+        Self { mirror: Mutex::default(), changed: watch::channel(0).0 }
+    }
+}
+
+impl Shared {
+    /// Answers a member that asks for news after a revision, waiting for a time at most.
+    pub async fn news(&self, after: u64, wait: Duration) -> bergamot_wire::News {
+        let mut changed = self.changed.subscribe();
+        let waiting = async {
+            while !self.lock().has_news(after) {
+                if changed.changed().await.is_err() {
+                    return;
+                }
+            }
+        };
+        // Without news the answer still says how fresh it is.
+        let _elapsed = tokio::time::timeout(wait, waiting).await;
+        self.lock().news(after, Instant::now())
+    }
+
+    /// Reads the mirror.
+    pub fn lock(&self) -> MutexGuard<'_, Mirror> {
+        self.mirror.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Follows the store until `stop`.
+pub async fn follow(
+    source: Source,
+    members: Members,
+    sink: Sink,
+    shared: Arc<Shared>,
+    settings: Settings,
+    stop: CancellationToken,
+) {
+    let origins = Origins::default();
+    let mut follower = Follower { source, members, sink, shared, settings, origins, away: false };
     tokio::select! {
         () = stop.cancelled() => {}
-        () = state.run(&source) => {}
+        () = follower.run() => {}
     }
 }
 
 struct Follower {
+    source: Source,
+    members: Members,
     sink: Sink,
+    shared: Arc<Shared>,
     settings: Settings,
-    failures: u32,
+    origins: Origins,
+    away: bool,
 }
 
 impl Follower {
-    async fn run(&mut self, source: &Source) {
+    async fn run(&mut self) {
+        self.join().await;
         loop {
-            let at = self.list(source).await;
-            self.watch(source, at).await;
+            let (is_reader, readers) = (self.members.readers)().unwrap_or((true, Vec::new()));
+            match self.origins.pick(Instant::now(), is_reader, &readers) {
+                Ok(origin) => self.ask(origin, is_reader).await,
+                Err(until) => tokio::time::sleep_until(until.into()).await,
+            }
+            self.judge();
         }
     }
 
-    /// Lists until it succeeds and returns the revision from which to watch.
-    async fn list(&mut self, source: &Source) -> u64 {
-        loop {
-            match (source.list)().await {
-                Ok(listing) => {
-                    self.succeeded();
-                    let (at, searchers) = (listing.at, listing.upstreams.len());
-                    log::info!("feed: event=listed revision={at} searchers={searchers}");
-                    (self.sink.listing)(listing);
-                    return at;
-                }
-                Err(trouble) => self.failed("list", &trouble).await,
+    /// Waits a moment for other members, so that not every one takes itself for a reader.
+    async fn join(&self) {
+        /// How often the members are looked at meanwhile.
+        const LOOK: Duration = Duration::from_millis(20);
+        let end = Instant::now() + self.settings.join;
+        while (self.members.readers)().is_none() && Instant::now() < end {
+            tokio::time::sleep(LOOK).await;
+        }
+    }
+
+    async fn ask(&mut self, origin: Origin, is_reader: bool) {
+        let asked = Instant::now();
+        let result = match origin {
+            Origin::Store => self.ask_store(asked).await,
+            Origin::Member(ip) => self.ask_member(ip).await,
+        };
+        let now = Instant::now();
+        match result {
+            Ok(()) => self.origins.succeed(origin),
+            Err(trouble) => {
+                log::info!("feed: event=origin_failed origin={origin:?} cause=\"{trouble}\"");
+                let jitter = rand::rng().random();
+                self.origins.fail(origin, now, is_reader, jitter);
             }
         }
     }
 
-    /// Watches until the history is forgotten.
-    async fn watch(&mut self, source: &Source, mut after: u64) {
-        loop {
-            match (source.watch)(after, self.settings.wait).await {
-                Ok(update) => {
-                    self.succeeded();
-                    after = update.at;
-                    if !update.news.is_empty() {
-                        (self.sink.update)(update);
-                        tokio::time::sleep(self.settings.settle).await;
-                    }
-                }
-                Err(Trouble::Forgotten) => {
-                    log::info!("feed: event=history_forgotten revision={after}");
-                    return;
-                }
-                Err(trouble) => self.failed("watch", &trouble).await,
+    async fn ask_store(&mut self, asked: Instant) -> Result<(), Trouble> {
+        let at = self.shared.lock().at();
+        let watched = if at == 0 {
+            Err(Trouble::Forgotten)
+        } else {
+            (self.source.watch)(at, self.settings.wait).await
+        };
+        let (items, at, whole) = match watched {
+            Ok((items, at)) => (items, at, false),
+            Err(Trouble::Forgotten) => {
+                let (items, at) = (self.source.list)().await?;
+                log::info!("feed: event=listed revision={at} items={}", items.len());
+                (items, at, true)
             }
+            Err(trouble) => return Err(trouble),
+        };
+        let news = !items.is_empty();
+        // A watch that ends without news says so as of its end, a listing as of its start.
+        let moment = if whole { asked } else { Instant::now() };
+        self.take(items, at, whole, moment);
+        if news {
+            tokio::time::sleep(self.settings.settle).await;
         }
+        Ok(())
     }
 
-    fn succeeded(&mut self) {
-        if self.failures > 0 {
-            log::info!("feed: event=store_regained failures={}", self.failures);
-            (self.sink.away)(false);
+    async fn ask_member(&mut self, ip: Ipv4Addr) -> Result<(), Trouble> {
+        let after = self.shared.lock().at();
+        let news = (self.members.ask)(ip, after, self.settings.wait).await?;
+        let age = news.age;
+        if news.at > 0 {
+            let moment = Instant::now().checked_sub(age);
+            let moment = moment.unwrap_or_else(Instant::now);
+            self.take(news.items, news.at, news.whole, moment);
+        }
+        if age > self.settings.stale {
+            return Err(Trouble::Stale { age });
         }
-        self.failures = 0;
+        Ok(())
     }
 
-    async fn failed(&mut self, call: &str, trouble: &Trouble) {
-        if self.failures == 0 {
-            (self.sink.away)(true);
+    fn take(&mut self, items: Vec<bergamot_wire::Item>, at: u64, whole: bool, moment: Instant) {
+        let mut mirror = self.shared.lock();
+        let change = if whole { mirror.replace(items, at) } else { mirror.update(items, at) };
+        mirror.refresh(moment);
+        drop(mirror);
+        // The outage ends before what was published after it is taken in.
+        self.judge();
+        self.pass(&change);
+        self.shared.changed.send_replace(at);
+    }
+
+    fn pass(&self, change: &Change) {
+        for news in change.items.iter().filter_map(self.source.decode) {
+            (self.sink.news)(news);
         }
-        self.failures = self.failures.saturating_add(1);
-        let failures = self.failures;
-        if failures.is_power_of_two() {
-            log::warn!(
-                "feed: event=store_lost call={call} failures={failures} cause=\"{trouble}\""
-            );
+    }
+
+    /// Tells the sink when the store was lost or regained.
+    fn judge(&mut self) {
+        let age = self.shared.lock().age(Instant::now());
+        let away = age.is_none_or(|age| age > self.settings.stale);
+        if away != self.away {
+            self.away = away;
+            let age = age.map_or(0, |age| age.as_millis());
+            log::warn!("feed: event=store_{} age_ms={age}", if away { "lost" } else { "regained" });
+            (self.sink.away)(away);
         }
-        let backoff = self.settings.shortest_backoff * 2_u32.pow((failures - 1).min(8));
-        let backoff = backoff.min(self.settings.longest_backoff);
-        let jittered = backoff.mul_f64(rand::rng().random_range(0.5..1.0));
-        tokio::time::sleep(jittered).await;
     }
 }
--- /dev/null
+++ b/crates/feed/src/origin.rs
@@ -0,0 +1,88 @@
+//! Whom to ask for news: the store, or a member that reads it.
+//!
+//! A reader asks the store first and other readers while the store turns it away; everyone
+//! else asks readers, those of its own zone first, and the store only when no reader can
+//! help. Whoever failed is left alone for a while. Invariant: while the store itself is
+//! down, the calls to it come from the readers and, rarely, from the others, however many
+//! members there are.
+
+use std::collections::HashMap;
+use std::net::Ipv4Addr;
+use std::time::{Duration, Instant};
+
+/// How long a member is left alone that could not help.
+const MEMBER_PAUSE: Duration = Duration::from_millis(1000);
+
+/// How long a reader leaves the store alone after a first failure.
+const STORE_PAUSE: Duration = Duration::from_millis(200);
+
+/// How long a reader leaves the store alone after many failures: news must be in force
+/// within 3 s, once the store has been back for some seconds.
+const LONGEST_STORE_PAUSE: Duration = Duration::from_millis(1500);
+
+/// How many times as long the others leave the store alone: there may be many of them, and
+/// the readers will hear of its return.
+const OTHERS_FACTOR: u32 = 4;
+
+/// Who can be asked.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Origin {
+    /// The store itself.
+    Store,
+    /// A member that reads the store.
+    Member(Ipv4Addr),
+}
+
+/// Who can be asked, and who is left alone.
+#[derive(Clone, Debug, Default)]
+pub struct Origins {
+    paused: HashMap<Origin, Instant>,
+    store_failures: u32,
+}
+
+impl Origins {
+    /// Chooses whom to ask, or says until when there is nobody.
+    ///
+    /// `readers` are the others that read the store, the preferred first.
+    pub fn pick(
+        &self,
+        now: Instant,
+        is_reader: bool,
+        readers: &[Ipv4Addr],
+    ) -> Result<Origin, Instant> {
+        let store = std::iter::once(Origin::Store);
+        let members = readers.iter().map(|ip| Origin::Member(*ip));
+        let order: Vec<Origin> =
+            if is_reader { store.chain(members).collect() } else { members.chain(store).collect() };
+        let until = |origin: &Origin| self.paused.get(origin).copied().unwrap_or(now);
+        match order.iter().find(|origin| until(origin) <= now) {
+            Some(origin) => Ok(*origin),
+            None => Err(order.iter().map(until).min().unwrap_or(now)),
+        }
+    }
+
+    /// Notes that an origin helped.
+    pub fn succeed(&mut self, origin: Origin) {
+        self.paused.remove(&origin);
+        if origin == Origin::Store {
+            self.store_failures = 0;
+        }
+    }
+
+    /// Notes that an origin could not help; `jitter` from 0 to 1 spreads the next tries.
+    pub fn fail(&mut self, origin: Origin, now: Instant, is_reader: bool, jitter: f64) {
+        let pause = match origin {
+            Origin::Member(_) => MEMBER_PAUSE,
+            Origin::Store => {
+                let doubled = STORE_PAUSE * 2_u32.pow(self.store_failures.min(8));
+                self.store_failures = self.store_failures.saturating_add(1);
+                if is_reader {
+                    doubled.min(LONGEST_STORE_PAUSE)
+                } else {
+                    LONGEST_STORE_PAUSE * OTHERS_FACTOR
+                }
+            }
+        };
+        self.paused.insert(origin, now + pause.mul_f64(0.6 + 0.4 * jitter));
+    }
+}
--- a/crates/feed/src/source.rs
+++ b/crates/feed/src/source.rs
@@ -6,13 +6,14 @@
 use bergamot_declaration::Declaration;
 use bergamot_net::Fault;
 use bergamot_registry::Upstream;
+use bergamot_wire::Item;
 use futures::future::BoxFuture;
 use snafu::Snafu;
 
-/// One piece of news.
+/// What a record says.
 #[derive(Clone, Debug)]
 pub enum News {
-    /// The operator declared something; it is checked and was not refused.
+    /// What the operator declared; it was checked.
     Declared(Box<Declaration>),
     /// A searcher published itself.
     Published(Upstream),
@@ -20,36 +21,16 @@
     Disappeared(Name),
 }
 
-/// Everything that is published.
-#[derive(Clone, Debug, Default)]
-pub struct Listing {
-    /// The declaration, if there is one.
-    pub declaration: Option<Box<Declaration>>,
-    /// The searchers.
-    pub upstreams: Vec<Upstream>,
-    /// The revision of the store from which to watch, so that nothing is missed.
-    pub at: u64,
-}
-
-/// What has changed since a revision.
-#[derive(Clone, Debug, Default)]
-pub struct Update {
-    /// The changes in their order.
-    pub news: Vec<News>,
-    /// The revision of the store from which to watch on.
-    pub at: u64,
-}
-
-/// Why the store gave nothing.
+/// Why nothing was learnt.
 #[derive(Clone, Debug, Snafu)]
 pub enum Trouble {
     /// The changes since the revision are no longer kept: everything must be listed anew.
     #[snafu(display("the history is no longer kept"))]
     Forgotten,
-    /// The store turned the call away.
+    /// The call was turned away.
     #[snafu(display("the store answered {status}"))]
     Refused {
-        /// The status of its answer.
+        /// The status of the answer.
         status: u16,
     },
     /// The exchange failed.
@@ -58,20 +39,30 @@
         /// Why.
         source: Fault,
     },
+    /// A member answered that has not heard of the store for too long itself.
+    #[snafu(display("the member last heard of the store {} ms ago", age.as_millis()))]
+    Stale {
+        /// How long ago it heard of it.
+        age: Duration,
+    },
 }
 
+/// Records and the revision up to which they tell everything.
+pub type Records = (Vec<Item>, u64);
+
+/// A call that brings records.
+pub type Reading = BoxFuture<'static, Result<Records, Trouble>>;
+
 /// A store that can be listed and watched.
 pub struct Source {
-    /// Lists everything.
-    pub list: Box<dyn Fn() -> BoxFuture<'static, Result<Listing, Trouble>> + Send + Sync>,
+    /// Lists every record.
+    pub list: Box<dyn Fn() -> Reading + Send + Sync>,
     /// Waits for changes after a revision, for a time at most.
-    pub watch: Watch,
+    pub watch: Box<dyn Fn(u64, Duration) -> Reading + Send + Sync>,
+    /// Reads what a record says; one that can't be used is logged and says nothing.
+    pub decode: fn(&Item) -> Option<News>,
 }
 
-/// Waits for changes after a revision, for a time at most.
-pub type Watch =
-    Box<dyn Fn(u64, Duration) -> BoxFuture<'static, Result<Update, Trouble>> + Send + Sync>;
-
 impl std::fmt::Debug for Source {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         f.write_str("Source")
--- /dev/null
+++ b/crates/feed/tests/feed.rs
@@ -0,0 +1,103 @@
+//! The mirror keeps the store's order, and few members read the store.
+
+use std::net::Ipv4Addr;
+use std::time::{Duration, Instant};
+
+use bergamot_base::Name;
+use bergamot_feed::{Mirror, Origin, Origins};
+use bergamot_wire::Item;
+
+fn item(key: &str, revision: u64) -> Item {
+    Item { key: Name::from(key), value: vec![revision as u8], deleted: false, revision }
+}
+
+fn deleted(key: &str, revision: u64) -> Item {
+    Item { value: Vec::new(), deleted: true, ..item(key, revision) }
+}
+
+const A: Ipv4Addr = Ipv4Addr::new(10, 0, 0, 1);
+const B: Ipv4Addr = Ipv4Addr::new(10, 0, 0, 2);
+
+#[test]
+fn an_older_record_changes_nothing() {
+    let mut mirror = Mirror::default();
+    mirror.replace(vec![item("a", 5)], 5);
+    assert!(mirror.update(vec![item("a", 4)], 4).items.is_empty());
+    assert!(mirror.replace(vec![item("a", 3)], 4).items.is_empty());
+    assert_eq!(mirror.at(), 5);
+    assert_eq!(mirror.update(vec![item("a", 6)], 6).items, [item("a", 6)]);
+}
+
+#[test]
+fn a_listing_tells_what_was_deleted_while_nobody_looked() {
+    let mut mirror = Mirror::default();
+    mirror.replace(vec![item("a", 1), item("b", 2)], 2);
+    assert_eq!(mirror.replace(vec![item("b", 2)], 9).items, [deleted("a", 9)]);
+}
+
+#[test]
+fn a_follower_gets_the_changes_or_everything() {
+    let mut mirror = Mirror::default();
+    let now = Instant::now();
+    mirror.replace(vec![item("a", 1), item("b", 2)], 2);
+    mirror.update(vec![item("a", 3), deleted("b", 4)], 4);
+    let changes = mirror.news(2, now);
+    assert_eq!((changes.whole, changes.items), (false, vec![item("a", 3), deleted("b", 4)]));
+    let all = mirror.news(1, now);
+    assert_eq!((all.whole, all.items, all.at), (true, vec![item("a", 3)], 4));
+    assert!(mirror.has_news(3) && !mirror.has_news(4));
+}
+
+#[test]
+fn a_follower_takes_over_from_any_other_member() {
+    let (mut reader, mut follower) = (Mirror::default(), Mirror::default());
+    reader.replace(vec![item("a", 1)], 1);
+    let news = reader.news(0, Instant::now());
+    follower.replace(news.items, news.at);
+    assert_eq!(follower.at(), 1);
+    assert_eq!(follower.update(vec![item("a", 2)], 2).items, [item("a", 2)]);
+}
+
+#[test]
+fn a_reader_asks_the_store_and_others_while_it_is_turned_away() {
+    let (mut origins, now) = (Origins::default(), Instant::now());
+    assert_eq!(origins.pick(now, true, &[A, B]), Ok(Origin::Store));
+    origins.fail(Origin::Store, now, true, 1.0);
+    assert_eq!(origins.pick(now, true, &[A, B]), Ok(Origin::Member(A)));
+    let later = now + Duration::from_millis(1500);
+    assert_eq!(origins.pick(later, true, &[A, B]), Ok(Origin::Store));
+}
+
+#[test]
+fn the_others_ask_the_store_only_if_no_reader_helps() {
+    let (mut origins, now) = (Origins::default(), Instant::now());
+    assert_eq!(origins.pick(now, false, &[A, B]), Ok(Origin::Member(A)));
+    origins.fail(Origin::Member(A), now, false, 1.0);
+    assert_eq!(origins.pick(now, false, &[A, B]), Ok(Origin::Member(B)));
+    origins.fail(Origin::Member(B), now, false, 1.0);
+    assert_eq!(origins.pick(now, false, &[A, B]), Ok(Origin::Store));
+    origins.fail(Origin::Store, now, false, 1.0);
+    assert!(origins.pick(now, false, &[A, B]).is_err());
+}
+
+/// While the store is down for ten seconds, eighty members of which six read it.
+#[test]
+fn an_outage_of_the_store_does_not_make_every_member_call_it() {
+    let start = Instant::now();
+    let mut calls = 0;
+    for member in 0..80 {
+        let is_reader = member < 6;
+        let (mut origins, mut now) = (Origins::default(), start);
+        while now < start + Duration::from_secs(10) {
+            match origins.pick(now, is_reader, &[A, B]) {
+                Ok(origin) => {
+                    calls += usize::from(origin == Origin::Store);
+                    origins.fail(origin, now, is_reader, 0.5);
+                    now += Duration::from_millis(10);
+                }
+                Err(until) => now = until,
+            }
+        }
+    }
+    assert!(calls < 400, "{calls}");
+}
--- a/crates/front/src/daemon.rs
+++ b/crates/front/src/daemon.rs
@@ -5,16 +5,17 @@
 //! expired; then the listener closes, what is in flight is finished, and the process ends.
 //! Invariant: every request that was read gets its answer before the process ends.
 
-use std::net::SocketAddr;
+use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
-use bergamot_feed::{Listing, News, Sink, Source, Update, follow};
-use bergamot_members::{Record, Role, State};
+use bergamot_feed::{Members, News, Shared, Sink, Source, follow};
+use bergamot_members::{Endpoint, Record, Role, State, View, readers};
 use bergamot_net::{Body, Fault, listen, serve, text};
 use bergamot_peers::{Caller, Peers, Place, choose};
-use bergamot_relay::{Dialect, Relay};
+use bergamot_relay::{Dialect, Helper, Relay};
+use bergamot_wire::Channels;
 use hyper::header::{CONNECTION, HeaderValue};
 use hyper::{Response, StatusCode, Uri};
 use tokio::task::JoinHandle;
@@ -23,6 +24,7 @@
 
 use crate::caller;
 use crate::face::Face;
+use crate::member;
 use crate::settings::Settings;
 
 /// How often members are counted and searchers whose entries are missing are removed.
@@ -65,12 +67,21 @@
         source: Source,
     ) -> Result<Self, Fault> {
         let (stop, close) = (CancellationToken::new(), CancellationToken::new());
-        let relay = Relay::new(relay, dialect);
+        let links = Arc::new(Channels::new(relay.address));
+        let port = settings.members.port();
+        let relay = Relay::new(relay, dialect, member::send(&links, port));
+        let feed = Arc::new(Shared::default());
+        member::serve(settings.members, Arc::clone(&relay), Arc::clone(&feed), stop.clone())
+            .await?;
         let peers = Peers::start(peers, stop.clone()).await?;
         let inner =
             Arc::new(Inner { settings, face, relay, peers, leaving: AtomicBool::new(false) });
         let sink = sink(&inner);
-        tokio::spawn(follow(source, sink, bergamot_feed::Settings::default(), stop.clone()));
+        let asking = Arc::clone(&inner);
+        let members =
+            Members { readers: Box::new(move || asking.readers()), ask: member::ask(&links, port) };
+        let periods = bergamot_feed::Settings::default();
+        tokio::spawn(follow(source, members, sink, feed, periods, stop.clone()));
         tokio::spawn(tick(Arc::clone(&inner), stop.clone()));
         let readiness = listen(inner.settings.readiness).await?;
         let answering = Arc::clone(&inner);
@@ -146,6 +157,33 @@
         (self.face.addresses)(&addresses, self.settings.ttl)
     }
 
+    /// Tells whether this member reads the store, and which others do, those of its own zone
+    /// first; nothing while no other member is known.
+    fn readers(&self) -> Option<(bool, Vec<Ipv4Addr>)> {
+        let own = self.relay.settings().address;
+        self.peers.with_view(|view| {
+            let mut chosen = readers(view, self.settings.readers);
+            let zone = |endpoint: &Endpoint| view.get(*endpoint).map(|record| &record.zone);
+            chosen.sort_by_key(|endpoint| zone(endpoint) != Some(&self.relay.settings().zone));
+            let ips = chosen.iter().map(|endpoint| endpoint.ip);
+            let others = ips.clone().filter(|ip| *ip != own).collect();
+            (view.len() > 1).then(|| (ips.into_iter().any(|ip| ip == own), others))
+        })
+    }
+
+    /// Lists the members that may be asked for shards in their region.
+    fn helpers(&self) -> Vec<Helper> {
+        let settings = self.relay.settings();
+        let helper = |record: &Record| {
+            let region = settings.regions.get(&record.zone).unwrap_or(&record.zone).clone();
+            Helper { ip: record.endpoint.ip, region }
+        };
+        let can_help = |record: &&Record| {
+            record.state == State::Alive && record.endpoint.ip != settings.address
+        };
+        self.peers.with_view(|view: &View| view.iter().filter(can_help).map(helper).collect())
+    }
+
     /// Lists the instances to which callers may be sent.
     ///
     /// A member that is alive is taken to be ready: one that has no declaration yet gets it
@@ -172,6 +210,7 @@
     let mut ticks = 0_u32;
     while !stop.is_cancelled() {
         inner.relay.tick(inner.peers.working());
+        inner.relay.set_helpers(inner.helpers());
         inner.peers.set_revision(inner.relay.version());
         ticks = ticks.wrapping_add(1);
         if ticks.is_multiple_of(TICKS_PER_SUMMARY) {
@@ -182,39 +221,28 @@
 }
 
 fn sink(inner: &Arc<Inner>) -> Sink {
-    let (listing, update, away) = (Arc::clone(inner), Arc::clone(inner), Arc::clone(inner));
+    let (news, away) = (Arc::clone(inner), Arc::clone(inner));
     Sink {
-        listing: Box::new(move |news| take_listing(&listing.relay, news)),
-        update: Box::new(move |news| take_update(&update.relay, news)),
+        news: Box::new(move |record| take(&news.relay, record)),
         away: Box::new(move |is_away| away.relay.set_store_away(is_away)),
     }
 }
 
-fn take_listing(relay: &Relay, listing: Listing) {
-    if let Some(declaration) = listing.declaration {
-        relay.declare(*declaration);
-    }
-    let now = std::time::Instant::now();
-    relay.with_registry(|registry| registry.replace(listing.upstreams, now));
-}
-
-fn take_update(relay: &Relay, update: Update) {
-    for news in update.news {
-        match news {
-            News::Declared(declaration) => {
-                relay.declare(*declaration);
-            }
-            News::Published(upstream) => {
-                let (id, state) = (upstream.id.clone(), upstream.state);
-                if relay.with_registry(|registry| registry.publish(upstream)) {
-                    log::info!("feed: event=searcher_changed searcher={id} state={state:?}");
-                }
+fn take(relay: &Relay, news: News) {
+    match news {
+        News::Declared(declaration) => {
+            relay.declare(*declaration);
+        }
+        News::Published(upstream) => {
+            let (id, state) = (upstream.id.clone(), upstream.state);
+            if relay.with_registry(|registry| registry.publish(upstream)) {
+                log::info!("feed: event=searcher_changed searcher={id} state={state:?}");
             }
-            News::Disappeared(id) => {
-                let now = std::time::Instant::now();
-                if relay.with_registry(|registry| registry.disappear(&id, now)) {
-                    log::info!("feed: event=searcher_missing searcher={id}");
-                }
+        }
+        News::Disappeared(id) => {
+            let now = std::time::Instant::now();
+            if relay.with_registry(|registry| registry.disappear(&id, now)) {
+                log::info!("feed: event=searcher_missing searcher={id}");
             }
         }
     }
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -8,6 +8,7 @@
 mod caller;
 mod daemon;
 mod face;
+mod member;
 mod settings;
 
 pub use daemon::Daemon;
--- /dev/null
+++ b/crates/front/src/member.rs
@@ -0,0 +1,114 @@
+//! What this member does for others, and how it asks them.
+
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bergamot_feed::{Asking, Shared, Trouble};
+use bergamot_net::{Fault, listen};
+use bergamot_relay::{Relay, Send};
+use bergamot_wire::{
+    Channels, Member, MemberClient, News, ShardQuery, ShardReply, run_requests, serve_requests,
+    transport,
+};
+use tarpc::context::Context;
+use tarpc::server::Channel;
+use tokio_util::sync::CancellationToken;
+
+/// How long an answer may take beyond the time that the question waits for news: several
+/// round trips between regions (16 ms), and late timers of a slow core.
+const ANSWER: Duration = Duration::from_millis(400);
+
+/// The longest time that a question for news may wait.
+const LONGEST_WAIT: Duration = Duration::from_secs(30);
+
+/// The connections to other members.
+pub(crate) type Links = Arc<Channels<MemberClient>>;
+
+#[derive(Clone)]
+struct Server {
+    relay: Arc<Relay>,
+    feed: Arc<Shared>,
+}
+
+impl Member for Server {
+    async fn gather(self, _context: Context, query: ShardQuery) -> ShardReply {
+        self.relay.answer(query).await
+    }
+
+    async fn news(self, _context: Context, after: u64, wait: Duration) -> News {
+        self.feed.news(after, wait.min(LONGEST_WAIT)).await
+    }
+}
+
+/// Answers other members until `stop`.
+pub(crate) async fn serve(
+    address: SocketAddr,
+    relay: Arc<Relay>,
+    feed: Arc<Shared>,
+    stop: CancellationToken,
+) -> Result<(), Fault> {
+    let listener = listen(address).await?;
+    let server = Server { relay, feed };
+    tokio::spawn(serve_requests(listener, stop, move |stream, open| {
+        let requests = transport(stream).execute(Member::serve(server.clone()));
+        tokio::spawn(run_requests(requests, open));
+    }));
+    Ok(())
+}
+
+/// Makes the function that sends a request for shards to a member.
+pub(crate) fn send(links: &Links, port: u16) -> Send {
+    let links = Arc::clone(links);
+    Box::new(move |ip, query, until| {
+        let links = Arc::clone(&links);
+        Box::pin(async move {
+            let peer = SocketAddr::from((ip, port));
+            let exchange = async {
+                let client = links.get(peer).await.map_err(|fault| fault.to_string())?;
+                let mut context = tarpc::context::current();
+                context.deadline = until;
+                client.gather(context, query).await.map_err(|error| error.to_string())
+            };
+            within(&links, peer, until, exchange).await
+        })
+    })
+}
+
+/// Makes the function that asks a member for news of the store.
+pub(crate) fn ask(links: &Links, port: u16) -> Asking {
+    let links = Arc::clone(links);
+    Box::new(move |ip: Ipv4Addr, after, wait| {
+        let links = Arc::clone(&links);
+        Box::pin(async move {
+            let peer = SocketAddr::from((ip, port));
+            let until = Instant::now() + wait + ANSWER;
+            let exchange = async {
+                let client = links.get(peer).await.map_err(|fault| fault.to_string())?;
+                let mut context = tarpc::context::current();
+                context.deadline = until;
+                client.news(context, after, wait).await.map_err(|error| error.to_string())
+            };
+            within(&links, peer, until, exchange).await.map_err(|cause| Trouble::Failed {
+                source: Fault::new("ask for news", peer, cause),
+            })
+        })
+    })
+}
+
+/// Waits for an exchange until a moment. A connection that failed or went silent is not
+/// used again, since nothing but the silence may show that it is dead.
+async fn within<T>(
+    links: &Links,
+    peer: SocketAddr,
+    until: Instant,
+    exchange: impl Future<Output = Result<T, String>>,
+) -> Result<T, String> {
+    let elapsed = |elapsed: tokio::time::error::Elapsed| elapsed.to_string();
+    let ended = tokio::time::timeout_at(until.into(), exchange).await;
+    let ended = ended.map_err(elapsed).and_then(|ended| ended);
+    if ended.is_err() {
+        links.forget(peer).await;
+    }
+    ended
+}
--- a/crates/front/src/settings.rs
+++ b/crates/front/src/settings.rs
@@ -12,6 +12,10 @@
     pub readiness: SocketAddr,
     /// Where callers ask which addresses to use.
     pub directory: SocketAddr,
+    /// Where other members' requests are taken, at the same port on every instance.
+    pub members: SocketAddr,
+    /// How many members of each availability zone read the store.
+    pub readers: usize,
     /// How long callers may keep an address answer.
     ///
     /// Short, so that a lost instance is left soon; asking again costs little.
@@ -30,6 +34,8 @@
             callers: here(7400),
             readiness: here(7404),
             directory: here(7405),
+            members: here(7401),
+            readers: 1,
             ttl: Duration::from_secs(1),
             linger: Duration::from_millis(3600),
             stop: Duration::from_millis(5600),
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -7,6 +7,7 @@
 //! platforms share one relay. See `docs/design/0009-platform.md`.
 
 mod attempt;
+mod delegate;
 mod dialect;
 mod exchange;
 mod gather;
@@ -17,6 +18,7 @@
 mod relay;
 mod settings;
 
+pub use delegate::{Helper, Send};
 pub use dialect::{Ask, Dialect, Reading};
 pub use message::{Cause, Passed, Refusal, Reply, Request, Whole};
 pub use relay::Relay;
--- a/crates/relay/src/link.rs
+++ b/crates/relay/src/link.rs
@@ -13,6 +13,12 @@
 /// milliseconds: more than any searcher takes, so that it is asked last.
 const SATURATED: f64 = 10_000.0;
 
+/// How many times longer a searcher in another region is taken to need than was seen.
+///
+/// Its bytes cross the slow and dear links between regions, so it is asked first only if
+/// those nearby are clearly slower.
+const FAR: f64 = 1.5;
+
 /// One incarnation of a searcher.
 #[derive(Debug)]
 pub(crate) struct Link {
@@ -43,6 +49,9 @@
     pub(crate) fn candidate(self: &Arc<Self>, missing: bool, now: Instant) -> Candidate<Arc<Self>> {
         let cold = now < self.upstream.warm_at;
         let mut expected = self.outlook().expected(now, self.upstream.slots, cold);
+        if self.distance == Distance::Far {
+            expected *= FAR;
+        }
         let usage = self.pool.usage();
         if usage.idle == 0 && usage.open >= usage.share {
             expected += SATURATED;
--- a/crates/relay/src/race.rs
+++ b/crates/relay/src/race.rs
@@ -5,7 +5,7 @@
 //! once at most has one attempt at a time, and another only after a certain end.
 
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use bergamot_base::Name;
 use bergamot_declaration::Kind;
@@ -31,6 +31,33 @@
     pub(crate) late: bool,
     /// A searcher's own failure that can be passed on.
     pub(crate) failure: Option<Passed>,
+    /// The searchers that were asked.
+    pub(crate) tried: Vec<Name>,
+}
+
+/// The moments and the past of a race.
+#[derive(Clone, Debug)]
+pub(crate) struct Plan {
+    /// By when a first attempt must have found a connection.
+    pub(crate) offer: Instant,
+    /// When a silent searcher is hedged, if it may be.
+    pub(crate) hedge: Option<Instant>,
+    /// When a member that was asked has answered.
+    pub(crate) delegate: Instant,
+    /// When the answer is of no use any more.
+    pub(crate) end: Instant,
+    /// The searchers that were asked already, on our behalf.
+    pub(crate) tried: Vec<Name>,
+}
+
+impl Plan {
+    /// Plans a race for a request that was just received.
+    pub(crate) fn new(job: &Job, patience: Patience) -> Self {
+        let at = |moment: Duration| job.request.received + moment;
+        let hedge = (job.kind == Kind::Idempotent).then(|| at(patience.hedge));
+        let (offer, delegate) = (at(patience.offer), at(patience.delegate));
+        Self { offer, hedge, delegate, end: at(patience.end), tried: Vec::new() }
+    }
 }
 
 /// The attempts for one request at one service.
@@ -38,8 +65,7 @@
     relay: &'a Arc<Relay>,
     job: &'a Arc<Job>,
     service: &'a Name,
-    patience: Patience,
-    tried: Vec<Name>,
+    plan: Plan,
     running: Vec<Attempt>,
     arrived: usize,
     refused: usize,
@@ -53,50 +79,55 @@
         relay: &'a Arc<Relay>,
         job: &'a Arc<Job>,
         service: &'a Name,
-        patience: Patience,
+        plan: Plan,
     ) -> Self {
+        let arrived = plan.tried.len();
         Self {
             relay,
             job,
             service,
-            patience,
-            tried: Vec::new(),
+            plan,
             running: Vec::new(),
-            arrived: 0,
+            arrived,
             refused: 0,
-            lost: Lost { ending: Ending::NotSent, late: false, failure: None },
+            lost: Lost { ending: Ending::NotSent, late: false, failure: None, tried: Vec::new() },
             results: mpsc::unbounded_channel(),
         }
     }
 
     /// Runs attempts until one wins, none can follow, or the time is up.
     pub(crate) async fn run(mut self) -> Result<Passed, Lost> {
-        let received = self.job.request.received;
-        let end = received + self.patience.end;
-        let mut hedge = (self.job.kind == Kind::Idempotent).then(|| received + self.patience.hedge);
-        if !self.next(Reason::First) {
-            return Err(self.lost);
+        let ended = self.race().await;
+        ended.ok_or_else(|| Lost { tried: std::mem::take(&mut self.plan.tried), ..self.lost })
+    }
+
+    async fn race(&mut self) -> Option<Passed> {
+        let end = self.plan.end;
+        let mut hedge = self.plan.hedge;
+        let first = if self.arrived > 0 { Reason::Hedge } else { Reason::First };
+        if !self.next(first) {
+            return None;
         }
         loop {
             let due = hedge.unwrap_or(end).min(end);
             tokio::select! {
                 biased;
                 outcome = self.results.1.recv() => {
-                    let Some((link, outcome)) = outcome else { return Err(self.lost) };
+                    let Some((link, outcome)) = outcome else { return None };
                     self.running.retain(|attempt| !Arc::ptr_eq(&attempt.link, &link));
                     match outcome {
-                        Ok(passed) => return Ok(passed),
+                        Ok(passed) => return Some(passed),
                         Err(miss) => self.record(&link.upstream.id, miss),
                     }
                     if self.running.is_empty() && !(self.may_follow() && self.next(Reason::Retry)) {
-                        return Err(self.lost);
+                        return None;
                     }
                 }
                 () = sleep_until(due.into()) => {
                     if due >= end {
                         self.lost.late = true;
                         self.lost.ending = Ending::Unknown.max(self.lost.ending);
-                        return Err(self.lost);
+                        return None;
                     }
                     hedge = None;
                     self.next(Reason::Hedge);
@@ -130,11 +161,11 @@
 
     /// Starts the next attempt, if a searcher is left and the bounds allow it.
     fn next(&mut self, reason: Reason) -> bool {
-        let ran = self.tried.len() - self.refused;
+        let ran = self.plan.tried.len() - self.refused;
         if ran >= self.job.attempts {
             return false;
         }
-        let Some(link) = self.relay.choose(self.service, &self.tried) else {
+        let Some(link) = self.relay.choose(self.service, &self.plan.tried) else {
             return false;
         };
         if self.arrived > 0 && !self.relay.spend(self.service) {
@@ -142,18 +173,13 @@
         }
         self.relay.meter().attempt(reason, link.distance);
         self.arrived += 1;
-        self.tried.push(Name::clone(&link.upstream.id));
-        let received = self.job.request.received;
-        let offer = (received + self.patience.offer).max(Instant::now() + self.patience.offer);
-        let end = received + self.patience.end;
+        self.plan.tried.push(Name::clone(&link.upstream.id));
+        // An attempt after the first has as long to find a connection as the first had.
+        let found = self.plan.offer.saturating_duration_since(self.job.request.received);
+        let offer = self.plan.offer.max(Instant::now() + found).min(self.plan.end);
+        let moments = (offer, self.plan.end);
         let results = self.results.0.clone();
-        self.running.push(Attempt::start(
-            self.relay,
-            link,
-            self.job,
-            (offer.min(end), end),
-            results,
-        ));
+        self.running.push(Attempt::start(self.relay, link, self.job, moments, results));
         true
     }
 }
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{BTreeMap, HashMap};
 use std::fmt;
+use std::net::Ipv4Addr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
@@ -9,16 +10,19 @@
 use bergamot_base::{Name, Revision, hash_bytes};
 use bergamot_config::{Floor, Verdict};
 use bergamot_declaration::{Declaration, Route, Split, Target};
-use bergamot_dispatch::{Allowance, Patience, rank};
+use bergamot_dispatch::{Allowance, Distance, Patience, rank};
 use bergamot_registry::{Registry, Upstream};
+use bergamot_wire::{ShardQuery, ShardReply};
+use futures::future::BoxFuture;
 use rand::RngExt;
 
+use crate::delegate::{self, Helper, Helpers, Send};
 use crate::dialect::Dialect;
 use crate::gather::gather;
 use crate::link::Link;
 use crate::message::{Cause, Job, Refusal, Reply, Request};
 use crate::meter::Meter;
-use crate::race::Race;
+use crate::race::{Plan, Race};
 use crate::settings::Settings;
 
 /// When a caller may come back after a refusal.
@@ -56,6 +60,8 @@
     dialect: Dialect,
     meter: Meter,
     state: Mutex<State>,
+    helpers: Mutex<Helpers>,
+    send: Send,
 }
 
 impl fmt::Debug for Relay {
@@ -66,9 +72,12 @@
 
 impl Relay {
     /// Makes a relay that knows no declaration and no searcher yet.
-    pub fn new(settings: Settings, dialect: Dialect) -> Arc<Self> {
-        let state = State { members: 1, ..State::default() };
-        Arc::new(Self { settings, dialect, meter: Meter::new(), state: Mutex::new(state) })
+    ///
+    /// `send` takes questions to other members.
+    pub fn new(settings: Settings, dialect: Dialect, send: Send) -> Arc<Self> {
+        let state = Mutex::new(State { members: 1, ..State::default() });
+        let helpers = Mutex::default();
+        Arc::new(Self { settings, dialect, meter: Meter::new(), state, helpers, send })
     }
 
     /// Returns the settings.
@@ -84,6 +93,37 @@
         &self.meter
     }
 
+    /// Takes in which other members may be asked for shards in their region.
+    pub fn set_helpers(&self, known: Vec<Helper>) {
+        self.with_helpers(|helpers| helpers.set(known));
+    }
+
+    /// Answers the question of another member.
+    pub async fn answer(self: &Arc<Self>, query: ShardQuery) -> ShardReply {
+        delegate::answer(self, query).await
+    }
+
+    pub(crate) fn with_helpers<T>(&self, change: impl FnOnce(&mut Helpers) -> T) -> T {
+        change(&mut self.helpers.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+
+    pub(crate) fn send(
+        &self,
+        ip: Ipv4Addr,
+        query: ShardQuery,
+        until: Instant,
+    ) -> BoxFuture<'static, Result<ShardReply, String>> {
+        (self.send)(ip, query, until)
+    }
+
+    /// Returns the region of the searcher that would be asked, if it is not ours.
+    pub(crate) fn far_region(&self, service: &str) -> Option<Name> {
+        let link = self.choose(service, &[])?;
+        let regions = &self.settings.regions;
+        let far = link.distance == Distance::Far;
+        regions.get(&link.upstream.zone).filter(|_| far).cloned()
+    }
+
     /// Returns the metrics, for the text form.
     pub fn metrics(&self) -> &prometheus::Registry {
         self.meter.registry()
@@ -219,7 +259,7 @@
 
     async fn pass(self: &Arc<Self>, job: &Arc<Job>, service: &Name, patience: Patience) -> Reply {
         self.earn(service);
-        let lost = match Race::new(self, job, service, patience).run().await {
+        let lost = match Race::new(self, job, service, Plan::new(job, patience)).run().await {
             Ok(passed) => {
                 job.answered.store(true, Ordering::Relaxed);
                 return Reply::Passed(passed);
--- a/crates/wire/src/channel.rs
+++ b/crates/wire/src/channel.rs
@@ -46,6 +46,7 @@
 
 connect!(crate::rpc::GatherClient);
 connect!(crate::rpc::EntryClient);
+connect!(crate::member::MemberClient);
 
 /// The connections of one daemon to peers of one role.
 #[derive(Debug)]
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -8,11 +8,13 @@
 
 mod channel;
 mod datagram;
+mod member;
 mod rpc;
 mod stream;
 
 pub use channel::{Channels, Connect, Connection, run_requests, serve_requests, transport};
 pub use datagram::{Garbled, LARGEST_DATAGRAM, decode, encode};
+pub use member::{Item, Member, MemberClient, News, Shard, ShardQuery, ShardReply};
 pub use rpc::{
     Entry, EntryClient, EntryRequest, EntryResponse, Gather, GatherClient, GatherRequest,
     GatherResponse, Refusal, Reply, SubQuery, WriteOrder, context,
--- /dev/null
+++ b/crates/wire/src/member.rs
@@ -0,0 +1,87 @@
+//! The requests between members that serve the same callers.
+
+#![allow(missing_docs, reason = "tarpc's macro makes items that can't carry documentation")]
+
+use std::time::Duration;
+
+use bergamot_base::Name;
+use serde::{Deserialize, Serialize};
+
+/// A caller's request for some shards, asked on behalf of another member.
+///
+/// The receiver runs beside searchers of these shards: it asks each once, merges, and
+/// answers in time for the sender to ask others for what is missing.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ShardQuery {
+    /// The caller's identifier of the request.
+    pub id: Vec<u8>,
+    /// The method.
+    pub method: String,
+    /// The path and query.
+    pub uri: String,
+    /// The headers that go on to searchers.
+    pub headers: Vec<(String, Vec<u8>)>,
+    /// The body.
+    pub body: Vec<u8>,
+    /// The services that are the shards.
+    pub shards: Vec<Name>,
+    /// How many records the merged answer needs.
+    pub top_k: u32,
+    /// Within which time the answer must be on its way.
+    pub answer_within: Duration,
+    /// How long the caller still waits.
+    pub deadline: Duration,
+}
+
+/// What became of one shard of a [`ShardQuery`].
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Shard {
+    /// It is in, with the searcher's signature.
+    In(Vec<u8>),
+    /// It is not, and these incarnations were asked.
+    Missing(Vec<Name>),
+}
+
+/// The merged answer of some shards.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ShardReply {
+    /// What became of each shard, in the order of the question.
+    pub shards: Vec<Shard>,
+    /// The greatest records of the shards that are in.
+    pub records: Vec<u8>,
+}
+
+/// One record of the platform's store, as it was read.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Item {
+    /// The key.
+    pub key: Name,
+    /// The value; empty where the record was deleted.
+    pub value: Vec<u8>,
+    /// Whether the record was deleted.
+    pub deleted: bool,
+    /// The revision of the change.
+    pub revision: u64,
+}
+
+/// What a member knows of the store.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct News {
+    /// The items, everything or what has changed since the revision that was named.
+    pub items: Vec<Item>,
+    /// Whether the items are everything, since the changes are no longer kept.
+    pub whole: bool,
+    /// The revision up to which the items tell everything, zero if nothing is known.
+    pub at: u64,
+    /// How long ago that was certain.
+    pub age: Duration,
+}
+
+/// What a member does for others.
+#[tarpc::service]
+pub trait Member {
+    /// Asks searchers of some shards and merges their answers.
+    async fn gather(query: ShardQuery) -> ShardReply;
+    /// Waits for news of the store after a revision, for a time at most.
+    async fn news(after: u64, wait: Duration) -> News;
+}
