Fetch what a member has missed as it comes in; keep a part of the allowance for requests that would fail

Change: the member's remaining attempts go on and are fetched one by one; a quarter of the allowance is kept for attempts without which a request fails; a refused attempt that the allowance denies waits until all first attempts have ended, and then only requests that have a fair chance spend.

--- a/crates/dispatch/src/allowance.rs
+++ b/crates/dispatch/src/allowance.rs
@@ -21,6 +21,23 @@
 /// A member that restarts forgets what it spent, and its successor spends its part anew.
 const SLACK_PART: f64 = 0.5;
 
+/// The part of what may be spent that is kept for attempts without which a request fails.
+///
+/// While searchers refuse half of their work, a service's allowance covers a quarter of the
+/// attempts that would make every answer complete. Spent first come, first served, it makes
+/// some answers complete and lets others fail below their coverage; kept for the latter, it
+/// turns failures into partial answers.
+const KEPT_PART: f64 = 0.25;
+
+/// What an additional attempt is for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Need {
+    /// Without it the request fails.
+    Required,
+    /// With it the answer is more complete or comes sooner.
+    Useful,
+}
+
 /// The bound on additional attempts.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Terms {
@@ -66,7 +83,7 @@
     }
 
     /// Spends one additional attempt if the bound has room for it.
-    pub fn spend(&mut self, now: Instant, terms: &Terms, members: usize) -> bool {
+    pub fn spend(&mut self, now: Instant, terms: &Terms, members: usize, need: Need) -> bool {
         let newest = self.number(now, terms);
         let recent = |bucket: &&Bucket| bucket.number + BUCKETS as u64 > newest;
         let (requests, extra) = self
@@ -76,7 +93,8 @@
             .fold((0, 0), |(requests, extra), b| (requests + b.requests, extra + b.extra));
         let earned = terms.ratio * EARNED_PART * f64::from(requests);
         let slack = terms.slack * SLACK_PART / members.max(1) as f64;
-        let granted = f64::from(extra) + 1.0 <= earned + slack;
+        let part = if need == Need::Required { 1.0 } else { 1.0 - KEPT_PART };
+        let granted = f64::from(extra) + 1.0 <= (earned + slack) * part;
         if granted {
             self.bucket(now, terms).extra += 1;
         } else {
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -15,10 +15,10 @@
 mod record;
 mod tally;
 
-pub use allowance::{Allowance, Terms};
+pub use allowance::{Allowance, Need, Terms};
 pub use ending::Ending;
 pub use outlook::Outlook;
-pub use patience::Patience;
+pub use patience::{CROSSING, Patience};
 pub use rank::{Candidate, Distance, rank};
 pub use record::{RECORD, greatest};
 pub use tally::{Tally, Verdict};
--- a/crates/dispatch/src/patience.rs
+++ b/crates/dispatch/src/patience.rs
@@ -10,29 +10,34 @@
 
 /// What the way back to the caller and the merge are given before the target latency.
 ///
-/// A caller's network adds 1 to 3 ms each way, a connection of its own as much again.
-const TARGET_MARGIN: Duration = Duration::from_millis(12);
+/// A caller's network adds 1 to 3 ms each way, a connection of its own as much again, and
+/// timers fire late.
+const TARGET_MARGIN: Duration = Duration::from_millis(20);
 
 /// What the way back to the caller is given before the deadline.
 const DEADLINE_MARGIN: Duration = Duration::from_millis(20);
 
-/// The part of the target latency after which a silent searcher is hedged.
+/// The part of the target latency after which a silent searcher is hedged at the latest.
 ///
 /// Searchers pause for 150 to 250 ms, and a far one answers some 30 ms after it is asked,
 /// so that a hedge at a third still meets a target of 80 ms.
 const HEDGE_PART: f64 = 0.33;
 
+/// How many times the usual time of an answer a searcher may be silent before it is hedged.
+const USUAL_FACTOR: f64 = 1.2;
+
+/// The shortest time before a hedge: below it, the timers of a slow core decide.
+const SHORTEST_HEDGE: Duration = Duration::from_millis(6);
+
+/// How much longer a member in another region is awaited than a searcher nearby: one
+/// crossing of 8 ms each way, and the time that both members take to read and write.
+pub const CROSSING: Duration = Duration::from_millis(18);
+
 /// The part of the target latency within which the first attempt must find a connection.
 ///
 /// A caller who is refused within a quarter of it can still be served in time elsewhere.
 const OFFER_PART: f64 = 0.25;
 
-/// The part of the target latency after which a member in another region has answered.
-///
-/// Its answer takes two crossings and the slowest of several searchers there; what is
-/// missing then can still be asked of another region in time.
-const DELEGATE_PART: f64 = 0.45;
-
 /// The target latency that is assumed where none is declared, as a part of the timeout.
 const ASSUMED_TARGET: f64 = 0.25;
 
@@ -53,13 +58,19 @@
 
 impl Patience {
     /// Sets the moments for a request of a route whose caller waits for `deadline`.
-    pub fn new(route: &Route, deadline: Option<Duration>) -> Self {
+    ///
+    /// `usual` is the time within which nearly all searchers of the route answer, where that
+    /// has been seen.
+    pub fn new(route: &Route, deadline: Option<Duration>, usual: Option<Duration>) -> Self {
         let wait = deadline.map_or(route.timeout, |deadline| deadline.min(route.timeout));
         let end = wait.saturating_sub(DEADLINE_MARGIN).max(wait / 2);
         let target = route.target_latency.unwrap_or(route.timeout.mul_f64(ASSUMED_TARGET));
+        let latest = target.mul_f64(HEDGE_PART);
+        let usual = usual.map_or(latest, |usual| usual.mul_f64(USUAL_FACTOR).max(SHORTEST_HEDGE));
+        let hedge = usual.min(latest).min(end);
         Self {
-            hedge: target.mul_f64(HEDGE_PART).min(end),
-            delegate: target.mul_f64(DELEGATE_PART).min(end),
+            hedge,
+            delegate: (hedge + CROSSING).min(end),
             target: target.saturating_sub(TARGET_MARGIN).max(target / 2).min(end),
             end,
             offer: target.mul_f64(OFFER_PART).min(end),
--- a/crates/front/src/daemon.rs
+++ b/crates/front/src/daemon.rs
@@ -69,7 +69,7 @@
         let (stop, close) = (CancellationToken::new(), CancellationToken::new());
         let links = Arc::new(Channels::new(relay.address));
         let port = settings.members.port();
-        let relay = Relay::new(relay, dialect, member::send(&links, port));
+        let relay = Relay::new(relay, dialect, member::helping(&links, port));
         let feed = Arc::new(Shared::default());
         member::serve(settings.members, Arc::clone(&relay), Arc::clone(&feed), stop.clone())
             .await?;
--- a/crates/front/src/member.rs
+++ b/crates/front/src/member.rs
@@ -6,11 +6,12 @@
 
 use bergamot_feed::{Asking, Shared, Trouble};
 use bergamot_net::{Fault, listen};
-use bergamot_relay::{Relay, Send};
+use bergamot_relay::{Exchange, Helping, Relay};
 use bergamot_wire::{
-    Channels, Member, MemberClient, News, ShardQuery, ShardReply, run_requests, serve_requests,
-    transport,
+    Channels, Late, Member, MemberClient, News, ShardQuery, ShardReply, run_requests,
+    serve_requests, transport,
 };
+use tarpc::client::RpcError;
 use tarpc::context::Context;
 use tarpc::server::Channel;
 use tokio_util::sync::CancellationToken;
@@ -36,6 +37,10 @@
         self.relay.answer(query).await
     }
 
+    async fn rest(self, _context: Context, token: u64) -> Vec<Late> {
+        self.relay.rest(token).await
+    }
+
     async fn news(self, _context: Context, after: u64, wait: Duration) -> News {
         self.feed.news(after, wait.min(LONGEST_WAIT)).await
     }
@@ -57,21 +62,43 @@
     Ok(())
 }
 
-/// Makes the function that sends a request for shards to a member.
-pub(crate) fn send(links: &Links, port: u16) -> Send {
-    let links = Arc::clone(links);
-    Box::new(move |ip, query, until| {
-        let links = Arc::clone(&links);
-        Box::pin(async move {
-            let peer = SocketAddr::from((ip, port));
-            let exchange = async {
-                let client = links.get(peer).await.map_err(|fault| fault.to_string())?;
-                let mut context = tarpc::context::current();
-                context.deadline = until;
-                client.gather(context, query).await.map_err(|error| error.to_string())
-            };
-            within(&links, peer, until, exchange).await
-        })
+/// Makes the functions that ask members for shards.
+pub(crate) fn helping(links: &Links, port: u16) -> Helping {
+    let (gathering, resting) = (Arc::clone(links), Arc::clone(links));
+    Helping {
+        gather: Box::new(move |ip, query, until| {
+            call(&gathering, (ip, port), until, |client, context| async move {
+                client.gather(context, query).await
+            })
+        }),
+        rest: Box::new(move |ip, token, until| {
+            call(&resting, (ip, port), until, move |client, context| async move {
+                client.rest(context, token).await
+            })
+        }),
+    }
+}
+
+/// Asks a member, until a moment.
+fn call<T, F>(
+    links: &Links,
+    peer: (Ipv4Addr, u16),
+    until: Instant,
+    ask: impl FnOnce(MemberClient, Context) -> F + Send + 'static,
+) -> Exchange<T>
+where
+    T: Send + 'static,
+    F: Future<Output = Result<T, RpcError>> + Send,
+{
+    let (links, peer) = (Arc::clone(links), SocketAddr::from(peer));
+    Box::pin(async move {
+        let exchange = async {
+            let client = links.get(peer).await.map_err(|fault| fault.to_string())?;
+            let mut context = tarpc::context::current();
+            context.deadline = until;
+            ask(client, context).await.map_err(|error| error.to_string())
+        };
+        within(&links, peer, until, exchange).await
     })
 }
 
@@ -81,17 +108,12 @@
     Box::new(move |ip: Ipv4Addr, after, wait| {
         let links = Arc::clone(&links);
         Box::pin(async move {
-            let peer = SocketAddr::from((ip, port));
             let until = Instant::now() + wait + ANSWER;
-            let exchange = async {
-                let client = links.get(peer).await.map_err(|fault| fault.to_string())?;
-                let mut context = tarpc::context::current();
-                context.deadline = until;
-                client.news(context, after, wait).await.map_err(|error| error.to_string())
-            };
-            within(&links, peer, until, exchange).await.map_err(|cause| Trouble::Failed {
-                source: Fault::new("ask for news", peer, cause),
-            })
+            let asked = call(&links, (ip, port), until, move |client, context| async move {
+                client.news(context, after, wait).await
+            });
+            let failed = |cause| Fault::new("ask for news", SocketAddr::from((ip, port)), cause);
+            asked.await.map_err(|cause| Trouble::Failed { source: failed(cause) })
         })
     })
 }
--- a/crates/peers/src/directory.rs
+++ b/crates/peers/src/directory.rs
@@ -14,9 +14,6 @@
 /// The most instances that are named to one caller.
 const MOST: usize = 64;
 
-/// The least instances that are named, so that callers have others when one is lost.
-const FEWEST: usize = 2;
-
 /// The part of the best region's services that a region must hold searchers of, to be as
 /// good as the best one for its own callers.
 const ENOUGH: f64 = 0.6;
@@ -54,10 +51,10 @@
     let beside = |place: &&Place<T>| covers(covered, &place.region) >= enough;
     let near = |place: &&Place<T>| &*place.region == caller.region;
     let mut chosen: Vec<&Place<T>> = ready.iter().filter(beside).filter(near).collect();
-    if chosen.len() < FEWEST {
+    if chosen.is_empty() {
         chosen = ready.iter().filter(beside).collect();
     }
-    if chosen.len() < FEWEST {
+    if chosen.is_empty() {
         chosen = ready.iter().collect();
     }
     chosen.sort_by_key(|place| (&*place.zone != caller.zone, &*place.region != caller.region));
--- a/crates/relay/src/delegate.rs
+++ b/crates/relay/src/delegate.rs
@@ -2,38 +2,26 @@
 //!
 //! The member beside the searchers asks each of them once, merges, and sends one answer
 //! over the slow link in place of one for each shard. What it could not get in time, the
-//! sender asks of other searchers itself, as it would hedge its own attempts. Invariant:
-//! the member makes no attempt beyond the first at a shard, so additional attempts are
-//! decided in one place.
+//! sender asks of other searchers itself, as it would hedge its own attempts, and takes
+//! whichever comes first. Invariant: the member makes no attempt beyond the first at a
+//! shard, so additional attempts are decided in one place.
 
 use std::collections::BTreeMap;
 use std::net::Ipv4Addr;
-use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
 use bergamot_base::Name;
-use bergamot_declaration::Kind;
-use bergamot_dispatch::{Outlook, greatest};
-use bergamot_wire::{Shard, ShardQuery, ShardReply};
-use bytes::Bytes;
+use bergamot_dispatch::{CROSSING, Outlook};
+use bergamot_wire::{Late, ShardQuery, ShardReply};
 use futures::future::BoxFuture;
-use futures::stream::{FuturesUnordered, StreamExt};
-use hyper::header::{HeaderMap, HeaderName, HeaderValue};
-use hyper::{Method, Uri};
-use tokio::time::sleep_until;
 
-use crate::message::{Job, Request};
-use crate::race::{Lost, Plan, Race};
+use crate::message::Job;
+use crate::race::Plan;
 use crate::relay::Relay;
 
 /// The least number of shards for which one question to a member is worth its way.
 pub(crate) const FEWEST: usize = 2;
 
-/// How long a question and its answer travel between regions: 8 ms each way, and the
-/// time that both members take to read and write them.
-const ROUND_TRIP: Duration = Duration::from_millis(18);
-
 /// How long after its moment a member's answer is still awaited.
 const LATE: Duration = Duration::from_millis(6);
 
@@ -43,12 +31,22 @@
 /// How many requests a member is taken to work on at once, for the choice among members.
 const MEMBER_SLOTS: usize = 8;
 
-/// Sends a question to a member.
-pub type Send = Box<
-    dyn Fn(Ipv4Addr, ShardQuery, Instant) -> BoxFuture<'static, Result<ShardReply, String>>
-        + std::marker::Send
-        + Sync,
->;
+/// An exchange with a member.
+pub type Exchange<T> = BoxFuture<'static, Result<T, String>>;
+
+/// How questions reach other members.
+pub struct Helping {
+    /// Asks a member for shards, until a moment.
+    pub gather: Box<dyn Fn(Ipv4Addr, ShardQuery, Instant) -> Exchange<ShardReply> + Send + Sync>,
+    /// Asks a member for what came in since, until a moment.
+    pub rest: Box<dyn Fn(Ipv4Addr, u64, Instant) -> Exchange<Vec<Late>> + Send + Sync>,
+}
+
+impl std::fmt::Debug for Helping {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("Helping")
+    }
+}
 
 /// Another member that may be asked.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -88,7 +86,7 @@
     }
 
     fn outlook(&mut self, ip: Ipv4Addr) -> &mut Outlook {
-        self.outlooks.entry(ip).or_insert_with(|| Outlook::new(ROUND_TRIP))
+        self.outlooks.entry(ip).or_insert_with(|| Outlook::new(CROSSING))
     }
 }
 
@@ -129,7 +127,8 @@
     relay.with_helpers(|helpers| helpers.outlook(ip).send(sent));
     let mut pending = Pending { relay, ip, sent, answered: false };
     let until = plan.delegate + LATE;
-    let answer = tokio::time::timeout_at(until.into(), relay.send(ip, query, until)).await;
+    let answer =
+        tokio::time::timeout_at(until.into(), (relay.helping().gather)(ip, query, until)).await;
     match answer {
         Ok(Ok(reply)) => {
             pending.answered = true;
@@ -162,67 +161,7 @@
         body: request.body.to_vec(),
         shards,
         top_k: top_k as u32,
-        answer_within: left.saturating_sub(ROUND_TRIP).max(LEAST),
+        answer_within: left.saturating_sub(CROSSING).max(LEAST),
         deadline: plan.end.saturating_duration_since(Instant::now()),
     }
 }
-
-/// Answers the question of another member.
-pub(crate) async fn answer(relay: &Arc<Relay>, query: ShardQuery) -> ShardReply {
-    let received = Instant::now();
-    let count = query.shards.len();
-    let mut shards = vec![Shard::Missing(Vec::new()); count];
-    let top_k = query.top_k as usize;
-    let (until, end) = (received + query.answer_within, received + query.deadline);
-    let names = query.shards.clone();
-    let Some(request) = read(query, received) else {
-        log::error!("relay: event=query_refused cause=\"the request of a member can't be read\"");
-        return ShardReply { shards, records: Vec::new() };
-    };
-    let (kind, answered) = (Kind::Idempotent, AtomicBool::new(false));
-    let job = Arc::new(Job { request, kind, attempts: 1, answered });
-    let plan = Plan { offer: until, hedge: None, delegate: until, end, tried: Vec::new() };
-    let job = &job;
-    let run = |index: usize, name| {
-        let race = Race::new(relay, job, name, plan.clone());
-        async move { (index, race.run().await) }
-    };
-    let mut races: FuturesUnordered<_> =
-        names.iter().enumerate().map(|(index, name)| run(index, name)).collect();
-    let mut parts = Vec::<Bytes>::new();
-    loop {
-        let ended = tokio::select! {
-            ended = races.next() => ended,
-            () = sleep_until(until.into()) => None,
-        };
-        let Some((index, ended)) = ended else { break };
-        shards[index] = match ended {
-            Ok(passed) => {
-                parts.push(passed.body);
-                let signature = passed.signature.as_ref().map(HeaderValue::as_bytes);
-                Shard::In(signature.unwrap_or_default().to_vec())
-            }
-            Err(Lost { tried, .. }) => Shard::Missing(tried),
-        };
-    }
-    job.answered.store(true, Ordering::Relaxed);
-    ShardReply { shards, records: greatest(&parts, top_k) }
-}
-
-fn read(query: ShardQuery, received: Instant) -> Option<Request> {
-    let mut headers = HeaderMap::with_capacity(query.headers.len());
-    for (name, value) in query.headers {
-        let name = HeaderName::try_from(name).ok()?;
-        headers.append(name, HeaderValue::from_bytes(&value).ok()?);
-    }
-    Some(Request {
-        id: HeaderValue::from_bytes(&query.id).ok()?,
-        host: Name::from(""),
-        method: Method::try_from(&*query.method).ok()?,
-        uri: Uri::try_from(query.uri).ok()?,
-        headers,
-        body: Bytes::from(query.body),
-        deadline: Some(query.deadline),
-        received,
-    })
-}
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -8,7 +8,7 @@
 use std::time::{Duration, Instant};
 
 use bergamot_base::Deadline;
-use bergamot_dispatch::Ending;
+use bergamot_dispatch::{Distance, Ending};
 use bergamot_net::strip_hop;
 use bergamot_upstream::Lease;
 use bytes::Bytes;
@@ -91,10 +91,14 @@
         lease.give_back().await;
         return Err(Miss::new(Ending::NotSent, "the searcher leaves"));
     }
-    let pending = Pending::start(link, Instant::now());
+    let sent = Instant::now();
+    let pending = Pending::start(link, sent);
     match send(relay, link, job, lease, end).await {
         Ok(passed) => {
             pending.answered();
+            if !job.route.is_empty() && link.distance != Distance::Far {
+                relay.note_pace(&job.route, sent.elapsed());
+            }
             Ok(passed)
         }
         Err(miss) => {
--- a/crates/relay/src/gather.rs
+++ b/crates/relay/src/gather.rs
@@ -4,7 +4,7 @@
 //! ([`crate::delegate`]); all others directly. Invariant: the shards are those of one
 //! declaration, each is in at most once, and the answer says how many are missing.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap};
 use std::net::Ipv4Addr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -12,8 +12,8 @@
 
 use bergamot_base::Name;
 use bergamot_declaration::Gather;
-use bergamot_dispatch::{Ending, Patience, Tally, Verdict, greatest};
-use bergamot_wire::{Shard, ShardReply};
+use bergamot_dispatch::{Ending, Patience, Verdict, greatest};
+use bergamot_wire::{Late, Shard, ShardReply};
 use bytes::Bytes;
 use futures::future::BoxFuture;
 use futures::stream::{FuturesUnordered, StreamExt};
@@ -27,8 +27,18 @@
 
 /// What a part of the work has brought.
 enum Piece<'a> {
-    One(Result<Passed, Lost>),
-    Many(Vec<&'a Name>, Option<ShardReply>),
+    /// The end of the attempts at one shard.
+    One(&'a Name, Result<Passed, Lost>),
+    /// The answer of a member.
+    Many(Asked<'a>, Option<ShardReply>),
+    /// What came in at a member since.
+    Later(Asked<'a>, u64, Vec<Late>),
+}
+
+/// A question to a member.
+struct Asked<'a> {
+    ip: Ipv4Addr,
+    shards: Vec<&'a Name>,
 }
 
 /// The work that is still going on.
@@ -53,11 +63,13 @@
     let target = job.request.received + patience.target;
     let mut late = false;
     loop {
-        match state.tally.verdict(late) {
+        // The count is free again before the verdict is acted upon.
+        let verdict = job.tally().verdict(late);
+        match verdict {
             Verdict::Wait => {}
             Verdict::Answer => break,
             Verdict::Fail => {
-                let absent = state.tally.absent();
+                let absent = job.tally().absent();
                 return refuse(job, state.cause(late), &format!("{absent} shards are missing"));
             }
         }
@@ -68,10 +80,16 @@
         }
     }
     job.answered.store(true, Ordering::Relaxed);
-    let missing = state.tally.absent();
+    let missing = job.tally().absent();
     if missing > 0 {
         let (request, shards) = (&job.request.id, gather.shards.len());
-        log::info!("relay: event=partial request={request:?} missing={missing} shards={shards}");
+        let took = job.request.received.elapsed().as_millis();
+        log::info!(
+            "relay: event=partial request={request:?} route={} missing={missing} shards={shards} \
+             took_ms={took} target_ms={}",
+            job.route,
+            patience.target.as_millis()
+        );
     }
     let records = Bytes::from(greatest(&state.parts, gather.top_k));
     Reply::Whole(Whole { signatures: state.signatures, missing, records })
@@ -82,11 +100,12 @@
     relay: &'a Arc<Relay>,
     job: &'a Arc<Job>,
     plan: Plan,
-    tally: Tally,
     worst: Ending,
     signatures: Vec<HeaderValue>,
     parts: Vec<Bytes>,
     work: Work<'a>,
+    /// Where each shard that is not in may still come from: a race, a member, or both.
+    open: HashMap<&'a Name, u32>,
 }
 
 impl<'a> State<'a> {
@@ -97,10 +116,10 @@
         patience: Patience,
     ) -> Self {
         let plan = Plan::new(job, patience);
-        let tally = Tally::new(gather.shards.len(), gather.fewest());
         let (worst, work) = (Ending::NotSent, Work::new());
         let (signatures, parts) = (Vec::new(), Vec::new());
-        let state = Self { relay, job, plan, tally, worst, signatures, parts, work };
+        let open = HashMap::new();
+        let mut state = Self { relay, job, plan, worst, signatures, parts, work, open };
         // A route that allows one attempt leaves nothing to do about what a member missed.
         let (own, groups) = if job.attempts < 2 {
             (gather.shards.iter().collect(), Vec::new())
@@ -116,71 +135,125 @@
         state
     }
 
-    fn race(&self, shard: &'a Name, tried: Vec<Name>) {
+    fn race(&mut self, shard: &'a Name, tried: Vec<Name>) {
         let mut plan = self.plan.clone();
         if !tried.is_empty() {
             plan.hedge = None;
         }
+        *self.open.entry(shard).or_default() += 1;
         let race = Race::new(self.relay, self.job, shard, Plan { tried, ..plan });
-        self.work.push(Box::pin(async move { Piece::One(race.run().await) }));
+        self.work.push(Box::pin(async move { Piece::One(shard, race.run().await) }));
     }
 
-    fn delegate(&self, ip: Ipv4Addr, shards: Vec<&'a Name>, top_k: usize) {
+    fn delegate(&mut self, ip: Ipv4Addr, shards: Vec<&'a Name>, top_k: usize) {
         let (relay, job, plan) = (self.relay, self.job, self.plan.clone());
+        for shard in &shards {
+            *self.open.entry(shard).or_default() += 1;
+        }
         let names = shards.iter().map(|shard| Name::clone(shard)).collect();
         self.work.push(Box::pin(async move {
             let reply = delegate::ask(relay, job, ip, names, top_k, &plan).await;
-            Piece::Many(shards, reply)
+            Piece::Many(Asked { ip, shards }, reply)
+        }));
+    }
+
+    /// Asks a member for what has come in since its answer.
+    fn ask_rest(&self, asked: Asked<'a>, token: u64) {
+        let (relay, end) = (self.relay, self.plan.end);
+        self.work.push(Box::pin(async move {
+            let late = (relay.helping().rest)(asked.ip, token, end).await;
+            let late = late.unwrap_or_else(|cause| {
+                let ip = asked.ip;
+                log::info!("relay: event=helper_failed member={ip} cause=\"{cause}\"");
+                Vec::new()
+            });
+            Piece::Later(asked, token, late)
         }));
     }
 
     fn take(&mut self, piece: Piece<'a>) {
         match piece {
-            Piece::One(Ok(passed)) => {
-                self.tally.arrive();
-                self.signatures.extend(passed.signature);
-                self.parts.push(passed.body);
-            }
-            Piece::One(Err(lost)) => {
-                self.tally.miss();
+            Piece::One(shard, Ok(passed)) => self.arrive(shard, passed.signature, passed.body),
+            Piece::One(shard, Err(lost)) => {
                 self.worst = self.worst.max(lost.ending);
+                self.close(shard);
             }
-            Piece::Many(shards, Some(reply)) => {
-                self.parts.push(Bytes::from(reply.records));
-                for (shard, found) in shards.into_iter().zip(reply.shards) {
-                    self.take_delegated(shard, found);
-                }
-            }
-            Piece::Many(shards, None) => {
-                // Whom the member asked is not known; it counts as one attempt.
-                for shard in shards {
+            Piece::Many(asked, Some(reply)) => self.take_reply(asked, reply),
+            Piece::Many(asked, None) => {
+                for shard in asked.shards {
+                    // Whom the member asked is not known; it counts as one attempt.
                     self.race(shard, vec![Name::from("")]);
+                    self.close(shard);
                 }
             }
+            Piece::Later(asked, token, late) => self.take_late(asked, token, late),
         }
+        self.job.changed.notify_waiters();
     }
 
-    fn take_delegated(&mut self, shard: &'a Name, found: Shard) {
-        match found {
-            Shard::In(signature) => match HeaderValue::from_bytes(&signature) {
-                Ok(signature) => {
-                    self.tally.arrive();
-                    self.signatures.push(signature);
-                }
-                Err(error) => {
-                    log::error!("relay: event=bad_signature shard={shard} cause=\"{error}\"");
-                    self.tally.miss();
+    fn take_reply(&mut self, asked: Asked<'a>, reply: ShardReply) {
+        self.parts.push(Bytes::from(reply.records));
+        let ShardReply { shards: found, rest, .. } = reply;
+        for (shard, found) in asked.shards.iter().copied().zip(found) {
+            match found {
+                Shard::In(signature) => self.arrive(shard, read(&signature), Bytes::new()),
+                Shard::Missing(tried) => {
+                    self.worst = self.worst.max(Ending::Unknown);
+                    self.race(shard, tried);
+                    if rest == 0 {
+                        self.close(shard);
+                    }
                 }
-            },
-            Shard::Missing(tried) => {
-                self.worst = Ending::Unknown;
-                self.race(shard, tried);
             }
         }
+        if rest != 0 {
+            self.ask_rest(asked, rest);
+        }
+    }
+
+    fn take_late(&mut self, asked: Asked<'a>, token: u64, late: Vec<Late>) {
+        if late.is_empty() {
+            for shard in asked.shards {
+                self.close(shard);
+            }
+            return;
+        }
+        for Late { index, signature, records } in late {
+            let Some(shard) = asked.shards.get(index as usize).copied() else { continue };
+            match signature {
+                Some(signature) => self.arrive(shard, read(&signature), Bytes::from(records)),
+                None => self.close(shard),
+            }
+        }
+        self.ask_rest(asked, token);
+    }
+
+    /// Takes a shard in, unless it is in already.
+    fn arrive(&mut self, shard: &'a Name, signature: Option<HeaderValue>, records: Bytes) {
+        if self.open.remove(shard).is_none() {
+            return;
+        }
+        let Some(signature) = signature else {
+            self.job.tally().miss();
+            return;
+        };
+        self.job.tally().arrive();
+        self.signatures.push(signature);
+        self.parts.push(records);
+    }
+
+    /// Notes that one of the ways to a shard has ended without it.
+    fn close(&mut self, shard: &'a Name) {
+        let Some(ways) = self.open.get_mut(shard) else { return };
+        *ways -= 1;
+        if *ways == 0 {
+            self.open.remove(shard);
+            self.job.tally().miss();
+        }
     }
 
     fn cause(&self, late: bool) -> Cause {
-        if self.worst.did_not_run() && self.tally.arrived() == 0 && self.work.is_empty() {
+        if self.worst.did_not_run() && self.job.tally().arrived() == 0 && self.work.is_empty() {
             Cause::NotRun
         } else if late {
             Cause::Late
@@ -215,6 +288,13 @@
     (own, groups)
 }
 
+/// Reads a signature that came through a member.
+fn read(signature: &[u8]) -> Option<HeaderValue> {
+    HeaderValue::from_bytes(signature)
+        .map_err(|error| log::error!("relay: event=bad_signature cause=\"{error}\""))
+        .ok()
+}
+
 fn refuse(job: &Job, cause: Cause, why: &str) -> Reply {
     let request = &job.request.id;
     log::info!("relay: event=refused request={request:?} outcome={cause:?} cause=\"{why}\"");
--- /dev/null
+++ b/crates/relay/src/helper.rs
@@ -0,0 +1,187 @@
+//! Answering the questions of other members about shards whose searchers are nearby.
+//!
+//! Each shard is asked once. The answer goes out when all are in, or at the moment that the
+//! sender named; what still runs then goes on, and is fetched as it comes in. Invariant: an
+//! attempt ends with the sender's interest in it: once nobody waits for it, it is cut.
+
+use std::collections::HashMap;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant};
+
+use bergamot_base::Name;
+use bergamot_declaration::Kind;
+use bergamot_dispatch::{Ending, Tally, greatest};
+use bergamot_wire::{Late, Shard, ShardQuery, ShardReply};
+use bytes::Bytes;
+use hyper::header::{HeaderMap, HeaderName, HeaderValue};
+use hyper::{Method, Uri};
+use tokio::sync::{Notify, mpsc};
+
+use crate::attempt::{Attempt, Outcome};
+use crate::exchange::Miss;
+use crate::message::{Job, Passed, Request};
+use crate::meter::Reason;
+use crate::relay::Relay;
+
+/// How long what still runs waits for the sender to ask for it: some round trips.
+const UNCLAIMED: Duration = Duration::from_millis(150);
+
+/// What still runs after the answers to questions, by its token.
+#[derive(Debug, Default)]
+pub(crate) struct Rests {
+    next: u64,
+    waiting: HashMap<u64, Work>,
+}
+
+/// The attempts for one question.
+#[derive(Debug)]
+struct Work {
+    job: Arc<Job>,
+    running: Vec<(usize, Attempt)>,
+    ended: mpsc::UnboundedReceiver<Outcome>,
+}
+
+impl Work {
+    /// Waits for the end of an attempt, and returns the position of its shard.
+    async fn next(&mut self) -> Option<(usize, Result<Passed, Miss>)> {
+        while !self.running.is_empty() {
+            let (link, outcome) = self.ended.recv().await?;
+            let ours = |(_, attempt): &(usize, Attempt)| Arc::ptr_eq(&attempt.link, &link);
+            if let Some(position) = self.running.iter().position(ours) {
+                return Some((self.running.swap_remove(position).0, outcome));
+            }
+        }
+        None
+    }
+}
+
+/// Answers the question of another member.
+pub(crate) async fn answer(relay: &Arc<Relay>, query: ShardQuery) -> ShardReply {
+    let received = Instant::now();
+    let (until, end) = (received + query.answer_within, received + query.deadline);
+    let (names, top_k) = (query.shards.clone(), query.top_k as usize);
+    let mut shards = vec![Shard::Missing(Vec::new()); names.len()];
+    let Some(request) = read(query, received) else {
+        log::error!("relay: event=query_refused cause=\"the request of a member can't be read\"");
+        return ShardReply { shards, records: Vec::new(), rest: 0 };
+    };
+    let mut work = start(relay, request, &names, (until, end), &mut shards);
+    let mut parts = Vec::<Bytes>::new();
+    while let Ok(Some((index, outcome))) = tokio::time::timeout_at(until.into(), work.next()).await
+    {
+        match outcome {
+            Ok(passed) => {
+                shards[index] = Shard::In(signature(&passed));
+                parts.push(passed.body);
+            }
+            // What was not sent leaves the first attempt to the sender.
+            Err(miss) if miss.ending == Ending::NotSent => {
+                shards[index] = Shard::Missing(Vec::new());
+            }
+            Err(miss) => relay.meter().ending(miss.ending),
+        }
+    }
+    let rest = if work.running.is_empty() { 0 } else { keep(relay, work) };
+    ShardReply { shards, records: greatest(&parts, top_k), rest }
+}
+
+/// Starts one attempt at each shard, and notes whom it asks.
+fn start(
+    relay: &Arc<Relay>,
+    request: Request,
+    names: &[Name],
+    (until, end): (Instant, Instant),
+    shards: &mut [Shard],
+) -> Work {
+    let job = Arc::new(Job {
+        request,
+        // What is asked for others must not change what this member takes for usual.
+        route: Name::from(""),
+        kind: Kind::Idempotent,
+        attempts: 1,
+        tally: Mutex::new(Tally::new(names.len(), names.len())),
+        changed: Notify::new(),
+        answered: AtomicBool::new(false),
+    });
+    let (results, ended) = mpsc::unbounded_channel();
+    let mut running = Vec::with_capacity(names.len());
+    for (index, name) in names.iter().enumerate() {
+        let Some(link) = relay.choose(name, &[]) else { continue };
+        relay.meter().attempt(Reason::Delegated, link.distance);
+        shards[index] = Shard::Missing(vec![Name::clone(&link.upstream.id)]);
+        let attempt = Attempt::start(relay, link, &job, (until, end), results.clone());
+        running.push((index, attempt));
+    }
+    Work { job, running, ended }
+}
+
+/// Keeps what still runs until the sender asks for it.
+fn keep(relay: &Arc<Relay>, work: Work) -> u64 {
+    let token = relay.with_rests(|rests| {
+        rests.next += 1;
+        rests.waiting.insert(rests.next, work);
+        rests.next
+    });
+    let relay = Arc::clone(relay);
+    tokio::spawn(async move {
+        tokio::time::sleep(UNCLAIMED).await;
+        if let Some(work) = relay.with_rests(|rests| rests.waiting.remove(&token)) {
+            // The sender has its answer without it.
+            work.job.answered.store(true, Ordering::Relaxed);
+        }
+    });
+    token
+}
+
+/// Waits for the next shards of an earlier question.
+pub(crate) async fn rest(relay: &Arc<Relay>, token: u64) -> Vec<Late> {
+    let Some(mut work) = relay.with_rests(|rests| rests.waiting.remove(&token)) else {
+        return Vec::new();
+    };
+    let Some((index, outcome)) = work.next().await else {
+        return Vec::new();
+    };
+    let late = match outcome {
+        Ok(passed) => {
+            let signature = Some(signature(&passed));
+            Late { index: index as u32, signature, records: passed.body.to_vec() }
+        }
+        Err(miss) => {
+            relay.meter().ending(miss.ending);
+            Late { index: index as u32, signature: None, records: Vec::new() }
+        }
+    };
+    if !work.running.is_empty() {
+        relay.with_rests(|rests| rests.waiting.insert(token, work));
+    }
+    vec![late]
+}
+
+fn signature(passed: &Passed) -> Vec<u8> {
+    passed.signature.as_ref().map(HeaderValue::as_bytes).unwrap_or_default().to_vec()
+}
+
+fn read(query: ShardQuery, received: Instant) -> Option<Request> {
+    let mut headers = HeaderMap::with_capacity(query.headers.len());
+    for (name, value) in query.headers {
+        let name = HeaderName::try_from(name).ok()?;
+        headers.append(name, HeaderValue::from_bytes(&value).ok()?);
+    }
+    Some(Request {
+        id: HeaderValue::from_bytes(&query.id).ok()?,
+        host: Name::from(""),
+        method: Method::try_from(&*query.method).ok()?,
+        uri: Uri::try_from(query.uri).ok()?,
+        headers,
+        body: Bytes::from(query.body),
+        deadline: Some(query.deadline),
+        received,
+    })
+}
+
+impl Relay {
+    fn with_rests<T>(&self, change: impl FnOnce(&mut Rests) -> T) -> T {
+        change(&mut self.rests.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+}
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -11,6 +11,7 @@
 mod dialect;
 mod exchange;
 mod gather;
+mod helper;
 mod link;
 mod message;
 mod meter;
@@ -18,7 +19,7 @@
 mod relay;
 mod settings;
 
-pub use delegate::{Helper, Send};
+pub use delegate::{Exchange, Helper, Helping};
 pub use dialect::{Ask, Dialect, Reading};
 pub use message::{Cause, Passed, Refusal, Reply, Request, Whole};
 pub use relay::Relay;
--- a/crates/relay/src/message.rs
+++ b/crates/relay/src/message.rs
@@ -1,12 +1,16 @@
 //! A caller's request and what becomes of it, free of any wire.
 
+use std::sync::atomic::AtomicBool;
+use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
 use bergamot_base::Name;
 use bergamot_declaration::Kind;
+use bergamot_dispatch::Tally;
 use bytes::Bytes;
 use hyper::header::HeaderValue;
 use hyper::{HeaderMap, Method, StatusCode, Uri};
+use tokio::sync::Notify;
 
 /// A caller's request, read whole.
 #[derive(Clone, Debug)]
@@ -92,9 +96,22 @@
 #[derive(Debug)]
 pub(crate) struct Job {
     pub request: Request,
+    /// The route, to learn how long its attempts usually take.
+    pub route: Name,
     pub kind: Kind,
     /// How many searchers may run it, of each shard.
     pub attempts: usize,
+    /// The count of the shards, one for a request to one searcher.
+    pub tally: Mutex<Tally>,
+    /// Wakes those who wait for the count to change.
+    pub changed: Notify,
     /// Whether the caller has an answer, so that what still runs may end in peace.
-    pub answered: std::sync::atomic::AtomicBool,
+    pub answered: AtomicBool,
+}
+
+impl Job {
+    /// Returns the count of the shards.
+    pub fn tally(&self) -> MutexGuard<'_, Tally> {
+        self.tally.lock().unwrap_or_else(PoisonError::into_inner)
+    }
 }
--- a/crates/relay/src/meter.rs
+++ b/crates/relay/src/meter.rs
@@ -22,6 +22,8 @@
     Hedge,
     /// The one before it failed.
     Retry,
+    /// Another member asked for it.
+    Delegated,
 }
 
 impl Reason {
@@ -30,6 +32,7 @@
             Self::First => "first",
             Self::Hedge => "hedge",
             Self::Retry => "retry",
+            Self::Delegated => "delegated",
         }
     }
 }
--- a/crates/relay/src/race.rs
+++ b/crates/relay/src/race.rs
@@ -9,7 +9,7 @@
 
 use bergamot_base::Name;
 use bergamot_declaration::Kind;
-use bergamot_dispatch::{Ending, Patience};
+use bergamot_dispatch::{Ending, Need, Patience};
 use tokio::sync::mpsc;
 use tokio::time::sleep_until;
 
@@ -31,8 +31,6 @@
     pub(crate) late: bool,
     /// A searcher's own failure that can be passed on.
     pub(crate) failure: Option<Passed>,
-    /// The searchers that were asked.
-    pub(crate) tried: Vec<Name>,
 }
 
 /// The moments and the past of a race.
@@ -60,6 +58,17 @@
     }
 }
 
+/// What became of the wish for another attempt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Next {
+    /// It runs.
+    Started,
+    /// The service's allowance has no room for it.
+    Denied,
+    /// No searcher is left, or the route allows no more.
+    Impossible,
+}
+
 /// The attempts for one request at one service.
 pub(crate) struct Race<'a> {
     relay: &'a Arc<Relay>,
@@ -90,7 +99,7 @@
             running: Vec::new(),
             arrived,
             refused: 0,
-            lost: Lost { ending: Ending::NotSent, late: false, failure: None, tried: Vec::new() },
+            lost: Lost { ending: Ending::NotSent, late: false, failure: None },
             results: mpsc::unbounded_channel(),
         }
     }
@@ -98,14 +107,15 @@
     /// Runs attempts until one wins, none can follow, or the time is up.
     pub(crate) async fn run(mut self) -> Result<Passed, Lost> {
         let ended = self.race().await;
-        ended.ok_or_else(|| Lost { tried: std::mem::take(&mut self.plan.tried), ..self.lost })
+        ended.ok_or(self.lost)
     }
 
     async fn race(&mut self) -> Option<Passed> {
         let end = self.plan.end;
         let mut hedge = self.plan.hedge;
         let first = if self.arrived > 0 { Reason::Hedge } else { Reason::First };
-        if !self.next(first) {
+        let need = self.need();
+        if self.next(first, need) != Next::Started {
             return None;
         }
         loop {
@@ -119,7 +129,8 @@
                         Ok(passed) => return Some(passed),
                         Err(miss) => self.record(&link.upstream.id, miss),
                     }
-                    if self.running.is_empty() && !(self.may_follow() && self.next(Reason::Retry)) {
+                    let over = self.running.is_empty();
+                    if over && !(self.may_follow() && self.follow().await) {
                         return None;
                     }
                 }
@@ -130,12 +141,49 @@
                         return None;
                     }
                     hedge = None;
-                    self.next(Reason::Hedge);
+                    let need = self.need();
+                    self.next(Reason::Hedge, need);
                 }
             }
         }
     }
 
+    /// Makes the next attempt now if the service's allowance is plentiful, and else once it
+    /// is known whether the request fails without it.
+    async fn follow(&mut self) -> bool {
+        let need = if self.job.tally().is_single() { Need::Required } else { Need::Useful };
+        match self.next(Reason::Retry, need) {
+            Next::Started => true,
+            Next::Impossible => false,
+            Next::Denied => {
+                self.defer().await && self.next(Reason::Retry, Need::Required) == Next::Started
+            }
+        }
+    }
+
+    /// Waits until the first attempts at all shards have ended, or the time of the hedge has
+    /// come, and tells whether the request needs this shard.
+    async fn defer(&self) -> bool {
+        self.job.tally().defer();
+        let wait = async {
+            loop {
+                let mut changed = std::pin::pin!(self.job.changed.notified());
+                changed.as_mut().enable();
+                if self.job.tally().first_attempts_ended() {
+                    return;
+                }
+                changed.await;
+            }
+        };
+        self.job.changed.notify_waiters();
+        let until = self.plan.delegate.max(Instant::now());
+        let _elapsed = tokio::time::timeout_at(until.into(), wait).await;
+        let mut tally = self.job.tally();
+        let needed = tally.needs_deferred();
+        tally.resume();
+        needed
+    }
+
     /// Takes in the end of an attempt.
     fn record(&mut self, id: &Name, miss: Miss) {
         let request = &self.job.request.id;
@@ -159,17 +207,22 @@
         self.lost.ending.may_resend(self.job.kind) && self.refused <= MOST_REFUSED
     }
 
+    /// Tells what a hedge is for.
+    fn need(&self) -> Need {
+        if self.job.tally().needs_more() { Need::Required } else { Need::Useful }
+    }
+
     /// Starts the next attempt, if a searcher is left and the bounds allow it.
-    fn next(&mut self, reason: Reason) -> bool {
+    fn next(&mut self, reason: Reason, need: Need) -> Next {
         let ran = self.plan.tried.len() - self.refused;
         if ran >= self.job.attempts {
-            return false;
+            return Next::Impossible;
         }
         let Some(link) = self.relay.choose(self.service, &self.plan.tried) else {
-            return false;
+            return Next::Impossible;
         };
-        if self.arrived > 0 && !self.relay.spend(self.service) {
-            return false;
+        if self.arrived > 0 && !self.relay.spend(self.service, need) {
+            return Next::Denied;
         }
         self.relay.meter().attempt(reason, link.distance);
         self.arrived += 1;
@@ -180,6 +233,6 @@
         let moments = (offer, self.plan.end);
         let results = self.results.0.clone();
         self.running.push(Attempt::start(self.relay, link, self.job, moments, results));
-        true
+        Next::Started
     }
 }
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -2,7 +2,6 @@
 
 use std::collections::{BTreeMap, HashMap};
 use std::fmt;
-use std::net::Ipv4Addr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
@@ -10,15 +9,17 @@
 use bergamot_base::{Name, Revision, hash_bytes};
 use bergamot_config::{Floor, Verdict};
 use bergamot_declaration::{Declaration, Route, Split, Target};
-use bergamot_dispatch::{Allowance, Distance, Patience, rank};
+use bergamot_dispatch::{Allowance, Distance, Need, Patience, Tally, rank};
 use bergamot_registry::{Registry, Upstream};
-use bergamot_wire::{ShardQuery, ShardReply};
-use futures::future::BoxFuture;
+use bergamot_upstream::Pace;
+use bergamot_wire::{Late, ShardQuery, ShardReply};
 use rand::RngExt;
+use tokio::sync::Notify;
 
-use crate::delegate::{self, Helper, Helpers, Send};
+use crate::delegate::{Helper, Helpers, Helping};
 use crate::dialect::Dialect;
 use crate::gather::gather;
+use crate::helper::{self, Rests};
 use crate::link::Link;
 use crate::message::{Cause, Job, Refusal, Reply, Request};
 use crate::meter::Meter;
@@ -39,6 +40,15 @@
 /// A connection that is being closed still counts at the searcher for a moment.
 const CONNECTIONS_PART: f64 = 0.9;
 
+/// The percentile of the first attempts' times that counts as usual.
+///
+/// Searchers pause for 4 in 100 of the time: beyond the 90th percentile, most of what is
+/// still silent is paused.
+const USUAL: usize = 90;
+
+/// How many connections are opened ahead of need in one tick.
+const WARMED_A_TICK: usize = 6;
+
 /// How many connections a searcher is taken to accept where that is not declared.
 const ASSUMED_CONNECTIONS: usize = 16;
 
@@ -50,6 +60,7 @@
     links: HashMap<Name, Arc<Link>>,
     splits: HashMap<Name, Split>,
     allowances: HashMap<Name, Allowance>,
+    paces: HashMap<Name, Pace>,
     members: usize,
     store_is_away: bool,
 }
@@ -61,7 +72,8 @@
     meter: Meter,
     state: Mutex<State>,
     helpers: Mutex<Helpers>,
-    send: Send,
+    helping: Helping,
+    pub(crate) rests: Mutex<Rests>,
 }
 
 impl fmt::Debug for Relay {
@@ -73,11 +85,11 @@
 impl Relay {
     /// Makes a relay that knows no declaration and no searcher yet.
     ///
-    /// `send` takes questions to other members.
-    pub fn new(settings: Settings, dialect: Dialect, send: Send) -> Arc<Self> {
+    /// `helping` takes questions to other members.
+    pub fn new(settings: Settings, dialect: Dialect, helping: Helping) -> Arc<Self> {
         let state = Mutex::new(State { members: 1, ..State::default() });
-        let helpers = Mutex::default();
-        Arc::new(Self { settings, dialect, meter: Meter::new(), state, helpers, send })
+        let (helpers, rests) = (Mutex::default(), Mutex::default());
+        Arc::new(Self { settings, dialect, meter: Meter::new(), state, helpers, helping, rests })
     }
 
     /// Returns the settings.
@@ -100,20 +112,20 @@
 
     /// Answers the question of another member.
     pub async fn answer(self: &Arc<Self>, query: ShardQuery) -> ShardReply {
-        delegate::answer(self, query).await
+        helper::answer(self, query).await
+    }
+
+    /// Answers a member that asks for the next shards of its earlier question.
+    pub async fn rest(self: &Arc<Self>, token: u64) -> Vec<Late> {
+        helper::rest(self, token).await
     }
 
     pub(crate) fn with_helpers<T>(&self, change: impl FnOnce(&mut Helpers) -> T) -> T {
         change(&mut self.helpers.lock().unwrap_or_else(PoisonError::into_inner))
     }
 
-    pub(crate) fn send(
-        &self,
-        ip: Ipv4Addr,
-        query: ShardQuery,
-        until: Instant,
-    ) -> BoxFuture<'static, Result<ShardReply, String>> {
-        (self.send)(ip, query, until)
+    pub(crate) fn helping(&self) -> &Helping {
+        &self.helping
     }
 
     /// Returns the region of the searcher that would be asked, if it is not ours.
@@ -144,6 +156,7 @@
             log::info!("relay: event=declaration_in_force version={version} routes={routes}");
             let names = |name: &Name| declaration.routes.iter().any(|route| route.name == *name);
             state.splits.retain(|name, _| names(name));
+            state.paces.retain(|name, _| names(name));
             self.meter.forget_routes();
             self.meter.version.set(version as i64);
             state.declaration = Some(Arc::new(declaration));
@@ -201,6 +214,22 @@
         if changed {
             self.share(&state);
         }
+        self.meet(&mut state);
+        self.warm(&state);
+    }
+
+    /// Makes the links to searchers that were published since.
+    fn meet(&self, state: &mut State) {
+        let Some(declaration) = state.declaration.clone() else {
+            return;
+        };
+        for service in declaration.services.keys() {
+            let share = share(state, service);
+            let State { registry, links, .. } = state;
+            for (upstream, _missing) in registry.usable(service) {
+                self.link(links, upstream, share);
+            }
+        }
     }
 
     /// Counts for how many services each region holds a searcher that takes work.
@@ -237,9 +266,17 @@
     }
 
     async fn route(self: &Arc<Self>, route: &Route, request: Request) -> Reply {
-        let patience = Patience::new(route, request.deadline);
+        let usual = self.lock().paces.get(&route.name).and_then(Pace::slow);
+        let patience = Patience::new(route, request.deadline, usual);
+        let tally = match &route.target {
+            Target::Gather(gather) => Tally::new(gather.shards.len(), gather.fewest()),
+            Target::Service(_) | Target::Split(_) => Tally::new(1, 1),
+        };
         let job = Arc::new(Job {
             request,
+            tally: Mutex::new(tally),
+            changed: Notify::new(),
+            route: Name::clone(&route.name),
             kind: route.kind,
             attempts: route.attempts,
             answered: AtomicBool::new(false),
@@ -307,6 +344,30 @@
         Arc::clone(link)
     }
 
+    /// Notes how long a first attempt for a route took.
+    pub(crate) fn note_pace(&self, route: &Name, took: Duration) {
+        let mut state = self.lock();
+        let pace = state.paces.entry(Name::clone(route)).or_insert_with(|| Pace::new(USUAL));
+        pace.record(took);
+    }
+
+    /// Opens connections ahead of need to searchers nearby that have none.
+    ///
+    /// A new connection takes some of the searcher's time, so that a first request on it is
+    /// late; a few at a time, so that not all members come at once.
+    fn warm(&self, state: &State) {
+        let cold =
+            |link: &&Arc<Link>| link.distance != Distance::Far && link.pool.usage().open == 0;
+        for link in state.links.values().filter(cold).take(WARMED_A_TICK) {
+            let pool = Arc::clone(&link.pool);
+            tokio::spawn(async move {
+                if let Err(fault) = pool.warm().await {
+                    log::debug!("relay: event=warm_failed cause=\"{fault}\"");
+                }
+            });
+        }
+    }
+
     /// Tells whether a service has a searcher that may be asked.
     pub(crate) fn has_searcher(&self, service: &str) -> bool {
         self.lock().registry.usable(service).next().is_some()
@@ -335,11 +396,11 @@
     }
 
     /// Spends one additional attempt at a service, if the bound has room for it.
-    pub(crate) fn spend(&self, service: &Name) -> bool {
+    pub(crate) fn spend(&self, service: &Name, need: Need) -> bool {
         let now = Instant::now();
         let mut state = self.lock();
         let members = state.members;
-        let granted = state.allowance(service, now).spend(now, &self.settings.terms, members);
+        let granted = state.allowance(service, now).spend(now, &self.settings.terms, members, need);
         if !granted {
             self.meter.denied.inc();
         }
--- a/crates/upstream/src/pace.rs
+++ b/crates/upstream/src/pace.rs
@@ -3,7 +3,7 @@
 use std::fmt;
 use std::time::Duration;
 
-/// The percentile after which a hedge is made.
+/// The percentile after which a hedge is made, unless another is asked for.
 ///
 /// It leaves some of a five percent budget for the slow: at the 95th percentile, ordinary
 /// answers alone spend all of it, and stragglers find the bucket empty.
@@ -19,8 +19,9 @@
 const FEWEST: usize = 32;
 
 /// A sliding window of latencies with the percentile after which a hedge is made.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct Pace {
+    percent: usize,
     samples: Vec<Duration>,
     next: usize,
     fresh: usize,
@@ -28,7 +29,25 @@
     scratch: Vec<Duration>,
 }
 
+impl Default for Pace {
+    fn default() -> Self {
+        Self::new(PERCENT)
+    }
+}
+
 impl Pace {
+    /// Makes an empty window for a percentile.
+    pub fn new(percent: usize) -> Self {
+        Self {
+            percent,
+            samples: Vec::new(),
+            next: 0,
+            fresh: 0,
+            estimate: None,
+            scratch: Vec::new(),
+        }
+    }
+
     /// Records a latency.
     pub fn record(&mut self, took: Duration) {
         if self.samples.len() < WINDOW {
@@ -53,7 +72,7 @@
         self.fresh = 0;
         self.scratch.clear();
         self.scratch.extend_from_slice(&self.samples);
-        let rank = (self.scratch.len() * PERCENT / 100).min(self.scratch.len() - 1);
+        let rank = (self.scratch.len() * self.percent / 100).min(self.scratch.len() - 1);
         self.estimate = Some(*self.scratch.select_nth_unstable(rank).1);
     }
 }
@@ -61,7 +80,7 @@
 impl fmt::Display for Pace {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self.estimate {
-            Some(slow) => write!(f, "p{PERCENT} {:.1} ms", slow.as_secs_f64() * 1e3),
+            Some(slow) => write!(f, "p{} {:.1} ms", self.percent, slow.as_secs_f64() * 1e3),
             None => f.write_str("pace unknown"),
         }
     }
--- a/crates/wire/src/member.rs
+++ b/crates/wire/src/member.rs
@@ -49,6 +49,19 @@
     pub shards: Vec<Shard>,
     /// The greatest records of the shards that are in.
     pub records: Vec<u8>,
+    /// Names what still runs, for [`Member::rest`]; zero if nothing does.
+    pub rest: u64,
+}
+
+/// A shard that came in after the [`ShardReply`] was on its way.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Late {
+    /// The position of the shard in the question.
+    pub index: u32,
+    /// The searcher's signature, unless the attempt failed.
+    pub signature: Option<Vec<u8>>,
+    /// The records of this shard alone, since another searcher may have brought them.
+    pub records: Vec<u8>,
 }
 
 /// One record of the platform's store, as it was read.
@@ -82,6 +95,8 @@
 pub trait Member {
     /// Asks searchers of some shards and merges their answers.
     async fn gather(query: ShardQuery) -> ShardReply;
+    /// Waits for the next shards of an earlier question; none are left if none are returned.
+    async fn rest(token: u64) -> Vec<Late>;
     /// Waits for news of the store after a revision, for a time at most.
     async fn news(after: u64, wait: Duration) -> News;
 }
