--- a/crates/front/src/settings.rs
+++ b/crates/front/src/settings.rs
@@ -18,10 +18,11 @@
     pub readers: usize,
     /// How long callers may keep an address answer.
     ///
-    /// Short, so that a lost instance is left soon; asking again costs little.
+    /// A caller whose answer has expired asks before its next request, which adds one or two
+    /// round trips to it; a caller with an old answer may try a lost instance once.
     pub ttl: Duration,
     /// How long a planned stop goes on serving, so that callers with an older address
-    /// answer are served: three times the life of an answer, and a little more.
+    /// answer are served: the life of an answer, and a little more.
     pub linger: Duration,
     /// How long after the signal a planned stop has ended, whatever still runs.
     pub stop: Duration,
@@ -36,8 +37,8 @@
             directory: here(7405),
             members: here(7401),
             readers: 1,
-            ttl: Duration::from_secs(1),
-            linger: Duration::from_millis(3600),
+            ttl: Duration::from_secs(4),
+            linger: Duration::from_millis(4300),
             stop: Duration::from_millis(5600),
         }
     }
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -143,7 +143,9 @@
 
     /// Writes a line of counts to the log.
     pub fn log_summary(&self) {
-        log::info!("relay: event=summary {}", self.meter.summary());
+        let paces: Vec<String> =
+            self.lock().paces.iter().map(|(route, pace)| format!("{route}:{pace}")).collect();
+        log::info!("relay: event=summary {} usual={paces:?}", self.meter.summary());
     }
 
     /// Puts a checked declaration in force if it is newer than the one that is.
@@ -351,10 +353,11 @@
         pace.record(took);
     }
 
-    /// Opens connections ahead of need to searchers nearby that have none.
+    /// Opens connections ahead of need to searchers that have none.
     ///
-    /// A new connection takes some of the searcher's time, so that a first request on it is
-    /// late; a few at a time, so that not all members come at once.
+    /// A new connection takes a round trip and some of the searcher's time, so that a first
+    /// request on it is late; a hedge to another region would be by 20 ms and more. A few at
+    /// a time, so that not all members come at once.
     fn warm(&self, state: &State) {
         let cold =
             |link: &&Arc<Link>| link.distance != Distance::Far && link.pool.usage().open == 0;
