--- a/crates/relay/src/gather.rs
+++ b/crates/relay/src/gather.rs
@@ -82,6 +82,8 @@
     job.answered.store(true, Ordering::Relaxed);
     let missing = job.tally().absent();
     if missing > 0 {
+        let left_out = state.open.keys().map(|shard| Name::clone(shard)).collect();
+        job.left_out.get_or_init(|| left_out);
         let (request, shards) = (&job.request.id, gather.shards.len());
         let took = job.request.received.elapsed().as_millis();
         log::info!(
--- a/crates/relay/src/helper.rs
+++ b/crates/relay/src/helper.rs
@@ -6,7 +6,7 @@
 
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, OnceLock, PoisonError};
 use std::time::{Duration, Instant};
 
 use bergamot_base::Name;
@@ -103,6 +103,7 @@
         tally: Mutex::new(Tally::new(names.len(), names.len())),
         changed: Notify::new(),
         answered: AtomicBool::new(false),
+        left_out: OnceLock::new(),
     });
     let (results, ended) = mpsc::unbounded_channel();
     let mut running = Vec::with_capacity(names.len());
--- a/crates/relay/src/message.rs
+++ b/crates/relay/src/message.rs
@@ -1,7 +1,8 @@
 //! A caller's request and what becomes of it, free of any wire.
 
+use std::collections::HashSet;
 use std::sync::atomic::AtomicBool;
-use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::sync::{Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::{Duration, Instant};
 
 use bergamot_base::Name;
@@ -107,6 +108,8 @@
     pub changed: Notify,
     /// Whether the caller has an answer, so that what still runs may end in peace.
     pub answered: AtomicBool,
+    /// The shards that the caller's answer leaves out.
+    pub left_out: OnceLock<HashSet<Name>>,
 }
 
 impl Job {
--- a/crates/relay/src/race.rs
+++ b/crates/relay/src/race.rs
@@ -78,6 +78,9 @@
     running: Vec<Attempt>,
     arrived: usize,
     refused: usize,
+    /// Whether an attempt was denied for lack of allowance.
+    denied: bool,
+    ended: bool,
     lost: Lost,
     results: (mpsc::UnboundedSender<Outcome>, mpsc::UnboundedReceiver<Outcome>),
 }
@@ -99,6 +102,8 @@
             running: Vec::new(),
             arrived,
             refused: 0,
+            denied: false,
+            ended: false,
             lost: Lost { ending: Ending::NotSent, late: false, failure: None },
             results: mpsc::unbounded_channel(),
         }
@@ -107,7 +112,8 @@
     /// Runs attempts until one wins, none can follow, or the time is up.
     pub(crate) async fn run(mut self) -> Result<Passed, Lost> {
         let ended = self.race().await;
-        ended.ok_or(self.lost)
+        self.ended = true;
+        ended.ok_or_else(|| self.lost.clone())
     }
 
     async fn race(&mut self) -> Option<Passed> {
@@ -222,6 +228,7 @@
             return Next::Impossible;
         };
         if self.arrived > 0 && !self.relay.spend(self.service, need) {
+            self.denied = true;
             return Next::Denied;
         }
         self.relay.meter().attempt(reason, link.distance);
@@ -236,3 +243,20 @@
         Next::Started
     }
 }
+
+impl Drop for Race<'_> {
+    /// Says of a shard that was still out when the caller got the answer whom it waited for.
+    fn drop(&mut self) {
+        let left_out = self.job.left_out.get().is_some_and(|out| out.contains(self.service));
+        if self.ended || !left_out {
+            return;
+        }
+        let (request, service) = (&self.job.request.id, self.service);
+        let (tried, denied) = (&self.plan.tried, self.denied);
+        let took = self.job.request.received.elapsed().as_millis();
+        log::info!(
+            "relay: event=shard_left_out request={request:?} service={service} tried={tried:?} \
+             hedge_denied={denied} took_ms={took}"
+        );
+    }
+}
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, HashMap};
 use std::fmt;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::{Duration, Instant};
 
 use bergamot_base::{Name, Revision, hash_bytes};
@@ -282,6 +282,7 @@
             kind: route.kind,
             attempts: route.attempts,
             answered: AtomicBool::new(false),
+            left_out: OnceLock::new(),
         });
         match &route.target {
             Target::Gather(shards) => gather(self, &job, shards, patience).await,
