Hardly try searchers that refuse; share out all connections but one

Share: 0.9 of the connections over the members rounded down gave 2 of 26 to each of 8.

Change: the penalty grows with the square of the failing share and fades in 3 s; a member that asked for others reports failures; each member opens (limit - 1) / members connections. Test: a_searcher_that_refuses_is_hardly_tried_until_it_is_well_again (failed before at 46 of 90).

--- a/crates/dispatch/src/outlook.rs
+++ b/crates/dispatch/src/outlook.rs
@@ -25,13 +25,17 @@
 const COLD: f64 = 1.6;
 
 /// How many times longer a searcher is taken to need if all its recent answers failed.
-const FAILING: f64 = 8.0;
+///
+/// The factor grows with the square of the share that failed: a single failure sends the
+/// next requests elsewhere for about a second, while one that refuses half of its work is
+/// hardly tried, since each refusal costs an attempt of a small allowance.
+const FAILING: f64 = 40.0;
 
 /// How many times its estimate a request must be unanswered before its age counts.
 const OVERDUE: f64 = 1.5;
 
 /// The time in which the share of failures fades by half, in seconds.
-const FORGIVE: f64 = 2.0;
+const FORGIVE: f64 = 3.0;
 
 /// What one member has seen of one searcher.
 #[derive(Clone, Debug)]
@@ -89,6 +93,11 @@
         }
     }
 
+    /// Records that the searcher answered another member well.
+    pub fn serve(&mut self, now: Instant) {
+        self.note(0.0, now);
+    }
+
     /// Records a failure.
     pub fn fail(&mut self, now: Instant) {
         self.note(1.0, now);
@@ -106,7 +115,7 @@
         let overdue = if oldest > mean * OVERDUE { oldest } else { 0.0 };
         let queue = 1.0 + self.running.len() as f64 / slots.max(1) as f64;
         let cold = if cold { COLD } else { 1.0 };
-        let failing = 1.0 + (FAILING - 1.0) * self.failing(now);
+        let failing = 1.0 + FAILING * self.failing(now).powi(2);
         (mean * queue * cold + overdue) * failing
     }
 
--- a/crates/dispatch/tests/dispatch.rs
+++ b/crates/dispatch/tests/dispatch.rs
@@ -153,6 +153,37 @@
     assert!(near.expected(now, 2, false) > 27.0);
 }
 
+/// The pattern: one of two searchers refuses six in ten requests for nine seconds, at the
+/// rate of one member on a heavy day (ten requests a second). Each refusal costs an attempt
+/// from an allowance of a quarter of the requests, so few may be spent on finding out
+/// whether it is well again; and once it is, it must be used again within seconds.
+#[test]
+fn a_searcher_that_refuses_is_hardly_tried_until_it_is_well_again() {
+    let start = Instant::now();
+    let (mut near, mut far) = (Outlook::new(MS * 10), Outlook::new(MS * 26));
+    let (mut refused, mut near_later) = (0, 0);
+    for turn in 0..250_u32 {
+        let now = start + MS * 100 * turn;
+        let refusing = (20..110).contains(&turn);
+        // The far one counts half as much again for its dear bytes.
+        if near.expected(now, 2, false) > far.expected(now, 2, false) * 1.5 {
+            far.send(now);
+            far.answer(now, now + MS * 27);
+        } else if refusing && turn % 5 < 3 {
+            near.send(now);
+            near.end(now);
+            near.fail(now + MS);
+            refused += 1;
+        } else {
+            near.send(now);
+            near.answer(now, now + MS * 11);
+            near_later += u32::from(turn >= 180);
+        }
+    }
+    assert!(refused <= 12, "{refused} of 90 requests were refused");
+    assert!(near_later == 70, "{near_later} of 70 requests went to the near one again");
+}
+
 #[test]
 fn missing_entries_go_last_and_the_faster_first() {
     let candidate = |searcher, missing, expected| Candidate { searcher, missing, expected };
--- a/crates/relay/src/gather.rs
+++ b/crates/relay/src/gather.rs
@@ -198,13 +198,22 @@
         let ShardReply { shards: found, rest, .. } = reply;
         for (shard, found) in asked.shards.iter().copied().zip(found) {
             match found {
-                Shard::In(signature) => self.arrive(shard, read(&signature), Bytes::new()),
-                Shard::Missing(tried) => {
-                    self.worst = self.worst.max(Ending::Unknown);
-                    self.race(shard, tried);
-                    if rest == 0 {
-                        self.close(shard);
-                    }
+                Shard::In(signature) => {
+                    self.arrive(shard, read(&signature), Bytes::new());
+                }
+                Shard::Silent(id) => {
+                    self.worst = Ending::Unknown;
+                    self.race(shard, vec![id]);
+                }
+                Shard::Failed(id) => {
+                    self.worst = Ending::Unknown;
+                    self.relay.note_failure(&id);
+                    self.race(shard, vec![id]);
+                    self.close(shard);
+                }
+                Shard::NotAsked => {
+                    self.race(shard, Vec::new());
+                    self.close(shard);
                 }
             }
         }
--- a/crates/relay/src/helper.rs
+++ b/crates/relay/src/helper.rs
@@ -61,7 +61,7 @@
     let received = Instant::now();
     let (until, end) = (received + query.answer_within, received + query.deadline);
     let (names, top_k) = (query.shards.clone(), query.top_k as usize);
-    let mut shards = vec![Shard::Missing(Vec::new()); names.len()];
+    let mut shards = vec![Shard::NotAsked; names.len()];
     let Some(request) = read(query, received) else {
         log::error!("relay: event=query_refused cause=\"the request of a member can't be read\"");
         return ShardReply { shards, records: Vec::new(), rest: 0 };
@@ -77,9 +77,14 @@
             }
             // What was not sent leaves the first attempt to the sender.
             Err(miss) if miss.ending == Ending::NotSent => {
-                shards[index] = Shard::Missing(Vec::new());
+                shards[index] = Shard::NotAsked;
+            }
+            Err(miss) => {
+                relay.meter().ending(miss.ending);
+                if let Shard::Silent(id) = &shards[index] {
+                    shards[index] = Shard::Failed(Name::clone(id));
+                }
             }
-            Err(miss) => relay.meter().ending(miss.ending),
         }
     }
     let rest = if work.running.is_empty() { 0 } else { keep(relay, work) };
@@ -110,7 +115,7 @@
     for (index, name) in names.iter().enumerate() {
         let Some(link) = relay.choose(name, &[]) else { continue };
         relay.meter().attempt(Reason::Delegated, link.distance);
-        shards[index] = Shard::Missing(vec![Name::clone(&link.upstream.id)]);
+        shards[index] = Shard::Silent(Name::clone(&link.upstream.id));
         let attempt = Attempt::start(relay, link, &job, (until, end), results.clone());
         running.push((index, attempt));
     }
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -35,10 +35,9 @@
 /// When a caller may come back to an instance that has just started.
 const START_RETRY: Duration = Duration::from_millis(300);
 
-/// The part of a searcher's connections that all members together open.
-///
-/// A connection that is being closed still counts at the searcher for a moment.
-const CONNECTIONS_PART: f64 = 0.9;
+/// How many of a searcher's connections no member opens: one that is being closed still
+/// counts at the searcher for a moment.
+const SPARE_CONNECTIONS: usize = 1;
 
 /// The percentile of the first attempts' times that counts as usual.
 ///
@@ -347,6 +346,13 @@
         Arc::clone(link)
     }
 
+    /// Notes that a searcher failed a request that another member sent it for us.
+    pub(crate) fn note_failure(&self, id: &str) {
+        if let Some(link) = self.lock().links.get(id) {
+            link.outlook().fail(Instant::now());
+        }
+    }
+
     /// Notes how long a first attempt for a route took.
     pub(crate) fn note_pace(&self, route: &Name, took: Duration) {
         let mut state = self.lock();
@@ -432,8 +438,8 @@
 /// Returns how many connections this member may open to each searcher of a service.
 fn share(state: &State, service: &str) -> usize {
     let declared = state.declaration.as_ref().and_then(|declared| declared.connections(service));
-    let all = declared.unwrap_or(ASSUMED_CONNECTIONS) as f64 * CONNECTIONS_PART;
-    ((all / state.members.max(1) as f64) as usize).max(1)
+    let all = declared.unwrap_or(ASSUMED_CONNECTIONS).saturating_sub(SPARE_CONNECTIONS);
+    (all / state.members.max(1)).max(1)
 }
 
 fn route_key(route: &Route) -> Name {
--- a/crates/wire/src/member.rs
+++ b/crates/wire/src/member.rs
@@ -38,8 +38,12 @@
 pub enum Shard {
     /// It is in, with the searcher's signature.
     In(Vec<u8>),
-    /// It is not, and these incarnations were asked.
-    Missing(Vec<Name>),
+    /// It is not, and this incarnation was asked and is silent.
+    Silent(Name),
+    /// It is not, since this incarnation failed or refused the request.
+    Failed(Name),
+    /// It is not, and nobody was asked.
+    NotAsked,
 }
 
 /// The merged answer of some shards.
