--- a/crates/front/src/daemon.rs
+++ b/crates/front/src/daemon.rs
@@ -80,7 +80,7 @@
         let asking = Arc::clone(&inner);
         let members =
             Members { readers: Box::new(move || asking.readers()), ask: member::ask(&links, port) };
-        let periods = bergamot_feed::Settings::default();
+        let periods = bergamot_feed::Settings { join: inner.settings.join, ..Default::default() };
         tokio::spawn(follow(source, members, sink, feed, periods, stop.clone()));
         tokio::spawn(tick(Arc::clone(&inner), stop.clone()));
         let readiness = listen(inner.settings.readiness).await?;
--- a/crates/front/src/settings.rs
+++ b/crates/front/src/settings.rs
@@ -16,6 +16,8 @@
     pub members: SocketAddr,
     /// How many members of each availability zone read the store.
     pub readers: usize,
+    /// How long a start waits for other members before it reads the store itself.
+    pub join: Duration,
     /// How long callers may keep an address answer.
     ///
     /// A caller whose answer has expired asks before its next request, which adds one or two
@@ -37,6 +39,8 @@
             directory: here(7405),
             members: here(7401),
             readers: 1,
+            // An exchange with a seed in another region, twice over.
+            join: Duration::from_millis(60),
             ttl: Duration::from_secs(4),
             linger: Duration::from_millis(4300),
             stop: Duration::from_millis(5600),
