Reach the reader that the store serves within the bound for news

Change: a member whose knowledge is stale says so at once; a member that could not help is left alone for 6 s; a store that failed is probed with a short question, while members have the news. Test: a_follower_reaches_the_reader_that_is_served_within_its_bound (failed first: 3.6 s of 3 s).

--- a/crates/feed/src/follow.rs
+++ b/crates/feed/src/follow.rs
@@ -17,6 +17,10 @@
 use crate::origin::{Origin, Origins};
 use crate::source::{News, Source, Trouble};
 
+/// How old a member's knowledge may be for it to be relied on: a watch at the store, and some
+/// time for its answer.
+const STALE: Duration = Duration::from_millis(1500);
+
 /// The periods of the loop.
 #[derive(Clone, Copy, Debug)]
 pub struct Settings {
@@ -25,8 +29,10 @@
     /// A connection that went silent is noticed only after it, and news must be in force
     /// within 3 s; each watch at the store is a call that is paid for.
     pub wait: Duration,
-    /// How old a member's knowledge may be for it to be relied on: a watch, and its answer.
+    /// How old a member's knowledge may be for it to be relied on.
     pub stale: Duration,
+    /// How long a store that failed is given to answer a question without a wait.
+    pub probe: Duration,
     /// How long a reader waits after news before it asks the store for more.
     ///
     /// Changes come in series, and each watch that ends is a call.
@@ -38,8 +44,10 @@
 impl Default for Settings {
     fn default() -> Self {
         Self {
-            wait: Duration::from_millis(1200),
-            stale: Duration::from_millis(1800),
+            wait: Duration::from_millis(1000),
+            stale: STALE,
+            // A store that is slow answers in some 250 ms.
+            probe: Duration::from_millis(400),
             settle: Duration::from_millis(250),
             join: Duration::from_millis(300),
         }
@@ -97,6 +105,8 @@
 
 impl Shared {
     /// Answers a member that asks for news after a revision, waiting for a time at most.
+    ///
+    /// Stale knowledge is no reason to wait: the member must hear of it and ask another.
     pub async fn news(&self, after: u64, wait: Duration) -> bergamot_wire::News {
         let mut changed = self.changed.subscribe();
         let waiting = async {
@@ -106,6 +116,8 @@
                 }
             }
         };
+        let age = self.lock().age(Instant::now()).unwrap_or(STALE);
+        let wait = wait.min(STALE.saturating_sub(age));
         // Without news the answer still says how fresh it is.
         let _elapsed = tokio::time::timeout(wait, waiting).await;
         self.lock().news(after, Instant::now())
@@ -188,6 +200,8 @@
         let at = self.shared.lock().at();
         let watched = if at == 0 {
             Err(Trouble::Forgotten)
+        } else if self.origins.doubts_store() {
+            self.probe(at).await
         } else {
             (self.source.watch)(at, self.settings.wait).await
         };
@@ -210,6 +224,14 @@
         Ok(())
     }
 
+    /// Asks the store whether it answers again. Members have the news meanwhile, so a store
+    /// that still hangs must not keep us from them for as long as a watch.
+    async fn probe(&self, at: u64) -> crate::source::Outcome {
+        let asked = (self.source.watch)(at, Duration::ZERO);
+        let probed = tokio::time::timeout(self.settings.probe, asked).await;
+        probed.unwrap_or(Err(Trouble::Silent))
+    }
+
     async fn ask_member(&mut self, ip: Ipv4Addr) -> Result<(), Trouble> {
         let after = self.shared.lock().at();
         let news = (self.members.ask)(ip, after, self.settings.wait).await?;
--- a/crates/feed/src/lib.rs
+++ b/crates/feed/src/lib.rs
@@ -14,4 +14,4 @@
 pub use follow::{Asking, Members, Settings, Shared, Sink, follow};
 pub use mirror::{Change, Mirror};
 pub use origin::{Origin, Origins};
-pub use source::{News, Reading, Records, Source, Trouble};
+pub use source::{News, Outcome, Reading, Records, Source, Trouble};
--- a/crates/feed/src/origin.rs
+++ b/crates/feed/src/origin.rs
@@ -11,7 +11,10 @@
 use std::time::{Duration, Instant};
 
 /// How long a member is left alone that could not help.
-const MEMBER_PAUSE: Duration = Duration::from_millis(1000);
+///
+/// Several questions in a row, each as long as a watch, fit into it; shorter, two readers that
+/// the store turns away would be asked in turns and the third never.
+const MEMBER_PAUSE: Duration = Duration::from_millis(6000);
 
 /// How long a reader leaves the store alone after a first failure.
 const STORE_PAUSE: Duration = Duration::from_millis(200);
@@ -61,6 +64,11 @@
         }
     }
 
+    /// Tells whether the store failed when it was last asked.
+    pub fn doubts_store(&self) -> bool {
+        self.store_failures > 0
+    }
+
     /// Notes that an origin helped.
     pub fn succeed(&mut self, origin: Origin) {
         self.paused.remove(&origin);
--- a/crates/feed/src/source.rs
+++ b/crates/feed/src/source.rs
@@ -39,6 +39,9 @@
         /// Why.
         source: Fault,
     },
+    /// The store did not answer in time.
+    #[snafu(display("the store is silent"))]
+    Silent,
     /// A member answered that has not heard of the store for too long itself.
     #[snafu(display("the member last heard of the store {} ms ago", age.as_millis()))]
     Stale {
@@ -50,8 +53,11 @@
 /// Records and the revision up to which they tell everything.
 pub type Records = (Vec<Item>, u64);
 
+/// What a call brings.
+pub type Outcome = Result<Records, Trouble>;
+
 /// A call that brings records.
-pub type Reading = BoxFuture<'static, Result<Records, Trouble>>;
+pub type Reading = BoxFuture<'static, Outcome>;
 
 /// A store that can be listed and watched.
 pub struct Source {
--- a/crates/feed/tests/feed.rs
+++ b/crates/feed/tests/feed.rs
@@ -80,6 +80,21 @@
     assert!(origins.pick(now, false, &[A, B]).is_err());
 }
 
+/// Two of three readers are turned away by the store, and each question to them takes as long
+/// as a watch: news must come from the third within the 3 s that are given for it.
+#[test]
+fn a_follower_reaches_the_reader_that_is_served_within_its_bound() {
+    const C: Ipv4Addr = Ipv4Addr::new(10, 0, 0, 3);
+    let (mut origins, start) = (Origins::default(), Instant::now());
+    let mut now = start;
+    while origins.pick(now, false, &[A, B, C]) != Ok(Origin::Member(C)) {
+        let origin = origins.pick(now, false, &[A, B, C]).expect("somebody can be asked");
+        now += Duration::from_millis(1200);
+        origins.fail(origin, now, false, 0.5);
+        assert!(now < start + Duration::from_secs(3), "{origin:?} was asked at {:?}", now - start);
+    }
+}
+
 /// While the store is down for ten seconds, eighty members of which six read it.
 #[test]
 fn an_outage_of_the_store_does_not_make_every_member_call_it() {
