Doubt a missing entry for a second, longer only after an outage in which entries expire

Change: 1 s without an outage; 2.2 s after one as long as the silence that makes entries expire. Test: without_an_outage_a_missing_searcher_is_gone_within_its_bound (failed first).

--- a/crates/registry/src/registry.rs
+++ b/crates/registry/src/registry.rs
@@ -14,10 +14,16 @@
 
 use crate::upstream::{State, Upstream};
 
-/// How long an entry that disappeared may take to return.
+/// How long an entry that disappeared without an outage of the store is doubted.
 ///
-/// Entries that expired are back within two seconds of the store's return. It must stay
-/// below the time within which a leaving searcher gets its last request (3 s or more).
+/// Nothing but an outage makes entries of living searchers disappear for long. A searcher that
+/// leaves may get its last request 3 s after that at the least, and the news of it may be
+/// 1.5 s old already.
+const DOUBT: Duration = Duration::from_millis(1000);
+
+/// How long an entry that expired during an outage may take to return.
+///
+/// Entries that expired are back within two seconds of the store's return.
 const RETURN: Duration = Duration::from_millis(2200);
 
 /// How many ended incarnations are remembered, against stale reads that still list them.
@@ -88,7 +94,8 @@
         }
     }
 
-    /// Notes that the store can be read again after it could not be.
+    /// Notes that the store can be read again after it could not be for so long that entries
+    /// of living searchers have expired.
     pub fn regained(&mut self, now: Instant) {
         self.regained = Some(now);
     }
@@ -118,10 +125,11 @@
         if store_is_away {
             return Vec::new();
         }
-        let since = |missing: Instant| self.regained.map_or(missing, |back| back.max(missing));
-        let late = |entry: &Entry| {
-            entry.missing_since.is_some_and(|missing| now >= since(missing) + RETURN)
+        let until = |missing: Instant| {
+            let doubted = missing + DOUBT;
+            self.regained.map_or(doubted, |back| doubted.max(back + RETURN))
         };
+        let late = |entry: &Entry| entry.missing_since.is_some_and(|missing| now >= until(missing));
         let gone: Vec<Name> = self
             .entries
             .iter()
--- a/crates/registry/tests/registry.rs
+++ b/crates/registry/tests/registry.rs
@@ -46,6 +46,16 @@
     assert!(usable(&registry).is_empty());
 }
 
+/// The news of a searcher that leaves may be 1.5 s old, and its last request may reach it 3 s
+/// after it left.
+#[test]
+fn without_an_outage_a_missing_searcher_is_gone_within_its_bound() {
+    let (mut registry, now) = (Registry::default(), Instant::now());
+    registry.publish(ready("a"));
+    registry.disappear("a", now);
+    assert_eq!(registry.expire(now + Duration::from_millis(1400), false).len(), 1);
+}
+
 #[test]
 fn an_entry_that_returns_is_believed_again() {
     let (mut registry, now) = (Registry::default(), Instant::now());
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -35,6 +35,9 @@
 /// When a caller may come back to an instance that has just started.
 const START_RETRY: Duration = Duration::from_millis(300);
 
+/// How old the news of the store is when it counts as away.
+const STALE: Duration = Duration::from_millis(1500);
+
 /// How many of a searcher's connections no member opens: one that is being closed still
 /// counts at the searcher for a moment.
 const SPARE_CONNECTIONS: usize = 1;
@@ -61,7 +64,7 @@
     allowances: HashMap<Name, Allowance>,
     paces: HashMap<Name, Pace>,
     members: usize,
-    store_is_away: bool,
+    store_away_since: Option<Instant>,
 }
 
 /// What is in force at this member.
@@ -181,20 +184,30 @@
         change(&mut self.lock().registry)
     }
 
-    /// Notes whether the store can be read.
+    /// Notes whether the store can be heard of.
+    ///
+    /// Only an outage as long as the silence after which entries expire puts the entries that
+    /// are missing afterwards in doubt.
     pub fn set_store_away(&self, away: bool) {
+        let now = Instant::now();
         let mut state = self.lock();
-        if state.store_is_away && !away {
-            state.registry.regained(Instant::now());
+        match (state.store_away_since, away) {
+            (None, true) => state.store_away_since = Some(now),
+            (Some(since), false) => {
+                state.store_away_since = None;
+                if now.saturating_duration_since(since) + STALE >= self.settings.expiry {
+                    state.registry.regained(now);
+                }
+            }
+            (None, false) | (Some(_), true) => {}
         }
-        state.store_is_away = away;
         self.meter.store_away.set(i64::from(away));
     }
 
     /// Notes how many members share the searchers, and does what is due now and then.
     pub fn tick(&self, members: usize) {
         let mut state = self.lock();
-        let away = state.store_is_away;
+        let away = state.store_away_since.is_some();
         for id in state.registry.expire(Instant::now(), away) {
             log::info!("relay: event=searcher_gone searcher={id} cause=\"its entry is missing\"");
         }
--- a/crates/relay/src/settings.rs
+++ b/crates/relay/src/settings.rs
@@ -18,6 +18,8 @@
     pub regions: BTreeMap<Name, Name>,
     /// The bound on additional attempts at each service, over the whole fleet.
     pub terms: Terms,
+    /// How long a searcher must be silent for its entry in the store to expire.
+    pub expiry: Duration,
     /// How long a new connection may take: several round trips between regions (16 ms).
     pub dial: Duration,
     /// How long an attempt that lost goes on, so that its connection can be used again.
@@ -36,6 +38,7 @@
             zone: Name::from("local"),
             regions: BTreeMap::new(),
             terms: Terms::default(),
+            expiry: Duration::from_secs(3),
             dial: Duration::from_millis(300),
             grace: Duration::from_millis(300),
             largest_answer: 16 << 20,
