Let the largest members of each region serve where a searcher's connections don't suffice for all

Cause: 75 and 88 members with one connection each to searchers that accept 60 and 66: 792 of 876 gathered answers left parts out, 39,000 connections were opened for 173,000 requests, and a gathered answer of 90 shards costs a machine of 0.12 cores some 45 ms.

Change: members tell their size; if not all can have two connections to each searcher, the largest of each region serve (about (limit - 1) / 4 in all, at least two a region), the others stand by ready. Tests: crates/peers/tests/seat.rs.

--- a/crates/bench/src/capacity/state.rs
+++ b/crates/bench/src/capacity/state.rs
@@ -62,6 +62,7 @@
                 incarnation: 1 + number as u64,
                 counter: 0,
                 state: State::Alive,
+                weight: 0,
             });
         }
     }
--- a/crates/front/src/daemon.rs
+++ b/crates/front/src/daemon.rs
@@ -5,15 +5,16 @@
 //! expired; then the listener closes, what is in flight is finished, and the process ends.
 //! Invariant: every request that was read gets its answer before the process ends.
 
+use std::collections::BTreeSet;
 use std::net::{Ipv4Addr, SocketAddr};
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use bergamot_feed::{Members, News, Shared, Sink, Source, follow};
 use bergamot_members::{Endpoint, Record, Role, State, View, readers};
 use bergamot_net::{Body, Fault, listen, serve, text};
-use bergamot_peers::{Caller, Peers, Place, choose};
+use bergamot_peers::{Caller, Peers, Place, Seat, choose, serving};
 use bergamot_relay::{Dialect, Helper, Relay};
 use bergamot_wire::Channels;
 use hyper::header::{CONNECTION, HeaderValue};
@@ -40,6 +41,8 @@
     relay: Arc<Relay>,
     peers: Arc<Peers>,
     leaving: AtomicBool,
+    /// The members that take callers, as of the last tick.
+    serving: Mutex<BTreeSet<Ipv4Addr>>,
 }
 
 /// A running daemon.
@@ -74,8 +77,14 @@
         member::serve(settings.members, Arc::clone(&relay), Arc::clone(&feed), stop.clone())
             .await?;
         let peers = Peers::start(peers, stop.clone()).await?;
-        let inner =
-            Arc::new(Inner { settings, face, relay, peers, leaving: AtomicBool::new(false) });
+        let inner = Arc::new(Inner {
+            settings,
+            face,
+            relay,
+            peers,
+            leaving: AtomicBool::new(false),
+            serving: Mutex::default(),
+        });
         let sink = sink(&inner);
         let asking = Arc::clone(&inner);
         let members =
@@ -171,6 +180,33 @@
         })
     }
 
+    /// Returns the members that take callers and hold connections.
+    fn serving(&self) -> BTreeSet<Ipv4Addr> {
+        self.serving.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
+    /// Chooses the members that take callers, and takes its own part.
+    fn seat(&self) {
+        let settings = self.relay.settings();
+        let region =
+            |record: &Record| settings.regions.get(&record.zone).unwrap_or(&record.zone).clone();
+        let seat = |record: &Record| Seat {
+            ip: record.endpoint.ip,
+            region: region(record),
+            weight: record.weight,
+        };
+        let seats: Vec<Seat> = self.peers.with_view(|view| {
+            view.iter().filter(|record| record.state.takes_work()).map(seat).collect()
+        });
+        let connections = self.relay.fewest_connections().unwrap_or(usize::MAX);
+        let chosen = serving(&seats, connections);
+        let serves = chosen.contains(&settings.address);
+        let members = if serves { chosen.len() } else { seats.len() };
+        *self.serving.lock().unwrap_or_else(PoisonError::into_inner) = chosen;
+        self.relay.tick(members, serves);
+        self.relay.set_helpers(self.helpers());
+    }
+
     /// Lists the members that may be asked for shards in their region.
     fn helpers(&self) -> Vec<Helper> {
         let settings = self.relay.settings();
@@ -178,8 +214,10 @@
             let region = settings.regions.get(&record.zone).unwrap_or(&record.zone).clone();
             Helper { ip: record.endpoint.ip, region }
         };
+        let serving = self.serving();
         let can_help = |record: &&Record| {
-            record.state == State::Alive && record.endpoint.ip != settings.address
+            let ip = record.endpoint.ip;
+            record.state == State::Alive && ip != settings.address && serving.contains(&ip)
         };
         self.peers.with_view(|view: &View| view.iter().filter(can_help).map(helper).collect())
     }
@@ -197,20 +235,29 @@
             let instance = SocketAddr::from((record.endpoint.ip, port));
             Place { instance, zone: record.zone.clone(), region: region.clone() }
         };
+        let serving = self.serving();
         let may_serve = |record: &&Record| {
             let here = own == record.endpoint.ip;
             let ready = if here { self.is_ready() } else { record.state == State::Alive };
             record.endpoint.role == Role::Entry && ready
         };
-        self.peers.with_view(|view| view.iter().filter(may_serve).map(place).collect())
+        self.peers.with_view(|view| {
+            let ready: Vec<&Record> = view.iter().filter(may_serve).collect();
+            let chosen: Vec<_> = ready
+                .iter()
+                .filter(|record| serving.contains(&record.endpoint.ip))
+                .map(|record| place(record))
+                .collect();
+            // Any ready instance is better for a caller than none.
+            if chosen.is_empty() { ready.into_iter().map(place).collect() } else { chosen }
+        })
     }
 }
 
 async fn tick(inner: Arc<Inner>, stop: CancellationToken) {
     let mut ticks = 0_u32;
     while !stop.is_cancelled() {
-        inner.relay.tick(inner.peers.working());
-        inner.relay.set_helpers(inner.helpers());
+        inner.seat();
         inner.peers.set_revision(inner.relay.version());
         ticks = ticks.wrapping_add(1);
         if ticks.is_multiple_of(TICKS_PER_SUMMARY) {
--- a/crates/members/src/record.rs
+++ b/crates/members/src/record.rs
@@ -117,6 +117,10 @@
     /// The state.
     #[serde(rename = "s")]
     pub state: State,
+    /// How much processor time the member has, in thousandths of a core; zero if it did
+    /// not say.
+    #[serde(rename = "w", default)]
+    pub weight: u32,
 }
 
 impl Record {
@@ -145,7 +149,7 @@
 
 impl fmt::Display for Record {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let Self { endpoint, zone, incarnation, counter, state } = self;
+        let Self { endpoint, zone, incarnation, counter, state, weight: _ } = self;
         write!(f, "{endpoint} {zone} {incarnation:x}.{counter} {state}")
     }
 }
--- a/crates/members/src/view.rs
+++ b/crates/members/src/view.rs
@@ -61,7 +61,8 @@
                 if !self.records.contains_key(&endpoint) && !listed.leaving {
                     let zone = Name::clone(&listed.zone);
                     let state = State::Alive;
-                    let seed = Record { endpoint, zone, incarnation: 0, counter: 0, state };
+                    let seed =
+                        Record { endpoint, zone, incarnation: 0, counter: 0, state, weight: 0 };
                     self.apply(&seed);
                 }
             }
--- a/crates/members/tests/filetests.rs
+++ b/crates/members/tests/filetests.rs
@@ -67,6 +67,7 @@
         incarnation: incarnation.parse().unwrap_or(0),
         counter: counter.parse().unwrap_or(0),
         state,
+        weight: 0,
     }
 }
 
--- a/crates/members/tests/homes.rs
+++ b/crates/members/tests/homes.rs
@@ -35,6 +35,7 @@
         incarnation: 1,
         counter: 0,
         state: State::Alive,
+        weight: 0,
     };
     (0..count).map(gather).collect()
 }
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -386,7 +386,8 @@
     fn new(settings: &Settings, me: Endpoint, incarnation: Incarnation) -> Self {
         let now = Instant::now();
         let zone = Name::clone(&settings.instance.zone);
-        let me = Record { endpoint: me, zone, incarnation, counter: 0, state: State::Alive };
+        let me =
+            Record { endpoint: me, zone, incarnation, counter: 0, state: State::Alive, weight: 0 };
         let timing = Timing {
             probe: settings.control.probe,
             answer: settings.control.answer,
--- a/crates/peers/src/lib.rs
+++ b/crates/peers/src/lib.rs
@@ -7,8 +7,10 @@
 
 mod directory;
 mod peers;
+mod seat;
 mod settings;
 
 pub use directory::{Caller, Place, choose};
 pub use peers::Peers;
+pub use seat::{Seat, serving};
 pub use settings::Settings;
--- a/crates/peers/src/peers.rs
+++ b/crates/peers/src/peers.rs
@@ -72,6 +72,7 @@
             incarnation: new_incarnation(),
             counter: 0,
             state: State::Alive,
+            weight: settings.weight,
         };
         let mut view = View::default();
         view.apply(&me);
--- /dev/null
+++ b/crates/peers/src/seat.rs
@@ -0,0 +1,59 @@
+//! Which members take callers and hold connections to searchers.
+//!
+//! A searcher accepts a bounded number of connections from all members together. Where
+//! every member can have a few, all of them serve. In a larger fleet most would have one or
+//! none, and each gathered answer costs a small machine tens of milliseconds; there the
+//! largest machines of each region serve and the others stand by: they are ready, follow the
+//! news, and take over when one of them is lost. Invariant: members that see the same
+//! members choose the same ones, and every region with a member has one that serves.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::Ipv4Addr;
+
+use bergamot_base::{Name, hash_bytes};
+
+/// The connections to each searcher that make a member useful where all serve.
+///
+/// One would be taken by a single paused searcher's request.
+const FEWEST_CONNECTIONS: usize = 2;
+
+/// The connections to each searcher that members have where some of them serve.
+const CONNECTIONS: usize = 4;
+
+/// The members of a region that serve at the least, so that one may be lost.
+const FEWEST_SEATS: usize = 2;
+
+/// A member that could serve.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Seat {
+    /// The member.
+    pub ip: Ipv4Addr,
+    /// Its region.
+    pub region: Name,
+    /// How much processor time it has, in thousandths of a core.
+    pub weight: u32,
+}
+
+/// Chooses the members that serve, given how many connections a searcher accepts.
+pub fn serving(seats: &[Seat], connections: usize) -> BTreeSet<Ipv4Addr> {
+    let room = connections.saturating_sub(1);
+    if seats.len() * FEWEST_CONNECTIONS <= room {
+        return seats.iter().map(|seat| seat.ip).collect();
+    }
+    let mut regions = BTreeMap::<&Name, Vec<&Seat>>::new();
+    for seat in seats {
+        regions.entry(&seat.region).or_default().push(seat);
+    }
+    let each = (room / CONNECTIONS / regions.len().max(1)).max(FEWEST_SEATS);
+    regions.into_values().flat_map(|members| largest(members, each)).collect()
+}
+
+/// Takes the largest members of a region, and a smaller one only where there is no other.
+fn largest(mut members: Vec<&Seat>, most: usize) -> Vec<Ipv4Addr> {
+    members.sort_by_key(|seat| (Reverse(seat.weight), hash_bytes(&seat.ip.octets())));
+    let large = members.first().map_or(0, |seat| seat.weight / 2);
+    let enough = members.iter().take_while(|seat| seat.weight >= large).count();
+    let taken = enough.max(FEWEST_SEATS).min(most);
+    members.into_iter().take(taken).map(|seat| seat.ip).collect()
+}
--- a/crates/peers/src/settings.rs
+++ b/crates/peers/src/settings.rs
@@ -13,6 +13,8 @@
     pub address: Ipv4Addr,
     /// The availability zone of this instance.
     pub zone: Name,
+    /// How much processor time this instance has, in thousandths of a core.
+    pub weight: u32,
     /// The port of datagrams and streams, the same at every member.
     pub port: u16,
     /// Members that may be asked for their view at the start; some may be down.
@@ -26,6 +28,7 @@
         Self {
             address: Ipv4Addr::LOCALHOST,
             zone: Name::from("local"),
+            weight: 0,
             port: 7402,
             seeds: Vec::new(),
             timing: Timing {
--- /dev/null
+++ b/crates/peers/tests/seat.rs
@@ -0,0 +1,48 @@
+//! All members of a small fleet serve; of a large one, the largest of each region.
+
+use std::net::Ipv4Addr;
+
+use bergamot_peers::{Seat, serving};
+
+fn seat(number: u8, region: &str, weight: u32) -> Seat {
+    Seat { ip: Ipv4Addr::new(10, 0, 0, number), region: region.into(), weight }
+}
+
+/// The grown fleet of the pages: 12 machines of half a core, 63 of an eighth, 3 regions.
+fn grown() -> Vec<Seat> {
+    let weight = |number: u8| if number < 12 { 500 } else { 120 };
+    (0..75).map(|n| seat(n, ["a", "b", "c"][usize::from(n) % 3], weight(n))).collect()
+}
+
+#[test]
+fn all_members_of_a_small_fleet_serve() {
+    let fleet: Vec<_> =
+        (0..11).map(|n| seat(n, ["a", "b", "c"][usize::from(n) % 3], 250)).collect();
+    assert_eq!(serving(&fleet, 26).len(), 11);
+}
+
+#[test]
+fn the_largest_members_of_a_large_fleet_serve() {
+    let chosen = serving(&grown(), 60);
+    let wanted: Vec<_> = (0..12).map(|n| Ipv4Addr::new(10, 0, 0, n)).collect();
+    assert!(chosen.iter().eq(&wanted), "{chosen:?}");
+}
+
+#[test]
+fn a_region_that_lost_its_large_members_is_served_by_two_small_ones() {
+    let lost = |seat: &Seat| &*seat.region != "a" || seat.weight < 500;
+    let left: Vec<_> = grown().into_iter().filter(lost).collect();
+    let chosen = serving(&left, 60);
+    let small: Vec<_> =
+        left.iter().filter(|seat| chosen.contains(&seat.ip) && seat.weight < 500).collect();
+    assert!(small.iter().all(|seat| &*seat.region == "a"));
+    assert!((2..=4).contains(&small.len()), "{small:?}");
+}
+
+#[test]
+fn a_large_fleet_of_equal_members_keeps_its_connections_within_the_limit() {
+    let fleet: Vec<_> =
+        (0..88).map(|n| seat(n, ["a", "b", "c"][usize::from(n) % 3], 250)).collect();
+    let chosen = serving(&fleet, 60);
+    assert!(chosen.len() * 4 <= 59 && chosen.len() >= 12, "{}", chosen.len());
+}
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -205,7 +205,9 @@
     }
 
     /// Notes how many members share the searchers, and does what is due now and then.
-    pub fn tick(&self, members: usize) {
+    ///
+    /// A member that does not serve opens no connection ahead of need.
+    pub fn tick(&self, members: usize, serves: bool) {
         let mut state = self.lock();
         let away = state.store_away_since.is_some();
         for id in state.registry.expire(Instant::now(), away) {
@@ -228,8 +230,10 @@
         if changed {
             self.share(&state);
         }
-        self.meet(&mut state);
-        self.warm(&state);
+        if serves {
+            self.meet(&mut state);
+            self.warm(&state);
+        }
     }
 
     /// Makes the links to searchers that were published since.
@@ -246,6 +250,17 @@
         }
     }
 
+    /// Returns how many connections the scarcest shards accept, if any are declared.
+    pub fn fewest_connections(&self) -> Option<usize> {
+        let declaration = self.declaration()?;
+        let shards = |route: &Route| match &route.target {
+            Target::Gather(gather) => gather.shards.clone(),
+            Target::Service(_) | Target::Split(_) => Vec::new(),
+        };
+        let shards = declaration.routes.iter().flat_map(shards);
+        shards.filter_map(|shard| declaration.connections(&shard)).min()
+    }
+
     /// Counts for how many services each region holds a searcher that takes work.
     pub fn covered(&self) -> BTreeMap<Name, usize> {
         let state = self.lock();
