Log without holding up requests, serve metrics and state, test the relay against scripted searchers

Cause: log lines were written where they arose; metrics were kept but not served; the relay had no test below HTTP.

--- a/crates/declaration/src/declaration.rs
+++ b/crates/declaration/src/declaration.rs
@@ -64,8 +64,8 @@
     pub fn services(&self) -> impl Iterator<Item = &Name> {
         let (one, shares, shards) = match self {
             Self::Service(service) => (Some(service), &[][..], &[][..]),
-            Self::Split(shares) => (None, &shares[..], &[][..]),
-            Self::Gather(gather) => (None, &[][..], &gather.shards[..]),
+            Self::Split(shares) => (None, (&**shares), &[][..]),
+            Self::Gather(gather) => (None, &[][..], (&*gather.shards)),
         };
         one.into_iter().chain(shares.iter().map(|share| &share.service)).chain(shards)
     }
@@ -121,7 +121,7 @@
             header_bytes: 16 << 10,
             body_bytes: 1 << 20,
             header_timeout: Duration::from_secs(10),
-            idle_timeout: Duration::from_secs(60),
+            idle_timeout: Duration::from_mins(1),
         }
     }
 }
--- a/crates/feed/src/follow.rs
+++ b/crates/feed/src/follow.rs
@@ -44,7 +44,7 @@
 impl Default for Settings {
     fn default() -> Self {
         Self {
-            wait: Duration::from_millis(1000),
+            wait: Duration::from_secs(1),
             stale: STALE,
             // A store that is slow answers in some 250 ms.
             probe: Duration::from_millis(400),
--- a/crates/feed/src/origin.rs
+++ b/crates/feed/src/origin.rs
@@ -14,7 +14,7 @@
 ///
 /// Several questions in a row, each as long as a watch, fit into it; shorter, two readers that
 /// the store turns away would be asked in turns and the third never.
-const MEMBER_PAUSE: Duration = Duration::from_millis(6000);
+const MEMBER_PAUSE: Duration = Duration::from_secs(6);
 
 /// How long a reader leaves the store alone after a first failure.
 const STORE_PAUSE: Duration = Duration::from_millis(200);
--- a/crates/feed/tests/feed.rs
+++ b/crates/feed/tests/feed.rs
@@ -77,7 +77,7 @@
     origins.fail(Origin::Member(B), now, false, 1.0);
     assert_eq!(origins.pick(now, false, &[A, B]), Ok(Origin::Store));
     origins.fail(Origin::Store, now, false, 1.0);
-    assert!(origins.pick(now, false, &[A, B]).is_err());
+    origins.pick(now, false, &[A, B]).unwrap_err();
 }
 
 /// Two of three readers are turned away by the store, and each question to them takes as long
--- a/crates/front/src/daemon.rs
+++ b/crates/front/src/daemon.rs
@@ -11,6 +11,7 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
+use bergamot_base::Name;
 use bergamot_feed::{Members, News, Shared, Sink, Source, follow};
 use bergamot_members::{Endpoint, Record, Role, State, View, readers};
 use bergamot_net::{Body, Fault, listen, serve, text};
@@ -19,6 +20,7 @@
 use bergamot_wire::Channels;
 use hyper::header::{CONNECTION, HeaderValue};
 use hyper::{Response, StatusCode, Uri};
+use prometheus::TextEncoder;
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, sleep, sleep_until};
 use tokio_util::sync::CancellationToken;
@@ -92,6 +94,12 @@
         let periods = bergamot_feed::Settings { join: inner.settings.join, ..Default::default() };
         tokio::spawn(follow(source, members, sink, feed, periods, stop.clone()));
         tokio::spawn(tick(Arc::clone(&inner), stop.clone()));
+        let metrics = listen(inner.settings.metrics).await?;
+        let answering = Arc::clone(&inner);
+        tokio::spawn(serve(metrics, stop.clone(), move |request, _peer| {
+            let reply = answering.metrics(request.uri());
+            async move { reply }
+        }));
         let readiness = listen(inner.settings.readiness).await?;
         let answering = Arc::clone(&inner);
         tokio::spawn(serve(readiness, stop.clone(), move |request, _peer| {
@@ -146,6 +154,32 @@
         !self.is_leaving() && self.relay.version() > 0
     }
 
+    fn metrics(&self, uri: &Uri) -> Response<Body> {
+        match uri.path() {
+            "/metrics" => {
+                let families = self.relay.metrics().gather();
+                match TextEncoder::new().encode_to_string(&families) {
+                    Ok(metrics) => text(StatusCode::OK, metrics),
+                    Err(error) => text(StatusCode::INTERNAL_SERVER_ERROR, error.to_string()),
+                }
+            }
+            "/state" => text(StatusCode::OK, self.dump()),
+            _ => text(StatusCode::NOT_FOUND, "GET /metrics or GET /state\n"),
+        }
+    }
+
+    /// Writes what this instance believes, for an operator.
+    fn dump(&self) -> String {
+        let members = self.peers.with_view(ToString::to_string);
+        let serving: Vec<String> = self.serving().iter().map(ToString::to_string).collect();
+        let (ready, leaving) = (self.is_ready(), self.is_leaving());
+        format!(
+            "ready {ready} leaving {leaving}\nserving {}\n{members}{}",
+            serving.join(" "),
+            self.relay.dump()
+        )
+    }
+
     fn readiness(&self, uri: &Uri) -> Response<Body> {
         if !(self.face.asks_ready)(uri) {
             return text(StatusCode::NOT_FOUND, "no such question");
@@ -180,6 +214,11 @@
         })
     }
 
+    /// Returns the region of a zone; a zone that is not known is a region of its own.
+    fn region(&self, zone: &Name) -> Name {
+        Name::clone(self.relay.settings().regions.get(zone).unwrap_or(zone))
+    }
+
     /// Returns the members that take callers and hold connections.
     fn serving(&self) -> BTreeSet<Ipv4Addr> {
         self.serving.lock().unwrap_or_else(PoisonError::into_inner).clone()
@@ -188,11 +227,9 @@
     /// Chooses the members that take callers, and takes its own part.
     fn seat(&self) {
         let settings = self.relay.settings();
-        let region =
-            |record: &Record| settings.regions.get(&record.zone).unwrap_or(&record.zone).clone();
         let seat = |record: &Record| Seat {
             ip: record.endpoint.ip,
-            region: region(record),
+            region: self.region(&record.zone),
             weight: record.weight,
         };
         let seats: Vec<Seat> = self.peers.with_view(|view| {
@@ -210,10 +247,8 @@
     /// Lists the members that may be asked for shards in their region.
     fn helpers(&self) -> Vec<Helper> {
         let settings = self.relay.settings();
-        let helper = |record: &Record| {
-            let region = settings.regions.get(&record.zone).unwrap_or(&record.zone).clone();
-            Helper { ip: record.endpoint.ip, region }
-        };
+        let helper =
+            |record: &Record| Helper { ip: record.endpoint.ip, region: self.region(&record.zone) };
         let serving = self.serving();
         let can_help = |record: &&Record| {
             let ip = record.endpoint.ip;
@@ -227,13 +262,12 @@
     /// A member that is alive is taken to be ready: one that has no declaration yet gets it
     /// before an address answer could reach a caller.
     fn ready_instances(&self) -> Vec<Place<SocketAddr>> {
-        let regions = &self.relay.settings().regions;
         let port = self.settings.callers.port();
         let own = self.settings.callers.ip();
         let place = |record: &Record| {
-            let region = regions.get(&record.zone).unwrap_or(&record.zone);
             let instance = SocketAddr::from((record.endpoint.ip, port));
-            Place { instance, zone: record.zone.clone(), region: region.clone() }
+            let (zone, region) = (Name::clone(&record.zone), self.region(&record.zone));
+            Place { instance, zone, region }
         };
         let serving = self.serving();
         let may_serve = |record: &&Record| {
@@ -281,7 +315,7 @@
             relay.declare(*declaration);
         }
         News::Published(upstream) => {
-            let (id, state) = (upstream.id.clone(), upstream.state);
+            let (id, state) = (Name::clone(&upstream.id), upstream.state);
             if relay.with_registry(|registry| registry.publish(upstream)) {
                 log::info!("feed: event=searcher_changed searcher={id} state={state:?}");
             }
--- a/crates/front/src/settings.rs
+++ b/crates/front/src/settings.rs
@@ -12,6 +12,8 @@
     pub readiness: SocketAddr,
     /// Where callers ask which addresses to use.
     pub directory: SocketAddr,
+    /// Where metrics and the state are served, to operators alone.
+    pub metrics: SocketAddr,
     /// Where other members' requests are taken, at the same port on every instance.
     pub members: SocketAddr,
     /// How many members of each availability zone read the store.
@@ -37,6 +39,7 @@
             callers: here(7400),
             readiness: here(7404),
             directory: here(7405),
+            metrics: here(7403),
             members: here(7401),
             readers: 1,
             // An exchange with a seed in another region, twice over.
--- a/crates/registry/src/registry.rs
+++ b/crates/registry/src/registry.rs
@@ -19,7 +19,7 @@
 /// Nothing but an outage makes entries of living searchers disappear for long. A searcher that
 /// leaves may get its last request 3 s after that at the least, and the news of it may be
 /// 1.5 s old already.
-const DOUBT: Duration = Duration::from_millis(1000);
+const DOUBT: Duration = Duration::from_secs(1);
 
 /// How long an entry that expired during an outage may take to return.
 ///
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -4,6 +4,7 @@
 //! names another request is nobody's; a connection is used again only after its answer
 //! was read whole, and is closed in every other case, which also ends the searcher's work.
 
+use std::fmt;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -28,11 +29,11 @@
     /// What went wrong, for the log.
     pub(crate) cause: String,
     /// The searcher's own failure, if it can be passed on.
-    pub(crate) failure: Option<Passed>,
+    pub(crate) failure: Option<Box<Passed>>,
 }
 
 impl Miss {
-    pub(crate) fn new(ending: Ending, cause: impl ToString) -> Self {
+    pub(crate) fn new(ending: Ending, cause: impl fmt::Display) -> Self {
         Self { ending, cause: cause.to_string(), failure: None }
     }
 }
@@ -181,7 +182,11 @@
     let passed = Passed { status, headers, body, signature: reading.signature };
     if status.is_server_error() || !signed {
         let cause = format!("failed with {}", status.as_u16());
-        return Err(Miss { ending: Ending::Failed, cause, failure: signed.then_some(passed) });
+        return Err(Miss {
+            ending: Ending::Failed,
+            cause,
+            failure: signed.then(|| Box::new(passed)),
+        });
     }
     Ok(passed)
 }
--- a/crates/relay/src/meter.rs
+++ b/crates/relay/src/meter.rs
@@ -166,7 +166,7 @@
             }
             for metric in family.get_metric() {
                 let labels: Vec<&str> =
-                    metric.get_label().iter().map(|label| label.value()).collect();
+                    metric.get_label().iter().map(prometheus::proto::LabelPair::value).collect();
                 let value = metric.get_counter().get_value() + metric.get_gauge().get_value();
                 words.push(format!("{name}.{}={value}", labels.join(".")));
             }
--- a/crates/relay/src/race.rs
+++ b/crates/relay/src/race.rs
@@ -30,7 +30,7 @@
     /// Whether the time was up.
     pub(crate) late: bool,
     /// A searcher's own failure that can be passed on.
-    pub(crate) failure: Option<Passed>,
+    pub(crate) failure: Option<Box<Passed>>,
 }
 
 /// The moments and the past of a race.
@@ -129,7 +129,7 @@
             tokio::select! {
                 biased;
                 outcome = self.results.1.recv() => {
-                    let Some((link, outcome)) = outcome else { return None };
+                    let (link, outcome) = outcome?;
                     self.running.retain(|attempt| !Arc::ptr_eq(&attempt.link, &link));
                     match outcome {
                         Ok(passed) => return Some(passed),
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -1,7 +1,7 @@
 //! What is in force at this member, and the way of a request through it.
 
 use std::collections::{BTreeMap, HashMap};
-use std::fmt;
+use std::fmt::{self, Write as _};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::{Duration, Instant};
@@ -10,9 +10,11 @@
 use bergamot_config::{Floor, Verdict};
 use bergamot_declaration::{Declaration, Route, Split, Target};
 use bergamot_dispatch::{Allowance, Distance, Need, Patience, Tally, rank};
+use bergamot_logger::Sampler;
 use bergamot_registry::{Registry, Upstream};
 use bergamot_upstream::Pace;
 use bergamot_wire::{Late, ShardQuery, ShardReply};
+use hyper::header::HeaderValue;
 use rand::RngExt;
 use tokio::sync::Notify;
 
@@ -22,7 +24,7 @@
 use crate::helper::{self, Rests};
 use crate::link::Link;
 use crate::message::{Cause, Job, Refusal, Reply, Request};
-use crate::meter::Meter;
+use crate::meter::{Meter, outcome};
 use crate::race::{Plan, Race};
 use crate::settings::Settings;
 
@@ -48,13 +50,15 @@
 /// still silent is paused.
 const USUAL: usize = 90;
 
+/// How many ordinary ends of requests are logged a second; the rest is counted.
+const ORDINARY_LINES: u32 = 10;
+
 /// How many connections are opened ahead of need in one tick.
 const WARMED_A_TICK: usize = 6;
 
 /// How many connections a searcher is taken to accept where that is not declared.
 const ASSUMED_CONNECTIONS: usize = 16;
 
-#[derive(Default)]
 struct State {
     floor: Floor,
     declaration: Option<Arc<Declaration>>,
@@ -63,6 +67,7 @@
     splits: HashMap<Name, Split>,
     allowances: HashMap<Name, Allowance>,
     paces: HashMap<Name, Pace>,
+    sampler: Sampler,
     members: usize,
     store_away_since: Option<Instant>,
 }
@@ -89,7 +94,7 @@
     ///
     /// `helping` takes questions to other members.
     pub fn new(settings: Settings, dialect: Dialect, helping: Helping) -> Arc<Self> {
-        let state = Mutex::new(State { members: 1, ..State::default() });
+        let state = Mutex::new(State::new());
         let (helpers, rests) = (Mutex::default(), Mutex::default());
         Arc::new(Self { settings, dialect, meter: Meter::new(), state, helpers, helping, rests })
     }
@@ -143,6 +148,31 @@
         self.meter.registry()
     }
 
+    /// Writes what is in force and what is known of each searcher, one line each.
+    pub fn dump(&self) -> String {
+        let state = self.lock();
+        let away = state.store_away_since.is_some();
+        let version = state.floor.revision();
+        let mut text =
+            format!("declaration {version} members {} store_away {away}\n", state.members);
+        let now = Instant::now();
+        for upstream in state.registry.iter() {
+            let line = state.links.get(&upstream.id).map_or_else(
+                || "not_linked".to_owned(),
+                |link| {
+                    let usage = link.pool.usage();
+                    let expected = link.candidate(false, now).expected;
+                    let (open, share, idle) = (usage.open, usage.share, usage.idle);
+                    format!("connections {open}/{share} idle {idle} expected_ms {expected:.1}")
+                },
+            );
+            let Upstream { id, service, address, zone, state, .. } = &**upstream;
+            // Writing into a string can't fail.
+            let _ = writeln!(text, "searcher {id} {service} {address} {zone} {state:?} {line}");
+        }
+        text
+    }
+
     /// Writes a line of counts to the log.
     pub fn log_summary(&self) {
         let paces: Vec<String> =
@@ -164,7 +194,7 @@
             self.meter.forget_routes();
             self.meter.version.set(version as i64);
             state.declaration = Some(Arc::new(declaration));
-            self.share(&state);
+            Self::share(&state);
         }
         verdict
     }
@@ -228,11 +258,11 @@
         self.meter.searchers.set(state.registry.len() as i64);
         self.meter.members.set(members as i64);
         if changed {
-            self.share(&state);
+            Self::share(&state);
         }
         if serves {
             self.meet(&mut state);
-            self.warm(&state);
+            Self::warm(&state);
         }
     }
 
@@ -288,12 +318,42 @@
         let Some(route) = declaration.find(&request.host, request.uri.path()) else {
             return Reply::Refused(Refusal { cause: Cause::NoRoute, retry_after: None });
         };
-        let received = request.received;
+        let (received, id) = (request.received, request.id.clone());
         let reply = self.route(route, request).await;
-        self.meter.request(&route.name, &reply, received.elapsed());
+        let took = received.elapsed();
+        self.meter.request(&route.name, &reply, took);
+        self.log_end(&id, route, declaration.version, &reply, took);
         reply
     }
 
+    /// Logs how a request ended: ordinary ends up to a settled rate, all others.
+    fn log_end(
+        &self,
+        id: &HeaderValue,
+        route: &Route,
+        version: Revision,
+        reply: &Reply,
+        took: Duration,
+    ) {
+        let ordinary = matches!(reply, Reply::Passed(passed) if !passed.status.is_server_error())
+            || matches!(reply, Reply::Whole(whole) if whole.missing == 0);
+        let left_out = if ordinary { self.lock().sampler.admit(Instant::now()) } else { Some(0) };
+        let Some(left_out) = left_out else { return };
+        let (outcome, route, took) = (outcome(reply), &route.name, took.as_millis());
+        let detail = match reply {
+            Reply::Passed(passed) => format!("status={}", passed.status.as_u16()),
+            Reply::Whole(whole) => format!("missing={}", whole.missing),
+            Reply::Refused(refusal) => {
+                let after = refusal.retry_after.map_or(0, |after| after.as_millis());
+                format!("retry_after_ms={after}")
+            }
+        };
+        log::info!(
+            "relay: event=ended request={id:?} route={route} version={version} outcome={outcome} \
+             {detail} took_ms={took} ordinary_left_out={left_out}"
+        );
+    }
+
     async fn route(self: &Arc<Self>, route: &Route, request: Request) -> Reply {
         let usual = self.lock().paces.get(&route.name).and_then(Pace::slow);
         let patience = Patience::new(route, request.deadline, usual);
@@ -334,7 +394,7 @@
             Err(lost) => lost,
         };
         if let Some(failure) = lost.failure {
-            return Reply::Passed(failure);
+            return Reply::Passed(*failure);
         }
         let cause = match () {
             () if lost.ending.did_not_run() => Cause::NotRun,
@@ -393,7 +453,7 @@
     /// A new connection takes a round trip and some of the searcher's time, so that a first
     /// request on it is late; a hedge to another region would be by 20 ms and more. A few at
     /// a time, so that not all members come at once.
-    fn warm(&self, state: &State) {
+    fn warm(state: &State) {
         let cold =
             |link: &&Arc<Link>| link.distance != Distance::Far && link.pool.usage().open == 0;
         for link in state.links.values().filter(cold).take(WARMED_A_TICK) {
@@ -446,7 +506,7 @@
     }
 
     /// Gives every link its share of connections.
-    fn share(&self, state: &State) {
+    fn share(state: &State) {
         for link in state.links.values() {
             link.pool.resize(share(state, &link.upstream.service));
         }
@@ -458,6 +518,21 @@
 }
 
 impl State {
+    fn new() -> Self {
+        Self {
+            floor: Floor::default(),
+            declaration: None,
+            registry: Registry::default(),
+            links: HashMap::new(),
+            splits: HashMap::new(),
+            allowances: HashMap::new(),
+            paces: HashMap::new(),
+            sampler: Sampler::new(ORDINARY_LINES),
+            members: 1,
+            store_away_since: None,
+        }
+    }
+
     fn allowance(&mut self, service: &Name, now: Instant) -> &mut Allowance {
         self.allowances.entry(Name::clone(service)).or_insert_with(|| Allowance::new(now))
     }
--- /dev/null
+++ b/crates/relay/tests/many.rs
@@ -0,0 +1,107 @@
+//! A request to every shard: merge, coverage, and when the answer goes out.
+
+mod support;
+
+use std::time::{Duration, Instant};
+
+use bergamot_declaration::Kind;
+use bergamot_relay::{Cause, Reply, Whole};
+use bergamot_standin::{Script, Seen, Step};
+use support::{gather, not_run, ok, relay, request, route, upstream};
+
+fn record(byte: u8) -> Vec<u8> {
+    vec![byte; 16]
+}
+
+/// A searcher whose part holds the record of a byte.
+async fn part(byte: u8) -> Script {
+    Script::start(move |seen| ok(seen, &format!("sig{byte}"), &record(byte)))
+        .await
+        .expect("a port is free")
+}
+
+async fn script(play: impl Fn(&Seen) -> Vec<Step> + Send + Sync + 'static) -> Script {
+    Script::start(play).await.expect("a port is free")
+}
+
+fn whole(reply: Reply) -> Whole {
+    match reply {
+        Reply::Whole(whole) => whole,
+        other => panic!("no merged answer: {other:?}"),
+    }
+}
+
+#[tokio::test]
+async fn the_greatest_records_of_all_shards_are_merged() {
+    let (a, b, c) = (part(1).await, part(9).await, part(5).await);
+    let upstreams = vec![upstream("i1", "a", &a), upstream("i2", "b", &b), upstream("i3", "c", &c)];
+    let target = gather(&["a", "b", "c"], 1.0);
+    let relay = relay(vec![route("/q/", Kind::Idempotent, target)], upstreams);
+    let answer = whole(relay.handle(request("/q/")).await);
+    assert_eq!(&*answer.records, [record(9), record(5)].concat());
+    let mut signatures: Vec<_> = answer.signatures.iter().map(|s| s.as_bytes().to_vec()).collect();
+    signatures.sort();
+    assert_eq!(
+        (signatures, answer.missing),
+        (vec![b"sig1".to_vec(), b"sig5".to_vec(), b"sig9".to_vec()], 0)
+    );
+}
+
+#[tokio::test]
+async fn a_partial_answer_goes_out_at_the_target_and_says_what_is_missing() {
+    let (a, b) = (part(1).await, part(2).await);
+    let silent = script(|_| vec![Step::Hang]).await;
+    let upstreams =
+        vec![upstream("i1", "a", &a), upstream("i2", "b", &b), upstream("i3", "c", &silent)];
+    let target = gather(&["a", "b", "c"], 0.6);
+    let relay = relay(vec![route("/q/", Kind::Idempotent, target)], upstreams);
+    let started = Instant::now();
+    let answer = whole(relay.handle(request("/q/")).await);
+    assert_eq!((answer.signatures.len(), answer.missing), (2, 1));
+    let took = started.elapsed();
+    assert!(took > Duration::from_millis(300) && took < Duration::from_millis(1200), "{took:?}");
+}
+
+#[tokio::test]
+async fn below_its_coverage_a_request_fails_as_soon_as_that_is_certain() {
+    let a = part(1).await;
+    let refusing = script(|_| not_run("503 Service Unavailable")).await;
+    let upstreams = vec![
+        upstream("i1", "a", &a),
+        upstream("i2", "b", &refusing),
+        upstream("i3", "c", &refusing),
+    ];
+    let target = gather(&["a", "b", "c"], 0.6);
+    let relay = relay(vec![route("/q/", Kind::Idempotent, target)], upstreams);
+    let started = Instant::now();
+    let Reply::Refused(refusal) = relay.handle(request("/q/")).await else {
+        panic!("one shard of three is no success");
+    };
+    assert!(refusal.cause == Cause::Lost && refusal.retry_after.is_some());
+    assert!(started.elapsed() < Duration::from_millis(1000));
+}
+
+#[tokio::test]
+async fn a_request_whose_shards_have_no_searcher_has_not_run() {
+    let a = part(1).await;
+    let target = gather(&["a", "b", "c"], 0.6);
+    let relay = relay(vec![route("/q/", Kind::Idempotent, target)], vec![upstream("i1", "a", &a)]);
+    let Reply::Refused(refusal) = relay.handle(request("/q/")).await else {
+        panic!("one shard of three is no success");
+    };
+    assert_eq!(refusal.cause, Cause::NotRun);
+    assert!(a.seen().is_empty());
+}
+
+#[tokio::test]
+async fn a_replica_takes_the_place_of_a_silent_one() {
+    let (a, b) = (part(1).await, part(2).await);
+    let silent = script(|_| vec![Step::Hang]).await;
+    let upstreams =
+        vec![upstream("i1", "a", &a), upstream("i2", "b", &silent), upstream("i3", "b", &b)];
+    let relay = relay(vec![route("/q/", Kind::Idempotent, gather(&["a", "b"], 1.0))], upstreams);
+    for _ in 0..3 {
+        let answer = whole(relay.handle(request("/q/")).await);
+        assert_eq!((answer.signatures.len(), answer.missing), (2, 0));
+    }
+}
--- /dev/null
+++ b/crates/relay/tests/one.rs
@@ -0,0 +1,214 @@
+//! A request to one searcher, while searchers misbehave as their protocol says they may.
+
+mod support;
+
+use std::time::{Duration, Instant};
+
+use bergamot_declaration::{Kind, Target};
+use bergamot_registry::State;
+use bergamot_relay::{Cause, Passed, Refusal, Reply};
+use bergamot_standin::{Script, Seen, Step};
+use support::{not_run, ok, relay, reply, request, route, upstream};
+
+async fn script(play: impl Fn(&Seen) -> Vec<Step> + Send + Sync + 'static) -> Script {
+    Script::start(play).await.expect("a port is free")
+}
+
+fn passed(reply: Reply) -> Passed {
+    match reply {
+        Reply::Passed(passed) => passed,
+        other => panic!("no answer: {other:?}"),
+    }
+}
+
+fn refused(reply: Reply) -> Refusal {
+    match reply {
+        Reply::Refused(refusal) => refusal,
+        other => panic!("an answer: {other:?}"),
+    }
+}
+
+fn service() -> Target {
+    Target::Service("s".into())
+}
+
+#[tokio::test]
+async fn a_request_and_its_answer_pass_unchanged() {
+    let one = script(|seen| ok(seen, "sig", b"answer")).await;
+    let relay =
+        relay(vec![route("/a/", Kind::Idempotent, service())], vec![upstream("i1", "s", &one)]);
+    let answer = passed(relay.handle(request("/a/b?c=d")).await);
+    assert_eq!((&*answer.body, answer.status.as_u16()), (&b"answer"[..], 200));
+    assert_eq!(answer.headers["x-signature"], "sig");
+    let seen = one.seen().remove(0);
+    assert!(seen.head.starts_with("POST /a/b?c=d HTTP/1.1\r\n"), "{}", seen.head);
+    assert_eq!((seen.header("x-id"), seen.header("x-meant")), (Some("r1"), Some("i1")));
+    let left: u64 = seen.header("x-left").and_then(|left| left.parse().ok()).expect("a number");
+    assert!((1000..=1500).contains(&left) && seen.body == b"body", "{left}");
+}
+
+#[tokio::test]
+async fn a_request_without_a_route_or_a_searcher_is_refused_at_once() {
+    let relay = relay(vec![route("/a/", Kind::Idempotent, service())], Vec::new());
+    let started = Instant::now();
+    assert_eq!(refused(relay.handle(request("/b/")).await).cause, Cause::NoRoute);
+    let refusal = refused(relay.handle(request("/a/")).await);
+    assert!(refusal.cause == Cause::NotRun && refusal.retry_after.is_some());
+    assert!(started.elapsed() < Duration::from_millis(200));
+}
+
+#[tokio::test]
+async fn a_request_that_may_run_once_goes_on_only_after_a_certain_end() {
+    let refusing = script(|_| not_run("503 Service Unavailable")).await;
+    let good = script(|seen| ok(seen, "sig", b"done")).await;
+    let upstreams = vec![upstream("i1", "s", &refusing), upstream("i2", "s", &good)];
+    let relay = relay(vec![route("/a/", Kind::NonIdempotent, service())], upstreams);
+    for _ in 0..4 {
+        assert_eq!(&*passed(relay.handle(request("/a/")).await).body, b"done");
+    }
+    assert_eq!(good.seen().len(), 4);
+}
+
+#[tokio::test]
+async fn a_request_that_may_run_once_is_not_sent_again_after_a_reset() {
+    let resetting = |_: &Seen| vec![Step::Reset];
+    let (one, two) = (script(resetting).await, script(resetting).await);
+    let upstreams = vec![upstream("i1", "s", &one), upstream("i2", "s", &two)];
+    let relay = relay(vec![route("/a/", Kind::NonIdempotent, service())], upstreams);
+    assert_eq!(refused(relay.handle(request("/a/")).await).cause, Cause::Lost);
+    assert_eq!(one.seen().len() + two.seen().len(), 1);
+}
+
+#[tokio::test]
+async fn a_request_that_may_run_again_survives_what_searchers_do_to_its_answer() {
+    type Play = fn(&Seen) -> Vec<Step>;
+    let faults: [(&str, Play); 6] = [
+        ("reset", |_| vec![Step::Reset]),
+        ("closed", |_| vec![Step::Close]),
+        ("no answer in the protocol", |_| {
+            vec![Step::Send(b"garbage\r\n\r\n".to_vec()), Step::Close]
+        }),
+        ("cut body", |seen| {
+            let whole = reply(seen, "200 OK", "sig", b"answer");
+            vec![Step::Send(whole[..whole.len() - 3].to_vec()), Step::Close]
+        }),
+        ("no signature", |_| {
+            vec![Step::Send(b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nhi".to_vec())]
+        }),
+        ("another request's answer", |_| {
+            let text =
+                "HTTP/1.1 200 OK\r\nx-id: r0\r\nx-signature: s\r\ncontent-length: 2\r\n\r\nhi";
+            vec![Step::Send(text.as_bytes().to_vec())]
+        }),
+    ];
+    for (name, fault) in faults {
+        let bad = script(fault).await;
+        let good = script(|seen| ok(seen, "sig", b"whole")).await;
+        let upstreams = vec![upstream("i1", "s", &bad), upstream("i2", "s", &good)];
+        let relay = relay(vec![route("/a/", Kind::Idempotent, service())], upstreams);
+        for _ in 0..3 {
+            let answer = passed(relay.handle(request("/a/")).await);
+            assert_eq!(&*answer.body, b"whole", "{name}");
+        }
+    }
+}
+
+#[tokio::test]
+async fn a_second_answer_on_a_kept_connection_reaches_nobody() {
+    let twice = |seen: &Seen| {
+        let first = reply(seen, "200 OK", "sig", b"right");
+        let late = reply(seen, "200 OK", "sig", b"wrong");
+        vec![Step::Send(first), Step::Wait(Duration::from_millis(20)), Step::Send(late)]
+    };
+    let (one, two) = (script(twice).await, script(twice).await);
+    let upstreams = vec![upstream("i1", "s", &one), upstream("i2", "s", &two)];
+    let relay = relay(vec![route("/a/", Kind::Idempotent, service())], upstreams);
+    for turn in 0..8 {
+        let mut request = request("/a/");
+        request.id = hyper::header::HeaderValue::from(turn);
+        assert_eq!(&*passed(relay.handle(request).await).body, b"right");
+        tokio::time::sleep(Duration::from_millis(7 * turn)).await;
+    }
+}
+
+#[tokio::test]
+async fn an_answer_without_a_length_ends_with_its_connection() {
+    let unframed = |seen: &Seen| {
+        let id = seen.header("x-id").unwrap_or_default();
+        let text = format!("HTTP/1.1 200 OK\r\nx-id: {id}\r\nx-signature: sig\r\n\r\nall of it");
+        Step::Send(text.into_bytes())
+    };
+    let one = script(move |seen| vec![unframed(seen), Step::Close]).await;
+    let relay =
+        relay(vec![route("/a/", Kind::NonIdempotent, service())], vec![upstream("i1", "s", &one)]);
+    assert_eq!(&*passed(relay.handle(request("/a/")).await).body, b"all of it");
+}
+
+#[tokio::test]
+async fn an_address_that_another_searcher_has_is_not_asked_again() {
+    let other = script(|_| not_run("421 Misdirected Request")).await;
+    let good = script(|seen| ok(seen, "sig", b"mine")).await;
+    let upstreams = vec![upstream("old", "s", &other), upstream("i2", "s", &good)];
+    let relay = relay(vec![route("/a/", Kind::NonIdempotent, service())], upstreams);
+    for _ in 0..6 {
+        assert_eq!(&*passed(relay.handle(request("/a/")).await).body, b"mine");
+    }
+    assert!(other.seen().len() <= 1);
+}
+
+#[tokio::test]
+async fn a_searchers_own_failure_is_passed_on_with_its_status() {
+    let failing =
+        |seen: &Seen| vec![Step::Send(reply(seen, "500 Internal Server Error", "sig", b"no"))];
+    let one = script(failing).await;
+    let relay =
+        relay(vec![route("/a/", Kind::NonIdempotent, service())], vec![upstream("i1", "s", &one)]);
+    let answer = passed(relay.handle(request("/a/")).await);
+    assert_eq!((answer.status.as_u16(), &*answer.body), (500, &b"no"[..]));
+}
+
+#[tokio::test]
+async fn a_silent_searcher_is_hedged_before_the_target() {
+    let silent = script(|_| vec![Step::Hang]).await;
+    let good = script(|seen| ok(seen, "sig", b"there")).await;
+    let upstreams = vec![upstream("i1", "s", &silent), upstream("i2", "s", &good)];
+    let relay = relay(vec![route("/a/", Kind::Idempotent, service())], upstreams);
+    for _ in 0..4 {
+        let started = Instant::now();
+        assert_eq!(&*passed(relay.handle(request("/a/")).await).body, b"there");
+        assert!(started.elapsed() < Duration::from_millis(1000));
+    }
+}
+
+#[tokio::test]
+async fn the_searcher_is_left_when_the_caller_leaves() {
+    let silent = script(|_| vec![Step::Hang]).await;
+    let relay = relay(
+        vec![route("/a/", Kind::NonIdempotent, service())],
+        vec![upstream("i1", "s", &silent)],
+    );
+    let left = tokio::time::timeout(Duration::from_millis(100), relay.handle(request("/a/")));
+    assert!(left.await.is_err(), "the caller leaves before there is an answer");
+    for _ in 0..100 {
+        if silent.gone() == 1 {
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    panic!("the connection is still open");
+}
+
+#[tokio::test]
+async fn a_searcher_that_drains_gets_nothing_new() {
+    let one = script(|seen| ok(seen, "sig", b"one")).await;
+    let two = script(|seen| ok(seen, "sig", b"two")).await;
+    let upstreams = vec![upstream("i1", "s", &one), upstream("i2", "s", &two)];
+    let relay = relay(vec![route("/a/", Kind::Idempotent, service())], upstreams);
+    let draining =
+        bergamot_registry::Upstream { state: State::Draining, ..upstream("i1", "s", &one) };
+    relay.with_registry(|registry| registry.publish(draining));
+    for _ in 0..6 {
+        assert_eq!(&*passed(relay.handle(request("/a/")).await).body, b"two");
+    }
+    assert!(one.seen().is_empty());
+}
--- /dev/null
+++ b/crates/relay/tests/support/mod.rs
@@ -0,0 +1,127 @@
+//! A relay in front of scripted searchers that speak a dialect of the tests' own.
+
+#![allow(dead_code, reason = "each test file uses a part of it")]
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bergamot_base::Name;
+use bergamot_declaration::{Declaration, Gather, Kind, Route, Service, Target};
+use bergamot_dispatch::Terms;
+use bergamot_registry::{State, Upstream};
+use bergamot_relay::{Ask, Dialect, Helping, Reading, Relay, Request, Settings};
+use bergamot_standin::{Script, Seen, Step};
+use bytes::Bytes;
+use hyper::header::{HeaderMap, HeaderValue};
+use hyper::http::response::Parts;
+use hyper::{Method, StatusCode, Uri};
+
+/// The tests' own dialect.
+pub const DIALECT: Dialect = Dialect { ask, read };
+
+fn ask(ask: &Ask<'_>, headers: &mut HeaderMap) {
+    headers.insert("x-id", ask.id.clone());
+    headers.insert("x-left", HeaderValue::from(ask.left.as_millis() as u64));
+    headers.insert("x-meant", ask.incarnation.parse().expect("it is a header's value"));
+}
+
+fn read(parts: &Parts) -> Reading {
+    let header = |name| parts.headers.get(name).cloned();
+    let misdirected = parts.status == StatusCode::MISDIRECTED_REQUEST;
+    Reading {
+        id: header("x-id"),
+        signature: header("x-signature"),
+        not_run: misdirected || parts.headers.contains_key("x-not-run"),
+        misdirected,
+        incarnation: None,
+    }
+}
+
+/// An answer with a signature and a body.
+pub fn ok(seen: &Seen, signature: &str, body: &[u8]) -> Vec<Step> {
+    vec![Step::Send(reply(seen, "200 OK", signature, body))]
+}
+
+/// The bytes of an answer that names the request.
+pub fn reply(seen: &Seen, status: &str, signature: &str, body: &[u8]) -> Vec<u8> {
+    let id = seen.header("x-id").unwrap_or_default();
+    let length = body.len();
+    let head = format!(
+        "HTTP/1.1 {status}\r\nx-id: {id}\r\nx-signature: {signature}\r\ncontent-length: {length}\r\n\r\n"
+    );
+    [head.as_bytes(), body].concat()
+}
+
+/// An answer that says that the request was not run.
+pub fn not_run(status: &str) -> Vec<Step> {
+    let text = format!("HTTP/1.1 {status}\r\nx-not-run: 1\r\ncontent-length: 0\r\n\r\n");
+    vec![Step::Send(text.into_bytes())]
+}
+
+/// A searcher of a service, with an identifier.
+pub fn upstream(id: &str, service: &str, script: &Script) -> Upstream {
+    Upstream {
+        id: id.into(),
+        service: service.into(),
+        address: script.address(),
+        zone: "here".into(),
+        slots: 2,
+        state: State::Ready,
+        warm_at: Instant::now(),
+    }
+}
+
+/// A route with a target latency of 400 ms and a timeout of 2 s.
+pub fn route(prefix: &str, kind: Kind, target: Target) -> Route {
+    Route {
+        name: prefix.into(),
+        host: "h".into(),
+        prefix: prefix.into(),
+        kind,
+        timeout: Duration::from_secs(2),
+        target_latency: Some(Duration::from_millis(400)),
+        attempts: 2,
+        priority: 1,
+        target,
+    }
+}
+
+/// A gather over services, of which `min_coverage` makes a success.
+pub fn gather(shards: &[&str], min_coverage: f64) -> Target {
+    let shards = shards.iter().map(|shard| Name::from(*shard)).collect();
+    Target::Gather(Gather { shards, top_k: 2, min_coverage })
+}
+
+/// A relay with routes in force and searchers published.
+pub fn relay(routes: Vec<Route>, upstreams: Vec<Upstream>) -> Arc<Relay> {
+    let helping = Helping {
+        gather: Box::new(|_, _, _| Box::pin(async { Err("there is no other member".to_owned()) })),
+        rest: Box::new(|_, _, _| Box::pin(async { Err("there is no other member".to_owned()) })),
+    };
+    // The users' bound on additional attempts.
+    let terms = Terms { ratio: 0.2, slack: 56.0, window: Duration::from_secs(10) };
+    let settings = Settings { zone: "here".into(), terms, ..Settings::default() };
+    let relay = Relay::new(settings, DIALECT, helping);
+    let services = routes.iter().flat_map(|route| route.target.services());
+    let services = services.map(|name| (Name::clone(name), Service { connections: 16 })).collect();
+    let declaration = Declaration { version: 1, routes, services, ..Declaration::default() };
+    relay.declare(declaration.check().expect("the declaration is valid"));
+    for upstream in upstreams {
+        relay.with_registry(|registry| registry.publish(upstream));
+    }
+    relay
+}
+
+/// A caller's request for a path.
+pub fn request(path: &'static str) -> Request {
+    Request {
+        id: HeaderValue::from_static("r1"),
+        host: "h".into(),
+        method: Method::POST,
+        uri: Uri::from_static(path),
+        headers: HeaderMap::new(),
+        body: Bytes::from_static(b"body"),
+        deadline: Some(Duration::from_millis(1500)),
+        received: Instant::now(),
+    }
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -8,11 +8,13 @@
 mod border;
 mod corpus;
 mod platform;
+mod script;
 mod searcher;
 mod terms;
 
 pub use border::{Border, Way};
 pub use corpus::Corpus;
 pub use platform::{Counts, Instance, Platform};
+pub use script::{Script, Seen, Step};
 pub use searcher::{Searcher, SearcherSettings};
 pub use terms::{Effect, Faults, Geography, Limits};
