Come back soon to readers that were stale, and pass differences on after forgotten history

After forgotten history the whole listing went to every follower.

Change: a stale answer pauses a member for 0.5 s, silence for 6 s; a member that has not helped yet is asked without a wait; a listing is compared with what was known, and only the difference is passed on; an entry read again changes nothing. Tests in crates/feed/tests and registry/tests, each failed first.

--- a/crates/feed/src/follow.rs
+++ b/crates/feed/src/follow.rs
@@ -14,7 +14,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::mirror::{Change, Mirror};
-use crate::origin::{Origin, Origins};
+use crate::origin::{Failure, Origin, Origins};
 use crate::source::{News, Source, Trouble};
 
 /// How old a member's knowledge may be for it to be relied on: a watch at the store, and some
@@ -139,7 +139,8 @@
     stop: CancellationToken,
 ) {
     let origins = Origins::default();
-    let mut follower = Follower { source, members, sink, shared, settings, origins, away: false };
+    let mut follower =
+        Follower { source, members, sink, shared, settings, origins, proven: None, away: false };
     tokio::select! {
         () = stop.cancelled() => {}
         () = follower.run() => {}
@@ -153,6 +154,8 @@
     shared: Arc<Shared>,
     settings: Settings,
     origins: Origins,
+    /// Who helped last.
+    proven: Option<Origin>,
     away: bool,
 }
 
@@ -187,11 +190,19 @@
         };
         let now = Instant::now();
         match result {
-            Ok(()) => self.origins.succeed(origin),
+            Ok(()) => {
+                self.origins.succeed(origin);
+                self.proven = Some(origin);
+            }
             Err(trouble) => {
+                self.proven = None;
                 log::info!("feed: event=origin_failed origin={origin:?} cause=\"{trouble}\"");
                 let jitter = rand::rng().random();
-                self.origins.fail(origin, now, is_reader, jitter);
+                let failure = match trouble {
+                    Trouble::Stale { .. } => Failure::Stale,
+                    _ => Failure::Silent,
+                };
+                self.origins.fail((origin, failure), now, is_reader, jitter);
             }
         }
     }
@@ -234,7 +245,10 @@
 
     async fn ask_member(&mut self, ip: Ipv4Addr) -> Result<(), Trouble> {
         let after = self.shared.lock().at();
-        let news = (self.members.ask)(ip, after, self.settings.wait).await?;
+        // A member that is out of reach must not cost as much as a watch.
+        let proven = self.proven == Some(Origin::Member(ip));
+        let wait = if proven { self.settings.wait } else { Duration::ZERO };
+        let news = (self.members.ask)(ip, after, wait).await?;
         let age = news.age;
         if news.at > 0 {
             let moment = Instant::now().checked_sub(age);
--- a/crates/feed/src/mirror.rs
+++ b/crates/feed/src/mirror.rs
@@ -73,11 +73,11 @@
             .filter(|item| !listed.contains(&item.key))
             .map(|item| Item { deleted: true, value: Vec::new(), revision: at, ..item.clone() })
             .collect();
-        let change = self.update(items.into_iter().chain(deleted).collect(), at);
-        // The changes in between are not known one by one.
-        self.recent.clear();
-        self.complete_after = at;
-        change
+        // What differs from an earlier state tells those who share it all that they need.
+        if self.at == 0 {
+            self.complete_after = at;
+        }
+        self.update(items.into_iter().chain(deleted).collect(), at)
     }
 
     /// Tells a follower what has changed after a revision, or everything.
--- a/crates/feed/src/origin.rs
+++ b/crates/feed/src/origin.rs
@@ -10,11 +10,16 @@
 use std::net::Ipv4Addr;
 use std::time::{Duration, Instant};
 
-/// How long a member is left alone that could not help.
+/// How long a member is left alone that did not answer.
 ///
-/// Several questions in a row, each as long as a watch, fit into it; shorter, two readers that
-/// the store turns away would be asked in turns and the third never.
-const MEMBER_PAUSE: Duration = Duration::from_secs(6);
+/// Several questions in a row fit into it; shorter, two readers that are out of reach would be
+/// asked in turns and the third never.
+const SILENT_PAUSE: Duration = Duration::from_millis(6000);
+
+/// How long a member is left alone that answered that it knows nothing newer itself.
+///
+/// Such an answer takes a round trip, and the reader may be served again at any moment.
+const STALE_PAUSE: Duration = Duration::from_millis(500);
 
 /// How long a reader leaves the store alone after a first failure.
 const STORE_PAUSE: Duration = Duration::from_millis(200);
@@ -25,7 +30,7 @@
 
 /// How many times as long the others leave the store alone: there may be many of them, and
 /// the readers will hear of its return.
-const OTHERS_FACTOR: u32 = 4;
+const OTHERS_FACTOR: f64 = 2.5;
 
 /// Who can be asked.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
@@ -36,6 +41,15 @@
     Member(Ipv4Addr),
 }
 
+/// Why an origin could not help.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Failure {
+    /// It did not answer, or turned the question away.
+    Silent,
+    /// It answered that it knows nothing newer itself.
+    Stale,
+}
+
 /// Who can be asked, and who is left alone.
 #[derive(Clone, Debug, Default)]
 pub struct Origins {
@@ -78,16 +92,23 @@
     }
 
     /// Notes that an origin could not help; `jitter` from 0 to 1 spreads the next tries.
-    pub fn fail(&mut self, origin: Origin, now: Instant, is_reader: bool, jitter: f64) {
+    pub fn fail(
+        &mut self,
+        (origin, failure): (Origin, Failure),
+        now: Instant,
+        is_reader: bool,
+        jitter: f64,
+    ) {
         let pause = match origin {
-            Origin::Member(_) => MEMBER_PAUSE,
+            Origin::Member(_) if failure == Failure::Stale => STALE_PAUSE,
+            Origin::Member(_) => SILENT_PAUSE,
             Origin::Store => {
                 let doubled = STORE_PAUSE * 2_u32.pow(self.store_failures.min(8));
                 self.store_failures = self.store_failures.saturating_add(1);
                 if is_reader {
                     doubled.min(LONGEST_STORE_PAUSE)
                 } else {
-                    LONGEST_STORE_PAUSE * OTHERS_FACTOR
+                    LONGEST_STORE_PAUSE.mul_f64(OTHERS_FACTOR)
                 }
             }
         };
--- a/crates/feed/tests/feed.rs
+++ b/crates/feed/tests/feed.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use bergamot_base::Name;
-use bergamot_feed::{Mirror, Origin, Origins};
+use bergamot_feed::{Failure, Mirror, Origin, Origins};
 use bergamot_wire::Item;
 
 fn item(key: &str, revision: u64) -> Item {
@@ -48,6 +48,17 @@
     assert!(mirror.has_news(3) && !mirror.has_news(4));
 }
 
+#[test]
+fn a_listing_after_forgotten_history_tells_followers_only_what_differs() {
+    let mut mirror = Mirror::default();
+    mirror.replace(vec![item("a", 1), item("b", 2), item("c", 3)], 3);
+    mirror.replace(vec![item("a", 1), item("b", 7)], 9);
+    let news = mirror.news(3, Instant::now());
+    assert_eq!((news.whole, news.at), (false, 9));
+    assert_eq!(news.items, [item("b", 7), deleted("c", 9)]);
+    assert!(mirror.news(2, Instant::now()).whole);
+}
+
 #[test]
 fn a_follower_takes_over_from_any_other_member() {
     let (mut reader, mut follower) = (Mirror::default(), Mirror::default());
@@ -62,7 +73,7 @@
 fn a_reader_asks_the_store_and_others_while_it_is_turned_away() {
     let (mut origins, now) = (Origins::default(), Instant::now());
     assert_eq!(origins.pick(now, true, &[A, B]), Ok(Origin::Store));
-    origins.fail(Origin::Store, now, true, 1.0);
+    origins.fail((Origin::Store, Failure::Silent), now, true, 1.0);
     assert_eq!(origins.pick(now, true, &[A, B]), Ok(Origin::Member(A)));
     let later = now + Duration::from_millis(1500);
     assert_eq!(origins.pick(later, true, &[A, B]), Ok(Origin::Store));
@@ -72,11 +83,11 @@
 fn the_others_ask_the_store_only_if_no_reader_helps() {
     let (mut origins, now) = (Origins::default(), Instant::now());
     assert_eq!(origins.pick(now, false, &[A, B]), Ok(Origin::Member(A)));
-    origins.fail(Origin::Member(A), now, false, 1.0);
+    origins.fail((Origin::Member(A), Failure::Silent), now, false, 1.0);
     assert_eq!(origins.pick(now, false, &[A, B]), Ok(Origin::Member(B)));
-    origins.fail(Origin::Member(B), now, false, 1.0);
+    origins.fail((Origin::Member(B), Failure::Silent), now, false, 1.0);
     assert_eq!(origins.pick(now, false, &[A, B]), Ok(Origin::Store));
-    origins.fail(Origin::Store, now, false, 1.0);
+    origins.fail((Origin::Store, Failure::Silent), now, false, 1.0);
     origins.pick(now, false, &[A, B]).unwrap_err();
 }
 
@@ -90,11 +101,24 @@
     while origins.pick(now, false, &[A, B, C]) != Ok(Origin::Member(C)) {
         let origin = origins.pick(now, false, &[A, B, C]).expect("somebody can be asked");
         now += Duration::from_millis(1200);
-        origins.fail(origin, now, false, 0.5);
+        origins.fail((origin, Failure::Silent), now, false, 0.5);
         assert!(now < start + Duration::from_secs(3), "{origin:?} was asked at {:?}", now - start);
     }
 }
 
+/// The store hangs for two seconds, so every reader is stale for a moment; the next news must
+/// reach a follower soon after the readers have it.
+#[test]
+fn a_follower_comes_back_soon_to_readers_that_were_stale() {
+    let (mut origins, start) = (Origins::default(), Instant::now());
+    for origin in [Origin::Member(A), Origin::Member(B)] {
+        origins.fail((origin, Failure::Stale), start, false, 1.0);
+    }
+    origins.fail((Origin::Store, Failure::Silent), start, false, 1.0);
+    let later = start + Duration::from_millis(600);
+    assert_eq!(origins.pick(later, false, &[A, B]), Ok(Origin::Member(A)));
+}
+
 /// While the store is down for ten seconds, eighty members of which six read it.
 #[test]
 fn an_outage_of_the_store_does_not_make_every_member_call_it() {
@@ -107,7 +131,7 @@
             match origins.pick(now, is_reader, &[A, B]) {
                 Ok(origin) => {
                     calls += usize::from(origin == Origin::Store);
-                    origins.fail(origin, now, is_reader, 0.5);
+                    origins.fail((origin, Failure::Silent), now, is_reader, 0.5);
                     now += Duration::from_millis(10);
                 }
                 Err(until) => now = until,
--- a/crates/front/src/member.rs
+++ b/crates/front/src/member.rs
@@ -18,7 +18,7 @@
 
 /// How long an answer may take beyond the time that the question waits for news: several
 /// round trips between regions (16 ms), and late timers of a slow core.
-const ANSWER: Duration = Duration::from_millis(400);
+const ANSWER: Duration = Duration::from_millis(250);
 
 /// The longest time that a question for news may wait.
 const LONGEST_WAIT: Duration = Duration::from_secs(30);
--- a/crates/registry/src/registry.rs
+++ b/crates/registry/src/registry.rs
@@ -56,6 +56,8 @@
             if known.upstream.state == State::Draining {
                 upstream.state = State::Draining;
             }
+            // Read later, the same entry seems to be slow until later.
+            upstream.warm_at = upstream.warm_at.min(known.upstream.warm_at);
             if known.missing_since.is_none() && *known.upstream == upstream {
                 return false;
             }
--- a/crates/registry/tests/registry.rs
+++ b/crates/registry/tests/registry.rs
@@ -56,6 +56,13 @@
     assert_eq!(registry.expire(now + Duration::from_millis(1400), false).len(), 1);
 }
 
+#[test]
+fn the_same_entry_read_again_changes_nothing() {
+    let mut registry = Registry::default();
+    assert!(registry.publish(ready("a")));
+    assert!(!registry.publish(ready("a")));
+}
+
 #[test]
 fn an_entry_that_returns_is_believed_again() {
     let (mut registry, now) = (Registry::default(), Instant::now());
