Number a run after its predecessor when the clock was set back

Cause: a run numbers itself by the time of day; after a step back of the clock its peers hold the farewell of the run before for the later news, and the new run would never be named again. Change: told of a run of its own with a later number, the prober takes the next one.

--- a/crates/feed/src/origin.rs
+++ b/crates/feed/src/origin.rs
@@ -14,7 +14,7 @@
 ///
 /// Several questions in a row fit into it; shorter, two readers that are out of reach would be
 /// asked in turns and the third never.
-const SILENT_PAUSE: Duration = Duration::from_millis(6000);
+const SILENT_PAUSE: Duration = Duration::from_secs(6);
 
 /// How long a member is left alone that answered that it knows nothing newer itself.
 ///
--- a/crates/members/src/prober.rs
+++ b/crates/members/src/prober.rs
@@ -206,11 +206,16 @@
     }
 
     fn refute(&mut self, record: &Record, view: &mut View) {
-        let same_run = record.incarnation == self.me.incarnation;
-        if !same_run || !record.overrides(&self.me) {
+        if !record.overrides(&self.me) {
             return;
         }
-        self.me.counter = record.counter + 1;
+        if record.incarnation == self.me.incarnation {
+            self.me.counter = record.counter + 1;
+        } else {
+            // A predecessor whose clock was ahead numbered itself after us; nobody would
+            // believe this run until it has a later number.
+            self.me.incarnation = record.incarnation + 1;
+        }
         view.apply(&self.me);
         self.rumours.add(Rumour::Member(self.me.clone()));
     }
