--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -4,6 +4,7 @@
 //! names another request is nobody's; a connection is used again only after its answer
 //! was read whole, and is closed in every other case, which also ends the searcher's work.
 
+use std::error::Error as _;
 use std::fmt;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -121,7 +122,7 @@
     let response = sent.map_err(|error| {
         let unsent = error.message().is_some();
         let ending = if unsent { Ending::NotSent } else { Ending::Unknown };
-        Miss::new(ending, error.error())
+        Miss::new(ending, describe(error.error()))
     })?;
     let (parts, body) = response.into_parts();
     let reading = (relay.dialect().read)(&parts);
@@ -138,6 +139,11 @@
     judge(relay, link, Response::from_parts(parts, body.to_bytes()), reading)
 }
 
+/// Describes an error of the connection with what lies behind it.
+fn describe(error: &hyper::Error) -> String {
+    error.source().map_or_else(|| error.to_string(), |source| format!("{error}: {source}"))
+}
+
 fn prepare(
     relay: &Relay,
     link: &Link,
