--- a/crates/front/src/daemon.rs
+++ b/crates/front/src/daemon.rs
@@ -128,6 +128,11 @@
         Ok(Self { inner, stop, close, callers })
     }
 
+    /// Takes the seeds of changed settings; everything else needs a restart.
+    pub fn reload(&self, peers: &bergamot_peers::Settings) {
+        self.inner.peers.set_seeds(peers.seeds.clone());
+    }
+
     /// Stops as planned; returns once everything that was read is answered.
     pub async fn stop(self) {
         let settings = &self.inner.settings;
--- a/crates/peers/src/peers.rs
+++ b/crates/peers/src/peers.rs
@@ -47,6 +47,7 @@
 /// This member and what it knows of the others.
 pub struct Peers {
     settings: Settings,
+    seeds: Mutex<Vec<Ipv4Addr>>,
     control: Mutex<Control>,
     socket: UdpSocket,
     stop: CancellationToken,
@@ -79,7 +80,8 @@
         let rng = Seed(me.incarnation).generator("prober");
         let prober = Prober::new(Instant::now(), settings.timing, me, rng);
         let control = Mutex::new(Control { view, prober, revision: 0 });
-        let peers = Arc::new(Self { settings, control, socket, stop: stop.clone() });
+        let seeds = Mutex::new(settings.seeds.clone());
+        let peers = Arc::new(Self { settings, seeds, control, socket, stop: stop.clone() });
         tokio::spawn(Arc::clone(&peers).run());
         tokio::spawn(Arc::clone(&peers).join());
         let answering = Arc::clone(&peers);
@@ -97,6 +99,17 @@
         self.with_view(|view| view.placed(Role::Entry).count())
     }
 
+    /// Takes other seeds, and asks them for their views if they are new.
+    pub fn set_seeds(self: &Arc<Self>, seeds: Vec<Ipv4Addr>) {
+        let mut known = self.seeds.lock().unwrap_or_else(PoisonError::into_inner);
+        if *known != seeds {
+            log::info!("peers: event=seeds_changed seeds={seeds:?}");
+            *known = seeds;
+            drop(known);
+            tokio::spawn(Arc::clone(self).join());
+        }
+    }
+
     /// Tells the others from now on which version is in force here.
     pub fn set_revision(&self, revision: Revision) {
         self.lock().revision = revision;
@@ -132,12 +145,11 @@
     /// Asks the seeds for their views until another member is known.
     async fn join(self: Arc<Self>) {
         loop {
-            for seed in &self.settings.seeds {
-                if *seed != self.settings.address {
-                    self.exchange(*seed).await;
-                }
+            let seeds = self.seeds.lock().unwrap_or_else(PoisonError::into_inner).clone();
+            for seed in seeds.iter().filter(|seed| **seed != self.settings.address) {
+                self.exchange(*seed).await;
             }
-            if self.with_view(View::len) > 1 || self.settings.seeds.is_empty() {
+            if self.with_view(View::len) > 1 || seeds.is_empty() {
                 return;
             }
             tokio::select! {
