Hedge after the 94th percentile; open connections ahead of need at most each 2 s, also to far searchers

Cause: hedges after the 90th percentile spent the allowance on answers that were on their way; a searcher at its limit resets a new connection, and each reset led to another within 100 ms.

--- a/crates/relay/src/link.rs
+++ b/crates/relay/src/link.rs
@@ -1,7 +1,7 @@
 //! One incarnation of a searcher as this member sees it: connections and an outlook.
 
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use bergamot_dispatch::{Candidate, Distance, Outlook};
 use bergamot_registry::Upstream;
@@ -13,6 +13,12 @@
 /// milliseconds: more than any searcher takes, so that it is asked last.
 const SATURATED: f64 = 10_000.0;
 
+/// How long after a connection was opened ahead of need another may be.
+///
+/// A searcher at its limit resets a new connection at once; trying again and again would
+/// only cost it time.
+const WARM_AGAIN: Duration = Duration::from_secs(2);
+
 /// How many times longer a searcher in another region is taken to need than was seen.
 ///
 /// Its bytes cross the slow and dear links between regions, so it is asked first only if
@@ -26,6 +32,8 @@
     pub(crate) pool: Arc<Pool>,
     pub(crate) distance: Distance,
     outlook: Mutex<Outlook>,
+    /// When a connection was last opened ahead of need.
+    warmed: Mutex<Option<Instant>>,
 }
 
 impl Link {
@@ -37,7 +45,8 @@
         let distance = Distance::between(here, there);
         let pool = Pool::new(settings.address, upstream.address, share, settings.dial);
         let outlook = Mutex::new(Outlook::new(distance.guess()));
-        Arc::new(Self { upstream, pool, distance, outlook })
+        let warmed = Mutex::default();
+        Arc::new(Self { upstream, pool, distance, outlook, warmed })
     }
 
     /// Returns what this member has seen of the searcher.
@@ -45,6 +54,16 @@
         self.outlook.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Tells whether a connection may be opened ahead of need, and notes that it is.
+    pub(crate) fn may_warm(&self, now: Instant) -> bool {
+        let mut warmed = self.warmed.lock().unwrap_or_else(PoisonError::into_inner);
+        let due = warmed.is_none_or(|last| now >= last + WARM_AGAIN);
+        if due {
+            *warmed = Some(now);
+        }
+        due
+    }
+
     /// Describes the searcher for the choice among those of its service.
     pub(crate) fn candidate(self: &Arc<Self>, missing: bool, now: Instant) -> Candidate<Arc<Self>> {
         let cold = now < self.upstream.warm_at;
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -46,9 +46,9 @@
 
 /// The percentile of the first attempts' times that counts as usual.
 ///
-/// Searchers pause for 4 in 100 of the time: beyond the 90th percentile, most of what is
-/// still silent is paused.
-const USUAL: usize = 90;
+/// Searchers pause for 4 in 100 of the time: beyond the 94th percentile, most of what is
+/// still silent is paused. At 85 the allowance is spent on answers that are on their way.
+const USUAL: usize = 94;
 
 /// How many ordinary ends of requests are logged a second; the rest is counted.
 const ORDINARY_LINES: u32 = 10;
@@ -454,8 +454,8 @@
     /// request on it is late; a hedge to another region would be by 20 ms and more. A few at
     /// a time, so that not all members come at once.
     fn warm(state: &State) {
-        let cold =
-            |link: &&Arc<Link>| link.distance != Distance::Far && link.pool.usage().open == 0;
+        let now = Instant::now();
+        let cold = |link: &&Arc<Link>| link.pool.usage().open == 0 && link.may_warm(now);
         for link in state.links.values().filter(cold).take(WARMED_A_TICK) {
             let pool = Arc::clone(&link.pool);
             tokio::spawn(async move {
