--- a/crates/front/src/daemon.rs
+++ b/crates/front/src/daemon.rs
@@ -232,9 +232,15 @@
     /// Chooses the members that take callers, and takes its own part.
     fn seat(&self) {
         let settings = self.relay.settings();
+        let zones = self.relay.covered_zones();
+        let count = |zone: &Name| zones.get(zone).copied().unwrap_or(0);
+        let best = zones.values().copied().max().unwrap_or(0);
+        // A zone with searchers of most services; some services have one in every zone.
+        let beside = |zone: &Name| count(zone) * 2 > best;
         let seat = |record: &Record| Seat {
             ip: record.endpoint.ip,
             region: self.region(&record.zone),
+            beside: beside(&record.zone),
             weight: record.weight,
         };
         let seats: Vec<Seat> = self.peers.with_view(|view| {
--- a/crates/peers/src/peers.rs
+++ b/crates/peers/src/peers.rs
@@ -234,11 +234,15 @@
     }
 
     fn log_view(&self, cause: &str, from: SocketAddr) {
-        let states = self.with_view(|view| {
+        let (alive, others) = self.with_view(|view| {
+            let is_alive = |record: &&Record| record.state == State::Alive;
             let state = |record: &Record| format!("{}={}", record.endpoint.ip, record.state);
-            view.iter().map(state).collect::<Vec<_>>().join(",")
+            let others = view.iter().filter(|record| !is_alive(record)).map(state);
+            (view.iter().filter(is_alive).count(), others.collect::<Vec<_>>().join(","))
         });
-        log::info!("peers: event=view_changed cause={cause} from={from} members={states}");
+        log::info!(
+            "peers: event=view_changed cause={cause} from={from} alive={alive} others={others}"
+        );
     }
 
     fn lock(&self) -> MutexGuard<'_, Control> {
--- a/crates/peers/src/seat.rs
+++ b/crates/peers/src/seat.rs
@@ -4,7 +4,8 @@
 //! every member can have a few, all of them serve. In a larger fleet most would have one or
 //! none, and each gathered answer costs a small machine tens of milliseconds; there the
 //! largest machines of each region serve and the others stand by: they are ready, follow the
-//! news, and take over when one of them is lost. Invariant: members that see the same
+//! news, and take over when one of them is lost. Members in a zone with searchers go first,
+//! since each part of a gathered answer that crosses zones is paid for. Invariant: members that see the same
 //! members choose the same ones, and every region with a member has one that serves.
 
 use std::cmp::Reverse;
@@ -31,6 +32,8 @@
     pub ip: Ipv4Addr,
     /// Its region.
     pub region: Name,
+    /// Whether searchers run in its availability zone.
+    pub beside: bool,
     /// How much processor time it has, in thousandths of a core.
     pub weight: u32,
 }
@@ -49,11 +52,18 @@
     regions.into_values().flat_map(|members| largest(members, each)).collect()
 }
 
-/// Takes the largest members of a region, and a smaller one only where there is no other.
+/// Takes the large members of a region, those beside the searchers if there are enough, and
+/// a smaller one only where there is no other.
 fn largest(mut members: Vec<&Seat>, most: usize) -> Vec<Ipv4Addr> {
-    members.sort_by_key(|seat| (Reverse(seat.weight), hash_bytes(&seat.ip.octets())));
-    let large = members.first().map_or(0, |seat| seat.weight / 2);
-    let enough = members.iter().take_while(|seat| seat.weight >= large).count();
+    let large = members.iter().map(|seat| seat.weight).max().unwrap_or(0) / 2;
+    let is_large = |seat: &&Seat| seat.weight >= large;
+    let rank = |seat: &&Seat| {
+        (!is_large(seat), !seat.beside, Reverse(seat.weight), hash_bytes(&seat.ip.octets()))
+    };
+    members.sort_by_key(rank);
+    let beside = members.iter().filter(|seat| is_large(seat) && seat.beside).count();
+    let large = members.iter().filter(|seat| is_large(seat)).count();
+    let enough = if beside >= FEWEST_SEATS { beside } else { large };
     let taken = enough.max(FEWEST_SEATS).min(most);
     members.into_iter().take(taken).map(|seat| seat.ip).collect()
 }
--- a/crates/peers/tests/seat.rs
+++ b/crates/peers/tests/seat.rs
@@ -5,7 +5,7 @@
 use bergamot_peers::{Seat, serving};
 
 fn seat(number: u8, region: &str, weight: u32) -> Seat {
-    Seat { ip: Ipv4Addr::new(10, 0, 0, number), region: region.into(), weight }
+    Seat { ip: Ipv4Addr::new(10, 0, 0, number), region: region.into(), beside: true, weight }
 }
 
 /// The grown fleet of the pages: 12 machines of half a core, 63 of an eighth, 3 regions.
@@ -28,6 +28,16 @@
     assert!(chosen.iter().eq(&wanted), "{chosen:?}");
 }
 
+#[test]
+fn members_beside_the_searchers_serve_if_there_are_two_of_them() {
+    let fleet: Vec<_> =
+        grown().into_iter().map(|seat| Seat { beside: seat.ip.octets()[3] < 6, ..seat }).collect();
+    assert_eq!(serving(&fleet, 60).len(), 6);
+    let fleet: Vec<_> =
+        grown().into_iter().map(|seat| Seat { beside: seat.ip.octets()[3] < 3, ..seat }).collect();
+    assert_eq!(serving(&fleet, 60).len(), 12);
+}
+
 #[test]
 fn a_region_that_lost_its_large_members_is_served_by_two_small_ones() {
     let lost = |seat: &Seat| &*seat.region != "a" || seat.weight < 500;
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -1,6 +1,6 @@
 //! What is in force at this member, and the way of a request through it.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::fmt::{self, Write as _};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
@@ -293,20 +293,29 @@
 
     /// Counts for how many services each region holds a searcher that takes work.
     pub fn covered(&self) -> BTreeMap<Name, usize> {
+        let regions = &self.settings.regions;
+        self.count_services(|upstream| regions.get(&upstream.zone).map(Name::clone))
+    }
+
+    /// Counts for how many services each availability zone holds a searcher that takes work.
+    pub fn covered_zones(&self) -> BTreeMap<Name, usize> {
+        self.count_services(|upstream| Some(Name::clone(&upstream.zone)))
+    }
+
+    fn count_services(&self, place: impl Fn(&Upstream) -> Option<Name>) -> BTreeMap<Name, usize> {
         let state = self.lock();
-        let mut services: BTreeMap<Name, std::collections::BTreeSet<Name>> = BTreeMap::new();
+        let mut services = BTreeMap::<Name, BTreeSet<&Name>>::new();
         let Some(declaration) = &state.declaration else {
             return BTreeMap::new();
         };
         for service in declaration.routes.iter().flat_map(|route| route.target.services()) {
             for (upstream, _missing) in state.registry.usable(service) {
-                if let Some(region) = self.settings.regions.get(&upstream.zone) {
-                    let covered = services.entry(Name::clone(region)).or_default();
-                    covered.insert(Name::clone(service));
+                if let Some(place) = place(upstream) {
+                    services.entry(place).or_default().insert(service);
                 }
             }
         }
-        services.into_iter().map(|(region, covered)| (region, covered.len())).collect()
+        services.into_iter().map(|(place, covered)| (place, covered.len())).collect()
     }
 
     /// Takes a request to its end.
