--- a/crates/dispatch/src/patience.rs
+++ b/crates/dispatch/src/patience.rs
@@ -46,8 +46,6 @@
 pub struct Patience {
     /// When a silent searcher is hedged.
     pub hedge: Duration,
-    /// When a member in another region that was asked has answered.
-    pub delegate: Duration,
     /// When an answer with the declared coverage goes out.
     pub target: Duration,
     /// When the request gets its final answer, whatever there is.
@@ -70,7 +68,6 @@
         let hedge = usual.min(latest).min(end);
         Self {
             hedge,
-            delegate: (hedge + CROSSING).min(end),
             target: target.saturating_sub(TARGET_MARGIN).max(target / 2).min(end),
             end,
             offer: target.mul_f64(OFFER_PART).min(end),
--- a/crates/front/src/daemon.rs
+++ b/crates/front/src/daemon.rs
@@ -258,8 +258,10 @@
     /// Lists the members that may be asked for shards in their region.
     fn helpers(&self) -> Vec<Helper> {
         let settings = self.relay.settings();
-        let helper =
-            |record: &Record| Helper { ip: record.endpoint.ip, region: self.region(&record.zone) };
+        let helper = |record: &Record| {
+            let (zone, region) = (Name::clone(&record.zone), self.region(&record.zone));
+            Helper { ip: record.endpoint.ip, zone, region }
+        };
         let serving = self.serving();
         let can_help = |record: &&Record| {
             let ip = record.endpoint.ip;
--- a/crates/relay/src/delegate.rs
+++ b/crates/relay/src/delegate.rs
@@ -1,7 +1,8 @@
-//! Shards whose searchers are in another region, asked through a member there.
+//! Shards whose searchers are elsewhere, asked through a member there.
 //!
-//! The member beside the searchers asks each of them once, merges, and sends one answer
-//! over the slow link in place of one for each shard. What it could not get in time, the
+//! Elsewhere is another region, or another availability zone of the same region: bytes
+//! between either are paid for. The member beside the searchers asks each of them once, merges, and sends one answer
+//! in place of one for each shard. What it could not get in time, the
 //! sender asks of other searchers itself, as it would hedge its own attempts, and takes
 //! whichever comes first. Invariant: the member makes no attempt beyond the first at a
 //! shard, so additional attempts are decided in one place.
@@ -28,6 +29,10 @@
 /// The least time that a member is given, which covers the work of a searcher.
 const LEAST: Duration = Duration::from_millis(8);
 
+/// How much longer a member in another zone of the region is awaited than a searcher nearby:
+/// one crossing of 1.4 ms each way, and the time that both members take to read and write.
+const ZONE_CROSSING: Duration = Duration::from_millis(5);
+
 /// How many requests a member is taken to work on at once, for the choice among members.
 const MEMBER_SLOTS: usize = 8;
 
@@ -53,10 +58,38 @@
 pub struct Helper {
     /// Where it is reached.
     pub ip: Ipv4Addr,
+    /// Its availability zone.
+    pub zone: Name,
     /// Its region.
     pub region: Name,
 }
 
+/// Where searchers are that are asked through a member.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum Elsewhere {
+    /// In another availability zone of our region.
+    Zone(Name),
+    /// In another region.
+    Region(Name),
+}
+
+impl Elsewhere {
+    /// Returns how much longer a member there is awaited than a searcher nearby.
+    fn crossing(&self) -> Duration {
+        match self {
+            Self::Zone(_) => ZONE_CROSSING,
+            Self::Region(_) => CROSSING,
+        }
+    }
+
+    fn holds(&self, helper: &Helper) -> bool {
+        match self {
+            Self::Zone(zone) => helper.zone == *zone,
+            Self::Region(region) => helper.region == *region,
+        }
+    }
+}
+
 /// The members that may be asked, and what was seen of each.
 #[derive(Debug, Default)]
 pub(crate) struct Helpers {
@@ -71,15 +104,15 @@
         self.known = known;
     }
 
-    /// Chooses a member in a region, unless all of them are silent.
-    pub(crate) fn choose(&self, region: &str, now: Instant) -> Option<Ipv4Addr> {
+    /// Chooses a member at a place, unless all of them are silent.
+    pub(crate) fn choose(&self, place: &Elsewhere, now: Instant) -> Option<Ipv4Addr> {
         /// Above this time, in milliseconds, asking the searchers oneself is faster.
         const SILENT: f64 = 120.0;
         let expected = |helper: &Helper| {
             let outlook = self.outlooks.get(&helper.ip);
             outlook.map_or(0.0, |outlook| outlook.expected(now, MEMBER_SLOTS, false))
         };
-        let beside = self.known.iter().filter(|helper| &*helper.region == region);
+        let beside = self.known.iter().filter(|helper| place.holds(helper));
         let timed = beside.map(|helper| (expected(helper), helper.ip));
         let best = timed.min_by(|a, b| a.0.total_cmp(&b.0))?;
         (best.0 < SILENT).then_some(best.1)
@@ -117,16 +150,17 @@
 pub(crate) async fn ask(
     relay: &Relay,
     job: &Job,
-    ip: Ipv4Addr,
+    (ip, place): (Ipv4Addr, &Elsewhere),
     shards: Vec<Name>,
     top_k: usize,
     plan: &Plan,
 ) -> Option<ShardReply> {
     let sent = Instant::now();
-    let query = query(job, shards, top_k, plan.delegate.saturating_duration_since(sent), plan);
+    let usual = plan.usual.saturating_duration_since(sent);
+    let query = query(job, shards, top_k, usual, plan);
     relay.with_helpers(|helpers| helpers.outlook(ip).send(sent));
     let mut pending = Pending { relay, ip, sent, answered: false };
-    let until = plan.delegate + LATE;
+    let until = sent + usual.max(LEAST) + place.crossing() + LATE;
     let answer =
         tokio::time::timeout_at(until.into(), (relay.helping().gather)(ip, query, until)).await;
     match answer {
@@ -148,7 +182,7 @@
     }
 }
 
-fn query(job: &Job, shards: Vec<Name>, top_k: usize, left: Duration, plan: &Plan) -> ShardQuery {
+fn query(job: &Job, shards: Vec<Name>, top_k: usize, usual: Duration, plan: &Plan) -> ShardQuery {
     let request = &job.request;
     let headers = request.headers.iter();
     ShardQuery {
@@ -161,7 +195,7 @@
         body: request.body.to_vec(),
         shards,
         top_k: top_k as u32,
-        answer_within: left.saturating_sub(CROSSING).max(LEAST),
+        answer_within: usual.max(LEAST),
         deadline: plan.end.saturating_duration_since(Instant::now()),
     }
 }
--- a/crates/relay/src/gather.rs
+++ b/crates/relay/src/gather.rs
@@ -20,7 +20,7 @@
 use hyper::header::HeaderValue;
 use tokio::time::sleep_until;
 
-use crate::delegate;
+use crate::delegate::{self, Elsewhere};
 use crate::message::{Cause, Job, Passed, Refusal, Reply, Whole};
 use crate::race::{Lost, Plan, Race};
 use crate::relay::{RETRY_AFTER, Relay};
@@ -131,8 +131,8 @@
         for shard in own {
             state.race(shard, Vec::new());
         }
-        for (ip, shards) in groups {
-            state.delegate(ip, shards, gather.top_k);
+        for group in groups {
+            state.delegate(group, gather.top_k);
         }
         state
     }
@@ -147,14 +147,15 @@
         self.work.push(Box::pin(async move { Piece::One(shard, race.run().await) }));
     }
 
-    fn delegate(&mut self, ip: Ipv4Addr, shards: Vec<&'a Name>, top_k: usize) {
+    fn delegate(&mut self, group: Group<'a>, top_k: usize) {
+        let Group { ip, place, shards } = group;
         let (relay, job, plan) = (self.relay, self.job, self.plan.clone());
         for shard in &shards {
             *self.open.entry(shard).or_default() += 1;
         }
         let names = shards.iter().map(|shard| Name::clone(shard)).collect();
         self.work.push(Box::pin(async move {
-            let reply = delegate::ask(relay, job, ip, names, top_k, &plan).await;
+            let reply = delegate::ask(relay, job, (ip, &place), names, top_k, &plan).await;
             Piece::Many(Asked { ip, shards }, reply)
         }));
     }
@@ -274,26 +275,30 @@
     }
 }
 
+/// Some shards and the member through which they are asked.
+struct Group<'a> {
+    ip: Ipv4Addr,
+    place: Elsewhere,
+    shards: Vec<&'a Name>,
+}
+
 /// Divides the shards into those to ask directly and those to ask through members.
-fn assign<'a>(
-    relay: &Relay,
-    shards: &'a [Name],
-) -> (Vec<&'a Name>, Vec<(Ipv4Addr, Vec<&'a Name>)>) {
+fn assign<'a>(relay: &Relay, shards: &'a [Name]) -> (Vec<&'a Name>, Vec<Group<'a>>) {
     let mut own = Vec::new();
-    let mut regions = BTreeMap::<Name, Vec<&Name>>::new();
+    let mut places = BTreeMap::<Elsewhere, Vec<&Name>>::new();
     for shard in shards {
-        match relay.far_region(shard) {
-            Some(region) => regions.entry(region).or_default().push(shard),
+        match relay.elsewhere(shard) {
+            Some(place) => places.entry(place).or_default().push(shard),
             None => own.push(shard),
         }
     }
     let now = Instant::now();
     let mut groups = Vec::new();
-    for (region, far) in regions {
-        let helper = relay.with_helpers(|helpers| helpers.choose(&region, now));
-        match helper.filter(|_| far.len() >= delegate::FEWEST) {
-            Some(ip) => groups.push((ip, far)),
-            None => own.extend(far),
+    for (place, shards) in places {
+        let helper = relay.with_helpers(|helpers| helpers.choose(&place, now));
+        match helper.filter(|_| shards.len() >= delegate::FEWEST) {
+            Some(ip) => groups.push(Group { ip, place, shards }),
+            None => own.extend(shards),
         }
     }
     (own, groups)
--- a/crates/relay/src/race.rs
+++ b/crates/relay/src/race.rs
@@ -9,7 +9,7 @@
 
 use bergamot_base::Name;
 use bergamot_declaration::Kind;
-use bergamot_dispatch::{Ending, Need, Patience};
+use bergamot_dispatch::{CROSSING, Ending, Need, Patience};
 use tokio::sync::mpsc;
 use tokio::time::sleep_until;
 
@@ -40,8 +40,8 @@
     pub(crate) offer: Instant,
     /// When a silent searcher is hedged, if it may be.
     pub(crate) hedge: Option<Instant>,
-    /// When a member that was asked has answered.
-    pub(crate) delegate: Instant,
+    /// By when nearly all searchers nearby have answered.
+    pub(crate) usual: Instant,
     /// When the answer is of no use any more.
     pub(crate) end: Instant,
     /// The searchers that were asked already, on our behalf.
@@ -53,8 +53,8 @@
     pub(crate) fn new(job: &Job, patience: Patience) -> Self {
         let at = |moment: Duration| job.request.received + moment;
         let hedge = (job.kind == Kind::Idempotent).then(|| at(patience.hedge));
-        let (offer, delegate) = (at(patience.offer), at(patience.delegate));
-        Self { offer, hedge, delegate, end: at(patience.end), tried: Vec::new() }
+        let (offer, usual) = (at(patience.offer), at(patience.hedge));
+        Self { offer, hedge, usual, end: at(patience.end), tried: Vec::new() }
     }
 }
 
@@ -182,7 +182,7 @@
             }
         };
         self.job.changed.notify_waiters();
-        let until = self.plan.delegate.max(Instant::now());
+        let until = (self.plan.usual + CROSSING).max(Instant::now());
         let _elapsed = tokio::time::timeout_at(until.into(), wait).await;
         let mut tally = self.job.tally();
         let needed = tally.needs_deferred();
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -18,7 +18,7 @@
 use rand::RngExt;
 use tokio::sync::Notify;
 
-use crate::delegate::{Helper, Helpers, Helping};
+use crate::delegate::{Elsewhere, Helper, Helpers, Helping};
 use crate::dialect::Dialect;
 use crate::gather::gather;
 use crate::helper::{self, Rests};
@@ -135,12 +135,15 @@
         &self.helping
     }
 
-    /// Returns the region of the searcher that would be asked, if it is not ours.
-    pub(crate) fn far_region(&self, service: &str) -> Option<Name> {
+    /// Returns where the searcher is that would be asked, if it is not in our zone.
+    pub(crate) fn elsewhere(&self, service: &str) -> Option<Elsewhere> {
         let link = self.choose(service, &[])?;
-        let regions = &self.settings.regions;
-        let far = link.distance == Distance::Far;
-        regions.get(&link.upstream.zone).filter(|_| far).cloned()
+        let zone = &link.upstream.zone;
+        match link.distance {
+            Distance::Zone => None,
+            Distance::Region => Some(Elsewhere::Zone(Name::clone(zone))),
+            Distance::Far => self.settings.regions.get(zone).cloned().map(Elsewhere::Region),
+        }
     }
 
     /// Returns the metrics, for the text form.
