--- a/crates/feed/src/follow.rs
+++ b/crates/feed/src/follow.rs
@@ -14,7 +14,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::mirror::{Change, Mirror};
-use crate::origin::{Failure, Origin, Origins};
+use crate::origin::{Duty, Failure, Origin, Origins};
 use crate::source::{News, Source, Trouble};
 
 /// How old a member's knowledge may be for it to be relied on: a watch at the store, and some
@@ -63,9 +63,9 @@
 
 /// What the loop knows of other members.
 pub struct Members {
-    /// Tells whether this member reads the store, and which others do, the preferred first.
-    /// Nothing is returned while no other member is known that should be.
-    pub readers: Box<dyn Fn() -> Option<(bool, Vec<Ipv4Addr>)> + Send + Sync>,
+    /// Tells what this member's duty is, and which others read the store or may, the preferred
+    /// first. Nothing is returned while no other member is known that should be.
+    pub readers: Box<dyn Fn() -> Option<(Duty, Vec<Ipv4Addr>)> + Send + Sync>,
     /// Asks a member for news.
     pub ask: Asking,
 }
@@ -163,9 +163,10 @@
     async fn run(&mut self) {
         self.join().await;
         loop {
-            let (is_reader, readers) = (self.members.readers)().unwrap_or((true, Vec::new()));
-            match self.origins.pick(Instant::now(), is_reader, &readers) {
-                Ok(origin) => self.ask(origin, is_reader).await,
+            let alone = (Duty::Reader, Vec::new());
+            let (duty, readers) = (self.members.readers)().unwrap_or(alone);
+            match self.origins.pick(Instant::now(), duty, &readers) {
+                Ok(origin) => self.ask(origin, duty).await,
                 Err(until) => tokio::time::sleep_until(until.into()).await,
             }
             self.judge();
@@ -182,7 +183,7 @@
         }
     }
 
-    async fn ask(&mut self, origin: Origin, is_reader: bool) {
+    async fn ask(&mut self, origin: Origin, duty: Duty) {
         let asked = Instant::now();
         let result = match origin {
             Origin::Store => self.ask_store(asked).await,
@@ -202,7 +203,7 @@
                     Trouble::Stale { .. } => Failure::Stale,
                     _ => Failure::Silent,
                 };
-                self.origins.fail((origin, failure), now, is_reader, jitter);
+                self.origins.fail((origin, failure), now, duty, jitter);
             }
         }
     }
--- a/crates/feed/src/lib.rs
+++ b/crates/feed/src/lib.rs
@@ -13,5 +13,5 @@
 
 pub use follow::{Asking, Members, Settings, Shared, Sink, follow};
 pub use mirror::{Change, Mirror};
-pub use origin::{Failure, Origin, Origins};
+pub use origin::{Duty, Failure, Origin, Origins};
 pub use source::{News, Outcome, Reading, Records, Source, Trouble};
--- a/crates/feed/src/origin.rs
+++ b/crates/feed/src/origin.rs
@@ -1,10 +1,11 @@
 //! Whom to ask for news: the store, or a member that reads it.
 //!
-//! A reader asks the store first and other readers while the store turns it away; everyone
-//! else asks readers, those of its own zone first, and the store only when no reader can
-//! help. Whoever failed is left alone for a while. Invariant: while the store itself is
-//! down, the calls to it come from the readers and, rarely, from the others, however many
-//! members there are.
+//! A reader asks the store first and other readers while the store turns it away. A deputy
+//! asks readers, and the store as soon as no reader can help, so that one region's readers may
+//! all be turned away. Everyone else asks readers, those of its own region first, then
+//! deputies, and the store last and rarely. Whoever failed is left alone for a while.
+//! Invariant: while the store itself is down, the calls to it come from readers and deputies
+//! and, rarely, from the others, however many members there are.
 
 use std::collections::HashMap;
 use std::net::Ipv4Addr;
@@ -50,6 +51,17 @@
     Stale,
 }
 
+/// What a member does for the others' news.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Duty {
+    /// It reads the store.
+    Reader,
+    /// It reads the store while no reader can.
+    Deputy,
+    /// It asks the others.
+    Follower,
+}
+
 /// Who can be asked, and who is left alone.
 #[derive(Clone, Debug, Default)]
 pub struct Origins {
@@ -61,16 +73,14 @@
     /// Chooses whom to ask, or says until when there is nobody.
     ///
     /// `readers` are the others that read the store, the preferred first.
-    pub fn pick(
-        &self,
-        now: Instant,
-        is_reader: bool,
-        readers: &[Ipv4Addr],
-    ) -> Result<Origin, Instant> {
+    pub fn pick(&self, now: Instant, duty: Duty, readers: &[Ipv4Addr]) -> Result<Origin, Instant> {
         let store = std::iter::once(Origin::Store);
         let members = readers.iter().map(|ip| Origin::Member(*ip));
-        let order: Vec<Origin> =
-            if is_reader { store.chain(members).collect() } else { members.chain(store).collect() };
+        let order: Vec<Origin> = if duty == Duty::Reader {
+            store.chain(members).collect()
+        } else {
+            members.chain(store).collect()
+        };
         let until = |origin: &Origin| self.paused.get(origin).copied().unwrap_or(now);
         match order.iter().find(|origin| until(origin) <= now) {
             Some(origin) => Ok(*origin),
@@ -96,7 +106,7 @@
         &mut self,
         (origin, failure): (Origin, Failure),
         now: Instant,
-        is_reader: bool,
+        duty: Duty,
         jitter: f64,
     ) {
         let pause = match origin {
@@ -105,7 +115,7 @@
             Origin::Store => {
                 let doubled = STORE_PAUSE * 2_u32.pow(self.store_failures.min(8));
                 self.store_failures = self.store_failures.saturating_add(1);
-                if is_reader {
+                if duty != Duty::Follower {
                     doubled.min(LONGEST_STORE_PAUSE)
                 } else {
                     LONGEST_STORE_PAUSE.mul_f64(OTHERS_FACTOR)
--- a/crates/feed/tests/feed.rs
+++ b/crates/feed/tests/feed.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use bergamot_base::Name;
-use bergamot_feed::{Failure, Mirror, Origin, Origins};
+use bergamot_feed::{Duty, Failure, Mirror, Origin, Origins};
 use bergamot_wire::Item;
 
 fn item(key: &str, revision: u64) -> Item {
@@ -72,23 +72,34 @@
 #[test]
 fn a_reader_asks_the_store_and_others_while_it_is_turned_away() {
     let (mut origins, now) = (Origins::default(), Instant::now());
-    assert_eq!(origins.pick(now, true, &[A, B]), Ok(Origin::Store));
-    origins.fail((Origin::Store, Failure::Silent), now, true, 1.0);
-    assert_eq!(origins.pick(now, true, &[A, B]), Ok(Origin::Member(A)));
+    assert_eq!(origins.pick(now, Duty::Reader, &[A, B]), Ok(Origin::Store));
+    origins.fail((Origin::Store, Failure::Silent), now, Duty::Reader, 1.0);
+    assert_eq!(origins.pick(now, Duty::Reader, &[A, B]), Ok(Origin::Member(A)));
     let later = now + Duration::from_millis(1500);
-    assert_eq!(origins.pick(later, true, &[A, B]), Ok(Origin::Store));
+    assert_eq!(origins.pick(later, Duty::Reader, &[A, B]), Ok(Origin::Store));
+}
+
+#[test]
+fn a_deputy_asks_the_store_as_soon_as_no_reader_helps() {
+    let (mut origins, now) = (Origins::default(), Instant::now());
+    assert_eq!(origins.pick(now, Duty::Deputy, &[A]), Ok(Origin::Member(A)));
+    origins.fail((Origin::Member(A), Failure::Stale), now, Duty::Deputy, 1.0);
+    assert_eq!(origins.pick(now, Duty::Deputy, &[A]), Ok(Origin::Store));
+    origins.fail((Origin::Store, Failure::Silent), now, Duty::Deputy, 1.0);
+    let later = now + Duration::from_millis(250);
+    assert_eq!(origins.pick(later, Duty::Deputy, &[A]), Ok(Origin::Store));
 }
 
 #[test]
 fn the_others_ask_the_store_only_if_no_reader_helps() {
     let (mut origins, now) = (Origins::default(), Instant::now());
-    assert_eq!(origins.pick(now, false, &[A, B]), Ok(Origin::Member(A)));
-    origins.fail((Origin::Member(A), Failure::Silent), now, false, 1.0);
-    assert_eq!(origins.pick(now, false, &[A, B]), Ok(Origin::Member(B)));
-    origins.fail((Origin::Member(B), Failure::Silent), now, false, 1.0);
-    assert_eq!(origins.pick(now, false, &[A, B]), Ok(Origin::Store));
-    origins.fail((Origin::Store, Failure::Silent), now, false, 1.0);
-    origins.pick(now, false, &[A, B]).unwrap_err();
+    assert_eq!(origins.pick(now, Duty::Follower, &[A, B]), Ok(Origin::Member(A)));
+    origins.fail((Origin::Member(A), Failure::Silent), now, Duty::Follower, 1.0);
+    assert_eq!(origins.pick(now, Duty::Follower, &[A, B]), Ok(Origin::Member(B)));
+    origins.fail((Origin::Member(B), Failure::Silent), now, Duty::Follower, 1.0);
+    assert_eq!(origins.pick(now, Duty::Follower, &[A, B]), Ok(Origin::Store));
+    origins.fail((Origin::Store, Failure::Silent), now, Duty::Follower, 1.0);
+    origins.pick(now, Duty::Follower, &[A, B]).unwrap_err();
 }
 
 /// Two of three readers are turned away by the store, and each question to them takes as long
@@ -98,10 +109,10 @@
     const C: Ipv4Addr = Ipv4Addr::new(10, 0, 0, 3);
     let (mut origins, start) = (Origins::default(), Instant::now());
     let mut now = start;
-    while origins.pick(now, false, &[A, B, C]) != Ok(Origin::Member(C)) {
-        let origin = origins.pick(now, false, &[A, B, C]).expect("somebody can be asked");
+    while origins.pick(now, Duty::Follower, &[A, B, C]) != Ok(Origin::Member(C)) {
+        let origin = origins.pick(now, Duty::Follower, &[A, B, C]).expect("somebody can be asked");
         now += Duration::from_millis(1200);
-        origins.fail((origin, Failure::Silent), now, false, 0.5);
+        origins.fail((origin, Failure::Silent), now, Duty::Follower, 0.5);
         assert!(now < start + Duration::from_secs(3), "{origin:?} was asked at {:?}", now - start);
     }
 }
@@ -112,11 +123,11 @@
 fn a_follower_comes_back_soon_to_readers_that_were_stale() {
     let (mut origins, start) = (Origins::default(), Instant::now());
     for origin in [Origin::Member(A), Origin::Member(B)] {
-        origins.fail((origin, Failure::Stale), start, false, 1.0);
+        origins.fail((origin, Failure::Stale), start, Duty::Follower, 1.0);
     }
-    origins.fail((Origin::Store, Failure::Silent), start, false, 1.0);
+    origins.fail((Origin::Store, Failure::Silent), start, Duty::Follower, 1.0);
     let later = start + Duration::from_millis(600);
-    assert_eq!(origins.pick(later, false, &[A, B]), Ok(Origin::Member(A)));
+    assert_eq!(origins.pick(later, Duty::Follower, &[A, B]), Ok(Origin::Member(A)));
 }
 
 /// While the store is down for ten seconds, eighty members of which six read it.
@@ -125,13 +136,17 @@
     let start = Instant::now();
     let mut calls = 0;
     for member in 0..80 {
-        let is_reader = member < 6;
+        let duty = match member {
+            0..3 => Duty::Reader,
+            3..6 => Duty::Deputy,
+            _ => Duty::Follower,
+        };
         let (mut origins, mut now) = (Origins::default(), start);
         while now < start + Duration::from_secs(10) {
-            match origins.pick(now, is_reader, &[A, B]) {
+            match origins.pick(now, duty, &[A, B]) {
                 Ok(origin) => {
                     calls += usize::from(origin == Origin::Store);
-                    origins.fail((origin, Failure::Silent), now, is_reader, 0.5);
+                    origins.fail((origin, Failure::Silent), now, duty, 0.5);
                     now += Duration::from_millis(10);
                 }
                 Err(until) => now = until,
--- a/crates/front/src/daemon.rs
+++ b/crates/front/src/daemon.rs
@@ -12,8 +12,8 @@
 use std::time::Duration;
 
 use bergamot_base::Name;
-use bergamot_feed::{Members, News, Shared, Sink, Source, follow};
-use bergamot_members::{Endpoint, Record, Role, State, View, readers};
+use bergamot_feed::{Duty, Members, News, Shared, Sink, Source, follow};
+use bergamot_members::{Record, Role, State, ranked};
 use bergamot_net::{Body, Fault, listen, serve, text};
 use bergamot_peers::{Caller, Peers, Place, Seat, choose, serving};
 use bergamot_relay::{Dialect, Helper, Relay};
@@ -205,17 +205,29 @@
         (self.face.addresses)(&addresses, self.settings.ttl)
     }
 
-    /// Tells whether this member reads the store, and which others do, those of its own zone
-    /// first; nothing while no other member is known.
-    fn readers(&self) -> Option<(bool, Vec<Ipv4Addr>)> {
-        let own = self.relay.settings().address;
+    /// Tells what this member does for the others' news, and whom it asks: the readers, that
+    /// of its own region first, then the deputies; nothing while no other member is known.
+    ///
+    /// The member of the highest rank in each region reads, the second is its deputy.
+    fn readers(&self) -> Option<(Duty, Vec<Ipv4Addr>)> {
+        let settings = self.relay.settings();
+        let (own, region) = (settings.address, self.region(&settings.zone));
         self.peers.with_view(|view| {
-            let mut chosen = readers(view, self.settings.readers);
-            let zone = |endpoint: &Endpoint| view.get(*endpoint).map(|record| &record.zone);
-            chosen.sort_by_key(|endpoint| zone(endpoint) != Some(&self.relay.settings().zone));
-            let ips = chosen.iter().map(|endpoint| endpoint.ip);
-            let others = ips.clone().filter(|ip| *ip != own).collect();
-            (view.len() > 1).then(|| (ips.into_iter().any(|ip| ip == own), others))
+            let mut regions: Vec<_> =
+                ranked(view, |record| self.region(&record.zone)).into_iter().collect();
+            regions.sort_by_key(|(name, _)| *name != region);
+            let at = |rank: usize| {
+                let members = regions.iter().filter_map(move |(_, members)| members.get(rank));
+                members.map(|endpoint| endpoint.ip).collect::<Vec<_>>()
+            };
+            let (readers, deputies) = (at(0), at(1));
+            let duty = match () {
+                () if readers.contains(&own) => Duty::Reader,
+                () if deputies.contains(&own) => Duty::Deputy,
+                () => Duty::Follower,
+            };
+            let others = readers.into_iter().chain(deputies).filter(|ip| *ip != own).collect();
+            (view.len() > 1).then_some((duty, others))
         })
     }
 
@@ -267,7 +279,7 @@
             let ip = record.endpoint.ip;
             record.state == State::Alive && ip != settings.address && serving.contains(&ip)
         };
-        self.peers.with_view(|view: &View| view.iter().filter(can_help).map(helper).collect())
+        self.peers.with_view(|view| view.iter().filter(can_help).map(helper).collect())
     }
 
     /// Lists the instances to which callers may be sent.
--- a/crates/front/src/settings.rs
+++ b/crates/front/src/settings.rs
@@ -16,8 +16,6 @@
     pub metrics: SocketAddr,
     /// Where other members' requests are taken, at the same port on every instance.
     pub members: SocketAddr,
-    /// How many members of each availability zone read the store.
-    pub readers: usize,
     /// How long a start waits for other members before it reads the store itself.
     pub join: Duration,
     /// How long callers may keep an address answer.
@@ -41,7 +39,6 @@
             directory: here(7405),
             metrics: here(7403),
             members: here(7401),
-            readers: 1,
             // An exchange with a seed in another region, twice over.
             join: Duration::from_millis(60),
             ttl: Duration::from_secs(4),
--- a/crates/members/src/lib.rs
+++ b/crates/members/src/lib.rs
@@ -21,7 +21,7 @@
 pub use homes::Homes;
 pub use message::{Datagram, Digest, Kind};
 pub use prober::{Outgoing, Prober, Timing};
-pub use reader::readers;
+pub use reader::{ranked, readers};
 pub use record::{Endpoint, Record, Role, State};
 pub use rumour::{Rumour, Rumours};
 pub use view::{Listed, View};
--- a/crates/members/src/reader.rs
+++ b/crates/members/src/reader.rs
@@ -8,9 +8,9 @@
 
 use std::collections::BTreeMap;
 
-use bergamot_base::hash_pair;
+use bergamot_base::{Name, hash_pair};
 
-use crate::record::Endpoint;
+use crate::record::{Endpoint, Record};
 use crate::view::View;
 
 /// The salt that keeps readers independent of the homes of cells.
@@ -18,15 +18,20 @@
 
 /// Returns the readers: the `per_zone` members of the highest weight in each zone.
 pub fn readers(view: &View, per_zone: usize) -> Vec<Endpoint> {
-    let mut zones = BTreeMap::<&str, Vec<(u64, Endpoint)>>::new();
+    let zones = ranked(view, |record| Name::clone(&record.zone));
+    zones.into_values().flat_map(|zone| zone.into_iter().take(per_zone)).collect()
+}
+
+/// Ranks the members that take work within each group, the highest weight first.
+pub fn ranked(view: &View, group: impl Fn(&Record) -> Name) -> BTreeMap<Name, Vec<Endpoint>> {
+    let mut groups = BTreeMap::<Name, Vec<(u64, Endpoint)>>::new();
     for record in view.iter().filter(|record| view.takes_work(record.endpoint)) {
         let weight = hash_pair(record.endpoint.hash(), SALT);
-        zones.entry(&record.zone).or_default().push((weight, record.endpoint));
-    }
-    let mut chosen = Vec::new();
-    for ranked in zones.values_mut() {
-        ranked.sort_unstable_by(|a, b| b.cmp(a));
-        chosen.extend(ranked.iter().take(per_zone).map(|(_, endpoint)| *endpoint));
+        groups.entry(group(record)).or_default().push((weight, record.endpoint));
     }
-    chosen
+    let sorted = |mut members: Vec<(u64, Endpoint)>| {
+        members.sort_unstable_by(|a, b| b.cmp(a));
+        members.into_iter().map(|(_, endpoint)| endpoint).collect()
+    };
+    groups.into_iter().map(|(name, members)| (name, sorted(members))).collect()
 }
--- a/crates/peers/src/peers.rs
+++ b/crates/peers/src/peers.rs
@@ -27,7 +27,7 @@
 /// One datagram in so many that shows another view leads to an exchange of views.
 ///
 /// Views differ for a moment after every change; only a lasting difference needs it.
-const VIEW_EXCHANGE: u32 = 16;
+const VIEW_EXCHANGE: u32 = 48;
 
 /// How many times a farewell is sent, since a datagram may be lost.
 const FAREWELLS: usize = 3;
