--- a/crates/members/src/prober.rs
+++ b/crates/members/src/prober.rs
@@ -32,14 +32,26 @@
 /// The periods of a prober.
 #[derive(Clone, Copy, Debug)]
 pub struct Timing {
-    /// How often a member is pinged.
+    /// How often another member is pinged.
     pub probe: Duration,
+    /// The size of the fleet beyond which that takes longer in proportion, so that what the
+    /// whole fleet sends stays bounded. A lost member is still pinged by somebody about once
+    /// in `probe` times the fleet's size over this.
+    pub busiest: usize,
     /// How long an acknowledgement may take before others are asked.
     pub answer: Duration,
     /// How long a suspect may refute.
     pub suspicion: Duration,
 }
 
+impl Timing {
+    /// Returns how often a member of a fleet of some size pings.
+    fn period(&self, members: usize) -> Duration {
+        let over = members.max(self.busiest) as f64 / self.busiest.max(1) as f64;
+        self.probe.mul_f64(over)
+    }
+}
+
 /// A datagram and where it goes.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Outgoing {
@@ -148,7 +160,7 @@
         let mut out = self.ask_helpers(now, view, digest);
         self.expire_suspects(now, view);
         if now >= self.next_probe {
-            self.next_probe = now + self.timing.probe;
+            self.next_probe = now + self.timing.period(view.len());
             if let Some(silent) = self.pending.take() {
                 self.suspect(now, silent.target, view);
             }
--- a/crates/members/tests/filetests.rs
+++ b/crates/members/tests/filetests.rs
@@ -121,6 +121,7 @@
     fn start(&mut self, now: Instant, member: &str, known: &[Record]) {
         let timing = Timing {
             probe: Duration::from_millis(100),
+            busiest: usize::MAX,
             answer: Duration::from_millis(30),
             suspicion: Duration::from_millis(300),
         };
--- a/crates/members/tests/incarnation.rs
+++ b/crates/members/tests/incarnation.rs
@@ -17,6 +17,7 @@
 fn a_later_run_with_an_earlier_number_takes_a_number_after_its_predecessors() {
     let timing = Timing {
         probe: Duration::from_millis(300),
+        busiest: usize::MAX,
         answer: Duration::from_millis(100),
         suspicion: Duration::from_secs(1),
     };
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -390,6 +390,7 @@
             Record { endpoint: me, zone, incarnation, counter: 0, state: State::Alive, weight: 0 };
         let timing = Timing {
             probe: settings.control.probe,
+            busiest: usize::MAX,
             answer: settings.control.answer,
             suspicion: settings.control.suspicion,
         };
--- a/crates/peers/src/peers.rs
+++ b/crates/peers/src/peers.rs
@@ -146,8 +146,14 @@
     async fn join(self: Arc<Self>) {
         loop {
             let seeds = self.seeds.lock().unwrap_or_else(PoisonError::into_inner).clone();
-            for seed in seeds.iter().filter(|seed| **seed != self.settings.address) {
+            let first = rand::rng().random_range(0..seeds.len().max(1));
+            let others = seeds.iter().cycle().skip(first).take(seeds.len());
+            for seed in others.filter(|seed| **seed != self.settings.address) {
                 self.exchange(*seed).await;
+                // One view is enough; what it lacks arrives as rumours.
+                if self.with_view(View::len) > seeds.len() {
+                    return;
+                }
             }
             if self.with_view(View::len) > 1 || seeds.is_empty() {
                 return;
--- a/crates/peers/src/settings.rs
+++ b/crates/peers/src/settings.rs
@@ -35,6 +35,8 @@
                 // A member is probed by someone about once in this time, so that callers
                 // are sent to a lost one for less than a second.
                 probe: Duration::from_millis(300),
+                // Bytes between regions are dear: at 25 members, 80 pings a second in all.
+                busiest: 25,
                 // Five round trips between regions (16 ms), and late timers of a slow core.
                 answer: Duration::from_millis(120),
                 // Long enough for a refutation by a busy member, short against the 5 s for
