--- a/crates/feed/src/origin.rs
+++ b/crates/feed/src/origin.rs
@@ -115,10 +115,9 @@
             Origin::Store => {
                 let doubled = STORE_PAUSE * 2_u32.pow(self.store_failures.min(8));
                 self.store_failures = self.store_failures.saturating_add(1);
-                if duty != Duty::Follower {
-                    doubled.min(LONGEST_STORE_PAUSE)
-                } else {
-                    LONGEST_STORE_PAUSE.mul_f64(OTHERS_FACTOR)
+                match duty {
+                    Duty::Follower => LONGEST_STORE_PAUSE.mul_f64(OTHERS_FACTOR),
+                    Duty::Reader | Duty::Deputy => doubled.min(LONGEST_STORE_PAUSE),
                 }
             }
         };
--- a/crates/relay/src/gather.rs
+++ b/crates/relay/src/gather.rs
@@ -22,8 +22,9 @@
 
 use crate::delegate::{self, Elsewhere};
 use crate::message::{Cause, Job, Passed, Refusal, Reply, Whole};
+use crate::path::RETRY_AFTER;
 use crate::race::{Lost, Plan, Race};
-use crate::relay::{RETRY_AFTER, Relay};
+use crate::relay::Relay;
 
 /// What a part of the work has brought.
 enum Piece<'a> {
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -15,9 +15,12 @@
 mod link;
 mod message;
 mod meter;
+mod path;
 mod race;
 mod relay;
+mod searchers;
 mod settings;
+mod state;
 
 pub use delegate::{Exchange, Helper, Helping};
 pub use dialect::{Ask, Dialect, Reading};
--- /dev/null
+++ b/crates/relay/src/path.rs
@@ -0,0 +1,127 @@
+//! The way of a request through the relay, from its route to its end in the log.
+
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, OnceLock};
+use std::time::{Duration, Instant};
+
+use bergamot_base::{Name, Revision};
+use bergamot_declaration::{Route, Target};
+use bergamot_dispatch::{Patience, Tally};
+use bergamot_upstream::Pace;
+use hyper::header::HeaderValue;
+use tokio::sync::Notify;
+
+use crate::gather::gather;
+use crate::message::{Cause, Job, Refusal, Reply, Request};
+use crate::meter::outcome;
+use crate::race::{Plan, Race};
+use crate::relay::Relay;
+
+/// When a caller may come back after a refusal.
+///
+/// Most reasons pass within this time: a pause of a searcher, a full queue, a connection
+/// that is being opened. Callers heed at most a third of the time that they have left.
+pub(crate) const RETRY_AFTER: Duration = Duration::from_millis(200);
+
+/// When a caller may come back to an instance that has just started.
+const START_RETRY: Duration = Duration::from_millis(300);
+
+impl Relay {
+    /// Takes a request to its end.
+    pub async fn handle(self: &Arc<Self>, request: Request) -> Reply {
+        let Some(declaration) = self.declaration() else {
+            let retry_after = Some(START_RETRY);
+            return Reply::Refused(Refusal { cause: Cause::NotReady, retry_after });
+        };
+        let Some(route) = declaration.find(&request.host, request.uri.path()) else {
+            return Reply::Refused(Refusal { cause: Cause::NoRoute, retry_after: None });
+        };
+        let (received, id) = (request.received, request.id.clone());
+        let reply = self.route(route, request).await;
+        let took = received.elapsed();
+        self.meter.request(&route.name, &reply, took);
+        self.log_end(&id, route, declaration.version, &reply, took);
+        reply
+    }
+
+    /// Logs how a request ended: ordinary ends up to a settled rate, all others.
+    fn log_end(
+        &self,
+        id: &HeaderValue,
+        route: &Route,
+        version: Revision,
+        reply: &Reply,
+        took: Duration,
+    ) {
+        let ordinary = matches!(reply, Reply::Passed(passed) if !passed.status.is_server_error())
+            || matches!(reply, Reply::Whole(whole) if whole.missing == 0);
+        let left_out = if ordinary { self.lock().sampler.admit(Instant::now()) } else { Some(0) };
+        let Some(left_out) = left_out else { return };
+        let (outcome, route, took) = (outcome(reply), &route.name, took.as_millis());
+        let detail = match reply {
+            Reply::Passed(passed) => format!("status={}", passed.status.as_u16()),
+            Reply::Whole(whole) => format!("missing={}", whole.missing),
+            Reply::Refused(refusal) => {
+                let after = refusal.retry_after.map_or(0, |after| after.as_millis());
+                format!("retry_after_ms={after}")
+            }
+        };
+        log::info!(
+            "relay: event=ended request={id:?} route={route} version={version} outcome={outcome} \
+             {detail} took_ms={took} ordinary_left_out={left_out}"
+        );
+    }
+
+    async fn route(self: &Arc<Self>, route: &Route, request: Request) -> Reply {
+        let usual = self.lock().paces.get(&route.name).and_then(Pace::slow);
+        let patience = Patience::new(route, request.deadline, usual);
+        let tally = match &route.target {
+            Target::Gather(gather) => Tally::new(gather.shards.len(), gather.fewest()),
+            Target::Service(_) | Target::Split(_) => Tally::new(1, 1),
+        };
+        let job = Arc::new(Job {
+            request,
+            tally: Mutex::new(tally),
+            changed: Notify::new(),
+            route: Name::clone(&route.name),
+            kind: route.kind,
+            attempts: route.attempts,
+            answered: AtomicBool::new(false),
+            left_out: OnceLock::new(),
+        });
+        match &route.target {
+            Target::Gather(shards) => gather(self, &job, shards, patience).await,
+            Target::Service(service) => self.pass(&job, service, patience).await,
+            Target::Split(shares) => {
+                let service =
+                    self.lock().splits.entry(Name::clone(&route.name)).or_default().next(shares);
+                match service {
+                    Some(service) => self.pass(&job, &service, patience).await,
+                    None => Reply::Refused(Refusal { cause: Cause::NotRun, retry_after: None }),
+                }
+            }
+        }
+    }
+
+    async fn pass(self: &Arc<Self>, job: &Arc<Job>, service: &Name, patience: Patience) -> Reply {
+        self.earn(service);
+        let lost = match Race::new(self, job, service, Plan::new(job, patience)).run().await {
+            Ok(passed) => {
+                job.answered.store(true, Ordering::Relaxed);
+                return Reply::Passed(passed);
+            }
+            Err(lost) => lost,
+        };
+        if let Some(failure) = lost.failure {
+            return Reply::Passed(*failure);
+        }
+        let cause = match () {
+            () if lost.ending.did_not_run() => Cause::NotRun,
+            () if lost.late => Cause::Late,
+            () => Cause::Lost,
+        };
+        let request = &job.request.id;
+        log::info!("relay: event=refused request={request:?} service={service} outcome={cause:?}");
+        Reply::Refused(Refusal { cause, retry_after: Some(RETRY_AFTER) })
+    }
+}
--- /dev/null
+++ b/crates/relay/src/searchers.rs
@@ -0,0 +1,203 @@
+//! The searchers that a relay knows: which is asked, its connections, what it may be sent.
+//!
+//! Invariant: a link lives as long as its incarnation is in the registry, so what was seen of
+//! one incarnation never speaks for another.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bergamot_base::Name;
+use bergamot_declaration::{Route, Target};
+use bergamot_dispatch::{Distance, Need, rank};
+use bergamot_registry::Upstream;
+use bergamot_upstream::Pace;
+use rand::RngExt;
+
+use crate::delegate::Elsewhere;
+use crate::link::Link;
+use crate::relay::Relay;
+use crate::state::{State, share};
+
+/// The percentile of the first attempts' times that counts as usual.
+///
+/// Searchers pause for 4 in 100 of the time: beyond the 94th percentile, most of what is
+/// still silent is paused. At 85 the allowance is spent on answers that are on their way.
+const USUAL: usize = 94;
+
+/// How many connections are opened ahead of need in one tick.
+const WARMED_A_TICK: usize = 6;
+
+impl Relay {
+    /// Returns where the searcher is that would be asked, if it is not in our zone.
+    pub(crate) fn elsewhere(&self, service: &str) -> Option<Elsewhere> {
+        let link = self.choose(service, &[])?;
+        let zone = &link.upstream.zone;
+        match link.distance {
+            Distance::Zone => None,
+            Distance::Region => Some(Elsewhere::Zone(Name::clone(zone))),
+            Distance::Far => self.settings.regions.get(zone).cloned().map(Elsewhere::Region),
+        }
+    }
+
+    /// Makes the links to searchers that were published since.
+    pub(crate) fn meet(&self, state: &mut State) {
+        let Some(declaration) = state.declaration.clone() else {
+            return;
+        };
+        for service in declaration.services.keys() {
+            let share = share(state, service);
+            let State { registry, links, .. } = state;
+            for (upstream, _missing) in registry.usable(service) {
+                self.link(links, upstream, share);
+            }
+        }
+    }
+
+    /// Returns how many connections the scarcest shards accept, if any are declared.
+    pub fn fewest_connections(&self) -> Option<usize> {
+        let declaration = self.declaration()?;
+        let shards = |route: &Route| match &route.target {
+            Target::Gather(gather) => gather.shards.clone(),
+            Target::Service(_) | Target::Split(_) => Vec::new(),
+        };
+        let shards = declaration.routes.iter().flat_map(shards);
+        shards.filter_map(|shard| declaration.connections(&shard)).min()
+    }
+
+    /// Counts for how many services each region holds a searcher that takes work.
+    pub fn covered(&self) -> BTreeMap<Name, usize> {
+        let regions = &self.settings.regions;
+        self.count_services(|upstream| regions.get(&upstream.zone).map(Name::clone))
+    }
+
+    /// Counts for how many services each availability zone holds a searcher that takes work.
+    pub fn covered_zones(&self) -> BTreeMap<Name, usize> {
+        self.count_services(|upstream| Some(Name::clone(&upstream.zone)))
+    }
+
+    pub(crate) fn count_services(
+        &self,
+        place: impl Fn(&Upstream) -> Option<Name>,
+    ) -> BTreeMap<Name, usize> {
+        let state = self.lock();
+        let mut services = BTreeMap::<Name, BTreeSet<&Name>>::new();
+        let Some(declaration) = &state.declaration else {
+            return BTreeMap::new();
+        };
+        for service in declaration.routes.iter().flat_map(|route| route.target.services()) {
+            for (upstream, _missing) in state.registry.usable(service) {
+                if let Some(place) = place(upstream) {
+                    services.entry(place).or_default().insert(service);
+                }
+            }
+        }
+        services.into_iter().map(|(place, covered)| (place, covered.len())).collect()
+    }
+
+    /// Chooses the searcher for the next attempt among those not tried yet.
+    pub(crate) fn choose(&self, service: &str, tried: &[Name]) -> Option<Arc<Link>> {
+        let now = Instant::now();
+        let mut state = self.lock();
+        let share = share(&state, service);
+        let State { registry, links, .. } = &mut *state;
+        let candidates = registry
+            .usable(service)
+            .filter(|(upstream, _)| !tried.contains(&upstream.id))
+            .map(|(upstream, missing)| self.link(links, upstream, share).candidate(missing, now))
+            .collect();
+        drop(state);
+        let mut rng = rand::rng();
+        rank(candidates, || rng.random()).into_iter().next()
+    }
+
+    pub(crate) fn link(
+        &self,
+        links: &mut HashMap<Name, Arc<Link>>,
+        upstream: &Arc<Upstream>,
+        share: usize,
+    ) -> Arc<Link> {
+        let link = links
+            .entry(Name::clone(&upstream.id))
+            .or_insert_with(|| Link::new(Arc::clone(upstream), share, &self.settings));
+        Arc::clone(link)
+    }
+
+    /// Notes that a searcher failed a request that another member sent it for us.
+    pub(crate) fn note_failure(&self, id: &str) {
+        if let Some(link) = self.lock().links.get(id) {
+            link.outlook().fail(Instant::now());
+        }
+    }
+
+    /// Notes how long a first attempt for a route took.
+    pub(crate) fn note_pace(&self, route: &Name, took: Duration) {
+        let mut state = self.lock();
+        let pace = state.paces.entry(Name::clone(route)).or_insert_with(|| Pace::new(USUAL));
+        pace.record(took);
+    }
+
+    /// Opens connections ahead of need to searchers that have none.
+    ///
+    /// A new connection takes a round trip and some of the searcher's time, so that a first
+    /// request on it is late; a hedge to another region would be by 20 ms and more. A few at
+    /// a time, so that not all members come at once.
+    pub(crate) fn warm(state: &State) {
+        let now = Instant::now();
+        let cold = |link: &&Arc<Link>| link.pool.usage().open == 0 && link.may_warm(now);
+        for link in state.links.values().filter(cold).take(WARMED_A_TICK) {
+            let pool = Arc::clone(&link.pool);
+            tokio::spawn(async move {
+                if let Err(fault) = pool.warm().await {
+                    log::debug!("relay: event=warm_failed cause=\"{fault}\"");
+                }
+            });
+        }
+    }
+
+    /// Tells whether a service has a searcher that may be asked.
+    pub(crate) fn has_searcher(&self, service: &str) -> bool {
+        self.lock().registry.usable(service).next().is_some()
+    }
+
+    /// Tells whether new work may be sent to an incarnation.
+    pub(crate) fn takes_work(&self, id: &str) -> bool {
+        self.lock().registry.takes_work(id)
+    }
+
+    /// Notes that an incarnation has ended, since another answered at its address.
+    pub(crate) fn ended(&self, id: &Name, other: Option<&str>) {
+        let other = other.unwrap_or("unnamed");
+        if self.lock().registry.end(id) {
+            log::info!(
+                "relay: event=searcher_gone searcher={id} cause=\"{other} has its address\""
+            );
+        }
+    }
+
+    /// Counts a request for a service.
+    pub(crate) fn earn(&self, service: &Name) {
+        let now = Instant::now();
+        let terms = &self.settings.terms;
+        self.lock().allowance(service, now).earn(now, terms);
+    }
+
+    /// Spends one additional attempt at a service, if the bound has room for it.
+    pub(crate) fn spend(&self, service: &Name, need: Need) -> bool {
+        let now = Instant::now();
+        let mut state = self.lock();
+        let members = state.members;
+        let granted = state.allowance(service, now).spend(now, &self.settings.terms, members, need);
+        if !granted {
+            self.meter.denied.inc();
+        }
+        granted
+    }
+
+    /// Gives every link its share of connections.
+    pub(crate) fn share(state: &State) {
+        for link in state.links.values() {
+            link.pool.resize(share(state, &link.upstream.service));
+        }
+    }
+}
--- /dev/null
+++ b/crates/relay/src/state.rs
@@ -0,0 +1,67 @@
+//! What changes while a relay runs, under one lock that is never held while waiting.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Instant;
+
+use bergamot_base::Name;
+use bergamot_config::Floor;
+use bergamot_declaration::{Declaration, Split};
+use bergamot_dispatch::Allowance;
+use bergamot_logger::Sampler;
+use bergamot_registry::Registry;
+use bergamot_upstream::Pace;
+
+use crate::link::Link;
+
+/// How many of a searcher's connections no member opens: one that is being closed still
+/// counts at the searcher for a moment.
+const SPARE_CONNECTIONS: usize = 1;
+
+/// How many ordinary ends of requests are logged a second; the rest is counted.
+const ORDINARY_LINES: u32 = 10;
+
+/// How many connections a searcher is taken to accept where that is not declared.
+const ASSUMED_CONNECTIONS: usize = 16;
+
+/// What changes while a relay runs.
+pub(crate) struct State {
+    pub(crate) floor: Floor,
+    pub(crate) declaration: Option<Arc<Declaration>>,
+    pub(crate) registry: Registry,
+    pub(crate) links: HashMap<Name, Arc<Link>>,
+    pub(crate) splits: HashMap<Name, Split>,
+    pub(crate) allowances: HashMap<Name, Allowance>,
+    pub(crate) paces: HashMap<Name, Pace>,
+    pub(crate) sampler: Sampler,
+    pub(crate) members: usize,
+    pub(crate) store_away_since: Option<Instant>,
+}
+
+impl State {
+    pub(crate) fn new() -> Self {
+        Self {
+            floor: Floor::default(),
+            declaration: None,
+            registry: Registry::default(),
+            links: HashMap::new(),
+            splits: HashMap::new(),
+            allowances: HashMap::new(),
+            paces: HashMap::new(),
+            sampler: Sampler::new(ORDINARY_LINES),
+            members: 1,
+            store_away_since: None,
+        }
+    }
+
+    pub(crate) fn allowance(&mut self, service: &Name, now: Instant) -> &mut Allowance {
+        self.allowances.entry(Name::clone(service)).or_insert_with(|| Allowance::new(now))
+    }
+}
+
+/// Returns how many connections this member may open to each searcher of a service.
+pub(crate) fn share(state: &State, service: &str) -> usize {
+    let declared = state.declaration.as_ref().and_then(|declared| declared.connections(service));
+    let all = declared.unwrap_or(ASSUMED_CONNECTIONS).saturating_sub(SPARE_CONNECTIONS);
+    (all / state.members.max(1)).max(1)
+}
