Spread the times to come back; test shards that are asked through a member

Cause: callers who were refused together were told to return together, 200 ms later. Change: 150 to 300 ms, drawn. Tests: crates/relay/tests/helped.rs (a member's shards are counted, what it missed is asked of another searcher, what comes later is taken once).

--- a/crates/relay/src/gather.rs
+++ b/crates/relay/src/gather.rs
@@ -22,7 +22,7 @@
 
 use crate::delegate::{self, Elsewhere};
 use crate::message::{Cause, Job, Passed, Refusal, Reply, Whole};
-use crate::path::RETRY_AFTER;
+use crate::path::retry_after;
 use crate::race::{Lost, Plan, Race};
 use crate::relay::Relay;
 
@@ -315,5 +315,5 @@
 fn refuse(job: &Job, cause: Cause, why: &str) -> Reply {
     let request = &job.request.id;
     log::info!("relay: event=refused request={request:?} outcome={cause:?} cause=\"{why}\"");
-    Reply::Refused(Refusal { cause, retry_after: Some(RETRY_AFTER) })
+    Reply::Refused(Refusal { cause, retry_after: Some(retry_after()) })
 }
--- a/crates/relay/src/path.rs
+++ b/crates/relay/src/path.rs
@@ -9,6 +9,7 @@
 use bergamot_dispatch::{Patience, Tally};
 use bergamot_upstream::Pace;
 use hyper::header::HeaderValue;
+use rand::RngExt;
 use tokio::sync::Notify;
 
 use crate::gather::gather;
@@ -17,15 +18,24 @@
 use crate::race::{Plan, Race};
 use crate::relay::Relay;
 
-/// When a caller may come back after a refusal.
+/// When a caller may come back after a refusal, at the least.
 ///
 /// Most reasons pass within this time: a pause of a searcher, a full queue, a connection
 /// that is being opened. Callers heed at most a third of the time that they have left.
-pub(crate) const RETRY_AFTER: Duration = Duration::from_millis(200);
+const RETRY_AFTER: Duration = Duration::from_millis(150);
+
+/// How far the times to come back are spread, so that callers who were refused together
+/// don't return together.
+const RETRY_SPREAD: Duration = Duration::from_millis(150);
 
 /// When a caller may come back to an instance that has just started.
 const START_RETRY: Duration = Duration::from_millis(300);
 
+/// Draws when a caller may come back after a refusal.
+pub(crate) fn retry_after() -> Duration {
+    RETRY_AFTER + RETRY_SPREAD.mul_f64(rand::rng().random())
+}
+
 impl Relay {
     /// Takes a request to its end.
     pub async fn handle(self: &Arc<Self>, request: Request) -> Reply {
@@ -122,6 +132,6 @@
         };
         let request = &job.request.id;
         log::info!("relay: event=refused request={request:?} service={service} outcome={cause:?}");
-        Reply::Refused(Refusal { cause, retry_after: Some(RETRY_AFTER) })
+        Reply::Refused(Refusal { cause, retry_after: Some(retry_after()) })
     }
 }
--- /dev/null
+++ b/crates/relay/tests/helped.rs
@@ -0,0 +1,105 @@
+//! Shards that are asked through a member beside their searchers.
+
+mod support;
+
+use std::net::Ipv4Addr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bergamot_declaration::Kind;
+use bergamot_registry::Upstream;
+use bergamot_relay::{Helper, Helping, Relay, Reply, Whole};
+use bergamot_standin::Script;
+use bergamot_wire::{Late, Shard, ShardReply};
+use support::{gather, ok, relay_beside, request, route, upstream};
+
+const MEMBER: Ipv4Addr = Ipv4Addr::new(10, 0, 0, 9);
+
+const HOUR: Duration = Duration::from_hours(1);
+
+fn record(byte: u8) -> Vec<u8> {
+    vec![byte; 16]
+}
+
+async fn part(byte: u8) -> Script {
+    Script::start(move |seen| ok(seen, &format!("sig{byte}"), &record(byte)))
+        .await
+        .expect("a port is free")
+}
+
+fn at(zone: &str, upstream: Upstream) -> Upstream {
+    Upstream { zone: zone.into(), ..upstream }
+}
+
+fn whole(reply: Reply) -> Whole {
+    match reply {
+        Reply::Whole(whole) => whole,
+        other => panic!("no merged answer: {other:?}"),
+    }
+}
+
+/// A relay whose shards `a` and `b` have searchers in the west, where a member answers
+/// `reply` and then `late`, and `a` another one in the east.
+fn relay(reply: ShardReply, late: Vec<Late>, west: &Script, east: &Script) -> Arc<Relay> {
+    let helping = Helping {
+        gather: Box::new(move |_, _, _| {
+            let reply = reply.clone();
+            Box::pin(async move { Ok(reply) })
+        }),
+        rest: Box::new(move |_, token, _| {
+            let late = if token == 7 { late.clone() } else { Vec::new() };
+            Box::pin(async move {
+                tokio::time::sleep(Duration::from_millis(5)).await;
+                Ok(late)
+            })
+        }),
+    };
+    let upstreams = vec![
+        at("west", upstream("a-west", "a", west)),
+        at("west", upstream("b-west", "b", west)),
+        // It has just started and is taken to be slow, so the one in the west comes first.
+        Upstream { warm_at: Instant::now() + HOUR, ..at("east", upstream("a-east", "a", east)) },
+    ];
+    let routes = vec![route("/q/", Kind::Idempotent, gather(&["a", "b"], 0.5))];
+    let relay = relay_beside(helping, routes, upstreams);
+    let helper = |ip, zone: &str| Helper { ip, zone: zone.into(), region: zone.into() };
+    relay.set_helpers(vec![helper(MEMBER, "west"), helper(MEMBER, "east")]);
+    relay
+}
+
+#[tokio::test]
+async fn a_members_merged_answer_counts_each_of_its_shards() {
+    let (west, east) = (part(1).await, part(2).await);
+    let shards = vec![Shard::In(b"s1".to_vec()), Shard::In(b"s2".to_vec())];
+    let reply = ShardReply { shards, records: [record(9), record(3)].concat(), rest: 0 };
+    let relay = relay(reply, Vec::new(), &west, &east);
+    for _ in 0..5 {
+        let answer = whole(relay.handle(request("/q/")).await);
+        assert_eq!((answer.signatures.len(), answer.missing), (2, 0));
+    }
+}
+
+#[tokio::test]
+async fn what_a_member_missed_is_asked_of_another_searcher_and_not_of_the_same() {
+    let (west, east) = (part(1).await, part(2).await);
+    let silent = Shard::Silent("a-west".into());
+    let shards = vec![silent, Shard::In(b"s2".to_vec())];
+    let reply = ShardReply { shards, records: record(3), rest: 0 };
+    let relay = relay(reply, Vec::new(), &west, &east);
+    let answer = whole(relay.handle(request("/q/")).await);
+    assert_eq!((answer.signatures.len(), answer.missing), (2, 0));
+    assert!(west.seen().iter().all(|seen| seen.header("x-meant") != Some("a-west")));
+}
+
+#[tokio::test]
+async fn a_shard_that_comes_in_later_at_the_member_is_taken_once() {
+    let (west, east) = (part(1).await, part(2).await);
+    let shards = vec![Shard::In(b"s1".to_vec()), Shard::Silent("b-west".into())];
+    let reply = ShardReply { shards, records: record(9), rest: 7 };
+    // Shard `b` has no other searcher: only the member can still bring it.
+    let late = vec![Late { index: 1, signature: Some(b"late".to_vec()), records: record(5) }];
+    let relay = relay(reply, late, &west, &east);
+    let answer = whole(relay.handle(request("/q/")).await);
+    assert_eq!((answer.signatures.len(), answer.missing), (2, 0));
+    assert_eq!(&*answer.records, [record(9), record(5)].concat());
+}
--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -92,15 +92,22 @@
     Target::Gather(Gather { shards, top_k: 2, min_coverage })
 }
 
-/// A relay with routes in force and searchers published.
+/// A relay with routes in force and searchers published, and no other member.
 pub fn relay(routes: Vec<Route>, upstreams: Vec<Upstream>) -> Arc<Relay> {
     let helping = Helping {
         gather: Box::new(|_, _, _| Box::pin(async { Err("there is no other member".to_owned()) })),
         rest: Box::new(|_, _, _| Box::pin(async { Err("there is no other member".to_owned()) })),
     };
+    relay_beside(helping, routes, upstreams)
+}
+
+/// A relay in zone `here`, with other members in zones `west` and `east`, each a region.
+pub fn relay_beside(helping: Helping, routes: Vec<Route>, upstreams: Vec<Upstream>) -> Arc<Relay> {
     // The users' bound on additional attempts.
     let terms = Terms { ratio: 0.2, slack: 56.0, window: Duration::from_secs(10) };
-    let settings = Settings { zone: "here".into(), terms, ..Settings::default() };
+    let zones = ["here", "west", "east"];
+    let regions = zones.iter().map(|zone| (Name::from(*zone), Name::from(*zone))).collect();
+    let settings = Settings { zone: "here".into(), regions, terms, ..Settings::default() };
     let relay = Relay::new(settings, DIALECT, helping);
     let services = routes.iter().flat_map(|route| route.target.services());
     let services = services.map(|name| (Name::clone(name), Service { connections: 16 })).collect();
