--- a/crates/front/src/daemon.rs
+++ b/crates/front/src/daemon.rs
@@ -94,24 +94,10 @@
         let periods = bergamot_feed::Settings { join: inner.settings.join, ..Default::default() };
         tokio::spawn(follow(source, members, sink, feed, periods, stop.clone()));
         tokio::spawn(tick(Arc::clone(&inner), stop.clone()));
-        let metrics = listen(inner.settings.metrics).await?;
-        let answering = Arc::clone(&inner);
-        tokio::spawn(serve(metrics, stop.clone(), move |request, _peer| {
-            let reply = answering.metrics(request.uri());
-            async move { reply }
-        }));
-        let readiness = listen(inner.settings.readiness).await?;
-        let answering = Arc::clone(&inner);
-        tokio::spawn(serve(readiness, stop.clone(), move |request, _peer| {
-            let reply = answering.readiness(request.uri());
-            async move { reply }
-        }));
-        let directory = listen(inner.settings.directory).await?;
-        let answering = Arc::clone(&inner);
-        tokio::spawn(serve(directory, stop.clone(), move |request, _peer| {
-            let reply = answering.directory(request.uri());
-            async move { reply }
-        }));
+        let addresses = &inner.settings;
+        serve_pages(addresses.metrics, &inner, &stop, Inner::metrics).await?;
+        serve_pages(addresses.readiness, &inner, &stop, Inner::readiness).await?;
+        serve_pages(addresses.directory, &inner, &stop, Inner::directory).await?;
         let listener = listen(inner.settings.callers).await?;
         let answering = Arc::clone(&inner);
         let callers = tokio::spawn(serve(listener, close.clone(), move |request, _peer| {
@@ -313,6 +299,21 @@
     }
 }
 
+/// Answers each request at an address by its path and query alone, until `stop`.
+async fn serve_pages(
+    address: SocketAddr,
+    inner: &Arc<Inner>,
+    stop: &CancellationToken,
+    answer: fn(&Inner, &Uri) -> Response<Body>,
+) -> Result<(), Fault> {
+    let (listener, inner) = (listen(address).await?, Arc::clone(inner));
+    tokio::spawn(serve(listener, stop.clone(), move |request, _peer| {
+        let reply = answer(&inner, request.uri());
+        async move { reply }
+    }));
+    Ok(())
+}
+
 async fn tick(inner: Arc<Inner>, stop: CancellationToken) {
     let mut ticks = 0_u32;
     while !stop.is_cancelled() {
--- a/crates/relay/src/path.rs
+++ b/crates/relay/src/path.rs
@@ -31,6 +31,29 @@
 /// When a caller may come back to an instance that has just started.
 const START_RETRY: Duration = Duration::from_millis(300);
 
+/// What stands for the route in metrics and logs where none was found.
+const UNROUTED: &str = "none";
+
+/// The caller of a request, who may leave before there is an answer.
+struct Caller<'a> {
+    id: &'a HeaderValue,
+    received: Instant,
+    answered: bool,
+}
+
+impl Drop for Caller<'_> {
+    fn drop(&mut self) {
+        if !self.answered {
+            let (request, took) = (self.id, self.received.elapsed().as_millis());
+            log::info!("relay: event=caller_left request={request:?} took_ms={took}");
+        }
+    }
+}
+
+fn refusal(cause: Cause, retry_after: Option<Duration>) -> Reply {
+    Reply::Refused(Refusal { cause, retry_after })
+}
+
 /// Draws when a caller may come back after a refusal.
 pub(crate) fn retry_after() -> Duration {
     RETRY_AFTER + RETRY_SPREAD.mul_f64(rand::rng().random())
@@ -39,18 +62,22 @@
 impl Relay {
     /// Takes a request to its end.
     pub async fn handle(self: &Arc<Self>, request: Request) -> Reply {
-        let Some(declaration) = self.declaration() else {
-            let retry_after = Some(START_RETRY);
-            return Reply::Refused(Refusal { cause: Cause::NotReady, retry_after });
-        };
-        let Some(route) = declaration.find(&request.host, request.uri.path()) else {
-            return Reply::Refused(Refusal { cause: Cause::NoRoute, retry_after: None });
-        };
         let (received, id) = (request.received, request.id.clone());
-        let reply = self.route(route, request).await;
+        let mut caller = Caller { id: &id, received, answered: false };
+        let declaration = self.declaration();
+        let version = declaration.as_ref().map_or(0, |declaration| declaration.version);
+        let found = declaration
+            .as_ref()
+            .map(|declaration| declaration.find(&request.host, request.uri.path()));
+        let (name, reply) = match found {
+            None => (UNROUTED, refusal(Cause::NotReady, Some(START_RETRY))),
+            Some(None) => (UNROUTED, refusal(Cause::NoRoute, None)),
+            Some(Some(route)) => (&*route.name, self.route(route, request).await),
+        };
+        caller.answered = true;
         let took = received.elapsed();
-        self.meter.request(&route.name, &reply, took);
-        self.log_end(&id, route, declaration.version, &reply, took);
+        self.meter.request(name, &reply, took);
+        self.log_end(&id, (name, version), &reply, took);
         reply
     }
 
@@ -58,8 +85,7 @@
     fn log_end(
         &self,
         id: &HeaderValue,
-        route: &Route,
-        version: Revision,
+        (route, version): (&str, Revision),
         reply: &Reply,
         took: Duration,
     ) {
@@ -67,7 +93,7 @@
             || matches!(reply, Reply::Whole(whole) if whole.missing == 0);
         let left_out = if ordinary { self.lock().sampler.admit(Instant::now()) } else { Some(0) };
         let Some(left_out) = left_out else { return };
-        let (outcome, route, took) = (outcome(reply), &route.name, took.as_millis());
+        let (outcome, took) = (outcome(reply), took.as_millis());
         let detail = match reply {
             Reply::Passed(passed) => format!("status={}", passed.status.as_u16()),
             Reply::Whole(whole) => format!("missing={}", whole.missing),
@@ -107,7 +133,7 @@
                     self.lock().splits.entry(Name::clone(&route.name)).or_default().next(shares);
                 match service {
                     Some(service) => self.pass(&job, &service, patience).await,
-                    None => Reply::Refused(Refusal { cause: Cause::NotRun, retry_after: None }),
+                    None => refusal(Cause::NotRun, None),
                 }
             }
         }
@@ -132,6 +158,6 @@
         };
         let request = &job.request.id;
         log::info!("relay: event=refused request={request:?} service={service} outcome={cause:?}");
-        Reply::Refused(Refusal { cause, retry_after: Some(retry_after()) })
+        refusal(cause, Some(retry_after()))
     }
 }
