Refuse at once what the searchers can't answer in time

Cause: nothing was ever refused for lack of room; in a burst of 3.4 times the traffic queues at the searchers grew until every answer was late (455 answers 502, 286 deadlines passed at Caldermuir).

Change: a gathered request is taken up with the probability at which its work fits, from the expected time of the slowest shard that its coverage needs; refused ones have not run and say when to come back; some are always taken up.

--- /dev/null
+++ b/crates/dispatch/src/admit.rs
@@ -0,0 +1,35 @@
+//! Whether a gathered request is taken up at all.
+//!
+//! While callers ask for more than the searchers can do, queues grow until every answer is
+//! late, and the work for it is lost. The shards that an answer needs say how long it will
+//! take; beyond the target latency, the request is taken up with the probability at which
+//! the work would fit, and refused at once otherwise, before anything has run. A caller who
+//! is refused may come back in time; one who waits can't be served in time. Invariant: a
+//! request that is expected to meet its target is always taken up, and some are always, so
+//! that recovery is noticed.
+
+use std::time::Duration;
+
+/// The least part of the requests that is taken up, to notice that searchers recover.
+const LEAST: f64 = 0.15;
+
+/// The part of the target latency beyond which the expected time makes requests refused.
+///
+/// Estimates lag by the time of an answer and hold the queue of this member alone: refused
+/// only at the target, requests are late before the estimate shows it.
+const EARLY: f64 = 0.8;
+
+/// How steeply fewer requests are taken up as the expected time grows: at a tenth beyond
+/// the limit two thirds, at a half beyond it a fifth.
+const STEEPNESS: i32 = 4;
+
+/// Decides whether a request is taken up. `delays` are the expected times of its shards in
+/// milliseconds, of which `fewest` make a success; `draw` is a random number from 0 to 1.
+pub fn admit(delays: &mut [f64], fewest: usize, target: Duration, draw: f64) -> bool {
+    let Some(last) = fewest.checked_sub(1).filter(|last| *last < delays.len()) else {
+        return true;
+    };
+    let (_, needed, _) = delays.select_nth_unstable_by(last, f64::total_cmp);
+    let limit = target.as_secs_f64() * 1e3 * EARLY;
+    draw < (limit / *needed).powi(STEEPNESS).max(LEAST)
+}
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -7,6 +7,7 @@
 //! says what may follow the end of an exchange, [`Tally`] when a gathered answer goes
 //! out, and [`greatest`] what it holds. See `docs/design/0009-platform.md`.
 
+mod admit;
 mod allowance;
 mod ending;
 mod outlook;
@@ -15,6 +16,7 @@
 mod record;
 mod tally;
 
+pub use admit::admit;
 pub use allowance::{Allowance, Need, Terms};
 pub use ending::Ending;
 pub use outlook::Outlook;
--- a/crates/dispatch/src/outlook.rs
+++ b/crates/dispatch/src/outlook.rs
@@ -109,14 +109,19 @@
     }
 
     /// Estimates how long one more request will take, in milliseconds.
-    pub fn expected(&self, now: Instant, slots: usize, cold: bool) -> f64 {
+    pub fn delay(&self, now: Instant, slots: usize) -> f64 {
         let mean = self.mean(now);
         let oldest = self.running.iter().min().map_or(0.0, |sent| millis(now - *sent));
         let overdue = if oldest > mean * OVERDUE { oldest } else { 0.0 };
         let queue = 1.0 + self.running.len() as f64 / slots.max(1) as f64;
+        mean * queue + overdue
+    }
+
+    /// Estimates the same for the choice among searchers, with what speaks against this one.
+    pub fn expected(&self, now: Instant, slots: usize, cold: bool) -> f64 {
         let cold = if cold { COLD } else { 1.0 };
         let failing = 1.0 + FAILING * self.failing(now).powi(2);
-        (mean * queue * cold + overdue) * failing
+        self.delay(now, slots) * cold * failing
     }
 
     fn mean(&self, now: Instant) -> f64 {
--- a/crates/dispatch/tests/dispatch.rs
+++ b/crates/dispatch/tests/dispatch.rs
@@ -4,7 +4,8 @@
 
 use bergamot_declaration::{Kind, Route, Target};
 use bergamot_dispatch::{
-    Allowance, Candidate, Ending, Need, Outlook, Patience, Tally, Terms, Verdict, greatest, rank,
+    Allowance, Candidate, Ending, Need, Outlook, Patience, Tally, Terms, Verdict, admit, greatest,
+    rank,
 };
 use bytes::Bytes;
 use proptest::prelude::*;
@@ -86,6 +87,43 @@
     assert!(kept * 10 < spent * 9, "{kept} of {spent}");
 }
 
+/// The pattern: for some seconds callers ask for twice what the searchers of a shard can do
+/// (93 requests a second for each of 20 shards, two searchers with two slots and 17 ms of
+/// work each, times 3.4). Taken up all, the queue grows until every answer is late; with the
+/// queue as the only signal, most of what is taken up must be in time.
+#[test]
+fn in_a_burst_most_of_what_is_taken_up_is_in_time() {
+    let served = |refuse: bool| {
+        let target = MS * 174;
+        let (mut backlog, mut in_time, mut taken) = (0.0_f64, 0, 0);
+        for turn in 0..1500_u32 {
+            // One request each 3.2 ms brings 17 ms of work to four slots.
+            backlog = (backlog - 3.2 * 4.0).max(0.0);
+            let delay = 17.0 + backlog / 4.0;
+            let draw = f64::from(turn * 37 % 100) / 100.0;
+            if refuse && !admit(&mut [delay; 20], 18, target, draw) {
+                continue;
+            }
+            backlog = (backlog + 17.0).min(28.0 * 17.0 * 4.0);
+            taken += 1;
+            in_time += u32::from(delay <= 174.0);
+        }
+        (in_time, taken)
+    };
+    let ((all_in_time, _), (in_time, taken)) = (served(false), served(true));
+    assert!(in_time > all_in_time, "{in_time} of {taken}, {all_in_time} without refusals");
+}
+
+#[test]
+fn a_request_that_is_expected_in_time_is_always_taken_up() {
+    let mut delays = [20.0, 30.0, 40.0, 9000.0];
+    assert!(admit(&mut delays, 3, MS * 50, 0.999));
+    assert!(!admit(&mut delays, 3, MS * 30, 0.999));
+    // Of what can't be in time, some is taken up, to notice that the searchers recover.
+    assert!(!admit(&mut delays, 4, MS * 50, 0.5));
+    assert!(admit(&mut delays, 4, MS * 50, 0.1));
+}
+
 #[test]
 fn a_gather_fails_as_soon_as_its_coverage_is_out_of_reach() {
     let mut tally = Tally::new(20, 18);
--- a/crates/relay/src/gather.rs
+++ b/crates/relay/src/gather.rs
@@ -12,12 +12,13 @@
 
 use bergamot_base::Name;
 use bergamot_declaration::Gather;
-use bergamot_dispatch::{Ending, Patience, Verdict, greatest};
+use bergamot_dispatch::{Ending, Patience, Verdict, admit, greatest};
 use bergamot_wire::{Late, Shard, ShardReply};
 use bytes::Bytes;
 use futures::future::BoxFuture;
 use futures::stream::{FuturesUnordered, StreamExt};
 use hyper::header::HeaderValue;
+use rand::RngExt;
 use tokio::time::sleep_until;
 
 use crate::delegate::{self, Elsewhere};
@@ -53,10 +54,14 @@
     patience: Patience,
 ) -> Reply {
     let fewest = gather.fewest();
-    let served = gather.shards.iter().filter(|shard| relay.has_searcher(shard)).count();
-    if served < fewest {
+    let mut delays = relay.delays(&gather.shards);
+    if delays.len() < fewest {
+        let served = delays.len();
         return refuse(job, Cause::NotRun, &format!("{served} of {fewest} shards have a searcher"));
     }
+    if !admit(&mut delays, fewest, patience.target, rand::rng().random()) {
+        return refuse(job, Cause::NotRun, "the searchers are too busy to answer in time");
+    }
     for shard in &gather.shards {
         relay.earn(shard);
     }
--- a/crates/relay/src/link.rs
+++ b/crates/relay/src/link.rs
@@ -64,6 +64,11 @@
         due
     }
 
+    /// Estimates how long one more request will take, in milliseconds.
+    pub(crate) fn delay(&self, now: Instant) -> f64 {
+        self.outlook().delay(now, self.upstream.slots)
+    }
+
     /// Describes the searcher for the choice among those of its service.
     pub(crate) fn candidate(self: &Arc<Self>, missing: bool, now: Instant) -> Candidate<Arc<Self>> {
         let cold = now < self.upstream.warm_at;
--- a/crates/relay/src/searchers.rs
+++ b/crates/relay/src/searchers.rs
@@ -155,9 +155,19 @@
         }
     }
 
-    /// Tells whether a service has a searcher that may be asked.
-    pub(crate) fn has_searcher(&self, service: &str) -> bool {
-        self.lock().registry.usable(service).next().is_some()
+    /// Estimates how long the fastest searcher of each service will take, in milliseconds,
+    /// leaving out services without one.
+    pub(crate) fn delays(&self, services: &[Name]) -> Vec<f64> {
+        let now = Instant::now();
+        let state = self.lock();
+        let fastest = |service: &Name| {
+            let known = state.registry.usable(service).map(|(upstream, _missing)| {
+                // Nothing has been seen of one that has no link yet.
+                state.links.get(&upstream.id).map_or(0.0, |link| link.delay(now))
+            });
+            known.min_by(f64::total_cmp)
+        };
+        services.iter().filter_map(fastest).collect()
     }
 
     /// Tells whether new work may be sent to an incarnation.
