--- a/crates/relay/tests/helped.rs
+++ b/crates/relay/tests/helped.rs
@@ -8,36 +8,19 @@
 
 use bergamot_declaration::Kind;
 use bergamot_registry::Upstream;
-use bergamot_relay::{Helper, Helping, Relay, Reply, Whole};
+use bergamot_relay::{Helper, Helping, Relay};
 use bergamot_standin::Script;
 use bergamot_wire::{Late, Shard, ShardReply};
-use support::{gather, ok, relay_beside, request, route, upstream};
+use support::{gather, part, record, relay_beside, request, route, upstream, whole};
 
 const MEMBER: Ipv4Addr = Ipv4Addr::new(10, 0, 0, 9);
 
 const HOUR: Duration = Duration::from_hours(1);
 
-fn record(byte: u8) -> Vec<u8> {
-    vec![byte; 16]
-}
-
-async fn part(byte: u8) -> Script {
-    Script::start(move |seen| ok(seen, &format!("sig{byte}"), &record(byte)))
-        .await
-        .expect("a port is free")
-}
-
 fn at(zone: &str, upstream: Upstream) -> Upstream {
     Upstream { zone: zone.into(), ..upstream }
 }
 
-fn whole(reply: Reply) -> Whole {
-    match reply {
-        Reply::Whole(whole) => whole,
-        other => panic!("no merged answer: {other:?}"),
-    }
-}
-
 /// A relay whose shards `a` and `b` have searchers in the west, where a member answers
 /// `reply` and then `late`, and `a` another one in the east.
 fn relay(reply: ShardReply, late: Vec<Late>, west: &Script, east: &Script) -> Arc<Relay> {
--- a/crates/relay/tests/many.rs
+++ b/crates/relay/tests/many.rs
@@ -5,31 +5,9 @@
 use std::time::{Duration, Instant};
 
 use bergamot_declaration::Kind;
-use bergamot_relay::{Cause, Reply, Whole};
-use bergamot_standin::{Script, Seen, Step};
-use support::{gather, not_run, ok, relay, request, route, upstream};
-
-fn record(byte: u8) -> Vec<u8> {
-    vec![byte; 16]
-}
-
-/// A searcher whose part holds the record of a byte.
-async fn part(byte: u8) -> Script {
-    Script::start(move |seen| ok(seen, &format!("sig{byte}"), &record(byte)))
-        .await
-        .expect("a port is free")
-}
-
-async fn script(play: impl Fn(&Seen) -> Vec<Step> + Send + Sync + 'static) -> Script {
-    Script::start(play).await.expect("a port is free")
-}
-
-fn whole(reply: Reply) -> Whole {
-    match reply {
-        Reply::Whole(whole) => whole,
-        other => panic!("no merged answer: {other:?}"),
-    }
-}
+use bergamot_relay::{Cause, Reply};
+use bergamot_standin::Step;
+use support::{gather, not_run, part, record, relay, request, route, script, upstream, whole};
 
 #[tokio::test]
 async fn the_greatest_records_of_all_shards_are_merged() {
--- a/crates/relay/tests/one.rs
+++ b/crates/relay/tests/one.rs
@@ -7,12 +7,8 @@
 use bergamot_declaration::{Kind, Target};
 use bergamot_registry::State;
 use bergamot_relay::{Cause, Passed, Refusal, Reply};
-use bergamot_standin::{Script, Seen, Step};
-use support::{not_run, ok, relay, reply, request, route, upstream};
-
-async fn script(play: impl Fn(&Seen) -> Vec<Step> + Send + Sync + 'static) -> Script {
-    Script::start(play).await.expect("a port is free")
-}
+use bergamot_standin::{Seen, Step};
+use support::{not_run, ok, relay, reply, request, route, script, upstream};
 
 fn passed(reply: Reply) -> Passed {
     match reply {
--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -9,7 +9,7 @@
 use bergamot_declaration::{Declaration, Gather, Kind, Route, Service, Target};
 use bergamot_dispatch::Terms;
 use bergamot_registry::{State, Upstream};
-use bergamot_relay::{Ask, Dialect, Helping, Reading, Relay, Request, Settings};
+use bergamot_relay::{Ask, Dialect, Helping, Reading, Relay, Reply, Request, Settings, Whole};
 use bergamot_standin::{Script, Seen, Step};
 use bytes::Bytes;
 use hyper::header::{HeaderMap, HeaderValue};
@@ -132,3 +132,26 @@
         received: Instant::now(),
     }
 }
+
+/// A scripted searcher at a free port.
+pub async fn script(play: impl Fn(&Seen) -> Vec<Step> + Send + Sync + 'static) -> Script {
+    Script::start(play).await.expect("a port is free")
+}
+
+/// A record that is all of one byte.
+pub fn record(byte: u8) -> Vec<u8> {
+    vec![byte; 16]
+}
+
+/// A searcher whose part holds the record of a byte.
+pub async fn part(byte: u8) -> Script {
+    script(move |seen| ok(seen, &format!("sig{byte}"), &record(byte))).await
+}
+
+/// The merged answer that a request got.
+pub fn whole(reply: Reply) -> Whole {
+    match reply {
+        Reply::Whole(whole) => whole,
+        other => panic!("no merged answer: {other:?}"),
+    }
+}
