A run that is asked for a key of the run before can't tell whether it ran

Ruled out: the change to how runs number themselves (the predecessor's number was lower).

Change: unknown. Test: a_run_that_is_asked_for_a_key_of_the_run_before_cannot_tell_whether_it_ran asks the new run directly; failed first, each time.

--- a/crates/entry/src/write.rs
+++ b/crates/entry/src/write.rs
@@ -121,7 +121,11 @@
             Decision::Replay(outcome) => Ok(outcome),
             Decision::Conflict => Ok(Outcome::not_run("the key came before with another request")),
             Decision::Full => Ok(Outcome::not_run("this entry remembers too many keys")),
-            Decision::Forward(_) => Ok(Outcome::not_run("the key names another entry")),
+            // An entry that has not heard of a restart yet sends us a key of the run before,
+            // which may have executed it.
+            Decision::Forward(_) => {
+                Ok(Outcome::unknown("the key names another run, which may have executed it"))
+            }
             Decision::Execute => {
                 let sender = watch::Sender::new(None);
                 let receiver = sender.subscribe();
--- a/daemons/tests/faults.rs
+++ b/daemons/tests/faults.rs
@@ -2,14 +2,17 @@
 
 mod support;
 
+use std::net::{Ipv4Addr, SocketAddr};
 use std::time::Duration;
 
-use bergamot_base::Seed;
+use bergamot_base::{Name, Seed};
 use bergamot_bench::check::{Promise, check};
 use bergamot_bench::deployment::Deployment;
 use bergamot_bench::history::{Ending, History};
 use bergamot_bench::load::{self, Load};
 use bergamot_standin::{Border, Faults, Platform, Way};
+use bergamot_wire::{Channels, EntryClient};
+use bergamot_write::Status;
 use support::{Bed, Daemon, ENTRY, ENTRY_PORT, get, post, serves, until};
 
 const SECOND: Duration = Duration::from_secs(1);
@@ -272,3 +275,19 @@
     assert_eq!(over, 0, "no connection above a limit while the fleet was split");
     assert_eq!(near.port(), ENTRY_PORT);
 }
+
+/// An entry that has not heard of a restart forwards a key of the run before to the new one.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_run_that_is_asked_for_a_key_of_the_run_before_cannot_tell_whether_it_ran() {
+    let bed = start([51, 9], 2).await;
+    let peers = SocketAddr::new(bed.entry(0).ip(), 7401);
+    let links = Channels::<EntryClient>::new(Ipv4Addr::LOCALHOST);
+    let client = links.get(peers).await.expect("the entry listens to entries");
+    let key = "1-0-order".parse().expect("a key of an earlier run");
+    let names = ["fraser-basin", "glycol-ledger", "doc-7", "20 l"].map(Name::from);
+    let [workspace, service, record, body] = names;
+    let context = tarpc::context::current();
+    let outcome = client.execute(context, workspace, service, key, record, body).await;
+    let outcome = outcome.expect("an outcome");
+    assert_eq!(outcome.status, Status::Unknown, "{outcome:?}");
+}
