--- a/crates/dispatch/src/allowance.rs
+++ b/crates/dispatch/src/allowance.rs
@@ -68,13 +68,12 @@
 pub struct Allowance {
     start: Instant,
     buckets: [Bucket; BUCKETS],
-    denied: u64,
 }
 
 impl Allowance {
     /// Starts with nothing seen and nothing spent.
     pub fn new(now: Instant) -> Self {
-        Self { start: now, buckets: [Bucket::default(); BUCKETS], denied: 0 }
+        Self { start: now, buckets: [Bucket::default(); BUCKETS] }
     }
 
     /// Counts a request for the service.
@@ -97,17 +96,10 @@
         let granted = f64::from(extra) + 1.0 <= (earned + slack) * part;
         if granted {
             self.bucket(now, terms).extra += 1;
-        } else {
-            self.denied += 1;
         }
         granted
     }
 
-    /// Returns how often an attempt was denied.
-    pub fn denied(&self) -> u64 {
-        self.denied
-    }
-
     fn number(&self, now: Instant, terms: &Terms) -> u64 {
         let length = (terms.window / BUCKETS as u32).max(Duration::from_millis(1));
         let since = now.saturating_duration_since(self.start);
--- a/crates/dispatch/src/outlook.rs
+++ b/crates/dispatch/src/outlook.rs
@@ -93,11 +93,6 @@
         }
     }
 
-    /// Records that the searcher answered another member well.
-    pub fn serve(&mut self, now: Instant) {
-        self.note(0.0, now);
-    }
-
     /// Records a failure.
     pub fn fail(&mut self, now: Instant) {
         self.note(1.0, now);
--- a/crates/peers/src/peers.rs
+++ b/crates/peers/src/peers.rs
@@ -94,11 +94,6 @@
         read(&self.lock().view)
     }
 
-    /// Returns how many members may be at work, those that can't be reached included.
-    pub fn working(&self) -> usize {
-        self.with_view(|view| view.placed(Role::Entry).count())
-    }
-
     /// Takes other seeds, and asks them for their views if they are new.
     pub fn set_seeds(self: &Arc<Self>, seeds: Vec<Ipv4Addr>) {
         let mut known = self.seeds.lock().unwrap_or_else(PoisonError::into_inner);
