Cut an attempt at once when nobody waits for it any more

Cause: an attempt that lost, or that an answer left out, went on for up to 300 ms so that its connection could be used again. Under load these are the attempts at the longest queues; what they keep busy is missing just there. Change: dropping an attempt aborts it; the setting, the flag in the job and the release are gone. The test in relay/tests/many.rs fails without it (the searcher's connection was kept and used again).

--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -1,14 +1,14 @@
 //! An attempt that goes on by itself, so that a race can lose interest in it.
 //!
-//! Invariant: an attempt whose race is dropped before the caller has an answer is cut at
-//! once; one whose caller has an answer may end in peace for a while, so that its
-//! connection can be used again.
+//! Invariant: an attempt that nobody waits for any more is cut at once, and with it the
+//! searcher's work. Letting it end would save its connection, but under load the attempts
+//! that lose are those at the longest queues: there a slot is dearer than a connection.
 
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::mpsc;
+use tokio::task::JoinHandle;
 
 use crate::exchange::{Miss, exchange};
 use crate::link::Link;
@@ -22,9 +22,7 @@
 #[derive(Debug)]
 pub(crate) struct Attempt {
     pub(crate) link: Arc<Link>,
-    job: Arc<Job>,
-    grace: Duration,
-    release: Option<oneshot::Sender<Duration>>,
+    task: JoinHandle<()>,
 }
 
 impl Attempt {
@@ -36,52 +34,18 @@
         (offer, end): (Instant, Instant),
         results: mpsc::UnboundedSender<Outcome>,
     ) -> Self {
-        let (release, released) = oneshot::channel();
-        let task = run(
-            Arc::clone(relay),
-            Arc::clone(&link),
-            Arc::clone(job),
-            (offer, end),
-            released,
-            results,
-        );
-        tokio::spawn(task);
-        Self { link, job: Arc::clone(job), grace: relay.settings().grace, release: Some(release) }
+        let (relay, job, asked) = (Arc::clone(relay), Arc::clone(job), Arc::clone(&link));
+        let task = tokio::spawn(async move {
+            let outcome = exchange(&relay, &asked, &job, offer, end).await;
+            // The race may have ended in the same moment.
+            let _ended = results.send((asked, outcome));
+        });
+        Self { link, task }
     }
 }
 
 impl Drop for Attempt {
     fn drop(&mut self) {
-        if self.job.answered.load(Ordering::Relaxed)
-            && let Some(release) = self.release.take()
-        {
-            // The attempt may have ended by itself; then nobody listens any more.
-            let _ended = release.send(self.grace);
-        }
+        self.task.abort();
     }
 }
-
-async fn run(
-    relay: Arc<Relay>,
-    link: Arc<Link>,
-    job: Arc<Job>,
-    (offer, end): (Instant, Instant),
-    released: oneshot::Receiver<Duration>,
-    results: mpsc::UnboundedSender<Outcome>,
-) {
-    let exchange = exchange(&relay, &link, &job, offer, end);
-    let mut exchange = std::pin::pin!(exchange);
-    let outcome = tokio::select! {
-        biased;
-        outcome = &mut exchange => outcome,
-        grace = released => {
-            if let Ok(grace) = grace {
-                // Its answer is of no use; only the connection is.
-                let _outcome = tokio::time::timeout(grace, exchange).await;
-            }
-            return;
-        }
-    };
-    // The race may have ended in the same moment.
-    let _ended = results.send((Arc::clone(&link), outcome));
-}
--- a/crates/relay/src/gather.rs
+++ b/crates/relay/src/gather.rs
@@ -7,7 +7,6 @@
 use std::collections::{BTreeMap, HashMap};
 use std::net::Ipv4Addr;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::time::Instant;
 
 use bergamot_base::Name;
@@ -85,7 +84,6 @@
             () = sleep_until(target.into()), if !late => late = true,
         }
     }
-    job.answered.store(true, Ordering::Relaxed);
     let missing = job.tally().absent();
     if missing > 0 {
         let left_out = state.open.keys().map(|shard| Name::clone(shard)).collect();
--- a/crates/relay/src/helper.rs
+++ b/crates/relay/src/helper.rs
@@ -5,7 +5,6 @@
 //! attempt ends with the sender's interest in it: once nobody waits for it, it is cut.
 
 use std::collections::HashMap;
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, OnceLock, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -37,7 +36,6 @@
 /// The attempts for one question.
 #[derive(Debug)]
 struct Work {
-    job: Arc<Job>,
     running: Vec<(usize, Attempt)>,
     ended: mpsc::UnboundedReceiver<Outcome>,
 }
@@ -107,7 +105,6 @@
         attempts: 1,
         tally: Mutex::new(Tally::new(names.len(), names.len())),
         changed: Notify::new(),
-        answered: AtomicBool::new(false),
         left_out: OnceLock::new(),
     });
     let (results, ended) = mpsc::unbounded_channel();
@@ -119,7 +116,7 @@
         let attempt = Attempt::start(relay, link, &job, (until, end), results.clone());
         running.push((index, attempt));
     }
-    Work { job, running, ended }
+    Work { running, ended }
 }
 
 /// Keeps what still runs until the sender asks for it.
@@ -132,10 +129,8 @@
     let relay = Arc::clone(relay);
     tokio::spawn(async move {
         tokio::time::sleep(UNCLAIMED).await;
-        if let Some(work) = relay.with_rests(|rests| rests.waiting.remove(&token)) {
-            // The sender has its answer without it.
-            work.job.answered.store(true, Ordering::Relaxed);
-        }
+        // If it is still here, the sender has its answer without it.
+        relay.with_rests(|rests| rests.waiting.remove(&token));
     });
     token
 }
--- a/crates/relay/src/message.rs
+++ b/crates/relay/src/message.rs
@@ -1,7 +1,6 @@
 //! A caller's request and what becomes of it, free of any wire.
 
 use std::collections::HashSet;
-use std::sync::atomic::AtomicBool;
 use std::sync::{Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -106,8 +105,6 @@
     pub tally: Mutex<Tally>,
     /// Wakes those who wait for the count to change.
     pub changed: Notify,
-    /// Whether the caller has an answer, so that what still runs may end in peace.
-    pub answered: AtomicBool,
     /// The shards that the caller's answer leaves out.
     pub left_out: OnceLock<HashSet<Name>>,
 }
--- a/crates/relay/src/path.rs
+++ b/crates/relay/src/path.rs
@@ -1,6 +1,5 @@
 //! The way of a request through the relay, from its route to its end in the log.
 
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, OnceLock};
 use std::time::{Duration, Instant};
 
@@ -122,7 +121,6 @@
             route: Name::clone(&route.name),
             kind: route.kind,
             attempts: route.attempts,
-            answered: AtomicBool::new(false),
             left_out: OnceLock::new(),
         });
         match &route.target {
@@ -142,10 +140,7 @@
     async fn pass(self: &Arc<Self>, job: &Arc<Job>, service: &Name, patience: Patience) -> Reply {
         self.earn(service);
         let lost = match Race::new(self, job, service, Plan::new(job, patience)).run().await {
-            Ok(passed) => {
-                job.answered.store(true, Ordering::Relaxed);
-                return Reply::Passed(passed);
-            }
+            Ok(passed) => return Reply::Passed(passed),
             Err(lost) => lost,
         };
         if let Some(failure) = lost.failure {
--- a/crates/relay/src/settings.rs
+++ b/crates/relay/src/settings.rs
@@ -22,11 +22,6 @@
     pub expiry: Duration,
     /// How long a new connection may take: several round trips between regions (16 ms).
     pub dial: Duration,
-    /// How long an attempt that lost goes on, so that its connection can be used again.
-    ///
-    /// Longer than the pauses of searchers (250 ms), shorter than the half second within
-    /// which the work of a caller who left must end.
-    pub grace: Duration,
     /// The largest answer that is taken from a searcher, in bytes.
     pub largest_answer: usize,
 }
@@ -40,7 +35,6 @@
             terms: Terms::default(),
             expiry: Duration::from_secs(3),
             dial: Duration::from_millis(300),
-            grace: Duration::from_millis(300),
             largest_answer: 16 << 20,
         }
     }
--- a/crates/relay/tests/many.rs
+++ b/crates/relay/tests/many.rs
@@ -7,7 +7,7 @@
 use bergamot_declaration::Kind;
 use bergamot_relay::{Cause, Reply};
 use bergamot_standin::Step;
-use support::{gather, not_run, part, record, relay, request, route, script, upstream, whole};
+use support::{gather, not_run, ok, part, record, relay, request, route, script, upstream, whole};
 
 #[tokio::test]
 async fn the_greatest_records_of_all_shards_are_merged() {
@@ -83,3 +83,29 @@
         assert_eq!((answer.signatures.len(), answer.missing), (2, 0));
     }
 }
+
+/// Under load the shards that are left out are those with the longest queues, where work that
+/// nobody waits for keeps slots from requests that could still be served.
+#[tokio::test]
+async fn the_work_for_a_shard_that_an_answer_leaves_out_is_cut() {
+    let (a, b) = (part(1).await, part(2).await);
+    // It would answer some time after the caller has got an answer without it.
+    let slow = script(|seen| {
+        let answer = ok(seen, "late", &record(3)).remove(0);
+        vec![Step::Wait(Duration::from_millis(600)), answer]
+    })
+    .await;
+    let upstreams =
+        vec![upstream("i1", "a", &a), upstream("i2", "b", &b), upstream("i3", "c", &slow)];
+    let target = gather(&["a", "b", "c"], 0.6);
+    let relay = relay(vec![route("/q/", Kind::Idempotent, target)], upstreams);
+    let answer = whole(relay.handle(request("/q/")).await);
+    assert_eq!((answer.signatures.len(), answer.missing), (2, 1));
+    let cut = async {
+        while slow.gone() == 0 {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+    };
+    // A connection that is kept for the next request is never over.
+    tokio::time::timeout(Duration::from_secs(20), cut).await.expect("the connection is closed");
+}
