Hear of the store before new work after a pause of the process

Cause: a process that was stopped and continued, or whose instance froze, took up requests by what it knew before: searchers that had left since, a version that had been replaced. Change: base::Awake (moved from node, which uses it as before) notices a gap of 700 ms between ticks; the relay holds new requests until a question for news that was asked after the pause is answered, 300 ms at most; the feed asks without a wait then. relay/tests/awake.rs fails without it (the searcher was asked).

--- a/crates/node/src/awake.rs
+++ b/crates/base/src/awake.rs
@@ -1,32 +1,34 @@
 //! Whether the process may start new work, or slept and must catch up first.
 //!
-//! Invariant: from the moment a pause is noticed until the node has asked its peers
+//! Invariant: from the moment a pause is noticed until the process has asked others
 //! what is in force, or a short bound has passed, no new work starts.
 
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
-use bergamot_base::Pulse;
 use tokio::sync::watch;
 
-/// How long new work waits at the most for the node to catch up.
+use crate::pulse::Pulse;
+
+/// How long new work waits at the most for the process to catch up.
 const LONGEST_WAIT: Duration = Duration::from_millis(300);
 
 /// The pulse of a process and whether it has caught up since the last pause.
 #[derive(Debug)]
-pub(crate) struct Awake {
+pub struct Awake {
     pulse: Mutex<Pulse>,
     current: watch::Sender<bool>,
 }
 
 impl Awake {
-    pub(crate) fn new(longest: Duration) -> Self {
+    /// Starts awake; gaps between beats above `longest` are pauses.
+    pub fn new(longest: Duration) -> Self {
         let pulse = Mutex::new(Pulse::new(Instant::now(), longest));
         Self { pulse, current: watch::Sender::new(true) }
     }
 
     /// Beats the pulse; returns the pause where there was one.
-    pub(crate) fn beat(&self, now: Instant) -> Option<Duration> {
+    pub fn beat(&self, now: Instant) -> Option<Duration> {
         let mut pulse = self.lock();
         let gap = pulse.beat(now);
         if gap.is_some() {
@@ -36,19 +38,19 @@
         gap
     }
 
-    /// Records that the node has caught up.
-    pub(crate) fn caught_up(&self) {
+    /// Records that the process has caught up.
+    pub fn caught_up(&self) {
         self.current.send_replace(true);
     }
 
     /// Tells whether new work may start right now.
-    pub(crate) fn is_awake(&self, now: Instant) -> bool {
+    pub fn is_awake(&self, now: Instant) -> bool {
         let slept = self.lock().slept(now);
         !slept && *self.current.borrow()
     }
 
-    /// Waits until new work may start, up to a short bound.
-    pub(crate) async fn wait(&self) -> bool {
+    /// Waits until new work may start, up to a short bound, and tells whether it may.
+    pub async fn wait(&self) -> bool {
         if self.is_awake(Instant::now()) {
             return true;
         }
--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -4,6 +4,7 @@
 //! typed indices into the tables of one configuration document, so that a
 //! searcher can't be mistaken for a shard; see `docs/GLOSSARY.md`.
 
+mod awake;
 mod budget;
 mod deadline;
 mod fault;
@@ -12,6 +13,7 @@
 mod pulse;
 mod seed;
 
+pub use awake::Awake;
 pub use budget::Budget;
 pub use deadline::Deadline;
 pub use fault::{Peer, Step};
--- a/crates/feed/src/follow.rs
+++ b/crates/feed/src/follow.rs
@@ -82,6 +82,10 @@
     pub news: Box<dyn Fn(News) + Send + Sync>,
     /// Hears whether the store can be heard of.
     pub away: Box<dyn Fn(bool) + Send + Sync>,
+    /// Tells whether the process slept, so that the next question must not wait for news.
+    pub behind: Box<dyn Fn() -> bool + Send + Sync>,
+    /// Hears when a question was asked that has been answered.
+    pub heard: Box<dyn Fn(Instant) + Send + Sync>,
 }
 
 impl std::fmt::Debug for Sink {
@@ -192,6 +196,7 @@
         let now = Instant::now();
         match result {
             Ok(()) => {
+                (self.sink.heard)(asked);
                 self.origins.succeed(origin);
                 self.proven = Some(origin);
             }
@@ -212,7 +217,7 @@
         let at = self.shared.lock().at();
         let watched = if at == 0 {
             Err(Trouble::Forgotten)
-        } else if self.origins.doubts_store() {
+        } else if self.origins.doubts_store() || (self.sink.behind)() {
             self.probe(at).await
         } else {
             (self.source.watch)(at, self.settings.wait).await
@@ -248,7 +253,8 @@
         let after = self.shared.lock().at();
         // A member that is out of reach must not cost as much as a watch.
         let proven = self.proven == Some(Origin::Member(ip));
-        let wait = if proven { self.settings.wait } else { Duration::ZERO };
+        let waits = proven && !(self.sink.behind)();
+        let wait = if waits { self.settings.wait } else { Duration::ZERO };
         let news = (self.members.ask)(ip, after, wait).await?;
         let age = news.age;
         if news.at > 0 {
--- a/crates/front/src/daemon.rs
+++ b/crates/front/src/daemon.rs
@@ -329,9 +329,12 @@
 
 fn sink(inner: &Arc<Inner>) -> Sink {
     let (news, away) = (Arc::clone(inner), Arc::clone(inner));
+    let (behind, heard) = (Arc::clone(inner), Arc::clone(inner));
     Sink {
         news: Box::new(move |record| take(&news.relay, record)),
         away: Box::new(move |is_away| away.relay.set_store_away(is_away)),
+        behind: Box::new(move || behind.relay.is_behind()),
+        heard: Box::new(move |asked| heard.relay.heard(asked)),
     }
 }
 
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -8,7 +8,6 @@
 //! `docs/design/0008-configuration-spread.md`.
 
 mod admin;
-mod awake;
 mod control;
 mod meter;
 mod node;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use arc_swap::{ArcSwap, ArcSwapOption};
-use bergamot_base::{Incarnation, Name, Seed};
+use bergamot_base::{Awake, Incarnation, Name, Seed};
 use bergamot_config::{Document, Floor, Settings, Verdict};
 use bergamot_members::{
     Digest, Endpoint, Homes, Outgoing, Prober, Record, Role, Rumour, State, Timing, View,
@@ -20,7 +20,6 @@
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
 
-use crate::awake::Awake;
 use crate::meter::Meter;
 use crate::{admin, control, platform, pulls};
 
--- a/crates/relay/src/path.rs
+++ b/crates/relay/src/path.rs
@@ -63,6 +63,7 @@
     pub async fn handle(self: &Arc<Self>, request: Request) -> Reply {
         let (received, id) = (request.received, request.id.clone());
         let mut caller = Caller { id: &id, received, answered: false };
+        self.awake().await;
         let declaration = self.declaration();
         let version = declaration.as_ref().map_or(0, |declaration| declaration.version);
         let found = declaration
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -4,7 +4,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
-use bergamot_base::{Name, Revision, hash_bytes};
+use bergamot_base::{Awake, Name, Revision, hash_bytes};
 use bergamot_config::Verdict;
 use bergamot_declaration::Declaration;
 use bergamot_registry::{Registry, Upstream};
@@ -28,6 +28,9 @@
     state: Mutex<State>,
     helpers: Mutex<Helpers>,
     helping: Helping,
+    /// Whether the process slept and must hear of the store before new work, and since when.
+    awake: Awake,
+    woke: Mutex<Option<Instant>>,
     pub(crate) rests: Mutex<Rests>,
 }
 
@@ -44,7 +47,9 @@
     pub fn new(settings: Settings, dialect: Dialect, helping: Helping) -> Arc<Self> {
         let state = Mutex::new(State::new());
         let (helpers, rests) = (Mutex::default(), Mutex::default());
-        Arc::new(Self { settings, dialect, meter: Meter::new(), state, helpers, helping, rests })
+        let awake = Awake::new(settings.pause);
+        let (meter, woke) = (Meter::new(), Mutex::default());
+        Arc::new(Self { settings, dialect, meter, state, helpers, helping, awake, woke, rests })
     }
 
     /// Returns the settings.
@@ -174,10 +179,41 @@
         self.meter.store_away.set(i64::from(away));
     }
 
+    /// Waits, shortly, until what is known is no older than the last pause of the process.
+    pub(crate) async fn awake(&self) {
+        if !self.awake.wait().await {
+            log::warn!("relay: event=not_caught_up cause=\"no news came since the pause\"");
+        }
+    }
+
+    /// Tells whether the process slept and has heard nothing since.
+    pub fn is_behind(&self) -> bool {
+        !self.awake.is_awake(Instant::now())
+    }
+
+    /// Notes that news was asked for at a moment, and came.
+    pub fn heard(&self, asked: Instant) {
+        let mut woke = self.woke.lock().unwrap_or_else(PoisonError::into_inner);
+        if woke.is_some_and(|woke| asked >= woke) {
+            *woke = None;
+            self.awake.caught_up();
+        }
+    }
+
+    /// Notices a pause of the process.
+    fn beat(&self) {
+        let now = Instant::now();
+        if let Some(gap) = self.awake.beat(now) {
+            *self.woke.lock().unwrap_or_else(PoisonError::into_inner) = Some(now);
+            log::warn!("relay: event=woke slept_ms={}", gap.as_millis());
+        }
+    }
+
     /// Notes how many members share the searchers, and does what is due now and then.
     ///
     /// A member that does not serve opens no connection ahead of need.
     pub fn tick(&self, members: usize, serves: bool) {
+        self.beat();
         let mut state = self.lock();
         let away = state.store_away_since.is_some();
         for id in state.registry.expire(Instant::now(), away) {
--- a/crates/relay/src/settings.rs
+++ b/crates/relay/src/settings.rs
@@ -22,6 +22,9 @@
     pub expiry: Duration,
     /// How long a new connection may take: several round trips between regions (16 ms).
     pub dial: Duration,
+    /// The longest gap between two ticks that is no pause of the process: seven ticks, since a
+    /// machine with an eighth of a core that turns slow may miss some.
+    pub pause: Duration,
     /// The largest answer that is taken from a searcher, in bytes.
     pub largest_answer: usize,
 }
@@ -35,6 +38,7 @@
             terms: Terms::default(),
             expiry: Duration::from_secs(3),
             dial: Duration::from_millis(300),
+            pause: Duration::from_millis(700),
             largest_answer: 16 << 20,
         }
     }
--- /dev/null
+++ b/crates/relay/tests/awake.rs
@@ -0,0 +1,52 @@
+//! A process that was paused hears of the store before it starts new work.
+
+mod support;
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bergamot_declaration::{Kind, Target};
+use bergamot_registry::State;
+use bergamot_relay::{Cause, Reply};
+use support::{part, request, route, sleepy, upstream};
+
+/// Longer than what the relay takes for a pause.
+const PAUSE: Duration = Duration::from_millis(60);
+
+#[tokio::test]
+async fn after_a_pause_a_searcher_that_left_meanwhile_gets_nothing() {
+    let a = part(1).await;
+    let target = Target::Service("a".into());
+    let routes = vec![route("/one/", Kind::NonIdempotent, target)];
+    let relay = sleepy(routes, vec![upstream("i1", "a", &a)]);
+    relay.tick(1, false);
+    std::thread::sleep(PAUSE);
+    assert!(relay.is_behind());
+    let asked = Arc::clone(&relay);
+    let asking = tokio::spawn(async move { asked.handle(request("/one/")).await });
+    // The request is read before the pause is noticed and before the news comes.
+    tokio::task::yield_now().await;
+    relay.tick(1, false);
+    let left = bergamot_registry::Upstream { state: State::Draining, ..upstream("i1", "a", &a) };
+    relay.with_registry(|registry| registry.publish(left));
+    relay.heard(Instant::now());
+    let reply = asking.await.expect("it does not panic");
+    assert!(matches!(reply, Reply::Refused(refusal) if refusal.cause == Cause::NotRun));
+    assert!(a.seen().is_empty());
+}
+
+#[tokio::test]
+async fn news_that_was_asked_for_before_the_pause_does_not_count() {
+    let a = part(1).await;
+    let routes = vec![route("/one/", Kind::NonIdempotent, Target::Service("a".into()))];
+    let relay = sleepy(routes, vec![upstream("i1", "a", &a)]);
+    relay.tick(1, false);
+    let before = Instant::now();
+    std::thread::sleep(PAUSE);
+    relay.tick(1, false);
+    relay.heard(before);
+    assert!(relay.is_behind());
+    relay.heard(Instant::now());
+    relay.tick(1, false);
+    assert!(!relay.is_behind());
+}
--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -94,20 +94,38 @@
 
 /// A relay with routes in force and searchers published, and no other member.
 pub fn relay(routes: Vec<Route>, upstreams: Vec<Upstream>) -> Arc<Relay> {
-    let helping = Helping {
+    relay_beside(nobody(), routes, upstreams)
+}
+
+fn nobody() -> Helping {
+    Helping {
         gather: Box::new(|_, _, _| Box::pin(async { Err("there is no other member".to_owned()) })),
         rest: Box::new(|_, _, _| Box::pin(async { Err("there is no other member".to_owned()) })),
-    };
-    relay_beside(helping, routes, upstreams)
+    }
+}
+
+/// A relay that takes a gap of 30 ms between two ticks for a pause of its process.
+pub fn sleepy(routes: Vec<Route>, upstreams: Vec<Upstream>) -> Arc<Relay> {
+    let settings = Settings { pause: Duration::from_millis(30), ..Settings::default() };
+    relay_with(&settings, nobody(), routes, upstreams)
 }
 
 /// A relay in zone `here`, with other members in zones `west` and `east`, each a region.
 pub fn relay_beside(helping: Helping, routes: Vec<Route>, upstreams: Vec<Upstream>) -> Arc<Relay> {
+    relay_with(&Settings::default(), helping, routes, upstreams)
+}
+
+fn relay_with(
+    settings: &Settings,
+    helping: Helping,
+    routes: Vec<Route>,
+    upstreams: Vec<Upstream>,
+) -> Arc<Relay> {
     // The users' bound on additional attempts.
     let terms = Terms { ratio: 0.2, slack: 56.0, window: Duration::from_secs(10) };
     let zones = ["here", "west", "east"];
     let regions = zones.iter().map(|zone| (Name::from(*zone), Name::from(*zone))).collect();
-    let settings = Settings { zone: "here".into(), regions, terms, ..Settings::default() };
+    let settings = Settings { zone: "here".into(), regions, terms, ..settings.clone() };
     let relay = Relay::new(settings, DIALECT, helping);
     let services = routes.iter().flat_map(|route| route.target.services());
     let services = services.map(|name| (Name::clone(name), Service { connections: 16 })).collect();
