Tell a request's story from logs; count questions for news; don't spin when a listener can't accept

Change: bergamotctl explain ID reads logs from standard input and prints the request's lines with the last changes of the searchers and members that they name (daemons/src/story.rs, tests/story.rs); bergamot_relay_news_total by origin and result; relay/tests/metrics.rs compares the page with the code and failed for the new metric's absence; a failed accept is logged and waited out for 50 ms.

--- a/crates/feed/src/follow.rs
+++ b/crates/feed/src/follow.rs
@@ -84,6 +84,8 @@
     pub away: Box<dyn Fn(bool) + Send + Sync>,
     /// Tells whether the process slept, so that the next question must not wait for news.
     pub behind: Box<dyn Fn() -> bool + Send + Sync>,
+    /// Hears of each question to an origin, and how it ended, for metrics.
+    pub counted: Box<dyn Fn(Origin, &'static str) + Send + Sync>,
     /// Hears when a question was asked that has been answered.
     pub heard: Box<dyn Fn(Instant) + Send + Sync>,
 }
@@ -194,6 +196,7 @@
             Origin::Member(ip) => self.ask_member(ip).await,
         };
         let now = Instant::now();
+        (self.sink.counted)(origin, result.as_ref().err().map_or("answered", Trouble::label));
         match result {
             Ok(()) => {
                 (self.sink.heard)(asked);
--- a/crates/feed/src/source.rs
+++ b/crates/feed/src/source.rs
@@ -50,6 +50,19 @@
     },
 }
 
+impl Trouble {
+    /// Returns a name for metrics.
+    pub fn label(&self) -> &'static str {
+        match self {
+            Self::Forgotten => "forgotten",
+            Self::Refused { .. } => "refused",
+            Self::Failed { .. } => "failed",
+            Self::Silent => "silent",
+            Self::Stale { .. } => "stale",
+        }
+    }
+}
+
 /// Records and the revision up to which they tell everything.
 pub type Records = (Vec<Item>, u64);
 
--- a/crates/front/src/daemon.rs
+++ b/crates/front/src/daemon.rs
@@ -12,7 +12,7 @@
 use std::time::Duration;
 
 use bergamot_base::Name;
-use bergamot_feed::{Duty, Members, News, Shared, Sink, Source, follow};
+use bergamot_feed::{Duty, Members, News, Origin, Shared, Sink, Source, follow};
 use bergamot_members::{Record, Role, State, ranked};
 use bergamot_net::{Body, Fault, listen, serve, text};
 use bergamot_peers::{Caller, Peers, Place, Seat, choose, serving};
@@ -330,10 +330,15 @@
 fn sink(inner: &Arc<Inner>) -> Sink {
     let (news, away) = (Arc::clone(inner), Arc::clone(inner));
     let (behind, heard) = (Arc::clone(inner), Arc::clone(inner));
+    let counting = Arc::clone(inner);
     Sink {
         news: Box::new(move |record| take(&news.relay, record)),
         away: Box::new(move |is_away| away.relay.set_store_away(is_away)),
         behind: Box::new(move || behind.relay.is_behind()),
+        counted: Box::new(move |origin, result| {
+            let origin = if origin == Origin::Store { "store" } else { "member" };
+            counting.relay.count_news(origin, result);
+        }),
         heard: Box::new(move |asked| heard.relay.heard(asked)),
     }
 }
--- a/crates/net/src/serve.rs
+++ b/crates/net/src/serve.rs
@@ -3,6 +3,7 @@
 use std::convert::Infallible;
 use std::fmt;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
@@ -16,6 +17,10 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
+/// How long a listener waits after it could not accept a connection: descriptors become free
+/// as other connections end.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
 /// The body of every reply: whole and in memory.
 pub type Body = Full<Bytes>;
 
@@ -33,8 +38,14 @@
             () = stop.cancelled() => break,
             accepted = listener.accept() => accepted,
         };
-        let Ok((stream, peer)) = accepted else {
-            continue;
+        let (stream, peer) = match accepted {
+            Ok(accepted) => accepted,
+            Err(error) => {
+                log::warn!("net: event=accept_failed cause=\"{error}\"");
+                // Without a free descriptor the next try fails at once too.
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+                continue;
+            }
         };
         // Without it, small replies wait for acknowledgements; failure only costs time.
         let _ = stream.set_nodelay(true);
--- a/crates/relay/src/meter.rs
+++ b/crates/relay/src/meter.rs
@@ -45,6 +45,7 @@
     latency: HistogramVec,
     attempts: IntCounterVec,
     endings: IntCounterVec,
+    pub(crate) news: IntCounterVec,
     pub(crate) denied: IntCounter,
     pub(crate) missing_parts: IntCounter,
     pub(crate) version: IntGauge,
@@ -90,6 +91,11 @@
                 "Attempts that brought no success, by what their end means.",
                 &["ending"],
             ),
+            news: counters(
+                "bergamot_relay_news_total",
+                "Questions for news of the store by origin and result.",
+                &["origin", "result"],
+            ),
             denied: counter(
                 "bergamot_relay_denied_total",
                 "Additional attempts that the bound did not allow.",
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -200,6 +200,11 @@
         }
     }
 
+    /// Counts a question for news by whom was asked and how it ended.
+    pub fn count_news(&self, origin: &str, result: &str) {
+        self.meter.news.with_label_values(&[origin, result]).inc();
+    }
+
     /// Notices a pause of the process.
     fn beat(&self) {
         let now = Instant::now();
--- /dev/null
+++ b/crates/relay/tests/metrics.rs
@@ -0,0 +1,22 @@
+//! Each metric stands on the operators' page, and each on the page exists.
+
+use std::collections::BTreeSet;
+
+/// Finds the names of metrics in a text.
+fn names(text: &str) -> BTreeSet<&str> {
+    let ends = |at: char| !(at.is_ascii_lowercase() || at == '_');
+    text.match_indices("bergamot_relay_")
+        .map(|(start, _)| &text[start..])
+        .map(|rest| rest.split_once(ends).map_or(rest, |(name, _)| name))
+        // The summary line cuts the prefix off.
+        .filter(|name| *name != "bergamot_relay_")
+        .collect()
+}
+
+#[test]
+fn the_page_of_metrics_is_complete() {
+    let code = names(include_str!("../src/meter.rs"));
+    let page = names(include_str!("../../../docs/METRICS.md"));
+    assert!(!code.is_empty());
+    assert_eq!(code, page);
+}
--- a/daemons/src/bin/bergamotctl.rs
+++ b/daemons/src/bin/bergamotctl.rs
@@ -7,7 +7,7 @@
 
 use bergamot_config::Document;
 use bergamot_net::fetch;
-use bergamotstand::{Failure, load_settings, usage};
+use bergamotstand::{Failure, load_settings, story, usage};
 use gumdrop::Options;
 
 const PROGRAM: &str = "bergamotctl";
@@ -34,6 +34,8 @@
     Dump(Dump),
     #[options(help = "print the addresses that an entry gives to callers")]
     Addresses(Addresses),
+    #[options(help = "tell the story of a request from logs on standard input")]
+    Explain(Explain),
 }
 
 #[derive(Debug, Options)]
@@ -68,6 +70,14 @@
     zone: Option<String>,
 }
 
+#[derive(Debug, Options)]
+struct Explain {
+    #[options(help = "show this text")]
+    help: bool,
+    #[options(free, help = "the identifier of the request")]
+    request: Vec<String>,
+}
+
 fn main() -> ExitCode {
     let args: Vec<String> = std::env::args().skip(1).collect();
     let arguments = match Arguments::parse_args_default(&args) {
@@ -84,11 +94,13 @@
         Some(Command::Check(options)) if options.help => help::<Check>("check"),
         Some(Command::Dump(options)) if options.help => help::<Dump>("dump"),
         Some(Command::Addresses(options)) if options.help => help::<Addresses>("addresses"),
+        Some(Command::Explain(options)) if options.help => help::<Explain>("explain"),
         Some(Command::Check(options)) => check(&options),
         Some(Command::Dump(options)) => dump(&options),
         Some(Command::Addresses(options)) => addresses(&options),
+        Some(Command::Explain(options)) => explain(&options),
         None if arguments.help => help::<Arguments>(""),
-        None => Err(wrong("a command is needed: check, dump or addresses")),
+        None => Err(wrong("a command is needed: check, dump, addresses or explain")),
     };
     match result {
         Ok(()) => ExitCode::SUCCESS,
@@ -150,6 +162,21 @@
     print_reply(entry, &format!("/v1/addresses{zone}"))
 }
 
+fn explain(options: &Explain) -> Result<(), Failure> {
+    let [request] = options.request.as_slice() else {
+        return Err(wrong("explain needs the identifier of one request"));
+    };
+    let log = std::io::read_to_string(std::io::stdin()).map_err(Failure::failed)?;
+    let lines = story(&log, request);
+    if lines.is_empty() {
+        return Err(Failure::failed(format!("no line names the request {request}")));
+    }
+    for line in lines {
+        println!("{line}");
+    }
+    Ok(())
+}
+
 #[tokio::main(flavor = "current_thread")]
 async fn print_reply(daemon: SocketAddr, path: &str) -> Result<(), Failure> {
     let local = Ipv4Addr::UNSPECIFIED;
--- a/daemons/src/lib.rs
+++ b/daemons/src/lib.rs
@@ -6,5 +6,7 @@
 //! wrong. See `docs/operations/running.md`.
 
 mod launch;
+mod story;
 
 pub use launch::{Failure, load_settings, run, usage};
+pub use story::story;
--- /dev/null
+++ b/daemons/src/story.rs
@@ -0,0 +1,58 @@
+//! The story of one request, from the log lines of any number of instances.
+//!
+//! The lines that name the request come first in the search; they name searchers and members,
+//! whose last changes of state before the request's end belong to the story too. Invariant:
+//! the result is in the order of the lines' times, and holds no line twice.
+
+use std::collections::BTreeSet;
+
+/// How many changes of state of one searcher or member are told.
+const CHANGES_EACH: usize = 3;
+
+/// The events that change what an instance believes of a searcher or a member.
+const CHANGES: [&str; 4] =
+    ["searcher_changed", "searcher_missing", "searcher_gone", "view_changed"];
+
+/// Returns the lines that tell what became of a request.
+pub fn story(log: &str, request: &str) -> Vec<String> {
+    let named = format!("request=\"{request}\"");
+    let lines: Vec<&str> = log.lines().collect();
+    let own: Vec<usize> = (0..lines.len()).filter(|at| lines[*at].contains(&named)).collect();
+    let Some(end) = own.iter().map(|at| time(lines[*at])).max() else {
+        return Vec::new();
+    };
+    let names: BTreeSet<&str> = own.iter().flat_map(|at| names(lines[*at])).collect();
+    let mut chosen: BTreeSet<usize> = own.into_iter().collect();
+    for name in names {
+        let tells = |at: &usize| {
+            let line = lines[*at];
+            CHANGES.contains(&value(line, "event")) && line.contains(name) && time(line) <= end
+        };
+        let mut changes: Vec<usize> = (0..lines.len()).filter(tells).collect();
+        changes.sort_by_key(|at| time(lines[*at]));
+        chosen.extend(changes.into_iter().rev().take(CHANGES_EACH));
+    }
+    let mut chosen: Vec<&str> = chosen.into_iter().map(|at| lines[at]).collect();
+    chosen.sort_by_key(|line| time(line));
+    chosen.into_iter().map(str::to_owned).collect()
+}
+
+/// Returns the searchers and members that a line names.
+fn names(line: &str) -> Vec<&str> {
+    let tried = line.split_once("tried=[").and_then(|(_, rest)| rest.split_once(']'));
+    let tried = tried.map_or("", |(tried, _)| tried).split(", ");
+    let tried = tried.map(|name| name.trim_matches('"'));
+    let single = [value(line, "searcher"), value(line, "member")];
+    tried.chain(single).filter(|name| !name.is_empty()).collect()
+}
+
+fn time(line: &str) -> &str {
+    value(line, "ts")
+}
+
+/// Returns the value of a key, or nothing.
+fn value<'a>(line: &'a str, key: &str) -> &'a str {
+    let pairs = line.split(' ').filter_map(|word| word.split_once('='));
+    let mut found = pairs.filter(|(name, _)| *name == key);
+    found.next().map_or("", |(_, value)| value)
+}
--- /dev/null
+++ b/daemons/tests/story.rs
@@ -0,0 +1,50 @@
+//! The command that tells the story of one request from logs.
+
+use std::io::Write;
+use std::process::{Command, Stdio};
+
+use bergamotstand::story;
+
+const LOG: &str = r#"ts=2026-12-02T10:00:00.900Z level=info feed: event=searcher_changed searcher=i-9 state=Draining
+ts=2026-12-02T10:00:01.100Z level=info relay: event=attempt_failed request="r1" service=s searcher=i-1 ending=Unknown cause="reset"
+ts=2026-12-02T10:00:00.500Z level=info feed: event=searcher_changed searcher=i-1 state=Ready
+ts=2026-12-02T10:00:01.050Z level=info relay: event=attempt_failed request="r2" service=s searcher=i-1 ending=NotRun cause="shed"
+ts=2026-12-02T10:00:01.300Z level=info relay: event=ended request="r1" route=x version=3 outcome=partial missing=1 took_ms=200
+ts=2026-12-02T10:00:01.200Z level=info relay: event=shard_left_out request="r1" service=t tried=["", "i-2"] hedge_denied=false
+ts=2026-12-02T10:00:01.150Z level=info feed: event=searcher_missing searcher=i-2
+ts=2026-12-02T10:00:09.000Z level=info relay: event=searcher_gone searcher=i-2 cause="late"
+"#;
+
+#[test]
+fn a_story_holds_a_requests_lines_and_what_changed_for_those_it_names() {
+    let story = story(LOG, "r1");
+    let events: Vec<&str> =
+        story.iter().filter_map(|line| line.split("event=").nth(1)?.split(' ').next()).collect();
+    let expected =
+        ["searcher_changed", "attempt_failed", "searcher_missing", "shard_left_out", "ended"];
+    assert_eq!(events, expected);
+    assert!(story.iter().all(|line| !line.contains("r2") && !line.contains("i-9")));
+}
+
+#[test]
+fn explain_reads_standard_input_and_says_when_nothing_is_known() {
+    let run = |id: &str| {
+        let mut child = Command::new(env!("CARGO_BIN_EXE_bergamotctl"))
+            .args(["explain", id])
+            .stdin(Stdio::piped())
+            .stdout(Stdio::piped())
+            .stderr(Stdio::piped())
+            .spawn()
+            .expect("the program was built with the test");
+        let mut input = child.stdin.take().expect("it is piped");
+        input.write_all(LOG.as_bytes()).expect("it is read");
+        drop(input);
+        child.wait_with_output().expect("it ends")
+    };
+    let known = run("r1");
+    assert!(known.status.success());
+    assert_eq!(String::from_utf8_lossy(&known.stdout).lines().count(), 5);
+    let unknown = run("r7");
+    assert_eq!(unknown.status.code(), Some(1));
+    assert!(String::from_utf8_lossy(&unknown.stderr).contains("r7"));
+}
