--- a/daemons/src/story.rs
+++ b/daemons/src/story.rs
@@ -29,8 +29,11 @@
             CHANGES.contains(&value(line, "event")) && line.contains(name) && time(line) <= end
         };
         let mut changes: Vec<usize> = (0..lines.len()).filter(tells).collect();
-        changes.sort_by_key(|at| time(lines[*at]));
-        chosen.extend(changes.into_iter().rev().take(CHANGES_EACH));
+        changes.sort_by_key(|at| std::cmp::Reverse(time(lines[*at])));
+        // Instances tell of the same change one after the other; the last of them is enough.
+        let mut told = BTreeSet::new();
+        changes.retain(|at| told.insert(lines[*at].split_once("event=").map(|(_, rest)| rest)));
+        chosen.extend(changes.into_iter().take(CHANGES_EACH));
     }
     let mut chosen: Vec<&str> = chosen.into_iter().map(|at| lines[at]).collect();
     chosen.sort_by_key(|line| time(line));
