Hold requests once after a pause without news; one place for the age at which the store is away

The relay also repeated the feed's 1.5 s. Change: when the first wait ends without news, what is known has to do for all.

--- a/crates/feed/src/follow.rs
+++ b/crates/feed/src/follow.rs
@@ -80,8 +80,8 @@
 pub struct Sink {
     /// Takes in what a record says.
     pub news: Box<dyn Fn(News) + Send + Sync>,
-    /// Hears whether the store can be heard of.
-    pub away: Box<dyn Fn(bool) + Send + Sync>,
+    /// Hears whether the store can be heard of, and how old the last news of it is.
+    pub away: Box<dyn Fn(bool, Duration) + Send + Sync>,
     /// Tells whether the process slept, so that the next question must not wait for news.
     pub behind: Box<dyn Fn() -> bool + Send + Sync>,
     /// Hears of each question to an origin, and how it ended, for metrics.
@@ -294,9 +294,10 @@
         let away = age.is_none_or(|age| age > self.settings.stale);
         if away != self.away {
             self.away = away;
-            let age = age.map_or(0, |age| age.as_millis());
-            log::warn!("feed: event=store_{} age_ms={age}", if away { "lost" } else { "regained" });
-            (self.sink.away)(away);
+            let age = age.unwrap_or_default();
+            let change = if away { "lost" } else { "regained" };
+            log::warn!("feed: event=store_{change} age_ms={}", age.as_millis());
+            (self.sink.away)(away, age);
         }
     }
 }
--- a/crates/front/src/daemon.rs
+++ b/crates/front/src/daemon.rs
@@ -333,7 +333,7 @@
     let counting = Arc::clone(inner);
     Sink {
         news: Box::new(move |record| take(&news.relay, record)),
-        away: Box::new(move |is_away| away.relay.set_store_away(is_away)),
+        away: Box::new(move |is_away, age| away.relay.set_store_away(is_away, age)),
         behind: Box::new(move || behind.relay.is_behind()),
         counted: Box::new(move |origin, result| {
             let origin = if origin == Origin::Store { "store" } else { "member" };
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -17,9 +17,6 @@
 use crate::settings::Settings;
 use crate::state::State;
 
-/// How old the news of the store is when it counts as away.
-const STALE: Duration = Duration::from_millis(1500);
-
 /// What is in force at this member.
 pub struct Relay {
     pub(crate) settings: Settings,
@@ -159,18 +156,18 @@
         change(&mut self.lock().registry)
     }
 
-    /// Notes whether the store can be heard of.
+    /// Notes whether the store can be heard of, and how old the last news of it is.
     ///
     /// Only an outage as long as the silence after which entries expire puts the entries that
     /// are missing afterwards in doubt.
-    pub fn set_store_away(&self, away: bool) {
+    pub fn set_store_away(&self, away: bool, age: Duration) {
         let now = Instant::now();
         let mut state = self.lock();
         match (state.store_away_since, away) {
-            (None, true) => state.store_away_since = Some(now),
+            (None, true) => state.store_away_since = now.checked_sub(age).or(Some(now)),
             (Some(since), false) => {
                 state.store_away_since = None;
-                if now.saturating_duration_since(since) + STALE >= self.settings.expiry {
+                if now.saturating_duration_since(since) >= self.settings.expiry {
                     state.registry.regained(now);
                 }
             }
@@ -180,9 +177,12 @@
     }
 
     /// Waits, shortly, until what is known is no older than the last pause of the process.
+    ///
+    /// If no news comes in that time, what is known has to do, for all requests.
     pub(crate) async fn awake(&self) {
         if !self.awake.wait().await {
             log::warn!("relay: event=not_caught_up cause=\"no news came since the pause\"");
+            self.awake.caught_up();
         }
     }
 
