--- a/crates/dispatch/tests/load.rs
+++ b/crates/dispatch/tests/load.rs
@@ -15,6 +15,10 @@
 /// How many of the recent answers make the usual time.
 const RECENT: usize = 200;
 
+/// Within how many milliseconds an answer is in time: a target of 200 ms, less the ways to the
+/// caller and between the instances.
+const IN_TIME: u64 = 160;
+
 /// The percentile of them that is usual, as in `bergamot-relay`.
 const USUAL: usize = 94;
 
@@ -45,8 +49,8 @@
     }
 }
 
-/// Plays `per_s` requests a second of `work` ms for ten seconds; `usual_of` turns the usual
-/// time into the moment of the hedge.
+/// Plays `per_s` requests a second of `work` ms for ten seconds; `hedge` turns the usual time
+/// into the moment of the hedge.
 fn play(per_s: u64, work: f64, hedge: impl Fn(Option<Duration>) -> Duration) -> Outcome {
     const END: u64 = 10_000;
     let mut state = 1_u32;
@@ -92,9 +96,11 @@
         jobs.retain(|job| {
             let done = job.left.iter().flatten().any(|left| *left <= 0.0);
             if done {
-                times.push(now - job.arrived);
+                let took = now - job.arrived;
+                times.push(took);
+                outcome.in_time += usize::from(took < IN_TIME);
             }
-            done.then(|| outcome.in_time += usize::from(now - job.arrived < 160)).is_none()
+            !done
         });
     }
     outcome
--- a/daemons/src/story.rs
+++ b/daemons/src/story.rs
@@ -26,7 +26,7 @@
     for name in names {
         let tells = |at: &usize| {
             let line = lines[*at];
-            CHANGES.contains(&value(line, "event")) && line.contains(name) && time(line) <= end
+            CHANGES.contains(&value(line, "event")) && mentions(line, name) && time(line) <= end
         };
         let mut changes: Vec<usize> = (0..lines.len()).filter(tells).collect();
         changes.sort_by_key(|at| std::cmp::Reverse(time(lines[*at])));
@@ -49,6 +49,12 @@
     tried.chain(single).filter(|name| !name.is_empty()).collect()
 }
 
+/// Tells whether a line holds a name as a whole: an address may begin like another one.
+fn mentions(line: &str, name: &str) -> bool {
+    let part_of_name = |at: char| at.is_ascii_alphanumeric() || at == '-' || at == '.';
+    line.split(|at| !part_of_name(at)).any(|word| word == name)
+}
+
 fn time(line: &str) -> &str {
     value(line, "ts")
 }
--- a/daemons/tests/story.rs
+++ b/daemons/tests/story.rs
@@ -8,6 +8,7 @@
 const LOG: &str = r#"ts=2026-12-02T10:00:00.900Z level=info feed: event=searcher_changed searcher=i-9 state=Draining
 ts=2026-12-02T10:00:01.100Z level=info relay: event=attempt_failed request="r1" service=s searcher=i-1 ending=Unknown cause="reset"
 ts=2026-12-02T10:00:00.500Z level=info feed: event=searcher_changed searcher=i-1 state=Ready
+ts=2026-12-02T10:00:00.600Z level=info feed: event=searcher_changed searcher=i-12 state=Ready
 ts=2026-12-02T10:00:01.050Z level=info relay: event=attempt_failed request="r2" service=s searcher=i-1 ending=NotRun cause="shed"
 ts=2026-12-02T10:00:01.300Z level=info relay: event=ended request="r1" route=x version=3 outcome=partial missing=1 took_ms=200
 ts=2026-12-02T10:00:01.200Z level=info relay: event=shard_left_out request="r1" service=t tried=["", "i-2"] hedge_denied=false
