--- a/crates/dispatch/src/admit.rs
+++ b/crates/dispatch/src/admit.rs
@@ -10,26 +10,24 @@
 
 use std::time::Duration;
 
-/// The least part of the requests that is taken up, to notice that searchers recover.
-const LEAST: f64 = 0.15;
-
-/// The part of the target latency beyond which the expected time makes requests refused.
-///
-/// Estimates lag by the time of an answer and hold the queue of this member alone: refused
-/// only at the target, requests are late before the estimate shows it.
-const EARLY: f64 = 0.8;
-
-/// How steeply fewer requests are taken up as the expected time grows: at a tenth beyond
-/// the limit two thirds, at a half beyond it a fifth.
-const STEEPNESS: i32 = 4;
+use bergamot_policy::Admit;
 
 /// Decides whether a request is taken up. `delays` are the expected times of its shards in
 /// milliseconds, of which `fewest` make a success; `draw` is a random number from 0 to 1.
-pub fn admit(delays: &mut [f64], fewest: usize, target: Duration, draw: f64) -> bool {
+pub fn admit(
+    delays: &mut [f64],
+    fewest: usize,
+    target: Duration,
+    policy: &Admit,
+    draw: f64,
+) -> bool {
+    if !policy.on {
+        return true;
+    }
     let Some(last) = fewest.checked_sub(1).filter(|last| *last < delays.len()) else {
         return true;
     };
     let (_, needed, _) = delays.select_nth_unstable_by(last, f64::total_cmp);
-    let limit = target.as_secs_f64() * 1e3 * EARLY;
-    draw < (limit / *needed).powi(STEEPNESS).max(LEAST)
+    let limit = target.as_secs_f64() * 1e3 * policy.early;
+    draw < (limit / *needed).powi(policy.steepness).max(policy.least)
 }
--- a/crates/dispatch/src/allowance.rs
+++ b/crates/dispatch/src/allowance.rs
@@ -8,27 +8,11 @@
 
 use std::time::{Duration, Instant};
 
+use bergamot_policy::Policy;
+
 /// How many buckets a window is counted in.
 const BUCKETS: usize = 20;
 
-/// The part of the earned attempts that is spent.
-///
-/// The rest covers the edges of the window, which slides continuously for the users.
-const EARNED_PART: f64 = 0.85;
-
-/// The part of the slack that is spent.
-///
-/// A member that restarts forgets what it spent, and its successor spends its part anew.
-const SLACK_PART: f64 = 0.5;
-
-/// The part of what may be spent that is kept for attempts without which a request fails.
-///
-/// While searchers refuse half of their work, a service's allowance covers a quarter of the
-/// attempts that would make every answer complete. Spent first come, first served, it makes
-/// some answers complete and lets others fail below their coverage; kept for the latter, it
-/// turns failures into partial answers.
-const KEPT_PART: f64 = 0.25;
-
 /// What an additional attempt is for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Need {
@@ -82,7 +66,14 @@
     }
 
     /// Spends one additional attempt if the bound has room for it.
-    pub fn spend(&mut self, now: Instant, terms: &Terms, members: usize, need: Need) -> bool {
+    pub fn spend(
+        &mut self,
+        now: Instant,
+        terms: &Terms,
+        policy: &Policy,
+        members: usize,
+        need: Need,
+    ) -> bool {
         let newest = self.number(now, terms);
         let recent = |bucket: &&Bucket| bucket.number + BUCKETS as u64 > newest;
         let (requests, extra) = self
@@ -90,9 +81,12 @@
             .iter()
             .filter(recent)
             .fold((0, 0), |(requests, extra), b| (requests + b.requests, extra + b.extra));
-        let earned = terms.ratio * EARNED_PART * f64::from(requests);
-        let slack = terms.slack * SLACK_PART / members.max(1) as f64;
-        let part = if need == Need::Required { 1.0 } else { 1.0 - KEPT_PART };
+        let margin = policy.margin;
+        let (earned, slack) = if margin.on { (margin.earned, margin.slack) } else { (1.0, 1.0) };
+        let earned = terms.ratio * earned * f64::from(requests);
+        let slack = terms.slack * slack / members.max(1) as f64;
+        let keeps = policy.reserve.on && need == Need::Useful;
+        let part = if keeps { 1.0 - policy.reserve.part } else { 1.0 };
         let granted = f64::from(extra) + 1.0 <= (earned + slack) * part;
         if granted {
             self.bucket(now, terms).extra += 1;
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -20,7 +20,7 @@
 pub use allowance::{Allowance, Need, Terms};
 pub use ending::Ending;
 pub use outlook::Outlook;
-pub use patience::{CROSSING, Patience};
+pub use patience::Patience;
 pub use rank::{Candidate, Distance, rank};
 pub use record::{RECORD, greatest};
 pub use tally::{Tally, Verdict};
--- a/crates/dispatch/src/outlook.rs
+++ b/crates/dispatch/src/outlook.rs
@@ -7,8 +7,11 @@
 //! Invariant: an answer after a long silence counts almost alone, one in a busy second
 //! counts an eighth, so neither a single outlier nor old news decides.
 
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use bergamot_policy::Policy;
+
 /// The least weight of a new sample.
 const LEAST_WEIGHT: f64 = 0.125;
 
@@ -21,25 +24,10 @@
 /// How fast the best that was seen gives way to slower answers, a sample.
 const BEST_DRIFT: f64 = 0.005;
 
-/// How much longer a searcher that has just started is taken to need.
-const COLD: f64 = 1.6;
-
-/// How many times longer a searcher is taken to need if all its recent answers failed.
-///
-/// The factor grows with the square of the share that failed: a single failure sends the
-/// next requests elsewhere for about a second, while one that refuses half of its work is
-/// hardly tried, since each refusal costs an attempt of a small allowance.
-const FAILING: f64 = 40.0;
-
-/// How many times its estimate a request must be unanswered before its age counts.
-const OVERDUE: f64 = 1.5;
-
-/// The time in which the share of failures fades by half, in seconds.
-const FORGIVE: f64 = 3.0;
-
 /// What one member has seen of one searcher.
 #[derive(Clone, Debug)]
 pub struct Outlook {
+    policy: Arc<Policy>,
     mean: f64,
     best: f64,
     seen: Option<Instant>,
@@ -50,9 +38,10 @@
 
 impl Outlook {
     /// Starts with a guess that is made from the distance.
-    pub fn new(guess: Duration) -> Self {
+    pub fn new(guess: Duration, policy: Arc<Policy>) -> Self {
         let guess = millis(guess);
         Self {
+            policy,
             mean: guess,
             best: guess,
             seen: None,
@@ -107,15 +96,17 @@
     pub fn delay(&self, now: Instant, slots: usize) -> f64 {
         let mean = self.mean(now);
         let oldest = self.running.iter().min().map_or(0.0, |sent| millis(now - *sent));
-        let overdue = if oldest > mean * OVERDUE { oldest } else { 0.0 };
+        let policy = self.policy.overdue;
+        let overdue = if policy.on && oldest > mean * policy.factor { oldest } else { 0.0 };
         let queue = 1.0 + self.running.len() as f64 / slots.max(1) as f64;
         mean * queue + overdue
     }
 
     /// Estimates the same for the choice among searchers, with what speaks against this one.
     pub fn expected(&self, now: Instant, slots: usize, cold: bool) -> f64 {
-        let cold = if cold { COLD } else { 1.0 };
-        let failing = 1.0 + FAILING * self.failing(now).powi(2);
+        let cold = if cold && self.policy.cold.on { self.policy.cold.factor } else { 1.0 };
+        let weight = if self.policy.failing.on { self.policy.failing.factor } else { 0.0 };
+        let failing = 1.0 + weight * self.failing(now).powi(2);
         self.delay(now, slots) * cold * failing
     }
 
@@ -128,8 +119,9 @@
     }
 
     fn failing(&self, now: Instant) -> f64 {
+        let forgive = self.policy.failing.forgive.as_secs_f64();
         self.failed
-            .map_or(0.0, |failed| self.failing * 0.5_f64.powf(seconds(now, failed) / FORGIVE))
+            .map_or(0.0, |failed| self.failing * 0.5_f64.powf(seconds(now, failed) / forgive))
     }
 
     fn sample(&mut self, took: f64, now: Instant) {
--- a/crates/dispatch/src/rank.rs
+++ b/crates/dispatch/src/rank.rs
@@ -7,8 +7,7 @@
 
 use std::time::Duration;
 
-/// How far apart the expected times of two searchers may be drawn, as a part of them.
-const SPREAD: f64 = 0.1;
+use bergamot_policy::Spread;
 
 /// How far a searcher is from this member.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -56,9 +55,14 @@
 }
 
 /// Orders the candidates, the best first; `draw` returns numbers from 0 to 1.
-pub fn rank<T>(mut candidates: Vec<Candidate<T>>, mut draw: impl FnMut() -> f64) -> Vec<T> {
+pub fn rank<T>(
+    mut candidates: Vec<Candidate<T>>,
+    policy: &Spread,
+    mut draw: impl FnMut() -> f64,
+) -> Vec<T> {
+    let part = if policy.on { policy.part } else { 0.0 };
     for candidate in &mut candidates {
-        candidate.expected *= 1.0 + SPREAD * draw();
+        candidate.expected *= 1.0 + part * draw();
     }
     candidates
         .sort_by(|a, b| a.missing.cmp(&b.missing).then_with(|| a.expected.total_cmp(&b.expected)));
--- a/crates/dispatch/tests/dispatch.rs
+++ b/crates/dispatch/tests/dispatch.rs
@@ -1,5 +1,6 @@
 //! The decisions about a request, without sockets or sleeping.
 
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use bergamot_declaration::{Kind, Route, Target};
@@ -7,6 +8,7 @@
     Allowance, Candidate, Ending, Need, Outlook, Patience, Tally, Terms, Verdict, admit, greatest,
     rank,
 };
+use bergamot_policy::{Admit, Policy, Spread};
 use bytes::Bytes;
 use proptest::prelude::*;
 
@@ -64,9 +66,10 @@
                 if shard >= 5 || !refused() {
                     tally.arrive();
                 } else if !keep {
-                    let again = allowance.spend(now, &terms, 1, Need::Required) && !refused();
+                    let again = allowance.spend(now, &terms, &Policy::default(), 1, Need::Required)
+                        && !refused();
                     if again { tally.arrive() } else { tally.miss() }
-                } else if allowance.spend(now, &terms, 1, Need::Useful) {
+                } else if allowance.spend(now, &terms, &Policy::default(), 1, Need::Useful) {
                     if refused() { tally.miss() } else { tally.arrive() }
                 } else {
                     tally.defer();
@@ -76,7 +79,8 @@
             let needed = tally.needs_deferred();
             for shard in deferred {
                 tally.resume();
-                let again = needed && allowances[shard].spend(now, &terms, 1, Need::Required);
+                let again = needed
+                    && allowances[shard].spend(now, &terms, &Policy::default(), 1, Need::Required);
                 if again && !refused() { tally.arrive() } else { tally.miss() }
             }
             failed += usize::from(tally.verdict(true) == Verdict::Fail);
@@ -101,7 +105,7 @@
             backlog = (backlog - 3.2 * 4.0).max(0.0);
             let delay = 17.0 + backlog / 4.0;
             let draw = f64::from(turn * 37 % 100) / 100.0;
-            if refuse && !admit(&mut [delay; 20], 18, target, draw) {
+            if refuse && !admit(&mut [delay; 20], 18, target, &Admit::default(), draw) {
                 continue;
             }
             backlog = (backlog + 17.0).min(28.0 * 17.0 * 4.0);
@@ -117,11 +121,11 @@
 #[test]
 fn a_request_that_is_expected_in_time_is_always_taken_up() {
     let mut delays = [20.0, 30.0, 40.0, 9000.0];
-    assert!(admit(&mut delays, 3, MS * 50, 0.999));
-    assert!(!admit(&mut delays, 3, MS * 30, 0.999));
+    assert!(admit(&mut delays, 3, MS * 50, &Admit::default(), 0.999));
+    assert!(!admit(&mut delays, 3, MS * 30, &Admit::default(), 0.999));
     // Of what can't be in time, some is taken up, to notice that the searchers recover.
-    assert!(!admit(&mut delays, 4, MS * 50, 0.5));
-    assert!(admit(&mut delays, 4, MS * 50, 0.1));
+    assert!(!admit(&mut delays, 4, MS * 50, &Admit::default(), 0.5));
+    assert!(admit(&mut delays, 4, MS * 50, &Admit::default(), 0.1));
 }
 
 #[test]
@@ -137,7 +141,8 @@
 #[test]
 fn a_searcher_that_pauses_is_passed_over_while_its_request_is_unanswered() {
     let now = Instant::now();
-    let (mut near, mut far) = (Outlook::new(MS * 10), Outlook::new(MS * 26));
+    let (mut near, mut far) =
+        (Outlook::new(MS * 10, Arc::default()), Outlook::new(MS * 26, Arc::default()));
     for outlook in [&mut near, &mut far] {
         outlook.send(now);
     }
@@ -163,7 +168,7 @@
 #[test]
 fn a_slow_searcher_is_left_within_a_few_answers_and_tried_again_later() {
     let start = Instant::now();
-    let mut near = Outlook::new(MS * 10);
+    let mut near = Outlook::new(MS * 10, Arc::default());
     let mut now = start;
     for took in [11, 11, 11, 66, 66, 66, 66] {
         near.send(now);
@@ -177,7 +182,7 @@
 #[test]
 fn a_searcher_that_fails_without_delay_does_not_look_fast() {
     let mut now = Instant::now();
-    let mut near = Outlook::new(MS * 10);
+    let mut near = Outlook::new(MS * 10, Arc::default());
     for turn in 0..20 {
         near.send(now);
         if turn % 2 == 0 {
@@ -198,7 +203,8 @@
 #[test]
 fn a_searcher_that_refuses_is_hardly_tried_until_it_is_well_again() {
     let start = Instant::now();
-    let (mut near, mut far) = (Outlook::new(MS * 10), Outlook::new(MS * 26));
+    let (mut near, mut far) =
+        (Outlook::new(MS * 10, Arc::default()), Outlook::new(MS * 26, Arc::default()));
     let (mut refused, mut near_later) = (0, 0);
     for turn in 0..250_u32 {
         let now = start + MS * 100 * turn;
@@ -227,7 +233,7 @@
     let candidate = |searcher, missing, expected| Candidate { searcher, missing, expected };
     let all =
         vec![candidate('a', true, 1.0), candidate('b', false, 30.0), candidate('c', false, 10.0)];
-    assert_eq!(rank(all, || 0.5), ['c', 'b', 'a']);
+    assert_eq!(rank(all, &Spread::default(), || 0.5), ['c', 'b', 'a']);
 }
 
 #[test]
@@ -243,12 +249,12 @@
         priority: 1,
         target: Target::Service("s".into()),
     };
-    let patience = Patience::new(&route, Some(MS * 1200), None);
+    let patience = Patience::new(&route, Some(MS * 1200), None, &Policy::default());
     assert_eq!((patience.target, patience.end), (MS * 94, MS * 1180));
-    let seen = Patience::new(&route, Some(MS * 1200), Some(MS * 40));
+    let seen = Patience::new(&route, Some(MS * 1200), Some(MS * 40), &Policy::default());
     assert_eq!(seen.hedge, MS * 48);
     assert!(patience.hedge < MS * 45 && patience.offer == MS * 30);
-    let short = Patience::new(&route, Some(MS * 30), None);
+    let short = Patience::new(&route, Some(MS * 30), None, &Policy::default());
     assert!(short.hedge <= MS * 15 && short.target <= short.end && short.end <= MS * 15);
 }
 
@@ -280,7 +286,7 @@
         let (mut now, mut requests, mut extra) = (start, Vec::new(), Vec::new());
         for (gap, member, tries) in steps {
             now += MS * gap as u32;
-            if tries && members[member].spend(now, &terms, 4, Need::Required) {
+            if tries && members[member].spend(now, &terms, &Policy::default(), 4, Need::Required) {
                 extra.push(now);
             } else if !tries {
                 members[member].earn(now, &terms);
--- a/crates/dispatch/tests/load.rs
+++ b/crates/dispatch/tests/load.rs
@@ -9,6 +9,7 @@
 
 use bergamot_declaration::{Kind, Route, Target};
 use bergamot_dispatch::{Allowance, Need, Patience, Terms};
+use bergamot_policy::Policy;
 
 const MS: Duration = Duration::from_millis(1);
 
@@ -82,7 +83,13 @@
         }
         for job in &mut jobs {
             if job.hedge_at == now
-                && allowance.spend(start + MS * now as u32, &terms, 1, Need::Useful)
+                && allowance.spend(
+                    start + MS * now as u32,
+                    &terms,
+                    &Policy::default(),
+                    1,
+                    Need::Useful,
+                )
             {
                 outcome.hedged += 1;
                 let other = usize::from(job.left[0].is_some());
@@ -123,7 +130,8 @@
 #[test]
 fn in_a_burst_hedges_take_no_room_from_first_attempts() {
     let target = MS * 200;
-    let moment = |usual| Patience::new(&route(target), Some(MS * 1000), usual).hedge;
+    let moment =
+        |usual| Patience::new(&route(target), Some(MS * 1000), usual, &Policy::default()).hedge;
     let outcome = play(184, 16.7, moment);
     assert!(outcome.hedged * 100 <= outcome.requests * 5, "{outcome:?}");
     assert!(outcome.in_time * 100 >= outcome.requests * 95, "{outcome:?}");
@@ -131,7 +139,8 @@
 
 #[test]
 fn a_hedge_waits_for_the_usual_time_within_its_bounds() {
-    let hedge = |usual| Patience::new(&route(MS * 200), Some(MS * 1000), usual).hedge;
+    let hedge =
+        |usual| Patience::new(&route(MS * 200), Some(MS * 1000), usual, &Policy::default()).hedge;
     assert_eq!((hedge(None), hedge(Some(MS * 10))), (MS * 66, MS * 66));
     assert_eq!((hedge(Some(MS * 80)), hedge(Some(MS * 500))), (MS * 96, MS * 120));
 }
--- a/crates/front/src/daemon.rs
+++ b/crates/front/src/daemon.rs
@@ -208,7 +208,7 @@
             };
             let (readers, deputies) = (at(0), at(1));
             let duty = match () {
-                () if readers.contains(&own) => Duty::Reader,
+                () if readers.contains(&own) || !settings.policy.readers.on => Duty::Reader,
                 () if deputies.contains(&own) => Duty::Deputy,
                 () => Duty::Follower,
             };
@@ -245,7 +245,7 @@
             view.iter().filter(|record| record.state.takes_work()).map(seat).collect()
         });
         let connections = self.relay.fewest_connections().unwrap_or(usize::MAX);
-        let chosen = serving(&seats, connections);
+        let chosen = serving(&seats, connections, &settings.policy.seats);
         let serves = chosen.contains(&settings.address);
         let members = if serves { chosen.len() } else { seats.len() };
         *self.serving.lock().unwrap_or_else(PoisonError::into_inner) = chosen;
--- a/crates/peers/src/seat.rs
+++ b/crates/peers/src/seat.rs
@@ -13,17 +13,7 @@
 use std::net::Ipv4Addr;
 
 use bergamot_base::{Name, hash_bytes};
-
-/// The connections to each searcher that make a member useful where all serve.
-///
-/// One would be taken by a single paused searcher's request.
-const FEWEST_CONNECTIONS: usize = 2;
-
-/// The connections to each searcher that members have where some of them serve.
-const CONNECTIONS: usize = 4;
-
-/// The members of a region that serve at the least, so that one may be lost.
-const FEWEST_SEATS: usize = 2;
+use bergamot_policy::Seats;
 
 /// A member that could serve.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -39,22 +29,22 @@
 }
 
 /// Chooses the members that serve, given how many connections a searcher accepts.
-pub fn serving(seats: &[Seat], connections: usize) -> BTreeSet<Ipv4Addr> {
+pub fn serving(seats: &[Seat], connections: usize, policy: &Seats) -> BTreeSet<Ipv4Addr> {
     let room = connections.saturating_sub(1);
-    if seats.len() * FEWEST_CONNECTIONS <= room {
+    if !policy.on || seats.len() * policy.fewest_connections <= room {
         return seats.iter().map(|seat| seat.ip).collect();
     }
     let mut regions = BTreeMap::<&Name, Vec<&Seat>>::new();
     for seat in seats {
         regions.entry(&seat.region).or_default().push(seat);
     }
-    let each = (room / CONNECTIONS / regions.len().max(1)).max(FEWEST_SEATS);
-    regions.into_values().flat_map(|members| largest(members, each)).collect()
+    let each = (room / policy.connections / regions.len().max(1)).max(policy.fewest);
+    regions.into_values().flat_map(|members| largest(members, policy.fewest, each)).collect()
 }
 
 /// Takes the large members of a region, those beside the searchers if there are enough, and
 /// a smaller one only where there is no other.
-fn largest(mut members: Vec<&Seat>, most: usize) -> Vec<Ipv4Addr> {
+fn largest(mut members: Vec<&Seat>, fewest: usize, most: usize) -> Vec<Ipv4Addr> {
     let large = members.iter().map(|seat| seat.weight).max().unwrap_or(0) / 2;
     let is_large = |seat: &&Seat| seat.weight >= large;
     let rank = |seat: &&Seat| {
@@ -63,7 +53,7 @@
     members.sort_by_key(rank);
     let beside = members.iter().filter(|seat| is_large(seat) && seat.beside).count();
     let large = members.iter().filter(|seat| is_large(seat)).count();
-    let enough = if beside >= FEWEST_SEATS { beside } else { large };
-    let taken = enough.max(FEWEST_SEATS).min(most);
+    let enough = if beside >= fewest { beside } else { large };
+    let taken = enough.max(fewest).min(most);
     members.into_iter().take(taken).map(|seat| seat.ip).collect()
 }
--- a/crates/peers/tests/seat.rs
+++ b/crates/peers/tests/seat.rs
@@ -3,6 +3,7 @@
 use std::net::Ipv4Addr;
 
 use bergamot_peers::{Seat, serving};
+use bergamot_policy::Seats;
 
 fn seat(number: u8, region: &str, weight: u32) -> Seat {
     Seat { ip: Ipv4Addr::new(10, 0, 0, number), region: region.into(), beside: true, weight }
@@ -18,12 +19,12 @@
 fn all_members_of_a_small_fleet_serve() {
     let fleet: Vec<_> =
         (0..11).map(|n| seat(n, ["a", "b", "c"][usize::from(n) % 3], 250)).collect();
-    assert_eq!(serving(&fleet, 26).len(), 11);
+    assert_eq!(serving(&fleet, 26, &Seats::default()).len(), 11);
 }
 
 #[test]
 fn the_largest_members_of_a_large_fleet_serve() {
-    let chosen = serving(&grown(), 60);
+    let chosen = serving(&grown(), 60, &Seats::default());
     let wanted: Vec<_> = (0..12).map(|n| Ipv4Addr::new(10, 0, 0, n)).collect();
     assert!(chosen.iter().eq(&wanted), "{chosen:?}");
 }
@@ -32,17 +33,17 @@
 fn members_beside_the_searchers_serve_if_there_are_two_of_them() {
     let fleet: Vec<_> =
         grown().into_iter().map(|seat| Seat { beside: seat.ip.octets()[3] < 6, ..seat }).collect();
-    assert_eq!(serving(&fleet, 60).len(), 6);
+    assert_eq!(serving(&fleet, 60, &Seats::default()).len(), 6);
     let fleet: Vec<_> =
         grown().into_iter().map(|seat| Seat { beside: seat.ip.octets()[3] < 3, ..seat }).collect();
-    assert_eq!(serving(&fleet, 60).len(), 12);
+    assert_eq!(serving(&fleet, 60, &Seats::default()).len(), 12);
 }
 
 #[test]
 fn a_region_that_lost_its_large_members_is_served_by_two_small_ones() {
     let lost = |seat: &Seat| &*seat.region != "a" || seat.weight < 500;
     let left: Vec<_> = grown().into_iter().filter(lost).collect();
-    let chosen = serving(&left, 60);
+    let chosen = serving(&left, 60, &Seats::default());
     let small: Vec<_> =
         left.iter().filter(|seat| chosen.contains(&seat.ip) && seat.weight < 500).collect();
     assert!(small.iter().all(|seat| &*seat.region == "a"));
@@ -53,6 +54,6 @@
 fn a_large_fleet_of_equal_members_keeps_its_connections_within_the_limit() {
     let fleet: Vec<_> =
         (0..88).map(|n| seat(n, ["a", "b", "c"][usize::from(n) % 3], 250)).collect();
-    let chosen = serving(&fleet, 60);
+    let chosen = serving(&fleet, 60, &Seats::default());
     assert!(chosen.len() * 4 <= 59 && chosen.len() >= 12, "{}", chosen.len());
 }
--- /dev/null
+++ b/crates/policy/src/table.rs
@@ -0,0 +1,242 @@
+//! The table of all mechanisms.
+
+use std::time::Duration;
+
+use snafu::Snafu;
+
+use crate::figure::{Figure, Mechanism, Value};
+
+/// A mechanism that is not in the table was to be switched off.
+#[derive(Clone, Debug, PartialEq, Eq, Snafu)]
+#[snafu(display("switch off {name}: no such mechanism; there are {}", NAMES.join(", ")))]
+pub struct Unknown {
+    /// The name that was given.
+    pub name: String,
+}
+
+macro_rules! policy {
+    ($(
+        $(#[doc = $help:literal])+
+        $group:ident: $Group:ident {
+            $( $(#[doc = $grounds:literal])+ $figure:ident: $type:ty = $default:expr, $unit:literal; )*
+        }
+    )*) => {
+        $(
+            $(#[doc = $help])+
+            #[derive(Clone, Copy, Debug, PartialEq)]
+            pub struct $Group {
+                /// Whether the mechanism is on.
+                pub on: bool,
+                $( $(#[doc = $grounds])+ #[doc = concat!("\nUnit: ", $unit, ".")] pub $figure: $type, )*
+            }
+
+            impl Default for $Group {
+                fn default() -> Self {
+                    Self { on: true, $($figure: $default,)* }
+                }
+            }
+
+            impl $Group {
+                fn describe(&self) -> Mechanism {
+                    let figures = vec![$( Figure {
+                        name: stringify!($figure),
+                        value: Value::text(&self.$figure),
+                        unit: $unit,
+                        grounds: concat!($($grounds, "\n"),+),
+                    }, )*];
+                    let help = concat!($($help, "\n"),+);
+                    Mechanism { name: stringify!($group), on: self.on, help, figures }
+                }
+            }
+        )*
+
+        /// Every mechanism of the decisions.
+        #[derive(Clone, Copy, Debug, Default, PartialEq)]
+        pub struct Policy { $( $(#[doc = $help])+ pub $group: $Group, )* }
+
+        /// The names of all mechanisms.
+        pub const NAMES: &[&str] = &[$(stringify!($group)),*];
+
+        impl Policy {
+            /// Returns the policy with some mechanisms switched off.
+            pub fn without<T: AsRef<str>>(mut self, names: &[T]) -> Result<Self, Unknown> {
+                for name in names {
+                    match name.as_ref() {
+                        $( stringify!($group) => self.$group.on = false, )*
+                        name => return Err(Unknown { name: name.to_owned() }),
+                    }
+                }
+                Ok(self)
+            }
+
+            /// Describes every mechanism in the order of the table.
+            pub fn mechanisms(&self) -> Vec<Mechanism> {
+                vec![$(self.$group.describe()),*]
+            }
+        }
+    };
+}
+
+/// Makes a duration of milliseconds.
+const fn ms(count: u64) -> Duration {
+    Duration::from_millis(count)
+}
+
+policy! {
+    /// A searcher that is silent for longer than usual is hedged: another one of its service is
+    /// asked as well, and the first answer counts. Without it only failures lead to another attempt.
+    hedge: Hedge {
+        /// Searchers pause for some hundred milliseconds, and a far one answers some 30 ms after
+        /// it is asked, so that a hedge at a third still meets a target of 80 ms. An earlier one
+        /// buys nothing on a calm day, and as queues begin to grow it does work twice just while
+        /// there is no room for it.
+        earliest: f64 = 0.33, "parts of the target latency";
+        /// Under load the usual time passes a third of the target, and every attempt would be hedged
+        /// there until the allowance is spent. After 0.6 of 100 ms, one of the strictest targets, a
+        /// hedge just comes in in time.
+        latest: f64 = 0.6, "parts of the target latency";
+        /// Answers vary by about this much around their usual time.
+        factor: f64 = 1.2, "times the usual time";
+        /// Searchers pause for some 4 in 100 of the time: beyond the 94th percentile, most of what
+        /// is still silent is paused. At 85 the allowance is spent on answers that are on their way.
+        percentile: usize = 94, "in 100 first attempts";
+    }
+
+    /// A request whose attempt failed is sent to another searcher. Without it the first failure is
+    /// the end of the request, or of its shard.
+    retry: Retry {
+        /// Each refusal takes a round trip; a third one in a row means that no searcher has room.
+        most_refused: usize = 2, "attempts that did not run, beyond those that the route allows";
+    }
+
+    /// The bound on additional attempts is spent with a margin. Without it all of the users' bound
+    /// is spent, and what the edges of their window and restarted members add is beyond it.
+    margin: Margin {
+        /// The users' window slides continuously, ours by a twentieth of its length.
+        earned: f64 = 0.85, "parts of what requests earn";
+        /// A member that restarts forgets what it spent, and its successor spends its part anew.
+        slack: f64 = 0.5, "parts of the slack";
+    }
+
+    /// A part of the allowance is kept for attempts without which a request fails, and a refused
+    /// attempt waits until it is known whether its request does. Without it first come is first served.
+    reserve: Reserve {
+        /// While searchers refuse half of their work, a service's allowance covers a quarter of the
+        /// attempts that would make every answer complete. Spent first come, first served, it makes
+        /// some answers complete and lets others fail below their coverage.
+        part: f64 = 0.25, "parts of the allowance";
+    }
+
+    /// Shards whose best searcher is elsewhere are asked through a member there, which merges before
+    /// the bytes cross. Without it each shard is asked directly.
+    delegate: Delegate {
+        /// One question to a member costs a hop; for a single shard it saves no bytes.
+        fewest: usize = 2, "shards";
+        /// The searchers' work and the way within the zone take this long at the least.
+        least: Duration = ms(8), "ms";
+        /// Timers of a small machine fire late by some milliseconds.
+        late: Duration = ms(6), "ms";
+        /// Above this time asking the searchers oneself is faster.
+        silent: f64 = 120.0, "ms";
+        /// What still runs after the answer waits for the sender to ask for it: some round trips.
+        unclaimed: Duration = ms(150), "ms";
+        /// One crossing between regions of 8 ms each way, and the time that both members take.
+        region: Duration = ms(18), "ms";
+        /// One crossing between zones of 1.4 ms each way, and the time that both members take.
+        zone: Duration = ms(5), "ms";
+    }
+
+    /// Connections are opened ahead of need to searchers that have none. Without it the first request
+    /// to a searcher waits for its connection.
+    warm: Warm {
+        /// A few at a time, so that not all members come to a searcher at once.
+        at_once: usize = 6, "connections a tick of 100 ms";
+        /// A searcher at its limit resets a new connection at once; trying again and again would
+        /// only cost it time.
+        again: Duration = ms(2000), "ms";
+    }
+
+    /// A searcher whose entry has disappeared is asked if no other can be, until it counts as gone.
+    /// Without it a searcher is gone with its entry.
+    doubt: Doubt {
+        /// Nothing but an outage of the store makes entries of living searchers disappear for long.
+        /// A searcher that leaves may get its last request 3 s after that at the least, and the news
+        /// of it may be 1.5 s old already.
+        usual: Duration = ms(1000), "ms";
+        /// Entries that expired during an outage are back within two seconds of the store's return.
+        outage: Duration = ms(2200), "ms after the store's return";
+    }
+
+    /// A gathered request that the searchers can't answer in time is refused before anything has run.
+    /// Without it every request is taken up.
+    admit: Admit {
+        /// Estimates lag by the time of an answer: refused only at the target, requests are late
+        /// before the estimate shows it.
+        early: f64 = 0.8, "parts of the target latency";
+        /// At a tenth beyond the limit two thirds are taken up, at a half beyond it a fifth.
+        steepness: i32 = 4, "the power of the excess";
+        /// Some are always taken up, to notice that searchers recover.
+        least: f64 = 0.15, "parts of the requests";
+    }
+
+    /// A gathered answer goes out at the target latency, if it has the declared coverage. Without it
+    /// every answer waits for all shards until the caller's deadline.
+    partial: Partial {
+        /// A caller who is 3 ms away, whose address answer has expired and who opens a connection
+        /// needs four round trips of 6 ms; timers fire late.
+        margin: Duration = ms(26), "ms before the target latency";
+    }
+
+    /// A searcher whose oldest request is unanswered for too long is expected to take as much longer.
+    /// Without it only answers change what is expected of it.
+    overdue: Overdue {
+        /// Answers within this much of the mean are ordinary.
+        factor: f64 = 1.5, "times the mean answer";
+    }
+
+    /// Searchers that failed requests lately are asked less. Without it failures don't count.
+    failing: Failing {
+        /// The factor grows with the square of the share that failed: a single failure sends the next
+        /// requests elsewhere for about a second, while one that refuses half of its work is hardly
+        /// tried, since each refusal costs an attempt of a small allowance.
+        factor: f64 = 40.0, "times longer, if all failed";
+        /// Failures come in spells of some seconds.
+        forgive: Duration = ms(3000), "ms until a failure counts half";
+    }
+
+    /// A searcher that has just started is asked less. Without it the published warm-up counts nothing.
+    cold: Cold {
+        /// What searchers that had just started were seen to need.
+        factor: f64 = 1.6, "times longer";
+    }
+
+    /// A searcher in another region is asked first only if those nearby are clearly slower. Without
+    /// it the time that its answers take is all that counts.
+    near: Near {
+        /// Bytes between regions are paid for, and an answer that crosses comes late more easily.
+        factor: f64 = 1.5, "times longer";
+    }
+
+    /// Members that know the same don't all choose the same searcher. Without it the best goes first.
+    spread: Spread {
+        /// Less than what makes one searcher clearly better than another.
+        part: f64 = 0.1, "parts of the expected time";
+    }
+
+    /// In a large fleet only some members take callers and hold connections. Without it all do.
+    seats: Seats {
+        /// One connection to a searcher would be taken by a single paused searcher's request.
+        fewest_connections: usize = 2, "connections to each searcher where all members serve";
+        /// What members need that ask each searcher several times at once.
+        connections: usize = 4, "connections to each searcher where some serve";
+        /// One of them may be lost.
+        fewest: usize = 2, "members of a region";
+    }
+
+    /// Few members read the store, and the others follow them. Without it every member reads it.
+    readers: Readers {}
+
+    /// A process that slept takes up no request before it has heard of the store. Without it requests
+    /// are served by what was known before the pause.
+    catch_up: CatchUp {}
+}
--- /dev/null
+++ b/crates/policy/tests/policy.rs
@@ -0,0 +1,42 @@
+//! The table of mechanisms: its switches and its text form.
+
+use bergamot_policy::{NAMES, Policy};
+
+#[test]
+fn each_mechanism_can_be_switched_off_by_its_name_and_nothing_else_changes() {
+    let all_on = Policy::default();
+    for name in NAMES {
+        let policy = all_on.without(&[name]).expect("the name is in the table");
+        let off: Vec<_> = policy.mechanisms().into_iter().filter(|one| !one.on).collect();
+        assert_eq!(off.len(), 1, "{name}");
+        assert_eq!(off[0].name, *name);
+        let before = all_on.mechanisms().into_iter().find(|one| one.name == *name);
+        assert_eq!(before.map(|one| one.figures), Some(off[0].figures.clone()));
+    }
+}
+
+#[test]
+fn an_unknown_name_is_refused_with_the_list_of_names() {
+    let refused = Policy::default().without(&["hedge", "hegde"]).expect_err("there is none");
+    let text = refused.to_string();
+    assert!(
+        text.starts_with("switch off hegde: no such mechanism; there are hedge, retry"),
+        "{text}"
+    );
+    for name in NAMES {
+        assert!(text.contains(name), "{text}");
+    }
+}
+
+#[test]
+fn the_text_form_gives_each_figure_with_its_unit_and_its_grounds() {
+    for mechanism in Policy::default().mechanisms() {
+        let text = mechanism.to_string();
+        assert!(text.starts_with(&format!("{} (on)\n", mechanism.name)), "{text}");
+        assert!(!mechanism.help.trim().is_empty(), "{text}");
+        for figure in &mechanism.figures {
+            assert!(text.contains(&format!("{} = {} {}", figure.name, figure.value, figure.unit)));
+            assert!(!figure.grounds.trim().is_empty(), "{text}");
+        }
+    }
+}
--- a/crates/registry/src/registry.rs
+++ b/crates/registry/src/registry.rs
@@ -8,24 +8,13 @@
 
 use std::collections::{BTreeMap, HashSet, VecDeque};
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use bergamot_base::Name;
+use bergamot_policy::Doubt;
 
 use crate::upstream::{State, Upstream};
 
-/// How long an entry that disappeared without an outage of the store is doubted.
-///
-/// Nothing but an outage makes entries of living searchers disappear for long. A searcher that
-/// leaves may get its last request 3 s after that at the least, and the news of it may be
-/// 1.5 s old already.
-const DOUBT: Duration = Duration::from_secs(1);
-
-/// How long an entry that expired during an outage may take to return.
-///
-/// Entries that expired are back within two seconds of the store's return.
-const RETURN: Duration = Duration::from_millis(2200);
-
 /// How many ended incarnations are remembered, against stale reads that still list them.
 const MOST_ENDED: usize = 4096;
 
@@ -38,6 +27,7 @@
 /// The published searchers.
 #[derive(Clone, Debug, Default)]
 pub struct Registry {
+    policy: Doubt,
     entries: BTreeMap<Name, Entry>,
     by_service: BTreeMap<Name, Vec<Name>>,
     ended: HashSet<Name>,
@@ -46,6 +36,11 @@
 }
 
 impl Registry {
+    /// Starts empty.
+    pub fn new(policy: Doubt) -> Self {
+        Self { policy, ..Self::default() }
+    }
+
     /// Takes in the entry of a searcher and tells whether it changed anything.
     pub fn publish(&mut self, mut upstream: Upstream) -> bool {
         if self.ended.contains(&upstream.id) {
@@ -74,7 +69,7 @@
         let Some(entry) = self.entries.get_mut(id) else {
             return false;
         };
-        if entry.upstream.state == State::Draining {
+        if entry.upstream.state == State::Draining || !self.policy.on {
             return self.end(id);
         }
         let first = entry.missing_since.is_none();
@@ -128,8 +123,8 @@
             return Vec::new();
         }
         let until = |missing: Instant| {
-            let doubted = missing + DOUBT;
-            self.regained.map_or(doubted, |back| doubted.max(back + RETURN))
+            let doubted = missing + self.policy.usual;
+            self.regained.map_or(doubted, |back| doubted.max(back + self.policy.outage))
         };
         let late = |entry: &Entry| entry.missing_since.is_some_and(|missing| now >= until(missing));
         let gone: Vec<Name> = self
--- a/crates/relay/src/delegate.rs
+++ b/crates/relay/src/delegate.rs
@@ -9,10 +9,12 @@
 
 use std::collections::BTreeMap;
 use std::net::Ipv4Addr;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use bergamot_base::Name;
-use bergamot_dispatch::{CROSSING, Outlook};
+use bergamot_dispatch::Outlook;
+use bergamot_policy::{Delegate, Policy};
 use bergamot_wire::{Late, ShardQuery, ShardReply};
 use futures::future::BoxFuture;
 
@@ -20,19 +22,6 @@
 use crate::race::Plan;
 use crate::relay::Relay;
 
-/// The least number of shards for which one question to a member is worth its way.
-pub(crate) const FEWEST: usize = 2;
-
-/// How long after its moment a member's answer is still awaited.
-const LATE: Duration = Duration::from_millis(6);
-
-/// The least time that a member is given, which covers the work of a searcher.
-const LEAST: Duration = Duration::from_millis(8);
-
-/// How much longer a member in another zone of the region is awaited than a searcher nearby:
-/// one crossing of 1.4 ms each way, and the time that both members take to read and write.
-const ZONE_CROSSING: Duration = Duration::from_millis(5);
-
 /// How many requests a member is taken to work on at once, for the choice among members.
 const MEMBER_SLOTS: usize = 8;
 
@@ -75,10 +64,10 @@
 
 impl Elsewhere {
     /// Returns how much longer a member there is awaited than a searcher nearby.
-    fn crossing(&self) -> Duration {
+    fn crossing(&self, policy: &Delegate) -> Duration {
         match self {
-            Self::Zone(_) => ZONE_CROSSING,
-            Self::Region(_) => CROSSING,
+            Self::Zone(_) => policy.zone,
+            Self::Region(_) => policy.region,
         }
     }
 
@@ -91,13 +80,18 @@
 }
 
 /// The members that may be asked, and what was seen of each.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct Helpers {
+    policy: Arc<Policy>,
     known: Vec<Helper>,
     outlooks: BTreeMap<Ipv4Addr, Outlook>,
 }
 
 impl Helpers {
+    pub(crate) fn new(policy: Arc<Policy>) -> Self {
+        Self { policy, known: Vec::new(), outlooks: BTreeMap::new() }
+    }
+
     /// Takes in who may be asked now.
     pub(crate) fn set(&mut self, known: Vec<Helper>) {
         self.outlooks.retain(|ip, _| known.iter().any(|helper| helper.ip == *ip));
@@ -106,8 +100,6 @@
 
     /// Chooses a member at a place, unless all of them are silent.
     pub(crate) fn choose(&self, place: &Elsewhere, now: Instant) -> Option<Ipv4Addr> {
-        /// Above this time, in milliseconds, asking the searchers oneself is faster.
-        const SILENT: f64 = 120.0;
         let expected = |helper: &Helper| {
             let outlook = self.outlooks.get(&helper.ip);
             outlook.map_or(0.0, |outlook| outlook.expected(now, MEMBER_SLOTS, false))
@@ -115,11 +107,13 @@
         let beside = self.known.iter().filter(|helper| place.holds(helper));
         let timed = beside.map(|helper| (expected(helper), helper.ip));
         let best = timed.min_by(|a, b| a.0.total_cmp(&b.0))?;
-        (best.0 < SILENT).then_some(best.1)
+        (best.0 < self.policy.delegate.silent).then_some(best.1)
     }
 
     fn outlook(&mut self, ip: Ipv4Addr) -> &mut Outlook {
-        self.outlooks.entry(ip).or_insert_with(|| Outlook::new(CROSSING))
+        let policy = &self.policy;
+        let unseen = || Outlook::new(policy.delegate.region, Arc::clone(policy));
+        self.outlooks.entry(ip).or_insert_with(unseen)
     }
 }
 
@@ -157,10 +151,11 @@
 ) -> Option<ShardReply> {
     let sent = Instant::now();
     let usual = plan.usual.saturating_duration_since(sent);
-    let query = query(job, shards, top_k, usual, plan);
+    let policy = relay.settings.policy.delegate;
+    let query = query(job, shards, top_k, usual.max(policy.least), plan);
     relay.with_helpers(|helpers| helpers.outlook(ip).send(sent));
     let mut pending = Pending { relay, ip, sent, answered: false };
-    let until = sent + usual.max(LEAST) + place.crossing() + LATE;
+    let until = sent + usual.max(policy.least) + place.crossing(&policy) + policy.late;
     let answer =
         tokio::time::timeout_at(until.into(), (relay.helping().gather)(ip, query, until)).await;
     match answer {
@@ -182,7 +177,7 @@
     }
 }
 
-fn query(job: &Job, shards: Vec<Name>, top_k: usize, usual: Duration, plan: &Plan) -> ShardQuery {
+fn query(job: &Job, shards: Vec<Name>, top_k: usize, within: Duration, plan: &Plan) -> ShardQuery {
     let request = &job.request;
     let headers = request.headers.iter();
     ShardQuery {
@@ -195,7 +190,7 @@
         body: request.body.to_vec(),
         shards,
         top_k: top_k as u32,
-        answer_within: usual.max(LEAST),
+        answer_within: within,
         deadline: plan.end.saturating_duration_since(Instant::now()),
     }
 }
--- a/crates/relay/src/gather.rs
+++ b/crates/relay/src/gather.rs
@@ -58,7 +58,8 @@
         let served = delays.len();
         return refuse(job, Cause::NotRun, &format!("{served} of {fewest} shards have a searcher"));
     }
-    if !admit(&mut delays, fewest, patience.target, rand::rng().random()) {
+    let policy = &relay.settings.policy.admit;
+    if !admit(&mut delays, fewest, patience.target, policy, rand::rng().random()) {
         return refuse(job, Cause::NotRun, "the searchers are too busy to answer in time");
     }
     for shard in &gather.shards {
@@ -121,16 +122,17 @@
         gather: &'a Gather,
         patience: Patience,
     ) -> Self {
-        let plan = Plan::new(job, patience);
+        let plan = Plan::new(job, patience, &relay.settings.policy);
         let (worst, work) = (Ending::NotSent, Work::new());
         let (signatures, parts) = (Vec::new(), Vec::new());
         let open = HashMap::new();
         let mut state = Self { relay, job, plan, worst, signatures, parts, work, open };
         // A route that allows one attempt leaves nothing to do about what a member missed.
-        let (own, groups) = if job.attempts < 2 {
-            (gather.shards.iter().collect(), Vec::new())
-        } else {
+        let delegates = relay.settings.policy.delegate.on && job.attempts > 1;
+        let (own, groups) = if delegates {
             assign(relay, &gather.shards)
+        } else {
+            (gather.shards.iter().collect(), Vec::new())
         };
         for shard in own {
             state.race(shard, Vec::new());
@@ -300,7 +302,7 @@
     let mut groups = Vec::new();
     for (place, shards) in places {
         let helper = relay.with_helpers(|helpers| helpers.choose(&place, now));
-        match helper.filter(|_| shards.len() >= delegate::FEWEST) {
+        match helper.filter(|_| shards.len() >= relay.settings.policy.delegate.fewest) {
             Some(ip) => groups.push(Group { ip, place, shards }),
             None => own.extend(shards),
         }
--- a/crates/relay/src/helper.rs
+++ b/crates/relay/src/helper.rs
@@ -6,7 +6,7 @@
 
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, OnceLock, PoisonError};
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use bergamot_base::Name;
 use bergamot_declaration::Kind;
@@ -23,9 +23,6 @@
 use crate::meter::Reason;
 use crate::relay::Relay;
 
-/// How long what still runs waits for the sender to ask for it: some round trips.
-const UNCLAIMED: Duration = Duration::from_millis(150);
-
 /// What still runs after the answers to questions, by its token.
 #[derive(Debug, Default)]
 pub(crate) struct Rests {
@@ -128,7 +125,7 @@
     });
     let relay = Arc::clone(relay);
     tokio::spawn(async move {
-        tokio::time::sleep(UNCLAIMED).await;
+        tokio::time::sleep(relay.settings.policy.delegate.unclaimed).await;
         // If it is still here, the sender has its answer without it.
         relay.with_rests(|rests| rests.waiting.remove(&token));
     });
--- a/crates/relay/src/link.rs
+++ b/crates/relay/src/link.rs
@@ -1,9 +1,10 @@
 //! One incarnation of a searcher as this member sees it: connections and an outlook.
 
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use bergamot_dispatch::{Candidate, Distance, Outlook};
+use bergamot_policy::Policy;
 use bergamot_registry::Upstream;
 use bergamot_upstream::Pool;
 
@@ -13,24 +14,13 @@
 /// milliseconds: more than any searcher takes, so that it is asked last.
 const SATURATED: f64 = 10_000.0;
 
-/// How long after a connection was opened ahead of need another may be.
-///
-/// A searcher at its limit resets a new connection at once; trying again and again would
-/// only cost it time.
-const WARM_AGAIN: Duration = Duration::from_secs(2);
-
-/// How many times longer a searcher in another region is taken to need than was seen.
-///
-/// Its bytes cross the slow and dear links between regions, so it is asked first only if
-/// those nearby are clearly slower.
-const FAR: f64 = 1.5;
-
 /// One incarnation of a searcher.
 #[derive(Debug)]
 pub(crate) struct Link {
     pub(crate) upstream: Arc<Upstream>,
     pub(crate) pool: Arc<Pool>,
     pub(crate) distance: Distance,
+    policy: Arc<Policy>,
     outlook: Mutex<Outlook>,
     /// When a connection was last opened ahead of need.
     warmed: Mutex<Option<Instant>>,
@@ -44,9 +34,10 @@
         let there = (&*upstream.zone, region(&upstream.zone));
         let distance = Distance::between(here, there);
         let pool = Pool::new(settings.address, upstream.address, share, settings.dial);
-        let outlook = Mutex::new(Outlook::new(distance.guess()));
+        let policy = Arc::clone(&settings.policy);
+        let outlook = Mutex::new(Outlook::new(distance.guess(), Arc::clone(&policy)));
         let warmed = Mutex::default();
-        Arc::new(Self { upstream, pool, distance, outlook, warmed })
+        Arc::new(Self { upstream, pool, distance, policy, outlook, warmed })
     }
 
     /// Returns what this member has seen of the searcher.
@@ -57,7 +48,7 @@
     /// Tells whether a connection may be opened ahead of need, and notes that it is.
     pub(crate) fn may_warm(&self, now: Instant) -> bool {
         let mut warmed = self.warmed.lock().unwrap_or_else(PoisonError::into_inner);
-        let due = warmed.is_none_or(|last| now >= last + WARM_AGAIN);
+        let due = warmed.is_none_or(|last| now >= last + self.policy.warm.again);
         if due {
             *warmed = Some(now);
         }
@@ -73,8 +64,8 @@
     pub(crate) fn candidate(self: &Arc<Self>, missing: bool, now: Instant) -> Candidate<Arc<Self>> {
         let cold = now < self.upstream.warm_at;
         let mut expected = self.outlook().expected(now, self.upstream.slots, cold);
-        if self.distance == Distance::Far {
-            expected *= FAR;
+        if self.distance == Distance::Far && self.policy.near.on {
+            expected *= self.policy.near.factor;
         }
         let usage = self.pool.usage();
         if usage.idle == 0 && usage.open >= usage.share {
--- a/crates/relay/src/path.rs
+++ b/crates/relay/src/path.rs
@@ -110,7 +110,7 @@
 
     async fn route(self: &Arc<Self>, route: &Route, request: Request) -> Reply {
         let usual = self.lock().paces.get(&route.name).and_then(Pace::slow);
-        let patience = Patience::new(route, request.deadline, usual);
+        let patience = Patience::new(route, request.deadline, usual, &self.settings.policy);
         let tally = match &route.target {
             Target::Gather(gather) => Tally::new(gather.shards.len(), gather.fewest()),
             Target::Service(_) | Target::Split(_) => Tally::new(1, 1),
@@ -140,10 +140,14 @@
 
     async fn pass(self: &Arc<Self>, job: &Arc<Job>, service: &Name, patience: Patience) -> Reply {
         self.earn(service);
-        let lost = match Race::new(self, job, service, Plan::new(job, patience)).run().await {
-            Ok(passed) => return Reply::Passed(passed),
-            Err(lost) => lost,
-        };
+        let lost =
+            match Race::new(self, job, service, Plan::new(job, patience, &self.settings.policy))
+                .run()
+                .await
+            {
+                Ok(passed) => return Reply::Passed(passed),
+                Err(lost) => lost,
+            };
         if let Some(failure) = lost.failure {
             return Reply::Passed(*failure);
         }
--- a/crates/relay/src/race.rs
+++ b/crates/relay/src/race.rs
@@ -9,7 +9,8 @@
 
 use bergamot_base::Name;
 use bergamot_declaration::Kind;
-use bergamot_dispatch::{CROSSING, Ending, Need, Patience};
+use bergamot_dispatch::{Ending, Need, Patience};
+use bergamot_policy::Policy;
 use tokio::sync::mpsc;
 use tokio::time::sleep_until;
 
@@ -19,9 +20,6 @@
 use crate::meter::Reason;
 use crate::relay::Relay;
 
-/// How many attempts that did not run are made beyond those that the route allows.
-const MOST_REFUSED: usize = 2;
-
 /// The end of a race without a winner.
 #[derive(Clone, Debug)]
 pub(crate) struct Lost {
@@ -50,9 +48,10 @@
 
 impl Plan {
     /// Plans a race for a request that was just received.
-    pub(crate) fn new(job: &Job, patience: Patience) -> Self {
+    pub(crate) fn new(job: &Job, patience: Patience, policy: &Policy) -> Self {
         let at = |moment: Duration| job.request.received + moment;
-        let hedge = (job.kind == Kind::Idempotent).then(|| at(patience.hedge));
+        let hedges = policy.hedge.on && job.kind == Kind::Idempotent;
+        let hedge = hedges.then(|| at(patience.hedge));
         let (offer, usual) = (at(patience.offer), at(patience.hedge));
         Self { offer, hedge, usual, end: at(patience.end), tried: Vec::new() }
     }
@@ -182,7 +181,8 @@
             }
         };
         self.job.changed.notify_waiters();
-        let until = (self.plan.usual + CROSSING).max(Instant::now());
+        let until =
+            (self.plan.usual + self.relay.settings.policy.delegate.region).max(Instant::now());
         let _elapsed = tokio::time::timeout_at(until.into(), wait).await;
         let mut tally = self.job.tally();
         let needed = tally.needs_deferred();
@@ -210,7 +210,9 @@
     }
 
     fn may_follow(&self) -> bool {
-        self.lost.ending.may_resend(self.job.kind) && self.refused <= MOST_REFUSED
+        let policy = self.relay.settings.policy.retry;
+        let resends = policy.on && self.lost.ending.may_resend(self.job.kind);
+        resends && self.refused <= policy.most_refused
     }
 
     /// Tells what a hedge is for.
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -42,8 +42,9 @@
     ///
     /// `helping` takes questions to other members.
     pub fn new(settings: Settings, dialect: Dialect, helping: Helping) -> Arc<Self> {
-        let state = Mutex::new(State::new());
-        let (helpers, rests) = (Mutex::default(), Mutex::default());
+        let state = Mutex::new(State::new(&settings.policy));
+        let helpers = Mutex::new(Helpers::new(Arc::clone(&settings.policy)));
+        let rests = Mutex::default();
         let awake = Awake::new(settings.pause);
         let (meter, woke) = (Meter::new(), Mutex::default());
         Arc::new(Self { settings, dialect, meter, state, helpers, helping, awake, woke, rests })
@@ -97,6 +98,10 @@
         let version = state.floor.revision();
         let mut text =
             format!("declaration {version} members {} store_away {away}\n", state.members);
+        for mechanism in self.settings.policy.mechanisms() {
+            let state = if mechanism.on { "on" } else { "off" };
+            let _ = writeln!(text, "mechanism {} {state}", mechanism.name);
+        }
         let now = Instant::now();
         for upstream in state.registry.iter() {
             let line = state.links.get(&upstream.id).map_or_else(
@@ -180,6 +185,9 @@
     ///
     /// If no news comes in that time, what is known has to do, for all requests.
     pub(crate) async fn awake(&self) {
+        if !self.settings.policy.catch_up.on {
+            return;
+        }
         if !self.awake.wait().await {
             log::warn!("relay: event=not_caught_up cause=\"no news came since the pause\"");
             self.awake.caught_up();
@@ -243,7 +251,7 @@
         }
         if serves {
             self.meet(&mut state);
-            Self::warm(&state);
+            self.warm(&state);
         }
     }
 
--- a/crates/relay/src/searchers.rs
+++ b/crates/relay/src/searchers.rs
@@ -17,17 +17,9 @@
 use crate::delegate::Elsewhere;
 use crate::link::Link;
 use crate::relay::Relay;
+use crate::settings::Settings;
 use crate::state::{State, share};
 
-/// The percentile of the first attempts' times that counts as usual.
-///
-/// Searchers pause for 4 in 100 of the time: beyond the 94th percentile, most of what is
-/// still silent is paused. At 85 the allowance is spent on answers that are on their way.
-const USUAL: usize = 94;
-
-/// How many connections are opened ahead of need in one tick.
-const WARMED_A_TICK: usize = 6;
-
 impl Relay {
     /// Returns where the searcher is that would be asked, if it is not in our zone.
     pub(crate) fn elsewhere(&self, service: &str) -> Option<Elsewhere> {
@@ -108,7 +100,7 @@
             .collect();
         drop(state);
         let mut rng = rand::rng();
-        rank(candidates, || rng.random()).into_iter().next()
+        rank(candidates, &self.settings.policy.spread, || rng.random()).into_iter().next()
     }
 
     pub(crate) fn link(
@@ -132,8 +124,9 @@
 
     /// Notes how long a first attempt for a route took.
     pub(crate) fn note_pace(&self, route: &Name, took: Duration) {
+        let usual = self.settings.policy.hedge.percentile;
         let mut state = self.lock();
-        let pace = state.paces.entry(Name::clone(route)).or_insert_with(|| Pace::new(USUAL));
+        let pace = state.paces.entry(Name::clone(route)).or_insert_with(|| Pace::new(usual));
         pace.record(took);
     }
 
@@ -142,10 +135,14 @@
     /// A new connection takes a round trip and some of the searcher's time, so that a first
     /// request on it is late; a hedge to another region would be by 20 ms and more. A few at
     /// a time, so that not all members come at once.
-    pub(crate) fn warm(state: &State) {
+    pub(crate) fn warm(&self, state: &State) {
+        let policy = self.settings.policy.warm;
+        if !policy.on {
+            return;
+        }
         let now = Instant::now();
         let cold = |link: &&Arc<Link>| link.pool.usage().open == 0 && link.may_warm(now);
-        for link in state.links.values().filter(cold).take(WARMED_A_TICK) {
+        for link in state.links.values().filter(cold).take(policy.at_once) {
             let pool = Arc::clone(&link.pool);
             tokio::spawn(async move {
                 if let Err(fault) = pool.warm().await {
@@ -197,7 +194,8 @@
         let now = Instant::now();
         let mut state = self.lock();
         let members = state.members;
-        let granted = state.allowance(service, now).spend(now, &self.settings.terms, members, need);
+        let Settings { terms, policy, .. } = &self.settings;
+        let granted = state.allowance(service, now).spend(now, terms, policy, members, need);
         if !granted {
             self.meter.denied.inc();
         }
--- a/crates/relay/src/settings.rs
+++ b/crates/relay/src/settings.rs
@@ -2,10 +2,12 @@
 
 use std::collections::BTreeMap;
 use std::net::Ipv4Addr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bergamot_base::Name;
 use bergamot_dispatch::Terms;
+use bergamot_policy::Policy;
 
 /// The settings of a relay.
 #[derive(Clone, Debug)]
@@ -27,6 +29,8 @@
     pub pause: Duration,
     /// The largest answer that is taken from a searcher, in bytes.
     pub largest_answer: usize,
+    /// The mechanisms of the decisions and their figures.
+    pub policy: Arc<Policy>,
 }
 
 impl Default for Settings {
@@ -40,6 +44,7 @@
             dial: Duration::from_millis(300),
             pause: Duration::from_millis(700),
             largest_answer: 16 << 20,
+            policy: Arc::default(),
         }
     }
 }
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -9,6 +9,7 @@
 use bergamot_declaration::{Declaration, Split};
 use bergamot_dispatch::Allowance;
 use bergamot_logger::Sampler;
+use bergamot_policy::Policy;
 use bergamot_registry::Registry;
 use bergamot_upstream::Pace;
 
@@ -39,11 +40,11 @@
 }
 
 impl State {
-    pub(crate) fn new() -> Self {
+    pub(crate) fn new(policy: &Policy) -> Self {
         Self {
             floor: Floor::default(),
             declaration: None,
-            registry: Registry::default(),
+            registry: Registry::new(policy.doubt),
             links: HashMap::new(),
             splits: HashMap::new(),
             allowances: HashMap::new(),
--- a/daemons/src/bin/bergamotctl.rs
+++ b/daemons/src/bin/bergamotctl.rs
@@ -7,6 +7,7 @@
 
 use bergamot_config::Document;
 use bergamot_net::fetch;
+use bergamot_policy::Policy;
 use bergamotstand::{Failure, load_settings, story, usage};
 use gumdrop::Options;
 
@@ -36,6 +37,10 @@
     Addresses(Addresses),
     #[options(help = "tell the story of a request from logs on standard input")]
     Explain(Explain),
+    #[options(
+        help = "print the mechanisms of the decisions, their figures and the grounds for them"
+    )]
+    Policy(PolicyTable),
 }
 
 #[derive(Debug, Options)]
@@ -78,6 +83,14 @@
     request: Vec<String>,
 }
 
+#[derive(Debug, Options)]
+struct PolicyTable {
+    #[options(help = "show this text")]
+    help: bool,
+    #[options(free, help = "only these mechanisms")]
+    names: Vec<String>,
+}
+
 fn main() -> ExitCode {
     let args: Vec<String> = std::env::args().skip(1).collect();
     let arguments = match Arguments::parse_args_default(&args) {
@@ -95,12 +108,14 @@
         Some(Command::Dump(options)) if options.help => help::<Dump>("dump"),
         Some(Command::Addresses(options)) if options.help => help::<Addresses>("addresses"),
         Some(Command::Explain(options)) if options.help => help::<Explain>("explain"),
+        Some(Command::Policy(options)) if options.help => help::<PolicyTable>("policy"),
         Some(Command::Check(options)) => check(&options),
         Some(Command::Dump(options)) => dump(&options),
         Some(Command::Addresses(options)) => addresses(&options),
         Some(Command::Explain(options)) => explain(&options),
+        Some(Command::Policy(options)) => print_policy(&options),
         None if arguments.help => help::<Arguments>(""),
-        None => Err(wrong("a command is needed: check, dump, addresses or explain")),
+        None => Err(wrong("a command is needed: check, dump, addresses, explain or policy")),
     };
     match result {
         Ok(()) => ExitCode::SUCCESS,
@@ -177,6 +192,17 @@
     Ok(())
 }
 
+fn print_policy(options: &PolicyTable) -> Result<(), Failure> {
+    // Names are checked as the daemons check them.
+    Policy::default().without(&options.names).map_err(|unknown| wrong(&unknown.to_string()))?;
+    for mechanism in Policy::default().mechanisms() {
+        if options.names.is_empty() || options.names.iter().any(|name| name == mechanism.name) {
+            println!("{mechanism}");
+        }
+    }
+    Ok(())
+}
+
 #[tokio::main(flavor = "current_thread")]
 async fn print_reply(daemon: SocketAddr, path: &str) -> Result<(), Failure> {
     let local = Ipv4Addr::UNSPECIFIED;
--- a/daemons/tests/command_line.rs
+++ b/daemons/tests/command_line.rs
@@ -69,3 +69,19 @@
     assert!(text.contains("dial 127.0.0.1:1"), "{text}");
     assert_eq!(code, Some(1));
 }
+
+#[test]
+fn the_policy_is_printed_whole_or_by_name_and_an_unknown_name_is_refused() {
+    let (text, code) = printed(&run(CTL, &["policy"]));
+    for name in bergamot_policy::NAMES {
+        assert!(text.contains(&format!("{name} (on)")), "{text}");
+    }
+    assert_eq!(code, Some(0));
+    let (text, code) = printed(&run(CTL, &["policy", "hedge"]));
+    assert!(text.starts_with("hedge (on)") && text.contains("earliest = 0.33"), "{text}");
+    assert!(!text.contains("retry (on)"), "{text}");
+    assert_eq!(code, Some(0));
+    let (text, code) = printed(&run(CTL, &["policy", "hegde"]));
+    assert!(text.contains("switch off hegde: no such mechanism; there are hedge"), "{text}");
+    assert_eq!(code, Some(2));
+}
