--- a/crates/relay/src/path.rs
+++ b/crates/relay/src/path.rs
@@ -69,34 +69,42 @@
         let found = declaration
             .as_ref()
             .map(|declaration| declaration.find(&request.host, request.uri.path()));
-        let (name, reply) = match found {
-            None => (UNROUTED, refusal(Cause::NotReady, Some(START_RETRY))),
-            Some(None) => (UNROUTED, refusal(Cause::NoRoute, None)),
-            Some(Some(route)) => (&*route.name, self.route(route, request).await),
+        let (name, target, reply) = match found {
+            None => (UNROUTED, None, refusal(Cause::NotReady, Some(START_RETRY))),
+            Some(None) => (UNROUTED, None, refusal(Cause::NoRoute, None)),
+            Some(Some(route)) => {
+                (&*route.name, route.target_latency, self.route(route, request).await)
+            }
         };
         caller.answered = true;
         let took = received.elapsed();
         self.meter.request(name, &reply, took);
-        self.log_end(&id, (name, version), &reply, took);
+        self.log_end(&id, (name, version), &reply, (took, target));
         reply
     }
 
-    /// Logs how a request ended: ordinary ends up to a settled rate, all others.
+    /// Logs how a request ended: ordinary ends, whole and in time, up to a settled rate; all
+    /// others.
     fn log_end(
         &self,
         id: &HeaderValue,
         (route, version): (&str, Revision),
         reply: &Reply,
-        took: Duration,
+        (took, target): (Duration, Option<Duration>),
     ) {
-        let ordinary = matches!(reply, Reply::Passed(passed) if !passed.status.is_server_error())
+        let whole = matches!(reply, Reply::Passed(passed) if !passed.status.is_server_error())
             || matches!(reply, Reply::Whole(whole) if whole.missing == 0);
+        let ordinary = whole && target.is_none_or(|target| took <= target);
         let left_out = if ordinary { self.lock().sampler.admit(Instant::now()) } else { Some(0) };
         let Some(left_out) = left_out else { return };
         let (outcome, took) = (outcome(reply), took.as_millis());
+        let target = target.unwrap_or_default().as_millis();
         let detail = match reply {
             Reply::Passed(passed) => format!("status={}", passed.status.as_u16()),
-            Reply::Whole(whole) => format!("missing={}", whole.missing),
+            Reply::Whole(whole) => {
+                let shards = whole.signatures.len() + whole.missing;
+                format!("missing={} shards={shards}", whole.missing)
+            }
             Reply::Refused(refusal) => {
                 let after = refusal.retry_after.map_or(0, |after| after.as_millis());
                 format!("retry_after_ms={after}")
@@ -104,7 +112,7 @@
         };
         log::info!(
             "relay: event=ended request={id:?} route={route} version={version} outcome={outcome} \
-             {detail} took_ms={took} ordinary_left_out={left_out}"
+             {detail} took_ms={took} target_ms={target} ordinary_left_out={left_out}"
         );
     }
 
--- a/daemons/src/bin/bergamotctl.rs
+++ b/daemons/src/bin/bergamotctl.rs
@@ -8,7 +8,7 @@
 use bergamot_config::Document;
 use bergamot_net::fetch;
 use bergamot_policy::Policy;
-use bergamotstand::{Failure, load_settings, story, usage};
+use bergamotstand::{Failure, Losses, draw, load_settings, story, usage};
 use gumdrop::Options;
 
 const PROGRAM: &str = "bergamotctl";
@@ -41,6 +41,8 @@
         help = "print the mechanisms of the decisions, their figures and the grounds for them"
     )]
     Policy(PolicyTable),
+    #[options(help = "say where worth was lost, from logs on standard input")]
+    Losses(LossesOptions),
 }
 
 #[derive(Debug, Options)]
@@ -83,6 +85,14 @@
     request: Vec<String>,
 }
 
+#[derive(Debug, Options)]
+struct LossesOptions {
+    #[options(help = "show this text")]
+    help: bool,
+    #[options(help = "draw the losses by moment to this file (SVG)", meta = "FILE", no_short)]
+    plot: Option<PathBuf>,
+}
+
 #[derive(Debug, Options)]
 struct PolicyTable {
     #[options(help = "show this text")]
@@ -108,14 +118,18 @@
         Some(Command::Dump(options)) if options.help => help::<Dump>("dump"),
         Some(Command::Addresses(options)) if options.help => help::<Addresses>("addresses"),
         Some(Command::Explain(options)) if options.help => help::<Explain>("explain"),
+        Some(Command::Losses(options)) if options.help => help::<LossesOptions>("losses"),
         Some(Command::Policy(options)) if options.help => help::<PolicyTable>("policy"),
         Some(Command::Check(options)) => check(&options),
         Some(Command::Dump(options)) => dump(&options),
         Some(Command::Addresses(options)) => addresses(&options),
         Some(Command::Explain(options)) => explain(&options),
+        Some(Command::Losses(options)) => print_losses(&options),
         Some(Command::Policy(options)) => print_policy(&options),
         None if arguments.help => help::<Arguments>(""),
-        None => Err(wrong("a command is needed: check, dump, addresses, explain or policy")),
+        None => {
+            Err(wrong("a command is needed: check, dump, addresses, explain, losses or policy"))
+        }
     };
     match result {
         Ok(()) => ExitCode::SUCCESS,
@@ -192,6 +206,18 @@
     Ok(())
 }
 
+fn print_losses(options: &LossesOptions) -> Result<(), Failure> {
+    let log = std::io::read_to_string(std::io::stdin()).map_err(Failure::failed)?;
+    let losses = Losses::read(&log);
+    if losses.moments.is_empty() {
+        return Err(Failure::failed("no line says how a request ended"));
+    }
+    print!("{losses}");
+    let Some(path) = &options.plot else { return Ok(()) };
+    let failed = |error| Failure::failed(format!("draw {}: {error}", path.display()));
+    draw(&losses, path).map_err(failed)
+}
+
 fn print_policy(options: &PolicyTable) -> Result<(), Failure> {
     // Names are checked as the daemons check them.
     Policy::default().without(&options.names).map_err(|unknown| wrong(&unknown.to_string()))?;
--- a/daemons/src/lib.rs
+++ b/daemons/src/lib.rs
@@ -6,7 +6,12 @@
 //! wrong. See `docs/operations/running.md`.
 
 mod launch;
+mod line;
+mod losses;
+mod plot;
 mod story;
 
 pub use launch::{Failure, load_settings, run, usage};
+pub use losses::{Count, Losses};
+pub use plot::draw;
 pub use story::story;
--- a/daemons/src/story.rs
+++ b/daemons/src/story.rs
@@ -6,6 +6,8 @@
 
 use std::collections::BTreeSet;
 
+use crate::line::value;
+
 /// How many changes of state of one searcher or member are told.
 const CHANGES_EACH: usize = 3;
 
@@ -58,10 +60,3 @@
 fn time(line: &str) -> &str {
     value(line, "ts")
 }
-
-/// Returns the value of a key, or nothing.
-fn value<'a>(line: &'a str, key: &str) -> &'a str {
-    let pairs = line.split(' ').filter_map(|word| word.split_once('='));
-    let mut found = pairs.filter(|(name, _)| *name == key);
-    found.next().map_or("", |(_, value)| value)
-}
