Members send the records that are likely to be needed, and the others if they are asked

Cause: a member's merged answer held up to 50 records of 16 bytes, of which a third is among the greatest of all shards: 800 of some 900 bytes, 1.8 times a gathered request, between regions. Change: a member sends the expected number and three standard deviations (dispatch::sufficient); the sender finds whether what was left out may be among the greatest (may_lack) and fetches it, or leaves the shards out if it can't be had; after that all records are sent for ten seconds. relay::parts holds what is in. Tests that fail without: dispatch/tests/records.rs (pattern and a property), relay/tests/helped.rs.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -28,5 +28,5 @@
 pub use outlook::Outlook;
 pub use patience::Patience;
 pub use rank::{Candidate, Distance, rank};
-pub use record::{RECORD, greatest};
+pub use record::{RECORD, greatest, may_lack, sufficient};
 pub use tally::{Tally, Verdict};
--- a/crates/dispatch/src/tally.rs
+++ b/crates/dispatch/src/tally.rs
@@ -48,6 +48,12 @@
         self.missing += 1;
     }
 
+    /// Counts shards that were in and can't be used.
+    pub fn lose(&mut self, shards: usize) {
+        self.arrived -= shards;
+        self.missing += shards;
+    }
+
     /// Returns how many shards are in.
     pub fn arrived(&self) -> usize {
         self.arrived
--- /dev/null
+++ b/crates/dispatch/tests/records.rs
@@ -0,0 +1,97 @@
+//! How many records a member sends at first: patterns of how they are spread over shards.
+
+use bergamot_base::Seed;
+use bergamot_dispatch::{RECORD, greatest, may_lack, sufficient};
+use bergamot_policy::Brief;
+use bytes::Bytes;
+use proptest::prelude::*;
+
+const SHARDS: usize = 20;
+const AT_MEMBER: usize = 7;
+const TOP: usize = 50;
+const REQUESTS: usize = 2000;
+
+/// The parts of a broad request: 62 records each, as 1,000 bytes hold.
+fn parts(rng: &mut impl RngExt, lift: u8) -> Vec<Bytes> {
+    let record = |shard: usize, rng: &mut dyn FnMut() -> u8| {
+        let mut record: Vec<u8> = (0..RECORD).map(|_| rng()).collect();
+        if shard == 0 {
+            record[0] |= lift;
+        }
+        record
+    };
+    let mut draw = || rng.random::<u8>();
+    let part = |shard| (0..62).flat_map(|_| record(shard, &mut draw)).collect::<Vec<u8>>();
+    (0..SHARDS).map(part).map(Bytes::from).collect()
+}
+
+/// Plays requests of which a member holds seven of twenty shards; returns the bytes of records
+/// that it sent at first and how many requests needed more.
+fn play(lift: u8) -> (usize, usize) {
+    let mut rng = Seed(1).generator("records");
+    let enough = sufficient(TOP, AT_MEMBER, SHARDS, &Brief::default()) * RECORD;
+    let (mut bytes, mut lacking) = (0, 0);
+    for _ in 0..REQUESTS {
+        let parts = parts(&mut rng, lift);
+        let mut sent = greatest(&parts[..AT_MEMBER], TOP);
+        sent.truncate(enough);
+        bytes += sent.len();
+        let mut all = parts[AT_MEMBER..].to_vec();
+        all.push(Bytes::from(sent.clone()));
+        let merged = greatest(&all, TOP);
+        if may_lack(&sent, &merged, TOP) {
+            lacking += 1;
+        } else {
+            assert_eq!(merged, greatest(&parts, TOP));
+        }
+    }
+    (bytes, lacking)
+}
+
+/// The pattern: broad requests of fifty records over twenty shards, seven of them in another
+/// region. Sent whole, the member's records are 800 bytes, of which a third is among the greatest.
+#[test]
+fn a_member_sends_little_more_than_what_is_among_the_greatest() {
+    let (bytes, lacking) = play(0);
+    assert!(bytes < REQUESTS * TOP * RECORD * 60 / 100, "{bytes} bytes");
+    assert!(lacking * 200 < REQUESTS, "{lacking} of {REQUESTS} needed more");
+}
+
+/// Where the greatest records are in one shard, the member that holds it has to send more: that
+/// is always noticed (the merge is compared with the whole one above).
+#[test]
+fn records_that_are_in_one_shard_are_found_to_lack() {
+    let (_, lacking) = play(0xf0);
+    assert!(lacking * 2 > REQUESTS, "{lacking} of {REQUESTS} needed more");
+}
+
+#[test]
+fn all_records_are_sent_by_a_member_that_holds_every_shard() {
+    let policy = Brief::default();
+    assert_eq!(sufficient(TOP, SHARDS, SHARDS, &policy), TOP);
+    assert_eq!(sufficient(1, 1, 225, &policy), 1);
+    assert_eq!(sufficient(TOP, 7, SHARDS, &Brief { on: false, ..policy }), TOP);
+}
+
+proptest! {
+    /// Whatever was left out of a part, a merge that is not found to lack it is the whole one.
+    #[test]
+    fn a_merge_that_lacks_nothing_is_that_of_all_records(
+        own in prop::collection::vec(0_u8..6, 0..12),
+        theirs in prop::collection::vec(0_u8..6, 1..12),
+        enough in 1_usize..12,
+        top in 1_usize..12,
+    ) {
+        let records = |bytes: &[u8]| -> Vec<u8> {
+            bytes.iter().flat_map(|byte| [*byte; RECORD]).collect()
+        };
+        let whole = [Bytes::from(records(&own)), Bytes::from(records(&theirs))];
+        let mut sent = greatest(&whole[1..], top);
+        let all_sent = sent.len() <= enough * RECORD;
+        sent.truncate(enough * RECORD);
+        let merged = greatest(&[whole[0].clone(), Bytes::from(sent.clone())], top);
+        if all_sent || !may_lack(&sent, &merged, top) {
+            prop_assert_eq!(merged, greatest(&whole, top));
+        }
+    }
+}
--- a/crates/front/src/member.rs
+++ b/crates/front/src/member.rs
@@ -41,6 +41,10 @@
         self.relay.rest(token).await
     }
 
+    async fn records(self, _context: Context, token: u64) -> Option<Vec<u8>> {
+        self.relay.records(token)
+    }
+
     async fn news(self, _context: Context, after: u64, wait: Duration) -> News {
         self.feed.news(after, wait.min(LONGEST_WAIT)).await
     }
@@ -64,7 +68,7 @@
 
 /// Makes the functions that ask members for shards.
 pub(crate) fn helping(links: &Links, port: u16) -> Helping {
-    let (gathering, resting) = (Arc::clone(links), Arc::clone(links));
+    let (gathering, resting, fetching) = (Arc::clone(links), Arc::clone(links), Arc::clone(links));
     Helping {
         gather: Box::new(move |ip, query, until| {
             call(&gathering, (ip, port), until, |client, context| async move {
@@ -76,6 +80,11 @@
                 client.rest(context, token).await
             })
         }),
+        records: Box::new(move |ip, token, until| {
+            call(&fetching, (ip, port), until, move |client, context| async move {
+                client.records(context, token).await
+            })
+        }),
     }
 }
 
--- a/crates/policy/src/table.rs
+++ b/crates/policy/src/table.rs
@@ -146,6 +146,19 @@
         zone: Duration = ms(5), "ms";
     }
 
+    /// A member that was asked for shards sends only as many records as are likely to be among the
+    /// greatest of all, and the others if they are asked for. Without it all that could be are sent. Of
+    /// 50 records for 7 of 20 shards it sends 29, a quarter of the bytes of such an answer.
+    brief: Brief {
+        /// Records that are spread evenly are beyond three deviations once in several hundred requests.
+        deviations: f64 = 3.0, "standard deviations of the expected number";
+        /// Once records were lacking they may be of one shard mostly; an answer that has to wait for
+        /// more takes another round trip.
+        again: Duration = ms(10_000), "ms in which all records are sent";
+        /// What was not sent waits for as long as most answers are being gathered.
+        kept: Duration = ms(1000), "ms";
+    }
+
     /// Connections are opened ahead of need to searchers that have none. Without it the first request
     /// to a searcher waits for its connection.
     warm: Warm {
--- a/crates/relay/src/delegate.rs
+++ b/crates/relay/src/delegate.rs
@@ -28,12 +28,17 @@
 /// An exchange with a member.
 pub type Exchange<T> = BoxFuture<'static, Result<T, String>>;
 
+/// Asks a member for what a token of its earlier answer names, until a moment.
+pub type Claim<T> = Box<dyn Fn(Ipv4Addr, u64, Instant) -> Exchange<T> + Send + Sync>;
+
 /// How questions reach other members.
 pub struct Helping {
     /// Asks a member for shards, until a moment.
     pub gather: Box<dyn Fn(Ipv4Addr, ShardQuery, Instant) -> Exchange<ShardReply> + Send + Sync>,
     /// Asks a member for what came in since, until a moment.
-    pub rest: Box<dyn Fn(Ipv4Addr, u64, Instant) -> Exchange<Vec<Late>> + Send + Sync>,
+    pub rest: Claim<Vec<Late>>,
+    /// Asks a member for the records that its answer left out, until a moment.
+    pub records: Claim<Option<Vec<u8>>>,
 }
 
 impl std::fmt::Debug for Helping {
@@ -140,19 +145,28 @@
     }
 }
 
+/// How many records are wanted of a member.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Wanted {
+    /// How many the answer to the caller holds.
+    pub(crate) top_k: usize,
+    /// How many of these shards' are likely to suffice.
+    pub(crate) enough: usize,
+}
+
 /// Asks a member for some shards. Without an answer in time there is none at all.
 pub(crate) async fn ask(
     relay: &Relay,
     job: &Job,
     (ip, place): (Ipv4Addr, &Elsewhere),
     shards: Vec<Name>,
-    top_k: usize,
+    wanted: Wanted,
     plan: &Plan,
 ) -> Option<ShardReply> {
     let sent = Instant::now();
     let usual = plan.usual.saturating_duration_since(sent);
     let policy = relay.settings.policy.delegate;
-    let query = query(job, shards, top_k, usual.max(policy.least), plan);
+    let query = query(job, shards, wanted, usual.max(policy.least), plan);
     relay.with_helpers(|helpers| helpers.outlook(ip).send(sent));
     let mut pending = Pending { relay, ip, sent, answered: false };
     let until = sent + usual.max(policy.least) + place.crossing(&policy) + policy.late;
@@ -177,7 +191,13 @@
     }
 }
 
-fn query(job: &Job, shards: Vec<Name>, top_k: usize, within: Duration, plan: &Plan) -> ShardQuery {
+fn query(
+    job: &Job,
+    shards: Vec<Name>,
+    wanted: Wanted,
+    within: Duration,
+    plan: &Plan,
+) -> ShardQuery {
     let request = &job.request;
     let headers = request.headers.iter();
     ShardQuery {
@@ -189,7 +209,8 @@
             .collect(),
         body: request.body.to_vec(),
         shards,
-        top_k: top_k as u32,
+        top_k: wanted.top_k as u32,
+        enough: wanted.enough as u32,
         answer_within: within,
         deadline: plan.end.saturating_duration_since(Instant::now()),
     }
--- a/crates/relay/src/gather.rs
+++ b/crates/relay/src/gather.rs
@@ -11,7 +11,7 @@
 
 use bergamot_base::Name;
 use bergamot_declaration::Gather;
-use bergamot_dispatch::{Ending, Obstacle, Patience, Verdict, admit, greatest};
+use bergamot_dispatch::{Ending, Obstacle, Patience, Verdict, admit};
 use bergamot_wire::{Late, Shard, ShardReply};
 use bytes::Bytes;
 use futures::future::BoxFuture;
@@ -20,8 +20,9 @@
 use rand::RngExt;
 use tokio::time::sleep_until;
 
-use crate::delegate::{self, Elsewhere};
+use crate::delegate::{self, Elsewhere, Wanted};
 use crate::message::{Cause, Job, Passed, Refusal, Reply, Whole};
+use crate::parts::{Merged, Parts};
 use crate::race::{Lost, Plan, Race};
 use crate::relay::Relay;
 
@@ -88,6 +89,12 @@
             () = sleep_until(target.into()), if !late => late = true,
         }
     }
+    let State { parts, plan, .. } = &mut state;
+    let records = Bytes::from(parts.merge(relay, job, gather.top_k, plan.end).await);
+    if job.tally().arrived() < fewest {
+        let cause = "records of a member are lacking";
+        return refuse(relay, job, (Cause::Lost, Obstacle::Passing), cause);
+    }
     let missing = job.tally().absent();
     if missing > 0 {
         let left_out = state.open.keys().map(|shard| Name::clone(shard)).collect();
@@ -101,8 +108,7 @@
             patience.target.as_millis()
         );
     }
-    let records = Bytes::from(greatest(&state.parts, gather.top_k));
-    Reply::Whole(Whole { signatures: state.signatures, missing, records })
+    Reply::Whole(Whole { signatures: state.parts.into_signatures(), missing, records })
 }
 
 /// What is in so far, and what is still going on.
@@ -111,8 +117,7 @@
     job: &'a Arc<Job>,
     plan: Plan,
     worst: Ending,
-    signatures: Vec<HeaderValue>,
-    parts: Vec<Bytes>,
+    parts: Parts,
     work: Work<'a>,
     /// Where each shard that is not in may still come from: a race, a member, or both.
     open: HashMap<&'a Name, u32>,
@@ -127,9 +132,8 @@
     ) -> Self {
         let plan = Plan::new(job, patience, &relay.settings.policy);
         let (worst, work) = (Ending::NotSent, Work::new());
-        let (signatures, parts) = (Vec::new(), Vec::new());
-        let open = HashMap::new();
-        let mut state = Self { relay, job, plan, worst, signatures, parts, work, open };
+        let (parts, open) = (Parts::default(), HashMap::new());
+        let mut state = Self { relay, job, plan, worst, parts, work, open };
         // A route that allows one attempt leaves nothing to do about what a member missed.
         let delegates = relay.settings.policy.delegate.on && job.attempts > 1;
         let (own, groups) = if delegates {
@@ -141,7 +145,7 @@
             state.race(shard, Vec::new());
         }
         for group in groups {
-            state.delegate(group, gather.top_k);
+            state.delegate(group, gather);
         }
         state
     }
@@ -156,15 +160,19 @@
         self.work.push(Box::pin(async move { Piece::One(shard, race.run().await) }));
     }
 
-    fn delegate(&mut self, group: Group<'a>, top_k: usize) {
+    fn delegate(&mut self, group: Group<'a>, gather: &Gather) {
         let Group { ip, place, shards } = group;
         let (relay, job, plan) = (self.relay, self.job, self.plan.clone());
         for shard in &shards {
             *self.open.entry(shard).or_default() += 1;
         }
         let names = shards.iter().map(|shard| Name::clone(shard)).collect();
+        let (top_k, all) = (gather.top_k, gather.shards.len());
+        let enough = relay.sufficient(top_k, shards.len(), all);
         self.work.push(Box::pin(async move {
-            let reply = delegate::ask(relay, job, (ip, &place), names, top_k, &plan).await;
+            let reply =
+                delegate::ask(relay, job, (ip, &place), names, Wanted { top_k, enough }, &plan)
+                    .await;
             Piece::Many(Asked { ip, shards }, reply)
         }));
     }
@@ -204,12 +212,13 @@
     }
 
     fn take_reply(&mut self, asked: Asked<'a>, reply: ShardReply) {
-        self.parts.push(Bytes::from(reply.records));
-        let ShardReply { shards: found, rest, .. } = reply;
+        let ShardReply { shards: found, records, left_out, rest } = reply;
+        let records = Bytes::from(records);
+        let mut signatures = Vec::new();
         for (shard, found) in asked.shards.iter().copied().zip(found) {
             match found {
                 Shard::In(signature) => {
-                    self.arrive(shard, read(&signature), Bytes::new());
+                    signatures.extend(self.accept(shard, read(&signature)));
                 }
                 Shard::Silent(id) => {
                     self.worst = Ending::Unknown;
@@ -227,6 +236,7 @@
                 }
             }
         }
+        self.parts.add_merged(Merged { ip: asked.ip, signatures, records, left_out });
         if rest != 0 {
             self.ask_rest(asked, rest);
         }
@@ -249,18 +259,22 @@
         self.ask_rest(asked, token);
     }
 
-    /// Takes a shard in, unless it is in already.
+    /// Takes a shard in with its records, unless it is in already.
     fn arrive(&mut self, shard: &'a Name, signature: Option<HeaderValue>, records: Bytes) {
-        if self.open.remove(shard).is_none() {
-            return;
+        if let Some(signature) = self.accept(shard, signature) {
+            self.parts.add(signature, records);
         }
-        let Some(signature) = signature else {
+    }
+
+    /// Counts a shard that came with a signature, unless it is in already.
+    fn accept(&mut self, shard: &'a Name, signature: Option<HeaderValue>) -> Option<HeaderValue> {
+        self.open.remove(shard)?;
+        if signature.is_some() {
+            self.job.tally().arrive();
+        } else {
             self.job.tally().miss();
-            return;
-        };
-        self.job.tally().arrive();
-        self.signatures.push(signature);
-        self.parts.push(records);
+        }
+        signature
     }
 
     /// Notes that one of the ways to a shard has ended without it.
--- a/crates/relay/src/helper.rs
+++ b/crates/relay/src/helper.rs
@@ -10,7 +10,7 @@
 
 use bergamot_base::Name;
 use bergamot_declaration::Kind;
-use bergamot_dispatch::{Ending, Tally, greatest};
+use bergamot_dispatch::{Ending, RECORD, Tally, greatest};
 use bergamot_wire::{Late, Shard, ShardQuery, ShardReply};
 use bytes::Bytes;
 use hyper::header::{HeaderMap, HeaderName, HeaderValue};
@@ -23,11 +23,20 @@
 use crate::meter::Reason;
 use crate::relay::Relay;
 
-/// What still runs after the answers to questions, by its token.
+/// What remains after the answers to questions, by its token.
 #[derive(Debug, Default)]
 pub(crate) struct Rests {
     next: u64,
     waiting: HashMap<u64, Work>,
+    /// The records that answers left out.
+    left_out: HashMap<u64, Vec<u8>>,
+}
+
+impl Rests {
+    fn token(&mut self) -> u64 {
+        self.next += 1;
+        self.next
+    }
 }
 
 /// The attempts for one question.
@@ -56,10 +65,11 @@
     let received = Instant::now();
     let (until, end) = (received + query.answer_within, received + query.deadline);
     let (names, top_k) = (query.shards.clone(), query.top_k as usize);
+    let enough = (query.enough as usize).saturating_mul(RECORD);
     let mut shards = vec![Shard::NotAsked; names.len()];
     let Some(request) = read(query, received) else {
         log::error!("relay: event=query_refused cause=\"the request of a member can't be read\"");
-        return ShardReply { shards, records: Vec::new(), rest: 0 };
+        return ShardReply { shards, records: Vec::new(), left_out: 0, rest: 0 };
     };
     let mut work = start(relay, request, &names, (until, end), &mut shards);
     let mut parts = Vec::<Bytes>::new();
@@ -83,7 +93,10 @@
         }
     }
     let rest = if work.running.is_empty() { 0 } else { keep(relay, work) };
-    ShardReply { shards, records: greatest(&parts, top_k), rest }
+    let mut records = greatest(&parts, top_k);
+    let others = records.split_off(enough.min(records.len()));
+    let left_out = if others.is_empty() { 0 } else { leave_out(relay, others) };
+    ShardReply { shards, records, left_out, rest }
 }
 
 /// Starts one attempt at each shard, and notes whom it asks.
@@ -119,9 +132,9 @@
 /// Keeps what still runs until the sender asks for it.
 fn keep(relay: &Arc<Relay>, work: Work) -> u64 {
     let token = relay.with_rests(|rests| {
-        rests.next += 1;
-        rests.waiting.insert(rests.next, work);
-        rests.next
+        let token = rests.token();
+        rests.waiting.insert(token, work);
+        token
     });
     let relay = Arc::clone(relay);
     tokio::spawn(async move {
@@ -132,6 +145,26 @@
     token
 }
 
+/// Keeps records that an answer leaves out until the sender asks for them.
+fn leave_out(relay: &Arc<Relay>, records: Vec<u8>) -> u64 {
+    let token = relay.with_rests(|rests| {
+        let token = rests.token();
+        rests.left_out.insert(token, records);
+        token
+    });
+    let relay = Arc::clone(relay);
+    tokio::spawn(async move {
+        tokio::time::sleep(relay.settings.policy.brief.kept).await;
+        relay.with_rests(|rests| rests.left_out.remove(&token));
+    });
+    token
+}
+
+/// Hands out the records that an earlier answer left out.
+pub(crate) fn records(relay: &Relay, token: u64) -> Option<Vec<u8>> {
+    relay.with_rests(|rests| rests.left_out.remove(&token))
+}
+
 /// Waits for the next shards of an earlier question.
 pub(crate) async fn rest(relay: &Arc<Relay>, token: u64) -> Vec<Late> {
     let Some(mut work) = relay.with_rests(|rests| rests.waiting.remove(&token)) else {
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -15,6 +15,7 @@
 mod link;
 mod message;
 mod meter;
+mod parts;
 mod path;
 mod race;
 mod relay;
@@ -22,7 +23,7 @@
 mod settings;
 mod state;
 
-pub use delegate::{Exchange, Helper, Helping};
+pub use delegate::{Claim, Exchange, Helper, Helping};
 pub use dialect::{Ask, Dialect, Reading};
 pub use message::{Cause, Passed, Refusal, Reply, Request, Whole};
 pub use relay::Relay;
--- a/crates/relay/src/meter.rs
+++ b/crates/relay/src/meter.rs
@@ -48,6 +48,7 @@
     pub(crate) news: IntCounterVec,
     pub(crate) denied: IntCounter,
     pub(crate) missing_parts: IntCounter,
+    pub(crate) lacking: IntCounter,
     pub(crate) version: IntGauge,
     pub(crate) searchers: IntGauge,
     pub(crate) members: IntGauge,
@@ -104,6 +105,10 @@
                 "bergamot_relay_missing_parts_total",
                 "Shards that were missing from answers.",
             ),
+            lacking: counter(
+                "bergamot_relay_records_lacking_total",
+                "Merged answers for which a member had to send more records.",
+            ),
             version: gauge("bergamot_relay_declaration_version", "The version in force."),
             searchers: gauge("bergamot_relay_searchers", "Searchers that are known."),
             members: gauge("bergamot_relay_members", "Members that share the searchers."),
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -79,6 +79,11 @@
         helper::rest(self, token).await
     }
 
+    /// Hands out the records that an earlier answer to a member left out.
+    pub fn records(&self, token: u64) -> Option<Vec<u8>> {
+        helper::records(self, token)
+    }
+
     pub(crate) fn with_helpers<T>(&self, change: impl FnOnce(&mut Helpers) -> T) -> T {
         change(&mut self.helpers.lock().unwrap_or_else(PoisonError::into_inner))
     }
--- a/crates/relay/src/searchers.rs
+++ b/crates/relay/src/searchers.rs
@@ -9,7 +9,7 @@
 
 use bergamot_base::Name;
 use bergamot_declaration::{Route, Target};
-use bergamot_dispatch::{Distance, Need, rank};
+use bergamot_dispatch::{Distance, Need, rank, sufficient};
 use bergamot_registry::Upstream;
 use bergamot_upstream::Pace;
 use rand::RngExt;
@@ -167,6 +167,19 @@
         services.iter().filter_map(fastest).collect()
     }
 
+    /// Returns how many records a member is asked for at first.
+    pub(crate) fn sufficient(&self, top_k: usize, shards: usize, all: usize) -> usize {
+        let policy = &self.settings.policy.brief;
+        let lacking = self.lock().lacking.is_some_and(|last| last.elapsed() < policy.again);
+        if lacking { top_k } else { sufficient(top_k, shards, all, policy) }
+    }
+
+    /// Notes that records were lacking which a member had left out.
+    pub(crate) fn note_lacking(&self) {
+        self.meter.lacking.inc();
+        self.lock().lacking = Some(Instant::now());
+    }
+
     /// Tells whether new work may be sent to an incarnation.
     pub(crate) fn takes_work(&self, id: &str) -> bool {
         self.lock().registry.takes_work(id)
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -38,6 +38,8 @@
     pub(crate) sampler: Sampler,
     pub(crate) members: usize,
     pub(crate) store_away_since: Option<Instant>,
+    /// When records were last lacking that a member had left out.
+    pub(crate) lacking: Option<Instant>,
     /// When the store was heard of again after entries of living searchers have expired.
     pub(crate) regained: Option<Instant>,
 }
@@ -56,6 +58,7 @@
             sampler: Sampler::new(ORDINARY_LINES),
             members: 1,
             store_away_since: None,
+            lacking: None,
             regained: None,
         }
     }
--- a/crates/relay/tests/helped.rs
+++ b/crates/relay/tests/helped.rs
@@ -8,7 +8,7 @@
 
 use bergamot_declaration::Kind;
 use bergamot_registry::Upstream;
-use bergamot_relay::{Helper, Helping, Relay};
+use bergamot_relay::{Helper, Helping, Relay, Whole};
 use bergamot_standin::Script;
 use bergamot_wire::{Late, Shard, ShardReply};
 use support::{gather, part, record, relay_beside, request, route, upstream, whole};
@@ -36,6 +36,10 @@
                 Ok(late)
             })
         }),
+        records: Box::new(move |_, token, _| {
+            let others = (token == 8).then(|| [record(7), record(6)].concat());
+            Box::pin(async move { Ok(others) })
+        }),
     };
     let upstreams = vec![
         at("west", upstream("a-west", "a", west)),
@@ -54,7 +58,8 @@
 async fn a_members_merged_answer_counts_each_of_its_shards() {
     let (west, east) = (part(1).await, part(2).await);
     let shards = vec![Shard::In(b"s1".to_vec()), Shard::In(b"s2".to_vec())];
-    let reply = ShardReply { shards, records: [record(9), record(3)].concat(), rest: 0 };
+    let reply =
+        ShardReply { shards, records: [record(9), record(3)].concat(), left_out: 0, rest: 0 };
     let relay = relay(reply, Vec::new(), &west, &east);
     for _ in 0..5 {
         let answer = whole(relay.handle(request("/q/")).await);
@@ -67,7 +72,7 @@
     let (west, east) = (part(1).await, part(2).await);
     let silent = Shard::Silent("a-west".into());
     let shards = vec![silent, Shard::In(b"s2".to_vec())];
-    let reply = ShardReply { shards, records: record(3), rest: 0 };
+    let reply = ShardReply { shards, records: record(3), left_out: 0, rest: 0 };
     let relay = relay(reply, Vec::new(), &west, &east);
     let answer = whole(relay.handle(request("/q/")).await);
     assert_eq!((answer.signatures.len(), answer.missing), (2, 0));
@@ -78,7 +83,7 @@
 async fn a_shard_that_comes_in_later_at_the_member_is_taken_once() {
     let (west, east) = (part(1).await, part(2).await);
     let shards = vec![Shard::In(b"s1".to_vec()), Shard::Silent("b-west".into())];
-    let reply = ShardReply { shards, records: record(9), rest: 7 };
+    let reply = ShardReply { shards, records: record(9), left_out: 0, rest: 7 };
     // Shard `b` has no other searcher: only the member can still bring it.
     let late = vec![Late { index: 1, signature: Some(b"late".to_vec()), records: record(5) }];
     let relay = relay(reply, late, &west, &east);
@@ -86,3 +91,35 @@
     assert_eq!((answer.signatures.len(), answer.missing), (2, 0));
     assert_eq!(&*answer.records, [record(9), record(5)].concat());
 }
+
+/// The member's answer holds its greatest record alone; whether more are needed depends on the
+/// other shard's, of which the searcher in the east brings one of 2.
+async fn brief(first: u8, left_out: u64) -> Whole {
+    let (west, east) = (part(1).await, part(2).await);
+    // Of shard `a` there is a silent searcher in the west and another in the east.
+    let shards = vec![Shard::Silent("a-west".into()), Shard::In(b"s2".to_vec())];
+    let reply = ShardReply { shards, records: record(first), left_out, rest: 0 };
+    let relay = relay(reply, Vec::new(), &west, &east);
+    whole(relay.handle(request("/q/")).await)
+}
+
+#[tokio::test]
+async fn records_that_a_member_left_out_are_fetched_if_they_may_be_among_the_greatest() {
+    let answer = brief(9, 8).await;
+    assert_eq!(&*answer.records, [record(9), record(7)].concat());
+    assert_eq!((answer.signatures.len(), answer.missing), (2, 0));
+}
+
+#[tokio::test]
+async fn records_that_a_member_left_out_are_not_fetched_if_they_can_not_be() {
+    // All that it left out are at most 1, and the answer holds two records.
+    let answer = brief(1, 8).await;
+    assert_eq!(&*answer.records, [record(2), record(1)].concat());
+}
+
+#[tokio::test]
+async fn a_shard_whose_records_can_not_be_had_whole_is_left_out() {
+    let answer = brief(9, 9).await;
+    assert_eq!(&*answer.records, record(2));
+    assert_eq!((answer.signatures.len(), answer.missing), (1, 1));
+}
--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -101,6 +101,7 @@
     Helping {
         gather: Box::new(|_, _, _| Box::pin(async { Err("there is no other member".to_owned()) })),
         rest: Box::new(|_, _, _| Box::pin(async { Err("there is no other member".to_owned()) })),
+        records: Box::new(|_, _, _| Box::pin(async { Err("there is no other member".to_owned()) })),
     }
 }
 
--- a/crates/wire/src/member.rs
+++ b/crates/wire/src/member.rs
@@ -25,8 +25,10 @@
     pub body: Vec<u8>,
     /// The services that are the shards.
     pub shards: Vec<Name>,
-    /// How many records the merged answer needs.
+    /// How many records the merged answer needs at the most.
     pub top_k: u32,
+    /// How many of them are likely to suffice, and are sent at first.
+    pub enough: u32,
     /// Within which time the answer must be on its way.
     pub answer_within: Duration,
     /// How long the caller still waits.
@@ -53,6 +55,8 @@
     pub shards: Vec<Shard>,
     /// The greatest records of the shards that are in.
     pub records: Vec<u8>,
+    /// Names the records that were left out, for [`Member::records`]; zero if there are none.
+    pub left_out: u64,
     /// Names what still runs, for [`Member::rest`]; zero if nothing does.
     pub rest: u64,
 }
@@ -101,6 +105,8 @@
     async fn gather(query: ShardQuery) -> ShardReply;
     /// Waits for the next shards of an earlier question; none are left if none are returned.
     async fn rest(token: u64) -> Vec<Late>;
+    /// Sends the records that an earlier answer left out; nothing if they are no longer kept.
+    async fn records(token: u64) -> Option<Vec<u8>>;
     /// Waits for news of the store after a revision, for a time at most.
     async fn news(after: u64, wait: Duration) -> News;
 }
