A model of load and faults for the decisions, without sockets or clocks

Cause: what a policy does under a load could be seen on the users' bench alone, with all else that it plays.

--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -9,7 +9,7 @@
 use bergamot_bench::history::{Ending, History};
 use bergamot_bench::leaving::{self, Word};
 use bergamot_bench::storm::Storm;
-use bergamot_bench::{capacity, plot, quickstart, stand_ins};
+use bergamot_bench::{capacity, emulate, plot, quickstart, stand_ins};
 use bergamot_config::Settings;
 use gumdrop::Options;
 
@@ -37,6 +37,8 @@
     Policy(PolicyOptions),
     #[options(help = "measure how long searchers that leave still get new work")]
     Leaving(LeavingOptions),
+    #[options(help = "play a load against the decisions alone, without sockets")]
+    Model(ModelOptions),
     #[options(help = "measure the slopes and rewrite the tables of docs/CAPACITY.md")]
     Capacity(Capacity),
 }
@@ -79,6 +81,36 @@
     seeds: u64,
 }
 
+#[derive(Debug, Options)]
+struct ModelOptions {
+    #[options(help = "show this text")]
+    help: bool,
+    #[options(help = "the first seed", default = "1")]
+    seed: u64,
+    #[options(help = "how many seeds", default = "3")]
+    seeds: u64,
+    #[options(help = "how many seconds of load a run", default = "30")]
+    seconds: u64,
+    #[options(help = "never, recurring or random", default = "recurring", meta = "HOW")]
+    pauses: String,
+    #[options(help = "the length of a pause in milliseconds", default = "250", meta = "MS")]
+    length: u64,
+    #[options(help = "from one pause to the next in milliseconds", default = "6000", meta = "MS")]
+    every: u64,
+    #[options(help = "how many times the usual requests come", default = "1", no_short)]
+    times: f64,
+    #[options(help = "one way between regions in milliseconds", default = "8", no_short)]
+    far: u64,
+    #[options(help = "so many searchers in 100 crash for three seconds", default = "0", no_short)]
+    crash: usize,
+    #[options(help = "switch off a mechanism of the decisions", meta = "NAME", no_short)]
+    without: Vec<String>,
+    #[options(help = "run with each mechanism off in turn, beside all on", no_short)]
+    ablate: bool,
+    #[options(help = "draw what each run is worth to this file (SVG)", meta = "FILE", no_short)]
+    plot: Option<std::path::PathBuf>,
+}
+
 #[derive(Debug, Options)]
 struct Capacity {
     #[options(help = "show this text")]
@@ -145,6 +177,8 @@
         Some(Command::Policy(_)) => help::<PolicyOptions>("policy"),
         Some(Command::Leaving(options)) if !options.help => measure_leaving(&options),
         Some(Command::Leaving(_)) => help::<LeavingOptions>("leaving"),
+        Some(Command::Model(options)) if !options.help => play_model(&options),
+        Some(Command::Model(_)) => help::<ModelOptions>("model"),
         Some(Command::Capacity(options)) if !options.help => measure_capacity(&options),
         Some(Command::Capacity(_)) => help::<Capacity>("capacity"),
         Some(Command::StandIns(_)) => help::<StandIns>("stand-ins"),
@@ -275,6 +309,32 @@
     ExitCode::SUCCESS
 }
 
+fn play_model(options: &ModelOptions) -> ExitCode {
+    let plan = emulate::Plan {
+        seeds: options.seed..options.seed + options.seeds,
+        lasts: Duration::from_secs(options.seconds),
+        pauses: options.pauses.clone(),
+        every: Duration::from_millis(options.every),
+        length: Duration::from_millis(options.length),
+        times: options.times,
+        far: Duration::from_millis(options.far),
+        crash: options.crash,
+        without: options.without.clone(),
+        ablate: options.ablate,
+    };
+    let result = emulate::play(&plan).and_then(|runs| {
+        let Some(path) = &options.plot else { return Ok(()) };
+        emulate::draw(&runs, path).map_err(|error| format!("draw {}: {error}", path.display()))
+    });
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(cause) => {
+            eprintln!("{PROGRAM}: {cause}");
+            ExitCode::from(2)
+        }
+    }
+}
+
 fn measure_capacity(options: &Capacity) -> ExitCode {
     match capacity::run(&options.page, options.quick) {
         Ok(()) => ExitCode::SUCCESS,
