Pass over searchers that pause in a rhythm, shortly before they do

Cause: searchers pause for a twenty-fourth of the time, so that the first choice of one of 20 shards is paused in 57 of 100 requests; each member finds out by itself, with a request that then waits for its hedge. Change: dispatch::Rhythm pools the times between silences of all searchers; where they agree on a period, a searcher whose silences fall together is expected to be silent again (dispatch::Silences). An answer in the midst takes that back, outages and slow searchers show nothing, and it lapses after four periods. Members tell those who ask for a shard of a silence within the next second.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -18,6 +18,7 @@
 mod patience;
 mod rank;
 mod record;
+mod rhythm;
 mod tally;
 
 pub use admit::admit;
@@ -29,4 +30,5 @@
 pub use patience::Patience;
 pub use rank::{Candidate, Distance, rank};
 pub use record::{RECORD, greatest, may_lack, sufficient};
+pub use rhythm::{Rhythm, Silences};
 pub use tally::{Tally, Verdict};
--- a/crates/dispatch/src/outlook.rs
+++ b/crates/dispatch/src/outlook.rs
@@ -12,6 +12,8 @@
 
 use bergamot_policy::Policy;
 
+use crate::rhythm::{Rhythm, Silences};
+
 /// The least weight of a new sample.
 const LEAST_WEIGHT: f64 = 0.125;
 
@@ -34,11 +36,18 @@
     failing: f64,
     failed: Option<Instant>,
     running: Vec<Instant>,
+    /// When the last answer came.
+    alive: Option<Instant>,
+    rhythm: Rhythm,
+    silences: Silences,
+    /// The silence that another member expects.
+    told: Option<(Instant, Instant)>,
 }
 
 impl Outlook {
-    /// Starts with a guess that is made from the distance.
-    pub fn new(guess: Duration, policy: Arc<Policy>) -> Self {
+    /// Starts with a guess that is made from the distance; `rhythm` is shared by all searchers of
+    /// a member.
+    pub fn new(guess: Duration, policy: Arc<Policy>, rhythm: Rhythm) -> Self {
         let guess = millis(guess);
         Self {
             policy,
@@ -48,6 +57,10 @@
             failing: 0.0,
             failed: None,
             running: Vec::new(),
+            alive: None,
+            rhythm,
+            silences: Silences::default(),
+            told: None,
         }
     }
 
@@ -66,6 +79,7 @@
     /// Records an answer to a request that was sent at `sent`.
     pub fn answer(&mut self, sent: Instant, now: Instant) {
         self.end(sent);
+        self.hear(sent, now);
         let took = millis(now.saturating_duration_since(sent));
         self.best = if self.seen.is_none() { took } else { self.best.min(took) };
         self.best += (took - self.best) * BEST_DRIFT;
@@ -76,6 +90,7 @@
     /// Records that a request was abandoned: it would have taken at least this long.
     pub fn abandon(&mut self, sent: Instant, now: Instant) {
         self.end(sent);
+        self.miss(sent, now);
         let took = millis(now.saturating_duration_since(sent));
         if took > self.mean(now) {
             self.sample(took, now);
@@ -102,12 +117,68 @@
         mean * queue + overdue
     }
 
+    /// Estimates how long the searcher will be silent for a request that is sent now, in
+    /// milliseconds.
+    fn silence(&self, now: Instant) -> f64 {
+        let work = Duration::from_secs_f64(self.mean(now) / 1e3);
+        let own = self.silences.wait(now, work, &self.rhythm, &self.policy.foresight);
+        let told = self.told.filter(|(begin, _)| *begin < now + work);
+        let told = told.map_or(Duration::ZERO, |(_, end)| end.saturating_duration_since(now));
+        millis(own.max(told))
+    }
+
+    /// Returns the silence that is expected now or soon, to tell it to another member.
+    pub fn next_silence(&self, now: Instant) -> Option<(Instant, Instant)> {
+        let policy = &self.policy.foresight;
+        self.silences.next(now, now + policy.told, &self.rhythm, policy)
+    }
+
+    /// Takes in a silence that another member expects.
+    pub fn tell(&mut self, begin: Instant, end: Instant) {
+        self.told = Some((begin, end));
+    }
+
+    /// Notes that an answer came, and what silence it ended.
+    fn hear(&mut self, sent: Instant, now: Instant) {
+        let policy = self.policy.foresight;
+        let usual = Duration::from_secs_f64(self.mean(now) / 1e3);
+        let due = sent + usual;
+        let from = self.alive.replace(now).map_or(due, |alive| alive.max(due));
+        if self.is_slow(now) {
+            return;
+        }
+        let until = now.checked_sub(usual).unwrap_or(now);
+        if until.saturating_duration_since(from) >= usual.mul_f64(policy.silent - 1.0) {
+            self.silences.silent(from, until, &self.rhythm, &policy);
+        } else if now <= due {
+            self.silences.worked(sent, now, &self.rhythm, &policy);
+        }
+    }
+
+    /// Tells whether answers take much longer than the best did, so that a request without an
+    /// answer shows no silence.
+    fn is_slow(&self, now: Instant) -> bool {
+        self.mean(now) > self.best * self.policy.foresight.slow
+    }
+
+    /// Notes that a request was not answered until now.
+    fn miss(&mut self, sent: Instant, now: Instant) {
+        let policy = self.policy.foresight;
+        let usual = Duration::from_secs_f64(self.mean(now) / 1e3);
+        let due = sent + usual;
+        let from = self.alive.map_or(due, |alive| alive.max(due));
+        let silent = now.saturating_duration_since(from) >= usual.mul_f64(policy.silent - 1.0);
+        if silent && !self.is_slow(now) {
+            self.silences.silent(from, now, &self.rhythm, &policy);
+        }
+    }
+
     /// Estimates the same for the choice among searchers, with what speaks against this one.
     pub fn expected(&self, now: Instant, slots: usize, cold: bool) -> f64 {
         let cold = if cold && self.policy.cold.on { self.policy.cold.factor } else { 1.0 };
         let weight = if self.policy.failing.on { self.policy.failing.factor } else { 0.0 };
         let failing = 1.0 + weight * self.failing(now).powi(2);
-        self.delay(now, slots) * cold * failing
+        (self.delay(now, slots) + self.silence(now)) * cold * failing
     }
 
     fn mean(&self, now: Instant) -> f64 {
--- a/crates/dispatch/tests/dispatch.rs
+++ b/crates/dispatch/tests/dispatch.rs
@@ -5,8 +5,8 @@
 
 use bergamot_declaration::{Kind, Route, Target};
 use bergamot_dispatch::{
-    Allowance, Candidate, Ending, Need, Outlook, Patience, Tally, Terms, Verdict, admit, greatest,
-    rank,
+    Allowance, Candidate, Ending, Need, Outlook, Patience, Rhythm, Tally, Terms, Verdict, admit,
+    greatest, rank,
 };
 use bergamot_policy::{Admit, Policy, Spread};
 use bytes::Bytes;
@@ -141,8 +141,10 @@
 #[test]
 fn a_searcher_that_pauses_is_passed_over_while_its_request_is_unanswered() {
     let now = Instant::now();
-    let (mut near, mut far) =
-        (Outlook::new(MS * 10, Arc::default()), Outlook::new(MS * 26, Arc::default()));
+    let (mut near, mut far) = (
+        Outlook::new(MS * 10, Arc::default(), Rhythm::default()),
+        Outlook::new(MS * 26, Arc::default(), Rhythm::default()),
+    );
     for outlook in [&mut near, &mut far] {
         outlook.send(now);
     }
@@ -168,7 +170,7 @@
 #[test]
 fn a_slow_searcher_is_left_within_a_few_answers_and_tried_again_later() {
     let start = Instant::now();
-    let mut near = Outlook::new(MS * 10, Arc::default());
+    let mut near = Outlook::new(MS * 10, Arc::default(), Rhythm::default());
     let mut now = start;
     for took in [11, 11, 11, 66, 66, 66, 66] {
         near.send(now);
@@ -182,7 +184,7 @@
 #[test]
 fn a_searcher_that_fails_without_delay_does_not_look_fast() {
     let mut now = Instant::now();
-    let mut near = Outlook::new(MS * 10, Arc::default());
+    let mut near = Outlook::new(MS * 10, Arc::default(), Rhythm::default());
     for turn in 0..20 {
         near.send(now);
         if turn % 2 == 0 {
@@ -203,8 +205,10 @@
 #[test]
 fn a_searcher_that_refuses_is_hardly_tried_until_it_is_well_again() {
     let start = Instant::now();
-    let (mut near, mut far) =
-        (Outlook::new(MS * 10, Arc::default()), Outlook::new(MS * 26, Arc::default()));
+    let (mut near, mut far) = (
+        Outlook::new(MS * 10, Arc::default(), Rhythm::default()),
+        Outlook::new(MS * 26, Arc::default(), Rhythm::default()),
+    );
     let (mut refused, mut near_later) = (0, 0);
     for turn in 0..250_u32 {
         let now = start + MS * 100 * turn;
--- a/crates/policy/src/table.rs
+++ b/crates/policy/src/table.rs
@@ -234,6 +234,32 @@
         factor: f64 = 1.5, "times the mean answer";
     }
 
+    /// A searcher that falls silent in a rhythm is passed over shortly before its next silence. Without
+    /// it each silence is met by a request that has to wait. Where silences have no rhythm it does
+    /// nothing.
+    foresight: Foresight {
+        /// A request that is unanswered for so long shows a silence, unless another is answered.
+        silent: f64 = 3.0, "times the mean answer";
+        /// A searcher that works slowly lets requests wait without being silent.
+        slow: f64 = 2.5, "times the best answer, beyond which no silence is concluded";
+        /// Silences that are closer than this are one.
+        apart: Duration = ms(150), "ms";
+        /// Fewer agreeing times between silences may agree by chance.
+        fewest: usize = 8, "times between silences";
+        /// Of times that are drawn at random, one in twenty agrees as closely.
+        agree: f64 = 0.16, "parts of the times between silences";
+        /// The period is known to some hundredths of a second, and the phase drifts with each turn.
+        lapses: f64 = 4.0, "periods";
+        /// How much of a silence that was not seen itself is expected on either side of what was seen.
+        unseen: f64 = 0.5, "parts";
+        /// Members ask each other for the same shards several times in a second.
+        told: Duration = ms(1000), "ms ahead, to members that ask for the searcher's shard";
+        /// What is sent just before a silence is caught by it.
+        before: Duration = ms(40), "ms";
+        /// The end of a silence is known less well than its begin.
+        after: Duration = ms(40), "ms";
+    }
+
     /// Searchers that failed requests lately are asked less. Without it failures don't count.
     failing: Failing {
         /// The factor grows with the square of the share that failed: a single failure sends the next
--- a/crates/relay/src/delegate.rs
+++ b/crates/relay/src/delegate.rs
@@ -13,7 +13,7 @@
 use std::time::{Duration, Instant};
 
 use bergamot_base::Name;
-use bergamot_dispatch::Outlook;
+use bergamot_dispatch::{Outlook, Rhythm};
 use bergamot_policy::{Delegate, Policy};
 use bergamot_wire::{Late, ShardQuery, ShardReply};
 use futures::future::BoxFuture;
@@ -117,7 +117,7 @@
 
     fn outlook(&mut self, ip: Ipv4Addr) -> &mut Outlook {
         let policy = &self.policy;
-        let unseen = || Outlook::new(policy.delegate.region, Arc::clone(policy));
+        let unseen = || Outlook::new(policy.delegate.region, Arc::clone(policy), Rhythm::default());
         self.outlooks.entry(ip).or_insert_with(unseen)
     }
 }
--- a/crates/relay/src/gather.rs
+++ b/crates/relay/src/gather.rs
@@ -212,7 +212,12 @@
     }
 
     fn take_reply(&mut self, asked: Asked<'a>, reply: ShardReply) {
-        let ShardReply { shards: found, records, left_out, rest } = reply;
+        let ShardReply { shards: found, records, left_out, rest, quiet } = reply;
+        for quiet in quiet {
+            if let Some(shard) = asked.shards.get(quiet.index as usize) {
+                self.relay.note_quiet(shard, quiet);
+            }
+        }
         let records = Bytes::from(records);
         let mut signatures = Vec::new();
         for (shard, found) in asked.shards.iter().copied().zip(found) {
--- a/crates/relay/src/helper.rs
+++ b/crates/relay/src/helper.rs
@@ -69,7 +69,7 @@
     let mut shards = vec![Shard::NotAsked; names.len()];
     let Some(request) = read(query, received) else {
         log::error!("relay: event=query_refused cause=\"the request of a member can't be read\"");
-        return ShardReply { shards, records: Vec::new(), left_out: 0, rest: 0 };
+        return ShardReply { shards, records: Vec::new(), left_out: 0, rest: 0, quiet: Vec::new() };
     };
     let mut work = start(relay, request, &names, (until, end), &mut shards);
     let mut parts = Vec::<Bytes>::new();
@@ -96,7 +96,8 @@
     let mut records = greatest(&parts, top_k);
     let others = records.split_off(enough.min(records.len()));
     let left_out = if others.is_empty() { 0 } else { leave_out(relay, others) };
-    ShardReply { shards, records, left_out, rest }
+    let quiet = relay.quiet(&names);
+    ShardReply { shards, records, left_out, rest, quiet }
 }
 
 /// Starts one attempt at each shard, and notes whom it asks.
--- a/crates/relay/src/link.rs
+++ b/crates/relay/src/link.rs
@@ -3,7 +3,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Instant;
 
-use bergamot_dispatch::{Candidate, Distance, Outlook};
+use bergamot_dispatch::{Candidate, Distance, Outlook, Rhythm};
 use bergamot_policy::Policy;
 use bergamot_registry::Upstream;
 use bergamot_upstream::Pool;
@@ -28,14 +28,19 @@
 
 impl Link {
     /// Makes the link to a searcher of which nothing has been seen.
-    pub(crate) fn new(upstream: Arc<Upstream>, share: usize, settings: &Settings) -> Arc<Self> {
+    pub(crate) fn new(
+        upstream: Arc<Upstream>,
+        share: usize,
+        rhythm: Rhythm,
+        settings: &Settings,
+    ) -> Arc<Self> {
         let region = |zone: &str| settings.regions.get(zone).map(|region| &**region);
         let here = (&*settings.zone, region(&settings.zone));
         let there = (&*upstream.zone, region(&upstream.zone));
         let distance = Distance::between(here, there);
         let pool = Pool::new(settings.address, upstream.address, share, settings.dial);
         let policy = Arc::clone(&settings.policy);
-        let outlook = Mutex::new(Outlook::new(distance.guess(), Arc::clone(&policy)));
+        let outlook = Mutex::new(Outlook::new(distance.guess(), Arc::clone(&policy), rhythm));
         let warmed = Mutex::default();
         Arc::new(Self { upstream, pool, distance, policy, outlook, warmed })
     }
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -7,7 +7,7 @@
 use bergamot_base::{Awake, Name, Revision, hash_bytes};
 use bergamot_config::Verdict;
 use bergamot_declaration::Declaration;
-use bergamot_dispatch::Obstacle;
+use bergamot_dispatch::{Obstacle, Rhythm};
 use bergamot_registry::{Registry, Upstream};
 use bergamot_wire::{Late, ShardQuery, ShardReply};
 
@@ -30,6 +30,8 @@
     awake: Awake,
     woke: Mutex<Option<Instant>>,
     pub(crate) rests: Mutex<Rests>,
+    /// The period of the searchers' silences.
+    pub(crate) rhythm: Rhythm,
 }
 
 impl fmt::Debug for Relay {
@@ -48,7 +50,19 @@
         let rests = Mutex::default();
         let awake = Awake::new(settings.pause);
         let (meter, woke) = (Meter::new(), Mutex::default());
-        Arc::new(Self { settings, dialect, meter, state, helpers, helping, awake, woke, rests })
+        let rhythm = Rhythm::default();
+        Arc::new(Self {
+            settings,
+            dialect,
+            meter,
+            state,
+            helpers,
+            helping,
+            awake,
+            woke,
+            rests,
+            rhythm,
+        })
     }
 
     /// Returns the settings.
--- a/crates/relay/src/searchers.rs
+++ b/crates/relay/src/searchers.rs
@@ -7,11 +7,12 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use bergamot_base::Name;
+use bergamot_base::{Name, hash_bytes};
 use bergamot_declaration::{Route, Target};
 use bergamot_dispatch::{Distance, Need, rank, sufficient};
 use bergamot_registry::Upstream;
 use bergamot_upstream::Pace;
+use bergamot_wire::Quiet;
 use rand::RngExt;
 
 use crate::delegate::Elsewhere;
@@ -20,6 +21,11 @@
 use crate::settings::Settings;
 use crate::state::{State, share};
 
+/// Names an incarnation among the few of a shard.
+fn short(id: &str) -> u32 {
+    hash_bytes(id.as_bytes()) as u32
+}
+
 impl Relay {
     /// Returns where the searcher is that would be asked, if it is not in our zone.
     pub(crate) fn elsewhere(&self, service: &str) -> Option<Elsewhere> {
@@ -109,9 +115,9 @@
         upstream: &Arc<Upstream>,
         share: usize,
     ) -> Arc<Link> {
-        let link = links
-            .entry(Name::clone(&upstream.id))
-            .or_insert_with(|| Link::new(Arc::clone(upstream), share, &self.settings));
+        let link = links.entry(Name::clone(&upstream.id)).or_insert_with(|| {
+            Link::new(Arc::clone(upstream), share, self.rhythm.clone(), &self.settings)
+        });
         Arc::clone(link)
     }
 
@@ -122,6 +128,37 @@
         }
     }
 
+    /// Lists the silences that are expected soon of searchers beside this member.
+    pub(crate) fn quiet(&self, shards: &[Name]) -> Vec<Quiet> {
+        let now = Instant::now();
+        let state = self.lock();
+        let mut quiet = Vec::new();
+        for (index, shard) in shards.iter().enumerate() {
+            let known = state.registry.usable(shard);
+            let links = known.filter_map(|(upstream, _missing)| state.links.get(&upstream.id));
+            for link in links.filter(|link| link.distance != Distance::Far) {
+                let Some((begin, end)) = link.outlook().next_silence(now) else { continue };
+                let ms = |moment: Instant| moment.saturating_duration_since(now).as_millis() as u32;
+                let searcher = short(&link.upstream.id);
+                let (begins_ms, ends_ms) = (ms(begin), ms(end));
+                quiet.push(Quiet { index: index as u32, searcher, begins_ms, ends_ms });
+            }
+        }
+        quiet
+    }
+
+    /// Takes in a silence that another member expects of a searcher of a shard.
+    pub(crate) fn note_quiet(&self, shard: &str, quiet: Quiet) {
+        let now = Instant::now();
+        let at = |ms: u32| now + Duration::from_millis(u64::from(ms));
+        let state = self.lock();
+        let known = state.registry.usable(shard);
+        let mut links = known.filter_map(|(upstream, _missing)| state.links.get(&upstream.id));
+        if let Some(link) = links.find(|link| short(&link.upstream.id) == quiet.searcher) {
+            link.outlook().tell(at(quiet.begins_ms), at(quiet.ends_ms));
+        }
+    }
+
     /// Notes how long a first attempt for a route took.
     pub(crate) fn note_pace(&self, route: &Name, took: Duration) {
         let usual = self.settings.policy.hedge.percentile;
--- a/crates/wire/src/member.rs
+++ b/crates/wire/src/member.rs
@@ -48,6 +48,19 @@
     NotAsked,
 }
 
+/// A silence of a searcher that a member expects.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Quiet {
+    /// The position of the searcher's shard in the question.
+    pub index: u32,
+    /// The hash of the searcher's incarnation, cut to 32 bits.
+    pub searcher: u32,
+    /// In how many milliseconds it begins; zero if it has begun.
+    pub begins_ms: u32,
+    /// In how many milliseconds it ends.
+    pub ends_ms: u32,
+}
+
 /// The merged answer of some shards.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ShardReply {
@@ -59,6 +72,8 @@
     pub left_out: u64,
     /// Names what still runs, for [`Member::rest`]; zero if nothing does.
     pub rest: u64,
+    /// The silences that are expected soon of searchers beside the member.
+    pub quiet: Vec<Quiet>,
 }
 
 /// A shard that came in after the [`ShardReply`] was on its way.
