Sight: how large the store's records are, where they came from and how long they took

Cause for it: logs could not tell a read of the store that is cut by its bound from one that is turned away, nor who carried the bytes of a large record. Now: event=large_news with bytes, revision and took_ms; took_ms on event=origin_failed; event=large_news_sent; counters of bytes from the store, from members, and sent on. The two callbacks that heard of each question became one. No change of behaviour.

--- a/crates/feed/src/follow.rs
+++ b/crates/feed/src/follow.rs
@@ -5,6 +5,7 @@
 //! an outage before it hears anything that was published after it.
 
 use std::net::Ipv4Addr;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -21,6 +22,10 @@
 /// time for its answer.
 const STALE: Duration = Duration::from_millis(1500);
 
+/// From how many bytes on news is logged: what takes 10 ms or more on the slowest links
+/// (14 Mbit/s), and far above the few hundred bytes of a searcher's entry.
+const LARGE: usize = 16 << 10;
+
 /// The periods of the loop.
 #[derive(Clone, Copy, Debug)]
 pub struct Settings {
@@ -84,10 +89,21 @@
     pub away: Box<dyn Fn(bool, Duration) + Send + Sync>,
     /// Tells whether the process slept, so that the next question must not wait for news.
     pub behind: Box<dyn Fn() -> bool + Send + Sync>,
-    /// Hears of each question to an origin, and how it ended, for metrics.
-    pub counted: Box<dyn Fn(Origin, &'static str) + Send + Sync>,
-    /// Hears when a question was asked that has been answered.
-    pub heard: Box<dyn Fn(Instant) + Send + Sync>,
+    /// Hears of each question to an origin and how it ended.
+    pub asked: Box<dyn Fn(&Asked) + Send + Sync>,
+}
+
+/// A question for news that has ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Asked {
+    /// Who was asked.
+    pub origin: Origin,
+    /// When.
+    pub at: Instant,
+    /// How many bytes of records the answer brought.
+    pub bytes: usize,
+    /// Names the trouble for metrics, if the question was not answered.
+    pub trouble: Option<&'static str>,
 }
 
 impl std::fmt::Debug for Sink {
@@ -101,11 +117,12 @@
 pub struct Shared {
     mirror: Mutex<Mirror>,
     changed: watch::Sender<u64>,
+    sent: AtomicU64,
 }
 
 impl Default for Shared {
     fn default() -> Self {
-        Self { mirror: Mutex::default(), changed: watch::channel(0).0 }
+        Self { mirror: Mutex::default(), changed: watch::channel(0).0, sent: AtomicU64::new(0) }
     }
 }
 
@@ -126,7 +143,21 @@
         let wait = wait.min(STALE.saturating_sub(age));
         // Without news the answer still says how fresh it is.
         let _elapsed = tokio::time::timeout(wait, waiting).await;
-        self.lock().news(after, Instant::now())
+        let news = self.lock().news(after, Instant::now());
+        self.count_sent(size(&news.items));
+        news
+    }
+
+    /// Returns how many bytes of records this member has sent to others.
+    pub fn sent(&self) -> u64 {
+        self.sent.load(Ordering::Relaxed)
+    }
+
+    fn count_sent(&self, bytes: usize) {
+        self.sent.fetch_add(bytes as u64, Ordering::Relaxed);
+        if bytes >= LARGE {
+            log::info!("feed: event=large_news_sent bytes={bytes}");
+        }
     }
 
     /// Reads the mirror.
@@ -135,6 +166,11 @@
     }
 }
 
+/// Returns how many bytes the keys and values of records take.
+fn size(items: &[bergamot_wire::Item]) -> usize {
+    items.iter().map(|item| item.key.len() + item.value.len()).sum()
+}
+
 /// Follows the store until `stop`.
 pub async fn follow(
     source: Source,
@@ -145,8 +181,9 @@
     stop: CancellationToken,
 ) {
     let origins = Origins::default();
+    let (proven, bytes, away) = (None, 0, false);
     let mut follower =
-        Follower { source, members, sink, shared, settings, origins, proven: None, away: false };
+        Follower { source, members, sink, shared, settings, origins, proven, bytes, away };
     tokio::select! {
         () = stop.cancelled() => {}
         () = follower.run() => {}
@@ -162,6 +199,8 @@
     origins: Origins,
     /// Who helped last.
     proven: Option<Origin>,
+    /// How many bytes of records the question at hand has brought.
+    bytes: usize,
     away: bool,
 }
 
@@ -191,21 +230,31 @@
 
     async fn ask(&mut self, origin: Origin, duty: Duty) {
         let asked = Instant::now();
+        self.bytes = 0;
         let result = match origin {
             Origin::Store => self.ask_store(asked).await,
             Origin::Member(ip) => self.ask_member(ip).await,
         };
         let now = Instant::now();
-        (self.sink.counted)(origin, result.as_ref().err().map_or("answered", Trouble::label));
+        let (bytes, took) = (self.bytes, now.saturating_duration_since(asked).as_millis());
+        let trouble = result.as_ref().err().map(Trouble::label);
+        (self.sink.asked)(&Asked { origin, at: asked, bytes, trouble });
+        if bytes >= LARGE {
+            let at = self.shared.lock().at();
+            log::info!(
+                "feed: event=large_news origin={origin:?} bytes={bytes} revision={at} took_ms={took}"
+            );
+        }
         match result {
             Ok(()) => {
-                (self.sink.heard)(asked);
                 self.origins.succeed(origin);
                 self.proven = Some(origin);
             }
             Err(trouble) => {
                 self.proven = None;
-                log::info!("feed: event=origin_failed origin={origin:?} cause=\"{trouble}\"");
+                log::info!(
+                    "feed: event=origin_failed origin={origin:?} took_ms={took} cause=\"{trouble}\""
+                );
                 let jitter = rand::rng().random();
                 let failure = match trouble {
                     Trouble::Stale { .. } => Failure::Stale,
@@ -272,6 +321,7 @@
     }
 
     fn take(&mut self, items: Vec<bergamot_wire::Item>, at: u64, whole: bool, moment: Instant) {
+        self.bytes += size(&items);
         let mut mirror = self.shared.lock();
         let change = if whole { mirror.replace(items, at) } else { mirror.update(items, at) };
         mirror.refresh(moment);
--- a/crates/feed/src/lib.rs
+++ b/crates/feed/src/lib.rs
@@ -11,7 +11,7 @@
 mod origin;
 mod source;
 
-pub use follow::{Asking, Members, Settings, Shared, Sink, follow};
+pub use follow::{Asked, Asking, Members, Settings, Shared, Sink, follow};
 pub use mirror::{Change, Mirror};
 pub use origin::{Duty, Failure, Origin, Origins};
 pub use source::{News, Outcome, Reading, Records, Source, Trouble};
--- a/crates/front/src/daemon.rs
+++ b/crates/front/src/daemon.rs
@@ -42,6 +42,7 @@
     face: Face,
     relay: Arc<Relay>,
     peers: Arc<Peers>,
+    feed: Arc<Shared>,
     leaving: AtomicBool,
     /// The members that take callers, as of the last tick.
     serving: Mutex<BTreeSet<Ipv4Addr>>,
@@ -84,6 +85,7 @@
             face,
             relay,
             peers,
+            feed: Arc::clone(&feed),
             leaving: AtomicBool::new(false),
             serving: Mutex::default(),
         });
@@ -319,6 +321,7 @@
     while !stop.is_cancelled() {
         inner.seat();
         inner.peers.set_revision(inner.relay.version());
+        inner.relay.set_news_sent(inner.feed.sent());
         ticks = ticks.wrapping_add(1);
         if ticks.is_multiple_of(TICKS_PER_SUMMARY) {
             inner.relay.log_summary();
@@ -329,17 +332,18 @@
 
 fn sink(inner: &Arc<Inner>) -> Sink {
     let (news, away) = (Arc::clone(inner), Arc::clone(inner));
-    let (behind, heard) = (Arc::clone(inner), Arc::clone(inner));
-    let counting = Arc::clone(inner);
+    let (behind, asked) = (Arc::clone(inner), Arc::clone(inner));
     Sink {
         news: Box::new(move |record| take(&news.relay, record)),
         away: Box::new(move |is_away, age| away.relay.set_store_away(is_away, age)),
         behind: Box::new(move || behind.relay.is_behind()),
-        counted: Box::new(move |origin, result| {
-            let origin = if origin == Origin::Store { "store" } else { "member" };
-            counting.relay.count_news(origin, result);
+        asked: Box::new(move |question| {
+            let origin = if question.origin == Origin::Store { "store" } else { "member" };
+            asked.relay.count_news(origin, question.trouble.unwrap_or("answered"), question.bytes);
+            if question.trouble.is_none() {
+                asked.relay.heard(question.at);
+            }
         }),
-        heard: Box::new(move |asked| heard.relay.heard(asked)),
     }
 }
 
--- a/crates/relay/src/meter.rs
+++ b/crates/relay/src/meter.rs
@@ -46,6 +46,7 @@
     attempts: IntCounterVec,
     endings: IntCounterVec,
     pub(crate) news: IntCounterVec,
+    pub(crate) news_bytes: IntCounterVec,
     pub(crate) denied: IntCounter,
     pub(crate) missing_parts: IntCounter,
     pub(crate) lacking: IntCounter,
@@ -97,6 +98,11 @@
                 "Questions for news of the store by origin and result.",
                 &["origin", "result"],
             ),
+            news_bytes: counters(
+                "bergamot_relay_news_bytes_total",
+                "Bytes of the store's records by where they came from, and those sent on.",
+                &["way"],
+            ),
             denied: counter(
                 "bergamot_relay_denied_total",
                 "Additional attempts that the bound did not allow.",
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -245,9 +245,16 @@
         }
     }
 
-    /// Counts a question for news by whom was asked and how it ended.
-    pub fn count_news(&self, origin: &str, result: &str) {
+    /// Counts a question for news by whom was asked and how it ended, and what it brought.
+    pub fn count_news(&self, origin: &str, result: &str, bytes: usize) {
         self.meter.news.with_label_values(&[origin, result]).inc();
+        self.meter.news_bytes.with_label_values(&[origin]).inc_by(bytes as u64);
+    }
+
+    /// Notes how many bytes of news this member has sent to others so far.
+    pub fn set_news_sent(&self, bytes: u64) {
+        let sent = self.meter.news_bytes.with_label_values(&["sent"]);
+        sent.inc_by(bytes.saturating_sub(sent.get()));
     }
 
     /// Notices a pause of the process.
