Read and spread large records by their progress: bounds on silence, pages, chunks down a tree

Cause (docs/incidents/declaration-late-at-size.md): exchanges whose size has no bound had one in time on the whole of them, so a large declaration over a slow link was cut each time and begun anew; and a reader sent the same record to a third of the fleet over its own link.

Change: reads of the store are bounded by silence; answers to members by size (pages in the order of revisions, chunks by hash); values above 8 KB travel as manifests, their chunks down a binary tree of the region's members, apart from other news; what came in is kept whoever fails; the store is the last resort. Readers are the members with the most processor. A reader that is being answered says so, which keeps its followers from the store.

Ruled out: longer bounds (25 copies take 7 s of a reader's link), a refused version (nothing refused one).

--- /dev/null
+++ b/crates/feed/src/deliver.rs
@@ -0,0 +1,35 @@
+//! Hands what records say to the sink, once they are whole.
+
+use std::sync::Arc;
+
+use bergamot_wire::Item;
+
+use crate::shared::Shared;
+use crate::sink::Sink;
+use crate::source::{Record, Source};
+
+/// What the tasks of the feed need to hand a record on.
+#[derive(Clone, Debug)]
+pub(crate) struct Delivery {
+    pub(crate) source: Arc<Source>,
+    pub(crate) sink: Arc<Sink>,
+    pub(crate) shared: Arc<Shared>,
+}
+
+impl Delivery {
+    /// Hands an item on, or notes that it waits for its chunks.
+    pub(crate) fn item(&self, item: Item) {
+        match self.shared.record(&item) {
+            Some(record) => self.record(&record),
+            None => self.shared.await_chunks(item),
+        }
+    }
+
+    /// Hands a whole record on.
+    pub(crate) fn record(&self, record: &Record) {
+        self.shared.settle(&record.key, record.revision);
+        if let Some(news) = (self.source.decode)(record) {
+            (self.sink.news)(news);
+        }
+    }
+}
--- a/crates/feed/src/lib.rs
+++ b/crates/feed/src/lib.rs
@@ -2,16 +2,29 @@
 //!
 //! Reads of the store are counted and dear, so a few members read it and the others ask
 //! those. Every member keeps a [`Mirror`] of the records with the store's own revisions, so
-//! that any member can take over from any other without listing anew. How the store is
+//! that any member can take over from any other without listing anew. Large values travel
+//! apart from news, in [`Chunks`] down a tree of members ([`ancestors`]). How the store is
 //! spoken with is a [`Source`], a value that is handed in; [`Origins`] decides whom to ask.
-//! See `docs/design/0009-platform.md`.
+//! See `docs/design/0009-platform.md` and `docs/design/0010-large-records.md`.
 
+mod chunk;
+mod deliver;
+mod fetch;
 mod follow;
+mod members;
 mod mirror;
 mod origin;
+mod shared;
+mod sink;
 mod source;
+mod tree;
 
-pub use follow::{Asked, Asking, Members, Settings, Shared, Sink, follow};
+pub use chunk::Chunks;
+pub use follow::{Settings, follow};
+pub use members::{Asking, Fetching, Members, Question, Roster};
 pub use mirror::{Change, Mirror};
 pub use origin::{Duty, Failure, Origin, Origins};
-pub use source::{News, Outcome, Reading, Records, Source, Trouble};
+pub use shared::Shared;
+pub use sink::{Asked, Sink, Subject};
+pub use source::{Lookup, News, Outcome, Reading, Record, Records, Source, Trouble, Wait};
+pub use tree::{CHILDREN, ancestors};
--- /dev/null
+++ b/crates/feed/src/members.rs
@@ -0,0 +1,55 @@
+//! What the feed knows of other members, and how it asks them.
+
+use std::fmt;
+use std::net::Ipv4Addr;
+use std::time::Duration;
+
+use bergamot_wire::{News, NewsQuery};
+use futures::future::BoxFuture;
+
+use crate::origin::Duty;
+use crate::source::Trouble;
+
+/// A question to a member.
+pub type Question<T> = BoxFuture<'static, Result<T, Trouble>>;
+
+/// Asks a member for news.
+pub type Asking = Box<dyn Fn(Ipv4Addr, NewsQuery) -> Question<News> + Send + Sync>;
+
+/// Asks a member for chunks of large values, and how long it may wait for the first of them.
+pub type Fetching =
+    Box<dyn Fn(Ipv4Addr, Vec<u64>, Duration) -> Question<Vec<Vec<u8>>> + Send + Sync>;
+
+/// Who does what for the others' news.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Roster {
+    /// What this member does.
+    pub duty: Duty,
+    /// The others that read the store or may, the preferred first.
+    pub readers: Vec<Ipv4Addr>,
+    /// The others that are asked for chunks, the preferred first.
+    pub lineage: Vec<Ipv4Addr>,
+}
+
+impl Default for Roster {
+    /// The roster of a member that is alone.
+    fn default() -> Self {
+        Self { duty: Duty::Reader, readers: Vec::new(), lineage: Vec::new() }
+    }
+}
+
+/// What the feed knows of other members.
+pub struct Members {
+    /// Tells who does what; nothing while no other member is known that should be.
+    pub roster: Box<dyn Fn() -> Option<Roster> + Send + Sync>,
+    /// Asks a member for news.
+    pub ask: Asking,
+    /// Asks a member for chunks.
+    pub fetch: Fetching,
+}
+
+impl fmt::Debug for Members {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("Members")
+    }
+}
--- a/crates/feed/src/mirror.rs
+++ b/crates/feed/src/mirror.rs
@@ -1,5 +1,6 @@
 //! A copy of the store's records, with the changes of late for those who follow.
 //!
+//! Of large values the copy holds their manifests alone; [`crate::Chunks`] holds their bytes.
 //! Invariants: the revision never falls; an item older than the one that is held changes
 //! nothing, so two sources may be mixed; a change is kept until so many others follow it
 //! that its followers are told everything instead.
@@ -8,7 +9,7 @@
 use std::time::{Duration, Instant};
 
 use bergamot_base::Name;
-use bergamot_wire::{Item, News};
+use bergamot_wire::{Item, News, NewsQuery, Value};
 
 /// How many changes are kept for followers: several seconds of a storm of changes.
 const KEPT: usize = 2048;
@@ -61,6 +62,8 @@
     }
 
     /// Takes in a listing of everything: what it doesn't name has been deleted.
+    ///
+    /// A listing of several pages may name a record twice; the newer holds.
     pub fn replace(&mut self, items: Vec<Item>, at: u64) -> Change {
         if at < self.at {
             // A stale listing says nothing about what came after it.
@@ -69,9 +72,9 @@
         let listed: HashSet<Name> = items.iter().map(|item| Name::clone(&item.key)).collect();
         let deleted: Vec<Item> = self
             .records
-            .values()
-            .filter(|item| !listed.contains(&item.key))
-            .map(|item| Item { deleted: true, value: Vec::new(), revision: at, ..item.clone() })
+            .keys()
+            .filter(|key| !listed.contains(*key))
+            .map(|key| Item { key: Name::clone(key), value: Value::Deleted, revision: at })
             .collect();
         // What differs from an earlier state tells those who share it all that they need.
         if self.at == 0 {
@@ -80,16 +83,42 @@
         self.update(items.into_iter().chain(deleted).collect(), at)
     }
 
-    /// Tells a follower what has changed after a revision, or everything.
-    pub fn news(&self, after: u64, now: Instant) -> News {
+    /// Tells a follower what has changed after a revision, or everything, in pages of about
+    /// `limit` bytes.
+    ///
+    /// The items of a listing come in the order of their revisions, so the revision of the
+    /// last one is all that the next question must say, whoever answers it: what changed
+    /// meanwhile is in a later page, and what was deleted since the listing began as well.
+    pub fn news(&self, query: &NewsQuery, limit: usize, now: Instant) -> News {
         let age = self.age(now).unwrap_or(Duration::MAX);
-        let whole = after < self.complete_after;
-        let items = if whole {
-            self.records.values().cloned().collect()
-        } else {
-            self.recent.iter().filter(|item| item.revision > after).cloned().collect()
+        if query.listing.is_some_and(|since| since > self.at) {
+            // What was deleted before the listing began may still be held here.
+            let (items, listing, at) = (Vec::new(), query.listing, self.at);
+            return News { items, listing, at, more: false, age, arriving: false };
+        }
+        let known = query.listing.filter(|since| *since >= self.complete_after);
+        let starts =
+            known.is_none() && (query.listing.is_some() || query.after < self.complete_after);
+        let listing = if starts { Some(self.at) } else { known };
+        let after = if starts { 0 } else { query.after };
+        let mut items = self.told(after, listing);
+        items.sort_by_key(|item| item.revision);
+        let length = page(&items, limit);
+        let more = length < items.len();
+        let at = if more { items[length - 1].revision } else { self.at };
+        let items = items[..length].iter().copied().cloned().collect();
+        News { items, listing, at, more, age, arriving: false }
+    }
+
+    /// Lists what a follower is still to be told, in no order.
+    fn told(&self, after: u64, listing: Option<u64>) -> Vec<&Item> {
+        let newer = |item: &&Item| item.revision > after;
+        let Some(since) = listing else {
+            return self.recent.iter().filter(newer).collect();
         };
-        News { items, whole, at: self.at, age }
+        let deleted = |item: &&Item| item.value == Value::Deleted && item.revision > since;
+        let deletions = self.recent.iter().filter(newer).filter(deleted);
+        self.records.values().filter(newer).chain(deletions).collect()
     }
 
     /// Tells whether a follower would be told anything.
@@ -102,7 +131,7 @@
         if known.is_some_and(|known| known.revision >= item.revision) {
             return false;
         }
-        if item.deleted {
+        if item.value == Value::Deleted {
             return self.records.remove(&item.key).is_some();
         }
         self.records.insert(Name::clone(&item.key), item.clone());
@@ -118,3 +147,16 @@
         }
     }
 }
+
+/// Returns how many items, sorted by revision, make a page of about `limit` bytes: one at
+/// least, and never a part of those that share a revision.
+fn page(items: &[&Item], limit: usize) -> usize {
+    let mut size = 0;
+    let full = items.iter().position(|item| {
+        size += item.size();
+        size > limit
+    });
+    let Some(full) = full else { return items.len() };
+    let last = items[full.saturating_sub(1)].revision;
+    items.partition_point(|item| item.revision <= last)
+}
--- a/crates/feed/src/source.rs
+++ b/crates/feed/src/source.rs
@@ -1,12 +1,13 @@
 //! What a store gives, free of how it is spoken with.
 
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
 use std::time::Duration;
 
 use bergamot_base::Name;
 use bergamot_declaration::Declaration;
 use bergamot_net::Fault;
 use bergamot_registry::Upstream;
-use bergamot_wire::Item;
 use futures::future::BoxFuture;
 use snafu::Snafu;
 
@@ -63,8 +64,33 @@
     }
 }
 
+/// One record of the store, as it was read.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Record {
+    /// The key.
+    pub key: Name,
+    /// The value; none if the record was deleted.
+    pub value: Option<Vec<u8>>,
+    /// The revision of the change.
+    pub revision: u64,
+}
+
+/// How long a question to the store may take.
+///
+/// The size of an answer has no bound that is known here, so none of these times is for the
+/// whole of it: a record of 700 KB takes 0.4 s of a link of 14 Mbit/s that does nothing else.
+#[derive(Clone, Debug)]
+pub struct Wait {
+    /// How long the store may wait for news.
+    pub news: Duration,
+    /// How long it may be silent, before its answer begins and midway.
+    pub silence: Duration,
+    /// Set once an answer is coming in.
+    pub arriving: Arc<AtomicBool>,
+}
+
 /// Records and the revision up to which they tell everything.
-pub type Records = (Vec<Item>, u64);
+pub type Records = (Vec<Record>, u64);
 
 /// What a call brings.
 pub type Outcome = Result<Records, Trouble>;
@@ -72,14 +98,19 @@
 /// A call that brings records.
 pub type Reading = BoxFuture<'static, Outcome>;
 
+/// A call that brings one record, or nothing if there is none.
+pub type Lookup = BoxFuture<'static, Result<Option<Record>, Trouble>>;
+
 /// A store that can be listed and watched.
 pub struct Source {
     /// Lists every record.
     pub list: Box<dyn Fn() -> Reading + Send + Sync>,
-    /// Waits for changes after a revision, for a time at most.
-    pub watch: Box<dyn Fn(u64, Duration) -> Reading + Send + Sync>,
+    /// Waits for changes after a revision.
+    pub watch: Box<dyn Fn(u64, Wait) -> Reading + Send + Sync>,
+    /// Reads one record.
+    pub lookup: Box<dyn Fn(&Name) -> Lookup + Send + Sync>,
     /// Reads what a record says; one that can't be used is logged and says nothing.
-    pub decode: fn(&Item) -> Option<News>,
+    pub decode: fn(&Record) -> Option<News>,
 }
 
 impl std::fmt::Debug for Source {
--- /dev/null
+++ b/crates/feed/tests/chunks.rs
@@ -0,0 +1,122 @@
+//! Large values travel in chunks, down a tree of members.
+
+use std::collections::HashMap;
+
+use bergamot_base::{Name, hash_bytes};
+use bergamot_feed::{CHILDREN, Chunks, ancestors};
+use bergamot_wire::{Manifest, Value};
+use proptest::prelude::*;
+
+fn cut(chunks: &mut Chunks, value: &[u8]) -> Manifest {
+    match chunks.cut(&Name::from("key"), value.to_vec()) {
+        Value::Chunked(manifest) => manifest,
+        other => panic!("{other:?} is no large value"),
+    }
+}
+
+/// A declaration of so many routes, of which one is of a given name.
+fn declaration(routes: usize, changed: Option<usize>) -> Vec<u8> {
+    let route = |number: usize| {
+        let name = hash_bytes(&number.to_le_bytes());
+        let service = if changed == Some(number) { "another" } else { "a service" };
+        format!(r#"{{"name":"r{name:x}","prefix":"/{name:x}/","service":"{service}"}},"#)
+    };
+    (0..routes).flat_map(|number| route(number).into_bytes()).collect()
+}
+
+#[test]
+fn small_values_travel_with_news() {
+    let value = Chunks::default().cut(&Name::from("key"), vec![1; 200]);
+    assert_eq!(value, Value::Inline(vec![1; 200]));
+}
+
+/// The next version of a declaration has one more route in its midst: a member that holds the
+/// version before asks for some kilobytes and not for half a megabyte.
+#[test]
+fn a_changed_route_costs_a_few_chunks() {
+    let (mut reader, mut follower) = (Chunks::default(), Chunks::default());
+    let before = declaration(2850, None);
+    cut(&mut follower, &before);
+    let inserted =
+        [&before[..before.len() / 2], &declaration(1, None), &before[before.len() / 2..]];
+    for after in [declaration(2850, Some(1200)), inserted.concat()] {
+        let manifest = cut(&mut reader, &after);
+        let missing = follower.missing(&manifest);
+        let bytes: usize = reader.first(&missing, usize::MAX).iter().map(Vec::len).sum();
+        assert!(bytes < 40 << 10, "{bytes} of {}", after.len());
+    }
+}
+
+/// Only the chunks of the two last versions are held.
+#[test]
+fn chunks_of_old_versions_are_dropped() {
+    let mut chunks = Chunks::default();
+    let versions: Vec<Manifest> =
+        (1..4).map(|byte| cut(&mut chunks, &vec![byte; 100 << 10])).collect();
+    let held: Vec<bool> =
+        versions.iter().map(|manifest| chunks.assemble(manifest).is_some()).collect();
+    assert_eq!(held, [false, true, true]);
+}
+
+#[test]
+fn chunks_that_nobody_named_are_not_held() {
+    let mut chunks = Chunks::default();
+    assert!(!chunks.take(&[7; 100]));
+    assert!(chunks.first(&[hash_bytes(&[7; 100])], usize::MAX).is_empty());
+}
+
+/// A manifest whose chunks are all there and make up another value gives none.
+#[test]
+fn a_value_of_another_hash_is_refused() {
+    let mut chunks = Chunks::default();
+    let manifest = cut(&mut chunks, &declaration(900, None));
+    assert!(chunks.assemble(&manifest).is_some());
+    let other = Manifest { hash: manifest.hash ^ 1, ..manifest };
+    assert!(chunks.assemble(&other).is_none());
+}
+
+/// In a region of any size each member asks another one that is nearer to the reader, none is
+/// asked by more than two, and the way from the reader is short.
+#[test]
+fn no_member_is_the_parent_of_many() {
+    for members in [1, 2, 25, 450_usize] {
+        let mut asked_by = HashMap::<usize, usize>::new();
+        for member in 0..members {
+            let ancestors: Vec<usize> = ancestors(member).collect();
+            assert!(ancestors.iter().all(|ancestor| *ancestor < member), "{ancestors:?}");
+            assert_eq!(ancestors.last().copied(), (member > 0).then_some(0));
+            assert!(ancestors.len() <= 8, "{ancestors:?}");
+            if let Some(parent) = ancestors.first() {
+                *asked_by.entry(*parent).or_default() += 1;
+            }
+        }
+        assert!(asked_by.values().all(|children| *children <= CHILDREN));
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::default() })]
+
+    /// A member that asks for what it lacks, some chunks at a time, ends with the value.
+    #[test]
+    fn a_value_comes_in_whole(
+        bytes in prop::collection::vec(any::<u8>(), 9_000..60_000),
+        at in any::<prop::sample::Index>(),
+    ) {
+        let (mut reader, mut follower) = (Chunks::default(), Chunks::default());
+        let mut changed = bytes.clone();
+        changed.insert(at.index(bytes.len()), 0);
+        for value in [bytes, changed] {
+            let manifest = cut(&mut reader, &value);
+            follower.want(&Name::from("key"), &manifest);
+            while follower.assemble(&manifest).is_none() {
+                let bodies = reader.first(&follower.missing(&manifest), 1);
+                prop_assert!(!bodies.is_empty());
+                for body in bodies {
+                    prop_assert!(follower.take(&body));
+                }
+            }
+            prop_assert_eq!(follower.assemble(&manifest), Some(value));
+        }
+    }
+}
--- a/crates/feed/tests/feed.rs
+++ b/crates/feed/tests/feed.rs
@@ -5,14 +5,20 @@
 
 use bergamot_base::Name;
 use bergamot_feed::{Duty, Failure, Mirror, Origin, Origins};
-use bergamot_wire::Item;
+use bergamot_wire::{Item, News, NewsQuery, Value};
 
 fn item(key: &str, revision: u64) -> Item {
-    Item { key: Name::from(key), value: vec![revision as u8], deleted: false, revision }
+    Item { key: Name::from(key), value: Value::Inline(vec![revision as u8]), revision }
 }
 
 fn deleted(key: &str, revision: u64) -> Item {
-    Item { value: Vec::new(), deleted: true, ..item(key, revision) }
+    Item { value: Value::Deleted, ..item(key, revision) }
+}
+
+/// What a follower is told that knows everything up to a revision, on one page.
+fn news(mirror: &Mirror, after: u64) -> News {
+    let query = NewsQuery { after, ..NewsQuery::default() };
+    mirror.news(&query, usize::MAX, Instant::now())
 }
 
 const A: Ipv4Addr = Ipv4Addr::new(10, 0, 0, 1);
@@ -38,13 +44,12 @@
 #[test]
 fn a_follower_gets_the_changes_or_everything() {
     let mut mirror = Mirror::default();
-    let now = Instant::now();
     mirror.replace(vec![item("a", 1), item("b", 2)], 2);
     mirror.update(vec![item("a", 3), deleted("b", 4)], 4);
-    let changes = mirror.news(2, now);
-    assert_eq!((changes.whole, changes.items), (false, vec![item("a", 3), deleted("b", 4)]));
-    let all = mirror.news(1, now);
-    assert_eq!((all.whole, all.items, all.at), (true, vec![item("a", 3)], 4));
+    let changes = news(&mirror, 2);
+    assert_eq!((changes.listing, changes.items), (None, vec![item("a", 3), deleted("b", 4)]));
+    let all = news(&mirror, 1);
+    assert_eq!((all.listing, all.items, all.at), (Some(4), vec![item("a", 3)], 4));
     assert!(mirror.has_news(3) && !mirror.has_news(4));
 }
 
@@ -53,18 +58,18 @@
     let mut mirror = Mirror::default();
     mirror.replace(vec![item("a", 1), item("b", 2), item("c", 3)], 3);
     mirror.replace(vec![item("a", 1), item("b", 7)], 9);
-    let news = mirror.news(3, Instant::now());
-    assert_eq!((news.whole, news.at), (false, 9));
-    assert_eq!(news.items, [item("b", 7), deleted("c", 9)]);
-    assert!(mirror.news(2, Instant::now()).whole);
+    let told = news(&mirror, 3);
+    assert_eq!((told.listing, told.at), (None, 9));
+    assert_eq!(told.items, [item("b", 7), deleted("c", 9)]);
+    assert!(news(&mirror, 2).listing.is_some());
 }
 
 #[test]
 fn a_follower_takes_over_from_any_other_member() {
     let (mut reader, mut follower) = (Mirror::default(), Mirror::default());
     reader.replace(vec![item("a", 1)], 1);
-    let news = reader.news(0, Instant::now());
-    follower.replace(news.items, news.at);
+    let told = news(&reader, 0);
+    follower.replace(told.items, told.at);
     assert_eq!(follower.at(), 1);
     assert_eq!(follower.update(vec![item("a", 2)], 2).items, [item("a", 2)]);
 }
--- /dev/null
+++ b/crates/feed/tests/pages.rs
@@ -0,0 +1,120 @@
+//! News in pages: whatever changes between two of them, the follower ends with what is held.
+
+use std::collections::BTreeMap;
+use std::time::Instant;
+
+use bergamot_base::Name;
+use bergamot_feed::Mirror;
+use bergamot_wire::{Item, NewsQuery, Value};
+use proptest::prelude::*;
+
+/// About two items.
+const PAGE: usize = 10;
+
+fn item(key: u8, revision: u64, deleted: bool) -> Item {
+    let value = if deleted { Value::Deleted } else { Value::Inline(vec![key; 3]) };
+    Item { key: Name::from(format!("k{key}")), value, revision }
+}
+
+/// What a mirror holds, as its own listing tells it.
+fn held(mirror: &Mirror) -> BTreeMap<Name, u64> {
+    let query = NewsQuery { listing: Some(0), ..NewsQuery::default() };
+    let news = mirror.news(&query, usize::MAX, Instant::now());
+    let held = news.items.into_iter().filter(|item| item.value != Value::Deleted);
+    held.map(|item| (item.key, item.revision)).collect()
+}
+
+/// A follower that asks page by page, as the feed does.
+#[derive(Default)]
+struct Follower {
+    mirror: Mirror,
+    listing: Option<(u64, u64, Vec<Item>)>,
+}
+
+impl Follower {
+    /// Asks for one page and tells whether there are more.
+    fn ask(&mut self, reader: &Mirror) -> bool {
+        let listing = self.listing.as_ref().map(|(since, _, _)| *since);
+        let told = self.listing.as_ref().map(|(_, told, _)| *told);
+        let query =
+            NewsQuery { after: told.unwrap_or(self.mirror.at()), listing, ..NewsQuery::default() };
+        let news = reader.news(&query, PAGE, Instant::now());
+        let Some(since) = news.listing else {
+            self.listing = None;
+            self.mirror.update(news.items, news.at);
+            return news.more;
+        };
+        let begun = self.listing.take().filter(|(begun, _, _)| *begun == since);
+        let mut items = begun.map(|(_, _, items)| items).unwrap_or_default();
+        items.extend(news.items);
+        if news.more {
+            self.listing = Some((since, news.at, items));
+        } else {
+            self.mirror.replace(items, news.at);
+        }
+        news.more
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::default() })]
+
+    #[test]
+    fn a_follower_ends_with_what_the_reader_holds(
+        first in prop::collection::vec((0_u8..12, any::<bool>()), 1..30),
+        changes in prop::collection::vec((0_u8..12, any::<bool>(), 0_u8..3), 0..60),
+        begins_known in any::<bool>(),
+    ) {
+        let mut reader = Mirror::default();
+        let mut revision = 0;
+        let mut listed = BTreeMap::new();
+        for (key, deleted) in first {
+            revision += 1;
+            listed.insert(key, item(key, revision, deleted));
+        }
+        let listed = listed.into_values().filter(|item| item.value != Value::Deleted);
+        reader.replace(listed.collect(), revision);
+        let mut follower = Follower::default();
+        if begins_known {
+            while follower.ask(&reader) {}
+        }
+        for (key, deleted, pages) in changes {
+            revision += 1;
+            reader.update(vec![item(key, revision, deleted)], revision);
+            for _ in 0..pages {
+                follower.ask(&reader);
+            }
+        }
+        while follower.ask(&reader) {}
+        prop_assert_eq!(follower.mirror.at(), reader.at());
+        prop_assert_eq!(held(&follower.mirror), held(&reader));
+    }
+}
+
+#[test]
+fn a_page_is_bounded_and_the_next_one_goes_on_after_it() {
+    let mut reader = Mirror::default();
+    reader.replace((1..=9).map(|key| item(key, u64::from(key), false)).collect(), 9);
+    let mut query = NewsQuery::default();
+    let mut pages = 0;
+    loop {
+        let news = reader.news(&query, PAGE, Instant::now());
+        assert!(news.items.len() <= 2, "{:?}", news.items);
+        pages += 1;
+        query = NewsQuery { after: news.at, listing: news.listing, ..query };
+        if !news.more {
+            break;
+        }
+    }
+    assert_eq!((pages, query.after), (5, 9));
+}
+
+/// What was deleted before a listing began is not told by a member that is behind it.
+#[test]
+fn a_member_that_is_behind_a_listing_tells_none_of_it() {
+    let mut behind = Mirror::default();
+    behind.replace(vec![item(1, 5, false)], 5);
+    let query = NewsQuery { after: 3, listing: Some(9), ..NewsQuery::default() };
+    let news = behind.news(&query, PAGE, Instant::now());
+    assert_eq!((news.items, news.at, news.more), (vec![], 5, false));
+}
--- a/crates/front/src/daemon.rs
+++ b/crates/front/src/daemon.rs
@@ -5,6 +5,7 @@
 //! expired; then the listener closes, what is in flight is finished, and the process ends.
 //! Invariant: every request that was read gets its answer before the process ends.
 
+use std::cmp::Reverse;
 use std::collections::BTreeSet;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -12,8 +13,10 @@
 use std::time::Duration;
 
 use bergamot_base::Name;
-use bergamot_feed::{Duty, Members, News, Origin, Shared, Sink, Source, follow};
-use bergamot_members::{Record, Role, State, ranked};
+use bergamot_feed::{
+    Asked, Duty, Members, News, Origin, Roster, Shared, Sink, Source, Subject, ancestors, follow,
+};
+use bergamot_members::{Endpoint, Record, Role, State, ranked};
 use bergamot_net::{Body, Fault, listen, serve, text};
 use bergamot_peers::{Caller, Peers, Place, Seat, choose, serving};
 use bergamot_relay::{Dialect, Helper, Relay};
@@ -91,8 +94,11 @@
         });
         let sink = sink(&inner);
         let asking = Arc::clone(&inner);
-        let members =
-            Members { readers: Box::new(move || asking.readers()), ask: member::ask(&links, port) };
+        let members = Members {
+            roster: Box::new(move || asking.roster()),
+            ask: member::asking(&links, port),
+            fetch: member::fetching(&links, port),
+        };
         let periods = bergamot_feed::Settings { join: inner.settings.join, ..Default::default() };
         tokio::spawn(follow(source, members, sink, feed, periods, stop.clone()));
         tokio::spawn(tick(Arc::clone(&inner), stop.clone()));
@@ -193,29 +199,42 @@
         (self.face.addresses)(&addresses, self.settings.ttl)
     }
 
-    /// Tells what this member does for the others' news, and whom it asks: the readers, that
-    /// of its own region first, then the deputies; nothing while no other member is known.
+    /// Tells who does what for the others' news; nothing while no other member is known.
     ///
-    /// The member of the highest rank in each region reads, the second is its deputy.
-    fn readers(&self) -> Option<(Duty, Vec<Ipv4Addr>)> {
+    /// The first member of each region reads, the second is its deputy. Those with the most
+    /// processor come first: their links carry more as well, and what is read passes there.
+    fn roster(&self) -> Option<Roster> {
         let settings = self.relay.settings();
         let (own, region) = (settings.address, self.region(&settings.zone));
         self.peers.with_view(|view| {
+            if view.len() <= 1 {
+                return None;
+            }
             let mut regions: Vec<_> =
                 ranked(view, |record| self.region(&record.zone)).into_iter().collect();
+            for (_, members) in &mut regions {
+                let weight = |endpoint| view.get(endpoint).map_or(0, |record| record.weight);
+                members.sort_by_cached_key(|endpoint| Reverse(weight(*endpoint)));
+            }
             regions.sort_by_key(|(name, _)| *name != region);
             let at = |rank: usize| {
                 let members = regions.iter().filter_map(move |(_, members)| members.get(rank));
                 members.map(|endpoint| endpoint.ip).collect::<Vec<_>>()
             };
-            let (readers, deputies) = (at(0), at(1));
+            let (first, second) = (at(0), at(1));
             let duty = match () {
-                () if readers.contains(&own) || !settings.policy.readers.on => Duty::Reader,
-                () if deputies.contains(&own) => Duty::Deputy,
+                () if first.contains(&own) || !settings.policy.readers.on => Duty::Reader,
+                () if second.contains(&own) => Duty::Deputy,
                 () => Duty::Follower,
             };
-            let others = readers.into_iter().chain(deputies).filter(|ip| *ip != own).collect();
-            (view.len() > 1).then_some((duty, others))
+            let others = first.into_iter().chain(second).filter(|ip| *ip != own);
+            let readers: Vec<Ipv4Addr> = others.collect();
+            let near = regions.first().map(|(_, members)| lineage(members, own));
+            let mut lineage = near.unwrap_or_default();
+            let further = readers.iter().filter(|ip| !lineage.contains(ip)).copied();
+            let further: Vec<Ipv4Addr> = further.collect();
+            lineage.extend(further);
+            Some(Roster { duty, readers, lineage })
         })
     }
 
@@ -316,6 +335,17 @@
     Ok(())
 }
 
+/// Lists whom a member asks for chunks among the ranked members of its region.
+fn lineage(members: &[Endpoint], own: Ipv4Addr) -> Vec<Ipv4Addr> {
+    let position = members.iter().position(|endpoint| endpoint.ip == own);
+    position
+        .into_iter()
+        .flat_map(ancestors)
+        .filter_map(|position| members.get(position))
+        .map(|endpoint| endpoint.ip)
+        .collect()
+}
+
 async fn tick(inner: Arc<Inner>, stop: CancellationToken) {
     let mut ticks = 0_u32;
     while !stop.is_cancelled() {
@@ -337,13 +367,16 @@
         news: Box::new(move |record| take(&news.relay, record)),
         away: Box::new(move |is_away, age| away.relay.set_store_away(is_away, age)),
         behind: Box::new(move || behind.relay.is_behind()),
-        asked: Box::new(move |question| {
-            let origin = if question.origin == Origin::Store { "store" } else { "member" };
-            asked.relay.count_news(origin, question.trouble.unwrap_or("answered"), question.bytes);
-            if question.trouble.is_none() {
-                asked.relay.heard(question.at);
-            }
-        }),
+        asked: Box::new(move |question| note(&asked.relay, question)),
+    }
+}
+
+/// Counts a question of the feed, and notes that news came.
+fn note(relay: &Relay, question: &Asked) {
+    let origin = if question.origin == Origin::Store { "store" } else { "member" };
+    relay.count_news(origin, question.trouble.unwrap_or("answered"), question.bytes);
+    if question.trouble.is_none() && question.subject == Subject::News {
+        relay.heard(question.at);
     }
 }
 
--- a/crates/front/src/member.rs
+++ b/crates/front/src/member.rs
@@ -4,11 +4,11 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use bergamot_feed::{Asking, Shared, Trouble};
+use bergamot_feed::{Asking, Fetching, Question, Shared, Trouble};
 use bergamot_net::{Fault, listen};
 use bergamot_relay::{Exchange, Helping, Relay};
 use bergamot_wire::{
-    Channels, Late, Member, MemberClient, News, ShardQuery, ShardReply, run_requests,
+    Channels, Late, Member, MemberClient, News, NewsQuery, ShardQuery, ShardReply, run_requests,
     serve_requests, transport,
 };
 use tarpc::client::RpcError;
@@ -20,6 +20,10 @@
 /// round trips between regions (16 ms), and late timers of a slow core.
 const ANSWER: Duration = Duration::from_millis(250);
 
+/// How long an answer with chunks may take beyond the time that it waits for them: 16 KB at a
+/// tenth of a link of 14 Mbit/s, twice over, since others are sent theirs before.
+const ANSWER_WITH_CHUNKS: Duration = Duration::from_millis(800);
+
 /// The longest time that a question for news may wait.
 const LONGEST_WAIT: Duration = Duration::from_secs(30);
 
@@ -45,8 +49,13 @@
         self.relay.records(token)
     }
 
-    async fn news(self, _context: Context, after: u64, wait: Duration) -> News {
-        self.feed.news(after, wait.min(LONGEST_WAIT)).await
+    async fn news(self, _context: Context, query: NewsQuery) -> News {
+        let wait = query.wait.min(LONGEST_WAIT);
+        self.feed.news(NewsQuery { wait, ..query }).await
+    }
+
+    async fn chunks(self, _context: Context, hashes: Vec<u64>, wait: Duration) -> Vec<Vec<u8>> {
+        self.feed.chunks(&hashes, wait.min(LONGEST_WAIT)).await
     }
 }
 
@@ -112,21 +121,44 @@
 }
 
 /// Makes the function that asks a member for news of the store.
-pub(crate) fn ask(links: &Links, port: u16) -> Asking {
+pub(crate) fn asking(links: &Links, port: u16) -> Asking {
     let links = Arc::clone(links);
-    Box::new(move |ip: Ipv4Addr, after, wait| {
-        let links = Arc::clone(&links);
-        Box::pin(async move {
-            let until = Instant::now() + wait + ANSWER;
-            let asked = call(&links, (ip, port), until, move |client, context| async move {
-                client.news(context, after, wait).await
-            });
-            let failed = |cause| Fault::new("ask for news", SocketAddr::from((ip, port)), cause);
-            asked.await.map_err(|cause| Trouble::Failed { source: failed(cause) })
+    Box::new(move |ip, query: NewsQuery| {
+        let until = Instant::now() + query.wait + ANSWER;
+        question("ask for news", &links, (ip, port), until, move |client, context| async move {
+            client.news(context, query).await
         })
     })
 }
 
+/// Makes the function that asks a member for chunks of large values.
+pub(crate) fn fetching(links: &Links, port: u16) -> Fetching {
+    let links = Arc::clone(links);
+    Box::new(move |ip, hashes, wait| {
+        let until = Instant::now() + wait + ANSWER_WITH_CHUNKS;
+        question("ask for chunks", &links, (ip, port), until, move |client, context| async move {
+            client.chunks(context, hashes, wait).await
+        })
+    })
+}
+
+/// Asks a member a question of the feed, until a moment.
+fn question<T, F>(
+    step: &'static str,
+    links: &Links,
+    peer: (Ipv4Addr, u16),
+    until: Instant,
+    ask: impl FnOnce(MemberClient, Context) -> F + Send + 'static,
+) -> Question<T>
+where
+    T: Send + 'static,
+    F: Future<Output = Result<T, RpcError>> + Send,
+{
+    let asked = call(links, peer, until, ask);
+    let failed = move |cause| Fault::new(step, SocketAddr::from(peer), cause);
+    Box::pin(async move { asked.await.map_err(|cause| Trouble::Failed { source: failed(cause) }) })
+}
+
 /// Waits for an exchange until a moment. A connection that failed or went silent is not
 /// used again, since nothing but the silence may show that it is dead.
 async fn within<T>(
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -14,7 +14,10 @@
 
 pub use channel::{Channels, Connect, Connection, run_requests, serve_requests, transport};
 pub use datagram::{Garbled, LARGEST_DATAGRAM, decode, encode};
-pub use member::{Item, Late, Member, MemberClient, News, Quiet, Shard, ShardQuery, ShardReply};
+pub use member::{
+    Item, Late, Manifest, Member, MemberClient, News, NewsQuery, Quiet, Shard, ShardQuery,
+    ShardReply, Value,
+};
 pub use rpc::{
     Entry, EntryClient, EntryRequest, EntryResponse, Gather, GatherClient, GatherRequest,
     GatherResponse, Refusal, Reply, SubQuery, WriteOrder, context,
--- a/crates/wire/src/member.rs
+++ b/crates/wire/src/member.rs
@@ -87,30 +87,80 @@
     pub records: Vec<u8>,
 }
 
+/// A value cut into chunks by its content, so that two versions of it share most of them.
+///
+/// Only this travels with news; the chunks are asked for one after another
+/// ([`Member::chunks`]). See `docs/design/0010-large-records.md`.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Manifest {
+    /// The hash of the whole value.
+    pub hash: u64,
+    /// The hashes of its chunks, in order.
+    pub chunks: Vec<u64>,
+}
+
+/// What a record holds.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Value {
+    /// The record was deleted.
+    Deleted,
+    /// The value itself.
+    Inline(Vec<u8>),
+    /// A value that is too large to travel with news.
+    Chunked(Manifest),
+}
+
 /// One record of the platform's store, as it was read.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Item {
     /// The key.
     pub key: Name,
-    /// The value; empty where the record was deleted.
-    pub value: Vec<u8>,
-    /// Whether the record was deleted.
-    pub deleted: bool,
+    /// What it holds.
+    pub value: Value,
     /// The revision of the change.
     pub revision: u64,
 }
 
-/// What a member knows of the store.
+impl Item {
+    /// Returns about how many bytes the item takes in a message.
+    pub fn size(&self) -> usize {
+        let value = match &self.value {
+            Value::Deleted => 0,
+            Value::Inline(value) => value.len(),
+            Value::Chunked(manifest) => size_of_val(&*manifest.chunks),
+        };
+        self.key.len() + value
+    }
+}
+
+/// A question for news of the store.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct NewsQuery {
+    /// The revision up to which the asker knows everything, or has been told so far of a
+    /// listing.
+    pub after: u64,
+    /// The revision at which the listing began that the asker is being told, if it is.
+    pub listing: Option<u64>,
+    /// How long the answer may wait for news.
+    pub wait: Duration,
+}
+
+/// What a member knows of the store: one page of it, bounded in size.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct News {
-    /// The items, everything or what has changed since the revision that was named.
+    /// The items, in the order of their revisions.
     pub items: Vec<Item>,
-    /// Whether the items are everything, since the changes are no longer kept.
-    pub whole: bool,
+    /// The revision at which the listing began to which the items belong. What none of its
+    /// pages names does not exist. Without it the items are what has changed.
+    pub listing: Option<u64>,
     /// The revision up to which the items tell everything, zero if nothing is known.
     pub at: u64,
-    /// How long ago that was certain.
+    /// Whether more is known beyond that revision.
+    pub more: bool,
+    /// How long ago it was certain that nothing newer exists.
     pub age: Duration,
+    /// Whether an answer of the store with newer items is coming in at the moment.
+    pub arriving: bool,
 }
 
 /// What a member does for others.
@@ -122,6 +172,9 @@
     async fn rest(token: u64) -> Vec<Late>;
     /// Sends the records that an earlier answer left out; nothing if they are no longer kept.
     async fn records(token: u64) -> Option<Vec<u8>>;
-    /// Waits for news of the store after a revision, for a time at most.
-    async fn news(after: u64, wait: Duration) -> News;
+    /// Waits for news of the store.
+    async fn news(query: NewsQuery) -> News;
+    /// Sends the first of these chunks of large values that are held, as many as one message
+    /// may hold, waiting for a time at most until any is.
+    async fn chunks(hashes: Vec<u64>, wait: Duration) -> Vec<Vec<u8>>;
 }
