--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -12,6 +12,7 @@
 mod id;
 mod pulse;
 mod seed;
+mod tasks;
 
 pub use awake::Awake;
 pub use budget::Budget;
@@ -21,6 +22,7 @@
 pub use id::{Cell, Entity, Searcher, Service, Shard, Table, Workspace};
 pub use pulse::Pulse;
 pub use seed::Seed;
+pub use tasks::{Tasks, message};
 
 /// A shared immutable name, cheap to clone into messages and logs.
 pub type Name = std::sync::Arc<str>;
--- a/crates/entry/src/service.rs
+++ b/crates/entry/src/service.rs
@@ -100,6 +100,11 @@
         &self.inner.node
     }
 
+    /// Waits until a task has ended without which the service can't go on.
+    pub async fn failed(&self) {
+        self.inner.node.tasks().failed().await;
+    }
+
     /// Ends at once and without a farewell, as a crash does. For tests and measurements.
     pub fn abort(self) {
         self.stop.cancel();
@@ -136,10 +141,11 @@
     listener: TcpListener,
     stop: CancellationToken,
 ) -> JoinHandle<()> {
+    let tasks = inner.node.tasks().until(stop.clone());
     let inner = Arc::clone(inner);
-    tokio::spawn(serve(listener, stop, move |request, _peer| {
-        http::handle(Arc::clone(&inner), request)
-    }))
+    let serving =
+        serve(listener, stop, move |request, _peer| http::handle(Arc::clone(&inner), request));
+    tasks.spawn("callers", serving)
 }
 
 fn serve_peers(
@@ -147,11 +153,13 @@
     listener: TcpListener,
     stop: CancellationToken,
 ) -> JoinHandle<()> {
+    let tasks = inner.node.tasks().until(stop.clone());
     let server = Server(Arc::clone(&inner.writer));
-    tokio::spawn(serve_requests(listener, stop, move |stream, open| {
+    let serving = serve_requests(listener, stop, move |stream, open| {
         let requests = transport(stream).execute(Requests::serve(server.clone()));
         tokio::spawn(run_requests(requests, open));
-    }))
+    });
+    tasks.spawn("peers", serving)
 }
 
 /// Adds the parts of the state dump. They hold the service weakly: the node that keeps
--- a/crates/feed/src/deliver.rs
+++ b/crates/feed/src/deliver.rs
@@ -1,7 +1,10 @@
 //! Hands what records say to the sink, once they are whole.
 
+use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::sync::Arc;
 
+use bergamot_base::message;
+
 use bergamot_wire::Item;
 
 use crate::shared::Shared;
@@ -26,10 +29,20 @@
     }
 
     /// Hands a whole record on.
+    ///
+    /// Every member reads the same records at about the same time: one that brings its reader
+    /// down would bring all of them down, again and again. So a panic costs its record alone.
     pub(crate) fn record(&self, record: &Record) {
         self.shared.settle(&record.key, record.revision);
-        if let Some(news) = (self.source.decode)(record) {
-            (self.sink.news)(news);
+        let take = || {
+            if let Some(news) = (self.source.decode)(record) {
+                (self.sink.news)(news);
+            }
+        };
+        // What a panic leaves half done is behind locks whose holders check what they read.
+        if let Err(panic) = catch_unwind(AssertUnwindSafe(take)) {
+            let (key, cause) = (&record.key, message(&*panic));
+            log::error!("feed: event=record_panicked key={key} cause={cause:?}");
         }
     }
 }
--- a/crates/feed/src/source.rs
+++ b/crates/feed/src/source.rs
@@ -20,6 +20,12 @@
     Published(Upstream),
     /// The entry of a searcher disappeared.
     Disappeared(Name),
+    /// What stands in a record can't be used; if the record is that of a searcher, it names
+    /// none.
+    Unreadable {
+        /// The identifier of the searcher whose record it is.
+        searcher: Option<Name>,
+    },
 }
 
 /// Why nothing was learnt.
@@ -109,7 +115,8 @@
     pub watch: Box<dyn Fn(u64, Wait) -> Reading + Send + Sync>,
     /// Reads one record.
     pub lookup: Box<dyn Fn(&Name) -> Lookup + Send + Sync>,
-    /// Reads what a record says; one that can't be used is logged and says nothing.
+    /// Reads what a record says, if it is one of those that are followed; one that can't be used
+    /// is logged.
     pub decode: fn(&Record) -> Option<News>,
 }
 
--- a/crates/front/src/daemon.rs
+++ b/crates/front/src/daemon.rs
@@ -12,7 +12,7 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
-use bergamot_base::Name;
+use bergamot_base::{Name, Tasks};
 use bergamot_feed::{
     Asked, Duty, Members, News, Origin, Roster, Shared, Sink, Source, Subject, ancestors, follow,
 };
@@ -46,6 +46,7 @@
     relay: Arc<Relay>,
     peers: Arc<Peers>,
     feed: Arc<Shared>,
+    tasks: Tasks,
     leaving: AtomicBool,
     /// The members that take callers, as of the last tick.
     serving: Mutex<BTreeSet<Ipv4Addr>>,
@@ -80,15 +81,18 @@
         let port = settings.members.port();
         let relay = Relay::new(relay, dialect, member::helping(&links, port));
         let feed = Arc::new(Shared::default());
-        member::serve(settings.members, Arc::clone(&relay), Arc::clone(&feed), stop.clone())
-            .await?;
-        let peers = Peers::start(peers, stop.clone()).await?;
+        let tasks = Tasks::new(stop.clone());
+        let listener = listen(settings.members).await?;
+        let serving = (Arc::clone(&relay), Arc::clone(&feed), stop.clone());
+        tasks.spawn("members", member::serve(listener, serving.0, serving.1, serving.2));
+        let peers = Peers::start(peers, &tasks, stop.clone()).await?;
         let inner = Arc::new(Inner {
             settings,
             face,
             relay,
             peers,
             feed: Arc::clone(&feed),
+            tasks: tasks.clone(),
             leaving: AtomicBool::new(false),
             serving: Mutex::default(),
         });
@@ -100,15 +104,15 @@
             fetch: member::fetching(&links, port),
         };
         let periods = bergamot_feed::Settings { join: inner.settings.join, ..Default::default() };
-        tokio::spawn(follow(source, members, sink, feed, periods, stop.clone()));
-        tokio::spawn(tick(Arc::clone(&inner), stop.clone()));
+        tasks.spawn("follower", follow(source, members, sink, feed, periods, stop.clone()));
+        tasks.spawn("tick", tick(Arc::clone(&inner), stop.clone()));
         let addresses = &inner.settings;
         serve_pages(addresses.metrics, &inner, &stop, Inner::metrics).await?;
         serve_pages(addresses.readiness, &inner, &stop, Inner::readiness).await?;
         serve_pages(addresses.directory, &inner, &stop, Inner::directory).await?;
         let listener = listen(inner.settings.callers).await?;
         let answering = Arc::clone(&inner);
-        let callers = tokio::spawn(serve(listener, close.clone(), move |request, _peer| {
+        let serving = serve(listener, close.clone(), move |request, _peer| {
             let inner = Arc::clone(&answering);
             async move {
                 let relay = Arc::clone(&inner.relay);
@@ -118,7 +122,9 @@
                 }
                 response
             }
-        }));
+        });
+        // The listener closes before the other tasks stop, and is watched until then.
+        let callers = tasks.until(close.clone()).spawn("callers", serving);
         Ok(Self { inner, stop, close, callers })
     }
 
@@ -127,6 +133,12 @@
         self.inner.peers.set_seeds(peers.seeds.clone());
     }
 
+    /// Waits until a task has ended without which the daemon can't go on; it is not ready any
+    /// more, and should be stopped and started anew.
+    pub async fn failed(&self) {
+        self.inner.tasks.failed().await;
+    }
+
     /// Stops as planned; returns once everything that was read is answered.
     pub async fn stop(self) {
         let settings = &self.inner.settings;
@@ -150,7 +162,7 @@
     }
 
     fn is_ready(&self) -> bool {
-        !self.is_leaving() && self.relay.version() > 0
+        !self.is_leaving() && !self.tasks.has_failed() && self.relay.version() > 0
     }
 
     fn metrics(&self, uri: &Uri) -> Response<Body> {
@@ -327,11 +339,12 @@
     stop: &CancellationToken,
     answer: fn(&Inner, &Uri) -> Response<Body>,
 ) -> Result<(), Fault> {
-    let (listener, inner) = (listen(address).await?, Arc::clone(inner));
-    tokio::spawn(serve(listener, stop.clone(), move |request, _peer| {
-        let reply = answer(&inner, request.uri());
+    let (listener, answering) = (listen(address).await?, Arc::clone(inner));
+    let serving = serve(listener, stop.clone(), move |request, _peer| {
+        let reply = answer(&answering, request.uri());
         async move { reply }
-    }));
+    });
+    inner.tasks.spawn("pages", serving);
     Ok(())
 }
 
@@ -381,21 +394,30 @@
 }
 
 fn take(relay: &Relay, news: News) {
+    let now = std::time::Instant::now();
     match news {
         News::Declared(declaration) => {
             relay.declare(*declaration);
         }
         News::Published(upstream) => {
-            let (id, state) = (Name::clone(&upstream.id), upstream.state);
-            if relay.with_registry(|registry| registry.publish(upstream)) {
-                log::info!("feed: event=searcher_changed searcher={id} state={state:?}");
+            let (searcher, state) = (upstream.incarnation.clone(), upstream.state);
+            if relay.with_registry(|registry| registry.publish(upstream, now)) {
+                log::info!("feed: event=searcher_changed searcher={searcher} state={state:?}");
             }
         }
         News::Disappeared(id) => {
-            let now = std::time::Instant::now();
             if relay.with_registry(|registry| registry.disappear(&id, now)) {
                 log::info!("feed: event=searcher_missing searcher={id}");
             }
         }
+        News::Unreadable { searcher } => {
+            relay.count_unreadable();
+            let Some(id) = searcher else { return };
+            if relay.with_registry(|registry| registry.overwrite(&id, now)) {
+                log::warn!(
+                    "feed: event=searcher_missing searcher={id} cause=\"its entry names no searcher\""
+                );
+            }
+        }
     }
 }
--- a/crates/front/src/member.rs
+++ b/crates/front/src/member.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use bergamot_feed::{Asking, Fetching, Question, Shared, Trouble};
-use bergamot_net::{Fault, listen};
+use bergamot_net::Fault;
 use bergamot_relay::{Exchange, Helping, Relay};
 use bergamot_wire::{
     Channels, Late, Member, MemberClient, News, NewsQuery, ShardQuery, ShardReply, run_requests,
@@ -14,6 +14,7 @@
 use tarpc::client::RpcError;
 use tarpc::context::Context;
 use tarpc::server::Channel;
+use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
 
 /// How long an answer may take beyond the time that the question waits for news: several
@@ -60,19 +61,17 @@
 }
 
 /// Answers other members until `stop`.
-pub(crate) async fn serve(
-    address: SocketAddr,
+pub(crate) fn serve(
+    listener: TcpListener,
     relay: Arc<Relay>,
     feed: Arc<Shared>,
     stop: CancellationToken,
-) -> Result<(), Fault> {
-    let listener = listen(address).await?;
+) -> impl Future<Output = ()> + Send {
     let server = Server { relay, feed };
-    tokio::spawn(serve_requests(listener, stop, move |stream, open| {
+    serve_requests(listener, stop, move |stream, open| {
         let requests = transport(stream).execute(Member::serve(server.clone()));
         tokio::spawn(run_requests(requests, open));
-    }));
-    Ok(())
+    })
 }
 
 /// Makes the functions that ask members for shards.
--- a/crates/gather/src/service.rs
+++ b/crates/gather/src/service.rs
@@ -130,13 +130,15 @@
             }
         }));
         let stop = CancellationToken::new();
-        tokio::spawn(keeper::follow(Arc::clone(&inner), stop.clone()));
-        tokio::spawn(keeper::keep(Arc::clone(&inner), stop.clone()));
+        let tasks = inner.node.tasks().until(stop.clone());
+        tasks.spawn("follow", keeper::follow(Arc::clone(&inner), stop.clone()));
+        tasks.spawn("keep", keeper::keep(Arc::clone(&inner), stop.clone()));
         let server = Server(Arc::clone(&inner));
-        let served = tokio::spawn(serve_requests(listener, stop.clone(), move |stream, open| {
+        let serving = serve_requests(listener, stop.clone(), move |stream, open| {
             let requests = transport(stream).execute(Requests::serve(server.clone()));
             tokio::spawn(run_requests(requests, open));
-        }));
+        });
+        let served = tasks.spawn("serve", serving);
         log::info!("gather: Serving at {address}.");
         Ok(Running { inner, stop, served })
     }
@@ -148,6 +150,11 @@
         &self.inner.node
     }
 
+    /// Waits until a task has ended without which the service can't go on.
+    pub async fn failed(&self) {
+        self.inner.node.tasks().failed().await;
+    }
+
     /// Ends at once and without a farewell, as a crash does. For tests and measurements.
     pub fn abort(self) {
         self.stop.cancel();
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use arc_swap::{ArcSwap, ArcSwapOption};
-use bergamot_base::{Awake, Incarnation, Name, Seed};
+use bergamot_base::{Awake, Incarnation, Name, Seed, Tasks};
 use bergamot_config::{Document, Floor, Settings, Verdict};
 use bergamot_members::{
     Digest, Endpoint, Homes, Outgoing, Prober, Record, Role, Rumour, State, Timing, View,
@@ -78,6 +78,7 @@
     pub(crate) refused: Mutex<HashSet<u64>>,
     pub(crate) pulling: tokio::sync::Mutex<()>,
     pub(crate) stop: CancellationToken,
+    tasks: Tasks,
     meter: Meter,
     registry: Registry,
     dumps: Mutex<Vec<(&'static str, Dump)>>,
@@ -101,7 +102,7 @@
             UdpSocket::bind(address).await.map_err(|e| Fault::new("bind control", address, e))?;
         let stream_listener = listen(address).await?;
         let admin_listener = listen(admin_address(&settings, me)).await?;
-        let registry = Registry::new();
+        let (registry, stop) = (Registry::new(), CancellationToken::new());
         let node = Arc::new(Self {
             me,
             incarnation,
@@ -116,16 +117,17 @@
             socket,
             refused: Mutex::default(),
             pulling: tokio::sync::Mutex::default(),
-            stop: CancellationToken::new(),
+            tasks: Tasks::new(stop.clone()),
+            stop,
             meter: Meter::new(&registry),
             registry,
             dumps: Mutex::default(),
             settings,
         });
-        tokio::spawn(control::run(Arc::clone(&node)));
-        tokio::spawn(control::pulse(Arc::clone(&node)));
-        tokio::spawn(pulls::serve(Arc::clone(&node), stream_listener));
-        tokio::spawn(admin::serve(Arc::clone(&node), admin_listener));
+        node.tasks.spawn("control", control::run(Arc::clone(&node)));
+        node.tasks.spawn("pulse", control::pulse(Arc::clone(&node)));
+        node.tasks.spawn("pulls", pulls::serve(Arc::clone(&node), stream_listener));
+        node.tasks.spawn("admin", admin::serve(Arc::clone(&node), admin_listener));
         log::info!("node: {me} started with incarnation {incarnation:x}.");
         Ok(node)
     }
@@ -147,8 +149,13 @@
             tokio::time::sleep(RETRY).await;
             platform::read_list(self).await;
         }
-        tokio::spawn(platform::poll_list(Arc::clone(self)));
-        tokio::spawn(platform::follow_document(Arc::clone(self)));
+        self.tasks.spawn("list", platform::poll_list(Arc::clone(self)));
+        self.tasks.spawn("document", platform::follow_document(Arc::clone(self)));
+    }
+
+    /// Returns the tasks without which the daemon can't go on.
+    pub fn tasks(&self) -> &Tasks {
+        &self.tasks
     }
 
     /// Says farewell: from now on nobody names this run or sends it new work.
--- a/crates/peers/src/peers.rs
+++ b/crates/peers/src/peers.rs
@@ -8,7 +8,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-use bergamot_base::{Incarnation, Name, Revision, Seed};
+use bergamot_base::{Incarnation, Name, Revision, Seed, Tasks};
 use bergamot_members::{Datagram, Digest, Endpoint, Outgoing, Prober, Record, Role, State, View};
 use bergamot_net::{Fault, listen};
 use bergamot_wire::{Bundle, LARGEST_DATAGRAM, Pull, pull, serve_pulls};
@@ -61,7 +61,11 @@
 
 impl Peers {
     /// Binds the sockets and starts probing.
-    pub async fn start(settings: Settings, stop: CancellationToken) -> Result<Arc<Self>, Fault> {
+    pub async fn start(
+        settings: Settings,
+        tasks: &Tasks,
+        stop: CancellationToken,
+    ) -> Result<Arc<Self>, Fault> {
         let address = SocketAddr::from((settings.address, settings.port));
         let fault = |error| Fault::new("bind control", address, error);
         let socket = UdpSocket::bind(address).await.map_err(fault)?;
@@ -82,10 +86,11 @@
         let control = Mutex::new(Control { view, prober, revision: 0 });
         let seeds = Mutex::new(settings.seeds.clone());
         let peers = Arc::new(Self { settings, seeds, control, socket, stop: stop.clone() });
-        tokio::spawn(Arc::clone(&peers).run());
+        tasks.spawn("prober", Arc::clone(&peers).run());
         tokio::spawn(Arc::clone(&peers).join());
         let answering = Arc::clone(&peers);
-        tokio::spawn(serve_pulls(listener, stop, move |request| answering.answer(&request)));
+        let serving = serve_pulls(listener, stop, move |request| answering.answer(&request));
+        tasks.spawn("views", serving);
         Ok(peers)
     }
 
--- a/crates/policy/src/table.rs
+++ b/crates/policy/src/table.rs
@@ -178,6 +178,9 @@
         usual: Duration = ms(1000), "ms";
         /// Entries that expired during an outage are back within two seconds of the store's return.
         outage: Duration = ms(2200), "ms after the store's return";
+        /// A living searcher writes its entry again with its next heartbeat, 1.2 s later: after two of
+        /// them, whatever stands in its place is there to stay.
+        overwritten: Duration = ms(2600), "ms";
     }
 
     /// A gathered request that the searchers can't answer in time is refused before anything has run.
--- a/crates/registry/src/lib.rs
+++ b/crates/registry/src/lib.rs
@@ -1,11 +1,12 @@
 //! The registry: which searchers run, where, and in which state.
 //!
-//! Searchers publish themselves apart from the declaration, one entry an incarnation.
-//! An address may pass to another searcher, so nothing here is keyed by address. See
-//! `docs/design/0009-platform.md`.
+//! Searchers publish themselves apart from the declaration, one entry a searcher, which each
+//! of its incarnations takes over from the one before. An address may pass to another
+//! searcher, so nothing here is keyed by address. See `docs/design/0009-platform.md` and
+//! `docs/design/0011-incarnations.md`.
 
 mod registry;
 mod upstream;
 
 pub use registry::Registry;
-pub use upstream::{State, Upstream};
+pub use upstream::{Incarnation, State, Upstream};
--- a/crates/registry/src/registry.rs
+++ b/crates/registry/src/registry.rs
@@ -1,27 +1,52 @@
 //! The published searchers and which of them may get new work.
 //!
-//! An entry that disappears is held for a short time before the searcher counts as
-//! gone: entries expire while the store is away although their searchers live, and
-//! return within about two seconds once it is back. Such a searcher is doubtful
-//! meanwhile, to be asked only where no other can be. Invariants: within an incarnation,
-//! draining is final; an incarnation that is known to have ended never returns.
+//! Of each searcher the registry holds one incarnation, the one of the latest start that it
+//! knows of. An entry that disappears, or is overwritten with something that names no
+//! searcher, is held for a short time before the searcher counts as gone: entries expire while
+//! the store is away although their searchers live, and a living searcher writes its entry
+//! again. Such a searcher is doubtful meanwhile, to be asked only where no other can be.
+//!
+//! An entry of an earlier start than the known one is left over, or the searcher's clock was
+//! set back before it started again. It counts once it has stood for so long that a living
+//! later start would have written over it.
+//!
+//! Invariants: within an incarnation, draining is final; an incarnation that is known to have
+//! ended never returns; a searcher is listed under the service of its incarnation alone.
+//! See `docs/design/0011-incarnations.md`.
 
-use std::collections::{BTreeMap, HashSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::sync::Arc;
 use std::time::Instant;
 
 use bergamot_base::Name;
 use bergamot_policy::Doubt;
 
-use crate::upstream::{State, Upstream};
+use crate::upstream::{Incarnation, State, Upstream};
 
-/// How many ended incarnations are remembered, against stale reads that still list them.
+/// How many searchers are remembered whose last incarnation has ended, against stale reads that
+/// still list it.
 const MOST_ENDED: usize = 4096;
 
+/// Why the entry of a searcher is not there.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Absence {
+    /// It was removed, or has expired.
+    Removed,
+    /// Something else stands in its place.
+    Overwritten,
+}
+
 #[derive(Clone, Debug)]
 struct Entry {
     upstream: Arc<Upstream>,
-    missing_since: Option<Instant>,
+    missing: Option<(Absence, Instant)>,
+}
+
+/// An entry of an earlier start than the known one.
+#[derive(Clone, Debug)]
+struct Earlier {
+    upstream: Upstream,
+    since: Instant,
 }
 
 /// The published searchers.
@@ -29,9 +54,13 @@
 pub struct Registry {
     policy: Doubt,
     entries: BTreeMap<Name, Entry>,
-    by_service: BTreeMap<Name, Vec<Name>>,
-    ended: HashSet<Name>,
+    by_service: BTreeMap<Name, BTreeSet<Name>>,
+    /// The last incarnation that has ended, of each searcher without an entry.
+    ended: HashMap<Name, Option<u64>>,
     ended_order: VecDeque<Name>,
+    earlier: BTreeMap<Name, Earlier>,
+    /// Whether searchers here say when they started.
+    states_births: bool,
     regained: Option<Instant>,
 }
 
@@ -42,48 +71,50 @@
     }
 
     /// Takes in the entry of a searcher and tells whether it changed anything.
-    pub fn publish(&mut self, mut upstream: Upstream) -> bool {
-        if self.ended.contains(&upstream.id) {
-            return false;
+    pub fn publish(&mut self, upstream: Upstream, now: Instant) -> bool {
+        let Incarnation { id, born } = upstream.incarnation.clone();
+        if born.is_none() && self.states_births {
+            // Every searcher here says when it started: this is no searcher's entry.
+            return self.overwrite(&id, now);
         }
-        let id = Name::clone(&upstream.id);
-        if let Some(known) = self.entries.get(&id) {
-            if known.upstream.state == State::Draining {
-                upstream.state = State::Draining;
-            }
-            // Read later, the same entry seems to be slow until later.
-            upstream.warm_at = upstream.warm_at.min(known.upstream.warm_at);
-            if known.missing_since.is_none() && *known.upstream == upstream {
-                return false;
+        if born.is_some() && !self.states_births {
+            self.states_births = true;
+            self.doubt_unborn(now);
+        }
+        let known = self.entries.get(&id).map(|entry| entry.upstream.incarnation.born);
+        let ended = self.ended.get(&id).copied();
+        match known.or(ended) {
+            Some(latest) if born < latest => self.note_earlier(upstream, now),
+            Some(latest) if born == latest && known.is_none() => false,
+            Some(latest) if born == latest => self.renew(upstream),
+            Some(_) | None => {
+                self.insert(upstream);
+                true
             }
-        } else {
-            let service = Name::clone(&upstream.service);
-            self.by_service.entry(service).or_default().push(Name::clone(&id));
         }
-        self.entries.insert(id, Entry { upstream: Arc::new(upstream), missing_since: None });
-        true
     }
 
     /// Notes that the entry of a searcher disappeared; it may return.
     pub fn disappear(&mut self, id: &str, now: Instant) -> bool {
-        let Some(entry) = self.entries.get_mut(id) else {
-            return false;
-        };
-        if entry.upstream.state == State::Draining || !self.policy.on {
-            return self.end(id);
-        }
-        let first = entry.missing_since.is_none();
-        entry.missing_since.get_or_insert(now);
-        first
+        self.earlier.remove(id);
+        self.lose(id, (Absence::Removed, now))
+    }
+
+    /// Notes that something which names no searcher stands where the entry of one may have
+    /// been; a living searcher writes it again.
+    pub fn overwrite(&mut self, id: &str, now: Instant) -> bool {
+        self.earlier.remove(id);
+        self.lose(id, (Absence::Overwritten, now))
     }
 
     /// Takes in a whole listing: what it doesn't name has disappeared.
     pub fn replace(&mut self, listing: Vec<Upstream>, now: Instant) {
-        let listed: HashSet<Name> =
-            listing.iter().map(|upstream| Name::clone(&upstream.id)).collect();
+        let listed: BTreeSet<Name> =
+            listing.iter().map(|upstream| Name::clone(&upstream.incarnation.id)).collect();
         for upstream in listing {
-            self.publish(upstream);
+            self.publish(upstream, now);
         }
+        self.earlier.retain(|id, _| listed.contains(id));
         let missing: Vec<Name> =
             self.entries.keys().filter(|id| !listed.contains(*id)).cloned().collect();
         for id in missing {
@@ -98,45 +129,46 @@
     }
 
     /// Notes that an incarnation has ended for good, and tells whether it was known.
-    pub fn end(&mut self, id: &str) -> bool {
-        let Some((id, entry)) = self.entries.remove_entry(id) else {
-            return false;
-        };
-        if let Some(ids) = self.by_service.get_mut(&entry.upstream.service) {
-            ids.retain(|other| *other != id);
-        }
-        self.ended.insert(Name::clone(&id));
-        self.ended_order.push_back(id);
-        if self.ended_order.len() > MOST_ENDED
-            && let Some(oldest) = self.ended_order.pop_front()
-        {
-            self.ended.remove(&oldest);
-        }
-        true
+    pub fn end(&mut self, incarnation: &Incarnation) -> bool {
+        self.contains(incarnation) && self.remove(&incarnation.id, true)
     }
 
-    /// Removes the searchers whose entries did not return in time, and names them.
+    /// Removes the searchers whose entries did not return in time and names them, and takes in
+    /// the earlier starts whose entries still stand.
     ///
-    /// While the store is away nothing is removed, since nothing could return.
-    pub fn expire(&mut self, now: Instant, store_is_away: bool) -> Vec<Name> {
+    /// While the store is away nothing changes, since nothing could return.
+    pub fn expire(&mut self, now: Instant, store_is_away: bool) -> Vec<Incarnation> {
         if store_is_away {
             return Vec::new();
         }
-        let until = |missing: Instant| {
-            let doubted = missing + self.policy.usual;
-            self.regained.map_or(doubted, |back| doubted.max(back + self.policy.outage))
-        };
-        let late = |entry: &Entry| entry.missing_since.is_some_and(|missing| now >= until(missing));
-        let gone: Vec<Name> = self
-            .entries
+        let proven = |earlier: &Earlier| now >= self.until(Absence::Overwritten, earlier.since);
+        let proven: Vec<Name> = self
+            .earlier
             .iter()
-            .filter(|(_, entry)| late(entry))
+            .filter(|(_, earlier)| proven(earlier))
             .map(|(id, _)| Name::clone(id))
             .collect();
-        for id in &gone {
-            // It may come back under the same identifier, if only its entry was away.
-            self.end(id);
-            self.ended.remove(id);
+        let mut gone = Vec::new();
+        for id in proven {
+            gone.extend(self.entries.get(&id).map(|entry| entry.upstream.incarnation.clone()));
+            if let Some(earlier) = self.earlier.remove(&id) {
+                self.insert(earlier.upstream);
+            }
+        }
+        let late = |entry: &Entry| {
+            entry.missing.is_some_and(|(absence, since)| now >= self.until(absence, since))
+        };
+        let late: Vec<Arc<Upstream>> = self
+            .entries
+            .values()
+            .filter(|entry| late(entry))
+            .map(|entry| Arc::clone(&entry.upstream))
+            .collect();
+        for upstream in late {
+            // It may come back as the same incarnation, if only its entry was away.
+            let for_good = upstream.state == State::Draining;
+            self.remove(&upstream.incarnation.id, for_good);
+            gone.push(upstream.incarnation.clone());
         }
         gone
     }
@@ -150,17 +182,17 @@
             .flatten()
             .filter_map(|id| self.entries.get(id))
             .filter(|entry| entry.upstream.state == State::Ready)
-            .map(|entry| (&entry.upstream, entry.missing_since.is_some()))
+            .map(|entry| (&entry.upstream, entry.missing.is_some()))
     }
 
     /// Tells whether new work may be sent to an incarnation.
-    pub fn takes_work(&self, id: &str) -> bool {
-        self.entries.get(id).is_some_and(|entry| entry.upstream.state == State::Ready)
+    pub fn takes_work(&self, incarnation: &Incarnation) -> bool {
+        self.known(incarnation).is_some_and(|entry| entry.upstream.state == State::Ready)
     }
 
     /// Tells whether an incarnation is known.
-    pub fn contains(&self, id: &str) -> bool {
-        self.entries.contains_key(id)
+    pub fn contains(&self, incarnation: &Incarnation) -> bool {
+        self.known(incarnation).is_some()
     }
 
     /// Iterates over all known searchers.
@@ -177,4 +209,121 @@
     pub fn is_empty(&self) -> bool {
         self.entries.is_empty()
     }
+
+    fn known(&self, incarnation: &Incarnation) -> Option<&Entry> {
+        let entry = self.entries.get(&incarnation.id)?;
+        (entry.upstream.incarnation.born == incarnation.born).then_some(entry)
+    }
+
+    /// Takes in what the known incarnation says of itself now.
+    fn renew(&mut self, mut upstream: Upstream) -> bool {
+        let id = Name::clone(&upstream.incarnation.id);
+        let earlier = self.earlier.remove(&id).is_some();
+        let Some(known) = self.entries.get(&id) else { return false };
+        if known.upstream.state == State::Draining {
+            upstream.state = State::Draining;
+        }
+        // Read later, the same entry seems to be slow until later.
+        upstream.warm_at = upstream.warm_at.min(known.upstream.warm_at);
+        if known.missing.is_none() && !earlier && *known.upstream == upstream {
+            return false;
+        }
+        self.insert(upstream);
+        true
+    }
+
+    /// Puts an incarnation in the place of whatever is known of its searcher.
+    fn insert(&mut self, upstream: Upstream) {
+        let id = Name::clone(&upstream.incarnation.id);
+        self.earlier.remove(&id);
+        if let Some(before) = self.entries.get(&id) {
+            self.unlist(&id, &Name::clone(&before.upstream.service));
+        }
+        if self.ended.remove(&id).is_some() {
+            self.ended_order.retain(|ended| *ended != id);
+        }
+        let service = Name::clone(&upstream.service);
+        self.by_service.entry(service).or_default().insert(Name::clone(&id));
+        self.entries.insert(id, Entry { upstream: Arc::new(upstream), missing: None });
+    }
+
+    /// Notes an entry of an earlier start; the known one has lost its own.
+    fn note_earlier(&mut self, upstream: Upstream, now: Instant) -> bool {
+        let id = Name::clone(&upstream.incarnation.id);
+        let noted = self
+            .earlier
+            .get(&id)
+            .filter(|noted| noted.upstream.incarnation == upstream.incarnation);
+        let since = noted.map_or(now, |noted| noted.since);
+        self.earlier.insert(Name::clone(&id), Earlier { upstream, since });
+        self.lose(&id, (Absence::Overwritten, now))
+    }
+
+    /// Notes that a known searcher has no entry any more, and tells whether it had one.
+    fn lose(&mut self, id: &str, missing: (Absence, Instant)) -> bool {
+        let Some(entry) = self.entries.get_mut(id) else {
+            return false;
+        };
+        let draining = entry.upstream.state == State::Draining;
+        if missing.0 == Absence::Removed && (draining || !self.policy.on) {
+            return self.remove(id, true);
+        }
+        let before = entry.missing.map(|(absence, _)| absence);
+        // A removal is the more certain news.
+        if before.is_none() || (before, missing.0) == (Some(Absence::Overwritten), Absence::Removed)
+        {
+            entry.missing = Some(missing);
+        }
+        before.is_none()
+    }
+
+    fn remove(&mut self, id: &str, for_good: bool) -> bool {
+        let Some((id, entry)) = self.entries.remove_entry(id) else {
+            return false;
+        };
+        self.unlist(&id, &entry.upstream.service);
+        if !for_good {
+            return true;
+        }
+        self.ended.insert(Name::clone(&id), entry.upstream.incarnation.born);
+        self.ended_order.push_back(id);
+        if self.ended_order.len() > MOST_ENDED
+            && let Some(oldest) = self.ended_order.pop_front()
+        {
+            self.ended.remove(&oldest);
+        }
+        true
+    }
+
+    fn unlist(&mut self, id: &str, service: &Name) {
+        if let Some(ids) = self.by_service.get_mut(service) {
+            ids.remove(id);
+            if ids.is_empty() {
+                self.by_service.remove(service);
+            }
+        }
+    }
+
+    /// Puts the searchers in doubt that did not say when they started: others here do.
+    fn doubt_unborn(&mut self, now: Instant) {
+        let unborn: Vec<Name> = self
+            .entries
+            .values()
+            .filter(|entry| entry.upstream.incarnation.born.is_none())
+            .map(|entry| Name::clone(&entry.upstream.incarnation.id))
+            .collect();
+        for id in unborn {
+            self.overwrite(&id, now);
+        }
+    }
+
+    /// Returns until when an entry that is not there may return.
+    fn until(&self, absence: Absence, since: Instant) -> Instant {
+        let usual = match absence {
+            Absence::Removed => self.policy.usual,
+            Absence::Overwritten => self.policy.overwritten,
+        };
+        let doubted = since + usual;
+        self.regained.map_or(doubted, |back| doubted.max(back + self.policy.outage))
+    }
 }
--- a/crates/registry/src/upstream.rs
+++ b/crates/registry/src/upstream.rs
@@ -1,9 +1,34 @@
 //! One incarnation of a searcher as it published itself.
 
+use std::fmt;
 use std::net::SocketAddr;
 use std::time::Instant;
 
 use bergamot_base::Name;
+use serde::{Deserialize, Serialize};
+
+/// One start of a searcher.
+///
+/// A searcher may start again under the identifier that it had, and then holds nothing of
+/// before: what was seen of one incarnation never speaks for another. See
+/// `docs/design/0011-incarnations.md`.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Incarnation {
+    /// The identifier of the searcher.
+    pub id: Name,
+    /// When it started by its own clock, in Unix milliseconds; none where each start has an
+    /// identifier of its own.
+    pub born: Option<u64>,
+}
+
+impl fmt::Display for Incarnation {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self.born {
+            Some(born) => write!(f, "{}@{born}", self.id),
+            None => f.write_str(&self.id),
+        }
+    }
+}
 
 /// What a searcher says about taking new work.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -17,8 +42,8 @@
 /// One incarnation of a searcher.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Upstream {
-    /// The identifier of the incarnation.
-    pub id: Name,
+    /// Which start of which searcher it is.
+    pub incarnation: Incarnation,
     /// The service to which it belongs.
     pub service: Name,
     /// Where it listens.
--- a/crates/registry/tests/properties.rs
+++ b/crates/registry/tests/properties.rs
@@ -1,37 +1,49 @@
-//! Whatever the order of events, draining is final and an ended incarnation never returns.
+//! Whatever the order of events, who may get work is what a small model says that is written
+//! from the contract: draining is final for a start, one that ended never returns, the last one
+//! counts, and an earlier one only if its entry stands.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
-use bergamot_registry::{Registry, State, Upstream};
+use bergamot_registry::{Incarnation, Registry, State, Upstream};
 use proptest::prelude::*;
 
+/// How far apart events are.
+const STEP: Duration = Duration::from_millis(300);
+
 #[derive(Clone, Debug)]
 enum Event {
-    Publish(u8, bool),
+    Publish { id: u8, born: Option<u64>, service: u8, ready: bool },
+    Overwrite(u8),
     Disappear(u8),
-    End(u8),
-    List(BTreeSet<u8>),
+    End { id: u8, born: Option<u64> },
+    List(BTreeSet<(u8, u64)>),
     Expire(bool),
     Regain,
 }
 
-fn event() -> impl Strategy<Value = Event> {
-    let id = 0_u8..5;
+fn event(births: impl Strategy<Value = Option<u64>> + Clone) -> impl Strategy<Value = Event> {
+    let id = 0_u8..4;
     prop_oneof![
-        (id.clone(), any::<bool>()).prop_map(|(id, ready)| Event::Publish(id, ready)),
-        id.clone().prop_map(Event::Disappear),
-        id.clone().prop_map(Event::End),
-        prop::collection::btree_set(id, 0..5).prop_map(Event::List),
-        any::<bool>().prop_map(Event::Expire),
-        Just(Event::Regain),
+        5 => (id.clone(), births.clone(), 0_u8..2, any::<bool>())
+            .prop_map(|(id, born, service, ready)| Event::Publish { id, born, service, ready }),
+        1 => id.clone().prop_map(Event::Overwrite),
+        1 => id.clone().prop_map(Event::Disappear),
+        1 => (id.clone(), births).prop_map(|(id, born)| Event::End { id, born }),
+        1 => prop::collection::btree_set((id, 0_u64..4), 0..4).prop_map(Event::List),
+        3 => any::<bool>().prop_map(Event::Expire),
+        1 => Just(Event::Regain),
     ]
 }
 
-fn upstream(id: u8, ready: bool) -> Upstream {
+fn incarnation(id: u8, born: Option<u64>) -> Incarnation {
+    Incarnation { id: id.to_string().into(), born }
+}
+
+fn upstream(id: u8, born: Option<u64>, service: u8, ready: bool) -> Upstream {
     Upstream {
-        id: id.to_string().into(),
-        service: "s".into(),
+        incarnation: incarnation(id, born),
+        service: service.to_string().into(),
         address: ([127, 0, 0, 1], 9000).into(),
         zone: "z".into(),
         slots: 1,
@@ -40,50 +52,205 @@
     }
 }
 
-proptest! {
-    #[test]
-    fn no_order_of_events_brings_a_searcher_back(events in prop::collection::vec(event(), 0..80)) {
-        let mut registry = Registry::default();
-        let mut now = Instant::now();
-        let (mut ended, mut draining) = (BTreeSet::new(), BTreeSet::new());
-        for event in events {
-            now += Duration::from_millis(300);
-            match event {
-                Event::Publish(id, ready) => {
-                    registry.publish(upstream(id, ready));
-                    if !ready && registry.contains(&id.to_string()) {
-                        draining.insert(id);
-                    }
+/// Why an entry is not there, since when.
+type Absence = (bool, Instant);
+
+/// What one start has said of itself last.
+#[derive(Clone, Copy, Debug)]
+struct Said {
+    born: Option<u64>,
+    service: u8,
+    drains: bool,
+}
+
+/// What is known of one searcher, with plain fields and no index.
+#[derive(Clone, Copy, Debug, Default)]
+struct Model {
+    start: Option<Said>,
+    /// Whether the entry was removed, and not overwritten, and when.
+    absent: Option<Absence>,
+    /// The start that ended last, if no other has followed.
+    ended: Option<Said>,
+    /// An entry of an earlier start, and since when it stands.
+    earlier: Option<(Said, Instant)>,
+}
+
+impl Model {
+    fn publish(&mut self, said: Said, now: Instant) {
+        let latest = self.start.or(self.ended).map(|latest| latest.born);
+        match latest {
+            Some(latest) if said.born < latest => {
+                let known = self.earlier.filter(|(earlier, _)| earlier.born == said.born);
+                self.earlier = Some((said, known.map_or(now, |(_, since)| since)));
+                self.lose(false, now);
+            }
+            Some(latest) if said.born == latest => {
+                if let Some(start) = self.start {
+                    let drains = start.drains || said.drains;
+                    self.follow(Said { drains, ..said });
                 }
-                Event::Disappear(id) => {
-                    registry.disappear(&id.to_string(), now);
+            }
+            _ => self.follow(said),
+        }
+    }
+
+    fn follow(&mut self, said: Said) {
+        *self = Self { start: Some(said), ..Self::default() };
+    }
+
+    fn lose(&mut self, removed: bool, now: Instant) {
+        match (self.start, self.absent) {
+            (Some(start), _) if removed && start.drains => self.end(),
+            (Some(_), None) => self.absent = Some((removed, now)),
+            (Some(_), Some((false, _))) if removed => self.absent = Some((true, now)),
+            _ => {}
+        }
+    }
+
+    fn end(&mut self) {
+        self.ended = self.start;
+        (self.start, self.absent) = (None, None);
+    }
+
+    fn expire(&mut self, now: Instant, regained: Option<Instant>) {
+        let until = |(removed, since): Absence| {
+            let doubt = if removed { Duration::from_secs(1) } else { Duration::from_millis(2600) };
+            let back = regained.map(|back| back + Duration::from_millis(2200));
+            back.map_or(since + doubt, |back| back.max(since + doubt))
+        };
+        if let Some((said, since)) = self.earlier
+            && now >= until((false, since))
+        {
+            self.follow(said);
+        }
+        if self.absent.is_some_and(|absence| now >= until(absence)) {
+            if self.start.is_some_and(|start| start.drains) {
+                self.end();
+            } else {
+                (self.start, self.absent) = (None, None);
+            }
+        }
+    }
+}
+
+/// The searchers by number, and whether any has said when it started.
+#[derive(Debug, Default)]
+struct World {
+    models: [Model; 4],
+    births: bool,
+    regained: Option<Instant>,
+}
+
+impl World {
+    fn publish(&mut self, id: u8, said: Said, now: Instant) {
+        if said.born.is_none() && self.births {
+            return self.overwrite(id, now);
+        }
+        if said.born.is_some() && !self.births {
+            self.births = true;
+            for id in 0..4 {
+                if self.models[id].start.is_some_and(|start| start.born.is_none()) {
+                    self.models[id].lose(false, now);
                 }
-                Event::End(id) => {
-                    if registry.end(&id.to_string()) {
-                        ended.insert(id);
-                    }
+            }
+        }
+        self.models[usize::from(id)].publish(said, now);
+    }
+
+    fn overwrite(&mut self, id: u8, now: Instant) {
+        self.models[usize::from(id)].earlier = None;
+        self.models[usize::from(id)].lose(false, now);
+    }
+
+    fn disappear(&mut self, id: u8, now: Instant) {
+        self.models[usize::from(id)].earlier = None;
+        self.models[usize::from(id)].lose(true, now);
+    }
+
+    /// Lists who may get work of a service, and whether its entry is missing.
+    fn usable(&self, service: u8) -> Vec<(Incarnation, bool)> {
+        let starts = (0_u8..).zip(&self.models).filter_map(|(id, model)| {
+            let start = model.start.filter(|start| start.service == service && !start.drains)?;
+            Some((incarnation(id, start.born), model.absent.is_some()))
+        });
+        starts.collect()
+    }
+}
+
+fn run(events: Vec<Event>) -> Result<(), TestCaseError> {
+    let (mut registry, mut world, mut now) =
+        (Registry::default(), World::default(), Instant::now());
+    for event in events {
+        now += STEP;
+        match event {
+            Event::Publish { id, born, service, ready } => {
+                world.publish(id, Said { born, service, drains: !ready }, now);
+                registry.publish(upstream(id, born, service, ready), now);
+            }
+            Event::Overwrite(id) => {
+                world.overwrite(id, now);
+                registry.overwrite(&id.to_string(), now);
+            }
+            Event::Disappear(id) => {
+                world.disappear(id, now);
+                registry.disappear(&id.to_string(), now);
+            }
+            Event::End { id, born } => {
+                let model = &mut world.models[usize::from(id)];
+                let known = model.start.is_some_and(|start| start.born == born);
+                if known {
+                    model.end();
                 }
-                Event::List(ids) => {
-                    registry.replace(ids.into_iter().map(|id| upstream(id, true)).collect(), now);
+                prop_assert_eq!(registry.end(&incarnation(id, born)), known);
+            }
+            Event::List(ids) => {
+                let listing: BTreeMap<u8, u64> = ids.into_iter().collect();
+                for (id, born) in &listing {
+                    world.publish(*id, Said { born: Some(*born), service: 0, drains: false }, now);
                 }
-                Event::Expire(away) => {
-                    let gone = registry.expire(now, away);
-                    prop_assert!(!away || gone.is_empty());
-                    for id in gone {
-                        // It left by its entry alone, and may publish itself anew.
-                        draining.remove(&id.parse().unwrap_or(u8::MAX));
-                    }
+                for id in (0..4).filter(|id| !listing.contains_key(id)) {
+                    world.disappear(id, now);
                 }
-                Event::Regain => registry.regained(now),
+                let listing = listing.into_iter();
+                let listing = listing.map(|(id, born)| upstream(id, Some(born), 0, true));
+                registry.replace(listing.collect(), now);
             }
-            for id in &ended {
-                prop_assert!(!registry.contains(&id.to_string()), "{id} returned");
+            Event::Expire(away) => {
+                registry.expire(now, away);
+                let regained = world.regained;
+                world.models.iter_mut().filter(|_| !away).for_each(|one| one.expire(now, regained));
             }
-            for id in draining.iter().filter(|id| registry.contains(&id.to_string())) {
-                prop_assert!(!registry.takes_work(&id.to_string()), "{id} takes work again");
+            Event::Regain => {
+                world.regained = Some(now);
+                registry.regained(now);
             }
-            let usable: Vec<_> = registry.usable("s").map(|(up, _)| up.id.to_string()).collect();
-            prop_assert!(usable.iter().all(|id| registry.takes_work(id)));
         }
+        for service in 0..2_u8 {
+            let usable: Vec<(Incarnation, bool)> = registry
+                .usable(&service.to_string())
+                .map(|(upstream, missing)| (upstream.incarnation.clone(), missing))
+                .collect();
+            prop_assert!(usable.iter().all(|(searcher, _)| registry.takes_work(searcher)));
+            prop_assert_eq!(usable, world.usable(service));
+        }
+    }
+    Ok(())
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::default() })]
+
+    #[test]
+    fn starts_under_one_identifier(
+        events in prop::collection::vec(event((0_u64..4).prop_map(Some)), 0..80)
+    ) {
+        run(events)?;
+    }
+
+    #[test]
+    fn entries_with_and_without_a_start(
+        events in prop::collection::vec(event(prop::option::of(0_u64..3)), 0..80)
+    ) {
+        run(events)?;
     }
 }
--- a/crates/relay/src/dialect.rs
+++ b/crates/relay/src/dialect.rs
@@ -14,8 +14,9 @@
     pub id: &'a HeaderValue,
     /// How long the caller still waits.
     pub left: Duration,
-    /// The incarnation that is meant; any other at the address must not run the request.
-    pub incarnation: &'a str,
+    /// The identifier of the searcher that is meant; any other at the address must not run the
+    /// request.
+    pub searcher: &'a str,
 }
 
 /// What the head of a searcher's answer says besides its content.
@@ -27,10 +28,10 @@
     pub signature: Option<HeaderValue>,
     /// Whether the searcher says that it did not run the request.
     pub not_run: bool,
-    /// Whether another incarnation answered than the one that was meant.
+    /// Whether another searcher answered than the one that was meant.
     pub misdirected: bool,
-    /// The incarnation that answered, if it names itself.
-    pub incarnation: Option<Name>,
+    /// The identifier of the searcher that answered, if it names itself.
+    pub searcher: Option<Name>,
 }
 
 /// One way of speaking with searchers.
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -84,12 +84,12 @@
     offer: Instant,
     end: Instant,
 ) -> Result<Passed, Miss> {
-    let id = &link.upstream.id;
+    let searcher = &link.upstream.incarnation;
     let lease = link.pool.lease(deadline(offer)).await.map_err(|fault| {
         link.outlook().fail(Instant::now());
         Miss::new(Ending::NotSent, fault)
     })?;
-    if !relay.takes_work(id) {
+    if !relay.takes_work(searcher) {
         lease.give_back().await;
         return Err(Miss::new(Ending::NotSent, "the searcher leaves"));
     }
@@ -158,7 +158,7 @@
     *request.method_mut() = job.request.method.clone();
     *request.uri_mut() = job.request.uri.clone();
     *request.headers_mut() = job.request.headers.clone();
-    let ask = Ask { id: &job.request.id, left, incarnation: &link.upstream.id };
+    let ask = Ask { id: &job.request.id, left, searcher: &link.upstream.incarnation.id };
     (relay.dialect().ask)(&ask, request.headers_mut());
     Ok(request)
 }
@@ -172,7 +172,7 @@
 ) -> Result<Passed, Miss> {
     let status = response.status();
     if reading.misdirected {
-        relay.ended(&link.upstream.id, reading.incarnation.as_deref());
+        relay.ended(&link.upstream.incarnation, reading.searcher.as_deref());
         return Err(Miss::new(Ending::NotRun, "another searcher has the address"));
     }
     if reading.not_run {
--- a/crates/relay/src/gather.rs
+++ b/crates/relay/src/gather.rs
@@ -23,7 +23,7 @@
 use crate::delegate::{self, Elsewhere, Wanted};
 use crate::message::{Cause, Job, Passed, Refusal, Reply, Whole};
 use crate::parts::{Merged, Parts};
-use crate::race::{Lost, Plan, Race};
+use crate::race::{Lost, Plan, Race, Tried};
 use crate::relay::Relay;
 
 /// What a part of the work has brought.
@@ -150,7 +150,7 @@
         state
     }
 
-    fn race(&mut self, shard: &'a Name, tried: Vec<Name>) {
+    fn race(&mut self, shard: &'a Name, tried: Vec<Tried>) {
         let mut plan = self.plan.clone();
         if !tried.is_empty() {
             plan.hedge = None;
@@ -202,7 +202,7 @@
             Piece::Many(asked, None) => {
                 for shard in asked.shards {
                     // Whom the member asked is not known; it counts as one attempt.
-                    self.race(shard, vec![Name::from("")]);
+                    self.race(shard, vec![Tried::Unnamed]);
                     self.close(shard);
                 }
             }
@@ -225,14 +225,14 @@
                 Shard::In(signature) => {
                     signatures.extend(self.accept(shard, read(&signature)));
                 }
-                Shard::Silent(id) => {
+                Shard::Silent(searcher) => {
                     self.worst = Ending::Unknown;
-                    self.race(shard, vec![id]);
+                    self.race(shard, vec![Tried::Searcher(searcher)]);
                 }
-                Shard::Failed(id) => {
+                Shard::Failed(searcher) => {
                     self.worst = Ending::Unknown;
-                    self.relay.note_failure(&id);
-                    self.race(shard, vec![id]);
+                    self.relay.note_failure(&searcher);
+                    self.race(shard, vec![Tried::Searcher(searcher)]);
                     self.close(shard);
                 }
                 Shard::NotAsked => {
--- a/crates/relay/src/helper.rs
+++ b/crates/relay/src/helper.rs
@@ -6,7 +6,7 @@
 
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, OnceLock, PoisonError};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use bergamot_base::Name;
 use bergamot_declaration::Kind;
@@ -23,6 +23,9 @@
 use crate::meter::Reason;
 use crate::relay::Relay;
 
+/// The longest time that another member's question may give: longer than any caller waits.
+const LONGEST_QUESTION: Duration = Duration::from_hours(1);
+
 /// What remains after the answers to questions, by its token.
 #[derive(Debug, Default)]
 pub(crate) struct Rests {
@@ -63,7 +66,8 @@
 /// Answers the question of another member.
 pub(crate) async fn answer(relay: &Arc<Relay>, query: ShardQuery) -> ShardReply {
     let received = Instant::now();
-    let (until, end) = (received + query.answer_within, received + query.deadline);
+    let moment = |wait: Duration| received + wait.min(LONGEST_QUESTION);
+    let (until, end) = (moment(query.answer_within), moment(query.deadline));
     let (names, top_k) = (query.shards.clone(), query.top_k as usize);
     let enough = (query.enough as usize).saturating_mul(RECORD);
     let mut shards = vec![Shard::NotAsked; names.len()];
@@ -86,8 +90,8 @@
             }
             Err(miss) => {
                 relay.meter().ending(miss.ending);
-                if let Shard::Silent(id) = &shards[index] {
-                    shards[index] = Shard::Failed(Name::clone(id));
+                if let Shard::Silent(searcher) = &shards[index] {
+                    shards[index] = Shard::Failed(searcher.clone());
                 }
             }
         }
@@ -123,7 +127,7 @@
     for (index, name) in names.iter().enumerate() {
         let Some(link) = relay.choose(name, &[]) else { continue };
         relay.meter().attempt(Reason::Delegated, link.distance);
-        shards[index] = Shard::Silent(Name::clone(&link.upstream.id));
+        shards[index] = Shard::Silent(link.upstream.incarnation.clone());
         let attempt = Attempt::start(relay, link, &job, (until, end), results.clone());
         running.push((index, attempt));
     }
--- a/crates/relay/src/link.rs
+++ b/crates/relay/src/link.rs
@@ -3,6 +3,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Instant;
 
+use bergamot_base::Name;
 use bergamot_dispatch::{Candidate, Distance, Outlook, Rhythm};
 use bergamot_policy::Policy;
 use bergamot_registry::Upstream;
@@ -45,6 +46,12 @@
         Arc::new(Self { upstream, pool, distance, policy, outlook, warmed })
     }
 
+    /// Tells whether a searcher is still where it said that it was, and serves the same service.
+    pub(crate) fn leads_to(&self, upstream: &Upstream) -> bool {
+        let of = |upstream: &Upstream| (upstream.address, Name::clone(&upstream.service));
+        of(&self.upstream) == of(upstream)
+    }
+
     /// Returns what this member has seen of the searcher.
     pub(crate) fn outlook(&self) -> MutexGuard<'_, Outlook> {
         self.outlook.lock().unwrap_or_else(PoisonError::into_inner)
--- a/crates/relay/src/meter.rs
+++ b/crates/relay/src/meter.rs
@@ -47,6 +47,7 @@
     endings: IntCounterVec,
     pub(crate) news: IntCounterVec,
     pub(crate) news_bytes: IntCounterVec,
+    pub(crate) unreadable: IntCounter,
     pub(crate) denied: IntCounter,
     pub(crate) missing_parts: IntCounter,
     pub(crate) lacking: IntCounter,
@@ -103,6 +104,10 @@
                 "Bytes of the store's records by where they came from, and those sent on.",
                 &["way"],
             ),
+            unreadable: counter(
+                "bergamot_relay_unreadable_records_total",
+                "Records of the store that can't be used.",
+            ),
             denied: counter(
                 "bergamot_relay_denied_total",
                 "Additional attempts that the bound did not allow.",
--- a/crates/relay/src/race.rs
+++ b/crates/relay/src/race.rs
@@ -4,6 +4,7 @@
 //! arrival beyond the first is paid from the service's allowance; a request that may run
 //! once at most has one attempt at a time, and another only after a certain end.
 
+use std::fmt;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -11,6 +12,7 @@
 use bergamot_declaration::Kind;
 use bergamot_dispatch::{Ending, Need, Patience};
 use bergamot_policy::Policy;
+use bergamot_registry::Incarnation;
 use tokio::sync::mpsc;
 use tokio::time::sleep_until;
 
@@ -31,6 +33,24 @@
     pub(crate) failure: Option<Box<Passed>>,
 }
 
+/// Who was asked for a request already.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum Tried {
+    /// This searcher.
+    Searcher(Incarnation),
+    /// Some searcher, by a member that did not say which.
+    Unnamed,
+}
+
+impl fmt::Display for Tried {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Searcher(searcher) => searcher.fmt(f),
+            Self::Unnamed => Ok(()),
+        }
+    }
+}
+
 /// The moments and the past of a race.
 #[derive(Clone, Debug)]
 pub(crate) struct Plan {
@@ -43,7 +63,7 @@
     /// When the answer is of no use any more.
     pub(crate) end: Instant,
     /// The searchers that were asked already, on our behalf.
-    pub(crate) tried: Vec<Name>,
+    pub(crate) tried: Vec<Tried>,
 }
 
 impl Plan {
@@ -132,7 +152,7 @@
                     self.running.retain(|attempt| !Arc::ptr_eq(&attempt.link, &link));
                     match outcome {
                         Ok(passed) => return Some(passed),
-                        Err(miss) => self.record(&link.upstream.id, miss),
+                        Err(miss) => self.record(&link.upstream.incarnation, miss),
                     }
                     let over = self.running.is_empty();
                     if over && !(self.may_follow() && self.follow().await) {
@@ -191,11 +211,11 @@
     }
 
     /// Takes in the end of an attempt.
-    fn record(&mut self, id: &Name, miss: Miss) {
+    fn record(&mut self, searcher: &Incarnation, miss: Miss) {
         let request = &self.job.request.id;
         let (service, ending, cause) = (self.service, miss.ending, &miss.cause);
         log::info!(
-            "relay: event=attempt_failed request={request:?} service={service} searcher={id} \
+            "relay: event=attempt_failed request={request:?} service={service} searcher={searcher} \
              ending={ending:?} cause=\"{cause}\""
         );
         self.relay.meter().ending(ending);
@@ -235,7 +255,7 @@
         }
         self.relay.meter().attempt(reason, link.distance);
         self.arrived += 1;
-        self.plan.tried.push(Name::clone(&link.upstream.id));
+        self.plan.tried.push(Tried::Searcher(link.upstream.incarnation.clone()));
         // An attempt after the first has as long to find a connection as the first had.
         let found = self.plan.offer.saturating_duration_since(self.job.request.received);
         let offer = self.plan.offer.max(Instant::now() + found).min(self.plan.end);
@@ -254,7 +274,8 @@
             return;
         }
         let (request, service) = (&self.job.request.id, self.service);
-        let (tried, denied) = (&self.plan.tried, self.denied);
+        let tried: Vec<String> = self.plan.tried.iter().map(ToString::to_string).collect();
+        let denied = self.denied;
         let took = self.job.request.received.elapsed().as_millis();
         log::info!(
             "relay: event=shard_left_out request={request:?} service={service} tried={tried:?} \
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -124,7 +124,7 @@
         }
         let now = Instant::now();
         for upstream in state.registry.iter() {
-            let line = state.links.get(&upstream.id).map_or_else(
+            let line = state.links.get(&upstream.incarnation).map_or_else(
                 || "not_linked".to_owned(),
                 |link| {
                     let usage = link.pool.usage();
@@ -133,9 +133,12 @@
                     format!("connections {open}/{share} idle {idle} expected_ms {expected:.1}")
                 },
             );
-            let Upstream { id, service, address, zone, state, .. } = &**upstream;
+            let Upstream { incarnation, service, address, zone, state, .. } = &**upstream;
             // Writing into a string can't fail.
-            let _ = writeln!(text, "searcher {id} {service} {address} {zone} {state:?} {line}");
+            let _ = writeln!(
+                text,
+                "searcher {incarnation} {service} {address} {zone} {state:?} {line}"
+            );
         }
         text
     }
@@ -251,6 +254,11 @@
         self.meter.news_bytes.with_label_values(&[origin]).inc_by(bytes as u64);
     }
 
+    /// Counts a record of the store that can't be used.
+    pub fn count_unreadable(&self) {
+        self.meter.unreadable.inc();
+    }
+
     /// Notes how many bytes of news this member has sent to others so far.
     pub fn set_news_sent(&self, bytes: u64) {
         let sent = self.meter.news_bytes.with_label_values(&["sent"]);
@@ -273,15 +281,17 @@
         self.beat();
         let mut state = self.lock();
         let away = state.store_away_since.is_some();
-        for id in state.registry.expire(Instant::now(), away) {
-            log::info!("relay: event=searcher_gone searcher={id} cause=\"its entry is missing\"");
+        for searcher in state.registry.expire(Instant::now(), away) {
+            log::info!(
+                "relay: event=searcher_gone searcher={searcher} cause=\"its entry is missing\""
+            );
         }
         let changed = state.members != members;
         state.members = members;
         let State { registry, links, .. } = &mut *state;
-        links.retain(|id, link| {
-            let known = registry.contains(id);
-            if !known || !registry.takes_work(id) {
+        links.retain(|searcher, link| {
+            let known = registry.contains(searcher);
+            if !known || !registry.takes_work(searcher) {
                 link.pool.close();
             }
             known
--- a/crates/relay/src/searchers.rs
+++ b/crates/relay/src/searchers.rs
@@ -10,20 +10,26 @@
 use bergamot_base::{Name, hash_bytes};
 use bergamot_declaration::{Route, Target};
 use bergamot_dispatch::{Distance, Need, rank, sufficient};
-use bergamot_registry::Upstream;
+use bergamot_registry::{Incarnation, Upstream};
 use bergamot_upstream::Pace;
 use bergamot_wire::Quiet;
 use rand::RngExt;
 
 use crate::delegate::Elsewhere;
 use crate::link::Link;
+use crate::race::Tried;
 use crate::relay::Relay;
 use crate::settings::Settings;
 use crate::state::{State, share};
 
 /// Names an incarnation among the few of a shard.
-fn short(id: &str) -> u32 {
-    hash_bytes(id.as_bytes()) as u32
+fn short(searcher: &Incarnation) -> u32 {
+    hash_bytes(searcher.to_string().as_bytes()) as u32
+}
+
+/// Tells whether a searcher was asked already.
+fn asked(tried: &[Tried], searcher: &Incarnation) -> bool {
+    tried.iter().any(|tried| matches!(tried, Tried::Searcher(asked) if asked == searcher))
 }
 
 impl Relay {
@@ -94,14 +100,14 @@
     }
 
     /// Chooses the searcher for the next attempt among those not tried yet.
-    pub(crate) fn choose(&self, service: &str, tried: &[Name]) -> Option<Arc<Link>> {
+    pub(crate) fn choose(&self, service: &str, tried: &[Tried]) -> Option<Arc<Link>> {
         let now = Instant::now();
         let mut state = self.lock();
         let share = share(&state, service);
         let State { registry, links, .. } = &mut *state;
         let candidates = registry
             .usable(service)
-            .filter(|(upstream, _)| !tried.contains(&upstream.id))
+            .filter(|(upstream, _)| !asked(tried, &upstream.incarnation))
             .map(|(upstream, missing)| self.link(links, upstream, share).candidate(missing, now))
             .collect();
         drop(state);
@@ -111,19 +117,23 @@
 
     pub(crate) fn link(
         &self,
-        links: &mut HashMap<Name, Arc<Link>>,
+        links: &mut HashMap<Incarnation, Arc<Link>>,
         upstream: &Arc<Upstream>,
         share: usize,
     ) -> Arc<Link> {
-        let link = links.entry(Name::clone(&upstream.id)).or_insert_with(|| {
-            Link::new(Arc::clone(upstream), share, self.rhythm.clone(), &self.settings)
-        });
+        let make = || Link::new(Arc::clone(upstream), share, self.rhythm.clone(), &self.settings);
+        let link = links.entry(upstream.incarnation.clone()).or_insert_with(make);
+        if !link.leads_to(upstream) {
+            // Its connections would go where it said that it was before.
+            link.pool.close();
+            *link = make();
+        }
         Arc::clone(link)
     }
 
     /// Notes that a searcher failed a request that another member sent it for us.
-    pub(crate) fn note_failure(&self, id: &str) {
-        if let Some(link) = self.lock().links.get(id) {
+    pub(crate) fn note_failure(&self, searcher: &Incarnation) {
+        if let Some(link) = self.lock().links.get(searcher) {
             link.outlook().fail(Instant::now());
         }
     }
@@ -135,11 +145,12 @@
         let mut quiet = Vec::new();
         for (index, shard) in shards.iter().enumerate() {
             let known = state.registry.usable(shard);
-            let links = known.filter_map(|(upstream, _missing)| state.links.get(&upstream.id));
+            let links =
+                known.filter_map(|(upstream, _missing)| state.links.get(&upstream.incarnation));
             for link in links.filter(|link| link.distance != Distance::Far) {
                 let Some((begin, end)) = link.outlook().next_silence(now) else { continue };
                 let ms = |moment: Instant| moment.saturating_duration_since(now).as_millis() as u32;
-                let searcher = short(&link.upstream.id);
+                let searcher = short(&link.upstream.incarnation);
                 let (begins_ms, ends_ms) = (ms(begin), ms(end));
                 quiet.push(Quiet { index: index as u32, searcher, begins_ms, ends_ms });
             }
@@ -153,8 +164,9 @@
         let at = |ms: u32| now + Duration::from_millis(u64::from(ms));
         let state = self.lock();
         let known = state.registry.usable(shard);
-        let mut links = known.filter_map(|(upstream, _missing)| state.links.get(&upstream.id));
-        if let Some(link) = links.find(|link| short(&link.upstream.id) == quiet.searcher) {
+        let mut links =
+            known.filter_map(|(upstream, _missing)| state.links.get(&upstream.incarnation));
+        if let Some(link) = links.find(|link| short(&link.upstream.incarnation) == quiet.searcher) {
             link.outlook().tell(at(quiet.begins_ms), at(quiet.ends_ms));
         }
     }
@@ -197,7 +209,7 @@
         let fastest = |service: &Name| {
             let known = state.registry.usable(service).map(|(upstream, _missing)| {
                 // Nothing has been seen of one that has no link yet.
-                state.links.get(&upstream.id).map_or(0.0, |link| link.delay(now))
+                state.links.get(&upstream.incarnation).map_or(0.0, |link| link.delay(now))
             });
             known.min_by(f64::total_cmp)
         };
@@ -218,16 +230,16 @@
     }
 
     /// Tells whether new work may be sent to an incarnation.
-    pub(crate) fn takes_work(&self, id: &str) -> bool {
-        self.lock().registry.takes_work(id)
+    pub(crate) fn takes_work(&self, searcher: &Incarnation) -> bool {
+        self.lock().registry.takes_work(searcher)
     }
 
     /// Notes that an incarnation has ended, since another answered at its address.
-    pub(crate) fn ended(&self, id: &Name, other: Option<&str>) {
+    pub(crate) fn ended(&self, searcher: &Incarnation, other: Option<&str>) {
         let other = other.unwrap_or("unnamed");
-        if self.lock().registry.end(id) {
+        if self.lock().registry.end(searcher) {
             log::info!(
-                "relay: event=searcher_gone searcher={id} cause=\"{other} has its address\""
+                "relay: event=searcher_gone searcher={searcher} cause=\"{other} has its address\""
             );
         }
     }
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -10,7 +10,7 @@
 use bergamot_dispatch::{Allowance, Arrivals};
 use bergamot_logger::Sampler;
 use bergamot_policy::Policy;
-use bergamot_registry::Registry;
+use bergamot_registry::{Incarnation, Registry};
 use bergamot_upstream::Pace;
 
 use crate::link::Link;
@@ -30,7 +30,7 @@
     pub(crate) floor: Floor,
     pub(crate) declaration: Option<Arc<Declaration>>,
     pub(crate) registry: Registry,
-    pub(crate) links: HashMap<Name, Arc<Link>>,
+    pub(crate) links: HashMap<Incarnation, Arc<Link>>,
     pub(crate) splits: HashMap<Name, Split>,
     pub(crate) allowances: HashMap<Name, Allowance>,
     pub(crate) paces: HashMap<Name, Pace>,
--- a/crates/relay/tests/awake.rs
+++ b/crates/relay/tests/awake.rs
@@ -28,7 +28,7 @@
     tokio::task::yield_now().await;
     relay.tick(1, false);
     let left = bergamot_registry::Upstream { state: State::Draining, ..upstream("i1", "a", &a) };
-    relay.with_registry(|registry| registry.publish(left));
+    relay.with_registry(|registry| registry.publish(left, Instant::now()));
     relay.heard(Instant::now());
     let reply = asking.await.expect("it does not panic");
     assert!(matches!(reply, Reply::Refused(refusal) if refusal.cause == Cause::NotRun));
--- a/crates/relay/tests/helped.rs
+++ b/crates/relay/tests/helped.rs
@@ -12,7 +12,7 @@
 use bergamot_relay::{Helper, Helping, Relay, Whole};
 use bergamot_standin::Script;
 use bergamot_wire::{Late, Quiet, Shard, ShardReply};
-use support::{gather, part, record, relay_beside, request, route, upstream, whole};
+use support::{gather, incarnation, part, record, relay_beside, request, route, upstream, whole};
 
 const MEMBER: Ipv4Addr = Ipv4Addr::new(10, 0, 0, 9);
 
@@ -76,7 +76,7 @@
 #[tokio::test]
 async fn what_a_member_missed_is_asked_of_another_searcher_and_not_of_the_same() {
     let (west, east) = (part(1).await, part(2).await);
-    let silent = Shard::Silent("a-west".into());
+    let silent = Shard::Silent(incarnation("a-west"));
     let shards = vec![silent, Shard::In(b"s2".to_vec())];
     let reply = ShardReply { shards, records: record(3), left_out: 0, rest: 0, quiet: Vec::new() };
     let relay = relay(reply, Vec::new(), &west, &east);
@@ -88,7 +88,7 @@
 #[tokio::test]
 async fn a_shard_that_comes_in_later_at_the_member_is_taken_once() {
     let (west, east) = (part(1).await, part(2).await);
-    let shards = vec![Shard::In(b"s1".to_vec()), Shard::Silent("b-west".into())];
+    let shards = vec![Shard::In(b"s1".to_vec()), Shard::Silent(incarnation("b-west"))];
     let reply = ShardReply { shards, records: record(9), left_out: 0, rest: 7, quiet: Vec::new() };
     // Shard `b` has no other searcher: only the member can still bring it.
     let late = vec![Late { index: 1, signature: Some(b"late".to_vec()), records: record(5) }];
@@ -103,7 +103,7 @@
 async fn brief(first: u8, left_out: u64) -> Whole {
     let (west, east) = (part(1).await, part(2).await);
     // Of shard `a` there is a silent searcher in the west and another in the east.
-    let shards = vec![Shard::Silent("a-west".into()), Shard::In(b"s2".to_vec())];
+    let shards = vec![Shard::Silent(incarnation("a-west")), Shard::In(b"s2".to_vec())];
     let reply = ShardReply { shards, records: record(first), left_out, rest: 0, quiet: Vec::new() };
     let relay = relay(reply, Vec::new(), &west, &east);
     whole(relay.handle(request("/q/")).await)
--- a/crates/relay/tests/one.rs
+++ b/crates/relay/tests/one.rs
@@ -2,7 +2,7 @@
 
 mod support;
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bergamot_declaration::{Kind, Target};
 use bergamot_registry::State;
@@ -198,7 +198,7 @@
     let relay = relay(vec![route("/a/", Kind::Idempotent, service())], upstreams);
     let draining =
         bergamot_registry::Upstream { state: State::Draining, ..upstream("i1", "s", &one) };
-    relay.with_registry(|registry| registry.publish(draining));
+    relay.with_registry(|registry| registry.publish(draining, Instant::now()));
     for _ in 0..6 {
         assert_eq!(&*passed(relay.handle(request("/a/")).await).body, b"two");
     }
--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -8,7 +8,7 @@
 use bergamot_base::Name;
 use bergamot_declaration::{Declaration, Gather, Kind, Route, Service, Target};
 use bergamot_dispatch::Terms;
-use bergamot_registry::{State, Upstream};
+use bergamot_registry::{Incarnation, State, Upstream};
 use bergamot_relay::{Ask, Dialect, Helping, Reading, Relay, Reply, Request, Settings, Whole};
 use bergamot_standin::{Script, Seen, Step};
 use bytes::Bytes;
@@ -22,7 +22,7 @@
 fn ask(ask: &Ask<'_>, headers: &mut HeaderMap) {
     headers.insert("x-id", ask.id.clone());
     headers.insert("x-left", HeaderValue::from(ask.left.as_millis() as u64));
-    headers.insert("x-meant", ask.incarnation.parse().expect("it is a header's value"));
+    headers.insert("x-meant", ask.searcher.parse().expect("it is a header's value"));
 }
 
 fn read(parts: &Parts) -> Reading {
@@ -33,7 +33,7 @@
         signature: header("x-signature"),
         not_run: misdirected || parts.headers.contains_key("x-not-run"),
         misdirected,
-        incarnation: None,
+        searcher: None,
     }
 }
 
@@ -58,10 +58,15 @@
     vec![Step::Send(text.into_bytes())]
 }
 
+/// The only start of a searcher.
+pub fn incarnation(id: &str) -> Incarnation {
+    Incarnation { id: id.into(), born: None }
+}
+
 /// A searcher of a service, with an identifier.
 pub fn upstream(id: &str, service: &str, script: &Script) -> Upstream {
     Upstream {
-        id: id.into(),
+        incarnation: incarnation(id),
         service: service.into(),
         address: script.address(),
         zone: "here".into(),
@@ -133,7 +138,7 @@
     let declaration = Declaration { version: 1, routes, services, ..Declaration::default() };
     relay.declare(declaration.check().expect("the declaration is valid"));
     for upstream in upstreams {
-        relay.with_registry(|registry| registry.publish(upstream));
+        relay.with_registry(|registry| registry.publish(upstream, Instant::now()));
     }
     relay
 }
--- a/crates/wire/src/member.rs
+++ b/crates/wire/src/member.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use bergamot_base::Name;
+use bergamot_registry::Incarnation;
 use serde::{Deserialize, Serialize};
 
 /// A caller's request for some shards, asked on behalf of another member.
@@ -40,10 +41,10 @@
 pub enum Shard {
     /// It is in, with the searcher's signature.
     In(Vec<u8>),
-    /// It is not, and this incarnation was asked and is silent.
-    Silent(Name),
-    /// It is not, since this incarnation failed or refused the request.
-    Failed(Name),
+    /// It is not, and this searcher was asked and is silent.
+    Silent(Incarnation),
+    /// It is not, since this searcher failed or refused the request.
+    Failed(Incarnation),
     /// It is not, and nobody was asked.
     NotAsked,
 }
--- a/daemons/src/bin/bergamot-entry.rs
+++ b/daemons/src/bin/bergamot-entry.rs
@@ -3,8 +3,10 @@
 use std::process::ExitCode;
 
 use bergamot_entry::{Entry, Running};
+use bergamotstand::Service;
 
 fn main() -> ExitCode {
     let about = "serves callers' queries and writes";
-    bergamotstand::run("bergamot-entry", about, Entry::start, Running::stop)
+    let service = Service { start: Entry::start, failed: Running::failed, stop: Running::stop };
+    bergamotstand::run("bergamot-entry", about, &service)
 }
--- a/daemons/src/bin/bergamot-gather.rs
+++ b/daemons/src/bin/bergamot-gather.rs
@@ -3,8 +3,10 @@
 use std::process::ExitCode;
 
 use bergamot_gather::{Gather, Running};
+use bergamotstand::Service;
 
 fn main() -> ExitCode {
     let about = "holds connections to searchers and runs sub-queries";
-    bergamotstand::run("bergamot-gather", about, Gather::start, Running::stop)
+    let service = Service { start: Gather::start, failed: Running::failed, stop: Running::stop };
+    bergamotstand::run("bergamot-gather", about, &service)
 }
--- a/daemons/src/launch.rs
+++ b/daemons/src/launch.rs
@@ -106,16 +106,24 @@
     list: bool,
 }
 
-/// Runs a daemon: `start` a service, wait for a stop signal, `stop` it gracefully.
-pub fn run<S, R, T>(
-    program: &str,
-    about: &str,
-    start: impl Fn(Arc<Settings>) -> S,
-    stop: impl Fn(R) -> T,
-) -> ExitCode
+/// How a service is started, watched and stopped.
+#[derive(Clone, Copy, Debug)]
+pub struct Service<S, F, T> {
+    /// Starts it.
+    pub start: S,
+    /// Waits until it has failed, which it may never do.
+    pub failed: F,
+    /// Stops it gracefully.
+    pub stop: T,
+}
+
+/// Runs a daemon: starts a service, waits for a stop signal or its failure, and stops it
+/// gracefully.
+pub fn run<R, S, F, T>(program: &str, about: &str, service: &Service<S, F, T>) -> ExitCode
 where
-    S: Future<Output = Result<R, bergamot_net::Fault>>,
-    T: Future<Output = ()>,
+    S: AsyncFn(Arc<Settings>) -> Result<R, bergamot_net::Fault>,
+    F: AsyncFn(&R),
+    T: AsyncFn(R),
 {
     let args: Vec<String> = std::env::args().skip(1).collect();
     let options = match Daemon::parse_args_default(&args) {
@@ -148,35 +156,41 @@
         return ExitCode::SUCCESS;
     }
     env_logger::Builder::from_env(env_logger::Env::default().default_filter_or(LOG_FILTER)).init();
-    match serve(settings, start, stop) {
+    match serve(settings, service) {
         Ok(code) => code,
         Err(failure) => failure.report(program),
     }
 }
 
 #[tokio::main]
-async fn serve<S, R, T>(
+async fn serve<R, S, F, T>(
     settings: Settings,
-    start: impl Fn(Arc<Settings>) -> S,
-    stop: impl Fn(R) -> T,
+    service: &Service<S, F, T>,
 ) -> Result<ExitCode, Failure>
 where
-    S: Future<Output = Result<R, bergamot_net::Fault>>,
-    T: Future<Output = ()>,
+    S: AsyncFn(Arc<Settings>) -> Result<R, bergamot_net::Fault>,
+    F: AsyncFn(&R),
+    T: AsyncFn(R),
 {
     // Signals that arrive while the daemon starts must stop it too.
     let asked = tokio::spawn(stop_signal(false));
     tokio::pin!(asked);
     let running = tokio::select! {
-        running = start(Arc::new(settings)) => running.map_err(Failure::failed)?,
+        running = (service.start)(Arc::new(settings)) => running.map_err(Failure::failed)?,
         _ = &mut asked => return Ok(ExitCode::SUCCESS),
     };
-    asked.await.map_err(Failure::failed)?.map_err(Failure::failed)?;
+    let code = tokio::select! {
+        asked = &mut asked => {
+            asked.map_err(Failure::failed)?.map_err(Failure::failed)?;
+            ExitCode::SUCCESS
+        }
+        () = (service.failed)(&running) => ExitCode::FAILURE,
+    };
     tokio::select! {
-        () = stop(running) => Ok(ExitCode::SUCCESS),
+        () = (service.stop)(running) => Ok(code),
         asked = stop_signal(true) => match asked {
             Ok(Stop::Now) => Err(Failure::failed("stopped at once, as the operator asked")),
-            Ok(Stop::Graceful) => Ok(ExitCode::SUCCESS),
+            Ok(Stop::Graceful) => Ok(code),
             Err(error) => Err(Failure::failed(error)),
         },
     }
