--- a/crates/bench/src/capacity/mod.rs
+++ b/crates/bench/src/capacity/mod.rs
@@ -7,6 +7,7 @@
 
 mod control;
 mod data;
+mod feed;
 mod fit;
 mod page;
 mod process;
@@ -28,6 +29,7 @@
     let data = data::measure(quick);
     let mut tables = vec![("machine", process::machine()), ("connections", size.connections())];
     tables.extend(state.tables());
+    tables.push(("feed", feed::table(&size)));
     tables.extend(control.tables(&size, &state));
     tables.extend(data.tables(&size));
     for (name, table) in &tables {
--- a/crates/bench/src/capacity/state.rs
+++ b/crates/bench/src/capacity/state.rs
@@ -69,7 +69,7 @@
     view
 }
 
-fn milliseconds(rounds: usize, mut work: impl FnMut()) -> f64 {
+pub(crate) fn milliseconds(rounds: usize, mut work: impl FnMut()) -> f64 {
     let start = Instant::now();
     for _ in 0..rounds {
         work();
