Observe how far other places are, from the fastest new connection there

Change: dispatch::Crossings keeps the fastest connection to each zone of the last one to two minutes; what waits for a member, the first guess of a searcher and the wait for all first attempts start from it, and from the policy's figures until something was seen.

--- a/crates/dispatch/src/rank.rs
+++ b/crates/dispatch/src/rank.rs
@@ -30,16 +30,15 @@
         }
     }
 
-    /// Guesses how long a searcher takes of which nothing has been seen.
-    ///
-    /// Ten milliseconds of work, and the round trips of the deployments' pages: 3 ms
-    /// between zones, 16 ms between regions.
-    pub fn guess(self) -> Duration {
-        Duration::from_millis(match self {
-            Self::Zone => 10,
-            Self::Region => 13,
-            Self::Far => 26,
-        })
+    /// Guesses how long a searcher takes of which nothing has been seen: ten milliseconds of work
+    /// and the round trip, if it is known; else 3 ms between zones and 16 ms between regions.
+    pub fn guess(self, round_trip: Option<Duration>) -> Duration {
+        let assumed = Duration::from_millis(match self {
+            Self::Zone => 0,
+            Self::Region => 3,
+            Self::Far => 16,
+        });
+        Duration::from_millis(10) + round_trip.unwrap_or(assumed)
     }
 }
 
--- a/crates/model/src/member.rs
+++ b/crates/model/src/member.rs
@@ -44,7 +44,7 @@
         let distance = |searcher: usize| distance(shards.region(searcher), region);
         let rhythm = Rhythm::default();
         let outlook = |searcher| {
-            let guess = distance(searcher).guess();
+            let guess = distance(searcher).guess(None);
             Outlook::new(guess, Arc::clone(&policy), rhythm.clone())
         };
         Self {
--- a/crates/policy/src/table.rs
+++ b/crates/policy/src/table.rs
@@ -140,9 +140,11 @@
         silent: f64 = 120.0, "ms";
         /// What still runs after the answer waits for the sender to ask for it: some round trips.
         unclaimed: Duration = ms(150), "ms";
-        /// One crossing between regions of 8 ms each way, and the time that both members take.
+        /// Both members take this long, on small instances, beyond the way and the searchers.
+        handling: Duration = ms(2), "ms";
+        /// Until a connection there was opened: 8 ms each way, and the time of both members.
         region: Duration = ms(18), "ms";
-        /// One crossing between zones of 1.4 ms each way, and the time that both members take.
+        /// Until a connection there was opened: 1.4 ms each way, and the time of both members.
         zone: Duration = ms(5), "ms";
     }
 
--- a/crates/relay/src/delegate.rs
+++ b/crates/relay/src/delegate.rs
@@ -7,7 +7,7 @@
 //! whichever comes first. Invariant: the member makes no attempt beyond the first at a
 //! shard, so additional attempts are decided in one place.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::Ipv4Addr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -68,8 +68,9 @@
 }
 
 impl Elsewhere {
-    /// Returns how much longer a member there is awaited than a searcher nearby.
-    fn crossing(&self, policy: &Delegate) -> Duration {
+    /// Returns how much longer a member there is awaited than a searcher nearby, if nothing was
+    /// seen of the way.
+    fn assumed(&self, policy: &Delegate) -> Duration {
         match self {
             Self::Zone(_) => policy.zone,
             Self::Region(_) => policy.region,
@@ -84,6 +85,33 @@
     }
 }
 
+impl Relay {
+    /// Returns how much longer a member at a place is awaited than a searcher nearby.
+    fn crossing(&self, place: &Elsewhere) -> Duration {
+        let policy = &self.settings.policy.delegate;
+        let state = self.lock();
+        let seen = match place {
+            Elsewhere::Zone(zone) => state.crossings.round_trip(zone),
+            Elsewhere::Region(region) => state.crossings.nearest(|zone| self.is_in(zone, region)),
+        };
+        seen.map_or(place.assumed(policy), |seen| seen + policy.handling)
+    }
+
+    /// Returns how much longer a member of the farthest region is awaited than a searcher nearby.
+    pub(crate) fn farthest(&self) -> Duration {
+        let regions: BTreeSet<&Name> = self.settings.regions.values().collect();
+        let places = regions.into_iter().map(|region| Elsewhere::Region(Name::clone(region)));
+        let own = self.settings.regions.get(&self.settings.zone);
+        let others = places
+            .filter(|place| !matches!(place, Elsewhere::Region(region) if Some(region) == own));
+        others.map(|place| self.crossing(&place)).max().unwrap_or_default()
+    }
+
+    fn is_in(&self, zone: &Name, region: &Name) -> bool {
+        self.settings.regions.get(zone) == Some(region)
+    }
+}
+
 /// The members that may be asked, and what was seen of each.
 #[derive(Debug)]
 pub(crate) struct Helpers {
@@ -169,7 +197,7 @@
     let query = query(job, shards, wanted, usual.max(policy.least), plan);
     relay.with_helpers(|helpers| helpers.outlook(ip).send(sent));
     let mut pending = Pending { relay, ip, sent, answered: false };
-    let until = sent + usual.max(policy.least) + place.crossing(&policy) + policy.late;
+    let until = sent + usual.max(policy.least) + relay.crossing(place) + policy.late;
     let answer =
         tokio::time::timeout_at(until.into(), (relay.helping().gather)(ip, query, until)).await;
     match answer {
--- a/crates/relay/src/link.rs
+++ b/crates/relay/src/link.rs
@@ -1,7 +1,7 @@
 //! One incarnation of a searcher as this member sees it: connections and an outlook.
 
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use bergamot_base::Name;
 use bergamot_dispatch::{Candidate, Distance, Outlook, Rhythm};
@@ -32,6 +32,7 @@
     pub(crate) fn new(
         upstream: Arc<Upstream>,
         share: usize,
+        round_trip: Option<Duration>,
         rhythm: Rhythm,
         settings: &Settings,
     ) -> Arc<Self> {
@@ -41,7 +42,8 @@
         let distance = Distance::between(here, there);
         let pool = Pool::new(settings.address, upstream.address, share, settings.dial);
         let policy = Arc::clone(&settings.policy);
-        let outlook = Mutex::new(Outlook::new(distance.guess(), Arc::clone(&policy), rhythm));
+        let outlook =
+            Mutex::new(Outlook::new(distance.guess(round_trip), Arc::clone(&policy), rhythm));
         let warmed = Mutex::default();
         Arc::new(Self { upstream, pool, distance, policy, outlook, warmed })
     }
--- a/crates/relay/src/race.rs
+++ b/crates/relay/src/race.rs
@@ -201,8 +201,7 @@
             }
         };
         self.job.changed.notify_waiters();
-        let until =
-            (self.plan.usual + self.relay.settings.policy.delegate.region).max(Instant::now());
+        let until = (self.plan.usual + self.relay.farthest()).max(Instant::now());
         let _elapsed = tokio::time::timeout_at(until.into(), wait).await;
         let mut tally = self.job.tally();
         let needed = tally.needs_deferred();
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -297,6 +297,13 @@
             }
             known
         });
+        let now = Instant::now();
+        let State { links, crossings, .. } = &mut *state;
+        for link in links.values() {
+            if let Some(took) = link.pool.take_fastest_dial() {
+                crossings.note(&link.upstream.zone, took, now);
+            }
+        }
         let open: usize = state.links.values().map(|link| link.pool.usage().open).sum();
         self.meter.connections.set(open as i64);
         self.meter.searchers.set(state.registry.len() as i64);
--- a/crates/relay/src/searchers.rs
+++ b/crates/relay/src/searchers.rs
@@ -8,7 +8,7 @@
 use std::time::{Duration, Instant};
 
 use bergamot_base::{Name, hash_bytes};
-use bergamot_dispatch::{Distance, Need, rank, sufficient};
+use bergamot_dispatch::{Crossings, Distance, Need, rank, sufficient};
 use bergamot_registry::{Incarnation, Upstream};
 use bergamot_upstream::Pace;
 use bergamot_wire::Quiet;
@@ -50,9 +50,9 @@
         };
         for service in declaration.services.keys() {
             let share = share(state, service);
-            let State { registry, links, .. } = state;
+            let State { registry, links, crossings, .. } = state;
             for (upstream, _missing) in registry.usable(service) {
-                self.link(links, upstream, share);
+                self.link(links, crossings, upstream, share);
             }
         }
     }
@@ -62,11 +62,13 @@
         let now = Instant::now();
         let mut state = self.lock();
         let share = share(&state, service);
-        let State { registry, links, .. } = &mut *state;
+        let State { registry, links, crossings, .. } = &mut *state;
         let candidates = registry
             .usable(service)
             .filter(|(upstream, _)| !asked(tried, &upstream.incarnation))
-            .map(|(upstream, missing)| self.link(links, upstream, share).candidate(missing, now))
+            .map(|(upstream, missing)| {
+                self.link(links, crossings, upstream, share).candidate(missing, now)
+            })
             .collect();
         drop(state);
         let mut rng = rand::rng();
@@ -76,10 +78,15 @@
     pub(crate) fn link(
         &self,
         links: &mut HashMap<Incarnation, Arc<Link>>,
+        crossings: &Crossings,
         upstream: &Arc<Upstream>,
         share: usize,
     ) -> Arc<Link> {
-        let make = || Link::new(Arc::clone(upstream), share, self.rhythm.clone(), &self.settings);
+        let round_trip = crossings.round_trip(&upstream.zone);
+        let make = || {
+            let upstream = Arc::clone(upstream);
+            Link::new(upstream, share, round_trip, self.rhythm.clone(), &self.settings)
+        };
         let link = links.entry(upstream.incarnation.clone()).or_insert_with(make);
         if !link.leads_to(upstream) {
             // Its connections would go where it said that it was before.
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -7,7 +7,7 @@
 use bergamot_base::Name;
 use bergamot_config::Floor;
 use bergamot_declaration::{Declaration, Split};
-use bergamot_dispatch::{Allowance, Arrivals};
+use bergamot_dispatch::{Allowance, Arrivals, Crossings};
 use bergamot_logger::Sampler;
 use bergamot_policy::Policy;
 use bergamot_registry::{Incarnation, Registry};
@@ -32,6 +32,7 @@
     pub(crate) declaration: Option<Arc<Declaration>>,
     pub(crate) registry: Registry,
     pub(crate) coverage: Latest,
+    pub(crate) crossings: Crossings,
     pub(crate) links: HashMap<Incarnation, Arc<Link>>,
     pub(crate) splits: HashMap<Name, Split>,
     pub(crate) allowances: HashMap<Name, Allowance>,
@@ -53,6 +54,7 @@
             declaration: None,
             registry: Registry::new(policy.doubt),
             coverage: Latest::default(),
+            crossings: Crossings::default(),
             links: HashMap::new(),
             splits: HashMap::new(),
             allowances: HashMap::new(),
--- a/crates/upstream/src/pool.rs
+++ b/crates/upstream/src/pool.rs
@@ -57,6 +57,8 @@
     idle: Vec<Sender>,
     shrunk: Option<(usize, Instant)>,
     closing: bool,
+    /// How long the fastest dial took since it was last asked for.
+    fastest: Option<Duration>,
 }
 
 impl State {
@@ -86,7 +88,7 @@
     /// Makes an empty pool.
     pub fn new(local: Ipv4Addr, remote: SocketAddr, share: usize, dial: Duration) -> Arc<Self> {
         let usage = Usage { share, ..Usage::default() };
-        let state = State { usage, idle: Vec::new(), shrunk: None, closing: false };
+        let state = State { usage, idle: Vec::new(), shrunk: None, closing: false, fastest: None };
         Arc::new(Self { local, remote, dial, state: Mutex::new(state), freed: Notify::new() })
     }
 
@@ -111,6 +113,11 @@
         Usage { idle: state.idle.len(), ..state.usage }
     }
 
+    /// Returns how long the fastest dial took since this was last asked: one round trip.
+    pub fn take_fastest_dial(&self) -> Option<Duration> {
+        self.lock().fastest.take()
+    }
+
     /// Opens one connection ahead of need, if the share has room.
     pub async fn warm(self: &Arc<Self>) -> Result<bool, Fault> {
         if !self.reserve() {
@@ -189,9 +196,11 @@
 
     async fn handshake(&self) -> Result<Sender, Fault> {
         let fault = |step, error: &dyn fmt::Display| self.fault(step, &error.to_string());
+        let begun = Instant::now();
         let stream = bergamot_net::dial(self.local, self.remote, self.dial)
             .await
             .map_err(|error| fault("dial", &error.cause))?;
+        self.note_dial(begun.elapsed());
         let (mut request, connection) = http1::handshake(TokioIo::new(stream))
             .await
             .map_err(|error| fault("handshake", &error))?;
@@ -200,6 +209,11 @@
         Ok(Sender { request, socket })
     }
 
+    fn note_dial(&self, took: Duration) {
+        let mut state = self.lock();
+        state.fastest = Some(state.fastest.map_or(took, |fastest| fastest.min(took)));
+    }
+
     /// Shrinks the share to what is open after the searcher refused a connection.
     pub(crate) fn shrink(&self) {
         let mut state = self.lock();
