--- a/crates/relay/src/helper.rs
+++ b/crates/relay/src/helper.rs
@@ -141,12 +141,9 @@
         rests.waiting.insert(token, work);
         token
     });
-    let relay = Arc::clone(relay);
-    tokio::spawn(async move {
-        tokio::time::sleep(relay.settings.policy.delegate.unclaimed).await;
-        // If it is still here, the sender has its answer without it.
-        relay.with_rests(|rests| rests.waiting.remove(&token));
-    });
+    // If it is still here then, the sender has its answer without it.
+    let unclaimed = relay.settings.policy.delegate.unclaimed;
+    forget_after(relay, unclaimed, move |rests| drop(rests.waiting.remove(&token)));
     token
 }
 
@@ -157,12 +154,22 @@
         rests.left_out.insert(token, records);
         token
     });
+    let kept = relay.settings.policy.brief.kept;
+    forget_after(relay, kept, move |rests| drop(rests.left_out.remove(&token)));
+    token
+}
+
+/// Forgets what remains of an answer after a time.
+fn forget_after(
+    relay: &Arc<Relay>,
+    time: Duration,
+    forget: impl FnOnce(&mut Rests) + Send + 'static,
+) {
     let relay = Arc::clone(relay);
     tokio::spawn(async move {
-        tokio::time::sleep(relay.settings.policy.brief.kept).await;
-        relay.with_rests(|rests| rests.left_out.remove(&token));
+        tokio::time::sleep(time).await;
+        relay.with_rests(forget);
     });
-    token
 }
 
 /// Hands out the records that an earlier answer left out.
