Most searchers, and not one, decide whether entries without a start are of another writer

Cause: found while reading the change. One entry with a born, whoever wrote it, put all searchers of a platform that states none in doubt, and two heartbeats later out of use. Change: the registry counts; entries without a start are of another writer only while most known ones have one.

--- a/crates/registry/src/registry.rs
+++ b/crates/registry/src/registry.rs
@@ -61,8 +61,8 @@
     earlier: BTreeMap<Name, Earlier>,
     /// How often a searcher came, went or changed.
     changes: u64,
-    /// Whether searchers here say when they started.
-    states_births: bool,
+    /// How many of the known searchers say when they started.
+    born: usize,
     regained: Option<Instant>,
 }
 
@@ -75,22 +75,18 @@
     /// Takes in the entry of a searcher and tells whether it changed anything.
     pub fn publish(&mut self, upstream: Upstream, now: Instant) -> bool {
         let Incarnation { id, born } = upstream.incarnation.clone();
-        if born.is_none() && self.states_births {
-            // Every searcher here says when it started: this is no searcher's entry.
+        if born.is_none() && self.states_births() {
+            // Searchers here say when they started: this is no searcher's entry.
             return self.overwrite(&id, now);
         }
-        if born.is_some() && !self.states_births {
-            self.states_births = true;
-            self.doubt_unborn(now);
-        }
         let known = self.entries.get(&id).map(|entry| entry.upstream.incarnation.born);
         let ended = self.ended.get(&id).copied();
         match known.or(ended) {
             Some(latest) if born < latest => self.note_earlier(upstream, now),
             Some(latest) if born == latest && known.is_none() => false,
-            Some(latest) if born == latest => self.renew(upstream),
+            Some(latest) if born == latest => self.renew(upstream, now),
             Some(_) | None => {
-                self.insert(upstream);
+                self.insert(upstream, now);
                 true
             }
         }
@@ -154,7 +150,7 @@
         for id in proven {
             gone.extend(self.entries.get(&id).map(|entry| entry.upstream.incarnation.clone()));
             if let Some(earlier) = self.earlier.remove(&id) {
-                self.insert(earlier.upstream);
+                self.insert(earlier.upstream, now);
             }
         }
         let late = |entry: &Entry| {
@@ -224,7 +220,7 @@
     }
 
     /// Takes in what the known incarnation says of itself now.
-    fn renew(&mut self, mut upstream: Upstream) -> bool {
+    fn renew(&mut self, mut upstream: Upstream, now: Instant) -> bool {
         let id = Name::clone(&upstream.incarnation.id);
         let earlier = self.earlier.remove(&id).is_some();
         let Some(known) = self.entries.get(&id) else { return false };
@@ -236,24 +232,35 @@
         if known.missing.is_none() && !earlier && *known.upstream == upstream {
             return false;
         }
-        self.insert(upstream);
+        self.insert(upstream, now);
         true
     }
 
     /// Puts an incarnation in the place of whatever is known of its searcher.
-    fn insert(&mut self, upstream: Upstream) {
+    fn insert(&mut self, upstream: Upstream, now: Instant) {
         let id = Name::clone(&upstream.incarnation.id);
+        let stated = self.states_births();
         self.changes += 1;
         self.earlier.remove(&id);
-        if let Some(before) = self.entries.get(&id) {
-            self.unlist(&id, &Name::clone(&before.upstream.service));
+        if let Some(before) = self.entries.remove(&id) {
+            self.unlist(&before.upstream);
         }
+        self.born += usize::from(upstream.incarnation.born.is_some());
         if self.ended.remove(&id).is_some() {
             self.ended_order.retain(|ended| *ended != id);
         }
         let service = Name::clone(&upstream.service);
         self.by_service.entry(service).or_default().insert(Name::clone(&id));
         self.entries.insert(id, Entry { upstream: Arc::new(upstream), missing: None });
+        if !stated && self.states_births() {
+            self.doubt_unborn(now);
+        }
+    }
+
+    /// Tells whether searchers here say when they started: most of them do. A single entry of
+    /// another writer must not put all others in doubt.
+    fn states_births(&self) -> bool {
+        self.born * 2 > self.entries.len()
     }
 
     /// Notes an entry of an earlier start; the known one has lost its own.
@@ -291,7 +298,7 @@
             return false;
         };
         self.changes += 1;
-        self.unlist(&id, &entry.upstream.service);
+        self.unlist(&entry.upstream);
         if !for_good {
             return true;
         }
@@ -305,16 +312,18 @@
         true
     }
 
-    fn unlist(&mut self, id: &str, service: &Name) {
-        if let Some(ids) = self.by_service.get_mut(service) {
-            ids.remove(id);
+    /// Takes a searcher whose entry was removed out of what is kept beside the entries.
+    fn unlist(&mut self, upstream: &Upstream) {
+        self.born -= usize::from(upstream.incarnation.born.is_some());
+        if let Some(ids) = self.by_service.get_mut(&upstream.service) {
+            ids.remove(&upstream.incarnation.id);
             if ids.is_empty() {
-                self.by_service.remove(service);
+                self.by_service.remove(&upstream.service);
             }
         }
     }
 
-    /// Puts the searchers in doubt that did not say when they started: others here do.
+    /// Puts the searchers in doubt that did not say when they started: most here do.
     fn doubt_unborn(&mut self, now: Instant) {
         let unborn: Vec<Name> = self
             .entries
--- a/crates/registry/tests/properties.rs
+++ b/crates/registry/tests/properties.rs
@@ -75,6 +75,13 @@
     earlier: Option<(Said, Instant)>,
 }
 
+/// Until when an entry that is not there may return.
+fn until((removed, since): Absence, regained: Option<Instant>) -> Instant {
+    let doubt = if removed { Duration::from_secs(1) } else { Duration::from_millis(2600) };
+    let back = regained.map(|back| back + Duration::from_millis(2200));
+    back.map_or(since + doubt, |back| back.max(since + doubt))
+}
+
 impl Model {
     fn publish(&mut self, said: Said, now: Instant) {
         let latest = self.start.or(self.ended).map(|latest| latest.born);
@@ -112,18 +119,16 @@
         (self.start, self.absent) = (None, None);
     }
 
-    fn expire(&mut self, now: Instant, regained: Option<Instant>) {
-        let until = |(removed, since): Absence| {
-            let doubt = if removed { Duration::from_secs(1) } else { Duration::from_millis(2600) };
-            let back = regained.map(|back| back + Duration::from_millis(2200));
-            back.map_or(since + doubt, |back| back.max(since + doubt))
-        };
+    fn adopt(&mut self, now: Instant, regained: Option<Instant>) {
         if let Some((said, since)) = self.earlier
-            && now >= until((false, since))
+            && now >= until((false, since), regained)
         {
             self.follow(said);
         }
-        if self.absent.is_some_and(|absence| now >= until(absence)) {
+    }
+
+    fn expire(&mut self, now: Instant, regained: Option<Instant>) {
+        if self.absent.is_some_and(|absence| now >= until(absence, regained)) {
             if self.start.is_some_and(|start| start.drains) {
                 self.end();
             } else {
@@ -133,28 +138,46 @@
     }
 }
 
-/// The searchers by number, and whether any has said when it started.
+/// The searchers by number.
 #[derive(Debug, Default)]
 struct World {
     models: [Model; 4],
-    births: bool,
     regained: Option<Instant>,
 }
 
 impl World {
     fn publish(&mut self, id: u8, said: Said, now: Instant) {
-        if said.born.is_none() && self.births {
+        let births = self.births();
+        if said.born.is_none() && births {
             return self.overwrite(id, now);
         }
-        if said.born.is_some() && !self.births {
-            self.births = true;
-            for id in 0..4 {
-                if self.models[id].start.is_some_and(|start| start.born.is_none()) {
-                    self.models[id].lose(false, now);
-                }
-            }
-        }
         self.models[usize::from(id)].publish(said, now);
+        self.doubt_unborn(births, now);
+    }
+
+    /// Tells whether most searchers say when they started.
+    fn births(&self) -> bool {
+        let starts = || self.models.iter().filter_map(|model| model.start);
+        starts().filter(|start| start.born.is_some()).count() * 2 > starts().count()
+    }
+
+    /// Doubts those that don't say it, if it has just turned out that most do.
+    fn doubt_unborn(&mut self, before: bool, now: Instant) {
+        if before || !self.births() {
+            return;
+        }
+        let unborn = |model: &&mut Model| model.start.is_some_and(|start| start.born.is_none());
+        self.models.iter_mut().filter(unborn).for_each(|model| model.lose(false, now));
+    }
+
+    fn expire(&mut self, now: Instant) {
+        for id in 0..4 {
+            let births = self.births();
+            self.models[id].adopt(now, self.regained);
+            self.doubt_unborn(births, now);
+        }
+        let regained = self.regained;
+        self.models.iter_mut().for_each(|model| model.expire(now, regained));
     }
 
     fn overwrite(&mut self, id: u8, now: Instant) {
@@ -217,8 +240,9 @@
             }
             Event::Expire(away) => {
                 registry.expire(now, away);
-                let regained = world.regained;
-                world.models.iter_mut().filter(|_| !away).for_each(|one| one.expire(now, regained));
+                if !away {
+                    world.expire(now);
+                }
             }
             Event::Regain => {
                 world.regained = Some(now);
--- a/crates/registry/tests/registry.rs
+++ b/crates/registry/tests/registry.rs
@@ -215,13 +215,29 @@
 
 /// Where searchers say when they started, an entry that does not is of another writer.
 #[test]
-fn entries_without_a_start_count_only_where_no_searcher_says_it() {
+fn entries_without_a_start_count_only_where_searchers_do_not_say_it() {
     let (mut registry, now) = (Registry::default(), Instant::now());
     registry.publish(ready("a"), now);
     assert_eq!(usable(&registry), [("a".to_owned(), false)]);
     registry.publish(born("b", 5, State::Ready), now);
-    assert_eq!(usable(&registry), [("a".to_owned(), true), ("b@5".to_owned(), false)]);
-    assert!(!registry.publish(ready("c"), now));
+    registry.publish(born("c", 5, State::Ready), now);
+    let (b, c) = (("b@5".to_owned(), false), ("c@5".to_owned(), false));
+    assert_eq!(usable(&registry), [("a".to_owned(), true), b.clone(), c.clone()]);
+    assert!(!registry.publish(ready("d"), now));
     assert!(registry.publish(born("a", 6, State::Ready), now));
-    assert_eq!(usable(&registry), [("a@6".to_owned(), false), ("b@5".to_owned(), false)]);
+    assert_eq!(usable(&registry), [("a@6".to_owned(), false), b, c]);
+}
+
+/// Where they don't, one entry that does, whoever wrote it, puts no other in doubt.
+#[test]
+fn one_entry_with_a_start_costs_no_searcher_that_says_none() {
+    let (mut registry, now) = (Registry::default(), Instant::now());
+    for id in ["a", "b", "c"] {
+        registry.publish(ready(id), now);
+    }
+    registry.publish(born("d", 5, State::Ready), now);
+    assert!(registry.publish(ready("e"), now));
+    assert!(registry.expire(now + LONG, false).is_empty());
+    assert!(usable(&registry).iter().all(|(_, missing)| !missing));
+    assert_eq!(usable(&registry).len(), 5);
 }
