bergamotctl ends well when its reader has read enough

Cause: seen with losses | head: println panics on a closed pipe, with a backtrace and code 101. Change: output is written with its error, and a closed pipe is a success. Test: a_reader_that_leaves_early_is_no_failure.

--- a/daemons/src/bin/bergamotctl.rs
+++ b/daemons/src/bin/bergamotctl.rs
@@ -1,5 +1,7 @@
 //! The operators' command line.
 
+use std::fmt::Display;
+use std::io::{ErrorKind, Write as _};
 use std::net::{Ipv4Addr, SocketAddr};
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
@@ -110,8 +112,7 @@
         }
     };
     if arguments.version {
-        println!("{PROGRAM} {}", env!("CARGO_PKG_VERSION"));
-        return ExitCode::SUCCESS;
+        return conclude(print(format_args!("{PROGRAM} {}\n", env!("CARGO_PKG_VERSION"))));
     }
     let result = match arguments.command {
         Some(Command::Check(options)) if options.help => help::<Check>("check"),
@@ -131,16 +132,26 @@
             Err(wrong("a command is needed: check, dump, addresses, explain, losses or policy"))
         }
     };
+    conclude(result)
+}
+
+fn conclude(result: Result<(), Failure>) -> ExitCode {
     match result {
         Ok(()) => ExitCode::SUCCESS,
         Err(failure) => failure.report(PROGRAM),
     }
 }
 
-#[expect(clippy::unnecessary_wraps, reason = "all commands have one type")]
+/// Writes to standard output. A reader that has read enough, as `head` has, is no failure.
+fn print(text: impl Display) -> Result<(), Failure> {
+    match write!(std::io::stdout().lock(), "{text}") {
+        Err(error) if error.kind() == ErrorKind::BrokenPipe => Ok(()),
+        written => written.map_err(Failure::failed),
+    }
+}
+
 fn help<T: Options>(command: &str) -> Result<(), Failure> {
-    println!("{}", usage::<T>(format!("{PROGRAM} {command}").trim_end(), ABOUT));
-    Ok(())
+    print(format_args!("{}\n", usage::<T>(format!("{PROGRAM} {command}").trim_end(), ABOUT)))
 }
 
 fn wrong(cause: &str) -> Failure {
@@ -153,13 +164,14 @@
     }
     for path in &options.settings {
         load_settings(path)?;
-        println!("{}: settings are valid", path.display());
+        print(format_args!("{}: settings are valid\n", path.display()))?;
     }
     for path in &options.document {
         let document = load_document(path)?;
-        println!("{}: document is valid, revision {}", path.display(), document.revision);
+        let (path, revision) = (path.display(), document.revision);
+        print(format_args!("{path}: document is valid, revision {revision}\n"))?;
         if options.print {
-            print!("{document}");
+            print(document)?;
         }
     }
     Ok(())
@@ -200,10 +212,7 @@
     if lines.is_empty() {
         return Err(Failure::failed(format!("no line names the request {request}")));
     }
-    for line in lines {
-        println!("{line}");
-    }
-    Ok(())
+    print(lines.join("\n") + "\n")
 }
 
 fn print_losses(options: &LossesOptions) -> Result<(), Failure> {
@@ -212,7 +221,7 @@
     if losses.moments.is_empty() {
         return Err(Failure::failed("no line says how a request ended"));
     }
-    print!("{losses}");
+    print(&losses)?;
     let Some(path) = &options.plot else { return Ok(()) };
     let failed = |error| Failure::failed(format!("draw {}: {error}", path.display()));
     draw(&losses, path).map_err(failed)
@@ -223,7 +232,7 @@
     Policy::default().without(&options.names).map_err(|unknown| wrong(&unknown.to_string()))?;
     for mechanism in Policy::default().mechanisms() {
         if options.names.is_empty() || options.names.iter().any(|name| name == mechanism.name) {
-            println!("{mechanism}");
+            print(format_args!("{mechanism}\n"))?;
         }
     }
     Ok(())
@@ -238,6 +247,5 @@
         let status = reply.status();
         return Err(Failure::failed(format!("get {path} {daemon}: status {status}: {text}")));
     }
-    println!("{}", text.trim_end());
-    Ok(())
+    print(format_args!("{}\n", text.trim_end()))
 }
--- a/daemons/tests/command_line.rs
+++ b/daemons/tests/command_line.rs
@@ -23,6 +23,21 @@
     }
 }
 
+/// `bergamotctl policy | head -1`: whoever reads has read enough, and that is no failure.
+#[test]
+fn a_reader_that_leaves_early_is_no_failure() {
+    let mut child = std::process::Command::new(CTL)
+        .arg("policy")
+        .stdout(std::process::Stdio::piped())
+        .stderr(std::process::Stdio::piped())
+        .spawn()
+        .expect("the program starts");
+    drop(child.stdout.take());
+    let output = child.wait_with_output().expect("the program ends");
+    let errors = String::from_utf8_lossy(&output.stderr);
+    assert!(output.status.success() && errors.is_empty(), "{errors}");
+}
+
 #[test]
 fn unknown_options_are_refused() {
     for program in [CTL, ENTRY, GATHER] {
