Tests of clusters: what the first load left unknown doesn't stall them, and descriptors are shared out

Cause, traced beside five busy processes (warm-ups printed with their endings, 3 threads): each short load had the same seed and so the same write keys; a write that ended unknown in the first, while the machine was busy, stays unknown for good, as promised, and the load was never complete again. With 9 threads a second cause: nine clusters of some 3,970 descriptors each met the process's limit of 20,000 (EMFILE, 114 times). Ruled out: lost datagrams, starved tasks, time-outs of the daemons. A user's busy machine meets neither: a caller who asks again takes a new key. Change: each short load has its own seed; a cluster waits until the process has the descriptors that it may need.

--- a/crates/bench/src/cluster.rs
+++ b/crates/bench/src/cluster.rs
@@ -8,8 +8,10 @@
 use bergamot_config::Settings;
 use bergamot_net::Fault;
 use bergamot_standin::{Platform, Searcher};
+use tokio::sync::OwnedSemaphorePermit;
 
 use crate::deployment::Deployment;
+use crate::descriptors::DESCRIPTORS;
 use crate::history::History;
 
 /// How long sockets may take to close.
@@ -36,6 +38,8 @@
     /// The instances by number.
     pub instances: BTreeMap<usize, Instance>,
     base: Settings,
+    /// Held for as long as the connections may be open; dropped last.
+    _descriptors: OwnedSemaphorePermit,
 }
 
 impl Cluster {
@@ -54,12 +58,13 @@
         Ok(cluster)
     }
 
-    /// Starts the platform and the searchers only.
+    /// Starts the platform and the searchers only, once the process has descriptors for them.
     pub async fn start_stand_ins(
         deployment: Deployment,
         base: Settings,
         versions: &[Version],
     ) -> Result<Self, Fault> {
+        let descriptors = DESCRIPTORS.take(deployment.descriptors()).await;
         let [configuration, instances] = deployment.platform();
         let platform = Platform::start(configuration, instances).await?;
         platform.publish(&deployment.document(1));
@@ -68,7 +73,14 @@
         for (service, settings) in deployment.searchers(versions) {
             searchers.push((service, Searcher::start(settings).await?));
         }
-        Ok(Self { deployment, platform, searchers, instances: BTreeMap::new(), base })
+        Ok(Self {
+            deployment,
+            platform,
+            searchers,
+            instances: BTreeMap::new(),
+            base,
+            _descriptors: descriptors,
+        })
     }
 
     /// Starts the daemons of one more instance.
--- a/crates/bench/src/deployment.rs
+++ b/crates/bench/src/deployment.rs
@@ -258,6 +258,13 @@
         Geography { zones, regions, between_zones: BETWEEN_ZONES, between_regions: BETWEEN_REGIONS }
     }
 
+    /// Returns how many descriptors both ends of all connections take that searchers accept.
+    pub fn descriptors(&self) -> usize {
+        let accepts =
+            |service: &ServiceSpec| service.shards * service.replicas * service.limits.connections;
+        2 * self.services.iter().map(accepts).sum::<usize>()
+    }
+
     /// Returns the instance list with the given instances.
     pub fn list(&self, numbers: impl IntoIterator<Item = usize>) -> Vec<Instance> {
         let instance = |number| Instance {
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod check;
 pub mod cluster;
 pub mod deployment;
+pub mod descriptors;
 pub mod emulate;
 pub mod experiment;
 pub mod history;
--- a/crates/bench/tests/support/mod.rs
+++ b/crates/bench/tests/support/mod.rs
@@ -2,6 +2,7 @@
 
 #![allow(dead_code, reason = "each test file uses a part of the support")]
 
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use bergamot_base::Seed;
@@ -46,9 +47,15 @@
 }
 
 /// Waits until a short load is complete.
+///
+/// Each has a seed of its own: the write keys follow from the seed, and a key whose outcome is
+/// unknown stays so, however often it is asked for.
 pub async fn warm(cluster: &Cluster) {
+    let seeds = AtomicU64::new(SEED.0 + 1);
     until("a short load is complete", || async {
-        let history = load::run(&cluster.deployment, Load::of(&cluster.deployment, SHORT)).await;
+        let seed = Seed(seeds.fetch_add(1, Ordering::Relaxed));
+        let load = Load { seed, ..Load::of(&cluster.deployment, SHORT) };
+        let history = load::run(&cluster.deployment, load).await;
         !history.requests.is_empty() && history.count(Ending::Complete) == history.requests.len()
     })
     .await;
