--- a/crates/bench/tests/start.rs
+++ b/crates/bench/tests/start.rs
@@ -38,7 +38,7 @@
     let wanted = Deployment::fraser_basin([62, 2], SEED).descriptors();
     let (held, most) = (Arc::new(AtomicUsize::new(0)), Arc::new(AtomicUsize::new(0)));
     let clusters = (0..9).map(|_| {
-        let (descriptors, held, most) = (descriptors.clone(), held.clone(), most.clone());
+        let (descriptors, held, most) = (descriptors.clone(), Arc::clone(&held), Arc::clone(&most));
         tokio::spawn(async move {
             let _taken = descriptors.take(wanted).await;
             most.fetch_max(held.fetch_add(wanted, Ordering::Relaxed) + wanted, Ordering::Relaxed);
