--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -9,7 +9,7 @@
 use bergamot_bench::history::{Ending, History};
 use bergamot_bench::leaving::{self, Word};
 use bergamot_bench::storm::Storm;
-use bergamot_bench::{capacity, emulate, plot, quickstart, stand_ins};
+use bergamot_bench::{capacity, converge, emulate, plot, quickstart, stand_ins};
 use bergamot_config::Settings;
 use gumdrop::Options;
 
@@ -39,6 +39,8 @@
     Leaving(LeavingOptions),
     #[options(help = "play a load against the decisions alone, without sockets")]
     Model(ModelOptions),
+    #[options(help = "measure how long members take to know each other, without sockets")]
+    Fleet(FleetOptions),
     #[options(help = "measure the slopes and rewrite the tables of docs/CAPACITY.md")]
     Capacity(Capacity),
 }
@@ -81,6 +83,16 @@
     seeds: u64,
 }
 
+#[derive(Debug, Options)]
+struct FleetOptions {
+    #[options(help = "show this text")]
+    help: bool,
+    #[options(help = "the seed", default = "1")]
+    seed: u64,
+    #[options(help = "how many members; may be given several times", meta = "N")]
+    members: Vec<usize>,
+}
+
 #[derive(Debug, Options)]
 struct ModelOptions {
     #[options(help = "show this text")]
@@ -179,6 +191,8 @@
         Some(Command::Leaving(_)) => help::<LeavingOptions>("leaving"),
         Some(Command::Model(options)) if !options.help => play_model(&options),
         Some(Command::Model(_)) => help::<ModelOptions>("model"),
+        Some(Command::Fleet(options)) if !options.help => measure_fleets(&options),
+        Some(Command::Fleet(_)) => help::<FleetOptions>("fleet"),
         Some(Command::Capacity(options)) if !options.help => measure_capacity(&options),
         Some(Command::Capacity(_)) => help::<Capacity>("capacity"),
         Some(Command::StandIns(_)) => help::<StandIns>("stand-ins"),
@@ -335,6 +349,27 @@
     }
 }
 
+/// The sizes of a small deployment, a grown one, a large one, and the one that is designed for.
+const FLEETS: [usize; 4] = [8, 75, 300, 1800];
+
+/// More members than a small machine's memory holds the views of.
+const LARGEST_FLEET: usize = 4000;
+
+fn measure_fleets(options: &FleetOptions) -> ExitCode {
+    let sizes = if options.members.is_empty() { &FLEETS[..] } else { &options.members };
+    if let Some(size) = sizes.iter().find(|size| !(2..=LARGEST_FLEET).contains(*size)) {
+        eprintln!("{PROGRAM}: members {size}, allowed: 2 to {LARGEST_FLEET}");
+        return ExitCode::from(2);
+    }
+    println!("seed {}\n\n{}", options.seed, converge::Row::HEAD);
+    for size in sizes {
+        for row in converge::measure(&[*size], options.seed) {
+            println!("{row}");
+        }
+    }
+    ExitCode::SUCCESS
+}
+
 fn measure_capacity(options: &Capacity) -> ExitCode {
     match capacity::run(&options.page, options.quick) {
         Ok(()) => ExitCode::SUCCESS,
--- /dev/null
+++ b/crates/members/src/membership.rs
@@ -0,0 +1,558 @@
+//! One member's part in the membership: what it knows, whom it probes, what it tells.
+//!
+//! A member that starts asks a seed for some members, compares its view with theirs, and
+//! pushes the word that it is there. From then on it probes ([`Prober`]), passes news on
+//! ([`Rumours`]) and compares views that differ ([`Sync`]). All of it travels in datagrams,
+//! each of which may be lost. Time, events and random draws go in, messages come out.
+//! Invariants: nobody but a member itself says that it is alive after it was doubted; a
+//! member that is taken for alive is suspected, and may refute, before it counts as
+//! unreachable, whatever others say of it. See `docs/design/0013-views-that-agree.md`.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use bergamot_base::Name;
+use rand::RngExt;
+use rand::rngs::StdRng;
+use rand::seq::IndexedRandom;
+
+use crate::message::{Datagram, Digest, Kind, Summary};
+use crate::prober::{Prober, Timing};
+use crate::record::{Endpoint, Record, State};
+use crate::rumour::{PER_DATAGRAM, Reach, Rumour, Rumours};
+use crate::sync::{self, Sync};
+use crate::view::{Listed, View};
+
+/// How many others are asked to ping a silent member.
+const HELPERS: usize = 3;
+
+/// How many members hear at once of a new revision.
+const FANOUT: usize = 4;
+
+/// To how many members of the own zone news is pushed: all but one in twenty are reached if
+/// each pushes on, and comparisons find the others.
+const PUSH_NEAR: usize = 3;
+
+/// To how many members of each other zone news is pushed; one may be gone.
+const PUSH_FAR: usize = 2;
+
+/// One comparison in so many of a member that starts is with one of another zone.
+const COMPARE_FAR: u32 = 4;
+
+/// How soon a seed is asked again, at first, that isn't known to be alive: one that starts at
+/// the same moment may be the only way to those that asked it.
+const JOIN: Duration = Duration::from_millis(100);
+
+/// How often such a seed is asked after a while: it may have been replaced, or be the only way
+/// to the other part of a fleet that was split.
+const LONGEST_JOIN: Duration = Duration::from_secs(2);
+
+/// How long a member that hears of nobody waits until it takes itself for the only one: the
+/// others of a fleet that loses its power are back within some seconds of each other, and a
+/// seed that lives answers within two of these times.
+const ALONE: Duration = Duration::from_secs(1);
+
+/// How long the word of others counts on how many members there are: some probes.
+const TOLD: Duration = Duration::from_secs(2);
+
+/// The part of the fleet's size, as others tell it, that a settled view must hold.
+const SETTLED: f64 = 0.9;
+
+/// How long a member that can't be reached is remembered: splits last for minutes.
+const FORGET: Duration = Duration::from_hours(1);
+
+/// A datagram and where it goes.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Outgoing {
+    /// The receiver.
+    pub to: Endpoint,
+    /// The datagram.
+    pub datagram: Datagram,
+}
+
+/// How a record was heard of.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Heard {
+    /// As news, from the member itself or another one: it is pushed on.
+    News(Reach),
+    /// From a member that knew what was lacking here.
+    Told,
+}
+
+/// One member's part in the membership.
+#[derive(Debug)]
+pub struct Membership {
+    me: Record,
+    rng: StdRng,
+    view: View,
+    prober: Prober,
+    rumours: Rumours,
+    sync: Sync,
+    seeds: Vec<Endpoint>,
+    next_seed: usize,
+    join_at: Instant,
+    join_again: Duration,
+    leaving: Vec<Rumour>,
+    started: Instant,
+    /// Whether the view was once whole, as far as others could tell.
+    settled: bool,
+    heard: bool,
+    /// The largest fleet that others told of lately, and when.
+    told: Option<(Instant, u32)>,
+    /// When members that take no work are forgotten.
+    forget: BTreeMap<Endpoint, Instant>,
+}
+
+impl Membership {
+    /// Starts a run. `seeds` may be down, and may name this member itself.
+    pub fn new(
+        now: Instant,
+        timing: Timing,
+        me: Record,
+        seeds: Vec<Endpoint>,
+        mut rng: StdRng,
+    ) -> Self {
+        let mut view = View::default();
+        view.apply(&me);
+        let mut rumours = Rumours::default();
+        rumours.add(now, Rumour::Member(me.clone()), Reach::Everywhere);
+        let next_seed = rng.random_range(0..seeds.len().max(1));
+        Self {
+            me,
+            rng,
+            view,
+            prober: Prober::new(now, timing),
+            rumours,
+            sync: Sync::new(),
+            seeds,
+            next_seed,
+            join_at: now,
+            join_again: JOIN,
+            leaving: Vec::new(),
+            started: now,
+            settled: false,
+            heard: false,
+            told: None,
+            forget: BTreeMap::new(),
+        }
+    }
+
+    /// Returns the report about this run.
+    pub fn me(&self) -> &Record {
+        &self.me
+    }
+
+    /// Returns what is known of all members.
+    pub fn view(&self) -> &View {
+        &self.view
+    }
+
+    /// Tells whether the view was whole once in this run, as far as others could tell.
+    ///
+    /// Before that, what follows from the number of members isn't decided by it.
+    pub fn is_settled(&self, now: Instant) -> bool {
+        self.settled || (!self.heard && now.saturating_duration_since(self.started) >= ALONE)
+    }
+
+    /// Returns how many members there are, as far as it is known or others tell.
+    pub fn size(&self, now: Instant) -> usize {
+        let told = self.told.filter(|(at, _)| now.saturating_duration_since(*at) < TOLD);
+        self.view.count_working().max(told.map_or(0, |(_, told)| told as usize))
+    }
+
+    /// Takes other seeds.
+    pub fn set_seeds(&mut self, now: Instant, seeds: Vec<Endpoint>) {
+        self.seeds = seeds;
+        self.join_at = now;
+        self.join_again = JOIN;
+    }
+
+    /// Takes in the platform's list of instances.
+    pub fn apply_list(&mut self, now: Instant, list: &[Listed]) {
+        for record in self.view.apply_list(list) {
+            self.rumours.add(now, Rumour::Member(record), Reach::Zone);
+        }
+    }
+
+    /// Passes news on.
+    pub fn spread(&mut self, now: Instant, rumour: Rumour) {
+        self.rumours.add(now, rumour, Reach::Everywhere);
+    }
+
+    /// Takes in reports that a member told in an exchange of another kind.
+    pub fn learn_all(&mut self, now: Instant, records: &[Record]) {
+        for record in records {
+            self.learn(now, record, Heard::Told);
+        }
+    }
+
+    /// Changes the state of this run for good and returns the farewells to send.
+    pub fn farewell(&mut self, now: Instant, state: State, digest: Digest) -> Vec<Outgoing> {
+        self.me.state = self.me.state.max(state);
+        self.say(now);
+        let mut out = self.announce(digest);
+        self.push(now, digest, &mut out);
+        out
+    }
+
+    /// Returns datagrams that tell a few members at once what is in force.
+    pub fn announce(&mut self, digest: Digest) -> Vec<Outgoing> {
+        let targets = self.sample(FANOUT, |_| true);
+        targets.into_iter().map(|to| self.probe_datagram(to, Kind::News, digest)).collect()
+    }
+
+    /// Returns how much news is still passed on.
+    pub fn rumours(&self) -> usize {
+        self.rumours.len()
+    }
+
+    /// Picks members to ask for what they have in force.
+    pub fn peers(&mut self, count: usize) -> Vec<Endpoint> {
+        self.sample(count, |_| true)
+    }
+
+    /// Returns the searchers that peers reported as leaving since the last call.
+    pub fn take_leaving(&mut self) -> Vec<Rumour> {
+        std::mem::take(&mut self.leaving)
+    }
+
+    /// Tells when [`Membership::tick`] has something to do.
+    pub fn due(&self) -> Instant {
+        let others = [self.rumours.push_due(), self.sync.due(self.settled), self.next_forgotten()];
+        others.into_iter().flatten().fold(self.prober.due().min(self.join_at), Instant::min)
+    }
+
+    /// Does what is due.
+    pub fn tick(&mut self, now: Instant, digest: Digest) -> Vec<Outgoing> {
+        let mut out = Vec::new();
+        self.join(now, digest, &mut out);
+        self.ask_helpers(now, digest, &mut out);
+        self.expire_suspects(now);
+        self.forget(now);
+        if self.prober.is_due(now) {
+            if let Some(silent) = self.prober.end_period(now) {
+                self.suspect(now, silent);
+            }
+            if let Some((number, to)) = self.prober.ping(now, &self.me, &self.view, &mut self.rng) {
+                out.push(self.probe_datagram(to, Kind::Ping(number), digest));
+            }
+        }
+        if self.rumours.push_due().is_some_and(|due| due <= now) {
+            self.push(now, digest, &mut out);
+        }
+        if self.sync.due(self.settled).is_some_and(|due| due <= now)
+            && let Some(peer) = self.sync.begin(now, self.view.changes(), self.settled)
+        {
+            let peer = if self.settled { peer } else { self.any_other().unwrap_or(peer) };
+            let summary = Summary(*self.view.ranges());
+            out.push(self.datagram(peer, Kind::Compare(Box::new(summary)), digest, Vec::new()));
+        }
+        out
+    }
+
+    /// Takes in a datagram and returns the answers to it.
+    pub fn receive(&mut self, now: Instant, datagram: &Datagram, digest: Digest) -> Vec<Outgoing> {
+        let from = datagram.from.endpoint;
+        if from == self.me.endpoint {
+            return Vec::new();
+        }
+        self.heard = true;
+        let reach = Heard::News(Reach::Zone);
+        self.learn(now, &datagram.from, reach);
+        let how = if datagram.kind == Kind::Tell { Heard::Told } else { reach };
+        let mut outdated = Vec::new();
+        for rumour in &datagram.rumours {
+            match rumour {
+                Rumour::Member(record) => outdated.extend(self.learn(now, record, how)),
+                Rumour::Leaving { .. } => self.leaving.push(rumour.clone()),
+            }
+        }
+        self.compare(now, from, &datagram.digest);
+        let mut out = self.answer(datagram, digest);
+        if !outdated.is_empty() {
+            out.extend(self.tell(from, &outdated, digest));
+        }
+        out
+    }
+
+    /// Answers what a datagram asks for.
+    fn answer(&mut self, datagram: &Datagram, digest: Digest) -> Vec<Outgoing> {
+        let from = datagram.from.endpoint;
+        match &datagram.kind {
+            Kind::Ping(number) => vec![self.probe_datagram(from, Kind::Ack(*number), digest)],
+            Kind::Ack(number) => {
+                let passed = self.prober.acknowledged(*number);
+                let pass =
+                    |(origin, number)| self.probe_datagram(origin, Kind::Ack(number), digest);
+                passed.map(pass).into_iter().collect()
+            }
+            Kind::Ask(number, target) => {
+                let own = self.prober.relay(from, *number);
+                vec![self.probe_datagram(*target, Kind::Ping(own), digest)]
+            }
+            Kind::News | Kind::Tell => Vec::new(),
+            Kind::Join => {
+                let some = sync::some(&self.view, &datagram.from, &mut self.rng);
+                self.tell(from, &some, digest)
+            }
+            Kind::Compare(summary) => match sync::differing(&self.view, summary, &mut self.rng) {
+                Some(prints) => {
+                    vec![self.datagram(from, Kind::Differ(prints), digest, Vec::new())]
+                }
+                None => self.tell(from, &[], digest),
+            },
+            Kind::Differ(prints) => {
+                let (told, wanted) = sync::lacking(&self.view, prints, &mut self.rng);
+                let mut out = Vec::new();
+                if !told.is_empty() {
+                    out = self.tell(from, &told, digest);
+                }
+                if !wanted.prints.is_empty() {
+                    out.push(self.datagram(from, Kind::Want(wanted), digest, Vec::new()));
+                }
+                out
+            }
+            Kind::Want(prints) => {
+                let told = sync::wanted(&self.view, prints, &mut self.rng);
+                self.tell(from, &told, digest)
+            }
+        }
+    }
+
+    /// Compares what a member takes for alive with what is here.
+    fn compare(&mut self, now: Instant, peer: Endpoint, theirs: &Digest) {
+        let same = theirs.view == self.view.hash();
+        self.sync.see(now, peer, theirs.view, self.view.hash());
+        let recent = |(at, _): &(Instant, u32)| now.saturating_duration_since(*at) < TOLD;
+        let told = self.told.filter(recent).map_or(0, |(_, told)| told);
+        if theirs.members >= told {
+            self.told = Some((now, theirs.members));
+        }
+        let known = self.view.count_working() as f64;
+        if same && known >= SETTLED * f64::from(told.max(theirs.members)) {
+            self.settled = true;
+        }
+    }
+
+    /// Takes in one report; refutes it where it is a false one about this run.
+    ///
+    /// Returns what is known here of a member that the report takes for alive and that isn't.
+    fn learn(&mut self, now: Instant, record: &Record, how: Heard) -> Option<Record> {
+        if record.endpoint == self.me.endpoint {
+            self.refute(now, record);
+            return None;
+        }
+        let known = self.view.get(record.endpoint);
+        let record = match known {
+            Some(known) if condemns(record, known) => {
+                // It may refute: whoever says so may have been cut off from it.
+                &Record { state: State::Suspect, ..record.clone() }
+            }
+            _ => record,
+        };
+        if !self.view.apply(record) {
+            let known = self.view.get(record.endpoint)?;
+            let is_outdated = record.state.takes_work() && !known.state.takes_work();
+            return is_outdated.then(|| known.clone());
+        }
+        self.note(now, record);
+        if let Heard::News(reach) = how {
+            self.rumours.add(now, Rumour::Member(record.clone()), reach);
+        }
+        None
+    }
+
+    /// Keeps the times up to date that hang on a member's state.
+    fn note(&mut self, now: Instant, record: &Record) {
+        self.prober.note(now, record);
+        if record.state.takes_work() {
+            self.forget.remove(&record.endpoint);
+        } else {
+            self.forget.insert(record.endpoint, now + FORGET);
+        }
+    }
+
+    fn refute(&mut self, now: Instant, record: &Record) {
+        if !record.overrides(&self.me) {
+            return;
+        }
+        if record.incarnation == self.me.incarnation {
+            self.me.counter = record.counter + 1;
+        } else {
+            // A predecessor whose clock was ahead numbered itself after us; nobody would
+            // believe this run until it has a later number.
+            self.me.incarnation = record.incarnation + 1;
+        }
+        self.say(now);
+    }
+
+    /// Tells everybody the news about this run.
+    fn say(&mut self, now: Instant) {
+        self.view.apply(&self.me);
+        self.rumours.add(now, Rumour::Member(self.me.clone()), Reach::Everywhere);
+    }
+
+    /// Asks a seed that isn't known to be alive.
+    fn join(&mut self, now: Instant, digest: Digest, out: &mut Vec<Outgoing>) {
+        if now < self.join_at {
+            return;
+        }
+        self.join_at = now + self.join_again;
+        let alone = self.view.count_working() <= 1;
+        self.join_again = if alone { JOIN } else { LONGEST_JOIN.min(self.join_again * 2) };
+        let is_known = |seed: &Endpoint| {
+            *seed == self.me.endpoint
+                || self.view.get(*seed).is_some_and(|known| known.state.takes_work())
+        };
+        let unknown = (0..self.seeds.len())
+            .map(|turn| (self.next_seed + turn) % self.seeds.len())
+            .find(|seed| !is_known(&self.seeds[*seed]));
+        if let Some(seed) = unknown {
+            self.next_seed = seed + 1;
+            let to = self.seeds[seed];
+            out.push(self.datagram(to, Kind::Join, digest, Vec::new()));
+        }
+    }
+
+    fn ask_helpers(&mut self, now: Instant, digest: Digest, out: &mut Vec<Outgoing>) {
+        let Some((number, target)) = self.prober.unanswered(now) else {
+            return;
+        };
+        let helpers = self.sample(HELPERS, |record| record.endpoint != target);
+        for helper in helpers {
+            out.push(self.probe_datagram(helper, Kind::Ask(number, target), digest));
+        }
+    }
+
+    fn suspect(&mut self, now: Instant, target: Endpoint) {
+        let Some(known) = self.view.get(target).filter(|known| known.state == State::Alive) else {
+            return;
+        };
+        let suspicion = Record { state: State::Suspect, ..known.clone() };
+        self.learn(now, &suspicion, Heard::News(Reach::Everywhere));
+    }
+
+    /// Counts suspects as unreachable that did not refute in time. Nobody needs to be told: who
+    /// heard of the suspicion does the same.
+    fn expire_suspects(&mut self, now: Instant) {
+        for endpoint in self.prober.expired(now) {
+            let Some(known) = self.view.get(endpoint) else {
+                continue;
+            };
+            if known.state == State::Suspect {
+                let unreachable = Record { state: State::Unreachable, ..known.clone() };
+                self.view.apply(&unreachable);
+                self.note(now, &unreachable);
+            }
+        }
+    }
+
+    fn next_forgotten(&self) -> Option<Instant> {
+        self.forget.values().min().copied()
+    }
+
+    fn forget(&mut self, now: Instant) {
+        let over = |until: &Instant| now >= *until;
+        for (endpoint, _) in self.forget.extract_if(.., |_, until| over(until)) {
+            self.view.forget(endpoint);
+        }
+    }
+
+    /// Pushes what is new, in one datagram each, to a few of the own zone, and what began here
+    /// to a few of each other zone.
+    fn push(&mut self, now: Instant, digest: Digest, out: &mut Vec<Outgoing>) {
+        if self.view.count_working() <= 1 {
+            self.rumours.push_later(now);
+            return;
+        }
+        let news = self.rumours.push();
+        if news.is_empty() {
+            return;
+        }
+        let begun = news.iter().filter(|(reach, _)| *reach == Reach::Everywhere);
+        let begun: Vec<Rumour> = begun.map(|(_, rumour)| rumour.clone()).collect();
+        let all: Vec<Rumour> = news.into_iter().map(|(_, rumour)| rumour).collect();
+        let zone = Name::clone(&self.me.zone);
+        for to in self.sample(PUSH_NEAR, |record| record.zone == zone) {
+            out.push(self.datagram(to, Kind::News, digest, all.clone()));
+        }
+        if begun.is_empty() {
+            return;
+        }
+        for to in self.some_of_other_zones() {
+            out.push(self.datagram(to, Kind::News, digest, begun.clone()));
+        }
+    }
+
+    /// Picks a few members of each other zone.
+    fn some_of_other_zones(&mut self) -> Vec<Endpoint> {
+        let mut zones = BTreeMap::<&Name, Vec<Endpoint>>::new();
+        for record in self.view.working().filter(|record| record.zone != self.me.zone) {
+            zones.entry(&record.zone).or_default().push(record.endpoint);
+        }
+        let rng = &mut self.rng;
+        let few =
+            |members: Vec<Endpoint>| members.sample(rng, PUSH_FAR).copied().collect::<Vec<_>>();
+        zones.into_values().flat_map(few).collect()
+    }
+
+    /// Picks a member to compare views with, mostly one of the own zone.
+    ///
+    /// While a fleet starts all views differ, and everybody has heard of the seeds first: if each
+    /// compared with whom it heard last, a seed would send 2.8 MB a second at 300 members.
+    fn any_other(&mut self) -> Option<Endpoint> {
+        let zone = Name::clone(&self.me.zone);
+        let far = self.rng.random_ratio(1, COMPARE_FAR);
+        let picked = self.sample(1, |record| (record.zone == zone) != far);
+        picked.first().copied().or_else(|| self.sample(1, |_| true).first().copied())
+    }
+
+    /// Picks members that take work, this one left out.
+    fn sample(&mut self, count: usize, may: impl Fn(&Record) -> bool) -> Vec<Endpoint> {
+        let me = self.me.endpoint;
+        let others = self.view.working().filter(|record| record.endpoint != me && may(record));
+        let others: Vec<_> = others.map(|record| record.endpoint).collect();
+        others.sample(&mut self.rng, count).copied().collect()
+    }
+
+    /// Makes the datagrams that tell a member records, one at the least.
+    fn tell(&self, to: Endpoint, records: &[Record], digest: Digest) -> Vec<Outgoing> {
+        let rumours = |records: &[Record]| records.iter().cloned().map(Rumour::Member).collect();
+        if records.is_empty() {
+            return vec![self.datagram(to, Kind::Tell, digest, Vec::new())];
+        }
+        let told = records.chunks(PER_DATAGRAM);
+        told.map(|records| self.datagram(to, Kind::Tell, digest, rumours(records))).collect()
+    }
+
+    /// Makes a datagram that carries news on its back.
+    fn probe_datagram(&mut self, to: Endpoint, kind: Kind, digest: Digest) -> Outgoing {
+        let far = self.view.get(to).is_some_and(|known| known.zone != self.me.zone);
+        let rumours = self.rumours.take(self.view.len(), far);
+        self.datagram(to, kind, digest, rumours)
+    }
+
+    fn datagram(
+        &self,
+        to: Endpoint,
+        kind: Kind,
+        digest: Digest,
+        mut rumours: Vec<Rumour>,
+    ) -> Outgoing {
+        let members = self.view.count_working() as u32;
+        let digest = Digest { view: self.view.hash(), members, ..digest };
+        // A member that is doubted must hear of it whenever it is spoken to, also long
+        // after the rumour has died down; else it could never refute.
+        if let Some(doubted) = self.view.get(to).filter(|known| known.state != State::Alive) {
+            rumours.insert(0, Rumour::Member(doubted.clone()));
+        }
+        Outgoing { to, datagram: Datagram { kind, from: self.me.clone(), digest, rumours } }
+    }
+}
+
+/// Tells whether a report counts a run as unreachable that is taken for alive or suspect here.
+fn condemns(report: &Record, known: &Record) -> bool {
+    report.state == State::Unreachable
+        && known.state.takes_work()
+        && known.incarnation == report.incarnation
+}
--- a/crates/members/src/view.rs
+++ b/crates/members/src/view.rs
@@ -3,6 +3,8 @@
 //! Invariant: within a run, a final state is never left, and no report about an
 //! earlier run changes anything. The platform's list lags; it can add members that
 //! nobody has heard of and remove members that nobody can reach, and nothing else.
+//! The hashes tell about the members that take work, and nothing about the others: so a
+//! member that is gone can be forgotten without a word, whenever each of the others does.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
@@ -23,16 +25,51 @@
     pub leaving: bool,
 }
 
+/// Into how many ranges the members are divided by their hashes.
+///
+/// At 1,800 members a range holds 28 records, so that the prints of one, 112 bytes, tell which
+/// of them differ; their hashes fit one datagram at any size of the fleet.
+pub const RANGES: usize = 64;
+
 /// One member's view of all members.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct View {
     records: BTreeMap<Endpoint, Record>,
     listed: BTreeSet<Ipv4Addr>,
     listed_leaving: BTreeSet<Ipv4Addr>,
     hash: u64,
+    ranges: [u32; RANGES],
+    working: usize,
     changes: u64,
 }
 
+impl Default for View {
+    fn default() -> Self {
+        Self {
+            records: BTreeMap::new(),
+            listed: BTreeSet::new(),
+            listed_leaving: BTreeSet::new(),
+            hash: 0,
+            ranges: [0; RANGES],
+            working: 0,
+            changes: 0,
+        }
+    }
+}
+
+/// Returns the range of an endpoint.
+pub(crate) fn range(endpoint: Endpoint) -> usize {
+    (endpoint.hash() % RANGES as u64) as usize
+}
+
+/// Returns a short hash of a record.
+///
+/// Two records of a fleet of 1,800 share one once in some thousand fleets; then one of them
+/// is told by news alone.
+pub(crate) fn print(record: &Record) -> u32 {
+    record.hash() as u32
+}
+
 impl View {
     /// Takes in a report and tells whether it changed the view.
     pub fn apply(&mut self, record: &Record) -> bool {
@@ -40,12 +77,33 @@
         if known.is_some_and(|known| !record.overrides(known)) {
             return false;
         }
-        self.hash ^= known.map_or(0, Record::hash) ^ record.hash();
+        let known = self.records.insert(record.endpoint, record.clone());
+        self.count(record, true);
+        if let Some(known) = known {
+            self.count(&known, false);
+        }
         self.changes += 1;
-        self.records.insert(record.endpoint, record.clone());
         true
     }
 
+    /// Takes a record into the hashes, or out of them.
+    fn count(&mut self, record: &Record, comes: bool) {
+        if !record.state.takes_work() {
+            return;
+        }
+        self.hash ^= record.hash();
+        self.ranges[range(record.endpoint)] ^= print(record);
+        self.working = if comes { self.working + 1 } else { self.working - 1 };
+    }
+
+    /// Forgets a member that takes no work.
+    pub(crate) fn forget(&mut self, endpoint: Endpoint) {
+        if self.records.get(&endpoint).is_some_and(|known| !known.state.takes_work()) {
+            self.records.remove(&endpoint);
+            self.changes += 1;
+        }
+    }
+
     /// Takes in the platform's list and returns the reports that follow from it.
     ///
     /// Members known from elsewhere are left alone, unless they are unreachable and
@@ -105,11 +163,26 @@
             && !self.listed_leaving.contains(&endpoint.ip)
     }
 
-    /// Returns the hash of all reports, to compare views with.
+    /// Returns the hash of the members that take work, to compare views with.
     pub fn hash(&self) -> u64 {
         self.hash
     }
 
+    /// Returns the hash of each range.
+    pub(crate) fn ranges(&self) -> &[u32; RANGES] {
+        &self.ranges
+    }
+
+    /// Iterates over the members that take work.
+    pub fn working(&self) -> impl Iterator<Item = &Record> {
+        self.records.values().filter(|record| record.state.takes_work())
+    }
+
+    /// Returns how many members take work.
+    pub fn count_working(&self) -> usize {
+        self.working
+    }
+
     /// Returns the hash of the gathers that keep their place, with whether they can be
     /// reached. It changes only when homes may have to change.
     pub fn places_hash(&self) -> u64 {
--- a/crates/members/tests/filetests.rs
+++ b/crates/members/tests/filetests.rs
@@ -9,7 +9,7 @@
 use bergamot_base::{Name, Seed};
 use bergamot_filetest::{check, trace};
 use bergamot_members::{
-    Digest, Endpoint, Listed, Outgoing, Prober, Record, Role, State, Timing, View,
+    Digest, Endpoint, Listed, Membership, Outgoing, Record, Role, State, Timing, View,
 };
 
 fn view(path: &Path) -> Result<(), Box<dyn Error>> {
@@ -73,7 +73,7 @@
 
 /// Members of a trace; datagrams go to those that are up, at once.
 struct Net {
-    members: BTreeMap<Endpoint, (Prober, View)>,
+    members: BTreeMap<Endpoint, Membership>,
     down: Vec<Endpoint>,
     sent: usize,
 }
@@ -108,8 +108,8 @@
                 self.states()
             }
             ["leave", member] => {
-                let (prober, view) = self.members.get_mut(&endpoint(member)).expect("is started");
-                let out = prober.farewell(State::Leaving, view, Digest::default());
+                let leaver = self.members.get_mut(&endpoint(member)).expect("is started");
+                let out = leaver.farewell(now, State::Leaving, Digest::default());
                 self.deliver(now, out);
                 self.states()
             }
@@ -121,18 +121,14 @@
     fn start(&mut self, now: Instant, member: &str, known: &[Record]) {
         let timing = Timing {
             probe: Duration::from_millis(100),
-            busiest: usize::MAX,
             answer: Duration::from_millis(30),
             suspicion: Duration::from_millis(300),
         };
         let me = record(member, "1", "0", "alive");
-        let mut view = View::default();
-        for record in known {
-            view.apply(record);
-        }
-        view.apply(&me);
-        let rng = Seed(1).generator(member);
-        self.members.insert(me.endpoint, (Prober::new(now, timing, me, rng), view));
+        let (at, rng) = (me.endpoint, Seed(1).generator(member));
+        let mut membership = Membership::new(now, timing, me, Vec::new(), rng);
+        membership.learn_all(now, known);
+        self.members.insert(at, membership);
     }
 
     /// Lets time pass in small steps.
@@ -144,8 +140,8 @@
             for endpoint in
                 endpoints.into_iter().filter(|e| !self.down.contains(e)).collect::<Vec<_>>()
             {
-                let (prober, view) = self.members.get_mut(&endpoint).expect("is a key");
-                let out = prober.tick(moment, view, Digest::default());
+                let member = self.members.get_mut(&endpoint).expect("is a key");
+                let out = member.tick(moment, Digest::default());
                 self.deliver(moment, out);
             }
         }
@@ -158,8 +154,8 @@
             if self.down.contains(&to) || self.down.contains(&datagram.from.endpoint) {
                 continue;
             }
-            if let Some((prober, view)) = self.members.get_mut(&to) {
-                queue.extend(prober.receive(now, &datagram, view, Digest::default()));
+            if let Some(member) = self.members.get_mut(&to) {
+                queue.extend(member.receive(now, &datagram, Digest::default()));
             }
         }
     }
@@ -167,10 +163,10 @@
     /// What the first member that is up believes of every gather.
     fn states(&self) -> String {
         let observer = self.members.iter().find(|(endpoint, _)| !self.down.contains(endpoint));
-        let Some((_, (_, view))) = observer else {
+        let Some((_, observer)) = observer else {
             return "nobody is up".to_owned();
         };
-        let gathers = view.iter().filter(|record| record.endpoint.role == Role::Gather);
+        let gathers = observer.view().iter().filter(|record| record.endpoint.role == Role::Gather);
         let states =
             gathers.map(|r| format!("{}:{}.{}", r.endpoint.ip.octets()[3], r.state, r.counter));
         states.collect::<Vec<_>>().join(" ")
--- a/crates/members/tests/incarnation.rs
+++ b/crates/members/tests/incarnation.rs
@@ -5,7 +5,7 @@
 
 use bergamot_base::Seed;
 use bergamot_members::{
-    Datagram, Digest, Endpoint, Kind, Prober, Record, Role, Rumour, State, Timing, View,
+    Datagram, Digest, Endpoint, Kind, Membership, Record, Role, Rumour, State, Timing,
 };
 
 fn record(last: u8, incarnation: u64, state: State) -> Record {
@@ -17,14 +17,12 @@
 fn a_later_run_with_an_earlier_number_takes_a_number_after_its_predecessors() {
     let timing = Timing {
         probe: Duration::from_millis(300),
-        busiest: usize::MAX,
         answer: Duration::from_millis(100),
         suspicion: Duration::from_secs(1),
     };
     let me = record(1, 500, State::Alive);
-    let mut view = View::default();
-    view.apply(&me);
-    let mut prober = Prober::new(Instant::now(), timing, me, Seed(1).generator("test"));
+    let (now, rng) = (Instant::now(), Seed(1).generator("test"));
+    let mut membership = Membership::new(now, timing, me, Vec::new(), rng);
     // A peer still holds the farewell of the run before, whose clock was ahead.
     let datagram = Datagram {
         kind: Kind::News,
@@ -32,8 +30,8 @@
         digest: Digest::default(),
         rumours: vec![Rumour::Member(record(1, 900, State::Leaving))],
     };
-    prober.receive(Instant::now(), &datagram, &mut view, Digest::default());
-    let after = prober.me();
+    membership.receive(now, &datagram, Digest::default());
+    let after = membership.me();
     assert!(after.incarnation > 900 && after.state == State::Alive, "{after}");
     assert!(after.overrides(&record(1, 900, State::Leaving)));
 }
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -8,6 +8,7 @@
 //! each other, and the cost of processing. Invariant: the same [`Load`] gives the same
 //! [`Report`].
 
+pub mod fleet;
 mod load;
 mod member;
 mod report;
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -6,7 +6,7 @@
 use bergamot_members::{Datagram, Role, Rumour};
 use bergamot_wire::LARGEST_DATAGRAM;
 
-use crate::node::{Control, Node};
+use crate::node::Node;
 use crate::pulls;
 
 /// How often the pulse beats.
@@ -16,7 +16,7 @@
 pub(crate) async fn run(node: Arc<Node>) {
     let mut buffer = vec![0; LARGEST_DATAGRAM + 1];
     loop {
-        let due = node.lock().prober.due();
+        let due = node.lock().membership.due();
         tokio::select! {
             () = node.stop.cancelled() => return,
             received = node.socket.recv_from(&mut buffer) => {
@@ -36,11 +36,10 @@
 fn receive(node: &Arc<Node>, datagram: &Datagram) {
     let mut control = node.lock();
     let digest = control.digest();
-    let changes = control.view.changes();
-    let Control { prober, view, .. } = &mut *control;
-    let out = prober.receive(Instant::now(), datagram, view, digest);
-    let leaving = prober.take_leaving();
-    if control.view.changes() != changes {
+    let changes = control.membership.view().changes();
+    let out = control.membership.receive(Instant::now(), datagram, digest);
+    let leaving = control.membership.take_leaving();
+    if control.membership.view().changes() != changes {
         node.refresh_homes(&mut control);
     }
     drop(control);
@@ -56,10 +55,9 @@
 fn tick(node: &Arc<Node>) {
     let mut control = node.lock();
     let digest = control.digest();
-    let changes = control.view.changes();
-    let Control { prober, view, .. } = &mut *control;
-    let out = prober.tick(Instant::now(), view, digest);
-    if control.view.changes() != changes {
+    let changes = control.membership.view().changes();
+    let out = control.membership.tick(Instant::now(), digest);
+    if control.membership.view().changes() != changes {
         node.refresh_homes(&mut control);
     }
     drop(control);
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -10,7 +10,7 @@
 use bergamot_base::{Awake, Incarnation, Name, Seed, Tasks};
 use bergamot_config::{Document, Floor, Settings, Verdict};
 use bergamot_members::{
-    Digest, Endpoint, Homes, Outgoing, Prober, Record, Role, Rumour, State, Timing, View,
+    Digest, Endpoint, Homes, Membership, Outgoing, Record, Role, Rumour, State, Timing, View,
 };
 use bergamot_net::{Fault, listen};
 use prometheus::Registry;
@@ -54,8 +54,7 @@
 /// What the control loop changes under one lock.
 #[derive(Debug)]
 pub(crate) struct Control {
-    pub(crate) view: View,
-    pub(crate) prober: Prober,
+    pub(crate) membership: Membership,
     pub(crate) floor: Floor,
     pub(crate) rng: StdRng,
     homes_of: (u64, u64),
@@ -165,8 +164,7 @@
             let out = {
                 let mut control = self.lock();
                 let digest = control.digest();
-                let Control { prober, view, .. } = &mut *control;
-                prober.farewell(state, view, digest)
+                control.membership.farewell(Instant::now(), state, digest)
             };
             self.transmit(out);
             tokio::time::sleep(FAREWELL).await;
@@ -218,7 +216,8 @@
     /// Tells the fleet that a searcher is leaving.
     pub fn report_leaving(&self, searcher: SocketAddr, run: Name) {
         self.remember_leaving(searcher, Name::clone(&run));
-        self.lock().prober.spread(Rumour::Leaving { searcher, run });
+        let rumour = Rumour::Leaving { searcher, run };
+        self.lock().membership.spread(Instant::now(), rumour);
     }
 
     /// Takes in the word that a searcher is leaving.
@@ -248,17 +247,22 @@
 
     /// Tells whether new work may be sent to an endpoint.
     pub fn takes_work(&self, endpoint: Endpoint) -> bool {
-        self.lock().view.takes_work(endpoint)
+        self.lock().membership.view().takes_work(endpoint)
     }
 
     /// Runs a function on the view of the members.
     pub fn with_view<T>(&self, read: impl FnOnce(&View) -> T) -> T {
-        read(&self.lock().view)
+        read(self.lock().membership.view())
     }
 
     /// Finds the entry of a run, or tells that the run is gone for good.
     pub fn find_run(&self, incarnation: Incarnation) -> Option<Record> {
-        self.lock().view.iter().find(|record| record.incarnation == incarnation).cloned()
+        self.lock()
+            .membership
+            .view()
+            .iter()
+            .find(|record| record.incarnation == incarnation)
+            .cloned()
     }
 
     /// Tells whether new work may start right now.
@@ -284,7 +288,7 @@
 
     /// Returns how much news this node still passes on.
     pub fn rumours(&self) -> usize {
-        self.lock().prober.rumours()
+        self.lock().membership.rumours()
     }
 
     /// Returns the metrics of the node.
@@ -311,7 +315,7 @@
         {
             let control = self.lock();
             let clashes = control.floor.clashes();
-            let _ = write!(text, "clashes {clashes}\n\n[members]\n{}", control.view);
+            let _ = write!(text, "clashes {clashes}\n\n[members]\n{}", control.membership.view());
         }
         let _ = write!(text, "\n[homes]\n{}", self.homes());
         for (title, dump) in self.dumps.lock().unwrap_or_else(PoisonError::into_inner).iter() {
@@ -332,8 +336,7 @@
                 control.homes_of = (0, 0);
                 self.refresh_homes(&mut control);
                 let digest = control.digest();
-                let Control { prober, view, .. } = &mut *control;
-                let out = prober.announce(view, digest);
+                let out = control.membership.announce(digest);
                 drop(control);
                 self.transmit(out);
                 log::info!("config: Revision {revision} is in force.");
@@ -350,16 +353,16 @@
 
     /// Computes the homes anew where the members or the document have changed.
     pub(crate) fn refresh_homes(&self, control: &mut Control) {
-        self.meter.members.set(control.view.len() as i64);
+        self.meter.members.set(control.membership.view().len() as i64);
         let Some(current) = self.current() else {
             return;
         };
-        let key = (current.document.hash, control.view.places_hash());
+        let key = (current.document.hash, control.membership.view().places_hash());
         if control.homes_of == key {
             return;
         }
         control.homes_of = key;
-        let gathers = control.view.placed(Role::Gather);
+        let gathers = control.membership.view().placed(Role::Gather);
         let homes = Homes::compute(&current.document.layout, current.document.regions(), gathers);
         self.homes.store(Arc::new(homes));
         self.changed.send_modify(|count| *count += 1);
@@ -386,7 +389,7 @@
 impl Control {
     /// Returns what is in force, as peers are told.
     pub(crate) fn digest(&self) -> Digest {
-        Digest { revision: self.floor.revision(), hash: self.floor.hash(), view: self.view.hash() }
+        Digest { revision: self.floor.revision(), hash: self.floor.hash(), ..Digest::default() }
     }
 
     fn new(settings: &Settings, me: Endpoint, incarnation: Incarnation) -> Self {
@@ -396,16 +399,14 @@
             Record { endpoint: me, zone, incarnation, counter: 0, state: State::Alive, weight: 0 };
         let timing = Timing {
             probe: settings.control.probe,
-            busiest: usize::MAX,
             answer: settings.control.answer,
             suspicion: settings.control.suspicion,
         };
-        let mut view = View::default();
-        view.apply(&me);
         let seed = Seed(incarnation);
+        // The platform's list takes the place of seeds.
+        let seeds = Vec::new();
         Self {
-            view,
-            prober: Prober::new(now, timing, me, seed.generator("prober")),
+            membership: Membership::new(now, timing, me, seeds, seed.generator("membership")),
             floor: Floor::default(),
             rng: seed.generator("node"),
             homes_of: (0, 0),
--- a/crates/node/src/platform.rs
+++ b/crates/node/src/platform.rs
@@ -9,11 +9,11 @@
 use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::sync::{Arc, PoisonError};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bergamot_base::{Name, hash_bytes};
 use bergamot_config::Document;
-use bergamot_members::{Listed, Rumour, readers};
+use bergamot_members::{Listed, readers};
 use bergamot_net::{Reply, fetch};
 use hyper::StatusCode;
 use rand::RngExt;
@@ -121,9 +121,7 @@
     }
     hear_listed(node, listed_leaving);
     let mut control = node.lock();
-    for record in control.view.apply_list(&instances) {
-        control.prober.spread(Rumour::Member(record));
-    }
+    control.membership.apply_list(Instant::now(), &instances);
     node.refresh_homes(&mut control);
 }
 
--- a/crates/node/src/pulls.rs
+++ b/crates/node/src/pulls.rs
@@ -11,7 +11,7 @@
 use rand::RngExt;
 use tokio::net::TcpListener;
 
-use crate::node::{Control, Node, control_address};
+use crate::node::{Node, control_address};
 use crate::platform;
 
 /// How many peers are asked when a node starts or wakes.
@@ -20,10 +20,10 @@
 /// How long one pull may take.
 const TIMEOUT: Duration = Duration::from_millis(1500);
 
-/// One datagram in so many that shows another view leads to an exchange of views.
+/// One datagram in so many that shows another view leads to an exchange with its sender.
 ///
-/// Views differ for a moment after every change, while rumours are on their way; only
-/// a lasting difference needs the exchange, and it is met sooner or later.
+/// Views are compared by datagrams; but members that were apart may also have missed the word
+/// that a searcher is leaving, and only an exchange brings that.
 const VIEW_EXCHANGE: u32 = 64;
 
 /// Answers pulls until the node closes.
@@ -41,9 +41,8 @@
         return Bundle { parcel, ..Bundle::default() };
     };
     let mut control = node.lock();
-    let view = control.view.iter().cloned().collect();
-    let Control { prober, view: ours, .. } = &mut *control;
-    prober.learn_all(Instant::now(), theirs, ours);
+    let view = control.membership.view().iter().cloned().collect();
+    control.membership.learn_all(Instant::now(), theirs);
     node.refresh_homes(&mut control);
     drop(control);
     Bundle { parcel, view, leaving: node.leaving() }
@@ -78,8 +77,7 @@
 pub(crate) async fn catch_up(node: &Arc<Node>, with_platform: bool) {
     let peers = {
         let mut control = node.lock();
-        let Control { prober, view, .. } = &mut *control;
-        prober.peers(view, PEERS)
+        control.membership.peers(PEERS)
     };
     let mut asked = tokio::task::JoinSet::new();
     for peer in peers {
@@ -121,8 +119,7 @@
     node.meter().pull_bytes.inc_by(bytes as u64);
     if with_view {
         let mut control = node.lock();
-        let Control { prober, view, .. } = &mut *control;
-        prober.learn_all(Instant::now(), &bundle.view, view);
+        control.membership.learn_all(Instant::now(), &bundle.view);
         node.refresh_homes(&mut control);
     }
     for (searcher, run) in bundle.leaving {
--- a/crates/peers/src/lib.rs
+++ b/crates/peers/src/lib.rs
@@ -1,9 +1,9 @@
 //! Membership of daemons that find each other through seeds.
 //!
-//! The failure detector and the view are those of `bergamot-members`; this crate gives
-//! them sockets: datagrams for probes, short streams for whole views. A daemon that starts
-//! asks its seeds for their views, and every member it hears of from there on is a seed
-//! as good as those. See `docs/design/0007-membership.md` and `docs/design/0009-platform.md`.
+//! The membership is that of `bergamot-members`; this crate gives it a socket. A daemon that
+//! starts asks its seeds for some members and compares its view with theirs. See
+//! `docs/design/0007-membership.md`, `docs/design/0009-platform.md` and
+//! `docs/design/0013-views-that-agree.md`.
 
 mod directory;
 mod peers;
--- a/crates/peers/src/peers.rs
+++ b/crates/peers/src/peers.rs
@@ -1,46 +1,37 @@
-//! The sockets of the failure detector.
+//! The sockets of the membership.
 //!
-//! Invariant: one datagram loop and one timer drive the prober under one lock, which is
+//! Invariant: one datagram loop and one timer drive the membership under one lock, which is
 //! never held while waiting.
 
 use std::fmt;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Instant, SystemTime, UNIX_EPOCH};
 
 use bergamot_base::{Incarnation, Name, Revision, Seed, Tasks};
-use bergamot_members::{Datagram, Digest, Endpoint, Outgoing, Prober, Record, Role, State, View};
-use bergamot_net::{Fault, listen};
-use bergamot_wire::{Bundle, LARGEST_DATAGRAM, Pull, pull, serve_pulls};
+use bergamot_members::{
+    Datagram, Digest, Endpoint, Membership, Outgoing, Record, Role, State, View,
+};
+use bergamot_net::Fault;
+use bergamot_wire::LARGEST_DATAGRAM;
 use rand::RngExt;
 use tokio::net::UdpSocket;
+use tokio::sync::Notify;
 use tokio_util::sync::CancellationToken;
 
 use crate::settings::Settings;
 
-/// How long one exchange of views may take: some round trips between regions.
-const EXCHANGE: Duration = Duration::from_millis(500);
-
-/// How long a member that knows no other waits before it asks its seeds again.
-const RETRY: Duration = Duration::from_millis(250);
-
-/// One datagram in so many that shows another view leads to an exchange of views.
-///
-/// Views differ for a moment after every change; only a lasting difference needs it.
-const VIEW_EXCHANGE: u32 = 48;
-
 /// How many times a farewell is sent, since a datagram may be lost.
 const FAREWELLS: usize = 3;
 
 struct Control {
-    view: View,
-    prober: Prober,
+    membership: Membership,
     revision: Revision,
 }
 
 impl Control {
     fn digest(&self) -> Digest {
-        Digest { revision: self.revision, hash: 0, view: self.view.hash() }
+        Digest { revision: self.revision, ..Digest::default() }
     }
 }
 
@@ -49,6 +40,8 @@
     settings: Settings,
     seeds: Mutex<Vec<Ipv4Addr>>,
     control: Mutex<Control>,
+    /// Wakes the loop when something is due sooner than it was.
+    sooner: Notify,
     socket: UdpSocket,
     stop: CancellationToken,
 }
@@ -60,7 +53,7 @@
 }
 
 impl Peers {
-    /// Binds the sockets and starts probing.
+    /// Binds the socket and starts probing.
     pub async fn start(
         settings: Settings,
         tasks: &Tasks,
@@ -69,44 +62,38 @@
         let address = SocketAddr::from((settings.address, settings.port));
         let fault = |error| Fault::new("bind control", address, error);
         let socket = UdpSocket::bind(address).await.map_err(fault)?;
-        let listener = listen(address).await?;
-        let endpoint = Endpoint { ip: settings.address, role: Role::Entry };
         let me = Record {
-            endpoint,
+            endpoint: endpoint(settings.address),
             zone: Name::clone(&settings.zone),
             incarnation: new_incarnation(),
             counter: 0,
             state: State::Alive,
             weight: settings.weight,
         };
-        let mut view = View::default();
-        view.apply(&me);
-        let rng = Seed(me.incarnation).generator("prober");
-        let prober = Prober::new(Instant::now(), settings.timing, me, rng);
-        let control = Mutex::new(Control { view, prober, revision: 0 });
+        let rng = Seed(me.incarnation).generator("membership");
+        let seeds = endpoints(&settings.seeds);
+        let membership = Membership::new(Instant::now(), settings.timing, me, seeds, rng);
+        let control = Mutex::new(Control { membership, revision: 0 });
         let seeds = Mutex::new(settings.seeds.clone());
-        let peers = Arc::new(Self { settings, seeds, control, socket, stop: stop.clone() });
-        tasks.spawn("prober", Arc::clone(&peers).run());
-        tokio::spawn(Arc::clone(&peers).join());
-        let answering = Arc::clone(&peers);
-        let serving = serve_pulls(listener, stop, move |request| answering.answer(&request));
-        tasks.spawn("views", serving);
+        let sooner = Notify::new();
+        let peers = Arc::new(Self { settings, seeds, control, sooner, socket, stop });
+        tasks.spawn("membership", Arc::clone(&peers).run());
         Ok(peers)
     }
 
     /// Reads the view under its lock.
     pub fn with_view<T>(&self, read: impl FnOnce(&View) -> T) -> T {
-        read(&self.lock().view)
+        read(self.lock().membership.view())
     }
 
-    /// Takes other seeds, and asks them for their views if they are new.
-    pub fn set_seeds(self: &Arc<Self>, seeds: Vec<Ipv4Addr>) {
+    /// Takes other seeds, and asks those of them that aren't known for other members.
+    pub fn set_seeds(&self, seeds: Vec<Ipv4Addr>) {
         let mut known = self.seeds.lock().unwrap_or_else(PoisonError::into_inner);
         if *known != seeds {
             log::info!("peers: event=seeds_changed seeds={seeds:?}");
+            self.lock().membership.set_seeds(Instant::now(), endpoints(&seeds));
             *known = seeds;
-            drop(known);
-            tokio::spawn(Arc::clone(self).join());
+            self.sooner.notify_one();
         }
     }
 
@@ -120,8 +107,7 @@
         for _ in 0..FAREWELLS {
             let mut control = self.lock();
             let digest = control.digest();
-            let Control { prober, view, .. } = &mut *control;
-            let out = prober.farewell(State::Leaving, view, digest);
+            let out = control.membership.farewell(Instant::now(), State::Leaving, digest);
             drop(control);
             self.transmit(out);
         }
@@ -130,9 +116,10 @@
     async fn run(self: Arc<Self>) {
         let mut buffer = vec![0; LARGEST_DATAGRAM + 1];
         loop {
-            let due = self.lock().prober.due();
+            let due = self.lock().membership.due();
             tokio::select! {
                 () = self.stop.cancelled() => return,
+                () = self.sooner.notified() => {}
                 received = self.socket.recv_from(&mut buffer) => match received {
                     Ok((length, from)) => self.receive(&buffer[..length], from),
                     Err(error) => log::warn!("peers: event=receive_failed cause=\"{error}\""),
@@ -142,30 +129,7 @@
         }
     }
 
-    /// Asks the seeds for their views until another member is known.
-    async fn join(self: Arc<Self>) {
-        loop {
-            let seeds = self.seeds.lock().unwrap_or_else(PoisonError::into_inner).clone();
-            let first = rand::rng().random_range(0..seeds.len().max(1));
-            let others = seeds.iter().cycle().skip(first).take(seeds.len());
-            for seed in others.filter(|seed| **seed != self.settings.address) {
-                self.exchange(*seed).await;
-                // One view is enough; what it lacks arrives as rumours.
-                if self.with_view(View::len) > seeds.len() {
-                    return;
-                }
-            }
-            if self.with_view(View::len) > 1 || seeds.is_empty() {
-                return;
-            }
-            tokio::select! {
-                () = self.stop.cancelled() => return,
-                () = tokio::time::sleep(RETRY) => {}
-            }
-        }
-    }
-
-    fn receive(self: &Arc<Self>, bytes: &[u8], from: SocketAddr) {
+    fn receive(&self, bytes: &[u8], from: SocketAddr) {
         let datagram: Datagram = match bergamot_wire::decode(bytes, from) {
             Ok(datagram) => datagram,
             Err(garbled) => {
@@ -173,60 +137,33 @@
                 return;
             }
         };
-        let mut control = self.lock();
-        let digest = control.digest();
-        let before = control.view.changes();
-        let Control { prober, view, .. } = &mut *control;
-        let out = prober.receive(Instant::now(), &datagram, view, digest);
-        let changed = view.changes() != before;
-        let differs = datagram.digest.view != view.hash();
-        drop(control);
-        self.transmit(out);
-        if changed {
-            self.log_view("datagram", from);
-        } else if differs && rand::rng().random_ratio(1, VIEW_EXCHANGE) {
-            let (peers, peer) = (Arc::clone(self), datagram.from.endpoint.ip);
-            tokio::spawn(async move { peers.exchange(peer).await });
-        }
+        self.drive("datagram", from, |membership, digest| {
+            membership.receive(Instant::now(), &datagram, digest)
+        });
     }
 
     fn tick(&self) {
+        let own = SocketAddr::from((self.settings.address, 0));
+        self.drive("timer", own, |membership, digest| membership.tick(Instant::now(), digest));
+    }
+
+    /// Lets something happen to the membership, and sends what follows from it.
+    fn drive(
+        &self,
+        cause: &str,
+        from: SocketAddr,
+        happen: impl FnOnce(&mut Membership, Digest) -> Vec<Outgoing>,
+    ) {
         let mut control = self.lock();
         let digest = control.digest();
-        let before = control.view.changes();
-        let Control { prober, view, .. } = &mut *control;
-        let out = prober.tick(Instant::now(), view, digest);
-        let changed = view.changes() != before;
+        let before = control.membership.view().changes();
+        let out = happen(&mut control.membership, digest);
+        let changed = control.membership.view().changes() != before;
         drop(control);
         self.transmit(out);
         if changed {
-            self.log_view("timer", SocketAddr::from((self.settings.address, 0)));
-        }
-    }
-
-    /// Exchanges whole views with a member; a failure is harmless, since another follows.
-    async fn exchange(&self, peer: Ipv4Addr) {
-        let view = self.with_view(|view| view.iter().cloned().collect());
-        let request = Pull { view: Some(view), ..Pull::default() };
-        let remote = SocketAddr::from((peer, self.settings.port));
-        match pull(self.settings.address, remote, &request, EXCHANGE).await {
-            Ok((bundle, _bytes)) => self.learn(&bundle.view),
-            Err(fault) => log::debug!("peers: event=exchange_failed cause=\"{fault}\""),
-        }
-    }
-
-    fn answer(&self, request: &Pull) -> Bundle {
-        if let Some(theirs) = &request.view {
-            self.learn(theirs);
+            self.log_view(cause, from);
         }
-        let view = self.with_view(|view| view.iter().cloned().collect());
-        Bundle { view, ..Bundle::default() }
-    }
-
-    fn learn(&self, records: &[Record]) {
-        let mut control = self.lock();
-        let Control { prober, view, .. } = &mut *control;
-        prober.learn_all(Instant::now(), records, view);
     }
 
     fn transmit(&self, out: Vec<Outgoing>) {
@@ -256,9 +193,18 @@
     }
 }
 
+/// Every member of the users' platform takes callers.
+fn endpoint(ip: Ipv4Addr) -> Endpoint {
+    Endpoint { ip, role: Role::Entry }
+}
+
+fn endpoints(ips: &[Ipv4Addr]) -> Vec<Endpoint> {
+    ips.iter().copied().map(endpoint).collect()
+}
+
 /// Numbers this run after all earlier ones at the same address.
 ///
-/// A clock that was set back makes the number lower than a predecessor's; the prober then
+/// A clock that was set back makes the number lower than a predecessor's; the membership then
 /// raises it as soon as a peer reports the predecessor.
 fn new_incarnation() -> Incarnation {
     let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
--- a/crates/peers/src/settings.rs
+++ b/crates/peers/src/settings.rs
@@ -15,9 +15,9 @@
     pub zone: Name,
     /// How much processor time this instance has, in thousandths of a core.
     pub weight: u32,
-    /// The port of datagrams and streams, the same at every member.
+    /// The port of datagrams, the same at every member.
     pub port: u16,
-    /// Members that may be asked for their view at the start; some may be down.
+    /// Members that may be asked for others at the start; some may be down.
     pub seeds: Vec<Ipv4Addr>,
     /// The periods of the failure detector.
     pub timing: Timing,
@@ -35,8 +35,6 @@
                 // A member is probed by someone about once in this time, so that callers
                 // are sent to a lost one for less than a second.
                 probe: Duration::from_millis(300),
-                // Bytes between regions are dear: at 25 members, 80 pings a second in all.
-                busiest: 25,
                 // Five round trips between regions (16 ms), and late timers of a slow core.
                 answer: Duration::from_millis(120),
                 // Long enough for a refutation by a busy member, short against the 5 s for
