Logs bounded at size: changes of searchers and members in one line a kind and second

Change: logger::Changes gathers changes for a second and tells count, first names and revision; members that read the store name all, 40 to a line. Views likewise. Tests: logger/tests/changes.rs, a repartition of 1,350 searchers (1,890 lines before): at most 30 lines at a member, under 20 a second at a reader with every name. story.rs holds the new lines; its expectations are as strict.

--- a/crates/feed/src/follow.rs
+++ b/crates/feed/src/follow.rs
@@ -236,8 +236,8 @@
             let (age, more, arriving) = (news.age, news.more, news.arriving);
             self.read(news)?;
             if !more {
-                let arrives = arriving && age <= self.settings.stale * ARRIVING_FACTOR;
-                let fresh = age <= self.settings.stale || arrives;
+                let bound = self.settings.stale * if arriving { ARRIVING_FACTOR } else { 1 };
+                let fresh = age.is_some_and(|age| age <= bound);
                 return if fresh { Ok(()) } else { Err(Trouble::Stale { age }) };
             }
             wait = Duration::ZERO;
@@ -259,7 +259,7 @@
         }
         self.bytes += items.iter().map(Item::size).sum::<usize>();
         // All of it is known as of that moment, a page is not.
-        let moment = Instant::now().checked_sub(age).filter(|_| !more);
+        let moment = age.and_then(|age| Instant::now().checked_sub(age)).filter(|_| !more);
         let Some(since) = listing else {
             self.listing = None;
             self.take(|mirror| refreshed(mirror, moment, |mirror| mirror.update(items, at)));
@@ -300,10 +300,10 @@
         let away = age.is_none_or(|age| age > self.settings.stale);
         if away != self.away {
             self.away = away;
-            let age = age.unwrap_or_default();
             let change = if away { "lost" } else { "regained" };
-            log::warn!("feed: event=store_{change} age_ms={}", age.as_millis());
-            (self.delivery.sink.away)(away, age);
+            let age_ms = age.map_or("never".to_owned(), |age| age.as_millis().to_string());
+            log::warn!("feed: event=store_{change} age_ms={age_ms}");
+            (self.delivery.sink.away)(away, age.unwrap_or_default());
         }
     }
 
--- a/crates/feed/src/mirror.rs
+++ b/crates/feed/src/mirror.rs
@@ -90,7 +90,7 @@
     /// last one is all that the next question must say, whoever answers it: what changed
     /// meanwhile is in a later page, and what was deleted since the listing began as well.
     pub fn news(&self, query: &NewsQuery, limit: usize, now: Instant) -> News {
-        let age = self.age(now).unwrap_or(Duration::MAX);
+        let age = self.age(now);
         if query.listing.is_some_and(|since| since > self.at) {
             // What was deleted before the listing began may still be held here.
             let (items, listing, at) = (Vec::new(), query.listing, self.at);
--- a/crates/feed/src/source.rs
+++ b/crates/feed/src/source.rs
@@ -50,13 +50,21 @@
     #[snafu(display("the store is silent"))]
     Silent,
     /// A member answered that has not heard of the store for too long itself.
-    #[snafu(display("the member last heard of the store {} ms ago", age.as_millis()))]
+    #[snafu(display("the member {}", heard(*age)))]
     Stale {
-        /// How long ago it heard of it.
-        age: Duration,
+        /// How long ago it heard of it, if ever.
+        age: Option<Duration>,
     },
 }
 
+/// Says when a member last heard of the store.
+fn heard(age: Option<Duration>) -> String {
+    age.map_or_else(
+        || "has never heard of the store".to_owned(),
+        |age| format!("last heard of the store {} ms ago", age.as_millis()),
+    )
+}
+
 impl Trouble {
     /// Returns a name for metrics.
     pub fn label(&self) -> &'static str {
--- a/crates/front/src/daemon.rs
+++ b/crates/front/src/daemon.rs
@@ -184,8 +184,9 @@
         let members = self.peers.with_view(ToString::to_string);
         let serving: Vec<String> = self.serving().iter().map(ToString::to_string).collect();
         let (ready, leaving) = (self.is_ready(), self.is_leaving());
+        let duty = self.roster().unwrap_or_default().duty;
         format!(
-            "ready {ready} leaving {leaving}\nserving {}\n{members}{}",
+            "ready {ready} leaving {leaving} duty {duty:?}\nserving {}\n{members}{}",
             serving.join(" "),
             self.relay.dump()
         )
@@ -250,6 +251,14 @@
         })
     }
 
+    /// Logs what changed of the searchers; who reads the store names all of them.
+    fn log_changes(&self) {
+        self.relay.log_changes(|| {
+            let reads = self.roster().is_none_or(|roster| roster.duty == Duty::Reader);
+            (self.feed.lock().at(), reads)
+        });
+    }
+
     /// Returns the region of a zone; a zone that is not known is a region of its own.
     fn region(&self, zone: &Name) -> Name {
         Name::clone(self.relay.settings().regions.get(zone).unwrap_or(zone))
@@ -365,6 +374,7 @@
         inner.seat();
         inner.peers.set_revision(inner.relay.version());
         inner.relay.set_news_sent(inner.feed.sent());
+        inner.log_changes();
         ticks = ticks.wrapping_add(1);
         if ticks.is_multiple_of(TICKS_PER_SUMMARY) {
             inner.relay.log_summary();
@@ -394,29 +404,16 @@
 }
 
 fn take(relay: &Relay, news: News) {
-    let now = std::time::Instant::now();
     match news {
         News::Declared(declaration) => {
             relay.declare(*declaration);
         }
-        News::Published(upstream) => {
-            let (searcher, state) = (upstream.incarnation.clone(), upstream.state);
-            if relay.with_registry(|registry| registry.publish(upstream, now)) {
-                log::info!("feed: event=searcher_changed searcher={searcher} state={state:?}");
-            }
-        }
-        News::Disappeared(id) => {
-            if relay.with_registry(|registry| registry.disappear(&id, now)) {
-                log::info!("feed: event=searcher_missing searcher={id}");
-            }
-        }
+        News::Published(upstream) => relay.publish(upstream),
+        News::Disappeared(id) => relay.disappear(&id),
         News::Unreadable { searcher } => {
             relay.count_unreadable();
-            let Some(id) = searcher else { return };
-            if relay.with_registry(|registry| registry.overwrite(&id, now)) {
-                log::warn!(
-                    "feed: event=searcher_missing searcher={id} cause=\"its entry names no searcher\""
-                );
+            if let Some(id) = searcher {
+                relay.overwrite(&id);
             }
         }
     }
--- /dev/null
+++ b/crates/logger/tests/changes.rs
@@ -0,0 +1,76 @@
+//! The lines of many changes: bounded, and nothing lost where all names are told.
+
+use std::collections::BTreeSet;
+use std::time::{Duration, Instant};
+
+use bergamot_logger::Changes;
+
+const TICK: Duration = Duration::from_millis(100);
+
+/// An index of 180 shards of three searchers is cut into 270: within 4 s 810 searchers come, 540
+/// drain and then go. Returns the lines with the second in which they were written.
+fn repartition(all: bool) -> Vec<(u64, String)> {
+    let (start, mut changes) = (Instant::now(), Changes::default());
+    let mut lines = Vec::new();
+    for tick in 0..200_u32 {
+        let now = start + TICK * tick;
+        for step in 0..40 {
+            let number = tick * 40 + step;
+            match number {
+                0..810 => changes.note(now, "ready", format!("i-{number:08x}")),
+                810..1350 => changes.note(now, "draining", format!("i-{:08x}", number - 810)),
+                1350..1890 => changes.note(now, "missing", format!("i-{:08x}", number - 1350)),
+                _ => {}
+            }
+        }
+        lines.extend(changes.take(now, all).into_iter().map(|line| (u64::from(tick / 10), line)));
+    }
+    lines
+}
+
+fn value<'a>(line: &'a str, key: &str) -> &'a str {
+    let mut words = line.split(' ').filter_map(|word| word.split_once('='));
+    words.find(|(name, _)| *name == key).map_or("", |(_, value)| value)
+}
+
+fn counted(lines: &[(u64, String)], kind: &str) -> usize {
+    let of_kind = lines.iter().filter(|(_, line)| value(line, "kind") == kind);
+    of_kind.map(|(_, line)| value(line, "count").parse::<usize>().expect("a number")).sum()
+}
+
+#[test]
+fn a_repartition_takes_a_few_lines_at_each_member() {
+    let lines = repartition(false);
+    assert!(lines.len() <= 30, "{} lines", lines.len());
+    assert_eq!(counted(&lines, "ready"), 810);
+    assert_eq!(counted(&lines, "draining"), 540);
+    assert_eq!(counted(&lines, "missing"), 540);
+    assert!(lines.iter().all(|(_, line)| line.len() < 200), "lines are short");
+}
+
+#[test]
+fn who_hears_of_it_first_names_every_searcher_in_a_bounded_number_of_lines() {
+    let lines = repartition(true);
+    for second in 0..20 {
+        let now = lines.iter().filter(|(at, _)| *at == second).count();
+        assert!(now < 20, "{now} lines in second {second}");
+    }
+    assert_eq!(counted(&lines, "ready"), 810);
+    let ready = lines.iter().filter(|(_, line)| value(line, "kind") == "ready");
+    let names: BTreeSet<&str> =
+        ready.flat_map(|(_, line)| value(line, "names").split(',')).collect();
+    assert_eq!(names.len(), 810, "each is named");
+}
+
+#[test]
+fn a_single_change_is_told_at_once() {
+    let (now, mut changes) = (Instant::now(), Changes::default());
+    changes.note(now, "gone", "i-7");
+    assert_eq!(changes.take(now, false), ["kind=gone count=1 names=i-7 more=0 since_ms=0"]);
+    assert!(changes.take(now, false).is_empty(), "and once");
+    // The next one waits until a second is over.
+    changes.note(now + TICK, "gone", "i-8");
+    assert!(changes.take(now + TICK, false).is_empty());
+    let later = changes.take(now + TICK * 11, false);
+    assert_eq!(later, ["kind=gone count=1 names=i-8 more=0 since_ms=1000"]);
+}
--- a/crates/members/src/membership.rs
+++ b/crates/members/src/membership.rs
@@ -61,6 +61,9 @@
 /// How long a member that can't be reached is remembered: splits last for minutes.
 const FORGET: Duration = Duration::from_hours(1);
 
+/// How many changes are kept for whoever asks for them.
+const MOST_CHANGED: usize = 1024;
+
 /// A datagram and where it goes.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Outgoing {
@@ -93,6 +96,8 @@
     join_at: Instant,
     join_again: Duration,
     leaving: Vec<Rumour>,
+    /// What changed since it was last asked for.
+    changed: Vec<(Endpoint, State)>,
     started: Instant,
     /// Whether the view was once whole, as far as others could tell.
     settled: bool,
@@ -129,6 +134,7 @@
             join_at: now,
             join_again: JOIN,
             leaving: Vec::new(),
+            changed: Vec::new(),
             started: now,
             settled: false,
             heard: false,
@@ -216,6 +222,12 @@
         std::mem::take(&mut self.leaving)
     }
 
+    /// Returns the members whose state changed since the last call, the first of them if they
+    /// are many.
+    pub fn take_changed(&mut self) -> Vec<(Endpoint, State)> {
+        std::mem::take(&mut self.changed)
+    }
+
     /// Tells when [`Membership::tick`] has something to do.
     pub fn due(&self) -> Instant {
         let others = [self.rumours.push_due(), self.sync.due(self.settled), self.next_forgotten()];
@@ -365,6 +377,9 @@
     /// Keeps the times up to date that hang on a member's state.
     fn note(&mut self, now: Instant, record: &Record) {
         self.prober.note(now, record);
+        if self.changed.len() < MOST_CHANGED {
+            self.changed.push((record.endpoint, record.state));
+        }
         if record.state.takes_work() {
             self.forget.remove(&record.endpoint);
         } else {
--- a/crates/members/src/record.rs
+++ b/crates/members/src/record.rs
@@ -81,6 +81,17 @@
         self < Self::Leaving
     }
 
+    /// Returns the name of the state.
+    pub fn label(self) -> &'static str {
+        match self {
+            Self::Alive => "alive",
+            Self::Suspect => "suspect",
+            Self::Unreachable => "unreachable",
+            Self::Leaving => "leaving",
+            Self::Left => "left",
+        }
+    }
+
     /// Tells whether new work may be sent to a member in this state.
     pub fn takes_work(self) -> bool {
         self <= Self::Suspect
@@ -89,13 +100,7 @@
 
 impl fmt::Display for State {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(match self {
-            Self::Alive => "alive",
-            Self::Suspect => "suspect",
-            Self::Unreachable => "unreachable",
-            Self::Leaving => "leaving",
-            Self::Left => "left",
-        })
+        f.write_str(self.label())
     }
 }
 
--- a/crates/peers/src/peers.rs
+++ b/crates/peers/src/peers.rs
@@ -9,6 +9,7 @@
 use std::time::{Instant, SystemTime, UNIX_EPOCH};
 
 use bergamot_base::{Incarnation, Name, Revision, Seed, Tasks};
+use bergamot_logger::Changes;
 use bergamot_members::{
     Datagram, Digest, Endpoint, Membership, Outgoing, Record, Role, State, View,
 };
@@ -27,6 +28,8 @@
 struct Control {
     membership: Membership,
     revision: Revision,
+    /// The changes of members that are still to be logged.
+    changes: Changes,
 }
 
 impl Control {
@@ -73,7 +76,7 @@
         let rng = Seed(me.incarnation).generator("membership");
         let seeds = endpoints(&settings.seeds);
         let membership = Membership::new(Instant::now(), settings.timing, me, seeds, rng);
-        let control = Mutex::new(Control { membership, revision: 0 });
+        let control = Mutex::new(Control { membership, revision: 0, changes: Changes::default() });
         let seeds = Mutex::new(settings.seeds.clone());
         let sooner = Notify::new();
         let peers = Arc::new(Self { settings, seeds, control, sooner, socket, stop });
@@ -137,32 +140,29 @@
                 return;
             }
         };
-        self.drive("datagram", from, |membership, digest| {
-            membership.receive(Instant::now(), &datagram, digest)
-        });
+        self.drive(|membership, digest| membership.receive(Instant::now(), &datagram, digest));
     }
 
     fn tick(&self) {
-        let own = SocketAddr::from((self.settings.address, 0));
-        self.drive("timer", own, |membership, digest| membership.tick(Instant::now(), digest));
+        self.drive(|membership, digest| membership.tick(Instant::now(), digest));
     }
 
-    /// Lets something happen to the membership, and sends what follows from it.
-    fn drive(
-        &self,
-        cause: &str,
-        from: SocketAddr,
-        happen: impl FnOnce(&mut Membership, Digest) -> Vec<Outgoing>,
-    ) {
+    /// Lets something happen to the membership, and sends and logs what follows from it.
+    fn drive(&self, happen: impl FnOnce(&mut Membership, Digest) -> Vec<Outgoing>) {
+        let now = Instant::now();
         let mut control = self.lock();
         let digest = control.digest();
-        let before = control.membership.view().changes();
         let out = happen(&mut control.membership, digest);
-        let changed = control.membership.view().changes() != before;
+        let Control { membership, changes, .. } = &mut *control;
+        for (member, state) in membership.take_changed() {
+            changes.note(now, state.label(), member.ip);
+        }
+        let lines = changes.take(now, false);
+        let alive = membership.view().count_working();
         drop(control);
         self.transmit(out);
-        if changed {
-            self.log_view(cause, from);
+        for line in lines {
+            log::info!("peers: event=view_changed alive={alive} {line}");
         }
     }
 
@@ -176,18 +176,6 @@
         }
     }
 
-    fn log_view(&self, cause: &str, from: SocketAddr) {
-        let (alive, others) = self.with_view(|view| {
-            let is_alive = |record: &&Record| record.state == State::Alive;
-            let state = |record: &Record| format!("{}={}", record.endpoint.ip, record.state);
-            let others = view.iter().filter(|record| !is_alive(record)).map(state);
-            (view.iter().filter(is_alive).count(), others.collect::<Vec<_>>().join(","))
-        });
-        log::info!(
-            "peers: event=view_changed cause={cause} from={from} alive={alive} others={others}"
-        );
-    }
-
     fn lock(&self) -> MutexGuard<'_, Control> {
         self.control.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/registry/src/upstream.rs
+++ b/crates/registry/src/upstream.rs
@@ -39,6 +39,16 @@
     Draining,
 }
 
+impl State {
+    /// Returns a name for logs.
+    pub fn label(self) -> &'static str {
+        match self {
+            Self::Ready => "ready",
+            Self::Draining => "draining",
+        }
+    }
+}
+
 /// One incarnation of a searcher.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Upstream {
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -9,6 +9,7 @@
 use bergamot_config::Verdict;
 use bergamot_declaration::Declaration;
 use bergamot_dispatch::{Obstacle, Rhythm};
+use bergamot_logger::Changes;
 use bergamot_registry::{Registry, Upstream};
 use bergamot_wire::{Late, ShardQuery, ShardReply};
 
@@ -31,6 +32,8 @@
     awake: Awake,
     woke: Mutex<Option<Instant>>,
     pub(crate) rests: Mutex<Rests>,
+    /// The changes of searchers that are still to be logged.
+    changes: Mutex<Changes>,
     /// The period of the searchers' silences.
     pub(crate) rhythm: Rhythm,
 }
@@ -48,7 +51,7 @@
     pub fn new(settings: Settings, dialect: Dialect, helping: Helping) -> Arc<Self> {
         let state = Mutex::new(State::new(&settings.policy));
         let helpers = Mutex::new(Helpers::new(Arc::clone(&settings.policy)));
-        let rests = Mutex::default();
+        let (rests, changes) = (Mutex::default(), Mutex::default());
         let awake = Awake::new(settings.pause);
         let (meter, woke) = (Meter::new(), Mutex::default());
         let rhythm = Rhythm::default();
@@ -62,6 +65,7 @@
             awake,
             woke,
             rests,
+            changes,
             rhythm,
         })
     }
@@ -181,6 +185,55 @@
         self.lock().floor.revision()
     }
 
+    /// Takes in the entry of a searcher.
+    pub fn publish(&self, upstream: Upstream) {
+        let kind = upstream.state.label();
+        let searcher = upstream.incarnation.clone();
+        self.change(kind, searcher, |registry, now| registry.publish(upstream, now));
+    }
+
+    /// Notes that the entry of a searcher disappeared.
+    pub fn disappear(&self, id: &str) {
+        self.change("missing", id, |registry, now| registry.disappear(id, now));
+    }
+
+    /// Notes that something which names no searcher stands where the entry of one may have been.
+    pub fn overwrite(&self, id: &str) {
+        self.change("overwritten", id, |registry, now| registry.overwrite(id, now));
+    }
+
+    /// Changes the registry, and notes the change for the log if it was one.
+    fn change(
+        &self,
+        kind: &'static str,
+        searcher: impl fmt::Display,
+        change: impl FnOnce(&mut Registry, Instant) -> bool,
+    ) {
+        let now = Instant::now();
+        if self.with_registry(|registry| change(registry, now)) {
+            self.lock_changes().note(now, kind, searcher);
+        }
+    }
+
+    /// Logs what has changed of the searchers, if it is time for that.
+    ///
+    /// `at` tells the revision of the store that is known, and whether all searchers are named:
+    /// whoever reads the store is the first to hear of them.
+    pub fn log_changes(&self, at: impl FnOnce() -> (u64, bool)) {
+        let now = Instant::now();
+        if !self.lock_changes().is_due(now) {
+            return;
+        }
+        let (revision, all) = at();
+        for line in self.lock_changes().take(now, all) {
+            log::info!("relay: event=searchers_changed revision={revision} {line}");
+        }
+    }
+
+    fn lock_changes(&self) -> MutexGuard<'_, Changes> {
+        self.changes.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Changes the registry.
     pub fn with_registry<T>(&self, change: impl FnOnce(&mut Registry) -> T) -> T {
         change(&mut self.lock().registry)
@@ -283,9 +336,7 @@
         let mut state = self.lock();
         let away = state.store_away_since.is_some();
         for searcher in state.registry.expire(Instant::now(), away) {
-            log::info!(
-                "relay: event=searcher_gone searcher={searcher} cause=\"its entry is missing\""
-            );
+            self.lock_changes().note(Instant::now(), "gone", searcher);
         }
         let changed = state.members != members;
         state.members = members;
--- a/crates/wire/src/member.rs
+++ b/crates/wire/src/member.rs
@@ -158,8 +158,9 @@
     pub at: u64,
     /// Whether more is known beyond that revision.
     pub more: bool,
-    /// How long ago it was certain that nothing newer exists.
-    pub age: Duration,
+    /// How long ago it was certain that nothing newer exists; none if the member has never
+    /// heard of the store.
+    pub age: Option<Duration>,
     /// Whether an answer of the store with newer items is coming in at the moment.
     pub arriving: bool,
 }
--- a/daemons/src/story.rs
+++ b/daemons/src/story.rs
@@ -12,8 +12,7 @@
 const CHANGES_EACH: usize = 3;
 
 /// The events that change what an instance believes of a searcher or a member.
-const CHANGES: [&str; 4] =
-    ["searcher_changed", "searcher_missing", "searcher_gone", "view_changed"];
+const CHANGES: [&str; 3] = ["searchers_changed", "searcher_gone", "view_changed"];
 
 /// Returns the lines that tell what became of a request.
 pub fn story(log: &str, request: &str) -> Vec<String> {
