--- a/crates/bench/src/capacity/state.rs
+++ b/crates/bench/src/capacity/state.rs
@@ -163,7 +163,13 @@
     let datagram = |rumours| Datagram {
         kind: Kind::Ping(1 << 20),
         from: records[0].clone(),
-        digest: Digest { revision: 1800, hash: u64::MAX, view: u64::MAX, members: 1800 },
+        digest: Digest {
+            revision: 1800,
+            hash: u64::MAX,
+            view: u64::MAX,
+            members: 1800,
+            fresh: true,
+        },
         rumours,
     };
     let rumours = records[1..].iter().cloned().map(Rumour::Member).collect();
--- a/crates/feed/src/fetch.rs
+++ b/crates/feed/src/fetch.rs
@@ -132,7 +132,7 @@
     fn note(&mut self, origin: Origin, at: Instant, bytes: usize, failure: Option<Failure>) {
         let trouble = failure.map(|failure| match failure {
             Failure::Silent => Trouble::Silent.label(),
-            Failure::Stale => "lacking",
+            Failure::Stale | Failure::Unheard => "lacking",
         });
         (self.delivery.sink.asked)(&Asked { origin, subject: Subject::Chunks, at, bytes, trouble });
         match failure {
--- a/crates/feed/src/follow.rs
+++ b/crates/feed/src/follow.rs
@@ -43,8 +43,11 @@
     ///
     /// Changes come in series, and each watch that ends is a call.
     pub settle: Duration,
-    /// How long a start waits for other members before it takes itself for a reader.
+    /// How long a start waits for word of who reads the store before it does so itself.
     pub join: Duration,
+    /// How long the first question to a member may wait: the member reads the store, or will
+    /// in a moment.
+    pub first: Duration,
 }
 
 impl Default for Settings {
@@ -56,6 +59,7 @@
             probe: Duration::from_millis(400),
             settle: Duration::from_millis(250),
             join: Duration::from_millis(300),
+            first: Duration::from_millis(300),
         }
     }
 }
@@ -120,7 +124,9 @@
     async fn run(&mut self) {
         self.join().await;
         loop {
-            let Roster { duty, readers, .. } = (self.members.roster)().unwrap_or_default();
+            let Roster { duty, readers, fleet, .. } = (self.members.roster)().unwrap_or_default();
+            self.origins.set_fleet(fleet);
+            let duty = if self.is_wanted() { Duty::Reader } else { duty };
             match self.origins.pick(Instant::now(), duty, &readers) {
                 Ok(origin) => self.ask(origin, duty).await,
                 Err(until) => tokio::time::sleep_until(until.into()).await,
@@ -129,16 +135,23 @@
         }
     }
 
-    /// Waits a moment for other members, so that not every one takes itself for a reader.
+    /// Waits a moment for word of who reads the store, so that not everybody does, unless
+    /// callers are here already.
     async fn join(&self) {
         /// How often the members are looked at meanwhile.
         const LOOK: Duration = Duration::from_millis(20);
         let end = Instant::now() + self.settings.join;
-        while (self.members.roster)().is_none() && Instant::now() < end {
+        let unknown = || (self.members.roster)().is_none() && !self.is_wanted();
+        while unknown() && Instant::now() < end {
             tokio::time::sleep(LOOK).await;
         }
     }
 
+    /// Tells whether callers wait for the first news: then nothing is faster than the store.
+    fn is_wanted(&self) -> bool {
+        self.shared().lock().at() == 0 && (self.delivery.sink.wanted)()
+    }
+
     async fn ask(&mut self, origin: Origin, duty: Duty) {
         let asked = Instant::now();
         self.bytes = 0;
@@ -157,6 +170,7 @@
                 self.proven = None;
                 let jitter = rand::rng().random();
                 let failure = match trouble {
+                    Trouble::Stale { age: None } => Failure::Unheard,
                     Trouble::Stale { .. } => Failure::Stale,
                     _ => Failure::Silent,
                 };
@@ -190,6 +204,8 @@
         let (records, at, whole) = match watched {
             Ok((records, at)) => (records, at, false),
             Err(Trouble::Forgotten) => {
+                // Who asks this member meanwhile waits for what it is about to know.
+                self.shared().arriving.store(true, Ordering::Relaxed);
                 let (records, at) = (self.delivery.source.list)().await?;
                 log::info!("feed: event=listed revision={at} items={}", records.len());
                 (records, at, true)
@@ -230,7 +246,12 @@
         // A member that is out of reach must not cost as much as a watch.
         let proven = self.proven == Some(Origin::Member(ip));
         let waits = proven && !(self.delivery.sink.behind)();
-        let mut wait = if waits { self.settings.wait } else { Duration::ZERO };
+        let unheard = self.shared().lock().at() == 0;
+        let mut wait = match () {
+            () if waits => self.settings.wait,
+            () if unheard => self.settings.first,
+            () => Duration::ZERO,
+        };
         loop {
             let news = (self.members.ask)(ip, self.query(wait)).await?;
             let (age, more, arriving) = (news.age, news.more, news.arriving);
--- a/crates/feed/src/shared.rs
+++ b/crates/feed/src/shared.rs
@@ -113,6 +113,11 @@
         first
     }
 
+    /// Tells whether nothing newer can have been published than what is known here.
+    pub fn is_fresh(&self) -> bool {
+        self.lock().age(Instant::now()).is_some_and(|age| age <= STALE)
+    }
+
     /// Returns how many bytes of records this member has sent to others.
     pub fn sent(&self) -> u64 {
         self.sent.load(Ordering::Relaxed)
--- a/crates/feed/src/sink.rs
+++ b/crates/feed/src/sink.rs
@@ -14,6 +14,8 @@
     pub away: Box<dyn Fn(bool, Duration) + Send + Sync>,
     /// Tells whether the process slept, so that the next question must not wait for news.
     pub behind: Box<dyn Fn() -> bool + Send + Sync>,
+    /// Tells whether callers wait for the first news.
+    pub wanted: Box<dyn Fn() -> bool + Send + Sync>,
     /// Hears of each question to an origin and how it ended.
     pub asked: Box<dyn Fn(&Asked) + Send + Sync>,
 }
--- a/crates/feed/tests/fetch.rs
+++ b/crates/feed/tests/fetch.rs
@@ -56,7 +56,7 @@
         let members = Members {
             roster: Box::new(|| {
                 let (readers, lineage) = (vec![READER], vec![PARENT, READER]);
-                Some(Roster { duty: Duty::Follower, readers, lineage })
+                Some(Roster { duty: Duty::Follower, readers, lineage, fleet: 3 })
             }),
             ask: Box::new(move |_ip, query| {
                 let reader = Arc::clone(&reader);
@@ -90,6 +90,7 @@
             }),
             away: Box::new(|_, _| {}),
             behind: Box::new(|| false),
+            wanted: Box::new(|| false),
             asked: Box::new(|_| {}),
         };
         let (shared, stop) = (Arc::new(Shared::default()), CancellationToken::new());
--- a/crates/front/src/daemon.rs
+++ b/crates/front/src/daemon.rs
@@ -103,7 +103,12 @@
             ask: member::asking(&links, port),
             fetch: member::fetching(&links, port),
         };
-        let periods = bergamot_feed::Settings { join: inner.settings.join, ..Default::default() };
+        let join = if inner.peers.seeds().contains(&inner.relay.settings().address) {
+            inner.settings.join
+        } else {
+            inner.settings.settle
+        };
+        let periods = bergamot_feed::Settings { join, ..Default::default() };
         tasks.spawn("follower", follow(source, members, sink, feed, periods, stop.clone()));
         tasks.spawn("tick", tick(Arc::clone(&inner), stop.clone()));
         let addresses = &inner.settings;
@@ -212,17 +217,18 @@
         (self.face.addresses)(&addresses, self.settings.ttl)
     }
 
-    /// Tells who does what for the others' news; nothing while no other member is known.
+    /// Tells who does what for the others' news; nothing while it can't be told yet.
     ///
     /// The first member of each region reads, the second is its deputy. Those with the most
     /// processor come first: their links carry more as well, and what is read passes there.
     fn roster(&self) -> Option<Roster> {
+        if !self.peers.is_settled() {
+            return self.early_roster();
+        }
         let settings = self.relay.settings();
         let (own, region) = (settings.address, self.region(&settings.zone));
+        let (fresh, fleet) = (self.peers.fresh(), self.peers.size());
         self.peers.with_view(|view| {
-            if view.len() <= 1 {
-                return None;
-            }
             let mut regions: Vec<_> =
                 ranked(view, |record| self.region(&record.zone)).into_iter().collect();
             for (_, members) in &mut regions {
@@ -241,20 +247,30 @@
                 () => Duty::Follower,
             };
             let others = first.into_iter().chain(second).filter(|ip| *ip != own);
-            let readers: Vec<Ipv4Addr> = others.collect();
+            let mut readers: Vec<Ipv4Addr> = others.collect();
             let near = regions.first().map(|(_, members)| lineage(members, own));
             let mut lineage = near.unwrap_or_default();
-            let further = readers.iter().filter(|ip| !lineage.contains(ip)).copied();
-            let further: Vec<Ipv4Addr> = further.collect();
-            lineage.extend(further);
-            Some(Roster { duty, readers, lineage })
+            append(&mut lineage, &readers);
+            append(&mut readers, &fresh);
+            Some(Roster { duty, readers, lineage, fleet })
         })
     }
 
+    /// Tells who does what before this member knows all others.
+    fn early_roster(&self) -> Option<Roster> {
+        let own = self.relay.settings().address;
+        let is_there = |ip| {
+            let endpoint = Endpoint { ip, role: Role::Entry };
+            self.peers.with_view(|view| view.takes_work(endpoint))
+        };
+        let (seeds, fresh) = (self.peers.seeds(), self.peers.fresh());
+        Roster::early(own, &seeds, is_there, fresh, self.peers.size())
+    }
+
     /// Logs what changed of the searchers; who reads the store names all of them.
     fn log_changes(&self) {
         self.relay.log_changes(|| {
-            let reads = self.roster().is_none_or(|roster| roster.duty == Duty::Reader);
+            let reads = self.roster().is_some_and(|roster| roster.duty == Duty::Reader);
             (self.feed.lock().at(), reads)
         });
     }
@@ -270,7 +286,14 @@
     }
 
     /// Chooses the members that take callers, and takes its own part.
+    ///
+    /// A member that doesn't know all others yet takes no seat: it would take itself for one of
+    /// few. What it is asked it answers with the connections that one of so many may have.
     fn seat(&self) {
+        if !self.peers.is_settled() {
+            self.relay.tick(self.peers.size(), false);
+            return;
+        }
         let settings = self.relay.settings();
         let coverage = self.relay.coverage();
         let count = |zone: &Name| coverage.zones.get(zone).copied().unwrap_or(0);
@@ -289,7 +312,7 @@
         let connections = coverage.fewest_connections.unwrap_or(usize::MAX);
         let chosen = serving(&seats, connections, &settings.policy.seats);
         let serves = chosen.contains(&settings.address);
-        let members = if serves { chosen.len() } else { seats.len() };
+        let members = if serves { chosen.len() } else { self.peers.size() };
         *self.serving.lock().unwrap_or_else(PoisonError::into_inner) = chosen;
         self.relay.tick(members, serves);
         self.relay.set_helpers(self.helpers());
@@ -315,6 +338,10 @@
     /// A member that is alive is taken to be ready: one that has no declaration yet gets it
     /// before an address answer could reach a caller.
     fn ready_instances(&self) -> Vec<Place<SocketAddr>> {
+        if !self.peers.is_settled() {
+            // What callers were told before is better than the few that are known here.
+            return Vec::new();
+        }
         let port = self.settings.callers.port();
         let own = self.settings.callers.ip();
         let place = |record: &Record| {
@@ -357,6 +384,13 @@
     Ok(())
 }
 
+/// Appends those that aren't there yet.
+fn append(ips: &mut Vec<Ipv4Addr>, others: &[Ipv4Addr]) {
+    let further = others.iter().filter(|ip| !ips.contains(ip)).copied();
+    let further: Vec<Ipv4Addr> = further.collect();
+    ips.extend(further);
+}
+
 /// Lists whom a member asks for chunks among the ranked members of its region.
 fn lineage(members: &[Endpoint], own: Ipv4Addr) -> Vec<Ipv4Addr> {
     let position = members.iter().position(|endpoint| endpoint.ip == own);
@@ -372,7 +406,7 @@
     let mut ticks = 0_u32;
     while !stop.is_cancelled() {
         inner.seat();
-        inner.peers.set_revision(inner.relay.version());
+        inner.peers.set_news(inner.relay.version(), inner.feed.is_fresh());
         inner.relay.set_news_sent(inner.feed.sent());
         inner.log_changes();
         ticks = ticks.wrapping_add(1);
@@ -386,10 +420,12 @@
 fn sink(inner: &Arc<Inner>) -> Sink {
     let (news, away) = (Arc::clone(inner), Arc::clone(inner));
     let (behind, asked) = (Arc::clone(inner), Arc::clone(inner));
+    let wanted = Arc::clone(inner);
     Sink {
         news: Box::new(move |record| take(&news.relay, record)),
         away: Box::new(move |is_away, age| away.relay.set_store_away(is_away, age)),
         behind: Box::new(move || behind.relay.is_behind()),
+        wanted: Box::new(move || wanted.relay.is_wanted()),
         asked: Box::new(move |question| note(&asked.relay, question)),
     }
 }
--- a/crates/front/src/settings.rs
+++ b/crates/front/src/settings.rs
@@ -16,8 +16,10 @@
     pub metrics: SocketAddr,
     /// Where other members' requests are taken, at the same port on every instance.
     pub members: SocketAddr,
-    /// How long a start waits for other members before it reads the store itself.
+    /// How long the start of a seed waits for other members before it reads the store itself.
     pub join: Duration,
+    /// How long the start of any other member waits for word of who reads the store.
+    pub settle: Duration,
     /// How long callers may keep an address answer.
     ///
     /// A caller whose answer has expired asks before its next request, which adds one or two
@@ -41,6 +43,8 @@
             members: here(7401),
             // An exchange with a seed in another region, twice over.
             join: Duration::from_millis(60),
+            // Until a member that hears of nobody takes itself for the only one.
+            settle: Duration::from_millis(1200),
             ttl: Duration::from_secs(4),
             linger: Duration::from_millis(4300),
             stop: Duration::from_millis(5600),
--- a/crates/members/src/membership.rs
+++ b/crates/members/src/membership.rs
@@ -52,6 +52,10 @@
 /// seed that lives answers within two of these times.
 const ALONE: Duration = Duration::from_secs(1);
 
+/// How long a view may stay unsettled: a member whose datagrams get lost has to do with what it
+/// knows in the end.
+const UNSETTLED: Duration = Duration::from_secs(3);
+
 /// How long the word of others counts on how many members there are: some probes.
 const TOLD: Duration = Duration::from_secs(2);
 
@@ -157,7 +161,8 @@
     ///
     /// Before that, what follows from the number of members isn't decided by it.
     pub fn is_settled(&self, now: Instant) -> bool {
-        self.settled || (!self.heard && now.saturating_duration_since(self.started) >= ALONE)
+        let time = now.saturating_duration_since(self.started);
+        self.settled || time >= UNSETTLED || (!self.heard && time >= ALONE)
     }
 
     /// Returns how many members there are, as far as it is known or others tell.
--- a/crates/members/src/message.rs
+++ b/crates/members/src/message.rs
@@ -23,6 +23,9 @@
     /// How many members the sender takes for alive.
     #[serde(rename = "m", default)]
     pub members: u32,
+    /// Whether the sender knows the newest of what is published.
+    #[serde(rename = "n", default)]
+    pub fresh: bool,
 }
 
 /// The purpose of a datagram.
--- a/crates/peers/src/peers.rs
+++ b/crates/peers/src/peers.rs
@@ -3,10 +3,11 @@
 //! Invariant: one datagram loop and one timer drive the membership under one lock, which is
 //! never held while waiting.
 
+use std::collections::BTreeMap;
 use std::fmt;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::{Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use bergamot_base::{Incarnation, Name, Revision, Seed, Tasks};
 use bergamot_logger::Changes;
@@ -25,16 +26,26 @@
 /// How many times a farewell is sent, since a datagram may be lost.
 const FAREWELLS: usize = 3;
 
+/// How long a member's word that it knows the newest counts: some probes.
+const FRESH: Duration = Duration::from_secs(1);
+
+/// How many members are named that know the newest.
+const MOST_FRESH: usize = 3;
+
 struct Control {
     membership: Membership,
     revision: Revision,
+    /// Whether this member knows the newest of what is published.
+    fresh: bool,
+    /// When each member last said that it does.
+    heard_fresh: BTreeMap<Ipv4Addr, Instant>,
     /// The changes of members that are still to be logged.
     changes: Changes,
 }
 
 impl Control {
     fn digest(&self) -> Digest {
-        Digest { revision: self.revision, ..Digest::default() }
+        Digest { revision: self.revision, fresh: self.fresh, ..Digest::default() }
     }
 }
 
@@ -76,7 +87,13 @@
         let rng = Seed(me.incarnation).generator("membership");
         let seeds = endpoints(&settings.seeds);
         let membership = Membership::new(Instant::now(), settings.timing, me, seeds, rng);
-        let control = Mutex::new(Control { membership, revision: 0, changes: Changes::default() });
+        let control = Mutex::new(Control {
+            membership,
+            revision: 0,
+            fresh: false,
+            heard_fresh: BTreeMap::new(),
+            changes: Changes::default(),
+        });
         let seeds = Mutex::new(settings.seeds.clone());
         let sooner = Notify::new();
         let peers = Arc::new(Self { settings, seeds, control, sooner, socket, stop });
@@ -100,9 +117,40 @@
         }
     }
 
-    /// Tells the others from now on which version is in force here.
-    pub fn set_revision(&self, revision: Revision) {
-        self.lock().revision = revision;
+    /// Returns the seeds that the settings name.
+    pub fn seeds(&self) -> Vec<Ipv4Addr> {
+        self.seeds.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
+    /// Tells whether the view was whole once in this run, as far as others could tell.
+    pub fn is_settled(&self) -> bool {
+        self.lock().membership.is_settled(Instant::now())
+    }
+
+    /// Returns how many members there are, as far as it is known or others tell.
+    pub fn size(&self) -> usize {
+        self.lock().membership.size(Instant::now())
+    }
+
+    /// Tells the others from now on which version is in force here, and whether nothing newer
+    /// can have been published.
+    pub fn set_news(&self, revision: Revision, fresh: bool) {
+        let mut control = self.lock();
+        control.revision = revision;
+        control.fresh = fresh;
+    }
+
+    /// Lists members that said lately that they know the newest of what is published, the last
+    /// first.
+    pub fn fresh(&self) -> Vec<Ipv4Addr> {
+        let now = Instant::now();
+        let mut control = self.lock();
+        let lately = |at: &Instant| now.saturating_duration_since(*at) < FRESH;
+        control.heard_fresh.retain(|_, at| lately(at));
+        let mut fresh: Vec<_> = control.heard_fresh.iter().map(|(ip, at)| (*at, *ip)).collect();
+        drop(control);
+        fresh.sort_by_key(|(at, _)| std::cmp::Reverse(*at));
+        fresh.into_iter().take(MOST_FRESH).map(|(_, ip)| ip).collect()
     }
 
     /// Tells the others that this member stops, so that no caller is sent here any more.
@@ -140,6 +188,10 @@
                 return;
             }
         };
+        if datagram.digest.fresh {
+            let ip = datagram.from.endpoint.ip;
+            self.lock().heard_fresh.insert(ip, Instant::now());
+        }
         self.drive(|membership, digest| membership.receive(Instant::now(), &datagram, digest));
     }
 
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashSet;
 use std::fmt::{self, Write as _};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -32,6 +33,8 @@
     awake: Awake,
     woke: Mutex<Option<Instant>>,
     pub(crate) rests: Mutex<Rests>,
+    /// Whether a caller came before the first declaration.
+    wanted: AtomicBool,
     /// The changes of searchers that are still to be logged.
     changes: Mutex<Changes>,
     /// The period of the searchers' silences.
@@ -65,6 +68,7 @@
             awake,
             woke,
             rests,
+            wanted: AtomicBool::new(false),
             changes,
             rhythm,
         })
@@ -262,8 +266,14 @@
         self.meter.store_away.set(i64::from(away));
     }
 
+    /// Tells whether a caller came before the first declaration.
+    pub fn is_wanted(&self) -> bool {
+        self.wanted.load(Ordering::Relaxed)
+    }
+
     /// Says what is in the way of a process that knows no declaration.
     pub(crate) fn unreadiness(&self) -> Obstacle {
+        self.wanted.store(true, Ordering::Relaxed);
         if self.lock().store_away_since.is_some() { Obstacle::Outage } else { Obstacle::Passing }
     }
 
