Failed attempts and missing shards of a request in one line each

Change: relay::trouble gathers both for a request and writes at most two lines, which count how each ended and name the first three; bergamotctl explain and losses read them. The line event=partial said what event=ended says.

--- a/crates/relay/src/gather.rs
+++ b/crates/relay/src/gather.rs
@@ -99,14 +99,6 @@
     if missing > 0 {
         let left_out = state.open.keys().map(|shard| Name::clone(shard)).collect();
         job.left_out.get_or_init(|| left_out);
-        let (request, shards) = (&job.request.id, gather.shards.len());
-        let took = job.request.received.elapsed().as_millis();
-        log::info!(
-            "relay: event=partial request={request:?} route={} missing={missing} shards={shards} \
-             took_ms={took} target_ms={}",
-            job.route,
-            patience.target.as_millis()
-        );
     }
     Reply::Whole(Whole { signatures: state.parts.into_signatures(), missing, records })
 }
--- a/crates/relay/src/helper.rs
+++ b/crates/relay/src/helper.rs
@@ -22,6 +22,7 @@
 use crate::message::{Job, Passed, Request};
 use crate::meter::Reason;
 use crate::relay::Relay;
+use crate::trouble::Trouble;
 
 /// The longest time that another member's question may give: longer than any caller waits.
 const LONGEST_QUESTION: Duration = Duration::from_hours(1);
@@ -121,6 +122,8 @@
         tally: Mutex::new(Tally::new(names.len(), names.len())),
         changed: Notify::new(),
         left_out: OnceLock::new(),
+        // The sender hears of each failure, and logs it.
+        trouble: Trouble::default(),
     });
     let (results, ended) = mpsc::unbounded_channel();
     let mut running = Vec::with_capacity(names.len());
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -23,6 +23,7 @@
 mod searchers;
 mod settings;
 mod state;
+mod trouble;
 
 pub use coverage::Coverage;
 pub use delegate::{Claim, Exchange, Helper, Helping};
--- a/crates/relay/src/message.rs
+++ b/crates/relay/src/message.rs
@@ -12,6 +12,8 @@
 use hyper::{HeaderMap, Method, StatusCode, Uri};
 use tokio::sync::Notify;
 
+use crate::trouble::Trouble;
+
 /// A caller's request, read whole.
 #[derive(Clone, Debug)]
 pub struct Request {
@@ -107,6 +109,8 @@
     pub changed: Notify,
     /// The shards that the caller's answer leaves out.
     pub left_out: OnceLock<HashSet<Name>>,
+    /// What went wrong, for the log.
+    pub trouble: Trouble,
 }
 
 impl Job {
--- a/crates/relay/src/path.rs
+++ b/crates/relay/src/path.rs
@@ -16,6 +16,7 @@
 use crate::meter::outcome;
 use crate::race::{Plan, Race};
 use crate::relay::Relay;
+use crate::trouble::Trouble;
 
 /// What stands for the route in metrics and logs where none was found.
 const UNROUTED: &str = "none";
@@ -117,8 +118,9 @@
             kind: route.kind,
             attempts: route.attempts,
             left_out: OnceLock::new(),
+            trouble: Trouble::default(),
         });
-        match &route.target {
+        let reply = match &route.target {
             Target::Gather(shards) => gather(self, &job, shards, patience).await,
             Target::Service(service) => self.pass(&job, service, patience).await,
             Target::Split(shares) => {
@@ -129,7 +131,9 @@
                     None => refusal(Cause::NotRun, None),
                 }
             }
-        }
+        };
+        job.trouble.log(&job.request.id);
+        reply
     }
 
     /// Returns how much of the target latency passes outside this member, if that can be told.
--- a/crates/relay/src/race.rs
+++ b/crates/relay/src/race.rs
@@ -211,12 +211,8 @@
 
     /// Takes in the end of an attempt.
     fn record(&mut self, searcher: &Incarnation, miss: Miss) {
-        let request = &self.job.request.id;
-        let (service, ending, cause) = (self.service, miss.ending, &miss.cause);
-        log::info!(
-            "relay: event=attempt_failed request={request:?} service={service} searcher={searcher} \
-             ending={ending:?} cause=\"{cause}\""
-        );
+        let ending = miss.ending;
+        self.job.trouble.fail(self.service, searcher, ending, &miss.cause);
         self.relay.meter().ending(ending);
         if ending.did_not_run() {
             self.refused += 1;
@@ -272,13 +268,6 @@
         if self.ended || !left_out {
             return;
         }
-        let (request, service) = (&self.job.request.id, self.service);
-        let tried: Vec<String> = self.plan.tried.iter().map(ToString::to_string).collect();
-        let denied = self.denied;
-        let took = self.job.request.received.elapsed().as_millis();
-        log::info!(
-            "relay: event=shard_left_out request={request:?} service={service} tried={tried:?} \
-             hedge_denied={denied} took_ms={took}"
-        );
+        self.job.trouble.leave_out(self.service, &self.plan.tried, self.denied);
     }
 }
--- a/daemons/src/losses.rs
+++ b/daemons/src/losses.rs
@@ -6,7 +6,7 @@
 //! in the second of the line and, by route, in proportion to the lines that were logged.
 
 use std::collections::BTreeMap;
-use std::fmt::{self, Write as _};
+use std::fmt;
 use std::time::SystemTime;
 
 use crate::line::value;
@@ -61,8 +61,10 @@
                     unlogged += left_out;
                     losses.end(line, second, &causes, &mut ordinary);
                 }
-                "shard_left_out" => {
-                    *losses.left_out.entry(tried(line.text)).or_default() += 1;
+                "shards_left_out" => {
+                    for (tried, count) in tried(line.text) {
+                        *losses.left_out.entry(tried.to_owned()).or_default() += count;
+                    }
                 }
                 _ => {}
             }
@@ -186,24 +188,12 @@
     cause.trim_start_matches(|at: char| at.is_ascii_digit()).trim_start()
 }
 
-/// Describes what was tried for a shard that was left out.
-fn tried(line: &str) -> String {
-    let list = line.split_once("tried=[").and_then(|(_, rest)| rest.split_once(']'));
-    let list = list.map_or("", |(list, _)| list);
-    let (searchers, members) = list.split(", ").filter(|name| !name.is_empty()).fold(
-        (0, 0),
-        |(searchers, members), name| match name {
-            "\"\"" => (searchers, members + 1),
-            _ => (searchers + 1, members),
-        },
-    );
-    let mut text = format!("{searchers} searchers");
-    if members > 0 {
-        // Writing into a string can't fail.
-        let _ = write!(text, ", {members} through a silent member");
-    }
-    if value(line, "hedge_denied") == "true" {
-        text.push_str(", another was denied");
-    }
-    text
+/// Reads what was tried for shards that were left out, and for how many.
+fn tried(line: &str) -> impl Iterator<Item = (&str, u64)> {
+    let how = line.split_once("how=\"").and_then(|(_, rest)| rest.split_once('"'));
+    let variants = how.map_or("", |(how, _)| how).split("; ");
+    variants.filter_map(|variant| {
+        let (tried, count) = variant.rsplit_once('=')?;
+        Some((tried, count.parse().ok()?))
+    })
 }
--- a/daemons/src/story.rs
+++ b/daemons/src/story.rs
@@ -43,11 +43,9 @@
 
 /// Returns the searchers and members that a line names.
 fn names(line: &str) -> Vec<&str> {
-    let tried = line.split_once("tried=[").and_then(|(_, rest)| rest.split_once(']'));
-    let tried = tried.map_or("", |(tried, _)| tried).split(", ");
-    let tried = tried.map(|name| name.trim_matches('"'));
+    let several = value(line, "searchers").split(',');
     let single = [value(line, "searcher"), value(line, "member")];
-    tried.chain(single).filter(|name| !name.is_empty()).collect()
+    several.chain(single).filter(|name| !name.is_empty()).collect()
 }
 
 /// Tells whether a line holds a name as a whole: an address may begin like another one.
--- a/daemons/tests/losses.rs
+++ b/daemons/tests/losses.rs
@@ -9,10 +9,8 @@
 use support::CTL;
 
 const LOG: &str = r#"   0.1 a-1 ts=2026-12-02T23:59:59.900Z level=info relay: event=ended request="r1" route=x version=3 outcome=complete missing=0 shards=20 took_ms=90 target_ms=100 ordinary_left_out=0
-   0.2 a-1 ts=2026-12-02T23:59:59.950Z level=info relay: event=partial request="r2" route=x missing=1 shards=20 took_ms=80 target_ms=74
    0.2 a-1 ts=2026-12-02T23:59:59.950Z level=info relay: event=ended request="r2" route=x version=3 outcome=partial missing=2 shards=20 took_ms=80 target_ms=100 ordinary_left_out=0
-   0.2 a-1 ts=2026-12-02T23:59:59.951Z level=info relay: event=shard_left_out request="r2" service=s tried=["", "i-2"] hedge_denied=true took_ms=80
-   0.2 a-1 ts=2026-12-02T23:59:59.951Z level=info relay: event=shard_left_out request="r2" service=t tried=["i-1", "i-2"] hedge_denied=false took_ms=80
+   0.2 a-1 ts=2026-12-02T23:59:59.951Z level=info relay: event=shards_left_out request="r2" count=2 how="1 searchers, 1 through a silent member, another was denied=1; 2 searchers=1" first="s /i-2; t i-1/i-2" searchers=i-2,i-1,i-2
    3.0 a-2 ts=2026-12-03T00:00:02.000Z level=info relay: event=ended request="r3" route=x version=3 outcome=complete missing=0 shards=20 took_ms=130 target_ms=100 ordinary_left_out=0
    3.0 a-2 ts=2026-12-03T00:00:02.100Z level=info relay: event=refused request="r4" outcome=NotRun cause="17 of 18 shards have a searcher"
    3.0 a-2 ts=2026-12-03T00:00:02.100Z level=info relay: event=ended request="r4" route=x version=3 outcome=not_run retry_after_ms=200 took_ms=0 target_ms=100 ordinary_left_out=0
--- a/daemons/tests/story.rs
+++ b/daemons/tests/story.rs
@@ -6,12 +6,12 @@
 use bergamotstand::story;
 
 const LOG: &str = r#"ts=2026-12-02T10:00:00.900Z level=info relay: event=searchers_changed revision=7 kind=draining count=1 names=i-9 more=0 since_ms=0
-ts=2026-12-02T10:00:01.100Z level=info relay: event=attempt_failed request="r1" service=s searcher=i-1 ending=Unknown cause="reset"
+ts=2026-12-02T10:00:01.100Z level=info relay: event=attempts_failed request="r1" count=1 how="Unknown=1" first="s i-1 Unknown: reset" searchers=i-1
 ts=2026-12-02T10:00:00.500Z level=info relay: event=searchers_changed revision=5 kind=ready count=2 names=i-3,i-1 more=0 since_ms=0
 ts=2026-12-02T10:00:00.600Z level=info relay: event=searchers_changed revision=6 kind=ready count=1 names=i-12 more=0 since_ms=0
-ts=2026-12-02T10:00:01.050Z level=info relay: event=attempt_failed request="r2" service=s searcher=i-1 ending=NotRun cause="shed"
+ts=2026-12-02T10:00:01.050Z level=info relay: event=attempts_failed request="r2" count=1 how="NotRun=1" first="s i-1 NotRun: shed" searchers=i-1
 ts=2026-12-02T10:00:01.300Z level=info relay: event=ended request="r1" route=x version=3 outcome=partial missing=1 took_ms=200
-ts=2026-12-02T10:00:01.200Z level=info relay: event=shard_left_out request="r1" service=t tried=["", "i-2"] hedge_denied=false
+ts=2026-12-02T10:00:01.200Z level=info relay: event=shards_left_out request="r1" count=1 how="1 searchers, 1 through a silent member=1" first="t /i-2" searchers=i-2
 ts=2026-12-02T10:00:01.150Z level=info relay: event=searchers_changed revision=9 kind=missing count=1 names=i-2 more=0 since_ms=0
 ts=2026-12-02T10:00:09.000Z level=info relay: event=searcher_gone searcher=i-2 cause="late"
 "#;
@@ -22,7 +22,7 @@
     let events: Vec<&str> =
         story.iter().filter_map(|line| line.split("event=").nth(1)?.split(' ').next()).collect();
     let expected =
-        ["searchers_changed", "attempt_failed", "searchers_changed", "shard_left_out", "ended"];
+        ["searchers_changed", "attempts_failed", "searchers_changed", "shards_left_out", "ended"];
     assert_eq!(events, expected);
     assert!(story.iter().all(|line| !line.contains("r2") && !line.contains("i-9")));
 }
