Sight: log under which request a searcher ended

Cause: an attempt whose connection ends without an answer looks the same whether the searcher crashed, reset the connection, or was cut off, and a caller's attempts at one request bear different identifiers. So the record couldn't tell a request that ends searchers from searchers that fall together. Change: after such an end the searcher's address is dialled. A connection that is made by the dial is kept. No decision follows from it yet.

--- a/crates/net/src/dial.rs
+++ b/crates/net/src/dial.rs
@@ -1,6 +1,7 @@
 //! Opening sockets, with errors that name the step and the peer.
 
 use std::fmt;
+use std::io;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::time::Duration;
 
@@ -18,12 +19,14 @@
     pub peer: Peer,
     /// What went wrong.
     pub cause: String,
+    /// Whether the peer's machine said that nobody listens there.
+    pub refused: bool,
 }
 
 impl Fault {
     /// Describes an error.
     pub fn new(step: &'static str, peer: impl Into<Peer>, cause: impl fmt::Display) -> Self {
-        Self { step: Step(step), peer: peer.into(), cause: cause.to_string() }
+        Self { step: Step(step), peer: peer.into(), cause: cause.to_string(), refused: false }
     }
 }
 
@@ -39,7 +42,10 @@
     let stream = tokio::time::timeout(timeout, socket.connect(remote))
         .await
         .map_err(|elapsed| fault(&elapsed))?
-        .map_err(|error| fault(&error))?;
+        .map_err(|error| {
+            let refused = error.kind() == io::ErrorKind::ConnectionRefused;
+            Fault { refused, ..fault(&error) }
+        })?;
     stream.set_nodelay(true).map_err(|error| fault(&error))?;
     Ok(stream)
 }
--- /dev/null
+++ b/crates/quarantine/src/fingerprint.rs
@@ -0,0 +1,33 @@
+//! What makes two requests the same.
+
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+use sha2::{Digest, Sha256};
+
+/// Names the requests that ask for the same: one method, path, query and body.
+///
+/// The caller's identifier of the attempt isn't part of it. A cryptographic hash, so that
+/// nobody can craft a request that shares the fingerprint of somebody else's.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Fingerprint(pub u64);
+
+impl Fingerprint {
+    /// Computes the fingerprint of a request.
+    pub fn of(method: &str, uri: &str, body: &[u8]) -> Self {
+        let mut hash = Sha256::new();
+        for part in [method.as_bytes(), uri.as_bytes(), body] {
+            hash.update((part.len() as u64).to_le_bytes());
+            hash.update(part);
+        }
+        let hash = hash.finalize();
+        let (first, _rest) = hash.split_first_chunk().expect("the hash has 32 bytes");
+        Self(u64::from_le_bytes(*first))
+    }
+}
+
+impl fmt::Display for Fingerprint {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -14,6 +14,7 @@
 use crate::link::Link;
 use crate::message::{Job, Passed};
 use crate::relay::Relay;
+use crate::suspects::inquire;
 
 /// How an attempt ended, with the searcher that was asked.
 pub(crate) type Outcome = (Arc<Link>, Result<Passed, Miss>);
@@ -37,6 +38,9 @@
         let (relay, job, asked) = (Arc::clone(relay), Arc::clone(job), Arc::clone(&link));
         let task = tokio::spawn(async move {
             let outcome = exchange(&relay, &asked, &job, offer, end).await;
+            if outcome.as_ref().is_err_and(|miss| miss.cut) {
+                inquire(&asked, &job);
+            }
             // The race may have ended in the same moment.
             let _ended = results.send((asked, outcome));
         });
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -29,13 +29,15 @@
     pub(crate) ending: Ending,
     /// What went wrong, for the log.
     pub(crate) cause: String,
+    /// Whether the connection ended before any answer came.
+    pub(crate) cut: bool,
     /// The searcher's own failure, if it can be passed on.
     pub(crate) failure: Option<Box<Passed>>,
 }
 
 impl Miss {
     pub(crate) fn new(ending: Ending, cause: impl fmt::Display) -> Self {
-        Self { ending, cause: cause.to_string(), failure: None }
+        Self { ending, cause: cause.to_string(), cut: false, failure: None }
     }
 }
 
@@ -122,7 +124,7 @@
     let response = sent.map_err(|error| {
         let unsent = error.message().is_some();
         let ending = if unsent { Ending::NotSent } else { Ending::Unknown };
-        Miss::new(ending, describe(error.error()))
+        Miss { cut: !unsent, ..Miss::new(ending, describe(error.error())) }
     })?;
     let (parts, body) = response.into_parts();
     let reading = (relay.dialect().read)(&parts);
@@ -187,12 +189,8 @@
     strip_hop(&mut headers);
     let passed = Passed { status, headers, body, signature: reading.signature };
     if status.is_server_error() || !signed {
-        let cause = format!("failed with {}", status.as_u16());
-        return Err(Miss {
-            ending: Ending::Failed,
-            cause,
-            failure: signed.then(|| Box::new(passed)),
-        });
+        let miss = Miss::new(Ending::Failed, format!("failed with {}", status.as_u16()));
+        return Err(Miss { failure: signed.then(|| Box::new(passed)), ..miss });
     }
     Ok(passed)
 }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -23,6 +23,7 @@
 mod searchers;
 mod settings;
 mod state;
+mod suspects;
 mod trouble;
 
 pub use coverage::Coverage;
--- a/crates/relay/src/message.rs
+++ b/crates/relay/src/message.rs
@@ -7,6 +7,7 @@
 use bergamot_base::Name;
 use bergamot_declaration::Kind;
 use bergamot_dispatch::Tally;
+use bergamot_quarantine::Fingerprint;
 use bytes::Bytes;
 use hyper::header::HeaderValue;
 use hyper::{HeaderMap, Method, StatusCode, Uri};
@@ -35,6 +36,13 @@
     pub received: Instant,
 }
 
+impl Request {
+    /// Computes the fingerprint of what is asked for.
+    pub(crate) fn fingerprint(&self) -> Fingerprint {
+        Fingerprint::of(self.method.as_str(), &self.uri.to_string(), &self.body)
+    }
+}
+
 /// A searcher's whole answer.
 #[derive(Clone, Debug)]
 pub struct Passed {
--- a/crates/upstream/src/pool.rs
+++ b/crates/upstream/src/pool.rs
@@ -14,6 +14,7 @@
 use http_body_util::Full;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
 use tokio::sync::Notify;
 use tokio::task::AbortHandle;
 
@@ -128,6 +129,25 @@
         Ok(true)
     }
 
+    /// Tells whether nobody listens at the searcher's address: whoever did has ended.
+    ///
+    /// A connection that ends shows less: it may have been reset, or cut on the way. If the
+    /// searcher is there, the connection that shows it is kept where the share has room.
+    pub async fn is_gone(self: &Arc<Self>) -> bool {
+        let mut place = self.reserve().then(|| Place { pool: self, kept: false });
+        let stream = match bergamot_net::dial(self.local, self.remote, self.dial).await {
+            Ok(stream) => stream,
+            Err(fault) => return fault.refused,
+        };
+        if let Some(place) = &mut place
+            && let Ok(sender) = self.shake(stream).await
+        {
+            place.kept = true;
+            self.put(sender);
+        }
+        false
+    }
+
     /// Takes a connection, dialling one where the share has room, by the deadline.
     pub async fn lease(self: &Arc<Self>, deadline: Deadline) -> Result<Lease, Fault> {
         let timeout = tokio::time::timeout_at(deadline.instant().into(), self.take()).await;
@@ -195,17 +215,21 @@
     }
 
     async fn handshake(&self) -> Result<Sender, Fault> {
-        let fault = |step, error: &dyn fmt::Display| self.fault(step, &error.to_string());
         let begun = Instant::now();
         let stream = bergamot_net::dial(self.local, self.remote, self.dial)
             .await
-            .map_err(|error| fault("dial", &error.cause))?;
+            .map_err(|error| self.fault("dial", &error.cause))?;
         self.note_dial(begun.elapsed());
-        let (mut request, connection) = http1::handshake(TokioIo::new(stream))
-            .await
-            .map_err(|error| fault("handshake", &error))?;
+        self.shake(stream).await
+    }
+
+    /// Makes a new connection ready for requests.
+    async fn shake(&self, stream: TcpStream) -> Result<Sender, Fault> {
+        let fault = |error: &dyn fmt::Display| self.fault("handshake", &error.to_string());
+        let (mut request, connection) =
+            http1::handshake(TokioIo::new(stream)).await.map_err(|error| fault(&error))?;
         let socket = tokio::spawn(connection).abort_handle();
-        request.ready().await.map_err(|error| fault("handshake", &error))?;
+        request.ready().await.map_err(|error| fault(&error))?;
         Ok(Sender { request, socket })
     }
 
