--- a/crates/standin/src/script.rs
+++ b/crates/standin/src/script.rs
@@ -27,6 +27,8 @@
     Reset,
     /// Answers nothing more, but keeps the connection until the other side closes it.
     Hang,
+    /// Ends the server with all of its connections, as a crash of its process would.
+    End,
 }
 
 /// A request as it came.
@@ -59,6 +61,8 @@
     seen: Arc<Mutex<Vec<Seen>>>,
     gone: Arc<Mutex<usize>>,
     stop: CancellationToken,
+    /// Cancelled once nothing listens any more, which ends the connections.
+    closed: CancellationToken,
 }
 
 impl std::fmt::Debug for Script {
@@ -77,26 +81,31 @@
         let address =
             listener.local_addr().map_err(|error| Fault::new("listen", unknown, error))?;
         let (seen, gone) = (Arc::default(), Arc::default());
-        let stop = CancellationToken::new();
-        let script = Self { address, seen, gone, stop };
+        let (stop, closed) = (CancellationToken::new(), CancellationToken::new());
+        let script = Self { address, seen, gone, stop, closed };
         let play: Arc<Play> = Arc::new(play);
         let (seen, gone) = (Arc::clone(&script.seen), Arc::clone(&script.gone));
-        let stop = script.stop.clone();
+        let (stop, closed) = (script.stop.clone(), script.closed.clone());
         tokio::spawn(async move {
             let mut connection = 0;
             loop {
                 let accepted = tokio::select! {
-                    () = stop.cancelled() => return,
+                    biased;
+                    () = stop.cancelled() => {
+                        drop(listener);
+                        closed.cancel();
+                        return;
+                    }
                     accepted = listener.accept() => accepted,
                 };
                 let Ok((stream, _)) = accepted else { continue };
                 let (play, seen, gone) = (Arc::clone(&play), Arc::clone(&seen), Arc::clone(&gone));
-                let stop = stop.clone();
+                let (stop, closed) = (stop.clone(), closed.clone());
                 tokio::spawn(async move {
                     tokio::select! {
-                        () = stop.cancelled() => {}
+                        () = closed.cancelled() => {}
                         // However the other side ended, the connection is over.
-                        _ = converse(stream, connection, &play, &seen) => {}
+                        _ = converse(stream, connection, &play, (&seen, &stop)) => {}
                     }
                     *gone.lock().unwrap_or_else(PoisonError::into_inner) += 1;
                 });
@@ -116,6 +125,11 @@
         self.seen.lock().unwrap_or_else(PoisonError::into_inner).clone()
     }
 
+    /// Tells whether the server has ended by a step of its own.
+    pub fn has_ended(&self) -> bool {
+        self.closed.is_cancelled()
+    }
+
     /// Returns how many connections are over.
     pub fn gone(&self) -> usize {
         *self.gone.lock().unwrap_or_else(PoisonError::into_inner)
@@ -132,7 +146,7 @@
     stream: TcpStream,
     connection: usize,
     play: &Arc<Play>,
-    seen: &Arc<Mutex<Vec<Seen>>>,
+    (seen, stop): (&Arc<Mutex<Vec<Seen>>>, &CancellationToken),
 ) -> io::Result<()> {
     let mut stream = BufReader::new(stream);
     for turn in 0.. {
@@ -155,6 +169,11 @@
                     stream.read_to_end(&mut rest).await?;
                     return Ok(());
                 }
+                Step::End => {
+                    stop.cancel();
+                    // The connection ends with all others once nothing listens any more.
+                    std::future::pending::<()>().await;
+                }
             }
         }
     }
