--- a/crates/bench/src/capacity/state.rs
+++ b/crates/bench/src/capacity/state.rs
@@ -169,6 +169,7 @@
             view: u64::MAX,
             members: 1800,
             fresh: true,
+            suspicions: u64::MAX,
         },
         rumours,
     };
--- a/crates/front/src/daemon.rs
+++ b/crates/front/src/daemon.rs
@@ -85,7 +85,8 @@
         let listener = listen(settings.members).await?;
         let serving = (Arc::clone(&relay), Arc::clone(&feed), stop.clone());
         tasks.spawn("members", member::serve(listener, serving.0, serving.1, serving.2));
-        let peers = Peers::start(peers, &tasks, stop.clone()).await?;
+        let quarantine = Arc::clone(relay.quarantine());
+        let peers = Peers::start(peers, quarantine, &tasks, stop.clone()).await?;
         let inner = Arc::new(Inner {
             settings,
             face,
@@ -290,6 +291,9 @@
     /// A member that doesn't know all others yet takes no seat: it would take itself for one of
     /// few. What it is asked it answers with the connections that one of so many may have.
     fn seat(&self) {
+        self.relay.set_members(
+            self.peers.with_view(|view| view.working().map(|record| record.endpoint.ip).collect()),
+        );
         if !self.peers.is_settled() {
             self.relay.tick(self.peers.size(), false);
             return;
--- a/crates/front/src/member.rs
+++ b/crates/front/src/member.rs
@@ -6,6 +6,7 @@
 
 use bergamot_feed::{Asking, Fetching, Question, Shared, Trouble};
 use bergamot_net::Fault;
+use bergamot_quarantine::Fingerprint;
 use bergamot_relay::{Exchange, Helping, Relay};
 use bergamot_wire::{
     Channels, Late, Member, MemberClient, News, NewsQuery, ShardQuery, ShardReply, run_requests,
@@ -50,6 +51,10 @@
         self.relay.records(token)
     }
 
+    async fn grant(self, _context: Context, fingerprint: Fingerprint) -> bool {
+        self.relay.quarantine().grant(Instant::now(), fingerprint)
+    }
+
     async fn news(self, _context: Context, query: NewsQuery) -> News {
         let wait = query.wait.min(LONGEST_WAIT);
         self.feed.news(NewsQuery { wait, ..query }).await
@@ -77,6 +82,7 @@
 /// Makes the functions that ask members for shards.
 pub(crate) fn helping(links: &Links, port: u16) -> Helping {
     let (gathering, resting, fetching) = (Arc::clone(links), Arc::clone(links), Arc::clone(links));
+    let granting = Arc::clone(links);
     Helping {
         gather: Box::new(move |ip, query, until| {
             call(&gathering, (ip, port), until, |client, context| async move {
@@ -93,6 +99,11 @@
                 client.records(context, token).await
             })
         }),
+        grant: Box::new(move |ip, fingerprint, until| {
+            call(&granting, (ip, port), until, move |client, context| async move {
+                client.grant(context, fingerprint).await
+            })
+        }),
     }
 }
 
--- a/crates/members/src/lib.rs
+++ b/crates/members/src/lib.rs
@@ -16,6 +16,7 @@
 mod reader;
 mod record;
 mod rumour;
+mod suspicions;
 mod sync;
 mod view;
 
@@ -27,4 +28,5 @@
 pub use reader::{ranked, readers};
 pub use record::{Endpoint, Record, Role, State};
 pub use rumour::{PER_DATAGRAM, Rumour};
+pub use suspicions::Suspicions;
 pub use view::{Listed, RANGES, View};
--- a/crates/members/src/membership.rs
+++ b/crates/members/src/membership.rs
@@ -12,6 +12,7 @@
 use std::time::{Duration, Instant};
 
 use bergamot_base::Name;
+use bergamot_quarantine::Report;
 use rand::RngExt;
 use rand::rngs::StdRng;
 use rand::seq::IndexedRandom;
@@ -68,6 +69,12 @@
 /// How many changes are kept for whoever asks for them.
 const MOST_CHANGED: usize = 1024;
 
+/// How many reports on requests are kept for whoever asks for them.
+const MOST_REPORTS: usize = 1024;
+
+/// The most reports on requests in a datagram: of some 90 bytes each, so that they fit one packet.
+const REPORTS_PER_DATAGRAM: usize = 10;
+
 /// A datagram and where it goes.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Outgoing {
@@ -100,6 +107,8 @@
     join_at: Instant,
     join_again: Duration,
     leaving: Vec<Rumour>,
+    /// What others said of requests since it was last asked for.
+    reports: Vec<Report>,
     /// What changed since it was last asked for.
     changed: Vec<(Endpoint, State)>,
     started: Instant,
@@ -138,6 +147,7 @@
             join_at: now,
             join_again: JOIN,
             leaving: Vec::new(),
+            reports: Vec::new(),
             changed: Vec::new(),
             started: now,
             settled: false,
@@ -227,6 +237,23 @@
         std::mem::take(&mut self.leaving)
     }
 
+    /// Returns what peers said of requests under which searchers ended since the last call.
+    pub fn take_reports(&mut self) -> Vec<Report> {
+        std::mem::take(&mut self.reports)
+    }
+
+    /// Passes on, in the own zone, news that another member has told.
+    pub fn pass_on(&mut self, now: Instant, rumour: Rumour) {
+        self.rumours.add(now, rumour, Reach::Zone);
+    }
+
+    /// Makes the datagrams that tell a member reports that it may lack.
+    pub fn inform(&self, to: Endpoint, reports: Vec<Report>, digest: Digest) -> Vec<Outgoing> {
+        let rumours: Vec<Rumour> = reports.into_iter().map(Rumour::Suspicion).collect();
+        let told = rumours.chunks(REPORTS_PER_DATAGRAM);
+        told.map(|rumours| self.datagram(to, Kind::Tell, digest, rumours.to_vec())).collect()
+    }
+
     /// Returns the members whose state changed since the last call, the first of them if they
     /// are many.
     pub fn take_changed(&mut self) -> Vec<(Endpoint, State)> {
@@ -282,6 +309,11 @@
             match rumour {
                 Rumour::Member(record) => outdated.extend(self.learn(now, record, how)),
                 Rumour::Leaving { .. } => self.leaving.push(rumour.clone()),
+                Rumour::Suspicion(report) if self.reports.len() < MOST_REPORTS => {
+                    self.reports.push(report.clone());
+                }
+                // Whoever asked for none of them so far asks for none at all.
+                Rumour::Suspicion(_) => {}
             }
         }
         self.compare(now, from, &datagram.digest);
--- a/crates/members/src/message.rs
+++ b/crates/members/src/message.rs
@@ -26,6 +26,14 @@
     /// Whether the sender knows the newest of what is published.
     #[serde(rename = "n", default)]
     pub fresh: bool,
+    /// The hash of what the sender holds of requests under which searchers ended, zero for nothing.
+    #[serde(rename = "q", default, skip_serializing_if = "is_zero")]
+    pub suspicions: u64,
+}
+
+#[expect(clippy::trivially_copy_pass_by_ref, reason = "serde passes fields by reference")]
+fn is_zero(number: &u64) -> bool {
+    *number == 0
 }
 
 /// The purpose of a datagram.
--- a/crates/members/src/rumour.rs
+++ b/crates/members/src/rumour.rs
@@ -10,6 +10,7 @@
 use std::time::{Duration, Instant};
 
 use bergamot_base::Name;
+use bergamot_quarantine::{Fingerprint, Report};
 use serde::{Deserialize, Serialize};
 
 use crate::record::{Endpoint, Record};
@@ -54,6 +55,9 @@
         #[serde(rename = "r")]
         run: Name,
     },
+    /// Searchers end under a request.
+    #[serde(rename = "q")]
+    Suspicion(Report),
 }
 
 /// What a rumour is about: newer news about the same subject replaces older.
@@ -61,6 +65,7 @@
 enum Subject {
     Member(Endpoint),
     Searcher(SocketAddr),
+    Request(Fingerprint),
 }
 
 impl Rumour {
@@ -68,10 +73,19 @@
         match self {
             Self::Member(record) => Subject::Member(record.endpoint),
             Self::Leaving { searcher, .. } => Subject::Searcher(*searcher),
+            Self::Suspicion(report) => Subject::Request(report.fingerprint),
         }
     }
 }
 
+impl Rumour {
+    /// Tells whether it is pushed without waiting for more news: until all have heard that a
+    /// request does harm, each of them may lose further searchers to it.
+    fn is_urgent(&self) -> bool {
+        matches!(self, Self::Suspicion(report) if report.is_urgent())
+    }
+}
+
 /// To whom news is pushed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum Reach {
@@ -100,11 +114,13 @@
     /// Adds news, in place of older news about the same subject.
     pub(crate) fn add(&mut self, now: Instant, rumour: Rumour, reach: Reach) {
         let subject = rumour.subject();
+        let wait = if rumour.is_urgent() { Duration::ZERO } else { GATHERING };
         self.queue.retain(|known| known.rumour.subject() != subject);
         self.queue.insert(0, Entry { sent: 0, push: Some(reach), rumour });
         self.queue.truncate(MOST);
         self.drop_reports();
-        self.push_at.get_or_insert(now + GATHERING);
+        let due = self.push_at.map_or(now + wait, |due| due.min(now + wait));
+        self.push_at = Some(due);
     }
 
     /// Drops the oldest reports about members beyond the most.
--- a/crates/model/src/fleet.rs
+++ b/crates/model/src/fleet.rs
@@ -26,6 +26,8 @@
     Heal,
     /// The settings of all members name these members as seeds.
     Seeds(Vec<usize>),
+    /// A trial of a request ends its searcher at this member, for the second time.
+    Condemn(usize),
 }
 
 /// A run of the model.
@@ -104,6 +106,11 @@
         Self::starting(members).then([(LATER, Step::Stop(vec![members / 2]))])
     }
 
+    /// A member condemns a request [`LATER`].
+    pub fn condemning(members: usize) -> Self {
+        Self::starting(members).then([(LATER, Step::Condemn(members / 2))])
+    }
+
     /// Members are killed and start again a second later, 3,200 times a day in a fleet of
     /// 1,800, from [`LATER`] on for 30 s; in a smaller one as often.
     pub fn being_replaced(members: usize) -> Self {
--- a/crates/model/src/fleet/net.rs
+++ b/crates/model/src/fleet/net.rs
@@ -3,12 +3,14 @@
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap};
 use std::net::Ipv4Addr;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use bergamot_base::{Name, Seed};
 use bergamot_members::{
-    Datagram, Digest, Endpoint, Membership, Outgoing, Record, Role, State, Timing, View,
+    Datagram, Digest, Endpoint, Membership, Outgoing, Record, Role, State, Suspicions, Timing, View,
 };
+use bergamot_quarantine::{Fingerprint, Shared as Quarantine, Standing, Strike};
 use rand::RngExt;
 use rand::rngs::StdRng;
 
@@ -22,6 +24,9 @@
 /// One way within a zone, between zones of a region, and between regions.
 const WAYS: [Micros; 3] = [200, 1_400, 8_000];
 
+/// The request that a member condemns.
+const FATAL: Fingerprint = Fingerprint(1);
+
 /// How late timers fire at most.
 const TIMER_LATE: Micros = 2_000;
 
@@ -57,6 +62,8 @@
     zone: usize,
     run: u32,
     member: Option<Membership>,
+    suspicions: Suspicions,
+    quarantine: Arc<Quarantine>,
     /// The side of a cut on which it is.
     side: usize,
     busy_until: Micros,
@@ -65,6 +72,12 @@
     sent: Traffic,
 }
 
+impl Instance {
+    fn digest(&self) -> Digest {
+        Digest { suspicions: self.suspicions.hash(), ..Digest::default() }
+    }
+}
+
 struct World<'a> {
     fleet: &'a Fleet,
     base: Instant,
@@ -86,6 +99,8 @@
             zone: number % fleet.zones,
             run: 0,
             member: None,
+            suspicions: Suspicions::new(Arc::default()),
+            quarantine: Arc::default(),
             side: 0,
             busy_until: 0,
             timer: 0,
@@ -161,6 +176,7 @@
                 }
             }
             Step::Heal => self.instances.iter_mut().for_each(|instance| instance.side = 0),
+            Step::Condemn(member) => self.condemn(*member),
             Step::Seeds(seeds) => {
                 self.seeds.clone_from(seeds);
                 let (now, seeds) = (self.instant(), self.seed_endpoints());
@@ -174,6 +190,18 @@
         }
     }
 
+    fn condemn(&mut self, number: usize) {
+        let now = self.instant();
+        let Instance { member, suspicions, quarantine, .. } = &mut self.instances[number];
+        let Some(member) = member else { return };
+        for id in 1..=3 {
+            let strike = Strike { id, trial: true, cleared: false };
+            quarantine.accuse(now, FATAL, strike, &Name::from("shard"));
+        }
+        suspicions.spread(now, member);
+        self.set_timer(number);
+    }
+
     fn seed_endpoints(&self) -> Vec<Endpoint> {
         self.seeds.iter().map(|number| endpoint(*number)).collect()
     }
@@ -196,6 +224,8 @@
         };
         let rng = Seed(self.rng.random()).generator("member");
         instance.member = Some(Membership::new(now, TIMING, me, seeds, rng));
+        instance.quarantine = Arc::default();
+        instance.suspicions = Suspicions::new(Arc::clone(&instance.quarantine));
         instance.timer = Micros::MAX;
         self.set_timer(number);
     }
@@ -219,9 +249,9 @@
         if instance.run != run || instance.timer != self.now {
             return;
         }
+        let digest = instance.digest();
         let Some(member) = &mut instance.member else { return };
-        let out =
-            if member.due() <= now { member.tick(now, Digest::default()) } else { Vec::new() };
+        let out = if member.due() <= now { member.tick(now, digest) } else { Vec::new() };
         instance.timer = 0;
         self.send(number, out);
         self.set_timer(number);
@@ -238,9 +268,12 @@
         }
         let Some(Flight { datagram, .. }) = self.flights.remove(&flight) else { return };
         let instance = &mut self.instances[to];
-        let Some(member) = &mut instance.member else { return };
+        let digest = instance.digest();
+        let Instance { member: Some(member), suspicions, .. } = instance else { return };
+        let mut out = member.receive(now, &datagram, digest);
+        suspicions.hear(now, member);
+        out.extend(suspicions.inform(now, member, &datagram, digest));
         instance.busy_until = self.now + micros(self.fleet.work);
-        let out = member.receive(now, &datagram, Digest::default());
         self.send(to, out);
         self.set_timer(to);
     }
@@ -298,11 +331,18 @@
             let mut others = living().map(|member| member.view().working().map(place));
             others.all(|other| view.working().map(place).eq(other))
         };
+        let now = self.instant();
+        let condemns = |instance: &&Instance| {
+            matches!(instance.quarantine.standing(now, || FATAL), Standing::Condemned(_))
+        };
+        let alive = self.instances.iter().filter(|instance| instance.member.is_some());
+        let condemning = alive.filter(condemns).count();
         self.report.samples.push(Sample {
             at: Duration::from_micros(self.now),
             least: share(0),
             median: share(known.len() / 2),
             mourned,
+            condemning: condemning as f64 / all,
             agreed: living().next().is_none_or(|member| same(member.view())),
         });
         self.report.sent.push(self.instances.iter().map(|instance| instance.sent).collect());
--- a/crates/model/src/fleet/report.rs
+++ b/crates/model/src/fleet/report.rs
@@ -11,6 +11,8 @@
     pub least: f64,
     /// The share that the median member takes for alive.
     pub median: f64,
+    /// The share of the living members that hold the request for condemned.
+    pub condemning: f64,
     /// How many dead members somebody still sends work to.
     pub mourned: usize,
     /// Whether all take the same members for alive, so that all choose the same ones.
@@ -51,6 +53,11 @@
         self.settled(from, |sample| sample.agreed)
     }
 
+    /// Returns how long after a moment all members held the request for condemned, for good.
+    pub fn condemned(&self, from: Duration) -> Option<Duration> {
+        self.settled(from, |sample| sample.condemning >= 1.0)
+    }
+
     fn settled(&self, from: Duration, holds: impl Fn(&Sample) -> bool) -> Option<Duration> {
         let later = self.samples.iter().filter(|sample| sample.at >= from);
         let mut since = None;
--- a/crates/model/tests/fleet.rs
+++ b/crates/model/tests/fleet.rs
@@ -133,3 +133,29 @@
     assert_eq!(shown(&fleet), shown(&fleet));
     assert_ne!(shown(&fleet), shown(&Fleet { seed: 2, ..fleet.clone() }));
 }
+
+/// Until all have heard of it, each of them may lose a searcher to the request.
+#[test]
+fn a_request_that_one_member_condemns_is_condemned_by_all() {
+    for members in SIZES {
+        let told = run(&Fleet::condemning(members)).condemned(LATER);
+        assert!(told.is_some_and(|time| time <= SECOND), "{members} members: {told:?}");
+    }
+}
+
+/// A member that starts later, and those that were cut off, have to be told.
+#[test]
+fn members_that_were_away_hear_of_what_was_condemned_meanwhile() {
+    for members in SIZES {
+        let (away, back) = (LATER + SECOND * 2, LATER + SECOND * 8);
+        let fleet = Fleet::starting(members).then([
+            (LATER, Step::Cut((0..members).filter(|member| member % 3 == 0).collect())),
+            (LATER, Step::Stop(vec![1])),
+            (away, Step::Condemn(2)),
+            (back, Step::Heal),
+            (back, Step::Start(vec![1], Duration::ZERO)),
+        ]);
+        let told = run(&fleet).condemned(back);
+        assert!(told.is_some_and(|time| time <= SECOND * 3), "{members} members: {told:?}");
+    }
+}
--- a/crates/peers/src/peers.rs
+++ b/crates/peers/src/peers.rs
@@ -12,9 +12,10 @@
 use bergamot_base::{Incarnation, Name, Revision, Seed, Tasks};
 use bergamot_logger::Changes;
 use bergamot_members::{
-    Datagram, Digest, Endpoint, Membership, Outgoing, Record, Role, State, View,
+    Datagram, Digest, Endpoint, Membership, Outgoing, Record, Role, State, Suspicions, View,
 };
 use bergamot_net::Fault;
+use bergamot_quarantine::Shared as Quarantine;
 use bergamot_wire::LARGEST_DATAGRAM;
 use rand::RngExt;
 use tokio::net::UdpSocket;
@@ -41,11 +42,14 @@
     heard_fresh: BTreeMap<Ipv4Addr, Instant>,
     /// The changes of members that are still to be logged.
     changes: Changes,
+    /// What members tell each other of requests under which searchers end.
+    suspicions: Suspicions,
 }
 
 impl Control {
     fn digest(&self) -> Digest {
-        Digest { revision: self.revision, fresh: self.fresh, ..Digest::default() }
+        let (revision, fresh) = (self.revision, self.fresh);
+        Digest { revision, fresh, suspicions: self.suspicions.hash(), ..Digest::default() }
     }
 }
 
@@ -57,6 +61,8 @@
     /// Wakes the loop when something is due sooner than it was.
     sooner: Notify,
     socket: UdpSocket,
+    /// The requests under which searchers ended, of which all members are told.
+    quarantine: Arc<Quarantine>,
     stop: CancellationToken,
 }
 
@@ -70,6 +76,7 @@
     /// Binds the socket and starts probing.
     pub async fn start(
         settings: Settings,
+        quarantine: Arc<Quarantine>,
         tasks: &Tasks,
         stop: CancellationToken,
     ) -> Result<Arc<Self>, Fault> {
@@ -93,10 +100,11 @@
             fresh: false,
             heard_fresh: BTreeMap::new(),
             changes: Changes::default(),
+            suspicions: Suspicions::new(Arc::clone(&quarantine)),
         });
         let seeds = Mutex::new(settings.seeds.clone());
         let sooner = Notify::new();
-        let peers = Arc::new(Self { settings, seeds, control, sooner, socket, stop });
+        let peers = Arc::new(Self { settings, seeds, control, sooner, socket, quarantine, stop });
         tasks.spawn("membership", Arc::clone(&peers).run());
         Ok(peers)
     }
@@ -171,6 +179,7 @@
             tokio::select! {
                 () = self.stop.cancelled() => return,
                 () = self.sooner.notified() => {}
+                () = self.quarantine.changed() => self.spread(),
                 received = self.socket.recv_from(&mut buffer) => match received {
                     Ok((length, from)) => self.receive(&buffer[..length], from),
                     Err(error) => log::warn!("peers: event=receive_failed cause=\"{error}\""),
@@ -193,6 +202,24 @@
             self.lock().heard_fresh.insert(ip, Instant::now());
         }
         self.drive(|membership, digest| membership.receive(Instant::now(), &datagram, digest));
+        self.inform(&datagram);
+    }
+
+    /// Tells the other members what this one has found out of requests.
+    fn spread(&self) {
+        let mut control = self.lock();
+        let Control { membership, suspicions, .. } = &mut *control;
+        suspicions.spread(Instant::now(), membership);
+    }
+
+    /// Tells a member what it may lack of requests.
+    fn inform(&self, datagram: &Datagram) {
+        let mut control = self.lock();
+        let digest = control.digest();
+        let Control { membership, suspicions, .. } = &mut *control;
+        let out = suspicions.inform(Instant::now(), membership, datagram, digest);
+        drop(control);
+        self.transmit(out);
     }
 
     fn tick(&self) {
@@ -205,7 +232,8 @@
         let mut control = self.lock();
         let digest = control.digest();
         let out = happen(&mut control.membership, digest);
-        let Control { membership, changes, .. } = &mut *control;
+        let Control { membership, changes, suspicions, .. } = &mut *control;
+        let heard = suspicions.hear(now, membership);
         for (member, state) in membership.take_changed() {
             changes.note(now, state.label(), member.ip);
         }
@@ -213,6 +241,9 @@
         let alive = membership.view().count_working();
         drop(control);
         self.transmit(out);
+        for fingerprint in heard {
+            log::info!("peers: event=suspicion_heard fingerprint={fingerprint}");
+        }
         for line in lines {
             log::info!("peers: event=view_changed alive={alive} {line}");
         }
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -14,11 +14,21 @@
 use crate::link::Link;
 use crate::message::{Job, Passed};
 use crate::relay::Relay;
-use crate::suspects::inquire;
 
 /// How an attempt ended, with the searcher that was asked.
 pub(crate) type Outcome = (Arc<Link>, Result<Passed, Miss>);
 
+/// What is decided of an attempt before it starts.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Terms {
+    /// By when a connection must have been found.
+    pub(crate) offer: Instant,
+    /// When the answer is of no use any more.
+    pub(crate) end: Instant,
+    /// Whether the request is with no other searcher, so that it alone can have ended this one.
+    pub(crate) trial: bool,
+}
+
 /// A running attempt.
 #[derive(Debug)]
 pub(crate) struct Attempt {
@@ -32,14 +42,16 @@
         relay: &Arc<Relay>,
         link: Arc<Link>,
         job: &Arc<Job>,
-        (offer, end): (Instant, Instant),
+        terms: Terms,
         results: mpsc::UnboundedSender<Outcome>,
     ) -> Self {
         let (relay, job, asked) = (Arc::clone(relay), Arc::clone(job), Arc::clone(&link));
         let task = tokio::spawn(async move {
-            let outcome = exchange(&relay, &asked, &job, offer, end).await;
-            if outcome.as_ref().is_err_and(|miss| miss.cut) {
-                inquire(&asked, &job);
+            let mut outcome = exchange(&relay, &asked, &job, terms.offer, terms.end).await;
+            if let Err(miss) = &mut outcome
+                && miss.cut
+            {
+                miss.ended = relay.inquire(&asked, &job, terms.trial).await;
             }
             // The race may have ended in the same moment.
             let _ended = results.send((asked, outcome));
--- a/crates/relay/src/delegate.rs
+++ b/crates/relay/src/delegate.rs
@@ -15,6 +15,7 @@
 use bergamot_base::Name;
 use bergamot_dispatch::{Outlook, Rhythm};
 use bergamot_policy::{Delegate, Policy};
+use bergamot_quarantine::Fingerprint;
 use bergamot_wire::{Late, ShardQuery, ShardReply};
 use futures::future::BoxFuture;
 
@@ -39,6 +40,8 @@
     pub rest: Claim<Vec<Late>>,
     /// Asks a member for the records that its answer left out, until a moment.
     pub records: Claim<Option<Vec<u8>>>,
+    /// Asks a member to grant a trial of a request, until a moment.
+    pub grant: Box<dyn Fn(Ipv4Addr, Fingerprint, Instant) -> Exchange<bool> + Send + Sync>,
 }
 
 impl std::fmt::Debug for Helping {
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -31,13 +31,15 @@
     pub(crate) cause: String,
     /// Whether the connection ended before any answer came.
     pub(crate) cut: bool,
+    /// Whether the searcher has ended.
+    pub(crate) ended: bool,
     /// The searcher's own failure, if it can be passed on.
     pub(crate) failure: Option<Box<Passed>>,
 }
 
 impl Miss {
     pub(crate) fn new(ending: Ending, cause: impl fmt::Display) -> Self {
-        Self { ending, cause: cause.to_string(), cut: false, failure: None }
+        Self { ending, cause: cause.to_string(), cut: false, ended: false, failure: None }
     }
 }
 
--- a/crates/relay/src/gather.rs
+++ b/crates/relay/src/gather.rs
@@ -25,6 +25,7 @@
 use crate::parts::{Merged, Parts};
 use crate::race::{Lost, Plan, Race, Tried};
 use crate::relay::Relay;
+use crate::suspects::First;
 
 /// What a part of the work has brought.
 enum Piece<'a> {
@@ -51,6 +52,7 @@
     job: &Arc<Job>,
     gather: &Gather,
     patience: Patience,
+    first: Option<First>,
 ) -> Reply {
     let fewest = gather.fewest();
     let mut delays = relay.delays(&gather.shards);
@@ -68,7 +70,7 @@
     for shard in &gather.shards {
         relay.earn(shard);
     }
-    let mut state = State::start(relay, job, gather, patience);
+    let mut state = State::start(relay, job, gather, patience, first);
     let target = job.request.received + patience.target;
     let mut late = false;
     loop {
@@ -121,18 +123,23 @@
         job: &'a Arc<Job>,
         gather: &'a Gather,
         patience: Patience,
+        first: Option<First>,
     ) -> Self {
         let plan = Plan::new(job, patience, &relay.settings.policy);
         let (worst, work) = (Ending::NotSent, Work::new());
         let (parts, open) = (Parts::default(), HashMap::new());
         let mut state = Self { relay, job, plan, worst, parts, work, open };
+        let mut shards: Vec<&Name> = gather.shards.iter().collect();
+        if let Some(First { service, passed }) = first
+            && let Some(at) = shards.iter().position(|shard| **shard == service)
+        {
+            let shard = shards.remove(at);
+            state.open.insert(shard, 1);
+            state.arrive(shard, passed.signature, passed.body);
+        }
         // A route that allows one attempt leaves nothing to do about what a member missed.
         let delegates = relay.settings.policy.delegate.on && job.attempts > 1;
-        let (own, groups) = if delegates {
-            assign(relay, &gather.shards)
-        } else {
-            (gather.shards.iter().collect(), Vec::new())
-        };
+        let (own, groups) = if delegates { assign(relay, shards) } else { (shards, Vec::new()) };
         for shard in own {
             state.race(shard, Vec::new());
         }
@@ -227,6 +234,13 @@
                     self.race(shard, vec![Tried::Searcher(searcher)]);
                     self.close(shard);
                 }
+                Shard::Ended(searcher) => {
+                    self.worst = Ending::Unknown;
+                    self.relay.note_failure(&searcher);
+                    self.job.gate().hold();
+                    self.race(shard, vec![Tried::Searcher(searcher)]);
+                    self.close(shard);
+                }
                 Shard::NotAsked => {
                     self.race(shard, Vec::new());
                     self.close(shard);
@@ -246,7 +260,10 @@
             }
             return;
         }
-        for Late { index, signature, records } in late {
+        for Late { index, signature, records, ended } in late {
+            if ended {
+                self.job.gate().hold();
+            }
             let Some(shard) = asked.shards.get(index as usize).copied() else { continue };
             match signature {
                 Some(signature) => self.arrive(shard, read(&signature), Bytes::from(records)),
@@ -303,7 +320,7 @@
 }
 
 /// Divides the shards into those to ask directly and those to ask through members.
-fn assign<'a>(relay: &Relay, shards: &'a [Name]) -> (Vec<&'a Name>, Vec<Group<'a>>) {
+fn assign<'a>(relay: &Relay, shards: Vec<&'a Name>) -> (Vec<&'a Name>, Vec<Group<'a>>) {
     let mut own = Vec::new();
     let mut places = BTreeMap::<Elsewhere, Vec<&Name>>::new();
     for shard in shards {
--- a/crates/relay/src/helper.rs
+++ b/crates/relay/src/helper.rs
@@ -5,7 +5,7 @@
 //! attempt ends with the sender's interest in it: once nobody waits for it, it is cut.
 
 use std::collections::HashMap;
-use std::sync::{Arc, Mutex, OnceLock, PoisonError};
+use std::sync::{Arc, PoisonError};
 use std::time::{Duration, Instant};
 
 use bergamot_base::Name;
@@ -15,14 +15,13 @@
 use bytes::Bytes;
 use hyper::header::{HeaderMap, HeaderName, HeaderValue};
 use hyper::{Method, Uri};
-use tokio::sync::{Notify, mpsc};
+use tokio::sync::mpsc;
 
-use crate::attempt::{Attempt, Outcome};
+use crate::attempt::{Attempt, Outcome, Terms};
 use crate::exchange::Miss;
 use crate::message::{Job, Passed, Request};
 use crate::meter::Reason;
 use crate::relay::Relay;
-use crate::trouble::Trouble;
 
 /// The longest time that another member's question may give: longer than any caller waits.
 const LONGEST_QUESTION: Duration = Duration::from_hours(1);
@@ -92,7 +91,8 @@
             Err(miss) => {
                 relay.meter().ending(miss.ending);
                 if let Shard::Silent(searcher) = &shards[index] {
-                    shards[index] = Shard::Failed(searcher.clone());
+                    let fate = if miss.ended { Shard::Ended } else { Shard::Failed };
+                    shards[index] = fate(searcher.clone());
                 }
             }
         }
@@ -110,28 +110,21 @@
     relay: &Arc<Relay>,
     request: Request,
     names: &[Name],
-    (until, end): (Instant, Instant),
+    (offer, end): (Instant, Instant),
     shards: &mut [Shard],
 ) -> Work {
-    let job = Arc::new(Job {
-        request,
-        // What is asked for others must not change what this member takes for usual.
-        route: Name::from(""),
-        kind: Kind::Idempotent,
-        attempts: 1,
-        tally: Mutex::new(Tally::new(names.len(), names.len())),
-        changed: Notify::new(),
-        left_out: OnceLock::new(),
-        // The sender hears of each failure, and logs it.
-        trouble: Trouble::default(),
-    });
+    // What is asked for others must not change what this member takes for usual, and the sender
+    // hears of each failure, and logs it.
+    let tally = Tally::new(names.len(), names.len());
+    let job = Arc::new(Job::new(request, (Name::from(""), Kind::Idempotent), 1, tally));
     let (results, ended) = mpsc::unbounded_channel();
     let mut running = Vec::with_capacity(names.len());
     for (index, name) in names.iter().enumerate() {
         let Some(link) = relay.choose(name, &[]) else { continue };
         relay.meter().attempt(Reason::Delegated, link.distance);
         shards[index] = Shard::Silent(link.upstream.incarnation.clone());
-        let attempt = Attempt::start(relay, link, &job, (until, end), results.clone());
+        let terms = Terms { offer, end, trial: false };
+        let attempt = Attempt::start(relay, link, &job, terms, results.clone());
         running.push((index, attempt));
     }
     Work { running, ended }
@@ -191,11 +184,12 @@
     let late = match outcome {
         Ok(passed) => {
             let signature = Some(signature(&passed));
-            Late { index: index as u32, signature, records: passed.body.to_vec() }
+            Late { index: index as u32, signature, records: passed.body.to_vec(), ended: false }
         }
         Err(miss) => {
             relay.meter().ending(miss.ending);
-            Late { index: index as u32, signature: None, records: Vec::new() }
+            let ended = miss.ended;
+            Late { index: index as u32, signature: None, records: Vec::new(), ended }
         }
     };
     if !work.running.is_empty() {
--- a/crates/relay/src/link.rs
+++ b/crates/relay/src/link.rs
@@ -1,5 +1,6 @@
 //! One incarnation of a searcher as this member sees it: connections and an outlook.
 
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -25,6 +26,8 @@
     outlook: Mutex<Outlook>,
     /// When a connection was last opened ahead of need.
     warmed: Mutex<Option<Instant>>,
+    /// Whether nobody listened at its address any more.
+    ended: AtomicBool,
 }
 
 impl Link {
@@ -45,7 +48,20 @@
         let outlook =
             Mutex::new(Outlook::new(distance.guess(round_trip), Arc::clone(&policy), rhythm));
         let warmed = Mutex::default();
-        Arc::new(Self { upstream, pool, distance, policy, outlook, warmed })
+        let ended = AtomicBool::new(false);
+        Arc::new(Self { upstream, pool, distance, policy, outlook, warmed, ended })
+    }
+
+    /// Tells whether the searcher was found to have ended.
+    pub(crate) fn has_ended(&self) -> bool {
+        self.ended.load(Ordering::Relaxed)
+    }
+
+    /// Finds out whether the searcher has ended.
+    pub(crate) async fn find_ended(&self) -> bool {
+        let ended = self.pool.is_gone().await;
+        self.ended.fetch_or(ended, Ordering::Relaxed);
+        ended
     }
 
     /// Tells whether a searcher is still where it said that it was, and serves the same service.
--- a/crates/relay/src/message.rs
+++ b/crates/relay/src/message.rs
@@ -7,7 +7,7 @@
 use bergamot_base::Name;
 use bergamot_declaration::Kind;
 use bergamot_dispatch::Tally;
-use bergamot_quarantine::Fingerprint;
+use bergamot_quarantine::{Fingerprint, Gate};
 use bytes::Bytes;
 use hyper::header::HeaderValue;
 use hyper::{HeaderMap, Method, StatusCode, Uri};
@@ -119,9 +119,44 @@
     pub left_out: OnceLock<HashSet<Name>>,
     /// What went wrong, for the log.
     pub trouble: Trouble,
+    /// Whether further attempts may be made, once a searcher has ended under one.
+    pub gate: Mutex<Gate>,
+    /// The fingerprint of the request, once it was needed.
+    pub fingerprint: OnceLock<Fingerprint>,
 }
 
 impl Job {
+    /// Prepares a request to some shards, of which it needs the fewest.
+    pub fn new(
+        request: Request,
+        (route, kind): (Name, Kind),
+        attempts: usize,
+        tally: Tally,
+    ) -> Self {
+        Self {
+            request,
+            route,
+            kind,
+            attempts,
+            tally: Mutex::new(tally),
+            changed: Notify::new(),
+            left_out: OnceLock::new(),
+            trouble: Trouble::default(),
+            gate: Mutex::default(),
+            fingerprint: OnceLock::new(),
+        }
+    }
+
+    /// Returns the fingerprint of the request.
+    pub fn fingerprint(&self) -> Fingerprint {
+        *self.fingerprint.get_or_init(|| self.request.fingerprint())
+    }
+
+    /// Returns the gate for further attempts. Whoever changes it wakes those who wait.
+    pub fn gate(&self) -> MutexGuard<'_, Gate> {
+        self.gate.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Returns the count of the shards.
     pub fn tally(&self) -> MutexGuard<'_, Tally> {
         self.tally.lock().unwrap_or_else(PoisonError::into_inner)
--- a/crates/relay/src/meter.rs
+++ b/crates/relay/src/meter.rs
@@ -48,6 +48,7 @@
     pub(crate) news: IntCounterVec,
     pub(crate) news_bytes: IntCounterVec,
     pub(crate) unreadable: IntCounter,
+    pub(crate) quarantine: IntCounterVec,
     pub(crate) denied: IntCounter,
     pub(crate) missing_parts: IntCounter,
     pub(crate) lacking: IntCounter,
@@ -108,6 +109,11 @@
                 "bergamot_relay_unreadable_records_total",
                 "Records of the store that can't be used.",
             ),
+            quarantine: counters(
+                "bergamot_relay_quarantine_total",
+                "What happened to requests under which searchers ended.",
+                &["event"],
+            ),
             denied: counter(
                 "bergamot_relay_denied_total",
                 "Additional attempts that the bound did not allow.",
--- a/crates/relay/src/path.rs
+++ b/crates/relay/src/path.rs
@@ -1,22 +1,22 @@
 //! The way of a request through the relay, from its route to its end in the log.
 
-use std::sync::{Arc, Mutex, OnceLock};
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use bergamot_base::{Name, Revision};
 use bergamot_declaration::{Route, Target};
 use bergamot_dispatch::{Obstacle, Patience, Tally, comeback};
+use bergamot_quarantine::Standing;
 use bergamot_upstream::Pace;
 use hyper::header::HeaderValue;
 use rand::RngExt;
-use tokio::sync::Notify;
 
 use crate::gather::gather;
 use crate::message::{Cause, Job, Refusal, Reply, Request};
 use crate::meter::outcome;
-use crate::race::{Plan, Race};
+use crate::race::{Lost, Plan, Race};
 use crate::relay::Relay;
-use crate::trouble::Trouble;
+use crate::suspects::First;
 
 /// What stands for the route in metrics and logs where none was found.
 const UNROUTED: &str = "none";
@@ -37,7 +37,7 @@
     }
 }
 
-fn refusal(cause: Cause, retry_after: Option<Duration>) -> Reply {
+pub(crate) fn refusal(cause: Cause, retry_after: Option<Duration>) -> Reply {
     Reply::Refused(Refusal { cause, retry_after })
 }
 
@@ -110,32 +110,53 @@
             Target::Gather(gather) => Tally::new(gather.shards.len(), gather.fewest()),
             Target::Service(_) | Target::Split(_) => Tally::new(1, 1),
         };
-        let job = Arc::new(Job {
-            request,
-            tally: Mutex::new(tally),
-            changed: Notify::new(),
-            route: Name::clone(&route.name),
-            kind: route.kind,
-            attempts: route.attempts,
-            left_out: OnceLock::new(),
-            trouble: Trouble::default(),
-        });
-        let reply = match &route.target {
-            Target::Gather(shards) => gather(self, &job, shards, patience).await,
-            Target::Service(service) => self.pass(&job, service, patience).await,
-            Target::Split(shares) => {
-                let service =
-                    self.lock().splits.entry(Name::clone(&route.name)).or_default().next(shares);
-                match service {
-                    Some(service) => self.pass(&job, &service, patience).await,
-                    None => refusal(Cause::NotRun, None),
+        let standing = self.quarantine().standing(Instant::now(), || request.fingerprint());
+        let kind = (Name::clone(&route.name), route.kind);
+        let job = Arc::new(Job::new(request, kind, route.attempts, tally));
+        let reply = match standing {
+            Standing::Condemned(left) => self.refuse_condemned(&job, left),
+            Standing::Trusted => self.send(&job, &route.target, patience, None).await,
+            Standing::Suspect(suspects) => {
+                match self.try_out(&job, &route.target, &suspects, patience).await {
+                    Ok(first) => self.send(&job, &route.target, patience, Some(first)).await,
+                    Err(reply) => reply,
                 }
             }
         };
+        self.clear(&job, &route.target, &reply);
         job.trouble.log(&job.request.id);
         reply
     }
 
+    /// Sends a request to those that its route names; `first` is what one of them has answered.
+    async fn send(
+        self: &Arc<Self>,
+        job: &Arc<Job>,
+        target: &Target,
+        patience: Patience,
+        first: Option<First>,
+    ) -> Reply {
+        match (target, first) {
+            (Target::Gather(shards), first) => gather(self, job, shards, patience, first).await,
+            (_, Some(first)) => Reply::Passed(first.passed),
+            (_, None) => match self.service(&job.route, target) {
+                Some(service) => self.pass(job, &service, patience).await,
+                None => refusal(Cause::NotRun, None),
+            },
+        }
+    }
+
+    /// Returns the service that a request of a route goes to, if it goes to one.
+    pub(crate) fn service(&self, route: &Name, target: &Target) -> Option<Name> {
+        match target {
+            Target::Gather(_) => None,
+            Target::Service(service) => Some(Name::clone(service)),
+            Target::Split(shares) => {
+                self.lock().splits.entry(Name::clone(route)).or_default().next(shares)
+            }
+        }
+    }
+
     /// Returns how much of the target latency passes outside this member, if that can be told.
     fn away(&self, route: &Route, request: &Request) -> Option<Duration> {
         let (deadline, target) = (request.deadline?, route.target_latency?);
@@ -147,14 +168,15 @@
 
     async fn pass(self: &Arc<Self>, job: &Arc<Job>, service: &Name, patience: Patience) -> Reply {
         self.earn(service);
-        let lost =
-            match Race::new(self, job, service, Plan::new(job, patience, &self.settings.policy))
-                .run()
-                .await
-            {
-                Ok(passed) => return Reply::Passed(passed),
-                Err(lost) => lost,
-            };
+        let plan = Plan::new(job, patience, &self.settings.policy);
+        match Race::new(self, job, service, plan).run().await {
+            Ok(passed) => Reply::Passed(passed),
+            Err(lost) => self.give_up(job, service, lost),
+        }
+    }
+
+    /// Ends a request to one service that was lost.
+    pub(crate) fn give_up(&self, job: &Job, service: &Name, lost: Lost) -> Reply {
         if let Some(failure) = lost.failure {
             return Reply::Passed(*failure);
         }
--- a/crates/relay/src/race.rs
+++ b/crates/relay/src/race.rs
@@ -2,7 +2,8 @@
 //!
 //! Invariants: at most as many searchers may run the request as the route allows; each
 //! arrival beyond the first is paid from the service's allowance; a request that may run
-//! once at most has one attempt at a time, and another only after a certain end.
+//! once at most has one attempt at a time, and another only after a certain end; once a searcher
+//! has ended under the request, further attempts pass the gate that all its shards share.
 
 use std::fmt;
 use std::sync::Arc;
@@ -12,11 +13,12 @@
 use bergamot_declaration::Kind;
 use bergamot_dispatch::{Ending, Need, Patience};
 use bergamot_policy::Policy;
+use bergamot_quarantine::{Outcome, Pass};
 use bergamot_registry::Incarnation;
 use tokio::sync::mpsc;
 use tokio::time::sleep_until;
 
-use crate::attempt::{Attempt, Outcome};
+use crate::attempt::{self, Attempt, Terms};
 use crate::exchange::Miss;
 use crate::message::{Job, Passed};
 use crate::meter::Reason;
@@ -64,6 +66,8 @@
     pub(crate) end: Instant,
     /// The searchers that were asked already, on our behalf.
     pub(crate) tried: Vec<Tried>,
+    /// Whether one searcher alone is asked, to see whether the request does harm.
+    pub(crate) alone: bool,
 }
 
 impl Plan {
@@ -73,7 +77,12 @@
         let hedges = policy.hedge.on && job.kind == Kind::Idempotent;
         let hedge = hedges.then(|| at(patience.hedge));
         let (offer, usual) = (at(patience.offer), at(patience.hedge));
-        Self { offer, hedge, usual, end: at(patience.end), tried: Vec::new() }
+        Self { offer, hedge, usual, end: at(patience.end), tried: Vec::new(), alone: false }
+    }
+
+    /// Asks one searcher alone.
+    pub(crate) fn alone(self) -> Self {
+        Self { hedge: None, alone: true, ..self }
     }
 }
 
@@ -100,8 +109,10 @@
     /// Whether an attempt was denied for lack of allowance.
     denied: bool,
     ended: bool,
+    /// Whether the attempt under way shows for all others whether the request does harm.
+    trial: bool,
     lost: Lost,
-    results: (mpsc::UnboundedSender<Outcome>, mpsc::UnboundedReceiver<Outcome>),
+    results: (mpsc::UnboundedSender<attempt::Outcome>, mpsc::UnboundedReceiver<attempt::Outcome>),
 }
 
 impl<'a> Race<'a> {
@@ -123,6 +134,7 @@
             refused: 0,
             denied: false,
             ended: false,
+            trial: false,
             lost: Lost { ending: Ending::NotSent, late: false, failure: None },
             results: mpsc::unbounded_channel(),
         }
@@ -139,6 +151,9 @@
         let end = self.plan.end;
         let mut hedge = self.plan.hedge;
         let first = if self.arrived > 0 { Reason::Hedge } else { Reason::First };
+        if first != Reason::First && !self.pass_gate().await {
+            return None;
+        }
         let need = self.need();
         if self.next(first, need) != Next::Started {
             return None;
@@ -151,7 +166,10 @@
                     let (link, outcome) = outcome?;
                     self.running.retain(|attempt| !Arc::ptr_eq(&attempt.link, &link));
                     match outcome {
-                        Ok(passed) => return Some(passed),
+                        Ok(passed) => {
+                            self.settle(Outcome::Answered);
+                            return Some(passed);
+                        }
                         Err(miss) => self.record(&link.upstream.incarnation, miss),
                     }
                     let over = self.running.is_empty();
@@ -167,7 +185,9 @@
                     }
                     hedge = None;
                     let need = self.need();
-                    self.next(Reason::Hedge, need);
+                    if self.job.gate().is_free() {
+                        self.next(Reason::Hedge, need);
+                    }
                 }
             }
         }
@@ -176,6 +196,9 @@
     /// Makes the next attempt now if the service's allowance is plentiful, and else once it
     /// is known whether the request fails without it.
     async fn follow(&mut self) -> bool {
+        if !self.pass_gate().await {
+            return false;
+        }
         let need = if self.job.tally().is_single() { Need::Required } else { Need::Useful };
         match self.next(Reason::Retry, need) {
             Next::Started => true,
@@ -186,6 +209,37 @@
         }
     }
 
+    /// Waits, once a searcher has ended under the request, until a further attempt may be made;
+    /// tells whether it may.
+    async fn pass_gate(&mut self) -> bool {
+        loop {
+            let mut changed = std::pin::pin!(self.job.changed.notified());
+            changed.as_mut().enable();
+            let pass = self.job.gate().pass();
+            match pass {
+                Pass::Free => return true,
+                Pass::Trial => {
+                    self.trial = true;
+                    return true;
+                }
+                Pass::Denied => return false,
+                Pass::Wait => {}
+            }
+            if tokio::time::timeout_at(self.plan.end.into(), changed).await.is_err() {
+                self.lost.late = true;
+                return false;
+            }
+        }
+    }
+
+    /// Tells the other races how the trial ended, if it was made here.
+    fn settle(&mut self, outcome: Outcome) {
+        if std::mem::take(&mut self.trial) {
+            self.job.gate().settle(outcome);
+            self.job.changed.notify_waiters();
+        }
+    }
+
     /// Waits until the first attempts at all shards have ended, or the time of the hedge has
     /// come, and tells whether the request needs this shard.
     async fn defer(&self) -> bool {
@@ -214,6 +268,10 @@
         let ending = miss.ending;
         self.job.trouble.fail(self.service, searcher, ending, &miss.cause);
         self.relay.meter().ending(ending);
+        if miss.ended {
+            self.job.gate().hold();
+        }
+        self.settle(if miss.ended { Outcome::Ended } else { Outcome::Open });
         if ending.did_not_run() {
             self.refused += 1;
             self.arrived -= usize::from(ending == Ending::NotSent);
@@ -227,7 +285,8 @@
     fn may_follow(&self) -> bool {
         let policy = self.relay.settings.policy.retry;
         let resends = policy.on && self.lost.ending.may_resend(self.job.kind);
-        resends && self.refused <= policy.most_refused
+        let shown = self.plan.alone && !self.lost.ending.did_not_run();
+        resends && !shown && self.refused <= policy.most_refused
     }
 
     /// Tells what a hedge is for.
@@ -254,9 +313,10 @@
         // An attempt after the first has as long to find a connection as the first had.
         let found = self.plan.offer.saturating_duration_since(self.job.request.received);
         let offer = self.plan.offer.max(Instant::now() + found).min(self.plan.end);
-        let moments = (offer, self.plan.end);
+        let trial = self.plan.alone || self.trial;
+        let terms = Terms { offer, end: self.plan.end, trial };
         let results = self.results.0.clone();
-        self.running.push(Attempt::start(self.relay, link, self.job, moments, results));
+        self.running.push(Attempt::start(self.relay, link, self.job, terms, results));
         Next::Started
     }
 }
@@ -264,6 +324,7 @@
 impl Drop for Race<'_> {
     /// Says of a shard that was still out when the caller got the answer whom it waited for.
     fn drop(&mut self) {
+        self.settle(Outcome::Open);
         let left_out = self.job.left_out.get().is_some_and(|out| out.contains(self.service));
         if self.ended || !left_out {
             return;
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashSet;
 use std::fmt::{self, Write as _};
+use std::net::Ipv4Addr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
@@ -11,6 +12,7 @@
 use bergamot_declaration::Declaration;
 use bergamot_dispatch::{Obstacle, Rhythm};
 use bergamot_logger::Changes;
+use bergamot_quarantine::Shared as Quarantine;
 use bergamot_registry::{Registry, Upstream};
 use bergamot_wire::{Late, ShardQuery, ShardReply};
 
@@ -39,6 +41,8 @@
     changes: Mutex<Changes>,
     /// The period of the searchers' silences.
     pub(crate) rhythm: Rhythm,
+    /// The requests under which searchers ended.
+    quarantine: Arc<Quarantine>,
 }
 
 impl fmt::Debug for Relay {
@@ -71,6 +75,7 @@
             wanted: AtomicBool::new(false),
             changes,
             rhythm,
+            quarantine: Arc::default(),
         })
     }
 
@@ -79,6 +84,11 @@
         &self.settings
     }
 
+    /// Returns the requests under which searchers ended, which all members share.
+    pub fn quarantine(&self) -> &Arc<Quarantine> {
+        &self.quarantine
+    }
+
     pub(crate) fn dialect(&self) -> &Dialect {
         &self.dialect
     }
@@ -92,6 +102,11 @@
         self.with_helpers(|helpers| helpers.set(known));
     }
 
+    /// Takes in which members there are, this one among them.
+    pub fn set_members(&self, members: Vec<Ipv4Addr>) {
+        self.lock().fleet = members;
+    }
+
     /// Answers the question of another member.
     pub async fn answer(self: &Arc<Self>, query: ShardQuery) -> ShardReply {
         helper::answer(self, query).await
@@ -132,6 +147,10 @@
             let _ = writeln!(text, "mechanism {} {state}", mechanism.name);
         }
         let now = Instant::now();
+        for report in self.quarantine.reports(now) {
+            // Writing into a string can't fail.
+            let _ = writeln!(text, "request {}", self.describe(now, &report));
+        }
         for upstream in state.registry.iter() {
             let line = state.links.get(&upstream.incarnation).map_or_else(
                 || "not_linked".to_owned(),
@@ -343,6 +362,7 @@
     /// A member that does not serve opens no connection ahead of need.
     pub fn tick(&self, members: usize, serves: bool) {
         self.beat();
+        self.quarantine.expire(Instant::now());
         let mut state = self.lock();
         let away = state.store_away_since.is_some();
         for searcher in state.registry.expire(Instant::now(), away) {
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -1,6 +1,7 @@
 //! What changes while a relay runs, under one lock that is never held while waiting.
 
 use std::collections::HashMap;
+use std::net::Ipv4Addr;
 use std::sync::Arc;
 use std::time::Instant;
 
@@ -40,6 +41,8 @@
     pub(crate) arrivals: HashMap<Name, Arrivals>,
     pub(crate) sampler: Sampler,
     pub(crate) members: usize,
+    /// Every member that takes work, this one among them.
+    pub(crate) fleet: Vec<Ipv4Addr>,
     pub(crate) store_away_since: Option<Instant>,
     /// When records were last lacking that a member had left out.
     pub(crate) lacking: Option<Instant>,
@@ -62,6 +65,7 @@
             arrivals: HashMap::new(),
             sampler: Sampler::new(ORDINARY_LINES),
             members: 1,
+            fleet: Vec::new(),
             store_away_since: None,
             lacking: None,
             regained: None,
--- a/crates/relay/tests/fatal.rs
+++ b/crates/relay/tests/fatal.rs
@@ -106,6 +106,21 @@
     assert_eq!((answer.signatures.len(), answer.missing), (shards.len(), 0));
 }
 
+/// The gather harms one shard alone, so that the others' answers say nothing for it.
+#[tokio::test]
+async fn a_gather_that_is_fatal_to_one_shard_ends_at_most_five_searchers() {
+    let mut all = searchers(&["a"], 8).await;
+    for (byte, service) in [(101, "b"), (102, "c"), (103, "d")] {
+        all.push((service, support::part(byte).await));
+    }
+    let relay = relay_before(&all, gather(&["a", "b", "c", "d"], 1.0));
+    let last = repeat(&relay).await;
+    assert!(ended(&all) <= 5, "{} searchers ended", ended(&all));
+    assert_eq!(last, Cause::NotRun);
+    let answer = whole(relay.handle(request("/q/")).await);
+    assert_eq!((answer.signatures.len(), answer.missing), (4, 0));
+}
+
 /// A searcher that resets connections, and is there, isn't one that ends.
 #[tokio::test]
 async fn a_request_whose_connections_are_reset_is_not_held_against_it() {
--- a/crates/relay/tests/helped.rs
+++ b/crates/relay/tests/helped.rs
@@ -41,6 +41,7 @@
             let others = (token == 8).then(|| [record(7), record(6)].concat());
             Box::pin(async move { Ok(others) })
         }),
+        grant: Box::new(|_, _, _| Box::pin(async { Ok(true) })),
     };
     let upstreams = vec![
         at("west", upstream("a-west", "a", west)),
@@ -91,7 +92,12 @@
     let shards = vec![Shard::In(b"s1".to_vec()), Shard::Silent(incarnation("b-west"))];
     let reply = ShardReply { shards, records: record(9), left_out: 0, rest: 7, quiet: Vec::new() };
     // Shard `b` has no other searcher: only the member can still bring it.
-    let late = vec![Late { index: 1, signature: Some(b"late".to_vec()), records: record(5) }];
+    let late = vec![Late {
+        index: 1,
+        signature: Some(b"late".to_vec()),
+        records: record(5),
+        ended: false,
+    }];
     let relay = relay(reply, late, &west, &east);
     let answer = whole(relay.handle(request("/q/")).await);
     assert_eq!((answer.signatures.len(), answer.missing), (2, 0));
--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -107,6 +107,7 @@
         gather: Box::new(|_, _, _| Box::pin(async { Err("there is no other member".to_owned()) })),
         rest: Box::new(|_, _, _| Box::pin(async { Err("there is no other member".to_owned()) })),
         records: Box::new(|_, _, _| Box::pin(async { Err("there is no other member".to_owned()) })),
+        grant: Box::new(|_, _, _| Box::pin(async { Err("there is no other member".to_owned()) })),
     }
 }
 
--- a/crates/wire/src/member.rs
+++ b/crates/wire/src/member.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use bergamot_base::Name;
+use bergamot_quarantine::Fingerprint;
 use bergamot_registry::Incarnation;
 use serde::{Deserialize, Serialize};
 
@@ -45,6 +46,8 @@
     Silent(Incarnation),
     /// It is not, since this searcher failed or refused the request.
     Failed(Incarnation),
+    /// It is not, since this searcher has ended while it had the request.
+    Ended(Incarnation),
     /// It is not, and nobody was asked.
     NotAsked,
 }
@@ -86,6 +89,8 @@
     pub signature: Option<Vec<u8>>,
     /// The records of this shard alone, since another searcher may have brought them.
     pub records: Vec<u8>,
+    /// Whether the searcher has ended while it had the request.
+    pub ended: bool,
 }
 
 /// A value cut into chunks by its content, so that two versions of it share most of them.
@@ -174,6 +179,9 @@
     async fn rest(token: u64) -> Vec<Late>;
     /// Sends the records that an earlier answer left out; nothing if they are no longer kept.
     async fn records(token: u64) -> Option<Vec<u8>>;
+    /// Grants that a request under which searchers ended is tried at one searcher, unless a trial
+    /// of it is under way.
+    async fn grant(fingerprint: Fingerprint) -> bool;
     /// Waits for news of the store.
     async fn news(query: NewsQuery) -> News;
     /// Sends the first of these chunks of large values that are held, as many as one message
--- a/crates/wire/tests/datagram.rs
+++ b/crates/wire/tests/datagram.rs
@@ -27,8 +27,14 @@
 }
 
 fn datagram(kind: Kind, records: u16) -> Datagram {
-    let digest =
-        Digest { revision: 1 << 40, hash: u64::MAX, view: u64::MAX, members: 1800, fresh: true };
+    let digest = Digest {
+        revision: 1 << 40,
+        hash: u64::MAX,
+        view: u64::MAX,
+        members: 1800,
+        fresh: true,
+        suspicions: u64::MAX,
+    };
     let rumours = (0..records).map(|number| Rumour::Member(record(number))).collect();
     Datagram { kind, from: record(1), digest, rumours }
 }
