A trial counts against a request only if no other was tried at the same searcher

Cause: a trial is alone with one searcher, but the searcher isn't alone with it. Change: a strike of a trial names the searcher that ended; where several requests name the same one it counts for none of them. What is innocent is answered soon, which clears it, and the strike counts again for the guilty one.

--- a/crates/model/src/fleet/net.rs
+++ b/crates/model/src/fleet/net.rs
@@ -74,7 +74,7 @@
 
 impl Instance {
     fn digest(&self) -> Digest {
-        Digest { suspicions: self.suspicions.hash(), ..Digest::default() }
+        Digest { suspicions: self.suspicions.hash(), fresh: true, ..Digest::default() }
     }
 }
 
@@ -195,7 +195,7 @@
         let Instance { member, suspicions, quarantine, .. } = &mut self.instances[number];
         let Some(member) = member else { return };
         for id in 1..=3 {
-            let strike = Strike { id, trial: true, cleared: false };
+            let strike = Strike { id, trial: true, searcher: id, cleared: false };
             quarantine.accuse(now, FATAL, strike, &Name::from("shard"));
         }
         suspicions.spread(now, member);
--- a/crates/quarantine/src/report.rs
+++ b/crates/quarantine/src/report.rs
@@ -17,6 +17,9 @@
     /// Whether the request was sent to one searcher alone.
     #[serde(rename = "t")]
     pub trial: bool,
+    /// The hash of the searcher that a trial has ended, zero for other strikes.
+    #[serde(rename = "w", default)]
+    pub searcher: u64,
     /// Whether the request was answered since.
     #[serde(rename = "c")]
     pub cleared: bool,
--- a/crates/quarantine/src/table.rs
+++ b/crates/quarantine/src/table.rs
@@ -1,7 +1,8 @@
 //! What a member remembers of requests under which searchers ended.
 //!
 //! Invariants: what is remembered is bounded in number and age; strikes are only ever added or
-//! cleared, so that members who hear the same reports in any order agree.
+//! cleared, so that members who hear the same reports in any order agree; a trial counts against a
+//! request only if no other request was tried at the same searcher when it ended.
 
 use std::collections::{BTreeMap, HashMap};
 use std::time::{Duration, Instant};
@@ -67,14 +68,24 @@
         Self { strikes: BTreeMap::new(), services: Vec::new(), since, trial: None }
     }
 
-    /// Counts the strikes: all that are no trials are one.
-    fn weight(&self) -> usize {
-        let open = |trial| self.strikes.values().filter(move |s| !s.cleared && s.trial == trial);
-        open(true).count() + usize::from(open(false).next().is_some())
+    /// Returns the strikes that stand, those of trials or the others.
+    fn open(&self, trial: bool) -> impl Iterator<Item = &Strike> {
+        self.strikes.values().filter(move |strike| !strike.cleared && strike.trial == trial)
+    }
+
+    /// Counts the strikes of trials that `counts` and all others together as one.
+    fn weight(&self, counts: impl Fn(&Strike) -> bool) -> usize {
+        let trials = self.open(true).filter(|strike| counts(strike)).count();
+        trials + usize::from(self.open(false).next().is_some())
     }
 
     fn is_grave(&self) -> bool {
-        self.weight() > 1
+        self.weight(|_| true) > 1
+    }
+
+    /// Tells whether a trial of the request is said to have ended a searcher.
+    fn blames(&self, searcher: u64) -> bool {
+        self.open(true).any(|strike| strike.searcher == searcher)
     }
 
     fn add_service(&mut self, service: &Name) {
@@ -135,11 +146,18 @@
             return Standing::Trusted;
         };
         let left = (known.since + self.settings.kept).saturating_duration_since(now);
-        match known.weight() {
-            _ if left.is_zero() => Standing::Trusted,
-            0 => Standing::Trusted,
-            weight if weight >= self.settings.strikes => Standing::Condemned(left),
-            _ => Standing::Suspect(known.services.clone()),
+        // One of the requests that were tried at a searcher when it ended did it, and it isn't
+        // known which.
+        let alone = |strike: &Strike| {
+            let others = self.suspicions.iter().filter(|(other, _)| **other != fingerprint);
+            !others.map(|(_, known)| known).any(|known| known.blames(strike.searcher))
+        };
+        if left.is_zero() || known.weight(|_| true) == 0 {
+            Standing::Trusted
+        } else if known.weight(alone) >= self.settings.strikes {
+            Standing::Condemned(left)
+        } else {
+            Standing::Suspect(known.services.clone())
         }
     }
 
@@ -279,7 +297,7 @@
         }
         self.expire(now);
         let strikes = self.settings.strikes;
-        let rank = |known: &Suspicion| (known.weight().min(strikes), known.since);
+        let rank = |known: &Suspicion| (known.weight(|_| true).min(strikes), known.since);
         let least = self.suspicions.iter().min_by_key(|(_, known)| rank(known));
         if let Some(least) = least.map(|(fingerprint, _)| *fingerprint)
             && self.suspicions.len() >= self.settings.most
--- a/crates/quarantine/tests/table.rs
+++ b/crates/quarantine/tests/table.rs
@@ -9,11 +9,11 @@
 const REQUEST: Fingerprint = Fingerprint(7);
 
 fn fan_out(id: u64) -> Strike {
-    Strike { id, trial: false, cleared: false }
+    Strike { id, trial: false, searcher: 0, cleared: false }
 }
 
 fn trial(id: u64) -> Strike {
-    Strike { id, trial: true, cleared: false }
+    Strike { id, trial: true, searcher: id, cleared: false }
 }
 
 fn service() -> Name {
@@ -134,6 +134,7 @@
     let strike = (0..4_u64, any::<bool>(), any::<bool>()).prop_map(|(id, trial, cleared)| Strike {
         id,
         trial,
+        searcher: id,
         cleared,
     });
     let report = (0..3_u64, prop::collection::vec(strike, 0..4), 0..100_u64).prop_map(
--- a/crates/relay/src/suspects.rs
+++ b/crates/relay/src/suspects.rs
@@ -65,8 +65,11 @@
         let (request, fingerprint) = (&job.request.id, job.fingerprint());
         let id = hash_bytes(request.as_bytes());
         let searcher = hash_bytes(upstream.incarnation.to_string().as_bytes());
-        let id = if trial { hash_pair(id, searcher) } else { id };
-        let strike = Strike { id, trial, cleared: false };
+        let strike = if trial {
+            Strike { id: hash_pair(id, searcher), trial, searcher, cleared: false }
+        } else {
+            Strike { id, trial, searcher: 0, cleared: false }
+        };
         let news = self.quarantine().accuse(Instant::now(), fingerprint, strike, &upstream.service);
         let standing = match news {
             None => "known",
