A member that starts hears of verdicts before it takes requests

Cause: a process that starts knows nothing, and took requests as soon as it had a declaration. Change: it is not ready until a member that knows the newest of what is published holds the same hash, or its view is settled, as after a start of the whole fleet.

--- a/crates/front/src/daemon.rs
+++ b/crates/front/src/daemon.rs
@@ -168,7 +168,8 @@
     }
 
     fn is_ready(&self) -> bool {
-        !self.is_leaving() && !self.tasks.has_failed() && self.relay.version() > 0
+        let informed = self.relay.quarantine().is_informed();
+        !self.is_leaving() && !self.tasks.has_failed() && self.relay.version() > 0 && informed
     }
 
     fn metrics(&self, uri: &Uri) -> Response<Body> {
--- a/crates/members/src/suspicions.rs
+++ b/crates/members/src/suspicions.rs
@@ -32,8 +32,9 @@
 }
 
 impl Suspicions {
-    /// Makes the exchange of what is held in a quarantine.
+    /// Makes the exchange of what is held in a quarantine, of a member that has just started.
     pub fn new(quarantine: Arc<Shared>) -> Self {
+        quarantine.set_informed(false);
         Self { quarantine, told: None, next: 0 }
     }
 
@@ -64,7 +65,15 @@
         news
     }
 
-    /// Tells the sender of a datagram what it may lack.
+    /// Notes that the view is whole, or as whole as it gets: whoever could tell has told.
+    pub fn settle(&self) {
+        if !self.quarantine.is_informed() {
+            self.quarantine.set_informed(true);
+        }
+    }
+
+    /// Tells the sender of a datagram what it may lack, and notes if it holds the same: it knows
+    /// the newest of what is published, so it hasn't just started itself.
     pub fn inform(
         &mut self,
         now: Instant,
@@ -73,6 +82,10 @@
         digest: Digest,
     ) -> Vec<Outgoing> {
         let hash = self.hash();
+        let agreed = datagram.digest.fresh && datagram.digest.suspicions == hash;
+        if agreed {
+            self.quarantine.set_informed(true);
+        }
         let recently = self.told.is_some_and(|told| now.saturating_duration_since(told) < AGAIN);
         if hash == 0 || datagram.digest.suspicions == hash || recently {
             return Vec::new();
--- a/crates/quarantine/src/shared.rs
+++ b/crates/quarantine/src/shared.rs
@@ -46,6 +46,8 @@
     used: AtomicBool,
     /// The hash of the table, which goes into every datagram.
     hash: AtomicU64,
+    /// Whether this member still has to hear what the others hold.
+    uninformed: AtomicBool,
     /// The requests of which the other members are still to be told.
     news: Mutex<News>,
     changed: Notify,
@@ -57,6 +59,7 @@
             table: Mutex::new(Table::new(Settings::default())),
             used: AtomicBool::new(false),
             hash: AtomicU64::new(0),
+            uninformed: AtomicBool::new(false),
             news: Mutex::default(),
             changed: Notify::new(),
         }
@@ -124,6 +127,16 @@
         news
     }
 
+    /// Notes whether this member has heard what the others hold.
+    pub fn set_informed(&self, informed: bool) {
+        self.uninformed.store(!informed, Ordering::Relaxed);
+    }
+
+    /// Tells whether this member has heard what the others hold, so that it may take requests.
+    pub fn is_informed(&self) -> bool {
+        !self.uninformed.load(Ordering::Relaxed)
+    }
+
     /// Takes what the other members are still to be told.
     pub fn take_news(&self, now: Instant) -> Vec<Report> {
         let news = std::mem::take(&mut self.lock_news().requests);
--- a/crates/relay/src/path.rs
+++ b/crates/relay/src/path.rs
@@ -47,7 +47,8 @@
         let (received, id) = (request.received, request.id.clone());
         let mut caller = Caller { id: &id, received, answered: false };
         self.awake().await;
-        let declaration = self.declaration();
+        // Without what the others hold of requests it might serve one that is condemned.
+        let declaration = self.declaration().filter(|_| self.quarantine().is_informed());
         let version = declaration.as_ref().map_or(0, |declaration| declaration.version);
         let found = declaration
             .as_ref()
