The own interface: queries that end searchers are tried alone, and then withheld

The same cause as on the users' platform, looked for elsewhere: a gather's race took a query whose searcher had ended to the next replica, hedged it, and remembered nothing.

--- a/crates/gather/src/lib.rs
+++ b/crates/gather/src/lib.rs
@@ -11,6 +11,7 @@
 mod meter;
 mod service;
 mod shard;
+mod suspects;
 mod tail;
 
 pub use service::{Gather, Running};
--- a/crates/gather/src/service.rs
+++ b/crates/gather/src/service.rs
@@ -10,6 +10,7 @@
 use bergamot_members::{Role, State};
 use bergamot_net::{Fault, listen};
 use bergamot_node::Node;
+use bergamot_quarantine::Door;
 use bergamot_query::Reason;
 use bergamot_upstream::protocol::Write;
 use bergamot_upstream::{Call, Client, Effect};
@@ -25,7 +26,8 @@
 use crate::holding::Holding;
 use crate::keeper;
 use crate::meter::Meter;
-use crate::shard::{self, Job};
+use crate::shard::Job;
+use crate::suspects::fingerprint;
 use crate::tail::Tails;
 
 /// The part of a deadline that the reply needs to get back to the entry.
@@ -231,7 +233,12 @@
         }
         let tail = self.0.tails.of(&holding.current.document, query.service);
         let SubQuery { id, pin, shards, shape, .. } = query;
-        let job = Job { id, pin, shape, deadline, holding, tail };
+        let document = &holding.current.document;
+        let row = document.services.get(query.service).ok_or(Refusal::NotHome)?;
+        let workspace = &document.workspaces[row.workspace].name;
+        let fingerprint = fingerprint(&format!("{workspace}/{}", row.name), &shape);
+        let door = Door::default();
+        let job = Job { id, pin, shape, fingerprint, door, deadline, holding, tail };
         Ok(self.search_shards(&job, &shards).await)
     }
 
@@ -263,8 +270,7 @@
 
 impl Server {
     async fn search_shards(&self, job: &Job, shards: &[Shard]) -> Reply {
-        let races = shards.iter().map(|shard| shard::run(&self.0, job, *shard));
-        let ended = futures::future::join_all(races).await;
+        let ended = self.0.run_shards(job, shards).await;
         let mut reply = Reply {
             partials: Vec::with_capacity(shards.len()),
             missing: Vec::new(),
--- a/crates/gather/src/shard.rs
+++ b/crates/gather/src/shard.rs
@@ -5,6 +5,7 @@
 use std::time::{Duration, Instant};
 
 use bergamot_base::{Budget, Deadline, Name, Searcher, Shard};
+use bergamot_quarantine::{Door, Fingerprint, Outcome, Pass};
 use bergamot_query::{Partial, Pin, Reason, Shape};
 use bergamot_upstream::protocol::{Found, Search};
 use bergamot_upstream::{Call, Candidate, Client, Fault, Next, Race, rank};
@@ -28,6 +29,10 @@
     pub(crate) id: Name,
     pub(crate) pin: Pin,
     pub(crate) shape: Shape,
+    /// What is asked for, whoever asks.
+    pub(crate) fingerprint: Fingerprint,
+    /// Where further attempts wait once a searcher has ended under the query.
+    pub(crate) door: Door,
     pub(crate) deadline: Deadline,
     pub(crate) holding: Arc<Holding>,
     pub(crate) tail: Arc<Mutex<Tail>>,
@@ -53,19 +58,27 @@
     /// The number of the attempt that counts at each searcher, and what cancels it.
     latest: HashMap<Searcher, (u32, DropGuard)>,
     count: u32,
+    /// Whether the query is with no other searcher.
+    alone: bool,
+    /// Whether the attempt under way shows for all shards whether the query does harm.
+    trial: bool,
 }
 
 /// Runs one shard of a query to its end.
 ///
-/// Whatever ends it, the attempts still running are cancelled: their guards drop.
-pub(crate) async fn run(inner: &Inner, job: &Job, shard: Shard) -> Ended {
+/// `alone` asks one searcher and no further one. Whatever ends it, the attempts still running are
+/// cancelled: their guards drop.
+pub(crate) async fn run(inner: &Inner, job: &Job, shard: Shard, alone: bool) -> Ended {
     if is_gone(job, shard) {
         return Ended { result: Err(Reason::VersionGone), attempts: 0 };
     }
     let mut race = Race::new(order(inner, job, shard));
     let running = FuturesUnordered::new();
-    let mut attempts = Attempts { inner, job, shard, running, latest: HashMap::new(), count: 0 };
+    let latest = HashMap::new();
+    let mut attempts =
+        Attempts { inner, job, shard, running, latest, count: 0, alone, trial: false };
     let result = drive(&mut race, &mut attempts).await;
+    attempts.settle(if result.is_ok() { Outcome::Answered } else { Outcome::Open });
     inner.meter.attempts.inc_by(u64::from(attempts.count));
     Ended { result, attempts: attempts.count }
 }
@@ -85,7 +98,7 @@
     }
     let delay = hedge_delay(job, settings.gather.hedge_floor);
     let mut hedge_at = Instant::now() + delay;
-    let mut hedges = if settings.gather.hedge { MOST_HEDGES } else { 0 };
+    let mut hedges = if settings.gather.hedge && !attempts.alone { MOST_HEDGES } else { 0 };
     loop {
         tokio::select! {
             biased;
@@ -102,9 +115,14 @@
                     Ok(Err(reason)) => reason,
                     Err(fault) => {
                         log::debug!("upstream: Sub-query {} failed: {fault}.", job.id);
+                        attempts.note_end(searcher, &fault).await;
                         fault.reason
                     }
                 };
+                let is_last = race.running() == [searcher];
+                if is_last && !attempts.may_follow().await {
+                    return Err(reason);
+                }
                 match retry(race, attempts, searcher, reason) {
                     Next::Send(next) => attempts.send(next),
                     Next::Wait => {}
@@ -114,6 +132,9 @@
             () = tokio::time::sleep_until(hedge_at.into()), if hedges > 0 => {
                 hedges -= 1;
                 hedge_at = Instant::now() + delay;
+                if !job.door.is_free() {
+                    continue;
+                }
                 let next = race.hedge(&mut lock(&job.tail).hedges);
                 if let Some(next) = next {
                     attempts.send(next);
@@ -140,6 +161,44 @@
         self.latest.get(&searcher).is_some_and(|(latest, _)| *latest == number)
     }
 
+    /// Finds out whether a failed attempt has ended its searcher.
+    async fn note_end(&mut self, searcher: Searcher, fault: &Fault) {
+        let mut ended = false;
+        if fault.cut
+            && let Some(client) = self.job.holding.fleet.client(searcher)
+        {
+            let trial = self.alone || self.trial;
+            ended = self.inner.inquire(self.job, self.shard, client, trial).await;
+        }
+        if ended {
+            self.job.door.hold();
+        }
+        self.settle(if ended { Outcome::Ended } else { Outcome::Open });
+    }
+
+    /// Waits, once a searcher has ended under the query, until another may be asked; tells whether
+    /// it may.
+    async fn may_follow(&mut self) -> bool {
+        if self.alone {
+            return false;
+        }
+        match self.job.door.pass(self.job.deadline.instant()).await {
+            Pass::Free => true,
+            Pass::Trial => {
+                self.trial = true;
+                true
+            }
+            Pass::Denied | Pass::Wait => false,
+        }
+    }
+
+    /// Tells the other shards how the trial ended, if it was made here.
+    fn settle(&mut self, outcome: Outcome) {
+        if std::mem::take(&mut self.trial) {
+            self.job.door.settle(outcome);
+        }
+    }
+
     fn send(&mut self, searcher: Searcher) {
         let job = self.job;
         let Some(client) = job.holding.fleet.client(searcher).map(Arc::clone) else {
@@ -204,6 +263,12 @@
     live > 0
 }
 
+impl Drop for Attempts<'_> {
+    fn drop(&mut self) {
+        self.settle(Outcome::Open);
+    }
+}
+
 /// The order in which the replicas are tried.
 fn order(inner: &Inner, job: &Job, shard: Shard) -> Vec<Searcher> {
     let replicas = &job.holding.current.document.shards[shard].replicas;
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -6,7 +6,7 @@
 use bergamot_members::{Datagram, Role, Rumour};
 use bergamot_wire::LARGEST_DATAGRAM;
 
-use crate::node::Node;
+use crate::node::{Control, Node};
 use crate::pulls;
 
 /// How often the pulse beats.
@@ -28,6 +28,7 @@
                     Err(garbled) => log::warn!("node: Dropped a datagram: {garbled}."),
                 }
             }
+            () = node.quarantine.changed() => spread(&node),
             () = tokio::time::sleep_until(due.into()) => tick(&node),
         }
     }
@@ -37,13 +38,20 @@
     let mut control = node.lock();
     let digest = control.digest();
     let changes = control.membership.view().changes();
-    let out = control.membership.receive(Instant::now(), datagram, digest);
+    let now = Instant::now();
+    let mut out = control.membership.receive(now, datagram, digest);
+    let Control { membership, suspicions, .. } = &mut *control;
+    let heard = suspicions.hear(now, membership);
+    out.extend(suspicions.inform(now, membership, datagram, digest));
     let leaving = control.membership.take_leaving();
     if control.membership.view().changes() != changes {
         node.refresh_homes(&mut control);
     }
     drop(control);
     node.transmit(out);
+    for fingerprint in heard {
+        log::info!("node: Heard that searchers end under query {fingerprint}.");
+    }
     for rumour in leaving {
         if let Rumour::Leaving { searcher, run } = rumour {
             node.heard_leaving(searcher, Some(run));
@@ -52,6 +60,13 @@
     pulls::compare(node, datagram, digest);
 }
 
+/// Tells the other members of queries under which searchers ended here.
+fn spread(node: &Arc<Node>) {
+    let mut control = node.lock();
+    let Control { membership, suspicions, .. } = &mut *control;
+    suspicions.spread(Instant::now(), membership);
+}
+
 fn tick(node: &Arc<Node>) {
     let mut control = node.lock();
     let digest = control.digest();
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -10,9 +10,11 @@
 use bergamot_base::{Awake, Incarnation, Name, Seed, Tasks};
 use bergamot_config::{Document, Floor, Settings, Verdict};
 use bergamot_members::{
-    Digest, Endpoint, Homes, Membership, Outgoing, Record, Role, Rumour, State, Timing, View,
+    Digest, Endpoint, Homes, Membership, Outgoing, Record, Role, Rumour, State, Suspicions, Timing,
+    View,
 };
 use bergamot_net::{Fault, listen};
+use bergamot_quarantine::Shared as Quarantine;
 use prometheus::Registry;
 use rand::RngExt;
 use rand::rngs::StdRng;
@@ -55,6 +57,8 @@
 #[derive(Debug)]
 pub(crate) struct Control {
     pub(crate) membership: Membership,
+    /// What members tell each other of requests under which searchers end.
+    pub(crate) suspicions: Suspicions,
     pub(crate) floor: Floor,
     pub(crate) rng: StdRng,
     homes_of: (u64, u64),
@@ -65,6 +69,7 @@
     settings: Arc<Settings>,
     me: Endpoint,
     incarnation: Incarnation,
+    pub(crate) quarantine: Arc<Quarantine>,
     pub(crate) control: Mutex<Control>,
     current: ArcSwapOption<Current>,
     homes: ArcSwap<Homes>,
@@ -102,10 +107,12 @@
         let stream_listener = listen(address).await?;
         let admin_listener = listen(admin_address(&settings, me)).await?;
         let (registry, stop) = (Registry::new(), CancellationToken::new());
+        let quarantine = Arc::default();
         let node = Arc::new(Self {
             me,
             incarnation,
-            control: Mutex::new(Control::new(&settings, me, incarnation)),
+            control: Mutex::new(Control::new(&settings, me, incarnation, &quarantine)),
+            quarantine,
             current: ArcSwapOption::empty(),
             homes: ArcSwap::default(),
             changed: watch::Sender::new(0),
@@ -181,6 +188,11 @@
         &self.settings
     }
 
+    /// Returns the queries under which searchers ended, which all members share.
+    pub fn quarantine(&self) -> &Arc<Quarantine> {
+        &self.quarantine
+    }
+
     /// Returns where this daemon is found.
     pub fn me(&self) -> Endpoint {
         self.me
@@ -389,10 +401,16 @@
 impl Control {
     /// Returns what is in force, as peers are told.
     pub(crate) fn digest(&self) -> Digest {
-        Digest { revision: self.floor.revision(), hash: self.floor.hash(), ..Digest::default() }
+        let (revision, hash) = (self.floor.revision(), self.floor.hash());
+        Digest { revision, hash, suspicions: self.suspicions.hash(), ..Digest::default() }
     }
 
-    fn new(settings: &Settings, me: Endpoint, incarnation: Incarnation) -> Self {
+    fn new(
+        settings: &Settings,
+        me: Endpoint,
+        incarnation: Incarnation,
+        quarantine: &Arc<Quarantine>,
+    ) -> Self {
         let now = Instant::now();
         let zone = Name::clone(&settings.instance.zone);
         let me =
@@ -407,6 +425,7 @@
         let seeds = Vec::new();
         Self {
             membership: Membership::new(now, timing, me, seeds, seed.generator("membership")),
+            suspicions: Suspicions::new(Arc::clone(quarantine)),
             floor: Floor::default(),
             rng: seed.generator("node"),
             homes_of: (0, 0),
--- a/crates/query/src/coverage.rs
+++ b/crates/query/src/coverage.rs
@@ -26,6 +26,8 @@
     BadReply,
     /// Every replica is leaving.
     Leaving,
+    /// Searchers ended under the same query, so no further one is asked.
+    Withheld,
 }
 
 impl fmt::Display for Reason {
@@ -38,6 +40,7 @@
             Self::WrongSnapshot => "wrong_snapshot",
             Self::BadReply => "bad_reply",
             Self::Leaving => "leaving",
+            Self::Withheld => "withheld",
         })
     }
 }
--- a/crates/query/src/shape.rs
+++ b/crates/query/src/shape.rs
@@ -1,5 +1,7 @@
 //! What a caller asks for, and what a shard finds.
 
+use std::fmt;
+
 use bergamot_base::Name;
 use bergamot_config::row::ServiceRow;
 use serde::{Deserialize, Serialize};
@@ -25,6 +27,16 @@
     },
 }
 
+impl fmt::Display for Shape {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Scan => f.write_str("scan"),
+            Self::Top { k } => write!(f, "top {k}"),
+            Self::Record { key } => write!(f, "record {key}"),
+        }
+    }
+}
+
 impl Shape {
     /// Returns the shards that a query of this shape must ask.
     pub fn shards(&self, service: &ServiceRow) -> Vec<bergamot_base::Shard> {
--- a/crates/relay/src/message.rs
+++ b/crates/relay/src/message.rs
@@ -7,7 +7,7 @@
 use bergamot_base::Name;
 use bergamot_declaration::Kind;
 use bergamot_dispatch::Tally;
-use bergamot_quarantine::{Fingerprint, Gate};
+use bergamot_quarantine::{Door, Fingerprint};
 use bytes::Bytes;
 use hyper::header::HeaderValue;
 use hyper::{HeaderMap, Method, StatusCode, Uri};
@@ -120,7 +120,7 @@
     /// What went wrong, for the log.
     pub trouble: Trouble,
     /// Whether further attempts may be made, once a searcher has ended under one.
-    pub gate: Mutex<Gate>,
+    pub door: Door,
     /// The fingerprint of the request, once it was needed.
     pub fingerprint: OnceLock<Fingerprint>,
 }
@@ -142,7 +142,7 @@
             changed: Notify::new(),
             left_out: OnceLock::new(),
             trouble: Trouble::default(),
-            gate: Mutex::default(),
+            door: Door::default(),
             fingerprint: OnceLock::new(),
         }
     }
@@ -152,11 +152,6 @@
         *self.fingerprint.get_or_init(|| self.request.fingerprint())
     }
 
-    /// Returns the gate for further attempts. Whoever changes it wakes those who wait.
-    pub fn gate(&self) -> MutexGuard<'_, Gate> {
-        self.gate.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
     /// Returns the count of the shards.
     pub fn tally(&self) -> MutexGuard<'_, Tally> {
         self.tally.lock().unwrap_or_else(PoisonError::into_inner)
--- a/crates/relay/src/race.rs
+++ b/crates/relay/src/race.rs
@@ -185,7 +185,7 @@
                     }
                     hedge = None;
                     let need = self.need();
-                    if self.job.gate().is_free() {
+                    if self.job.door.is_free() {
                         self.next(Reason::Hedge, need);
                     }
                 }
@@ -212,22 +212,16 @@
     /// Waits, once a searcher has ended under the request, until a further attempt may be made;
     /// tells whether it may.
     async fn pass_gate(&mut self) -> bool {
-        loop {
-            let mut changed = std::pin::pin!(self.job.changed.notified());
-            changed.as_mut().enable();
-            let pass = self.job.gate().pass();
-            match pass {
-                Pass::Free => return true,
-                Pass::Trial => {
-                    self.trial = true;
-                    return true;
-                }
-                Pass::Denied => return false,
-                Pass::Wait => {}
+        match self.job.door.pass(self.plan.end).await {
+            Pass::Free => true,
+            Pass::Trial => {
+                self.trial = true;
+                true
             }
-            if tokio::time::timeout_at(self.plan.end.into(), changed).await.is_err() {
+            Pass::Denied => false,
+            Pass::Wait => {
                 self.lost.late = true;
-                return false;
+                false
             }
         }
     }
@@ -235,8 +229,7 @@
     /// Tells the other races how the trial ended, if it was made here.
     fn settle(&mut self, outcome: Outcome) {
         if std::mem::take(&mut self.trial) {
-            self.job.gate().settle(outcome);
-            self.job.changed.notify_waiters();
+            self.job.door.settle(outcome);
         }
     }
 
@@ -269,7 +262,7 @@
         self.job.trouble.fail(self.service, searcher, ending, &miss.cause);
         self.relay.meter().ending(ending);
         if miss.ended {
-            self.job.gate().hold();
+            self.job.door.hold();
         }
         self.settle(if miss.ended { Outcome::Ended } else { Outcome::Open });
         if ending.did_not_run() {
--- a/crates/standin/src/searcher.rs
+++ b/crates/standin/src/searcher.rs
@@ -184,6 +184,11 @@
         self.0.searches.load(Ordering::Relaxed)
     }
 
+    /// Tells whether the searcher has stopped.
+    pub fn has_ended(&self) -> bool {
+        self.0.stop.is_cancelled()
+    }
+
     /// Stops at once, cutting every connection.
     pub fn kill(&self) {
         self.0.stop.cancel();
@@ -299,6 +304,10 @@
             worked = tokio::time::timeout(left, self.work()) => worked.ok(),
         };
         self.lock().running.remove(&id);
+        if self.lock().faults.fatal.as_ref() == Some(&search.query) {
+            self.stop.cancel();
+            return None;
+        }
         if worked.is_none() {
             return Some(text(StatusCode::GATEWAY_TIMEOUT, "cancelled or late"));
         }
--- a/crates/standin/src/terms.rs
+++ b/crates/standin/src/terms.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use bergamot_base::{Name, Version};
+use bergamot_query::Shape;
 use serde::{Deserialize, Serialize};
 
 /// Where instances and searchers are, for the latency between them.
@@ -87,6 +88,8 @@
     pub cut_writes: f64,
     /// The versions that the status claims, where it lies.
     pub claimed: Option<Vec<Version>>,
+    /// The query that ends the searcher.
+    pub fatal: Option<Shape>,
 }
 
 /// What a searcher did, for histories.
--- a/crates/upstream/src/client.rs
+++ b/crates/upstream/src/client.rs
@@ -43,11 +43,13 @@
     pub cause: String,
     /// What the fault means for coverage.
     pub reason: Reason,
+    /// Whether the connection ended before the reply to a request that was sent.
+    pub cut: bool,
 }
 
 impl Fault {
     pub(crate) fn new(step: Step, peer: Peer, cause: &str) -> Self {
-        Self { step, peer, cause: cause.to_owned(), reason: Reason::Unreachable }
+        Self { step, peer, cause: cause.to_owned(), reason: Reason::Unreachable, cut: false }
     }
 
     fn because(self, reason: Reason) -> Self {
@@ -399,7 +401,7 @@
         if error.is_incomplete_message() || error.is_canceled() || error.is_closed() {
             self.pool.shrink();
         }
-        self.fault(step, &error.to_string())
+        Fault { cut: !error.is_canceled(), ..self.fault(step, &error.to_string()) }
     }
 
     fn failed(&self) {
