--- a/crates/gather/src/suspects.rs
+++ b/crates/gather/src/suspects.rs
@@ -6,7 +6,7 @@
 
 use std::time::Instant;
 
-use bergamot_base::{Name, Shard, hash_bytes, hash_pair};
+use bergamot_base::{Name, Shard};
 use bergamot_quarantine::{Fingerprint, Standing, Strike};
 use bergamot_query::{Reason, Shape};
 use bergamot_upstream::Client;
@@ -40,12 +40,10 @@
         }
         let (address, run) = (client.address().to_string(), client.health().run().cloned());
         let run = run.unwrap_or_else(|| Name::from(""));
-        let id = hash_bytes(job.id.as_bytes());
-        let searcher = hash_pair(hash_bytes(address.as_bytes()), hash_bytes(run.as_bytes()));
         let strike = if trial {
-            Strike { id: hash_pair(id, searcher), trial, searcher, cleared: false }
+            Strike::alone(job.id.as_bytes(), &format!("{address} {run}"))
         } else {
-            Strike { id, trial, searcher: 0, cleared: false }
+            Strike::together(job.id.as_bytes())
         };
         let (now, quarantine) = (Instant::now(), self.node.quarantine());
         quarantine.accuse(now, job.fingerprint, strike, &name(job, shard));
--- a/crates/quarantine/src/report.rs
+++ b/crates/quarantine/src/report.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use bergamot_base::Name;
+use bergamot_base::{Name, hash_bytes, hash_pair};
 use serde::{Deserialize, Serialize};
 
 use crate::fingerprint::Fingerprint;
@@ -25,6 +25,20 @@
     pub cleared: bool,
 }
 
+impl Strike {
+    /// Names the end of searchers while one attempt of a caller, by its identifier, was with many.
+    pub fn together(attempt: &[u8]) -> Self {
+        Self { id: hash_bytes(attempt), trial: false, searcher: 0, cleared: false }
+    }
+
+    /// Names the end of a searcher, by its incarnation, that had a caller's attempt alone.
+    pub fn alone(attempt: &[u8], searcher: &str) -> Self {
+        let searcher = hash_bytes(searcher.as_bytes());
+        let id = hash_pair(hash_bytes(attempt), searcher);
+        Self { id, trial: true, searcher, cleared: false }
+    }
+}
+
 /// A suspicion, as it travels between members.
 ///
 /// Two reports about one request merge into the union of their strikes, so the order in which
--- a/crates/relay/src/suspects.rs
+++ b/crates/relay/src/suspects.rs
@@ -9,7 +9,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use bergamot_base::{Name, hash_bytes, hash_pair};
+use bergamot_base::{Name, hash_pair};
 use bergamot_declaration::Target;
 use bergamot_dispatch::{Obstacle, Patience};
 use bergamot_quarantine::{Fingerprint, Report, Standing, Strike};
@@ -63,12 +63,10 @@
     /// Holds the end of a searcher against the request that it had.
     fn accuse(&self, job: &Job, upstream: &Upstream, trial: bool) {
         let (request, fingerprint) = (&job.request.id, job.fingerprint());
-        let id = hash_bytes(request.as_bytes());
-        let searcher = hash_bytes(upstream.incarnation.to_string().as_bytes());
         let strike = if trial {
-            Strike { id: hash_pair(id, searcher), trial, searcher, cleared: false }
+            Strike::alone(request.as_bytes(), &upstream.incarnation.to_string())
         } else {
-            Strike { id, trial, searcher: 0, cleared: false }
+            Strike::together(request.as_bytes())
         };
         let news = self.quarantine().accuse(Instant::now(), fingerprint, strike, &upstream.service);
         let standing = match news {
