A member that is alone takes requests at once, and others wait for verdicts for 0.3 s at most

What callers saw: a single instance refused them for a second after it knew its declaration; a fleet that starts together refused until views were whole (up to 0.9 s). Change: nobody waits before another member is heard of, and then 0.3 s at most.

--- a/crates/members/src/membership.rs
+++ b/crates/members/src/membership.rs
@@ -158,10 +158,15 @@
     ///
     /// Before that, what follows from the number of members isn't decided by it.
     pub fn is_settled(&self, now: Instant) -> bool {
-        let time = now.saturating_duration_since(self.started);
+        let time = self.age(now);
         self.settled || time >= UNSETTLED || (!self.heard && time >= ALONE)
     }
 
+    /// Returns how long ago this run started.
+    pub(crate) fn age(&self, now: Instant) -> Duration {
+        now.saturating_duration_since(self.started)
+    }
+
     /// Returns how many members there are, as far as it is known or others tell.
     pub fn size(&self, now: Instant) -> usize {
         let told = self.told.filter(|(at, _)| now.saturating_duration_since(*at) < TOLD);
--- a/crates/members/src/suspicions.rs
+++ b/crates/members/src/suspicions.rs
@@ -18,6 +18,11 @@
 /// whoever starts hears of several members in that time.
 const AGAIN: Duration = Duration::from_millis(500);
 
+/// How long a member that starts waits for word of what the others hold: a seed that lives answers
+/// within some round trips between regions, and is asked again after 0.1 s. Where all have just
+/// started, or nobody else is there, nobody can tell, and callers must not wait for that.
+const WORD: Duration = Duration::from_millis(300);
+
 /// How many reports a member is told at once: three datagrams.
 const AT_ONCE: usize = 30;
 
@@ -25,6 +30,8 @@
 #[derive(Debug)]
 pub struct Suspicions {
     quarantine: Arc<Shared>,
+    /// Whether another member was heard of.
+    heard: bool,
     /// When a member was last told what it may lack.
     told: Option<Instant>,
     /// With which report the next one that is told begins.
@@ -34,8 +41,7 @@
 impl Suspicions {
     /// Makes the exchange of what is held in a quarantine, of a member that has just started.
     pub fn new(quarantine: Arc<Shared>) -> Self {
-        quarantine.set_informed(false);
-        Self { quarantine, told: None, next: 0 }
+        Self { quarantine, heard: false, told: None, next: 0 }
     }
 
     /// Returns the hash of what is held here, for datagrams.
@@ -65,9 +71,10 @@
         news
     }
 
-    /// Notes that the view is whole, or as whole as it gets: whoever could tell has told.
-    pub fn settle(&self) {
-        if !self.quarantine.is_informed() {
+    /// Notes whether whoever could tell has told: the view is whole, or it took long enough.
+    pub fn settle(&self, now: Instant, membership: &Membership) {
+        let told = membership.is_settled(now) || membership.age(now) >= WORD;
+        if told && !self.quarantine.is_informed() {
             self.quarantine.set_informed(true);
         }
     }
@@ -85,7 +92,11 @@
         let agreed = datagram.digest.fresh && datagram.digest.suspicions == hash;
         if agreed {
             self.quarantine.set_informed(true);
+        } else if !self.heard && membership.age(now) < WORD {
+            // Somebody is there who may hold more.
+            self.quarantine.set_informed(false);
         }
+        self.heard = true;
         let recently = self.told.is_some_and(|told| now.saturating_duration_since(told) < AGAIN);
         if hash == 0 || datagram.digest.suspicions == hash || recently {
             return Vec::new();
--- a/crates/peers/src/peers.rs
+++ b/crates/peers/src/peers.rs
@@ -234,9 +234,7 @@
         let out = happen(&mut control.membership, digest);
         let Control { membership, changes, suspicions, .. } = &mut *control;
         let heard = suspicions.hear(now, membership);
-        if membership.is_settled(now) {
-            suspicions.settle();
-        }
+        suspicions.settle(now, membership);
         for (member, state) in membership.take_changed() {
             changes.note(now, state.label(), member.ip);
         }
