Hash the table of suspects only when it changes, and a request once

Now the hash is taken where something is news, and the job's fingerprint is used for both. Behaviour is the same.

--- a/crates/quarantine/src/shared.rs
+++ b/crates/quarantine/src/shared.rs
@@ -106,9 +106,9 @@
     pub fn acquit(&self, fingerprint: Fingerprint, services: &[Name]) -> bool {
         let mut table = self.lock();
         let news = table.acquit(fingerprint, services);
-        self.note(&table);
-        drop(table);
         if news {
+            self.note(&table);
+            drop(table);
             self.tell(fingerprint);
         }
         news
@@ -123,7 +123,9 @@
     pub fn merge(&self, now: Instant, report: &Report) -> bool {
         let mut table = self.lock();
         let news = table.merge(now, report);
-        self.note(&table);
+        if news {
+            self.note(&table);
+        }
         news
     }
 
--- a/crates/relay/src/path.rs
+++ b/crates/relay/src/path.rs
@@ -111,9 +111,9 @@
             Target::Gather(gather) => Tally::new(gather.shards.len(), gather.fewest()),
             Target::Service(_) | Target::Split(_) => Tally::new(1, 1),
         };
-        let standing = self.quarantine().standing(Instant::now(), || request.fingerprint());
         let kind = (Name::clone(&route.name), route.kind);
         let job = Arc::new(Job::new(request, kind, route.attempts, tally));
+        let standing = self.quarantine().standing(Instant::now(), || job.fingerprint());
         let reply = match standing {
             Standing::Condemned(left) => self.refuse_condemned(&job, left),
             Standing::Trusted => self.send(&job, &route.target, patience, None).await,
