--- a/crates/feed/src/deliver.rs
+++ b/crates/feed/src/deliver.rs
@@ -22,10 +22,13 @@
 impl Delivery {
     /// Hands an item on, or notes that it waits for its chunks.
     pub(crate) fn item(&self, item: Item) {
-        match self.shared.record(&item) {
-            Some(record) => self.record(&record),
-            None => self.shared.await_chunks(item),
+        if let Some(record) = self.shared.record(&item) {
+            self.record(&record);
+            return;
         }
+        let (key, revision) = (&item.key, item.revision);
+        log::info!("feed: event=fetch_begun key={key} revision={revision}");
+        self.shared.await_chunks(item);
     }
 
     /// Hands a whole record on.
--- a/crates/feed/src/fetch.rs
+++ b/crates/feed/src/fetch.rs
@@ -44,12 +44,30 @@
             while self.delivery.shared.awaits(&item) {
                 bytes += self.step(&item).await;
             }
-            if bytes >= LARGE {
-                let (key, revision, took) = (&item.key, item.revision, start.elapsed().as_millis());
-                log::info!(
-                    "feed: event=large_news origin=chunks key={key} bytes={bytes} revision={revision} took_ms={took}"
-                );
-            }
+            self.note_end(&item, start, bytes);
+        }
+    }
+
+    /// Logs how the fetch of an item ended: it came in, or a newer one took its place.
+    fn note_end(&self, item: &Item, start: Instant, bytes: usize) {
+        let (key, revision, took) = (&item.key, item.revision, start.elapsed().as_millis());
+        if let Some(newer) = self.delivery.shared.awaited_revision(key) {
+            let missing = self.missing(item).len();
+            log::info!(
+                "feed: event=fetch_superseded key={key} bytes={bytes} revision={revision} newer={newer} missing={missing} took_ms={took}"
+            );
+        } else if bytes >= LARGE {
+            log::info!(
+                "feed: event=large_news origin=chunks key={key} bytes={bytes} revision={revision} took_ms={took}"
+            );
+        }
+    }
+
+    /// Lists the chunks of an item that are not held.
+    fn missing(&self, item: &Item) -> Vec<u64> {
+        match &item.value {
+            Value::Chunked(manifest) => self.delivery.shared.missing(manifest),
+            Value::Deleted | Value::Inline(_) => Vec::new(),
         }
     }
 
@@ -57,10 +75,7 @@
     /// bytes came in.
     async fn step(&mut self, item: &Item) -> usize {
         let shared = &self.delivery.shared;
-        let missing = match &item.value {
-            Value::Chunked(manifest) => shared.missing(manifest),
-            Value::Deleted | Value::Inline(_) => Vec::new(),
-        };
+        let missing = self.missing(item);
         if missing.is_empty()
             && let Some(record) = shared.record(item)
         {
--- a/crates/feed/src/shared.rs
+++ b/crates/feed/src/shared.rs
@@ -191,6 +191,11 @@
         self.lock_pending().get(&item.key).is_some_and(|known| known.revision == item.revision)
     }
 
+    /// Returns the revision of the item of a key that still waits for its chunks, if one does.
+    pub(crate) fn awaited_revision(&self, key: &Name) -> Option<u64> {
+        self.lock_pending().get(key).map(|known| known.revision)
+    }
+
     /// Notes that an item of a key, or a newer one, needs no chunks any more.
     pub(crate) fn settle(&self, key: &Name, revision: u64) {
         let mut pending = self.lock_pending();
