--- a/crates/feed/src/chunk.rs
+++ b/crates/feed/src/chunk.rs
@@ -104,6 +104,11 @@
         (hash_bytes(&value) == manifest.hash).then_some(value)
     }
 
+    /// Returns how many bytes are held.
+    pub fn size(&self) -> usize {
+        self.held.values().map(|body| body.len()).sum()
+    }
+
     fn named(&self) -> HashSet<u64> {
         let manifests = self.manifests.values().flatten();
         manifests.flat_map(|manifest| manifest.chunks.iter().copied()).collect()
--- a/crates/feed/src/fetch.rs
+++ b/crates/feed/src/fetch.rs
@@ -11,6 +11,7 @@
 use bergamot_wire::{Item, Value};
 use rand::RngExt;
 
+use crate::clock::now;
 use crate::deliver::Delivery;
 use crate::members::Members;
 use crate::origin::{Duty, Failure, Origin, Origins};
@@ -40,7 +41,7 @@
     pub(crate) async fn run(&mut self) {
         loop {
             let item = self.delivery.shared.awaited().await;
-            let (start, mut bytes) = (Instant::now(), 0);
+            let (start, mut bytes) = (now(), 0);
             while self.delivery.shared.awaits(&item) {
                 bytes += self.step(&item).await;
             }
@@ -83,7 +84,7 @@
             return 0;
         }
         let lineage = (self.members.roster)().unwrap_or_default().lineage;
-        let asked = Instant::now();
+        let asked = now();
         // Chunks that make up another value than they should are of no use.
         let lineage = if missing.is_empty() { Vec::new() } else { lineage };
         match self.origins.pick(asked, Duty::Follower, &lineage) {
@@ -98,7 +99,7 @@
 
     async fn ask_member(&mut self, ip: Ipv4Addr, mut missing: Vec<u64>) -> usize {
         missing.truncate(ASKED);
-        let at = Instant::now();
+        let at = now();
         let answer = (self.members.fetch)(ip, missing, WAIT).await;
         let bodies = answer.as_deref().unwrap_or_default();
         let bytes = bodies.iter().map(Vec::len).sum();
@@ -118,7 +119,7 @@
 
     /// Reads the whole value, since no member could help.
     async fn ask_store(&mut self, item: &Item) -> usize {
-        let at = Instant::now();
+        let at = now();
         let (bytes, failure) = match (self.delivery.source.lookup)(&item.key).await {
             Ok(Some(record)) if record.revision >= item.revision => {
                 let bytes = record.value.as_ref().map_or(0, Vec::len);
@@ -154,7 +155,7 @@
             None => self.origins.succeed(origin),
             Some(failure) => {
                 let jitter = rand::rng().random();
-                self.origins.fail((origin, failure), Instant::now(), Duty::Follower, jitter);
+                self.origins.fail((origin, failure), now(), Duty::Follower, jitter);
             }
         }
     }
--- a/crates/feed/src/follow.rs
+++ b/crates/feed/src/follow.rs
@@ -14,6 +14,7 @@
 use rand::RngExt;
 use tokio_util::sync::CancellationToken;
 
+use crate::clock::now;
 use crate::deliver::Delivery;
 use crate::fetch::Fetcher;
 use crate::members::{Members, Roster};
@@ -127,7 +128,7 @@
             let Roster { duty, readers, fleet, .. } = (self.members.roster)().unwrap_or_default();
             self.origins.set_fleet(fleet);
             let duty = if self.is_wanted() { Duty::Reader } else { duty };
-            match self.origins.pick(Instant::now(), duty, &readers) {
+            match self.origins.pick(now(), duty, &readers) {
                 Ok(origin) => self.ask(origin, duty).await,
                 Err(until) => tokio::time::sleep_until(until.into()).await,
             }
@@ -140,9 +141,9 @@
     async fn join(&self) {
         /// How often the members are looked at meanwhile.
         const LOOK: Duration = Duration::from_millis(20);
-        let end = Instant::now() + self.settings.join;
+        let end = now() + self.settings.join;
         let unknown = || (self.members.roster)().is_none() && !self.is_wanted();
-        while unknown() && Instant::now() < end {
+        while unknown() && now() < end {
             tokio::time::sleep(LOOK).await;
         }
     }
@@ -153,7 +154,7 @@
     }
 
     async fn ask(&mut self, origin: Origin, duty: Duty) {
-        let asked = Instant::now();
+        let asked = now();
         self.bytes = 0;
         let result = match origin {
             Origin::Store => self.ask_store(asked).await,
@@ -174,7 +175,7 @@
                     Trouble::Stale { .. } => Failure::Stale,
                     _ => Failure::Silent,
                 };
-                self.origins.fail((origin, failure), Instant::now(), duty, jitter);
+                self.origins.fail((origin, failure), now(), duty, jitter);
             }
         }
     }
@@ -214,7 +215,7 @@
         };
         let news = !records.is_empty();
         // A watch that ends without news says so as of its end, a listing as of its start.
-        let moment = if whole { asked } else { Instant::now() };
+        let moment = if whole { asked } else { now() };
         self.bytes +=
             records.iter().filter_map(|record| Some(record.value.as_ref()?.len())).sum::<usize>();
         let items = records.into_iter().map(|record| self.cut(record)).collect();
@@ -280,7 +281,7 @@
         }
         self.bytes += items.iter().map(Item::size).sum::<usize>();
         // All of it is known as of that moment, a page is not.
-        let moment = age.and_then(|age| Instant::now().checked_sub(age)).filter(|_| !more);
+        let moment = age.and_then(|age| now().checked_sub(age)).filter(|_| !more);
         let Some(since) = listing else {
             self.listing = None;
             self.take(|mirror| refreshed(mirror, moment, |mirror| mirror.update(items, at)));
@@ -317,7 +318,7 @@
 
     /// Tells the sink when the store was lost or regained.
     fn judge(&mut self) {
-        let age = self.shared().lock().age(Instant::now());
+        let age = self.shared().lock().age(now());
         let away = age.is_none_or(|age| age > self.settings.stale);
         if away != self.away {
             self.away = away;
--- a/crates/feed/src/lib.rs
+++ b/crates/feed/src/lib.rs
@@ -8,6 +8,7 @@
 //! See `docs/design/0009-platform.md` and `docs/design/0010-large-records.md`.
 
 mod chunk;
+mod clock;
 mod deliver;
 mod fetch;
 mod follow;
--- a/crates/feed/src/shared.rs
+++ b/crates/feed/src/shared.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use bergamot_base::Name;
 use bergamot_wire::{Item, Manifest, News, NewsQuery, Value};
@@ -11,6 +11,7 @@
 use tokio::time::{sleep, timeout};
 
 use crate::chunk::Chunks;
+use crate::clock::now;
 use crate::mirror::{Change, Mirror};
 use crate::source::Record;
 
@@ -75,7 +76,7 @@
         let newer = async {
             while !self.lock().has_news(query.after) && changed.changed().await.is_ok() {}
         };
-        let age = self.lock().age(Instant::now()).unwrap_or(STALE);
+        let age = self.lock().age(now()).unwrap_or(STALE);
         let stale = async {
             sleep(STALE.saturating_sub(age)).await;
             while self.arriving.load(Ordering::Relaxed) {
@@ -90,7 +91,7 @@
         };
         // Without news the answer still says how fresh it is.
         let _elapsed = timeout(query.wait, waiting).await;
-        let mut news = self.lock().news(&query, LARGEST_ANSWER, Instant::now());
+        let mut news = self.lock().news(&query, LARGEST_ANSWER, now());
         news.arriving = self.arriving.load(Ordering::Relaxed);
         self.count_sent(news.items.iter().map(Item::size).sum());
         news
@@ -115,7 +116,7 @@
 
     /// Tells whether nothing newer can have been published than what is known here.
     pub fn is_fresh(&self) -> bool {
-        self.lock().age(Instant::now()).is_some_and(|age| age <= STALE)
+        self.lock().age(now()).is_some_and(|age| age <= STALE)
     }
 
     /// Returns how many bytes of records this member has sent to others.
@@ -123,6 +124,11 @@
         self.sent.load(Ordering::Relaxed)
     }
 
+    /// Returns how many bytes of chunks this member holds.
+    pub fn held(&self) -> usize {
+        self.lock_chunks().size()
+    }
+
     /// Reads the mirror.
     pub fn lock(&self) -> MutexGuard<'_, Mirror> {
         self.mirror.lock().unwrap_or_else(PoisonError::into_inner)
