The newest of many versions in one answer stays whole, and the others aren't taken in

What callers saw: 404 for routes whose version was acknowledged more than 3 s before, as long as the operator published a version each 90 ms.

Cause: a reader cut every version of the store's answer and noted each one's manifest; only two manifests of a key were kept, in the order in which they were noted. Taking in the first of three or more versions pushed the newest one out, with the chunks that it alone has, so that the member that had read it could not put it together, and nobody else could either. A fetch asked members that all lacked the same chunk, 0.3 s each, until the next answer replaced it.

Now versions are kept in the order of revisions, so that an older one takes no newer one's place; and of each key a reader takes in the newest record of an answer alone, and a member is told the newest alone.

--- a/crates/feed/src/chunk.rs
+++ b/crates/feed/src/chunk.rs
@@ -2,8 +2,9 @@
 //!
 //! A value is cut where its content says so, not at fixed positions: an insertion moves all
 //! that follows it, and still only the chunks around it change. Invariants: a chunk is held
-//! under the hash of its bytes, so nobody's word is taken for what it is; only chunks that a
-//! manifest of late names are held, so what is held is bounded by the values themselves.
+//! under the hash of its bytes, so nobody's word is taken for what it is; only chunks that one of
+//! the newest manifests names are held, so what is held is bounded by the values themselves;
+//! an older version never takes the place of a newer one, in whatever order they are heard of.
 //! See `docs/design/0010-large-records.md`.
 
 use std::collections::{HashMap, HashSet, VecDeque};
@@ -27,18 +28,25 @@
 /// one shares most chunks, and the one before, for which others may still ask.
 const MANIFESTS: usize = 2;
 
+/// One version of a value that was cut.
+#[derive(Clone, Debug)]
+struct Version {
+    revision: u64,
+    manifest: Manifest,
+}
+
 /// The chunks that this member holds.
 #[derive(Clone, Debug, Default)]
 pub struct Chunks {
     held: HashMap<u64, Arc<[u8]>>,
-    /// The manifests of each key, the newest first.
-    manifests: HashMap<Name, VecDeque<Manifest>>,
+    /// The newest versions of each key, the newest of all first.
+    versions: HashMap<Name, VecDeque<Version>>,
 }
 
 impl Chunks {
     /// Makes what travels of a value: the value itself, or a manifest of chunks that are held
     /// from now on.
-    pub fn cut(&mut self, key: &Name, value: Vec<u8>) -> Value {
+    pub fn cut(&mut self, key: &Name, revision: u64, value: Vec<u8>) -> Value {
         if value.len() <= LARGEST_INLINE {
             return Value::Inline(value);
         }
@@ -47,22 +55,24 @@
         let bodies: Vec<(u64, &[u8])> = bodies.map(|body| (hash_bytes(body), body)).collect();
         let chunks = bodies.iter().map(|(hash, _)| *hash).collect();
         let manifest = Manifest { hash: hash_bytes(&value), chunks };
-        self.want(key, &manifest);
-        for (hash, body) in bodies {
+        self.want(key, revision, &manifest);
+        let named = self.named();
+        for (hash, body) in bodies.into_iter().filter(|(hash, _)| named.contains(hash)) {
             self.held.entry(hash).or_insert_with(|| Arc::from(body));
         }
         Value::Chunked(manifest)
     }
 
-    /// Notes that a key has a value of which this is the manifest, and drops the chunks that
-    /// are of no use any more.
-    pub fn want(&mut self, key: &Name, manifest: &Manifest) {
-        let manifests = self.manifests.entry(Name::clone(key)).or_default();
-        if manifests.front() == Some(manifest) {
+    /// Notes that a key has a value of which this is the manifest, unless newer ones are known
+    /// already, and drops the chunks that are of no use any more.
+    pub fn want(&mut self, key: &Name, revision: u64, manifest: &Manifest) {
+        let versions = self.versions.entry(Name::clone(key)).or_default();
+        if versions.iter().any(|known| known.revision == revision) {
             return;
         }
-        manifests.push_front(manifest.clone());
-        manifests.truncate(MANIFESTS);
+        let place = versions.partition_point(|known| known.revision > revision);
+        versions.insert(place, Version { revision, manifest: manifest.clone() });
+        versions.truncate(MANIFESTS);
         let named = self.named();
         self.held.retain(|hash, _| named.contains(hash));
     }
@@ -76,7 +86,7 @@
     /// Takes in a chunk, and tells whether a manifest names it.
     pub fn take(&mut self, body: &[u8]) -> bool {
         let hash = hash_bytes(body);
-        let named = self.manifests.values().flatten().any(|known| known.chunks.contains(&hash));
+        let named = self.manifests().any(|known| known.chunks.contains(&hash));
         if named {
             self.held.entry(hash).or_insert_with(|| Arc::from(body));
         }
@@ -110,7 +120,10 @@
     }
 
     fn named(&self) -> HashSet<u64> {
-        let manifests = self.manifests.values().flatten();
-        manifests.flat_map(|manifest| manifest.chunks.iter().copied()).collect()
+        self.manifests().flat_map(|manifest| manifest.chunks.iter().copied()).collect()
+    }
+
+    fn manifests(&self) -> impl Iterator<Item = &Manifest> {
+        self.versions.values().flatten().map(|version| &version.manifest)
     }
 }
--- a/crates/feed/src/follow.rs
+++ b/crates/feed/src/follow.rs
@@ -5,11 +5,13 @@
 //! an outage before it hears anything that was published after it; what a listing has brought
 //! is kept when the member that told it fails, and the next one goes on from there.
 
+use std::collections::HashMap;
 use std::net::Ipv4Addr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
+use bergamot_base::Name;
 use bergamot_wire::{Item, News, NewsQuery};
 use rand::RngExt;
 use tokio_util::sync::CancellationToken;
@@ -218,7 +220,7 @@
         let moment = if whole { asked } else { now() };
         self.bytes +=
             records.iter().filter_map(|record| Some(record.value.as_ref()?.len())).sum::<usize>();
-        let items = records.into_iter().map(|record| self.cut(record)).collect();
+        let items = newest(records).into_iter().map(|record| self.cut(record)).collect();
         self.take(|mirror| {
             let change = if whole { mirror.replace(items, at) } else { mirror.update(items, at) };
             mirror.refresh(moment);
@@ -334,6 +336,23 @@
     }
 }
 
+/// Keeps the newest record of each key, in the order of their revisions.
+///
+/// The store tells every version that was written since it was last asked. Whoever rests between
+/// questions would cut, spread and decode versions that are superseded already.
+fn newest(records: Vec<Record>) -> Vec<Record> {
+    let mut newest = HashMap::<Name, Record>::with_capacity(records.len());
+    for record in records {
+        let newer = newest.get(&record.key).is_none_or(|known| known.revision < record.revision);
+        if newer {
+            newest.insert(Name::clone(&record.key), record);
+        }
+    }
+    let mut records: Vec<Record> = newest.into_values().collect();
+    records.sort_unstable_by(|a, b| (a.revision, &a.key).cmp(&(b.revision, &b.key)));
+    records
+}
+
 /// Changes the mirror, and notes the moment as of which it is whole.
 fn refreshed(
     mirror: &mut Mirror,
--- a/crates/feed/src/mirror.rs
+++ b/crates/feed/src/mirror.rs
@@ -110,17 +110,26 @@
         News { items, listing, at, more, age, arriving: false }
     }
 
-    /// Lists what a follower is still to be told, in no order.
+    /// Lists what a follower is still to be told, in no order: of each key the newest alone.
     fn told(&self, after: u64, listing: Option<u64>) -> Vec<&Item> {
         let newer = |item: &&Item| item.revision > after;
         let Some(since) = listing else {
-            return self.recent.iter().filter(newer).collect();
+            let newest = |item: &&Item| self.is_newest(item);
+            return self.recent.iter().filter(newer).filter(newest).collect();
         };
         let deleted = |item: &&Item| item.value == Value::Deleted && item.revision > since;
         let deletions = self.recent.iter().filter(newer).filter(deleted);
         self.records.values().filter(newer).chain(deletions).collect()
     }
 
+    /// Tells whether nothing newer than an item is known of its key.
+    fn is_newest(&self, item: &Item) -> bool {
+        match self.records.get(&item.key) {
+            Some(known) => known.revision == item.revision,
+            None => item.value == Value::Deleted,
+        }
+    }
+
     /// Tells whether a follower would be told anything.
     pub fn has_news(&self, after: u64) -> bool {
         self.at > after || after < self.complete_after
--- a/crates/feed/src/shared.rs
+++ b/crates/feed/src/shared.rs
@@ -139,7 +139,7 @@
         let Record { key, value, revision } = record;
         let value = match value {
             None => Value::Deleted,
-            Some(value) => self.lock_chunks().cut(&key, value),
+            Some(value) => self.lock_chunks().cut(&key, revision, value),
         };
         if matches!(value, Value::Chunked(_)) {
             self.note_arrival();
@@ -155,7 +155,7 @@
         drop(mirror);
         for item in &change.items {
             if let Value::Chunked(manifest) = &item.value {
-                self.lock_chunks().want(&item.key, manifest);
+                self.lock_chunks().want(&item.key, item.revision, manifest);
             }
         }
         self.changed.send_replace(at);
--- a/crates/feed/tests/chunks.rs
+++ b/crates/feed/tests/chunks.rs
@@ -7,8 +7,8 @@
 use bergamot_wire::{Manifest, Value};
 use proptest::prelude::*;
 
-fn cut(chunks: &mut Chunks, value: &[u8]) -> Manifest {
-    match chunks.cut(&Name::from("key"), value.to_vec()) {
+fn cut(chunks: &mut Chunks, revision: u64, value: &[u8]) -> Manifest {
+    match chunks.cut(&Name::from("key"), revision, value.to_vec()) {
         Value::Chunked(manifest) => manifest,
         other => panic!("{other:?} is no large value"),
     }
@@ -26,7 +26,7 @@
 
 #[test]
 fn small_values_travel_with_news() {
-    let value = Chunks::default().cut(&Name::from("key"), vec![1; 200]);
+    let value = Chunks::default().cut(&Name::from("key"), 1, vec![1; 200]);
     assert_eq!(value, Value::Inline(vec![1; 200]));
 }
 
@@ -36,11 +36,11 @@
 fn a_changed_route_costs_a_few_chunks() {
     let (mut reader, mut follower) = (Chunks::default(), Chunks::default());
     let before = declaration(2850, None);
-    cut(&mut follower, &before);
+    cut(&mut follower, 1, &before);
     let inserted =
         [&before[..before.len() / 2], &declaration(1, None), &before[before.len() / 2..]];
-    for after in [declaration(2850, Some(1200)), inserted.concat()] {
-        let manifest = cut(&mut reader, &after);
+    for (revision, after) in [(2, declaration(2850, Some(1200))), (3, inserted.concat())] {
+        let manifest = cut(&mut reader, revision, &after);
         let missing = follower.missing(&manifest);
         let bytes: usize = reader.first(&missing, usize::MAX).iter().map(Vec::len).sum();
         assert!(bytes < 40 << 10, "{bytes} of {}", after.len());
@@ -52,12 +52,27 @@
 fn chunks_of_old_versions_are_dropped() {
     let mut chunks = Chunks::default();
     let versions: Vec<Manifest> =
-        (1..4).map(|byte| cut(&mut chunks, &vec![byte; 100 << 10])).collect();
+        (1..4).map(|byte| cut(&mut chunks, byte.into(), &vec![byte; 100 << 10])).collect();
     let held: Vec<bool> =
         versions.iter().map(|manifest| chunks.assemble(manifest).is_some()).collect();
     assert_eq!(held, [false, true, true]);
 }
 
+/// Guards against dropping the chunks of a newer version for those of one that is heard of later.
+#[test]
+fn an_older_version_takes_no_place_of_a_newer_one() {
+    let (mut chunks, key) = (Chunks::default(), Name::from("key"));
+    let versions: Vec<Manifest> =
+        (1..6).map(|byte| cut(&mut chunks, byte.into(), &vec![byte; 100 << 10])).collect();
+    for (revision, manifest) in (1..).zip(&versions) {
+        chunks.want(&key, revision, manifest);
+    }
+    assert!(chunks.assemble(&versions[4]).is_some());
+    cut(&mut chunks, 3, &vec![3; 100 << 10]);
+    assert!(chunks.assemble(&versions[4]).is_some());
+    assert!(chunks.size() <= 200 << 10, "{} bytes are held", chunks.size());
+}
+
 #[test]
 fn chunks_that_nobody_named_are_not_held() {
     let mut chunks = Chunks::default();
@@ -69,7 +84,7 @@
 #[test]
 fn a_value_of_another_hash_is_refused() {
     let mut chunks = Chunks::default();
-    let manifest = cut(&mut chunks, &declaration(900, None));
+    let manifest = cut(&mut chunks, 1, &declaration(900, None));
     assert!(chunks.assemble(&manifest).is_some());
     let other = Manifest { hash: manifest.hash ^ 1, ..manifest };
     assert!(chunks.assemble(&other).is_none());
@@ -106,9 +121,9 @@
         let (mut reader, mut follower) = (Chunks::default(), Chunks::default());
         let mut changed = bytes.clone();
         changed.insert(at.index(bytes.len()), 0);
-        for value in [bytes, changed] {
-            let manifest = cut(&mut reader, &value);
-            follower.want(&Name::from("key"), &manifest);
+        for (revision, value) in [(1, bytes), (2, changed)] {
+            let manifest = cut(&mut reader, revision, &value);
+            follower.want(&Name::from("key"), revision, &manifest);
             while follower.assemble(&manifest).is_none() {
                 let bodies = reader.first(&follower.missing(&manifest), 1);
                 prop_assert!(!bodies.is_empty());
--- a/crates/feed/tests/fetch.rs
+++ b/crates/feed/tests/fetch.rs
@@ -49,7 +49,7 @@
         let lookups = Arc::<Mutex<usize>>::default();
         let mut held = Chunks::default();
         let key = Name::from("large");
-        let item = Item { value: held.cut(&key, value(7)), key, revision: 5 };
+        let item = Item { value: held.cut(&key, 5, value(7)), key, revision: 5 };
         let reader = Arc::new(Shared::default());
         reader.lock().replace(vec![item], 5);
         let (sending, held) = (Arc::clone(&sent), Arc::new(held));
