A fetch that has begun goes on while newer versions come

What callers would see: an older version on instances behind slow links for as long as versions come; found by the model (300 members, four versions a second, a third of them asking one reader over 3.5 Mbit/s: 7.9 s behind).

Cause: a newer version took the place of the one that was being fetched. Where a fetch takes longer than the next version, none ever ended; the chunk that each version has alone came in and was of no use.

Now what has begun is finished and handed on, then the newest is fetched; a fetch is given up for a newer version only if a question brought nothing. Its chunks are held for as long as it lasts. What waits and what is being fetched is a structure of its own (feed::awaited).

--- a/crates/feed/src/chunk.rs
+++ b/crates/feed/src/chunk.rs
@@ -2,8 +2,9 @@
 //!
 //! A value is cut where its content says so, not at fixed positions: an insertion moves all
 //! that follows it, and still only the chunks around it change. Invariants: a chunk is held
-//! under the hash of its bytes, so nobody's word is taken for what it is; only chunks that one of
-//! the newest manifests names are held, so what is held is bounded by the values themselves;
+//! under the hash of its bytes, so nobody's word is taken for what it is; only chunks are held
+//! that one of the newest manifests names, or the one that is being fetched, so what is held is
+//! bounded by the values themselves;
 //! an older version never takes the place of a newer one, in whatever order they are heard of.
 //! See `docs/design/0010-large-records.md`.
 
@@ -41,6 +42,8 @@
     held: HashMap<u64, Arc<[u8]>>,
     /// The newest versions of each key, the newest of all first.
     versions: HashMap<Name, VecDeque<Version>>,
+    /// The manifest of what is being fetched, however old it is by now.
+    pinned: Option<Manifest>,
 }
 
 impl Chunks {
@@ -77,6 +80,16 @@
         self.held.retain(|hash, _| named.contains(hash));
     }
 
+    /// Holds the chunks of a manifest until [`Chunks::unpin`], however old it becomes.
+    pub fn pin(&mut self, manifest: &Manifest) {
+        self.pinned = Some(manifest.clone());
+    }
+
+    /// Holds what was pinned no longer than other versions.
+    pub fn unpin(&mut self) {
+        self.pinned = None;
+    }
+
     /// Lists the chunks of a manifest that are not held, in order.
     pub fn missing(&self, manifest: &Manifest) -> Vec<u64> {
         let hashes = manifest.chunks.iter().copied();
@@ -124,6 +137,7 @@
     }
 
     fn manifests(&self) -> impl Iterator<Item = &Manifest> {
-        self.versions.values().flatten().map(|version| &version.manifest)
+        let versions = self.versions.values().flatten().map(|version| &version.manifest);
+        versions.chain(&self.pinned)
     }
 }
--- a/crates/feed/src/fetch.rs
+++ b/crates/feed/src/fetch.rs
@@ -1,9 +1,9 @@
 //! Asks for the chunks of large values, and hands the values on once they are whole.
 //!
-//! News goes on meanwhile: a searcher's entry never waits behind a large declaration, and a
-//! newer version of the value takes the place of the one that is being asked for, whose
-//! chunks it mostly shares. Invariant: what has come in is kept, whoever fails; the store
-//! itself is asked for the whole value only if no member can help.
+//! News goes on meanwhile: a searcher's entry never waits behind a large declaration. A newer
+//! version of the value waits until the one that is being asked for has come in, or nobody can
+//! help with it any more. Invariant: what has come in is kept, whoever fails; the store itself is
+//! asked for the whole value only if no member can help.
 
 use std::net::Ipv4Addr;
 use std::time::{Duration, Instant};
@@ -40,20 +40,31 @@
 
     pub(crate) async fn run(&mut self) {
         loop {
-            let item = self.delivery.shared.awaited().await;
+            let item = self.delivery.shared.begin_fetch().await;
             let (start, mut bytes) = (now(), 0);
-            while self.delivery.shared.awaits(&item) {
-                bytes += self.step(&item).await;
+            while self.delivery.shared.is_fetched(&item) {
+                let came = self.step(&item).await;
+                bytes += came;
+                if came == 0 && self.newer(&item).is_some() {
+                    break;
+                }
             }
+            self.delivery.shared.end_fetch();
             self.note_end(&item, start, bytes);
         }
     }
 
+    /// Returns the revision of a newer item of the same key that waits as well, if one does.
+    fn newer(&self, item: &Item) -> Option<u64> {
+        let awaited = self.delivery.shared.awaited_revision(&item.key);
+        awaited.filter(|revision| *revision > item.revision)
+    }
+
     /// Logs how the fetch of an item ended: it came in, or a newer one took its place.
     fn note_end(&self, item: &Item, start: Instant, bytes: usize) {
         let (key, revision, took) = (&item.key, item.revision, start.elapsed().as_millis());
-        if let Some(newer) = self.delivery.shared.awaited_revision(key) {
-            let missing = self.missing(item).len();
+        let missing = self.missing(item).len();
+        if let Some(newer) = self.newer(item).filter(|_| missing > 0) {
             log::info!(
                 "feed: event=fetch_superseded key={key} bytes={bytes} revision={revision} newer={newer} missing={missing} took_ms={took}"
             );
--- a/crates/feed/src/lib.rs
+++ b/crates/feed/src/lib.rs
@@ -7,6 +7,7 @@
 //! spoken with is a [`Source`], a value that is handed in; [`Origins`] decides whom to ask.
 //! See `docs/design/0009-platform.md` and `docs/design/0010-large-records.md`.
 
+mod awaited;
 mod chunk;
 mod clock;
 mod deliver;
--- a/crates/feed/src/shared.rs
+++ b/crates/feed/src/shared.rs
@@ -1,6 +1,5 @@
 //! What the tasks of the feed and the answers to other members share.
 
-use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -10,6 +9,7 @@
 use tokio::sync::{Notify, watch};
 use tokio::time::{sleep, timeout};
 
+use crate::awaited::Awaited;
 use crate::chunk::Chunks;
 use crate::clock::now;
 use crate::mirror::{Change, Mirror};
@@ -38,8 +38,7 @@
 pub struct Shared {
     mirror: Mutex<Mirror>,
     chunks: Mutex<Chunks>,
-    /// The items whose chunks are not all held yet, the newest of each key.
-    pending: Mutex<BTreeMap<Name, Item>>,
+    awaited: Mutex<Awaited>,
     /// The revision up to which everything is known.
     changed: watch::Sender<u64>,
     /// How many chunks came in so far.
@@ -55,7 +54,7 @@
         Self {
             mirror: Mutex::default(),
             chunks: Mutex::default(),
-            pending: Mutex::default(),
+            awaited: Mutex::default(),
             changed: watch::Sender::new(0),
             arrived: watch::Sender::new(0),
             wanted: Notify::new(),
@@ -174,40 +173,45 @@
 
     /// Notes that an item waits for its chunks, in place of an older one of its key.
     pub(crate) fn await_chunks(&self, item: Item) {
-        let mut pending = self.lock_pending();
-        let newer = pending.get(&item.key).is_none_or(|known| known.revision < item.revision);
-        if newer {
-            pending.insert(Name::clone(&item.key), item);
+        if self.lock_awaited().add(item) {
             self.wanted.notify_one();
         }
     }
 
-    /// Waits for an item whose chunks are missing.
-    pub(crate) async fn awaited(&self) -> Item {
+    /// Waits for an item whose chunks are missing, and begins its fetch: its chunks are held
+    /// until the fetch ends.
+    pub(crate) async fn begin_fetch(&self) -> Item {
         loop {
-            if let Some(item) = self.lock_pending().values().next() {
-                return item.clone();
+            let begun = self.lock_awaited().begin();
+            if let Some(item) = begun {
+                if let Value::Chunked(manifest) = &item.value {
+                    self.lock_chunks().pin(manifest);
+                }
+                return item;
             }
             self.wanted.notified().await;
         }
     }
 
-    /// Tells whether an item still waits for its chunks, and no newer one of its key does.
-    pub(crate) fn awaits(&self, item: &Item) -> bool {
-        self.lock_pending().get(&item.key).is_some_and(|known| known.revision == item.revision)
+    /// Ends a fetch.
+    pub(crate) fn end_fetch(&self) {
+        self.lock_awaited().end();
+        self.lock_chunks().unpin();
+    }
+
+    /// Tells whether an item is still to be fetched.
+    pub(crate) fn is_fetched(&self, item: &Item) -> bool {
+        self.lock_awaited().is_fetched(item)
     }
 
-    /// Returns the revision of the item of a key that still waits for its chunks, if one does.
+    /// Returns the revision of the item of a key that waits for its chunks, if one does.
     pub(crate) fn awaited_revision(&self, key: &Name) -> Option<u64> {
-        self.lock_pending().get(key).map(|known| known.revision)
+        self.lock_awaited().revision(key)
     }
 
     /// Notes that an item of a key, or a newer one, needs no chunks any more.
     pub(crate) fn settle(&self, key: &Name, revision: u64) {
-        let mut pending = self.lock_pending();
-        if pending.get(key).is_some_and(|known| known.revision <= revision) {
-            pending.remove(key);
-        }
+        self.lock_awaited().settle(key, revision);
     }
 
     /// Lists the chunks of a manifest that are not held.
@@ -239,7 +243,7 @@
         self.chunks.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn lock_pending(&self) -> MutexGuard<'_, BTreeMap<Name, Item>> {
-        self.pending.lock().unwrap_or_else(PoisonError::into_inner)
+    fn lock_awaited(&self) -> MutexGuard<'_, Awaited> {
+        self.awaited.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
--- a/crates/feed/tests/spread/main.rs
+++ b/crates/feed/tests/spread/main.rs
@@ -101,3 +101,16 @@
         check(Load { members, routes, pause, rate, killed, ..Load::default() }, HARMED, Calls::Two);
     }
 }
+
+/// Guards against fetches that begin anew with each version and so never end.
+///
+/// The pattern: versions come four times a second, and a third of 300 members asks one reader
+/// over a link of 3.5 Mbit/s, so that a fetch takes longer than that.
+#[test]
+fn fetches_that_take_longer_than_the_next_version_end() {
+    for (routes, pause) in [(18, 100), (18, 300)] {
+        let pause = MS * pause;
+        let load = Load { members: 300, routes, pause, rate: SLOW_LINK / 4, ..Load::default() };
+        check(load, HARMED, Calls::One);
+    }
+}
