--- a/crates/feed/src/follow.rs
+++ b/crates/feed/src/follow.rs
@@ -285,7 +285,9 @@
         // Who asks this member meanwhile waits for what it is about to know.
         self.shared().arriving.store(true, Ordering::Relaxed);
         let (records, at) = (self.delivery.source.list)().await?;
-        log::info!("feed: event=listed revision={at} items={}", records.len());
+        let (held, items) = (self.shared().lock().at(), records.len());
+        let refused = at < held;
+        log::info!("feed: event=listed revision={at} held={held} items={items} refused={refused}");
         Ok(Answer { records, at, whole: true, moment: asked })
     }
 
