--- a/crates/bench/src/capacity/feed.rs
+++ b/crates/bench/src/capacity/feed.rs
@@ -34,8 +34,8 @@
     (0..ROUTES).flat_map(|number| route(number).into_bytes()).collect()
 }
 
-fn cut(chunks: &mut Chunks, value: &[u8]) -> Manifest {
-    match chunks.cut(&Name::from("declaration"), value.to_vec()) {
+fn cut(chunks: &mut Chunks, revision: u64, value: &[u8]) -> Manifest {
+    match chunks.cut(&Name::from("declaration"), revision.into(), value.to_vec()) {
         Value::Chunked(manifest) => manifest,
         Value::Deleted | Value::Inline(_) => Manifest { hash: 0, chunks: Vec::new() },
     }
@@ -45,12 +45,12 @@
 pub(crate) fn table(size: &Size) -> String {
     let (before, after) = (declaration(None), declaration(Some(ROUTES / 2)));
     let mut chunks = Chunks::default();
-    let first = cut(&mut chunks, &before);
-    let cutting = milliseconds(ROUNDS, || drop(cut(&mut Chunks::default(), &before)));
+    let first = cut(&mut chunks, 1, &before);
+    let cutting = milliseconds(ROUNDS, || drop(cut(&mut Chunks::default(), 1, &before)));
     let assembling = milliseconds(ROUNDS, || drop(chunks.assemble(&first)));
     let mut follower = chunks.clone();
-    let second = cut(&mut chunks, &after);
-    follower.want(&Name::from("declaration"), &second);
+    let second = cut(&mut chunks, 2, &after);
+    follower.want(&Name::from("declaration"), 2.into(), &second);
     let missing = follower.missing(&second);
     let changed: usize = chunks.first(&missing, usize::MAX).iter().map(Vec::len).sum();
     let members = size.daemons() / size.regions as f64;
--- a/crates/feed/src/deliver.rs
+++ b/crates/feed/src/deliver.rs
@@ -26,8 +26,8 @@
             self.record(&record);
             return;
         }
-        let (key, revision) = (&item.key, item.revision);
-        log::info!("feed: event=fetch_begun key={key} revision={revision}");
+        let (key, position) = (&item.key, item.position);
+        log::info!("feed: event=fetch_begun key={key} position={position}");
         self.shared.await_chunks(item);
     }
 
@@ -36,7 +36,7 @@
     /// Every member reads the same records at about the same time: one that brings its reader
     /// down would bring all of them down, again and again. So a panic costs its record alone.
     pub(crate) fn record(&self, record: &Record) {
-        self.shared.settle(&record.key, record.revision);
+        self.shared.settle(&record.key, record.position);
         let take = || {
             if let Some(news) = (self.source.decode)(record) {
                 (self.sink.news)(news);
--- a/crates/feed/src/fetch.rs
+++ b/crates/feed/src/fetch.rs
@@ -8,6 +8,7 @@
 use std::net::Ipv4Addr;
 use std::time::{Duration, Instant};
 
+use bergamot_base::Position;
 use bergamot_wire::{Item, Value};
 use rand::RngExt;
 
@@ -17,7 +18,7 @@
 use crate::origin::{Duty, Failure, Origin, Origins};
 use crate::shared::LARGE;
 use crate::sink::{Asked, Subject};
-use crate::source::Trouble;
+use crate::source::{Found, Trouble};
 
 /// How many chunks one question names: some more than one answer holds.
 const ASKED: usize = 8;
@@ -54,23 +55,23 @@
         }
     }
 
-    /// Returns the revision of a newer item of the same key that waits as well, if one does.
-    fn newer(&self, item: &Item) -> Option<u64> {
-        let awaited = self.delivery.shared.awaited_revision(&item.key);
-        awaited.filter(|revision| *revision > item.revision)
+    /// Returns the position of a newer item of the same key that waits as well, if one does.
+    fn newer(&self, item: &Item) -> Option<Position> {
+        let awaited = self.delivery.shared.awaited_position(&item.key);
+        awaited.filter(|position| *position > item.position)
     }
 
     /// Logs how the fetch of an item ended: it came in, or a newer one took its place.
     fn note_end(&self, item: &Item, start: Instant, bytes: usize) {
-        let (key, revision, took) = (&item.key, item.revision, start.elapsed().as_millis());
+        let (key, position, took) = (&item.key, item.position, start.elapsed().as_millis());
         let missing = self.missing(item).len();
         if let Some(newer) = self.newer(item).filter(|_| missing > 0) {
             log::info!(
-                "feed: event=fetch_superseded key={key} bytes={bytes} revision={revision} newer={newer} missing={missing} took_ms={took}"
+                "feed: event=fetch_superseded key={key} bytes={bytes} position={position} newer={newer} missing={missing} took_ms={took}"
             );
         } else if bytes >= LARGE {
             log::info!(
-                "feed: event=large_news origin=chunks key={key} bytes={bytes} revision={revision} took_ms={took}"
+                "feed: event=large_news origin=chunks key={key} bytes={bytes} position={position} took_ms={took}"
             );
         }
     }
@@ -132,7 +133,7 @@
     async fn ask_store(&mut self, item: &Item) -> usize {
         let at = now();
         let (bytes, failure) = match (self.delivery.source.lookup)(&item.key).await {
-            Ok(Some(record)) if record.revision >= item.revision => {
+            Ok(Found { record: Some(record), .. }) if record.position >= item.position => {
                 let bytes = record.value.as_ref().map_or(0, Vec::len);
                 // Others may ask for its chunks; the mirror learns of it from its own news.
                 self.delivery.shared.cut(record.clone());
--- a/crates/feed/src/follow.rs
+++ b/crates/feed/src/follow.rs
@@ -1,6 +1,6 @@
 //! The loop that keeps the mirror up to date, through outages and forgotten history.
 //!
-//! Invariants: news is taken in the order of the store's revisions; after forgotten history
+//! Invariants: news is taken in the order of the store's positions; after forgotten history
 //! everything is listed anew, so nothing that was missed stays unknown; the sink hears of
 //! an outage before it hears anything that was published after it; what a listing has brought
 //! is kept when the member that told it fails, and the next one goes on from there.
@@ -8,10 +8,10 @@
 use std::collections::HashMap;
 use std::net::Ipv4Addr;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
+use std::sync::atomic;
 use std::time::{Duration, Instant};
 
-use bergamot_base::Name;
+use bergamot_base::{Name, Position};
 use bergamot_wire::{Item, News, NewsQuery};
 use rand::RngExt;
 use tokio_util::sync::CancellationToken;
@@ -24,7 +24,7 @@
 use crate::origin::{Duty, Failure, Origin, Origins};
 use crate::shared::{LARGE, STALE, Shared};
 use crate::sink::{Asked, Sink, Subject};
-use crate::source::{Outcome, Record, Scope, Source, Trouble, Wait};
+use crate::source::{Found, Outcome, Record, Scope, Source, Trouble, Wait};
 
 /// The periods of the loop.
 #[derive(Clone, Copy, Debug)]
@@ -112,10 +112,16 @@
 /// A listing that other members are telling, page by page.
 #[derive(Debug)]
 struct Listing {
-    /// The revision at which it began.
-    since: u64,
-    /// The revision up to which it has been told.
-    told: u64,
+    /// The position at which it began.
+    since: Position,
+    /// The position up to which it has been told.
+    told: Position,
+    /// The last position that any of those knew who told it.
+    known: Position,
+    /// Who told it, if it was one member alone.
+    by: Option<Ipv4Addr>,
+    /// Whether nobody else can go on with it.
+    own_order: bool,
     items: Vec<Item>,
 }
 
@@ -139,8 +145,8 @@
 /// What a question to the store has brought.
 struct Answer {
     records: Vec<Record>,
-    /// The revision up to which everything is known now.
-    at: u64,
+    /// The position up to which everything is known now.
+    at: Position,
     /// Whether the records are all that there are.
     whole: bool,
     /// As of which moment all of it is known.
@@ -176,7 +182,7 @@
 
     /// Tells whether callers wait for the first news: then nothing is faster than the store.
     fn is_wanted(&self) -> bool {
-        self.shared().lock().at() == 0 && (self.delivery.sink.wanted)()
+        self.shared().lock().at().is_start() && (self.delivery.sink.wanted)()
     }
 
     async fn ask(&mut self, origin: Origin, duty: Duty) {
@@ -186,7 +192,7 @@
             Origin::Store => self.ask_store(asked).await,
             Origin::Member(ip) => self.ask_member(ip).await,
         };
-        self.shared().arriving.store(false, Ordering::Relaxed);
+        self.shared().arriving.store(false, atomic::Ordering::Relaxed);
         self.note(origin, asked, result.as_ref().err());
         match result {
             Ok(()) => {
@@ -215,7 +221,7 @@
         if bytes >= LARGE {
             let at = self.shared().lock().at();
             log::info!(
-                "feed: event=large_news origin={origin:?} bytes={bytes} revision={at} took_ms={took}"
+                "feed: event=large_news origin={origin:?} bytes={bytes} position={at} took_ms={took}"
             );
         }
         if let Some(trouble) = trouble {
@@ -247,7 +253,7 @@
 
     async fn read_store(&mut self, asked: Instant) -> Result<Answer, Trouble> {
         let at = self.shared().lock().at();
-        if at == 0 {
+        if at.is_start() {
             return Err(Trouble::Forgotten);
         }
         if self.crowded || self.missed_versions() {
@@ -269,31 +275,32 @@
     ///
     /// A watch tells every version since the last one, whole: over a link that carries fewer than
     /// are published, each answer would be longer than the one before.
-    async fn read_newest(&mut self, at: u64, asked: Instant) -> Result<Answer, Trouble> {
+    async fn read_newest(&mut self, at: Position, asked: Instant) -> Result<Answer, Trouble> {
         let source = &self.delivery.source;
-        let declared = (source.lookup)(&source.declaration).await?;
+        let Found { record, .. } = (source.lookup)(&source.declaration).await?;
         let (mut records, _) = self.watch(at, Scope::Searchers).await?;
-        let declared = declared.filter(|record| record.revision > at);
+        let declared = record.filter(|record| record.position > at);
         self.crowded = declared.is_some();
-        // Searchers were asked for later, so nothing is unknown up to the declaration.
-        let at = declared.as_ref().map_or(at, |record| record.revision);
+        // Searchers were asked for later, so nothing is unknown up to the declaration; what has
+        // changed after it is told again.
+        let at = declared.as_ref().map_or(at, |record| record.position);
+        records.retain(|record| record.position <= at);
         records.extend(declared);
         Ok(Answer { records, at, whole: false, moment: asked })
     }
 
     async fn list(&self, asked: Instant) -> Result<Answer, Trouble> {
         // Who asks this member meanwhile waits for what it is about to know.
-        self.shared().arriving.store(true, Ordering::Relaxed);
+        self.shared().arriving.store(true, atomic::Ordering::Relaxed);
         let (records, at) = (self.delivery.source.list)().await?;
         let (held, items) = (self.shared().lock().at(), records.len());
-        let refused = at < held;
-        log::info!("feed: event=listed revision={at} held={held} items={items} refused={refused}");
+        log::info!("feed: event=listed position={at} held={held} items={items}");
         Ok(Answer { records, at, whole: true, moment: asked })
     }
 
     /// Waits for changes at the store. After a failure it is asked without a wait: members have
     /// the news meanwhile, so a store that still hangs must not keep us from them.
-    async fn watch(&self, at: u64, scope: Scope) -> Outcome {
+    async fn watch(&self, at: Position, scope: Scope) -> Outcome {
         let doubted = self.origins.doubts_store();
         let waits = !doubted && !(self.delivery.sink.behind)();
         let wait = Wait {
@@ -308,16 +315,19 @@
         // A member that is out of reach must not cost as much as a watch.
         let proven = self.proven == Some(Origin::Member(ip));
         let waits = proven && !(self.delivery.sink.behind)();
-        let unheard = self.shared().lock().at() == 0;
+        let unheard = self.shared().lock().at().is_start();
         let mut wait = match () {
             () if waits => self.settings.wait,
             () if unheard => self.settings.first,
             () => Duration::ZERO,
         };
+        if self.listing.as_ref().is_some_and(|begun| begun.own_order && begun.by != Some(ip)) {
+            self.listing = None;
+        }
         loop {
             let news = (self.members.ask)(ip, self.query(wait)).await?;
             let (age, more, arriving) = (news.age, news.more, news.arriving);
-            self.read(news)?;
+            self.read(ip, news)?;
             if !more {
                 let bound = self.settings.stale * if arriving { ARRIVING_FACTOR } else { 1 };
                 let fresh = age.is_some_and(|age| age <= bound);
@@ -328,16 +338,21 @@
     }
 
     fn query(&self, wait: Duration) -> NewsQuery {
+        let start = Position::default();
         match &self.listing {
-            Some(listing) => NewsQuery { after: listing.told, listing: Some(listing.since), wait },
-            None => NewsQuery { after: self.shared().lock().at(), listing: None, wait },
+            Some(Listing { since, told, known, .. }) => {
+                NewsQuery { after: *told, listing: Some(*since), known: *known, wait }
+            }
+            None => {
+                NewsQuery { after: self.shared().lock().at(), listing: None, known: start, wait }
+            }
         }
     }
 
     /// Takes in a page of news from a member.
-    fn read(&mut self, news: News) -> Result<(), Trouble> {
-        let News { items, listing, at, more, age, .. } = news;
-        if at == 0 {
+    fn read(&mut self, ip: Ipv4Addr, news: News) -> Result<(), Trouble> {
+        let News { items, listing, at, known, more, listed, own_order, age, .. } = news;
+        if at.is_start() {
             return Ok(());
         }
         self.bytes += items.iter().map(Item::size).sum::<usize>();
@@ -345,17 +360,25 @@
         let moment = age.and_then(|age| now().checked_sub(age)).filter(|_| !more);
         let Some(since) = listing else {
             self.listing = None;
-            self.take(|mirror| refreshed(mirror, moment, |mirror| mirror.update(items, at)));
+            self.take(|mirror| {
+                refreshed(mirror, moment, |mirror| mirror.follow(items, at, listed))
+            });
             return Ok(());
         };
-        if at < since && !more {
-            // The member is behind the one that began the listing.
+        let begun = self.listing.as_ref().filter(|begun| begun.since == since);
+        let known = begun.map_or(known, |begun| begun.known.max(known));
+        if at < known && !more {
+            // The member is behind those that have told the listing so far.
             return Err(Trouble::Stale { age });
         }
         let begun = self.listing.take().filter(|begun| begun.since == since);
-        let mut begun = begun.unwrap_or(Listing { since, told: 0, items: Vec::new() });
-        begun.items.extend(items);
-        begun.told = at;
+        if begun.as_ref().is_some_and(|begun| own_order && begun.by != Some(ip)) {
+            // It must be told anew.
+            return Ok(());
+        }
+        let by = begun.as_ref().map_or(Some(ip), |begun| begun.by.filter(|by| *by == ip));
+        let items = begun.map(|begun| begun.items).into_iter().flatten().chain(items).collect();
+        let begun = Listing { since, told: at, known, by, own_order, items };
         if more {
             self.listing = Some(begun);
         } else {
@@ -405,24 +428,24 @@
 /// Returns how many bytes of an answer are versions of a key that others of them supersede.
 fn superseded(records: &[Record], key: &Name) -> usize {
     let versions: Vec<&Record> = records.iter().filter(|record| record.key == *key).collect();
-    let newest = versions.iter().copied().max_by_key(|record| record.revision);
+    let newest = versions.iter().copied().max_by_key(|record| record.position);
     bytes_of(versions) - bytes_of(newest)
 }
 
-/// Keeps the newest record of each key, in the order of their revisions.
+/// Keeps the newest record of each key, in the order of their positions.
 ///
 /// The store tells every version that was written since it was last asked. Whoever rests between
 /// questions would cut, spread and decode versions that are superseded already.
 fn newest(records: Vec<Record>) -> Vec<Record> {
     let mut newest = HashMap::<Name, Record>::with_capacity(records.len());
     for record in records {
-        let newer = newest.get(&record.key).is_none_or(|known| known.revision < record.revision);
+        let newer = newest.get(&record.key).is_none_or(|known| known.position < record.position);
         if newer {
             newest.insert(Name::clone(&record.key), record);
         }
     }
     let mut records: Vec<Record> = newest.into_values().collect();
-    records.sort_unstable_by(|a, b| (a.revision, &a.key).cmp(&(b.revision, &b.key)));
+    records.sort_unstable_by(|a, b| (a.position, &a.key).cmp(&(b.position, &b.key)));
     records
 }
 
--- a/crates/feed/src/mirror.rs
+++ b/crates/feed/src/mirror.rs
@@ -1,24 +1,34 @@
 //! A copy of the store's records, with the changes of late for those who follow.
 //!
 //! Of large values the copy holds their manifests alone; [`crate::Chunks`] holds their bytes.
-//! Invariants: the revision never falls; an item older than the one that is held changes
+//! Invariants: the position never falls; an item older than the one that is held changes
 //! nothing, so two sources may be mixed; a change is kept until so many others follow it
 //! that its followers are told everything instead.
+//!
+//! Changes have gaps: a listing tells what differs from the state before it and not what came and
+//! went meanwhile, and one of a later era tells what the store was restored to. Followers are told
+//! the changes if this member has had the very state that they have; whoever knows what fell into a
+//! gap is told everything. See `docs/design/0016-restored-stores.md`.
 
 use std::collections::{BTreeMap, HashSet, VecDeque};
 use std::time::{Duration, Instant};
 
-use bergamot_base::Name;
+use bergamot_base::{Name, Position};
 use bergamot_wire::{Item, News, NewsQuery, Value};
 
 /// How many changes are kept for followers: several seconds of a storm of changes.
 const KEPT: usize = 2048;
 
+/// Over how many gaps the changes are told: whoever is further behind is told everything.
+const SPANS: usize = 8;
+
 /// What has changed at this member, to be taken in by its relay.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Change {
     /// The items that are new, deletions among them.
     pub items: Vec<Item>,
+    /// The position that was known before, if the store has been restored since.
+    pub restored: Option<Position>,
 }
 
 /// A copy of the store's records.
@@ -26,15 +36,22 @@
 pub struct Mirror {
     records: BTreeMap<Name, Item>,
     recent: VecDeque<Item>,
-    /// Changes after this revision are all in `recent`.
-    complete_after: u64,
-    at: u64,
+    /// Changes after this position are all in `recent`.
+    complete_after: Position,
+    /// Where the changes began that are known without a gap.
+    entered: Position,
+    /// The first and the last position of earlier changes without a gap, the latest last.
+    spans: VecDeque<(Position, Position)>,
+    /// The position of the last listing. Its changes are known all or none: what it lacks has been
+    /// deleted at some earlier position.
+    listed: Position,
+    at: Position,
     fresh: Option<Instant>,
 }
 
 impl Mirror {
-    /// Returns the revision up to which everything is known, zero for nothing.
-    pub fn at(&self) -> u64 {
+    /// Returns the position up to which everything is known.
+    pub fn at(&self) -> Position {
         self.at
     }
 
@@ -43,28 +60,67 @@
         self.fresh.map(|fresh| now.saturating_duration_since(fresh))
     }
 
-    /// Notes at which moment everything up to the revision was known.
+    /// Notes at which moment everything up to the position was known.
     pub fn refresh(&mut self, moment: Instant) {
         self.fresh = Some(self.fresh.map_or(moment, |fresh| fresh.max(moment)));
     }
 
-    /// Takes in changes, in the order of their revisions.
-    pub fn update(&mut self, items: Vec<Item>, at: u64) -> Change {
-        let mut change = Change::default();
+    /// Takes in changes, in the order of their positions.
+    pub fn update(&mut self, items: Vec<Item>, at: Position) -> Change {
+        let known = self.at;
+        let mut change = Change { restored: self.advance(at), ..Change::default() };
         for item in items {
             if self.hold(&item) {
                 self.keep(item.clone());
                 change.items.push(item);
+            } else if item.value == Value::Deleted && item.position > known {
+                // Whoever follows may know what came and went unseen here.
+                self.keep(item);
             }
         }
-        self.at = self.at.max(at);
+        change
+    }
+
+    /// Moves the position, and returns the former one if it was of an earlier era.
+    fn advance(&mut self, at: Position) -> Option<Position> {
+        let former = self.at;
+        self.at = former.max(at);
+        if former.is_start() {
+            self.entered = self.at;
+            return None;
+        }
+        if former.era == self.at.era {
+            return None;
+        }
+        self.note_gap(former);
+        Some(former)
+    }
+
+    /// Notes that the changes up to here have not all been told since a position.
+    fn note_gap(&mut self, former: Position) {
+        self.spans.push_back((self.entered, former));
+        if self.spans.len() > SPANS {
+            self.spans.pop_front();
+        }
+        self.entered = self.at;
+    }
+
+    /// Takes in the changes that another member tells, the last of whose listings it had at
+    /// `listed`: what fell into the gap before is unknown here as well.
+    pub fn follow(&mut self, items: Vec<Item>, at: Position, listed: Position) -> Change {
+        let former = self.at;
+        let change = self.update(items, at);
+        if listed > former && !former.is_start() && former.era == at.era {
+            self.note_gap(former);
+        }
+        self.listed = self.listed.max(listed);
         change
     }
 
     /// Takes in a listing of everything: what it doesn't name has been deleted.
     ///
     /// A listing of several pages may name a record twice; the newer holds.
-    pub fn replace(&mut self, items: Vec<Item>, at: u64) -> Change {
+    pub fn replace(&mut self, items: Vec<Item>, at: Position) -> Change {
         if at < self.at {
             // A stale listing says nothing about what came after it.
             return Change::default();
@@ -74,70 +130,125 @@
             .records
             .keys()
             .filter(|key| !listed.contains(*key))
-            .map(|key| Item { key: Name::clone(key), value: Value::Deleted, revision: at })
+            .map(|key| Item { key: Name::clone(key), value: Value::Deleted, position: at })
             .collect();
         // What differs from an earlier state tells those who share it all that they need.
-        if self.at == 0 {
+        if self.at.is_start() {
             self.complete_after = at;
         }
-        self.update(items.into_iter().chain(deleted).collect(), at)
+        self.listed = self.listed.max(at);
+        let (former, changed) = (self.at, self.changed(items, at));
+        let change = self.update(changed.into_iter().chain(deleted).collect(), at);
+        if !former.is_start() && former.era == at.era {
+            self.note_gap(former);
+        }
+        change
+    }
+
+    /// Keeps what a listing changes.
+    ///
+    /// The listing is right wherever it differs from what was known up to an earlier position.
+    /// Members that were told alone what a restore has changed know the rest under positions of
+    /// before, so a change that seems to be old has come with the listing.
+    fn changed(&self, items: Vec<Item>, at: Position) -> Vec<Item> {
+        let restored = at.era > self.at.era;
+        let changed = newest(items).into_iter().filter_map(|item| {
+            let known = self.records.get(&item.key);
+            let same = known.is_some_and(|known| known.value == item.value);
+            if item.position > self.at && !(same && restored) {
+                return Some(item);
+            }
+            let beyond = known.is_some_and(|known| known.position > at);
+            (!same && !beyond).then_some(Item { position: at, ..item })
+        });
+        changed.collect()
     }
 
-    /// Tells a follower what has changed after a revision, or everything, in pages of about
+    /// Tells a follower what has changed after a position, or everything, in pages of about
     /// `limit` bytes.
     ///
-    /// The items of a listing come in the order of their revisions, so the revision of the
+    /// The items of a listing come in the order of their positions, so the position of the
     /// last one is all that the next question must say, whoever answers it: what changed
     /// meanwhile is in a later page, and what was deleted since the listing began as well.
     pub fn news(&self, query: &NewsQuery, limit: usize, now: Instant) -> News {
         let age = self.age(now);
         if query.listing.is_some_and(|since| since > self.at) {
             // What was deleted before the listing began may still be held here.
-            let (items, listing, at) = (Vec::new(), query.listing, self.at);
-            return News { items, listing, at, more: false, age, arriving: false };
-        }
-        let known = query.listing.filter(|since| *since >= self.complete_after);
-        let starts =
-            known.is_none() && (query.listing.is_some() || query.after < self.complete_after);
-        let listing = if starts { Some(self.at) } else { known };
-        let after = if starts { 0 } else { query.after };
-        let mut items = self.told(after, listing);
-        items.sort_by_key(|item| item.revision);
-        let length = page(&items, limit);
-        let more = length < items.len();
-        let at = if more { items[length - 1].revision } else { self.at };
-        let items = items[..length].iter().copied().cloned().collect();
-        News { items, listing, at, more, age, arriving: false }
-    }
-
-    /// Lists what a follower is still to be told, in no order: of each key the newest alone.
-    fn told(&self, after: u64, listing: Option<u64>) -> Vec<&Item> {
-        let newer = |item: &&Item| item.revision > after;
-        let Some(since) = listing else {
-            let newest = |item: &&Item| self.is_newest(item);
-            return self.recent.iter().filter(newer).filter(newest).collect();
+            return News { listing: query.listing, ..self.page((&[], false), age) };
+        }
+        let goes_on = |since: &Position| {
+            self.tells_after(*since) && self.tells_after(query.known.max(*since))
         };
-        let deleted = |item: &&Item| item.value == Value::Deleted && item.revision > since;
+        if let Some(since) = query.listing.filter(goes_on) {
+            return self.listing(query.after, since, limit, age);
+        }
+        if query.listing.is_none() && self.tells_after(query.after) {
+            let newer = |item: &&Item| item.position > query.after;
+            let items = sorted(self.recent.iter().filter(newer));
+            let length = page(&items, limit);
+            let more = length < items.len();
+            // The changes of a listing are told all at once.
+            if !more || query.after >= self.listed {
+                let news = self.page((&items[..length], more), age);
+                return News { items: newest(news.items), ..news };
+            }
+        }
+        self.listing(Position::default(), self.at, limit, age)
+    }
+
+    /// Tells a page of everything after a position, of a listing that began at another one.
+    fn listing(
+        &self,
+        after: Position,
+        since: Position,
+        limit: usize,
+        age: Option<Duration>,
+    ) -> News {
+        let newer = |item: &&Item| item.position > after;
+        let deleted = |item: &&Item| item.value == Value::Deleted && item.position > since;
         let deletions = self.recent.iter().filter(newer).filter(deleted);
-        self.records.values().filter(newer).chain(deletions).collect()
+        let items = sorted(self.records.values().filter(newer).chain(deletions));
+        let length = page(&items, limit);
+        let news = self.page((&items[..length], length < items.len()), age);
+        News { listing: Some(since), ..news }
     }
 
-    /// Tells whether nothing newer than an item is known of its key.
-    fn is_newest(&self, item: &Item) -> bool {
-        match self.records.get(&item.key) {
-            Some(known) => known.revision == item.revision,
-            None => item.value == Value::Deleted,
+    /// Makes an answer of items, and of whether there are more after them.
+    fn page(&self, (items, more): (&[&Item], bool), age: Option<Duration>) -> News {
+        let last = items.last().filter(|_| more);
+        News {
+            items: items.iter().copied().cloned().collect(),
+            listing: None,
+            at: last.map_or(self.at, |last| last.position),
+            known: self.at,
+            more,
+            listed: self.listed,
+            own_order: !self.spans.is_empty(),
+            age,
+            arriving: false,
         }
     }
 
     /// Tells whether a follower would be told anything.
-    pub fn has_news(&self, after: u64) -> bool {
-        self.at > after || after < self.complete_after
+    pub fn has_news(&self, after: Position) -> bool {
+        self.at > after || !self.tells_after(after)
+    }
+
+    /// Tells whether all that changed after a position is kept, for one who knows everything up
+    /// to there.
+    fn tells_after(&self, after: Position) -> bool {
+        if after.era > self.at.era {
+            // Nothing is known here that the other one lacks.
+            return true;
+        }
+        let span = |(first, last): &(Position, Position)| *first <= after && after <= *last;
+        let shared = self.entered <= after || self.spans.iter().any(span);
+        shared && after >= self.complete_after
     }
 
     fn hold(&mut self, item: &Item) -> bool {
         let known = self.records.get(&item.key);
-        if known.is_some_and(|known| known.revision >= item.revision) {
+        if known.is_some_and(|known| known.position >= item.position) {
             return false;
         }
         if item.value == Value::Deleted {
@@ -152,13 +263,33 @@
         if self.recent.len() > KEPT
             && let Some(dropped) = self.recent.pop_front()
         {
-            self.complete_after = self.complete_after.max(dropped.revision);
+            self.complete_after = self.complete_after.max(dropped.position);
         }
     }
 }
 
-/// Returns how many items, sorted by revision, make a page of about `limit` bytes: one at
-/// least, and never a part of those that share a revision.
+/// Keeps the newest item of each key, in the order of their positions.
+fn newest(items: Vec<Item>) -> Vec<Item> {
+    let mut newest = BTreeMap::<Name, Item>::new();
+    for item in items {
+        let known = newest.get(&item.key);
+        if known.is_none_or(|known| known.position <= item.position) {
+            newest.insert(Name::clone(&item.key), item);
+        }
+    }
+    let mut items: Vec<Item> = newest.into_values().collect();
+    items.sort_by_key(|item| item.position);
+    items
+}
+
+fn sorted<'a>(items: impl Iterator<Item = &'a Item>) -> Vec<&'a Item> {
+    let mut items: Vec<&Item> = items.collect();
+    items.sort_by_key(|item| item.position);
+    items
+}
+
+/// Returns how many items, sorted by position, make a page of about `limit` bytes: one at
+/// least, and never a part of those that share a position.
 fn page(items: &[&Item], limit: usize) -> usize {
     let mut size = 0;
     let full = items.iter().position(|item| {
@@ -166,6 +297,6 @@
         size > limit
     });
     let Some(full) = full else { return items.len() };
-    let last = items[full.saturating_sub(1)].revision;
-    items.partition_point(|item| item.revision <= last)
+    let last = items[full.saturating_sub(1)].position;
+    items.partition_point(|item| item.position <= last)
 }
--- a/crates/feed/src/shared.rs
+++ b/crates/feed/src/shared.rs
@@ -4,7 +4,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use bergamot_base::Name;
+use bergamot_base::{Name, Position};
 use bergamot_wire::{Item, Manifest, News, NewsQuery, Value};
 use tokio::sync::{Notify, watch};
 use tokio::time::{sleep, timeout};
@@ -39,8 +39,8 @@
     mirror: Mutex<Mirror>,
     chunks: Mutex<Chunks>,
     awaited: Mutex<Awaited>,
-    /// The revision up to which everything is known.
-    changed: watch::Sender<u64>,
+    /// The position up to which everything is known.
+    changed: watch::Sender<Position>,
     /// How many chunks came in so far.
     arrived: watch::Sender<u64>,
     wanted: Notify,
@@ -55,7 +55,7 @@
             mirror: Mutex::default(),
             chunks: Mutex::default(),
             awaited: Mutex::default(),
-            changed: watch::Sender::new(0),
+            changed: watch::Sender::new(Position::default()),
             arrived: watch::Sender::new(0),
             wanted: Notify::new(),
             arriving: Arc::default(),
@@ -135,15 +135,15 @@
 
     /// Makes what travels of a record, and holds the chunks of a large one.
     pub(crate) fn cut(&self, record: Record) -> Item {
-        let Record { key, value, revision } = record;
+        let Record { key, value, position } = record;
         let value = match value {
             None => Value::Deleted,
-            Some(value) => self.lock_chunks().cut(&key, revision, value),
+            Some(value) => self.lock_chunks().cut(&key, position, value),
         };
         if matches!(value, Value::Chunked(_)) {
             self.note_arrival();
         }
-        Item { key, value, revision }
+        Item { key, value, position }
     }
 
     /// Changes the mirror, and tells those who wait for news.
@@ -154,7 +154,7 @@
         drop(mirror);
         for item in &change.items {
             if let Value::Chunked(manifest) = &item.value {
-                self.lock_chunks().want(&item.key, item.revision, manifest);
+                self.lock_chunks().want(&item.key, item.position, manifest);
             }
         }
         self.changed.send_replace(at);
@@ -168,7 +168,7 @@
             Value::Inline(value) => Some(value.clone()),
             Value::Chunked(manifest) => Some(self.lock_chunks().assemble(manifest)?),
         };
-        Some(Record { key: Name::clone(&item.key), value, revision: item.revision })
+        Some(Record { key: Name::clone(&item.key), value, position: item.position })
     }
 
     /// Notes that an item waits for its chunks, in place of an older one of its key.
@@ -204,14 +204,14 @@
         self.lock_awaited().is_fetched(item)
     }
 
-    /// Returns the revision of the item of a key that waits for its chunks, if one does.
-    pub(crate) fn awaited_revision(&self, key: &Name) -> Option<u64> {
-        self.lock_awaited().revision(key)
+    /// Returns the position of the item of a key that waits for its chunks, if one does.
+    pub(crate) fn awaited_position(&self, key: &Name) -> Option<Position> {
+        self.lock_awaited().position(key)
     }
 
     /// Notes that an item of a key, or a newer one, needs no chunks any more.
-    pub(crate) fn settle(&self, key: &Name, revision: u64) {
-        self.lock_awaited().settle(key, revision);
+    pub(crate) fn settle(&self, key: &Name, position: Position) {
+        self.lock_awaited().settle(key, position);
     }
 
     /// Lists the chunks of a manifest that are not held.
--- a/crates/feed/src/source.rs
+++ b/crates/feed/src/source.rs
@@ -4,7 +4,7 @@
 use std::sync::atomic::AtomicBool;
 use std::time::Duration;
 
-use bergamot_base::Name;
+use bergamot_base::{Name, Position};
 use bergamot_declaration::Declaration;
 use bergamot_net::Fault;
 use bergamot_registry::Upstream;
@@ -31,7 +31,7 @@
 /// Why nothing was learnt.
 #[derive(Clone, Debug, Snafu)]
 pub enum Trouble {
-    /// The changes since the revision are no longer kept: everything must be listed anew.
+    /// The changes since the position are not there: everything must be listed anew.
     #[snafu(display("the history is no longer kept"))]
     Forgotten,
     /// The call was turned away.
@@ -85,8 +85,8 @@
     pub key: Name,
     /// The value; none if the record was deleted.
     pub value: Option<Vec<u8>>,
-    /// The revision of the change.
-    pub revision: u64,
+    /// Where in the store's changes it was made.
+    pub position: Position,
 }
 
 /// How long a question to the store may take.
@@ -112,8 +112,8 @@
     Searchers,
 }
 
-/// Records and the revision up to which they tell everything.
-pub type Records = (Vec<Record>, u64);
+/// Records and the position up to which they tell everything.
+pub type Records = (Vec<Record>, Position);
 
 /// What a call brings.
 pub type Outcome = Result<Records, Trouble>;
@@ -121,15 +121,24 @@
 /// A call that brings records.
 pub type Reading = BoxFuture<'static, Outcome>;
 
-/// A call that brings one record, or nothing if there is none.
-pub type Lookup = BoxFuture<'static, Result<Option<Record>, Trouble>>;
+/// What a call for one record brings.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Found {
+    /// The record, if there is one.
+    pub record: Option<Record>,
+    /// The era of the store that answered.
+    pub era: u64,
+}
+
+/// A call for one record.
+pub type Lookup = BoxFuture<'static, Result<Found, Trouble>>;
 
 /// A store that can be listed and watched.
 pub struct Source {
     /// Lists every record.
     pub list: Box<dyn Fn() -> Reading + Send + Sync>,
-    /// Waits for changes after a revision.
-    pub watch: Box<dyn Fn(u64, Scope, Wait) -> Reading + Send + Sync>,
+    /// Waits for changes after a position.
+    pub watch: Box<dyn Fn(Position, Scope, Wait) -> Reading + Send + Sync>,
     /// Reads one record.
     pub lookup: Box<dyn Fn(&Name) -> Lookup + Send + Sync>,
     /// The key of the operator's declaration.
--- a/crates/feed/tests/batches.rs
+++ b/crates/feed/tests/batches.rs
@@ -5,10 +5,10 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use bergamot_base::Name;
+use bergamot_base::{Name, Position};
 use bergamot_declaration::Declaration;
 use bergamot_feed::{
-    Members, News, Outcome, Record, Roster, Scope, Settings, Shared, Sink, Source, Subject,
+    Found, Members, News, Outcome, Record, Roster, Scope, Settings, Shared, Sink, Source, Subject,
     Trouble, follow,
 };
 use proptest::prelude::*;
@@ -62,15 +62,15 @@
             self.revision += 1;
             let revision = self.revision;
             let value = (!deleted).then(|| value(*key, revision, *size));
-            self.records.push(Record { key: name(*key), value, revision });
+            self.records.push(Record { key: name(*key), value, position: revision.into() });
         }
         batch.is_some()
     }
 
-    fn after(&self, revision: u64, scope: Scope) -> Vec<Record> {
+    fn after(&self, position: Position, scope: Scope) -> Vec<Record> {
         let told = |record: &&Record| {
             let declaration = record.key == name(DECLARATION);
-            record.revision > revision && (scope == Scope::All || !declaration)
+            record.position > position && (scope == Scope::All || !declaration)
         };
         self.records.iter().filter(told).cloned().collect()
     }
@@ -107,7 +107,7 @@
     let (watching, looking) = (Arc::clone(&store), Arc::clone(&store));
     let (hearing, fetching) = (Arc::clone(&heard), Arc::clone(&fetches));
     let source = Source {
-        list: Box::new(|| Box::pin(async { Ok((Vec::new(), 1)) })),
+        list: Box::new(|| Box::pin(async { Ok((Vec::new(), 1.into())) })),
         watch: Box::new(move |after, scope, wait| {
             let store = Arc::clone(&watching);
             Box::pin(async move {
@@ -115,14 +115,15 @@
                     tokio::time::sleep(wait.news).await;
                 }
                 let store = lock(&store);
-                Outcome::Ok((store.after(after, scope), store.revision))
+                Outcome::Ok((store.after(after, scope), store.revision.into()))
             })
         }),
         lookup: Box::new(move |key| {
             let (store, key) = (Arc::clone(&looking), Name::clone(key));
             Box::pin(async move {
                 lock(&store).publish();
-                Ok(lock(&store).newest(&key))
+                let record = lock(&store).newest(&key);
+                Ok(Found { record, era: 0 })
             })
         }),
         declaration: name(DECLARATION),
@@ -154,7 +155,7 @@
     let following =
         follow(source, members, sink, Arc::clone(&shared), Settings::default(), stop.clone());
     let following = tokio::spawn(following);
-    while !lock(&store).batches.is_empty() || shared.lock().at() < lock(&store).revision {
+    while !lock(&store).batches.is_empty() || shared.lock().at().revision < lock(&store).revision {
         tokio::time::sleep(Duration::from_millis(1)).await;
     }
     // What was read is handed on at once, with no time for another question.
--- a/crates/feed/tests/chunks.rs
+++ b/crates/feed/tests/chunks.rs
@@ -8,7 +8,7 @@
 use proptest::prelude::*;
 
 fn cut(chunks: &mut Chunks, revision: u64, value: &[u8]) -> Manifest {
-    match chunks.cut(&Name::from("key"), revision, value.to_vec()) {
+    match chunks.cut(&Name::from("key"), revision.into(), value.to_vec()) {
         Value::Chunked(manifest) => manifest,
         other => panic!("{other:?} is no large value"),
     }
@@ -26,7 +26,7 @@
 
 #[test]
 fn small_values_travel_with_news() {
-    let value = Chunks::default().cut(&Name::from("key"), 1, vec![1; 200]);
+    let value = Chunks::default().cut(&Name::from("key"), 1.into(), vec![1; 200]);
     assert_eq!(value, Value::Inline(vec![1; 200]));
 }
 
@@ -64,8 +64,8 @@
     let (mut chunks, key) = (Chunks::default(), Name::from("key"));
     let versions: Vec<Manifest> =
         (1..6).map(|byte| cut(&mut chunks, byte.into(), &vec![byte; 100 << 10])).collect();
-    for (revision, manifest) in (1..).zip(&versions) {
-        chunks.want(&key, revision, manifest);
+    for (revision, manifest) in (1_u64..).zip(&versions) {
+        chunks.want(&key, revision.into(), manifest);
     }
     assert!(chunks.assemble(&versions[4]).is_some());
     cut(&mut chunks, 3, &vec![3; 100 << 10]);
@@ -121,9 +121,9 @@
         let (mut reader, mut follower) = (Chunks::default(), Chunks::default());
         let mut changed = bytes.clone();
         changed.insert(at.index(bytes.len()), 0);
-        for (revision, value) in [(1, bytes), (2, changed)] {
+        for (revision, value) in [(1_u64, bytes), (2, changed)] {
             let manifest = cut(&mut reader, revision, &value);
-            follower.want(&Name::from("key"), revision, &manifest);
+            follower.want(&Name::from("key"), revision.into(), &manifest);
             while follower.assemble(&manifest).is_none() {
                 let bodies = reader.first(&follower.missing(&manifest), 1);
                 prop_assert!(!bodies.is_empty());
--- /dev/null
+++ b/crates/feed/tests/converge.rs
@@ -0,0 +1,204 @@
+//! Mirrors that ask each other, with listings between that tell nothing of what came and went.
+
+use std::collections::BTreeMap;
+use std::time::Instant;
+
+use bergamot_base::{Name, Position};
+use bergamot_feed::Mirror;
+use bergamot_wire::{Item, News, NewsQuery, Value};
+use proptest::prelude::*;
+
+/// About two items.
+const PAGE: usize = 14;
+
+/// What a store or a mirror holds: the content of each key.
+type Content = BTreeMap<Name, Value>;
+
+fn at(era: u64, revision: u64) -> Position {
+    Position { era, revision }
+}
+
+fn item(key: u8, content: u8, position: Position) -> Item {
+    Item { key: Name::from(format!("k{key}")), value: Value::Inline(vec![content; 4]), position }
+}
+
+fn deleted(key: u8, position: Position) -> Item {
+    Item { value: Value::Deleted, ..item(key, 0, position) }
+}
+
+/// A store that is written to.
+#[derive(Default)]
+struct Store {
+    content: Content,
+    at: Position,
+    events: Vec<Item>,
+}
+
+impl Store {
+    fn write(&mut self, key: u8, content: Option<u8>) {
+        self.at.revision += 1;
+        let event =
+            content.map_or_else(|| deleted(key, self.at), |content| item(key, content, self.at));
+        match &event.value {
+            Value::Deleted => self.content.remove(&event.key),
+            value => self.content.insert(Name::clone(&event.key), value.clone()),
+        };
+        self.events.push(event);
+    }
+
+    /// Tells a mirror what it lacks, as the feed asks: a watch, or a listing.
+    fn tell(&self, mirror: &mut Mirror) {
+        let known = mirror.at();
+        if known.is_start() || known.era != self.at.era || known > self.at {
+            self.list(mirror);
+        } else {
+            let newer = self.events.iter().filter(|event| event.position > known);
+            mirror.update(newer.cloned().collect(), self.at);
+        }
+    }
+
+    /// Tells a mirror everything, with the revision of the last change of each record.
+    fn list(&self, mirror: &mut Mirror) {
+        let last = |key: &Name| {
+            let written = self.events.iter().rfind(|event| event.key == *key);
+            at(self.at.era, written.expect("it was written").position.revision)
+        };
+        let item = |(key, value): (&Name, &Value)| Item {
+            key: Name::clone(key),
+            value: value.clone(),
+            position: last(key),
+        };
+        mirror.replace(self.content.iter().map(item).collect(), self.at);
+    }
+}
+
+/// A member that asks others page by page, as the feed does.
+#[derive(Default)]
+struct Follower {
+    mirror: Mirror,
+    listing: Option<Listing>,
+}
+
+#[derive(Debug)]
+struct Listing {
+    since: Position,
+    told: Position,
+    known: Position,
+    by: Option<usize>,
+    own_order: bool,
+    items: Vec<Item>,
+}
+
+impl Follower {
+    /// Asks for one page, and tells whether more is to be asked for.
+    fn ask(&mut self, by: usize, reader: &Mirror) -> bool {
+        if self.listing.as_ref().is_some_and(|begun| begun.own_order && begun.by != Some(by)) {
+            self.listing = None;
+        }
+        let query = match &self.listing {
+            Some(Listing { since, told, known, .. }) => NewsQuery {
+                after: *told,
+                listing: Some(*since),
+                known: *known,
+                ..NewsQuery::default()
+            },
+            None => NewsQuery { after: self.mirror.at(), ..NewsQuery::default() },
+        };
+        let News { items, listing, at, known, more, listed, own_order, .. } =
+            reader.news(&query, PAGE, Instant::now());
+        if at.is_start() || listing.unwrap_or(at).era < self.mirror.at().era {
+            return false;
+        }
+        let Some(since) = listing else {
+            self.listing = None;
+            self.mirror.follow(items, at, listed);
+            return more;
+        };
+        let begun = self.listing.as_ref().filter(|begun| begun.since == since);
+        let known = begun.map_or(known, |begun| begun.known.max(known));
+        if at < known && !more {
+            return false;
+        }
+        let begun = self.listing.take().filter(|begun| begun.since == since);
+        if begun.as_ref().is_some_and(|begun| own_order && begun.by != Some(by)) {
+            return true;
+        }
+        let by = begun.as_ref().map_or(Some(by), |begun| begun.by.filter(|one| *one == by));
+        let items = begun.map(|begun| begun.items).into_iter().flatten().chain(items).collect();
+        if more {
+            self.listing = Some(Listing { since, told: at, known, by, own_order, items });
+        } else {
+            self.mirror.replace(items, at);
+        }
+        more
+    }
+}
+
+fn content(mirror: &Mirror) -> Content {
+    let query = NewsQuery { listing: Some(Position::default()), ..NewsQuery::default() };
+    let news = mirror.news(&query, usize::MAX, Instant::now());
+    let held = news.items.into_iter().filter(|item| item.value != Value::Deleted);
+    held.map(|item| (item.key, item.value)).collect()
+}
+
+#[derive(Clone, Debug)]
+enum Event {
+    Write(u8, Option<u8>),
+    /// A reader lists the store, whose history is gone.
+    List(usize),
+    /// A reader asks the store.
+    Read(usize),
+    /// A follower asks a reader for a page.
+    Ask(usize, usize),
+    /// A reader asks another member, since the store turns it away.
+    Turn(usize, usize),
+}
+
+const READERS: usize = 3;
+const FOLLOWERS: usize = 3;
+
+fn event() -> impl Strategy<Value = Event> {
+    let reader = 0..READERS;
+    prop_oneof![
+        6 => (0_u8..8, prop::option::weighted(0.8, 0_u8..3)).prop_map(|(key, content)| Event::Write(key, content)),
+        1 => (0..READERS).prop_map(Event::List),
+        4 => reader.clone().prop_map(Event::Read),
+        8 => (0..FOLLOWERS, reader.clone()).prop_map(|(follower, reader)| Event::Ask(follower, reader)),
+        1 => (reader.clone(), reader).prop_map(|(one, other)| Event::Turn(one, other)),
+    ]
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::default() })]
+
+    /// Guards against records that stay at a follower which has changed its reader.
+    #[test]
+    fn all_end_with_what_the_store_holds(events in prop::collection::vec(event(), 0..120)) {
+        let mut store = Store { at: at(1, 1), ..Store::default() };
+        let mut readers: Vec<Follower> = (0..READERS).map(|_| Follower::default()).collect();
+        let mut followers: Vec<Follower> = (0..FOLLOWERS).map(|_| Follower::default()).collect();
+        for event in events {
+            match event {
+                Event::Write(key, content) => store.write(key, content),
+                Event::List(reader) => store.list(&mut readers[reader].mirror),
+                Event::Read(reader) => store.tell(&mut readers[reader].mirror),
+                Event::Ask(follower, reader) => {
+                    followers[follower].ask(reader, &readers[reader].mirror);
+                }
+                Event::Turn(one, other) => {
+                    let asked = readers[other].mirror.clone();
+                    readers[one].ask(other, &asked);
+                }
+            }
+        }
+        for (index, reader) in readers.iter_mut().enumerate() {
+            store.tell(&mut reader.mirror);
+            prop_assert_eq!(content(&reader.mirror), store.content.clone(), "reader {}", index);
+        }
+        for (index, follower) in followers.iter_mut().enumerate() {
+            let reader = &readers[index % READERS].mirror;
+            while follower.ask(index % READERS, reader) {}
+            prop_assert_eq!(content(&follower.mirror), store.content.clone(), "follower {}", index);
+        }
+    }
+}
--- a/crates/feed/tests/feed.rs
+++ b/crates/feed/tests/feed.rs
@@ -3,12 +3,17 @@
 use std::net::Ipv4Addr;
 use std::time::{Duration, Instant};
 
-use bergamot_base::Name;
+use bergamot_base::{Name, Position};
 use bergamot_feed::{Duty, Failure, Mirror, Origin, Origins};
 use bergamot_wire::{Item, News, NewsQuery, Value};
 
+fn at(revision: u64) -> Position {
+    revision.into()
+}
+
 fn item(key: &str, revision: u64) -> Item {
-    Item { key: Name::from(key), value: Value::Inline(vec![revision as u8]), revision }
+    let value = Value::Inline(vec![revision as u8]);
+    Item { key: Name::from(key), value, position: at(revision) }
 }
 
 fn deleted(key: &str, revision: u64) -> Item {
@@ -17,7 +22,7 @@
 
 /// What a follower is told that knows everything up to a revision, on one page.
 fn news(mirror: &Mirror, after: u64) -> News {
-    let query = NewsQuery { after, ..NewsQuery::default() };
+    let query = NewsQuery { after: at(after), ..NewsQuery::default() };
     mirror.news(&query, usize::MAX, Instant::now())
 }
 
@@ -27,39 +32,39 @@
 #[test]
 fn an_older_record_changes_nothing() {
     let mut mirror = Mirror::default();
-    mirror.replace(vec![item("a", 5)], 5);
-    assert!(mirror.update(vec![item("a", 4)], 4).items.is_empty());
-    assert!(mirror.replace(vec![item("a", 3)], 4).items.is_empty());
-    assert_eq!(mirror.at(), 5);
-    assert_eq!(mirror.update(vec![item("a", 6)], 6).items, [item("a", 6)]);
+    mirror.replace(vec![item("a", 5)], at(5));
+    assert!(mirror.update(vec![item("a", 4)], at(4)).items.is_empty());
+    assert!(mirror.replace(vec![item("a", 3)], at(4)).items.is_empty());
+    assert_eq!(mirror.at(), at(5));
+    assert_eq!(mirror.update(vec![item("a", 6)], at(6)).items, [item("a", 6)]);
 }
 
 #[test]
 fn a_listing_tells_what_was_deleted_while_nobody_looked() {
     let mut mirror = Mirror::default();
-    mirror.replace(vec![item("a", 1), item("b", 2)], 2);
-    assert_eq!(mirror.replace(vec![item("b", 2)], 9).items, [deleted("a", 9)]);
+    mirror.replace(vec![item("a", 1), item("b", 2)], at(2));
+    assert_eq!(mirror.replace(vec![item("b", 2)], at(9)).items, [deleted("a", 9)]);
 }
 
 #[test]
 fn a_follower_gets_the_changes_or_everything() {
     let mut mirror = Mirror::default();
-    mirror.replace(vec![item("a", 1), item("b", 2)], 2);
-    mirror.update(vec![item("a", 3), deleted("b", 4)], 4);
+    mirror.replace(vec![item("a", 1), item("b", 2)], at(2));
+    mirror.update(vec![item("a", 3), deleted("b", 4)], at(4));
     let changes = news(&mirror, 2);
     assert_eq!((changes.listing, changes.items), (None, vec![item("a", 3), deleted("b", 4)]));
     let all = news(&mirror, 1);
-    assert_eq!((all.listing, all.items, all.at), (Some(4), vec![item("a", 3)], 4));
-    assert!(mirror.has_news(3) && !mirror.has_news(4));
+    assert_eq!((all.listing, all.items, all.at), (Some(at(4)), vec![item("a", 3)], at(4)));
+    assert!(mirror.has_news(at(3)) && !mirror.has_news(at(4)));
 }
 
 #[test]
 fn a_listing_after_forgotten_history_tells_followers_only_what_differs() {
     let mut mirror = Mirror::default();
-    mirror.replace(vec![item("a", 1), item("b", 2), item("c", 3)], 3);
-    mirror.replace(vec![item("a", 1), item("b", 7)], 9);
+    mirror.replace(vec![item("a", 1), item("b", 2), item("c", 3)], at(3));
+    mirror.replace(vec![item("a", 1), item("b", 7)], at(9));
     let told = news(&mirror, 3);
-    assert_eq!((told.listing, told.at), (None, 9));
+    assert_eq!((told.listing, told.at), (None, at(9)));
     assert_eq!(told.items, [item("b", 7), deleted("c", 9)]);
     assert!(news(&mirror, 2).listing.is_some());
 }
@@ -67,11 +72,11 @@
 #[test]
 fn a_follower_takes_over_from_any_other_member() {
     let (mut reader, mut follower) = (Mirror::default(), Mirror::default());
-    reader.replace(vec![item("a", 1)], 1);
+    reader.replace(vec![item("a", 1)], at(1));
     let told = news(&reader, 0);
     follower.replace(told.items, told.at);
-    assert_eq!(follower.at(), 1);
-    assert_eq!(follower.update(vec![item("a", 2)], 2).items, [item("a", 2)]);
+    assert_eq!(follower.at(), at(1));
+    assert_eq!(follower.update(vec![item("a", 2)], at(2)).items, [item("a", 2)]);
 }
 
 #[test]
--- a/crates/feed/tests/fetch.rs
+++ b/crates/feed/tests/fetch.rs
@@ -7,7 +7,8 @@
 use bergamot_base::Name;
 use bergamot_declaration::Declaration;
 use bergamot_feed::{
-    Chunks, Duty, Members, News, Record, Roster, Settings, Shared, Sink, Source, Trouble, follow,
+    Chunks, Duty, Found, Members, News, Record, Roster, Settings, Shared, Sink, Source, Trouble,
+    follow,
 };
 use bergamot_wire::Item;
 use tokio::sync::mpsc;
@@ -49,9 +50,9 @@
         let lookups = Arc::<Mutex<usize>>::default();
         let mut held = Chunks::default();
         let key = Name::from("large");
-        let item = Item { value: held.cut(&key, 5, value(7)), key, revision: 5 };
+        let item = Item { value: held.cut(&key, 5.into(), value(7)), key, position: 5.into() };
         let reader = Arc::new(Shared::default());
-        reader.lock().replace(vec![item], 5);
+        reader.lock().replace(vec![item], 5.into());
         let (sending, held) = (Arc::clone(&sent), Arc::new(held));
         let members = Members {
             roster: Box::new(|| {
@@ -77,8 +78,9 @@
             watch: Box::new(|_, _, _| Box::pin(async { Err(Trouble::Silent) })),
             lookup: Box::new(move |key| {
                 *looking.lock().unwrap_or_else(PoisonError::into_inner) += 1;
-                let record = Record { key: Name::clone(key), value: Some(value(9)), revision: 8 };
-                Box::pin(async move { Ok(Some(record)) })
+                let (key, value) = (Name::clone(key), Some(value(9)));
+                let record = Some(Record { key, value, position: 8.into() });
+                Box::pin(async move { Ok(Found { record, era: 0 }) })
             }),
             declaration: Name::from("large"),
             decode,
--- a/crates/feed/tests/pages.rs
+++ b/crates/feed/tests/pages.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Instant;
 
-use bergamot_base::Name;
+use bergamot_base::{Name, Position};
 use bergamot_feed::Mirror;
 use bergamot_wire::{Item, NewsQuery, Value};
 use proptest::prelude::*;
@@ -11,24 +11,28 @@
 /// About two items.
 const PAGE: usize = 10;
 
+fn at(revision: u64) -> Position {
+    revision.into()
+}
+
 fn item(key: u8, revision: u64, deleted: bool) -> Item {
     let value = if deleted { Value::Deleted } else { Value::Inline(vec![key; 3]) };
-    Item { key: Name::from(format!("k{key}")), value, revision }
+    Item { key: Name::from(format!("k{key}")), value, position: at(revision) }
 }
 
 /// What a mirror holds, as its own listing tells it.
-fn held(mirror: &Mirror) -> BTreeMap<Name, u64> {
-    let query = NewsQuery { listing: Some(0), ..NewsQuery::default() };
+fn held(mirror: &Mirror) -> BTreeMap<Name, Position> {
+    let query = NewsQuery { listing: Some(Position::default()), ..NewsQuery::default() };
     let news = mirror.news(&query, usize::MAX, Instant::now());
     let held = news.items.into_iter().filter(|item| item.value != Value::Deleted);
-    held.map(|item| (item.key, item.revision)).collect()
+    held.map(|item| (item.key, item.position)).collect()
 }
 
 /// A follower that asks page by page, as the feed does.
 #[derive(Default)]
 struct Follower {
     mirror: Mirror,
-    listing: Option<(u64, u64, Vec<Item>)>,
+    listing: Option<(Position, Position, Vec<Item>)>,
 }
 
 impl Follower {
@@ -73,14 +77,14 @@
             listed.insert(key, item(key, revision, deleted));
         }
         let listed = listed.into_values().filter(|item| item.value != Value::Deleted);
-        reader.replace(listed.collect(), revision);
+        reader.replace(listed.collect(), at(revision));
         let mut follower = Follower::default();
         if begins_known {
             while follower.ask(&reader) {}
         }
         for (key, deleted, pages) in changes {
             revision += 1;
-            reader.update(vec![item(key, revision, deleted)], revision);
+            reader.update(vec![item(key, revision, deleted)], at(revision));
             for _ in 0..pages {
                 follower.ask(&reader);
             }
@@ -94,7 +98,7 @@
 #[test]
 fn a_page_is_bounded_and_the_next_one_goes_on_after_it() {
     let mut reader = Mirror::default();
-    reader.replace((1..=9).map(|key| item(key, u64::from(key), false)).collect(), 9);
+    reader.replace((1..=9).map(|key| item(key, u64::from(key), false)).collect(), at(9));
     let mut query = NewsQuery::default();
     let mut pages = 0;
     loop {
@@ -106,15 +110,15 @@
             break;
         }
     }
-    assert_eq!((pages, query.after), (5, 9));
+    assert_eq!((pages, query.after), (5, at(9)));
 }
 
 /// What was deleted before a listing began is not told by a member that is behind it.
 #[test]
 fn a_member_that_is_behind_a_listing_tells_none_of_it() {
     let mut behind = Mirror::default();
-    behind.replace(vec![item(1, 5, false)], 5);
-    let query = NewsQuery { after: 3, listing: Some(9), ..NewsQuery::default() };
+    behind.replace(vec![item(1, 5, false)], at(5));
+    let query = NewsQuery { after: at(3), listing: Some(at(9)), ..NewsQuery::default() };
     let news = behind.news(&query, PAGE, Instant::now());
-    assert_eq!((news.items, news.at, news.more), (vec![], 5, false));
+    assert_eq!((news.items, news.at, news.more), (vec![], at(5), false));
 }
--- a/crates/feed/tests/spread/world.rs
+++ b/crates/feed/tests/spread/world.rs
@@ -10,11 +10,11 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use bergamot_base::{Name, hash_bytes};
+use bergamot_base::{Name, Position, hash_bytes};
 use bergamot_declaration::Declaration;
 use bergamot_feed::{
-    Duty, Members, News, Question, Reading, Record, Roster, Scope, Settings, Shared, Sink, Source,
-    Trouble, Wait, ancestors, follow,
+    Duty, Found, Members, News, Outcome, Question, Reading, Record, Roster, Scope, Settings,
+    Shared, Sink, Source, Trouble, Wait, ancestors, follow,
 };
 use bergamot_wire::Item;
 use tokio::sync::watch;
@@ -147,7 +147,7 @@
             .map(|(index, (_, value))| Record {
                 key: Name::from(KEY),
                 value: Some(value.to_vec()),
-                revision: index as u64 + 2,
+                position: Position::from(index as u64 + 2),
             })
             .collect()
     }
@@ -190,7 +190,7 @@
 
 #[allow(clippy::unnecessary_wraps, reason = "it is a source's")]
 fn decode(record: &Record) -> Option<News> {
-    let declared = Declaration { version: record.revision, ..Declaration::default() };
+    let declared = Declaration { version: record.position.revision, ..Declaration::default() };
     Some(News::Declared(Box::new(declared)))
 }
 
@@ -295,12 +295,12 @@
         Roster { duty, readers, lineage, fleet: alive.len() }
     }
 
-    async fn list(&self, own: usize) -> Result<(Vec<Record>, u64), Trouble> {
+    async fn list(&self, own: usize) -> Outcome {
         self.lock().calls += 1;
         sleep(STORE + self.load.store_late).await;
         let (mut records, at) = {
             let history = self.lock();
-            (history.after(1), history.revision())
+            (history.after(1), Position::from(history.revision()))
         };
         // A listing names each record once.
         let records: Vec<Record> = records.pop().into_iter().collect();
@@ -308,37 +308,31 @@
         Ok((records, at))
     }
 
-    async fn watch(
-        &self,
-        own: usize,
-        after: u64,
-        scope: Scope,
-        wait: Wait,
-    ) -> Result<(Vec<Record>, u64), Trouble> {
+    async fn watch(&self, own: usize, after: Position, scope: Scope, wait: Wait) -> Outcome {
         self.lock().calls += 1;
         let mut published = self.published.subscribe();
         sleep(STORE + self.load.store_late).await;
-        let newer = published.wait_for(|revision| *revision > after);
+        let newer = published.wait_for(|revision| *revision > after.revision);
         // Searchers don't change here.
         if scope == Scope::All {
             drop(timeout(wait.news, newer).await);
         }
         let (records, at) = {
             let history = self.lock();
-            let told = if scope == Scope::All { history.after(after) } else { Vec::new() };
-            (told, history.revision())
+            let told = if scope == Scope::All { history.after(after.revision) } else { Vec::new() };
+            (told, Position::from(history.revision()))
         };
         wait.arriving.store(true, std::sync::atomic::Ordering::Relaxed);
         self.carry(None, own, bytes_of(&records)).await;
         Ok((records, at))
     }
 
-    async fn lookup(&self, own: usize) -> Result<Option<Record>, Trouble> {
+    async fn lookup(&self, own: usize) -> Result<Found, Trouble> {
         self.lock().calls += 1;
         sleep(STORE + self.load.store_late).await;
         let record = self.lock().after(1).pop();
         self.carry(None, own, bytes_of(record.as_slice())).await;
-        Ok(record)
+        Ok(Found { record, era: 0 })
     }
 
     fn note(&self, own: usize, revision: u64) {
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -7,7 +7,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
-use bergamot_base::{Awake, Name, Revision};
+use bergamot_base::{Awake, Name, Position, Revision};
 use bergamot_config::Verdict;
 use bergamot_declaration::Declaration;
 use bergamot_dispatch::{Obstacle, Rhythm};
@@ -240,16 +240,16 @@
 
     /// Logs what has changed of the searchers, if it is time for that.
     ///
-    /// `at` tells the revision of the store that is known, and whether all searchers are named:
+    /// `at` tells the position of the store that is known, and whether all searchers are named:
     /// whoever reads the store is the first to hear of them.
-    pub fn log_changes(&self, at: impl FnOnce() -> (u64, bool)) {
+    pub fn log_changes(&self, at: impl FnOnce() -> (Position, bool)) {
         let now = Instant::now();
         if !self.lock_changes().is_due(now) {
             return;
         }
-        let (revision, all) = at();
+        let (position, all) = at();
         for line in self.lock_changes().take(now, all) {
-            log::info!("relay: event=searchers_changed revision={revision} {line}");
+            log::info!("relay: event=searchers_changed position={position} {line}");
         }
     }
 
--- a/crates/wire/src/member.rs
+++ b/crates/wire/src/member.rs
@@ -4,7 +4,7 @@
 
 use std::time::Duration;
 
-use bergamot_base::Name;
+use bergamot_base::{Name, Position};
 use bergamot_quarantine::Fingerprint;
 use bergamot_registry::Incarnation;
 use serde::{Deserialize, Serialize};
@@ -123,8 +123,8 @@
     pub key: Name,
     /// What it holds.
     pub value: Value,
-    /// The revision of the change.
-    pub revision: u64,
+    /// Where in the store's changes it was made.
+    pub position: Position,
 }
 
 impl Item {
@@ -142,11 +142,13 @@
 /// A question for news of the store.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct NewsQuery {
-    /// The revision up to which the asker knows everything, or has been told so far of a
+    /// The position up to which the asker knows everything, or has been told so far of a
     /// listing.
-    pub after: u64,
-    /// The revision at which the listing began that the asker is being told, if it is.
-    pub listing: Option<u64>,
+    pub after: Position,
+    /// The position at which the listing began that the asker is being told, if it is.
+    pub listing: Option<Position>,
+    /// The last position that any of those knew who told the listing so far.
+    pub known: Position,
     /// How long the answer may wait for news.
     pub wait: Duration,
 }
@@ -154,15 +156,23 @@
 /// What a member knows of the store: one page of it, bounded in size.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct News {
-    /// The items, in the order of their revisions.
+    /// The items, in the order of their positions.
     pub items: Vec<Item>,
-    /// The revision at which the listing began to which the items belong. What none of its
+    /// The position at which the listing began to which the items belong. What none of its
     /// pages names does not exist. Without it the items are what has changed.
-    pub listing: Option<u64>,
-    /// The revision up to which the items tell everything, zero if nothing is known.
-    pub at: u64,
-    /// Whether more is known beyond that revision.
+    pub listing: Option<Position>,
+    /// The position up to which the items tell everything, the start if nothing is known.
+    pub at: Position,
+    /// The position up to which the member knows everything.
+    pub known: Position,
+    /// Whether more is known beyond what the items tell.
     pub more: bool,
+    /// The position of the last listing among the changes that are told: whoever passes such
+    /// changes on tells all of them at once.
+    pub listed: Position,
+    /// Whether the member knows changes under positions of its own, as it does after a gap in what
+    /// it was told: its listing can't be gone on with by another member, nor another's by it.
+    pub own_order: bool,
     /// How long ago it was certain that nothing newer exists; none if the member has never
     /// heard of the store.
     pub age: Option<Duration>,
