A position is a pair of era and revision, so that a restored store is followed

Cause: revisions were compared as if there were one series of them. A store that comes back from a copy gives them out again. A mirror that held a higher revision took no record and no listing of the restored store; it listed again every 0.3 s and refused what it read, until the revisions would have passed its own.

Now the store's era, a header of all its answers, is part of each position and goes first in the order. An answer of a later era, or 410, makes a member list anew, once; a listing of a later era is compared with what is known, and followers are told what differs. Answers of an earlier era, listings older than what is known and eras that can't be read change nothing, are counted and logged. Searchers that the copy lacks are doubted as after an outage.

--- a/crates/feed/src/follow.rs
+++ b/crates/feed/src/follow.rs
@@ -1,10 +1,12 @@
 //! The loop that keeps the mirror up to date, through outages and forgotten history.
 //!
-//! Invariants: news is taken in the order of the store's positions; after forgotten history
-//! everything is listed anew, so nothing that was missed stays unknown; the sink hears of
-//! an outage before it hears anything that was published after it; what a listing has brought
+//! Invariants: news is taken in the order of the store's positions; after forgotten history, and
+//! once the store was restored from a copy, everything is listed anew, so nothing that was missed
+//! stays unknown; an answer of an earlier era than the known one changes nothing; the sink hears of
+//! an outage or a restore before it hears anything that was published after it; what a listing has brought
 //! is kept when the member that told it fails, and the next one goes on from there.
 
+use std::cmp::Ordering;
 use std::collections::HashMap;
 use std::net::Ipv4Addr;
 use std::sync::Arc;
@@ -233,7 +235,7 @@
 
     async fn ask_store(&mut self, asked: Instant) -> Result<(), Trouble> {
         let answer = match self.read_store(asked).await {
-            Err(Trouble::Forgotten) => self.list(asked).await?,
+            Err(Trouble::Forgotten | Trouble::Restored { .. }) => self.list(asked).await?,
             answer => answer?,
         };
         let Answer { records, at, whole, moment } = answer;
@@ -277,7 +279,8 @@
     /// are published, each answer would be longer than the one before.
     async fn read_newest(&mut self, at: Position, asked: Instant) -> Result<Answer, Trouble> {
         let source = &self.delivery.source;
-        let Found { record, .. } = (source.lookup)(&source.declaration).await?;
+        let Found { record, era } = (source.lookup)(&source.declaration).await?;
+        compare_eras(at, Position { era, ..at })?;
         let (mut records, _) = self.watch(at, Scope::Searchers).await?;
         let declared = record.filter(|record| record.position > at);
         self.crowded = declared.is_some();
@@ -295,6 +298,9 @@
         let (records, at) = (self.delivery.source.list)().await?;
         let (held, items) = (self.shared().lock().at(), records.len());
         log::info!("feed: event=listed position={at} held={held} items={items}");
+        if at < held {
+            return Err(Trouble::Outdated { at, known: held });
+        }
         Ok(Answer { records, at, whole: true, moment: asked })
     }
 
@@ -308,7 +314,9 @@
             silence: if doubted { self.settings.probe } else { self.settings.silence },
             arriving: Arc::clone(&self.shared().arriving),
         };
-        (self.delivery.source.watch)(at, scope, wait).await
+        let (records, told) = (self.delivery.source.watch)(at, scope, wait).await?;
+        compare_eras(at, told)?;
+        Ok((records, told))
     }
 
     async fn ask_member(&mut self, ip: Ipv4Addr) -> Result<(), Trouble> {
@@ -355,6 +363,10 @@
         if at.is_start() {
             return Ok(());
         }
+        if listing.unwrap_or(at).era < self.shared().lock().at().era {
+            // The member hasn't heard of the store since it was restored.
+            return Err(Trouble::Stale { age });
+        }
         self.bytes += items.iter().map(Item::size).sum::<usize>();
         // All of it is known as of that moment, a page is not.
         let moment = age.and_then(|age| now().checked_sub(age)).filter(|_| !more);
@@ -393,6 +405,9 @@
 
     fn take(&mut self, change: impl FnOnce(&mut Mirror) -> Change) {
         let change = self.delivery.shared.change(change);
+        if let Some(former) = change.restored {
+            (self.delivery.sink.restored)(former, self.shared().lock().at());
+        }
         // The outage ends before what was published after it is taken in.
         self.judge();
         if change.items.iter().any(|item| item.key == self.delivery.source.declaration) {
@@ -449,6 +464,16 @@
     records
 }
 
+/// Says what is to be done where an answer of the store is not of the era that is known.
+fn compare_eras(known: Position, told: Position) -> Result<(), Trouble> {
+    match told.era.cmp(&known.era) {
+        Ordering::Equal => Ok(()),
+        Ordering::Greater => Err(Trouble::Restored { era: told.era }),
+        // A connection or a server from before.
+        Ordering::Less => Err(Trouble::Outdated { at: told, known }),
+    }
+}
+
 /// Changes the mirror, and notes the moment as of which it is whole.
 fn refreshed(
     mirror: &mut Mirror,
--- a/crates/feed/src/sink.rs
+++ b/crates/feed/src/sink.rs
@@ -3,6 +3,8 @@
 use std::fmt;
 use std::time::{Duration, Instant};
 
+use bergamot_base::Position;
+
 use crate::origin::Origin;
 use crate::source::News;
 
@@ -12,6 +14,9 @@
     pub news: Box<dyn Fn(News) + Send + Sync>,
     /// Hears whether the store can be heard of, and how old the last news of it is.
     pub away: Box<dyn Fn(bool, Duration) + Send + Sync>,
+    /// Hears that the store was restored from a copy, before it hears anything of its new era:
+    /// the last position of the former era that was known, and the first of the new one.
+    pub restored: Box<dyn Fn(Position, Position) + Send + Sync>,
     /// Tells whether the process slept, so that the next question must not wait for news.
     pub behind: Box<dyn Fn() -> bool + Send + Sync>,
     /// Tells whether callers wait for the first news.
--- a/crates/feed/src/source.rs
+++ b/crates/feed/src/source.rs
@@ -34,6 +34,20 @@
     /// The changes since the position are not there: everything must be listed anew.
     #[snafu(display("the history is no longer kept"))]
     Forgotten,
+    /// The store has been restored from a copy: everything must be listed anew.
+    #[snafu(display("the store was restored, it is in era {era}"))]
+    Restored {
+        /// The era of the answer.
+        era: u64,
+    },
+    /// The answer is older than what is known.
+    #[snafu(display("the answer is of {at}, and {known} is known"))]
+    Outdated {
+        /// The position of the answer.
+        at: Position,
+        /// The known one.
+        known: Position,
+    },
     /// The call was turned away.
     #[snafu(display("the store answered {status}"))]
     Refused {
@@ -70,6 +84,8 @@
     pub fn label(&self) -> &'static str {
         match self {
             Self::Forgotten => "forgotten",
+            Self::Restored { .. } => "restored",
+            Self::Outdated { .. } => "outdated",
             Self::Refused { .. } => "refused",
             Self::Failed { .. } => "failed",
             Self::Silent => "silent",
--- a/crates/feed/tests/batches.rs
+++ b/crates/feed/tests/batches.rs
@@ -139,6 +139,7 @@
             lock(&hearing).insert(key, revision);
         }),
         away: Box::new(|_, _| {}),
+        restored: Box::new(|_, _| {}),
         behind: Box::new(|| false),
         wanted: Box::new(|| false),
         asked: Box::new(move |asked| {
--- a/crates/feed/tests/converge.rs
+++ b/crates/feed/tests/converge.rs
@@ -1,4 +1,4 @@
-//! Mirrors that ask each other, with listings between that tell nothing of what came and went.
+//! Mirrors of a store that is restored from copies, whoever is in which era.
 
 use std::collections::BTreeMap;
 use std::time::Instant;
@@ -26,12 +26,71 @@
     Item { value: Value::Deleted, ..item(key, 0, position) }
 }
 
-/// A store that is written to.
+fn ask(mirror: &Mirror, after: Position) -> News {
+    let query = NewsQuery { after, ..NewsQuery::default() };
+    mirror.news(&query, usize::MAX, Instant::now())
+}
+
+#[test]
+fn a_listing_of_a_later_era_takes_the_place_of_what_is_known() {
+    let mut mirror = Mirror::default();
+    let before = vec![item(1, 1, at(1, 40)), item(2, 2, at(1, 60)), item(3, 3, at(1, 61))];
+    mirror.replace(before, at(1, 61));
+    let copy = vec![item(1, 1, at(2, 40)), item(2, 1, at(2, 41))];
+    let change = mirror.replace(copy, at(2, 41));
+    assert_eq!(change.items, [item(2, 1, at(2, 41)), deleted(3, at(2, 41))]);
+    assert_eq!((change.restored, mirror.at()), (Some(at(1, 61)), at(2, 41)));
+    // What follows has revisions below those that were known.
+    let change = mirror.update(vec![item(1, 9, at(2, 42))], at(2, 42));
+    assert_eq!((change.items, change.restored), (vec![item(1, 9, at(2, 42))], None));
+}
+
+#[test]
+fn a_listing_of_an_earlier_era_changes_nothing() {
+    let mut mirror = Mirror::default();
+    mirror.replace(vec![item(1, 1, at(2, 5))], at(2, 5));
+    assert_eq!(mirror.replace(vec![item(1, 7, at(1, 90))], at(1, 90)).items, []);
+    assert_eq!(mirror.at(), at(2, 5));
+}
+
+/// Nobody is told again what a restore has not changed: a reader has a third of the fleet to tell.
+#[test]
+fn a_follower_is_told_what_a_restore_has_changed() {
+    let mut reader = Mirror::default();
+    reader.replace(vec![item(1, 1, at(1, 40)), item(2, 2, at(1, 60))], at(1, 60));
+    reader.replace(vec![item(1, 1, at(2, 40)), item(2, 1, at(2, 41))], at(2, 41));
+    let told = ask(&reader, at(1, 60));
+    assert_eq!((told.listing, told.at, told.items), (None, at(2, 41), vec![item(2, 1, at(2, 41))]));
+}
+
+/// It knows of a searcher that the reader never heard of, and that the copy lacks.
+#[test]
+fn a_follower_that_knew_more_is_told_everything() {
+    let mut reader = Mirror::default();
+    reader.replace(vec![item(1, 1, at(1, 40))], at(1, 50));
+    reader.replace(vec![item(1, 1, at(2, 40))], at(2, 40));
+    let told = ask(&reader, at(1, 60));
+    assert_eq!((told.listing, told.at), (Some(at(2, 40)), at(2, 40)));
+    let told = ask(&reader, at(1, 50));
+    assert_eq!((told.listing, told.at, told.items), (None, at(2, 40), vec![]));
+}
+
+#[test]
+fn a_member_of_an_earlier_era_has_no_news_for_one_of_a_later() {
+    let mut behind = Mirror::default();
+    behind.replace(vec![item(1, 1, at(1, 90))], at(1, 90));
+    assert!(!behind.has_news(at(2, 3)));
+    let told = ask(&behind, at(2, 3));
+    assert_eq!((told.listing, told.at, told.items), (None, at(1, 90), vec![]));
+}
+
+/// A store that is written to and restored from copies.
 #[derive(Default)]
 struct Store {
     content: Content,
     at: Position,
     events: Vec<Item>,
+    copies: Vec<(Content, u64, Vec<Item>)>,
 }
 
 impl Store {
@@ -46,6 +105,22 @@
         self.events.push(event);
     }
 
+    fn copy(&mut self) {
+        self.copies.push((self.content.clone(), self.at.revision, self.events.clone()));
+    }
+
+    fn restore(&mut self, which: usize) {
+        if self.copies.is_empty() {
+            return;
+        }
+        let index = which % self.copies.len();
+        let (content, revision, events) = self.copies[index].clone();
+        self.copies.truncate(index + 1);
+        self.content = content;
+        self.at = at(self.at.era + 1, revision);
+        self.events = events;
+    }
+
     /// Tells a mirror what it lacks, as the feed asks: a watch, or a listing.
     fn tell(&self, mirror: &mut Mirror) {
         let known = mirror.at();
@@ -144,6 +219,8 @@
 #[derive(Clone, Debug)]
 enum Event {
     Write(u8, Option<u8>),
+    Copy,
+    Restore(usize),
     /// A reader lists the store, whose history is gone.
     List(usize),
     /// A reader asks the store.
@@ -161,6 +238,8 @@
     let reader = 0..READERS;
     prop_oneof![
         6 => (0_u8..8, prop::option::weighted(0.8, 0_u8..3)).prop_map(|(key, content)| Event::Write(key, content)),
+        1 => Just(Event::Copy),
+        1 => (0_usize..4).prop_map(Event::Restore),
         1 => (0..READERS).prop_map(Event::List),
         4 => reader.clone().prop_map(Event::Read),
         8 => (0..FOLLOWERS, reader.clone()).prop_map(|(follower, reader)| Event::Ask(follower, reader)),
@@ -171,7 +250,7 @@
 proptest! {
     #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::default() })]
 
-    /// Guards against records that stay at a follower which has changed its reader.
+    /// Members that ask whoever is there, in whichever era, end with what the store holds.
     #[test]
     fn all_end_with_what_the_store_holds(events in prop::collection::vec(event(), 0..120)) {
         let mut store = Store { at: at(1, 1), ..Store::default() };
@@ -180,6 +259,8 @@
         for event in events {
             match event {
                 Event::Write(key, content) => store.write(key, content),
+                Event::Copy => store.copy(),
+                Event::Restore(which) => store.restore(which),
                 Event::List(reader) => store.list(&mut readers[reader].mirror),
                 Event::Read(reader) => store.tell(&mut readers[reader].mirror),
                 Event::Ask(follower, reader) => {
--- a/crates/feed/tests/fetch.rs
+++ b/crates/feed/tests/fetch.rs
@@ -92,6 +92,7 @@
                 }
             }),
             away: Box::new(|_, _| {}),
+            restored: Box::new(|_, _| {}),
             behind: Box::new(|| false),
             wanted: Box::new(|| false),
             asked: Box::new(|_| {}),
--- a/crates/feed/tests/spread/world.rs
+++ b/crates/feed/tests/spread/world.rs
@@ -416,6 +416,7 @@
             }
         }),
         away: Box::new(|_, _| {}),
+        restored: Box::new(|_, _| {}),
         behind: Box::new(|| false),
         wanted: Box::new(|| false),
         asked: Box::new(|_| {}),
--- a/crates/front/src/daemon.rs
+++ b/crates/front/src/daemon.rs
@@ -413,6 +413,7 @@
         inner.seat();
         inner.peers.set_news(inner.relay.version(), inner.feed.is_fresh());
         inner.relay.set_news_sent(inner.feed.sent());
+        inner.relay.set_store_era(inner.feed.lock().at().era);
         inner.log_changes();
         ticks = ticks.wrapping_add(1);
         if ticks.is_multiple_of(TICKS_PER_SUMMARY) {
@@ -425,10 +426,11 @@
 fn sink(inner: &Arc<Inner>) -> Sink {
     let (news, away) = (Arc::clone(inner), Arc::clone(inner));
     let (behind, asked) = (Arc::clone(inner), Arc::clone(inner));
-    let wanted = Arc::clone(inner);
+    let (wanted, restored) = (Arc::clone(inner), Arc::clone(inner));
     Sink {
         news: Box::new(move |record| take(&news.relay, record)),
         away: Box::new(move |is_away, age| away.relay.set_store_away(is_away, age)),
+        restored: Box::new(move |former, at| restored.relay.note_restore(former, at)),
         behind: Box::new(move || behind.relay.is_behind()),
         wanted: Box::new(move || wanted.relay.is_wanted()),
         asked: Box::new(move |question| note(&asked.relay, question)),
--- a/crates/relay/src/meter.rs
+++ b/crates/relay/src/meter.rs
@@ -57,6 +57,7 @@
     pub(crate) members: IntGauge,
     pub(crate) connections: IntGauge,
     pub(crate) store_away: IntGauge,
+    pub(crate) store_era: IntGauge,
 }
 
 impl Meter {
@@ -131,6 +132,10 @@
             members: gauge("bergamot_relay_members", "Members that share the searchers."),
             connections: gauge("bergamot_relay_connections", "Open connections to searchers."),
             store_away: gauge("bergamot_relay_store_away", "Whether the store can't be read."),
+            store_era: gauge(
+                "bergamot_relay_store_era",
+                "How often the store was restored, by its own count.",
+            ),
             registry,
         }
     }
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -285,6 +285,26 @@
         self.meter.store_away.set(i64::from(away));
     }
 
+    /// Notes that the store was restored from a copy, and holds what was known before against it
+    /// for a while: searchers whose entries are lost write them again, and the declaration in
+    /// force stays if the copy has an older one.
+    pub fn note_restore(&self, former: Position, at: Position) {
+        let now = Instant::now();
+        let mut state = self.lock();
+        state.registry.regained(now);
+        state.regained = Some(now);
+        let (version, searchers) = (state.floor.revision(), state.registry.len());
+        drop(state);
+        log::warn!(
+            "relay: event=store_restored former={former} at={at} version={version} searchers={searchers}"
+        );
+    }
+
+    /// Notes how often the store has been restored, by its own count.
+    pub fn set_store_era(&self, era: u64) {
+        self.meter.store_era.set(era as i64);
+    }
+
     /// Tells whether a caller came before the first declaration.
     pub fn is_wanted(&self) -> bool {
         self.wanted.load(Ordering::Relaxed)
