A version that a restored store lacks stays in force, and is told to who starts

What callers would see: an instance that starts after a restore serves the copy's version, while the others have a later one that was acknowledged, until the operator's next write.

Cause: among records of a key the later position went before, and all of a later era is later. Instances that ran kept the version in force by their floor, but their mirrors took the copy's in, and told it to those that started.

A copy that lacks the key altogether removes nothing that is numbered. An instance that reads the store itself hears by probes that another has a later version, and asks it for the record if that goes on for 1.5 s.

--- a/crates/bench/src/capacity/feed.rs
+++ b/crates/bench/src/capacity/feed.rs
@@ -1,6 +1,6 @@
 //! What a declaration costs on its way through the members, at the letter's size.
 
-use bergamot_base::{Name, hash_bytes};
+use bergamot_base::{Name, Position, hash_bytes};
 use bergamot_feed::{CHILDREN, Chunks, ancestors};
 use bergamot_wire::{Manifest, Value};
 
@@ -35,7 +35,7 @@
 }
 
 fn cut(chunks: &mut Chunks, revision: u64, value: &[u8]) -> Manifest {
-    match chunks.cut(&Name::from("declaration"), revision.into(), value.to_vec()) {
+    match chunks.cut(&Name::from("declaration"), Position::from(revision).into(), value.to_vec()) {
         Value::Chunked(manifest) => manifest,
         Value::Deleted | Value::Inline(_) => Manifest { hash: 0, chunks: Vec::new() },
     }
@@ -50,7 +50,7 @@
     let assembling = milliseconds(ROUNDS, || drop(chunks.assemble(&first)));
     let mut follower = chunks.clone();
     let second = cut(&mut chunks, 2, &after);
-    follower.want(&Name::from("declaration"), 2.into(), &second);
+    follower.want(&Name::from("declaration"), Position::from(2).into(), &second);
     let missing = follower.missing(&second);
     let changed: usize = chunks.first(&missing, usize::MAX).iter().map(Vec::len).sum();
     let members = size.daemons() / size.regions as f64;
--- a/crates/feed/src/awaited.rs
+++ b/crates/feed/src/awaited.rs
@@ -7,8 +7,8 @@
 
 use std::collections::BTreeMap;
 
-use bergamot_base::{Name, Position};
-use bergamot_wire::Item;
+use bergamot_base::Name;
+use bergamot_wire::{Item, Rank};
 
 /// The values that wait for their chunks.
 #[derive(Debug, Default)]
@@ -22,7 +22,7 @@
     /// Notes that an item waits, and tells whether it is the newest of its key that does.
     pub(crate) fn add(&mut self, item: Item) -> bool {
         let known = self.newest.get(&item.key);
-        let newer = known.is_none_or(|known| known.position < item.position);
+        let newer = known.is_none_or(|known| known.rank() < item.rank());
         if newer {
             self.newest.insert(Name::clone(&item.key), item);
         }
@@ -42,18 +42,18 @@
 
     /// Tells whether an item is still to be fetched.
     pub(crate) fn is_fetched(&self, item: &Item) -> bool {
-        let same = |fetched: &Item| (&fetched.key, fetched.position) == (&item.key, item.position);
+        let same = |fetched: &Item| (&fetched.key, fetched.rank()) == (&item.key, item.rank());
         self.fetched.as_ref().is_some_and(same)
     }
 
-    /// Returns the position of the item of a key that waits, if one does.
-    pub(crate) fn position(&self, key: &Name) -> Option<Position> {
-        self.newest.get(key).map(|item| item.position)
+    /// Returns the item of a key that waits, if one does.
+    pub(crate) fn get(&self, key: &Name) -> Option<&Item> {
+        self.newest.get(key)
     }
 
     /// Notes that an item of a key was handed on: nothing as old is of use any more.
-    pub(crate) fn settle(&mut self, key: &Name, position: Position) {
-        let settled = |item: &Item| item.key == *key && item.position <= position;
+    pub(crate) fn settle(&mut self, key: &Name, rank: Rank) {
+        let settled = |item: &Item| item.key == *key && item.rank() <= rank;
         if self.newest.get(key).is_some_and(settled) {
             self.newest.remove(key);
         }
--- a/crates/feed/src/chunk.rs
+++ b/crates/feed/src/chunk.rs
@@ -11,8 +11,8 @@
 use std::collections::{HashMap, HashSet, VecDeque};
 use std::sync::Arc;
 
-use bergamot_base::{Name, Position, hash_bytes};
-use bergamot_wire::{Manifest, Value};
+use bergamot_base::{Name, hash_bytes};
+use bergamot_wire::{Manifest, Rank, Value};
 use fastcdc::v2020::FastCDC;
 
 /// From how many bytes on a value is cut into chunks. A reader sends what is smaller to
@@ -32,7 +32,7 @@
 /// One version of a value that was cut.
 #[derive(Clone, Debug)]
 struct Version {
-    position: Position,
+    rank: Rank,
     manifest: Manifest,
 }
 
@@ -49,7 +49,7 @@
 impl Chunks {
     /// Makes what travels of a value: the value itself, or a manifest of chunks that are held
     /// from now on.
-    pub fn cut(&mut self, key: &Name, position: Position, value: Vec<u8>) -> Value {
+    pub fn cut(&mut self, key: &Name, rank: Rank, value: Vec<u8>) -> Value {
         if value.len() <= LARGEST_INLINE {
             return Value::Inline(value);
         }
@@ -58,7 +58,7 @@
         let bodies: Vec<(u64, &[u8])> = bodies.map(|body| (hash_bytes(body), body)).collect();
         let chunks = bodies.iter().map(|(hash, _)| *hash).collect();
         let manifest = Manifest { hash: hash_bytes(&value), chunks };
-        self.want(key, position, &manifest);
+        self.want(key, rank, &manifest);
         let named = self.named();
         for (hash, body) in bodies.into_iter().filter(|(hash, _)| named.contains(hash)) {
             self.held.entry(hash).or_insert_with(|| Arc::from(body));
@@ -68,13 +68,13 @@
 
     /// Notes that a key has a value of which this is the manifest, unless newer ones are known
     /// already, and drops the chunks that are of no use any more.
-    pub fn want(&mut self, key: &Name, position: Position, manifest: &Manifest) {
+    pub fn want(&mut self, key: &Name, rank: Rank, manifest: &Manifest) {
         let versions = self.versions.entry(Name::clone(key)).or_default();
-        if versions.iter().any(|known| known.position == position) {
+        if versions.iter().any(|known| known.rank == rank) {
             return;
         }
-        let place = versions.partition_point(|known| known.position > position);
-        versions.insert(place, Version { position, manifest: manifest.clone() });
+        let place = versions.partition_point(|known| known.rank > rank);
+        versions.insert(place, Version { rank, manifest: manifest.clone() });
         versions.truncate(MANIFESTS);
         let named = self.named();
         self.held.retain(|hash, _| named.contains(hash));
--- a/crates/feed/src/deliver.rs
+++ b/crates/feed/src/deliver.rs
@@ -36,7 +36,7 @@
     /// Every member reads the same records at about the same time: one that brings its reader
     /// down would bring all of them down, again and again. So a panic costs its record alone.
     pub(crate) fn record(&self, record: &Record) {
-        self.shared.settle(&record.key, record.position);
+        self.shared.settle(&record.key, record.rank());
         let take = || {
             if let Some(news) = (self.source.decode)(record) {
                 (self.sink.news)(news);
--- a/crates/feed/src/fetch.rs
+++ b/crates/feed/src/fetch.rs
@@ -57,8 +57,8 @@
 
     /// Returns the position of a newer item of the same key that waits as well, if one does.
     fn newer(&self, item: &Item) -> Option<Position> {
-        let awaited = self.delivery.shared.awaited_position(&item.key);
-        awaited.filter(|position| *position > item.position)
+        let awaited = self.delivery.shared.awaited(&item.key);
+        awaited.filter(|other| other.rank() > item.rank()).map(|other| other.position)
     }
 
     /// Logs how the fetch of an item ended: it came in, or a newer one took its place.
@@ -133,7 +133,7 @@
     async fn ask_store(&mut self, item: &Item) -> usize {
         let at = now();
         let (bytes, failure) = match (self.delivery.source.lookup)(&item.key).await {
-            Ok(Found { record: Some(record), .. }) if record.position >= item.position => {
+            Ok(Found { record: Some(record), .. }) if record.rank() >= item.rank() => {
                 let bytes = record.value.as_ref().map_or(0, Vec::len);
                 // Others may ask for its chunks; the mirror learns of it from its own news.
                 self.delivery.shared.cut(record.clone());
--- a/crates/feed/src/follow.rs
+++ b/crates/feed/src/follow.rs
@@ -77,6 +77,10 @@
 /// After more of them the newest is read alone, with two calls in place of one.
 const SUPERSEDED: usize = 256 << 10;
 
+/// How long another member may have a later version of the declaration before it is asked for it:
+/// the usual way of news takes less.
+const BEHIND: Duration = Duration::from_millis(1500);
+
 /// How long after a change of the declaration another one is likely.
 const SERIES: Duration = Duration::from_secs(3);
 
@@ -102,6 +106,7 @@
         bytes: 0,
         crowded: false,
         declared: None,
+        behind: None,
         away: false,
     };
     tokio::select! {
@@ -141,6 +146,8 @@
     crowded: bool,
     /// When the declaration last changed.
     declared: Option<Instant>,
+    /// Since when another member has had a later version, or was last asked for it.
+    behind: Option<Instant>,
     away: bool,
 }
 
@@ -167,6 +174,36 @@
                 Err(until) => tokio::time::sleep_until(until.into()).await,
             }
             self.judge();
+            self.catch_up().await;
+        }
+    }
+
+    /// Asks a member that has a later version of the declaration for it, if that goes on: a store
+    /// that was restored from a copy may lack it, and then no news brings it.
+    async fn catch_up(&mut self) {
+        let key = Name::clone(&self.delivery.source.declaration);
+        let version = self.shared().lock().get(&key).and_then(|item| item.version);
+        let Some(ip) = (self.members.ahead)(version.unwrap_or(0)) else {
+            self.behind = None;
+            return;
+        };
+        let since = *self.behind.get_or_insert_with(now);
+        if now().duration_since(since) < BEHIND {
+            return;
+        }
+        self.behind = Some(now());
+        match (self.members.record)(ip, key).await {
+            Ok(Some(item)) => {
+                let later = item.version;
+                log::info!(
+                    "feed: event=version_adopted member={ip} known={version:?} later={later:?}"
+                );
+                self.take(|mirror| mirror.adopt(item));
+            }
+            Ok(None) => log::info!("feed: event=adoption_failed member={ip} cause=\"it has none\""),
+            Err(trouble) => {
+                log::info!("feed: event=adoption_failed member={ip} cause=\"{trouble}\"");
+            }
         }
     }
 
@@ -443,7 +480,7 @@
 /// Returns how many bytes of an answer are versions of a key that others of them supersede.
 fn superseded(records: &[Record], key: &Name) -> usize {
     let versions: Vec<&Record> = records.iter().filter(|record| record.key == *key).collect();
-    let newest = versions.iter().copied().max_by_key(|record| record.position);
+    let newest = versions.iter().copied().max_by_key(|record| record.rank());
     bytes_of(versions) - bytes_of(newest)
 }
 
@@ -454,7 +491,7 @@
 fn newest(records: Vec<Record>) -> Vec<Record> {
     let mut newest = HashMap::<Name, Record>::with_capacity(records.len());
     for record in records {
-        let newer = newest.get(&record.key).is_none_or(|known| known.position < record.position);
+        let newer = newest.get(&record.key).is_none_or(|known| known.rank() < record.rank());
         if newer {
             newest.insert(Name::clone(&record.key), record);
         }
--- a/crates/feed/src/members.rs
+++ b/crates/feed/src/members.rs
@@ -4,7 +4,8 @@
 use std::net::Ipv4Addr;
 use std::time::Duration;
 
-use bergamot_wire::{News, NewsQuery};
+use bergamot_base::{Name, Revision};
+use bergamot_wire::{Item, News, NewsQuery};
 use futures::future::BoxFuture;
 
 use crate::origin::Duty;
@@ -75,6 +76,11 @@
     pub ask: Asking,
     /// Asks a member for chunks.
     pub fetch: Fetching,
+    /// Names a member that has a later version of the declaration in force than this one, if any
+    /// says so.
+    pub ahead: Box<dyn Fn(Revision) -> Option<Ipv4Addr> + Send + Sync>,
+    /// Asks a member for the record of one key.
+    pub record: Box<dyn Fn(Ipv4Addr, Name) -> Question<Option<Item>> + Send + Sync>,
 }
 
 impl fmt::Debug for Members {
--- a/crates/feed/src/mirror.rs
+++ b/crates/feed/src/mirror.rs
@@ -2,7 +2,8 @@
 //!
 //! Of large values the copy holds their manifests alone; [`crate::Chunks`] holds their bytes.
 //! Invariants: the position never falls; an item older than the one that is held changes
-//! nothing, so two sources may be mixed; a change is kept until so many others follow it
+//! nothing, so two sources may be mixed; a version that a writer has numbered never gives way to a
+//! lower one, whatever a restored store says; a change is kept until so many others follow it
 //! that its followers are told everything instead.
 //!
 //! Changes have gaps: a listing tells what differs from the state before it and not what came and
@@ -128,9 +129,9 @@
         let listed: HashSet<Name> = items.iter().map(|item| Name::clone(&item.key)).collect();
         let deleted: Vec<Item> = self
             .records
-            .keys()
-            .filter(|key| !listed.contains(*key))
-            .map(|key| Item { key: Name::clone(key), value: Value::Deleted, position: at })
+            .values()
+            .filter(|known| !listed.contains(&known.key) && !self.outlives(known, at))
+            .map(|known| Item { value: Value::Deleted, position: at, ..known.clone() })
             .collect();
         // What differs from an earlier state tells those who share it all that they need.
         if self.at.is_start() {
@@ -159,11 +160,32 @@
                 return Some(item);
             }
             let beyond = known.is_some_and(|known| known.position > at);
+            let outranked = known.is_some_and(|known| known.version > item.version);
+            if outranked {
+                return None;
+            }
             (!same && !beyond).then_some(Item { position: at, ..item })
         });
         changed.collect()
     }
 
+    /// Tells whether a record that a listing lacks stays all the same: its writer numbers its
+    /// versions and will go on from there, and a copy from before the first is no removal.
+    fn outlives(&self, known: &Item, at: Position) -> bool {
+        at.era > self.at.era && known.version.is_some()
+    }
+
+    /// Returns the record of a key.
+    pub fn get(&self, key: &str) -> Option<&Item> {
+        self.records.get(key)
+    }
+
+    /// Takes in one record apart from all others, if it is newer than what is held.
+    pub fn adopt(&mut self, item: Item) -> Change {
+        let items = if self.hold(&item) { vec![item] } else { Vec::new() };
+        Change { items, ..Change::default() }
+    }
+
     /// Tells a follower what has changed after a position, or everything, in pages of about
     /// `limit` bytes.
     ///
@@ -248,7 +270,11 @@
 
     fn hold(&mut self, item: &Item) -> bool {
         let known = self.records.get(&item.key);
-        if known.is_some_and(|known| known.position >= item.position) {
+        let older = |known: &Item| match item.value {
+            Value::Deleted => known.position >= item.position,
+            Value::Inline(_) | Value::Chunked(_) => known.rank() >= item.rank(),
+        };
+        if known.is_some_and(older) {
             return false;
         }
         if item.value == Value::Deleted {
@@ -273,7 +299,7 @@
     let mut newest = BTreeMap::<Name, Item>::new();
     for item in items {
         let known = newest.get(&item.key);
-        if known.is_none_or(|known| known.position <= item.position) {
+        if known.is_none_or(|known| known.rank() <= item.rank()) {
             newest.insert(Name::clone(&item.key), item);
         }
     }
--- a/crates/feed/src/shared.rs
+++ b/crates/feed/src/shared.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use bergamot_base::{Name, Position};
-use bergamot_wire::{Item, Manifest, News, NewsQuery, Value};
+use bergamot_wire::{Item, Manifest, News, NewsQuery, Rank, Value};
 use tokio::sync::{Notify, watch};
 use tokio::time::{sleep, timeout};
 
@@ -113,6 +113,13 @@
         first
     }
 
+    /// Tells the item of one key, if there is one.
+    pub fn item(&self, key: &str) -> Option<Item> {
+        let item = self.lock().get(key).cloned();
+        self.count_sent(item.as_ref().map_or(0, Item::size));
+        item
+    }
+
     /// Tells whether nothing newer can have been published than what is known here.
     pub fn is_fresh(&self) -> bool {
         self.lock().age(now()).is_some_and(|age| age <= STALE)
@@ -135,15 +142,16 @@
 
     /// Makes what travels of a record, and holds the chunks of a large one.
     pub(crate) fn cut(&self, record: Record) -> Item {
-        let Record { key, value, position } = record;
+        let rank = record.rank();
+        let Record { key, value, position, version } = record;
         let value = match value {
             None => Value::Deleted,
-            Some(value) => self.lock_chunks().cut(&key, position, value),
+            Some(value) => self.lock_chunks().cut(&key, rank, value),
         };
         if matches!(value, Value::Chunked(_)) {
             self.note_arrival();
         }
-        Item { key, value, position }
+        Item { key, value, position, version }
     }
 
     /// Changes the mirror, and tells those who wait for news.
@@ -154,7 +162,7 @@
         drop(mirror);
         for item in &change.items {
             if let Value::Chunked(manifest) = &item.value {
-                self.lock_chunks().want(&item.key, item.position, manifest);
+                self.lock_chunks().want(&item.key, item.rank(), manifest);
             }
         }
         self.changed.send_replace(at);
@@ -168,7 +176,8 @@
             Value::Inline(value) => Some(value.clone()),
             Value::Chunked(manifest) => Some(self.lock_chunks().assemble(manifest)?),
         };
-        Some(Record { key: Name::clone(&item.key), value, position: item.position })
+        let Item { position, version, .. } = *item;
+        Some(Record { key: Name::clone(&item.key), value, position, version })
     }
 
     /// Notes that an item waits for its chunks, in place of an older one of its key.
@@ -204,14 +213,14 @@
         self.lock_awaited().is_fetched(item)
     }
 
-    /// Returns the position of the item of a key that waits for its chunks, if one does.
-    pub(crate) fn awaited_position(&self, key: &Name) -> Option<Position> {
-        self.lock_awaited().position(key)
+    /// Returns the item of a key that waits for its chunks, if one does.
+    pub(crate) fn awaited(&self, key: &Name) -> Option<Item> {
+        self.lock_awaited().get(key).cloned()
     }
 
     /// Notes that an item of a key, or a newer one, needs no chunks any more.
-    pub(crate) fn settle(&self, key: &Name, position: Position) {
-        self.lock_awaited().settle(key, position);
+    pub(crate) fn settle(&self, key: &Name, rank: Rank) {
+        self.lock_awaited().settle(key, rank);
     }
 
     /// Lists the chunks of a manifest that are not held.
--- a/crates/feed/src/source.rs
+++ b/crates/feed/src/source.rs
@@ -4,10 +4,11 @@
 use std::sync::atomic::AtomicBool;
 use std::time::Duration;
 
-use bergamot_base::{Name, Position};
+use bergamot_base::{Name, Position, Revision};
 use bergamot_declaration::Declaration;
 use bergamot_net::Fault;
 use bergamot_registry::Upstream;
+use bergamot_wire::Rank;
 use futures::future::BoxFuture;
 use snafu::Snafu;
 
@@ -103,6 +104,15 @@
     pub value: Option<Vec<u8>>,
     /// Where in the store's changes it was made.
     pub position: Position,
+    /// The version that its writer gave it, if it numbers them.
+    pub version: Option<Revision>,
+}
+
+impl Record {
+    /// Returns how new the record is among those of its key.
+    pub fn rank(&self) -> Rank {
+        Rank { version: self.version, position: self.position }
+    }
 }
 
 /// How long a question to the store may take.
--- a/crates/feed/tests/batches.rs
+++ b/crates/feed/tests/batches.rs
@@ -62,7 +62,12 @@
             self.revision += 1;
             let revision = self.revision;
             let value = (!deleted).then(|| value(*key, revision, *size));
-            self.records.push(Record { key: name(*key), value, position: revision.into() });
+            self.records.push(Record {
+                key: name(*key),
+                value,
+                position: revision.into(),
+                version: None,
+            });
         }
         batch.is_some()
     }
@@ -150,6 +155,8 @@
         roster: Box::new(|| Some(Roster::default())),
         ask: Box::new(|_, _| Box::pin(async { Err(Trouble::Silent) })),
         fetch: Box::new(|_, _, _| Box::pin(async { Err(Trouble::Silent) })),
+        ahead: Box::new(|_| None),
+        record: Box::new(|_, _| Box::pin(async { Err(Trouble::Silent) })),
     };
     let stop = CancellationToken::new();
     let shared = Arc::new(Shared::default());
--- a/crates/feed/tests/chunks.rs
+++ b/crates/feed/tests/chunks.rs
@@ -2,13 +2,17 @@
 
 use std::collections::HashMap;
 
-use bergamot_base::{Name, hash_bytes};
+use bergamot_base::{Name, Position, hash_bytes};
 use bergamot_feed::{CHILDREN, Chunks, ancestors};
-use bergamot_wire::{Manifest, Value};
+use bergamot_wire::{Manifest, Rank, Value};
 use proptest::prelude::*;
 
+fn rank(revision: u64) -> Rank {
+    Position::from(revision).into()
+}
+
 fn cut(chunks: &mut Chunks, revision: u64, value: &[u8]) -> Manifest {
-    match chunks.cut(&Name::from("key"), revision.into(), value.to_vec()) {
+    match chunks.cut(&Name::from("key"), rank(revision), value.to_vec()) {
         Value::Chunked(manifest) => manifest,
         other => panic!("{other:?} is no large value"),
     }
@@ -26,7 +30,7 @@
 
 #[test]
 fn small_values_travel_with_news() {
-    let value = Chunks::default().cut(&Name::from("key"), 1.into(), vec![1; 200]);
+    let value = Chunks::default().cut(&Name::from("key"), rank(1), vec![1; 200]);
     assert_eq!(value, Value::Inline(vec![1; 200]));
 }
 
@@ -65,7 +69,7 @@
     let versions: Vec<Manifest> =
         (1..6).map(|byte| cut(&mut chunks, byte.into(), &vec![byte; 100 << 10])).collect();
     for (revision, manifest) in (1_u64..).zip(&versions) {
-        chunks.want(&key, revision.into(), manifest);
+        chunks.want(&key, rank(revision), manifest);
     }
     assert!(chunks.assemble(&versions[4]).is_some());
     cut(&mut chunks, 3, &vec![3; 100 << 10]);
@@ -123,7 +127,7 @@
         changed.insert(at.index(bytes.len()), 0);
         for (revision, value) in [(1_u64, bytes), (2, changed)] {
             let manifest = cut(&mut reader, revision, &value);
-            follower.want(&Name::from("key"), revision.into(), &manifest);
+            follower.want(&Name::from("key"), rank(revision), &manifest);
             while follower.assemble(&manifest).is_none() {
                 let bodies = reader.first(&follower.missing(&manifest), 1);
                 prop_assert!(!bodies.is_empty());
--- a/crates/feed/tests/converge.rs
+++ b/crates/feed/tests/converge.rs
@@ -19,7 +19,8 @@
 }
 
 fn item(key: u8, content: u8, position: Position) -> Item {
-    Item { key: Name::from(format!("k{key}")), value: Value::Inline(vec![content; 4]), position }
+    let (key, value) = (Name::from(format!("k{key}")), Value::Inline(vec![content; 4]));
+    Item { key, value, position, version: None }
 }
 
 fn deleted(key: u8, position: Position) -> Item {
@@ -75,6 +76,38 @@
     assert_eq!((told.listing, told.at, told.items), (None, at(2, 40), vec![]));
 }
 
+fn numbered(version: u64, position: Position) -> Item {
+    Item { version: Some(version), ..item(0, version as u8, position) }
+}
+
+/// The operator's last version is not in the copy, and it goes on from there, whatever revisions
+/// the restored store gives out.
+#[test]
+fn a_version_that_its_writer_has_numbered_never_falls() {
+    let mut mirror = Mirror::default();
+    mirror.replace(vec![numbered(60, at(1, 70))], at(1, 70));
+    assert_eq!(mirror.replace(vec![numbered(48, at(2, 41))], at(2, 63)).items, []);
+    assert_eq!(mirror.update(vec![numbered(56, at(2, 64))], at(2, 64)).items, []);
+    assert_eq!(ask(&mirror, Position::default()).items, [numbered(60, at(1, 70))]);
+    // A copy from before the first version.
+    assert_eq!(mirror.replace(vec![], at(3, 5)).items, []);
+    let next = numbered(64, at(3, 6));
+    assert_eq!(mirror.update(vec![next.clone()], at(3, 6)).items, [next]);
+    let gone = deleted(0, at(3, 7));
+    assert_eq!(mirror.update(vec![gone.clone()], at(3, 7)).items, [gone]);
+}
+
+/// What a member hears of apart from all news is taken in only if it is newer.
+#[test]
+fn a_later_version_is_adopted_from_another_member() {
+    let mut mirror = Mirror::default();
+    mirror.replace(vec![numbered(48, at(2, 41))], at(2, 41));
+    let later = numbered(60, at(1, 70));
+    assert_eq!(mirror.adopt(later.clone()).items, [later]);
+    assert_eq!(mirror.adopt(numbered(56, at(2, 44))).items, []);
+    assert_eq!(mirror.at(), at(2, 41));
+}
+
 #[test]
 fn a_member_of_an_earlier_era_has_no_news_for_one_of_a_later() {
     let mut behind = Mirror::default();
@@ -142,6 +175,7 @@
             key: Name::clone(key),
             value: value.clone(),
             position: last(key),
+            version: None,
         };
         mirror.replace(self.content.iter().map(item).collect(), self.at);
     }
--- a/crates/feed/tests/feed.rs
+++ b/crates/feed/tests/feed.rs
@@ -13,7 +13,7 @@
 
 fn item(key: &str, revision: u64) -> Item {
     let value = Value::Inline(vec![revision as u8]);
-    Item { key: Name::from(key), value, position: at(revision) }
+    Item { key: Name::from(key), value, position: at(revision), version: None }
 }
 
 fn deleted(key: &str, revision: u64) -> Item {
--- a/crates/feed/tests/fetch.rs
+++ b/crates/feed/tests/fetch.rs
@@ -4,7 +4,7 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
-use bergamot_base::Name;
+use bergamot_base::{Name, Position};
 use bergamot_declaration::Declaration;
 use bergamot_feed::{
     Chunks, Duty, Found, Members, News, Record, Roster, Settings, Shared, Sink, Source, Trouble,
@@ -50,7 +50,12 @@
         let lookups = Arc::<Mutex<usize>>::default();
         let mut held = Chunks::default();
         let key = Name::from("large");
-        let item = Item { value: held.cut(&key, 5.into(), value(7)), key, position: 5.into() };
+        let item = Item {
+            value: held.cut(&key, Position::from(5).into(), value(7)),
+            key,
+            position: 5.into(),
+            version: None,
+        };
         let reader = Arc::new(Shared::default());
         reader.lock().replace(vec![item], 5.into());
         let (sending, held) = (Arc::clone(&sent), Arc::new(held));
@@ -71,6 +76,8 @@
                 sent.push((ip, bytes));
                 Box::pin(async move { bodies })
             }),
+            ahead: Box::new(|_| None),
+            record: Box::new(|_, _| Box::pin(async { Err(Trouble::Silent) })),
         };
         let looking = Arc::clone(&lookups);
         let source = Source {
@@ -79,7 +86,7 @@
             lookup: Box::new(move |key| {
                 *looking.lock().unwrap_or_else(PoisonError::into_inner) += 1;
                 let (key, value) = (Name::clone(key), Some(value(9)));
-                let record = Some(Record { key, value, position: 8.into() });
+                let record = Some(Record { key, value, position: 8.into(), version: None });
                 Box::pin(async move { Ok(Found { record, era: 0 }) })
             }),
             declaration: Name::from("large"),
--- a/crates/feed/tests/pages.rs
+++ b/crates/feed/tests/pages.rs
@@ -17,7 +17,7 @@
 
 fn item(key: u8, revision: u64, deleted: bool) -> Item {
     let value = if deleted { Value::Deleted } else { Value::Inline(vec![key; 3]) };
-    Item { key: Name::from(format!("k{key}")), value, position: at(revision) }
+    Item { key: Name::from(format!("k{key}")), value, position: at(revision), version: None }
 }
 
 /// What a mirror holds, as its own listing tells it.
--- a/crates/feed/tests/spread/world.rs
+++ b/crates/feed/tests/spread/world.rs
@@ -148,6 +148,7 @@
                 key: Name::from(KEY),
                 value: Some(value.to_vec()),
                 position: Position::from(index as u64 + 2),
+                version: Some(index as u64 + 2),
             })
             .collect()
     }
@@ -408,6 +409,8 @@
                 world.exchange(peers, wait + ANSWER_WITH_CHUNKS, answer).await
             })
         }),
+        ahead: Box::new(|_| None),
+        record: Box::new(|_, _| Box::pin(async { Err(Trouble::Silent) })),
     };
     let sink = Sink {
         news: Box::new(move |news| {
--- a/crates/front/src/daemon.rs
+++ b/crates/front/src/daemon.rs
@@ -98,11 +98,13 @@
             serving: Mutex::default(),
         });
         let sink = sink(&inner);
-        let asking = Arc::clone(&inner);
+        let (asking, comparing) = (Arc::clone(&inner), Arc::clone(&inner));
         let members = Members {
             roster: Box::new(move || asking.roster()),
             ask: member::asking(&links, port),
             fetch: member::fetching(&links, port),
+            ahead: Box::new(move |version| comparing.peers.ahead(version)),
+            record: Box::new(member::looking_up(&links, port)),
         };
         let join = if inner.peers.seeds().contains(&inner.relay.settings().address) {
             inner.settings.join
--- a/crates/front/src/member.rs
+++ b/crates/front/src/member.rs
@@ -4,13 +4,14 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use bergamot_base::Name;
 use bergamot_feed::{Asking, Fetching, Question, Shared, Trouble};
 use bergamot_net::Fault;
 use bergamot_quarantine::Fingerprint;
 use bergamot_relay::{Exchange, Helping, Relay};
 use bergamot_wire::{
-    Channels, Late, Member, MemberClient, News, NewsQuery, ShardQuery, ShardReply, run_requests,
-    serve_requests, transport,
+    Channels, Item, Late, Member, MemberClient, News, NewsQuery, ShardQuery, ShardReply,
+    run_requests, serve_requests, transport,
 };
 use tarpc::client::RpcError;
 use tarpc::context::Context;
@@ -60,6 +61,10 @@
         self.feed.news(NewsQuery { wait, ..query }).await
     }
 
+    async fn record(self, _context: Context, key: Name) -> Option<Item> {
+        self.feed.item(&key)
+    }
+
     async fn chunks(self, _context: Context, hashes: Vec<u64>, wait: Duration) -> Vec<Vec<u8>> {
         self.feed.chunks(&hashes, wait.min(LONGEST_WAIT)).await
     }
@@ -141,6 +146,20 @@
     })
 }
 
+/// Makes the function that asks a member for the record of one key.
+pub(crate) fn looking_up(
+    links: &Links,
+    port: u16,
+) -> impl Fn(Ipv4Addr, Name) -> Question<Option<Item>> + Send + Sync + 'static {
+    let links = Arc::clone(links);
+    move |ip, key| {
+        let until = Instant::now() + ANSWER;
+        question("ask for a record", &links, (ip, port), until, |client, context| async move {
+            client.record(context, key).await
+        })
+    }
+}
+
 /// Makes the function that asks a member for chunks of large values.
 pub(crate) fn fetching(links: &Links, port: u16) -> Fetching {
     let links = Arc::clone(links);
--- a/crates/peers/src/peers.rs
+++ b/crates/peers/src/peers.rs
@@ -40,6 +40,8 @@
     fresh: bool,
     /// When each member last said that it does.
     heard_fresh: BTreeMap<Ipv4Addr, Instant>,
+    /// The highest revision in force that any member has told of, and who did so when.
+    heard_revision: Option<(Revision, Ipv4Addr, Instant)>,
     /// The changes of members that are still to be logged.
     changes: Changes,
     /// What members tell each other of requests under which searchers end.
@@ -47,6 +49,19 @@
 }
 
 impl Control {
+    /// Notes what a member says of its news.
+    fn hear(&mut self, ip: Ipv4Addr, digest: &Digest) {
+        let now = Instant::now();
+        if digest.fresh {
+            self.heard_fresh.insert(ip, now);
+        }
+        let lately = |at: Instant| now.saturating_duration_since(at) < FRESH;
+        let known = self.heard_revision.filter(|(_, _, at)| lately(*at));
+        if known.is_none_or(|(revision, ..)| revision <= digest.revision) {
+            self.heard_revision = Some((digest.revision, ip, now));
+        }
+    }
+
     fn digest(&self) -> Digest {
         let (revision, fresh) = (self.revision, self.fresh);
         Digest { revision, fresh, suspicions: self.suspicions.hash(), ..Digest::default() }
@@ -99,6 +114,7 @@
             revision: 0,
             fresh: false,
             heard_fresh: BTreeMap::new(),
+            heard_revision: None,
             changes: Changes::default(),
             suspicions: Suspicions::new(Arc::clone(&quarantine)),
         });
@@ -161,6 +177,13 @@
         fresh.into_iter().take(MOST_FRESH).map(|(_, ip)| ip).collect()
     }
 
+    /// Names the member that has said lately that a revision is in force with it which is higher
+    /// than this one and all others that are heard of.
+    pub fn ahead(&self, revision: Revision) -> Option<Ipv4Addr> {
+        let (heard, ip, at) = self.lock().heard_revision?;
+        (heard > revision && at.elapsed() < FRESH).then_some(ip)
+    }
+
     /// Tells the others that this member stops, so that no caller is sent here any more.
     pub fn farewell(&self) {
         for _ in 0..FAREWELLS {
@@ -197,10 +220,7 @@
                 return;
             }
         };
-        if datagram.digest.fresh {
-            let ip = datagram.from.endpoint.ip;
-            self.lock().heard_fresh.insert(ip, Instant::now());
-        }
+        self.lock().hear(datagram.from.endpoint.ip, &datagram.digest);
         self.drive(|membership, digest| membership.receive(Instant::now(), &datagram, digest));
         self.inform(&datagram);
     }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -15,7 +15,7 @@
 pub use channel::{Channels, Connect, Connection, run_requests, serve_requests, transport};
 pub use datagram::{Garbled, LARGEST_DATAGRAM, decode, encode};
 pub use member::{
-    Item, Late, Manifest, Member, MemberClient, News, NewsQuery, Quiet, Shard, ShardQuery,
+    Item, Late, Manifest, Member, MemberClient, News, NewsQuery, Quiet, Rank, Shard, ShardQuery,
     ShardReply, Value,
 };
 pub use rpc::{
--- a/crates/wire/src/member.rs
+++ b/crates/wire/src/member.rs
@@ -4,7 +4,7 @@
 
 use std::time::Duration;
 
-use bergamot_base::{Name, Position};
+use bergamot_base::{Name, Position, Revision};
 use bergamot_quarantine::Fingerprint;
 use bergamot_registry::Incarnation;
 use serde::{Deserialize, Serialize};
@@ -116,6 +116,25 @@
     Chunked(Manifest),
 }
 
+/// How new a record is among those of its key.
+///
+/// A store that was restored from a copy has records again that were replaced: where their writer
+/// numbers its versions, the version tells and not the position.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Rank {
+    /// The version that the writer gave the record, if it numbers them.
+    pub version: Option<Revision>,
+    /// Where in the store's changes the record was made.
+    pub position: Position,
+}
+
+impl From<Position> for Rank {
+    /// The rank of a record whose writer numbers no versions.
+    fn from(position: Position) -> Self {
+        Self { version: None, position }
+    }
+}
+
 /// One record of the platform's store, as it was read.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Item {
@@ -125,9 +144,16 @@
     pub value: Value,
     /// Where in the store's changes it was made.
     pub position: Position,
+    /// The version that its writer gave it, if it numbers them.
+    pub version: Option<Revision>,
 }
 
 impl Item {
+    /// Returns how new the item is among those of its key.
+    pub fn rank(&self) -> Rank {
+        Rank { version: self.version, position: self.position }
+    }
+
     /// Returns about how many bytes the item takes in a message.
     pub fn size(&self) -> usize {
         let value = match &self.value {
@@ -197,4 +223,6 @@
     /// Sends the first of these chunks of large values that are held, as many as one message
     /// may hold, waiting for a time at most until any is.
     async fn chunks(hashes: Vec<u64>, wait: Duration) -> Vec<Vec<u8>>;
+    /// Tells the record of one key, if there is one.
+    async fn record(key: Name) -> Option<Item>;
 }
