Searchers that were gone before a restore aren't asked because the copy names them

What callers would see: requests to a searcher that has left, refused or lost, for as long as the restored store lists it: three heartbeats if it is dead, and longer than a leaving searcher may be asked if it still runs.

Cause: an entry that was removed and whose searcher hadn't drained was forgotten after a second of doubt, so that the same entry, read again from the copy, was that of a new searcher; one that was removed just before the restore was merely in doubt, and no longer with its entry back.

Now the registry remembers starts that are gone without a known end, and after a restore their entries are held back until the entry of a dead searcher would have expired. A write that differs, or a later start, counts at once.

--- a/crates/registry/src/lib.rs
+++ b/crates/registry/src/lib.rs
@@ -5,6 +5,7 @@
 //! searcher, so nothing here is keyed by address. See `docs/design/0009-platform.md` and
 //! `docs/design/0011-incarnations.md`.
 
+mod gone;
 mod registry;
 mod upstream;
 
--- a/crates/registry/src/registry.rs
+++ b/crates/registry/src/registry.rs
@@ -10,17 +10,21 @@
 //! set back before it started again. It counts once it has stood for so long that a living
 //! later start would have written over it.
 //!
+//! A store that was restored from a copy names searchers again that were gone: their entries
+//! count once they have stood for so long that a dead searcher's would have expired.
+//!
 //! Invariants: within an incarnation, draining is final; an incarnation that is known to have
 //! ended never returns; a searcher is listed under the service of its incarnation alone.
 //! See `docs/design/0011-incarnations.md`.
 
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use bergamot_base::Name;
 use bergamot_policy::Doubt;
 
+use crate::gone::Gone;
 use crate::upstream::{Incarnation, State, Upstream};
 
 /// How many searchers are remembered whose last incarnation has ended, against stale reads that
@@ -58,6 +62,8 @@
     /// The last incarnation that has ended, of each searcher without an entry.
     ended: HashMap<Name, Option<u64>>,
     ended_order: VecDeque<Name>,
+    /// Those whose entries have gone without an end that was known.
+    gone: Gone,
     earlier: BTreeMap<Name, Earlier>,
     /// How often a searcher came, went or changed.
     changes: u64,
@@ -85,6 +91,7 @@
             Some(latest) if born < latest => self.note_earlier(upstream, now),
             Some(latest) if born == latest && known.is_none() => false,
             Some(latest) if born == latest => self.renew(upstream, now),
+            None if self.gone.holds_back(&upstream, now) => false,
             Some(_) | None => {
                 self.insert(upstream, now);
                 true
@@ -95,6 +102,7 @@
     /// Notes that the entry of a searcher disappeared; it may return.
     pub fn disappear(&mut self, id: &str, now: Instant) -> bool {
         self.earlier.remove(id);
+        self.gone.disappear(id);
         self.lose(id, (Absence::Removed, now))
     }
 
@@ -102,6 +110,7 @@
     /// been; a living searcher writes it again.
     pub fn overwrite(&mut self, id: &str, now: Instant) -> bool {
         self.earlier.remove(id);
+        self.gone.disappear(id);
         self.lose(id, (Absence::Overwritten, now))
     }
 
@@ -113,6 +122,7 @@
             self.publish(upstream, now);
         }
         self.earlier.retain(|id, _| listed.contains(id));
+        self.gone.retain(&listed);
         let missing: Vec<Name> =
             self.entries.keys().filter(|id| !listed.contains(*id)).cloned().collect();
         for id in missing {
@@ -126,6 +136,26 @@
         self.regained = Some(now);
     }
 
+    /// Notes that the store was restored from a copy, in which the entry of a dead searcher
+    /// stands for `expiry`.
+    ///
+    /// Searchers that have written since the copy are missing until they write again. Those whose
+    /// entries were removed before are gone at once, or the copy would bring them back.
+    pub fn restored(&mut self, now: Instant, expiry: Duration) {
+        let removed = |entry: &&Entry| matches!(entry.missing, Some((Absence::Removed, _)));
+        let removed: Vec<Name> = self
+            .entries
+            .values()
+            .filter(removed)
+            .map(|entry| Name::clone(&entry.upstream.incarnation.id))
+            .collect();
+        for id in removed {
+            self.remove(&id, false);
+        }
+        self.gone.restored(now + expiry);
+        self.regained(now);
+    }
+
     /// Notes that an incarnation has ended for good, and tells whether it was known.
     pub fn end(&mut self, incarnation: &Incarnation) -> bool {
         self.contains(incarnation) && self.remove(&incarnation.id, true)
@@ -153,6 +183,9 @@
                 self.insert(earlier.upstream, now);
             }
         }
+        for upstream in self.gone.proven(now) {
+            self.insert(upstream, now);
+        }
         let late = |entry: &Entry| {
             entry.missing.is_some_and(|(absence, since)| now >= self.until(absence, since))
         };
@@ -242,6 +275,7 @@
         let stated = self.states_births();
         self.changes += 1;
         self.earlier.remove(&id);
+        self.gone.forget(&id);
         if let Some(before) = self.entries.remove(&id) {
             self.unlist(&before.upstream);
         }
@@ -300,6 +334,7 @@
         self.changes += 1;
         self.unlist(&entry.upstream);
         if !for_good {
+            self.gone.note(&entry.upstream.incarnation);
             return true;
         }
         self.ended.insert(Name::clone(&id), entry.upstream.incarnation.born);
--- a/crates/registry/tests/properties.rs
+++ b/crates/registry/tests/properties.rs
@@ -20,6 +20,7 @@
     List(BTreeSet<(u8, u64)>),
     Expire(bool),
     Regain,
+    Restore,
 }
 
 fn event(births: impl Strategy<Value = Option<u64>> + Clone) -> impl Strategy<Value = Event> {
@@ -33,6 +34,7 @@
         1 => prop::collection::btree_set((id, 0_u64..4), 0..4).prop_map(Event::List),
         3 => any::<bool>().prop_map(Event::Expire),
         1 => Just(Event::Regain),
+        1 => Just(Event::Restore),
     ]
 }
 
@@ -63,6 +65,9 @@
     drains: bool,
 }
 
+/// How long the entry of a dead searcher stands in a restored store.
+const EXPIRY: Duration = Duration::from_millis(4600);
+
 /// What is known of one searcher, with plain fields and no index.
 #[derive(Clone, Copy, Debug, Default)]
 struct Model {
@@ -73,6 +78,10 @@
     ended: Option<Said>,
     /// An entry of an earlier start, and since when it stands.
     earlier: Option<(Said, Instant)>,
+    /// The start that was last known when its entry had been away for too long.
+    gone: Option<Said>,
+    /// An entry of that start in a copy.
+    held: Option<Said>,
 }
 
 /// Until when an entry that is not there may return.
@@ -83,7 +92,14 @@
 }
 
 impl Model {
-    fn publish(&mut self, said: Said, now: Instant) {
+    fn publish(&mut self, said: Said, now: Instant, restored: Option<Instant>) {
+        let early = restored.is_some_and(|restored| now < restored + EXPIRY);
+        let gone = self.gone.is_some_and(|gone| said.born <= gone.born);
+        let unchanged = self.held.is_none_or(|held| held.drains == said.drains);
+        if self.start.is_none() && self.ended.is_none() && early && gone && unchanged {
+            self.held = Some(said);
+            return;
+        }
         let latest = self.start.or(self.ended).map(|latest| latest.born);
         match latest {
             Some(latest) if said.born < latest => {
@@ -132,10 +148,29 @@
             if self.start.is_some_and(|start| start.drains) {
                 self.end();
             } else {
-                (self.start, self.absent) = (None, None);
+                self.leave();
             }
         }
     }
+
+    fn leave(&mut self) {
+        self.gone = self.start;
+        (self.start, self.absent) = (None, None);
+    }
+
+    fn restore(&mut self) {
+        if matches!(self.absent, Some((true, _))) {
+            self.leave();
+        }
+    }
+
+    fn prove(&mut self, now: Instant, restored: Option<Instant>) {
+        if let Some(said) = self.held
+            && restored.is_none_or(|restored| now >= restored + EXPIRY)
+        {
+            self.follow(said);
+        }
+    }
 }
 
 /// The searchers by number.
@@ -143,6 +178,7 @@
 struct World {
     models: [Model; 4],
     regained: Option<Instant>,
+    restored: Option<Instant>,
 }
 
 impl World {
@@ -151,7 +187,7 @@
         if said.born.is_none() && births {
             return self.overwrite(id, now);
         }
-        self.models[usize::from(id)].publish(said, now);
+        self.models[usize::from(id)].publish(said, now, self.restored);
         self.doubt_unborn(births, now);
     }
 
@@ -176,17 +212,24 @@
             self.models[id].adopt(now, self.regained);
             self.doubt_unborn(births, now);
         }
+        for id in 0..4 {
+            let births = self.births();
+            self.models[id].prove(now, self.restored);
+            self.doubt_unborn(births, now);
+        }
         let regained = self.regained;
         self.models.iter_mut().for_each(|model| model.expire(now, regained));
     }
 
     fn overwrite(&mut self, id: u8, now: Instant) {
         self.models[usize::from(id)].earlier = None;
+        self.models[usize::from(id)].held = None;
         self.models[usize::from(id)].lose(false, now);
     }
 
     fn disappear(&mut self, id: u8, now: Instant) {
         self.models[usize::from(id)].earlier = None;
+        self.models[usize::from(id)].held = None;
         self.models[usize::from(id)].lose(true, now);
     }
 
@@ -244,6 +287,11 @@
                     world.expire(now);
                 }
             }
+            Event::Restore => {
+                (world.regained, world.restored) = (Some(now), Some(now));
+                world.models.iter_mut().for_each(Model::restore);
+                registry.restored(now, EXPIRY);
+            }
             Event::Regain => {
                 world.regained = Some(now);
                 registry.regained(now);
--- a/crates/registry/tests/registry.rs
+++ b/crates/registry/tests/registry.rs
@@ -241,3 +241,45 @@
     assert!(usable(&registry).iter().all(|(_, missing)| !missing));
     assert_eq!(usable(&registry).len(), 5);
 }
+
+/// How long the entry of a dead searcher stands in a store that was restored from a copy.
+const EXPIRY: Duration = Duration::from_millis(4600);
+
+/// Its copy names a searcher that was removed, long before the restore or just before it.
+#[test]
+fn a_searcher_that_was_gone_counts_once_its_entry_has_stood() {
+    let (mut registry, now) = (Registry::default(), Instant::now());
+    for id in ["long", "just", "stays"] {
+        registry.publish(ready(id), now);
+    }
+    registry.disappear("long", now);
+    registry.expire(now + LONG, false);
+    let restored = now + LONG * 2;
+    registry.disappear("just", restored);
+    registry.restored(restored, EXPIRY);
+    for id in ["long", "just", "stays"] {
+        registry.publish(ready(id), restored);
+    }
+    assert_eq!(usable(&registry), [("stays".to_owned(), false)]);
+    // The entry of the dead one expires.
+    registry.disappear("just", restored + LONG);
+    registry.expire(restored + EXPIRY, false);
+    assert_eq!(usable(&registry), [("long".to_owned(), false), ("stays".to_owned(), false)]);
+}
+
+/// A living searcher writes by itself, and its next start is another searcher.
+#[test]
+fn a_searcher_that_writes_after_a_restore_is_used_at_once() {
+    let (mut registry, now) = (Registry::default(), Instant::now());
+    for id in ["a", "b"] {
+        registry.publish(born(id, 5, State::Ready), now);
+        registry.disappear(id, now);
+    }
+    registry.restored(now, EXPIRY);
+    registry.publish(born("a", 5, State::Ready), now);
+    registry.publish(born("b", 5, State::Ready), now);
+    assert!(usable(&registry).is_empty());
+    registry.publish(Upstream { slots: 3, ..born("a", 5, State::Ready) }, now);
+    registry.publish(born("b", 9, State::Ready), now);
+    assert_eq!(usable(&registry), [("a@5".to_owned(), false), ("b@9".to_owned(), false)]);
+}
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -23,6 +23,9 @@
 use crate::settings::Settings;
 use crate::state::State;
 
+/// How much longer than its searcher's silence an entry may stand until the store removes it.
+const EXPIRY_SLACK: Duration = Duration::from_secs(1);
+
 /// What is in force at this member.
 pub struct Relay {
     pub(crate) settings: Settings,
@@ -291,7 +294,7 @@
     pub fn note_restore(&self, former: Position, at: Position) {
         let now = Instant::now();
         let mut state = self.lock();
-        state.registry.regained(now);
+        state.registry.restored(now, self.settings.expiry() + EXPIRY_SLACK);
         state.regained = Some(now);
         let (version, searchers) = (state.floor.revision(), state.registry.len());
         drop(state);
