--- a/crates/feed/tests/spread/main.rs
+++ b/crates/feed/tests/spread/main.rs
@@ -4,11 +4,13 @@
 //! smallest fleets, 5 s and 6 s on the larger ones: a sixth to a quarter of it while nothing fails,
 //! which leaves the rest to faults.
 
+mod store;
 mod world;
 
 use std::time::Duration;
 
-use world::{CALM, Load, Seen, run, size};
+use store::size;
+use world::{CALM, Load, Restored, Seen, run};
 
 const MS: Duration = Duration::from_millis(1);
 
@@ -114,3 +116,21 @@
         check(load, HARMED, Calls::One);
     }
 }
+
+/// Guards against members that follow a restored store by the revisions of before.
+///
+/// The pattern: versions come ten times a second; the store is away for half a second, comes back
+/// from a copy that lacks two seconds of them, and the operator goes on.
+#[test]
+fn a_restored_store_is_followed_by_all() {
+    let restored = Restored { at: MS * 3000, away: MS * 500, lost: 20 };
+    let pause = MS * 100;
+    for members in [6, 75, 300] {
+        let load = Load { members, pause, restored: Some(restored), ..Load::default() };
+        check(load, HARMED, Calls::Two);
+    }
+    // Readers of one region are lost while the store is away.
+    let killed = Some(MS * 3200);
+    let load = Load { members: 75, pause, restored: Some(restored), killed, ..Load::default() };
+    check(load, HARMED, Calls::Two);
+}
--- a/crates/feed/tests/spread/world.rs
+++ b/crates/feed/tests/spread/world.rs
@@ -7,29 +7,23 @@
 
 use std::collections::BTreeSet;
 use std::net::Ipv4Addr;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, PoisonError, atomic};
 use std::time::Duration;
 
-use bergamot_base::{Name, Position, hash_bytes};
-use bergamot_declaration::Declaration;
+use bergamot_base::Name;
 use bergamot_feed::{
-    Duty, Found, Members, News, Outcome, Question, Reading, Record, Roster, Scope, Settings,
-    Shared, Sink, Source, Trouble, Wait, ancestors, follow,
+    Duty, Members, News, Outcome, Question, Reading, Record, Roster, Settings, Shared, Sink,
+    Source, Trouble, ancestors, follow,
 };
 use bergamot_wire::Item;
-use tokio::sync::watch;
 use tokio::time::{Instant, sleep, sleep_until, timeout};
 use tokio_util::sync::CancellationToken;
 
-/// The only key of the store.
-const KEY: &str = "declaration";
+use crate::store::{KEY, Store, decode};
 
 /// How large a message is besides what it carries, in bytes.
 const HEAD: usize = 200;
 
-/// How long the store takes to answer.
-const STORE: Duration = Duration::from_millis(4);
-
 /// How long a message takes within a region, and between two.
 const NEAR: Duration = Duration::from_micros(1400);
 const FAR: Duration = Duration::from_millis(8);
@@ -59,6 +53,19 @@
     pub store_late: Duration,
     /// When the reader of the first region is lost, from the first change on.
     pub killed: Option<Duration>,
+    /// Whether the store is restored from a copy.
+    pub restored: Option<Restored>,
+}
+
+/// A restore of the store from a copy.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Restored {
+    /// When the store goes away, from the first change on.
+    pub at: Duration,
+    /// For how long.
+    pub away: Duration,
+    /// How many versions the copy lacks.
+    pub lost: usize,
 }
 
 impl Default for Load {
@@ -72,6 +79,7 @@
             rate: 125_000_000,
             store_late: Duration::ZERO,
             killed: None,
+            restored: None,
         }
     }
 }
@@ -128,73 +136,20 @@
     }
 }
 
-/// The versions of the declaration, with the moment at which each was acknowledged.
-#[derive(Debug, Default)]
-struct History {
-    /// By revision; the first is revision 2.
-    versions: Vec<(Instant, Arc<[u8]>)>,
-    calls: usize,
-}
-
-impl History {
-    fn revision(&self) -> u64 {
-        1 + self.versions.len() as u64
-    }
-
-    fn after(&self, revision: u64) -> Vec<Record> {
-        let newer = self.versions.iter().enumerate().skip(revision.saturating_sub(1) as usize);
-        newer
-            .map(|(index, (_, value))| Record {
-                key: Name::from(KEY),
-                value: Some(value.to_vec()),
-                position: Position::from(index as u64 + 2),
-                version: Some(index as u64 + 2),
-            })
-            .collect()
-    }
-}
-
 struct World {
     load: Load,
     members: Vec<Member>,
-    history: Mutex<History>,
-    published: watch::Sender<u64>,
-    /// When each member put which revision in force.
+    store: Store,
+    /// When each member put which version in force.
     in_force: Mutex<Vec<Vec<(Instant, u64)>>>,
 }
 
-/// Returns how many bytes a declaration of so many routes has.
-pub fn size(routes: usize) -> usize {
-    // Later versions are some bytes longer.
-    declaration(routes, 1 << 20).len()
-}
-
 /// Returns the position of the member at an address.
 fn index(ip: Ipv4Addr) -> usize {
     let [_, _, a, b] = ip.octets();
     u16::from_be_bytes([a, b]).into()
 }
 
-/// A declaration of so many routes, of which one has changed since the version before.
-fn declaration(routes: usize, version: u64) -> Arc<[u8]> {
-    let head = format!("{version:020}{}", "service ".repeat(600));
-    let route = |number: usize| {
-        let name = hash_bytes(&number.to_le_bytes());
-        // The last version that changed this route.
-        let turns = version.saturating_sub(number as u64) / routes as u64;
-        let filler = format!("{name:x}").repeat(12);
-        format!(r#"{{"name":"r{name:x}","service":"s{turns}","for":"{filler}"}},"#)
-    };
-    let body: String = (0..routes).map(route).collect();
-    Arc::from(format!("{head}{body}").into_bytes())
-}
-
-#[allow(clippy::unnecessary_wraps, reason = "it is a source's")]
-fn decode(record: &Record) -> Option<News> {
-    let declared = Declaration { version: record.position.revision, ..Declaration::default() };
-    Some(News::Declared(Box::new(declared)))
-}
-
 impl World {
     fn new(load: Load) -> Self {
         let member = |index: usize| {
@@ -209,26 +164,12 @@
         };
         Self {
             members: (0..load.members).map(member).collect(),
-            history: Mutex::default(),
-            published: watch::Sender::new(0),
+            store: Store::new(load.routes, load.store_late),
             in_force: Mutex::new(vec![Vec::new(); load.members]),
             load,
         }
     }
 
-    fn lock(&self) -> MutexGuard<'_, History> {
-        self.history.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
-    fn publish(&self) {
-        let mut history = self.lock();
-        let value = declaration(self.load.routes, history.revision() + 1);
-        history.versions.push((Instant::now(), value));
-        let revision = history.revision();
-        drop(history);
-        self.published.send_replace(revision);
-    }
-
     /// Carries a message between members, or to one from the store.
     async fn carry(&self, from: Option<usize>, to: usize, bytes: usize) {
         let lock = |lane: &Mutex<Lane>| {
@@ -296,44 +237,20 @@
         Roster { duty, readers, lineage, fleet: alive.len() }
     }
 
-    async fn list(&self, own: usize) -> Outcome {
-        self.lock().calls += 1;
-        sleep(STORE + self.load.store_late).await;
-        let (mut records, at) = {
-            let history = self.lock();
-            (history.after(1), Position::from(history.revision()))
-        };
-        // A listing names each record once.
-        let records: Vec<Record> = records.pop().into_iter().collect();
+    /// Brings what the store has told to a member.
+    async fn bring(&self, own: usize, outcome: Outcome) -> Outcome {
+        let (records, at) = outcome?;
         self.carry(None, own, bytes_of(&records)).await;
         Ok((records, at))
     }
 
-    async fn watch(&self, own: usize, after: Position, scope: Scope, wait: Wait) -> Outcome {
-        self.lock().calls += 1;
-        let mut published = self.published.subscribe();
-        sleep(STORE + self.load.store_late).await;
-        let newer = published.wait_for(|revision| *revision > after.revision);
-        // Searchers don't change here.
-        if scope == Scope::All {
-            drop(timeout(wait.news, newer).await);
-        }
-        let (records, at) = {
-            let history = self.lock();
-            let told = if scope == Scope::All { history.after(after.revision) } else { Vec::new() };
-            (told, Position::from(history.revision()))
-        };
-        wait.arriving.store(true, std::sync::atomic::Ordering::Relaxed);
-        self.carry(None, own, bytes_of(&records)).await;
-        Ok((records, at))
-    }
-
-    async fn lookup(&self, own: usize) -> Result<Found, Trouble> {
-        self.lock().calls += 1;
-        sleep(STORE + self.load.store_late).await;
-        let record = self.lock().after(1).pop();
-        self.carry(None, own, bytes_of(record.as_slice())).await;
-        Ok(Found { record, era: 0 })
+    /// Names a member that has a later version in force, as probes tell within a second.
+    fn ahead(&self, version: u64) -> Option<Ipv4Addr> {
+        let in_force = self.in_force.lock().unwrap_or_else(PoisonError::into_inner);
+        let alive = (0..self.load.members).filter(|member| !self.members[*member].is_lost());
+        let known = |member: &usize| in_force[*member].last().map_or(0, |(_, known)| *known);
+        let first = alive.max_by_key(known).filter(|member| known(member) > version);
+        first.map(|member| self.members[member].ip)
     }
 
     fn note(&self, own: usize, revision: u64) {
@@ -347,13 +264,11 @@
     /// Returns the longest time for which a member was behind, until a moment.
     fn lag(&self, own: usize, end: Instant) -> Duration {
         let in_force = self.in_force.lock().unwrap_or_else(PoisonError::into_inner);
-        let history = self.lock();
         let steps = &in_force[own];
-        let acked =
-            |revision: u64| history.versions.get((revision - 2) as usize).map(|(at, _)| *at);
         let ends = steps.iter().skip(1).map(|(at, _)| *at).chain([end]);
         let gap = |((_, revision), until): (&(Instant, u64), Instant)| {
-            acked(revision + 1).map_or(Duration::ZERO, |acked| until.duration_since(acked))
+            let next = self.store.next_after(*revision);
+            next.map_or(Duration::ZERO, |acknowledged| until.duration_since(acknowledged))
         };
         steps.iter().zip(ends).map(gap).max().unwrap_or_default()
     }
@@ -363,27 +278,41 @@
     records.iter().filter_map(|record| record.value.as_ref()).map(Vec::len).sum()
 }
 
-fn start(world: &Arc<World>, own: usize) {
+/// The store as a member reaches it.
+fn source(world: &Arc<World>, own: usize) -> Source {
     let w = || Arc::clone(world);
-    let (listing, watching, looking, rostering) = (w(), w(), w(), w());
-    let (asking, fetching, noting) = (w(), w(), w());
-    let source = Source {
+    let (listing, watching, looking) = (w(), w(), w());
+    Source {
         list: Box::new(move || {
             let world = Arc::clone(&listing);
-            Box::pin(async move { world.list(own).await }) as Reading
+            Box::pin(async move { world.bring(own, world.store.list().await).await }) as Reading
         }),
         watch: Box::new(move |after, scope, wait| {
             let world = Arc::clone(&watching);
-            Box::pin(async move { world.watch(own, after, scope, wait).await })
+            Box::pin(async move {
+                let told = world.store.watch(after, scope, wait.news).await;
+                wait.arriving.store(true, atomic::Ordering::Relaxed);
+                world.bring(own, told).await
+            })
         }),
         lookup: Box::new(move |_key| {
             let world = Arc::clone(&looking);
-            Box::pin(async move { world.lookup(own).await })
+            Box::pin(async move {
+                let found = world.store.lookup().await?;
+                world.carry(None, own, bytes_of(found.record.as_slice())).await;
+                Ok(found)
+            })
         }),
         declaration: Name::from(KEY),
         decode,
-    };
-    let members = Members {
+    }
+}
+
+/// The other members as one of them knows and reaches them.
+fn others(world: &Arc<World>, own: usize) -> Members {
+    let w = || Arc::clone(world);
+    let (rostering, asking, fetching, comparing, adopting) = (w(), w(), w(), w(), w());
+    Members {
         roster: Box::new(move || Some(rostering.roster(own))),
         ask: Box::new(move |ip, query| {
             let world = Arc::clone(&asking);
@@ -409,9 +338,23 @@
                 world.exchange(peers, wait + ANSWER_WITH_CHUNKS, answer).await
             })
         }),
-        ahead: Box::new(|_| None),
-        record: Box::new(|_, _| Box::pin(async { Err(Trouble::Silent) })),
-    };
+        ahead: Box::new(move |version| comparing.ahead(version)),
+        record: Box::new(move |ip, key| {
+            let world = Arc::clone(&adopting);
+            Box::pin(async move {
+                let answer = async |shared: &Shared| {
+                    let item = shared.item(&key);
+                    let bytes = item.as_ref().map_or(0, Item::size);
+                    (item, bytes)
+                };
+                world.exchange((own, index(ip)), ANSWER, answer).await
+            })
+        }),
+    }
+}
+
+fn start(world: &Arc<World>, own: usize) {
+    let noting = Arc::clone(world);
     let sink = Sink {
         news: Box::new(move |news| {
             if let News::Declared(declaration) = news {
@@ -426,23 +369,41 @@
     };
     let member = &world.members[own];
     let (shared, stop) = (Arc::clone(&member.shared), member.stop.clone());
-    tokio::spawn(follow(source, members, sink, shared, Settings::default(), stop));
+    tokio::spawn(follow(
+        source(world, own),
+        others(world, own),
+        sink,
+        shared,
+        Settings::default(),
+        stop,
+    ));
+}
+
+/// Lets the store go away, and come back from a copy.
+async fn restore(world: &World, Restored { away, lost, .. }: Restored) {
+    world.store.leave();
+    sleep(away).await;
+    world.store.restore(lost);
 }
 
 async fn play(load: Load) -> Seen {
     let world = Arc::new(World::new(load));
-    world.publish();
+    world.store.publish();
     for own in 0..load.members {
         start(&world, own);
     }
     sleep(CALM).await;
     let sent_before: Vec<u64> = world.members.iter().map(|member| member.shared.sent()).collect();
-    let calls_before = world.lock().calls;
+    let calls_before = world.store.calls();
     let begun = Instant::now();
-    let mut held = 0;
+    let (mut held, mut restored) = (0, false);
     while begun.elapsed() < load.lasts {
-        world.publish();
+        world.store.publish();
         sleep(load.pause).await;
+        if load.restored.is_some_and(|restored| begun.elapsed() >= restored.at) && !restored {
+            restored = true;
+            restore(&world, load.restored.unwrap_or_default()).await;
+        }
         if load.killed.is_some_and(|killed| begun.elapsed() >= killed) {
             world.members[0].stop.cancel();
         }
@@ -452,7 +413,7 @@
     sleep(CALM).await;
     let alive: BTreeSet<usize> =
         (0..load.members).filter(|own| !world.members[*own].is_lost()).collect();
-    let last = world.lock().revision();
+    let last = world.store.last();
     let sent = (0..load.members).map(|own| world.members[own].shared.sent() - sent_before[own]);
     let in_force = world.in_force.lock().unwrap_or_else(PoisonError::into_inner).clone();
     let has_last = |own: &usize| in_force[*own].last().is_some_and(|(_, known)| *known == last);
@@ -460,7 +421,7 @@
         latest: alive.iter().map(|own| world.lag(*own, end)).max().unwrap_or_default(),
         behind: alive.iter().filter(|own| !has_last(own)).count(),
         busiest: sent.max().unwrap_or(0),
-        calls: world.lock().calls - calls_before,
+        calls: world.store.calls() - calls_before,
         held,
     };
     for member in &world.members {
