--- a/crates/bench/src/capacity/state.rs
+++ b/crates/bench/src/capacity/state.rs
@@ -63,6 +63,7 @@
                 counter: 0,
                 state: State::Alive,
                 weight: 0,
+                protocol: 0,
             });
         }
     }
--- a/crates/declaration/src/declaration.rs
+++ b/crates/declaration/src/declaration.rs
@@ -13,6 +13,8 @@
 
 use bergamot_base::{Name, Revision};
 
+use crate::residency::Residency;
+
 /// Whether a request may be executed more than once.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Idempotency {
@@ -95,6 +97,8 @@
     pub attempts: usize,
     /// The priority, where zero is the most urgent.
     pub priority: u32,
+    /// The regions in which requests may be processed.
+    pub residency: Residency,
     /// The destination of the requests.
     pub target: Target,
 }
@@ -152,8 +156,7 @@
     ///
     /// The declaration must have been checked, because the lookup relies on the sorted routes.
     pub fn find(&self, host: &str, path: &str) -> Option<&Route> {
-        let host = host.rsplit_once(':').map_or(host, |(name, _port)| name);
-        let host = host.to_ascii_lowercase();
+        let host = normalize_host(host);
         let by_host_and_prefix =
             |route: &Route, prefix: &str| (&*route.host, &*route.prefix).cmp(&(&*host, prefix));
         let longest_first = path.rmatch_indices('/').map(|(slash, _)| &path[..=slash]);
@@ -163,6 +166,19 @@
         found.map(|position| &self.routes[position]).next()
     }
 
+    /// Returns the regions in which every request to a host may be processed; no bound if there are
+    /// none.
+    ///
+    /// The declaration must have been checked, because the routes of a host are found by order.
+    pub fn host_residency(&self, host: &str) -> Residency {
+        let host = normalize_host(host);
+        let first = self.routes.partition_point(|route| *route.host < *host);
+        let routes = self.routes[first..].iter().take_while(|route| *route.host == *host);
+        routes
+            .map(|route| &route.residency)
+            .fold(Residency::default(), |common, residency| common.intersection(residency))
+    }
+
     /// Returns the number of connections that each searcher of a service accepts, if declared.
     pub fn connections(&self, service: &str) -> Option<usize> {
         self.services.get(service).map(|service| service.connections)
@@ -173,3 +189,8 @@
         self.routes.sort_by(|a, b| (&a.host, &a.prefix).cmp(&(&b.host, &b.prefix)));
     }
 }
+
+/// Returns a host as declared: in lower case and without a port.
+fn normalize_host(host: &str) -> String {
+    host.rsplit_once(':').map_or(host, |(name, _port)| name).to_ascii_lowercase()
+}
--- a/crates/declaration/tests/declaration.rs
+++ b/crates/declaration/tests/declaration.rs
@@ -4,7 +4,8 @@
 
 use bergamot_base::Name;
 use bergamot_declaration::{
-    Declaration, Gather, Idempotency, Route, Service, Target, WeightedRoundRobin, WeightedService,
+    Declaration, Gather, Idempotency, Residency, Route, Service, Target, WeightedRoundRobin,
+    WeightedService,
 };
 
 fn route(host: &str, prefix: &str, target: Target) -> Route {
@@ -17,6 +18,7 @@
         target_latency: None,
         attempts: 2,
         priority: 1,
+        residency: Residency::default(),
         target,
     }
 }
--- a/crates/dispatch/tests/caller_overhead.rs
+++ b/crates/dispatch/tests/caller_overhead.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use bergamot_declaration::{Idempotency, Route, Target};
+use bergamot_declaration::{Idempotency, Residency, Route, Target};
 use bergamot_dispatch::{CallerOverhead, RequestTimeouts};
 use bergamot_policy::{Arrival, Policy};
 
@@ -21,6 +21,7 @@
         target_latency: Some(TARGET),
         attempts: 2,
         priority: 1,
+        residency: Residency::default(),
         target: Target::Service("s".into()),
     }
 }
--- a/crates/dispatch/tests/dispatch.rs
+++ b/crates/dispatch/tests/dispatch.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use bergamot_declaration::{Idempotency, Route, Target};
+use bergamot_declaration::{Idempotency, Residency, Route, Target};
 use bergamot_dispatch::{
     AttemptPriority, Candidate, Ending, GatherDecision, LatencyEstimator, RequestTimeouts,
     RetryBudget, RetryBudgetLimits, StallPeriod, Tally, admit, merge_top_k, rank,
@@ -275,6 +275,7 @@
         target_latency: Some(MS * 120),
         attempts: 2,
         priority: 1,
+        residency: Residency::default(),
         target: Target::Service("s".into()),
     };
     let timeouts = RequestTimeouts::new(&route, Some(MS * 1200), None, None, &Policy::default());
--- a/crates/dispatch/tests/load.rs
+++ b/crates/dispatch/tests/load.rs
@@ -7,7 +7,7 @@
 
 use std::time::{Duration, Instant};
 
-use bergamot_declaration::{Idempotency, Route, Target};
+use bergamot_declaration::{Idempotency, Residency, Route, Target};
 use bergamot_dispatch::{AttemptPriority, RequestTimeouts, RetryBudget, RetryBudgetLimits};
 use bergamot_policy::Policy;
 
@@ -46,6 +46,7 @@
         target_latency: Some(target),
         attempts: 2,
         priority: 1,
+        residency: Residency::default(),
         target: Target::Service("s".into()),
     }
 }
--- a/crates/front/src/daemon.rs
+++ b/crates/front/src/daemon.rs
@@ -33,7 +33,7 @@
 
 use crate::caller;
 use crate::member;
-use crate::protocol::CallerProtocol;
+use crate::protocol::{AddressQuery, CallerProtocol};
 use crate::settings::Settings;
 
 /// The interval of the periodic work: members are counted, and searchers whose entries are missing
@@ -219,10 +219,12 @@
     }
 
     fn directory(&self, uri: &Uri) -> Response<Body> {
-        let Some(location) = (self.protocol.parse_address_query)(uri) else {
+        let Some(AddressQuery { host, zone, region }) = (self.protocol.parse_address_query)(uri)
+        else {
             return text(StatusCode::NOT_FOUND, "no such question");
         };
-        let caller = Caller { zone: &location.zone, region: &location.region };
+        let residency = self.relay.host_residency(&host);
+        let caller = Caller { zone: &zone, region: &region, residency: &residency };
         let addresses =
             select_instances(caller, &self.ready_instances(), &self.relay.coverage().regions);
         if addresses.is_empty() {
@@ -347,7 +349,7 @@
         let settings = self.relay.settings();
         let delegate = |record: &Record| {
             let (zone, region) = (Name::clone(&record.zone), self.region(&record.zone));
-            DelegateMember { ip: record.endpoint.ip, zone, region }
+            DelegateMember { ip: record.endpoint.ip, zone, region, protocol: record.protocol }
         };
         let serving = self.serving();
         let is_eligible = |record: &&Record| {
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -12,5 +12,5 @@
 mod settings;
 
 pub use daemon::Daemon;
-pub use protocol::{CallerLocation, CallerProtocol, RequestHead};
+pub use protocol::{AddressQuery, CallerProtocol, RequestHead};
 pub use settings::Settings;
--- a/crates/front/src/member.rs
+++ b/crates/front/src/member.rs
@@ -5,6 +5,7 @@
 use std::time::{Duration, Instant};
 
 use bergamot_base::Name;
+use bergamot_declaration::Residency;
 use bergamot_feed::{ChunkQueryFn, FeedState, NewsQueryFn, QueryError, QueryFuture};
 use bergamot_net::NetworkError;
 use bergamot_quarantine::Fingerprint;
@@ -45,7 +46,16 @@
 
 impl Member for Server {
     async fn gather(self, _context: Context, query: ShardQuery) -> ShardReply {
-        self.relay.answer_shard_query(query).await
+        self.relay.answer_shard_query(query, Residency::default()).await
+    }
+
+    async fn gather_within(
+        self,
+        _context: Context,
+        query: ShardQuery,
+        regions: Vec<Name>,
+    ) -> ShardReply {
+        self.relay.answer_shard_query(query, Residency::within(regions)).await
     }
 
     async fn rest(self, _context: Context, token: u64) -> Vec<Late> {
@@ -93,9 +103,13 @@
     let (for_gather, for_rest) = (Arc::clone(channels), Arc::clone(channels));
     let (for_records, for_grant) = (Arc::clone(channels), Arc::clone(channels));
     Helping {
-        gather: Box::new(move |ip, query, deadline| {
+        gather: Box::new(move |ip, query, residency, deadline| {
             call(&for_gather, (ip, port), deadline, |client, context| async move {
-                client.gather(context, query).await
+                if residency.is_bounded() {
+                    client.gather_within(context, query, residency.regions().to_vec()).await
+                } else {
+                    client.gather(context, query).await
+                }
             })
         }),
         rest: Box::new(move |ip, token, deadline| {
--- a/crates/front/src/protocol.rs
+++ b/crates/front/src/protocol.rs
@@ -18,12 +18,14 @@
     pub deadline: Option<Duration>,
 }
 
-/// The location of a caller that queries addresses.
+/// A caller's query for addresses.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct CallerLocation {
-    /// The availability zone.
+pub struct AddressQuery {
+    /// The host to which the caller's requests will go.
+    pub host: String,
+    /// The availability zone of the caller.
     pub zone: String,
-    /// The region.
+    /// The region of the caller.
     pub region: String,
 }
 
@@ -36,8 +38,8 @@
     pub parse_request: fn(&mut Parts) -> Result<RequestHead, &'static str>,
     /// Encodes the outcome of a request.
     pub encode_reply: fn(Reply) -> Response<Body>,
-    /// Reads the caller's location from an address query; `None` for any other URI.
-    pub parse_address_query: fn(&Uri) -> Option<CallerLocation>,
+    /// Reads an address query; `None` for any other URI.
+    pub parse_address_query: fn(&Uri) -> Option<AddressQuery>,
     /// Encodes the response to an address query: the addresses and how long they may be cached.
     pub encode_addresses: fn(&[SocketAddr], Duration) -> Response<Body>,
     /// Returns whether a URI is that of the readiness probe.
--- a/crates/members/src/record.rs
+++ b/crates/members/src/record.rs
@@ -127,6 +127,14 @@
     /// The member's CPU capacity in thousandths of a core; zero if it was not announced.
     #[serde(rename = "w", default)]
     pub weight: u32,
+    /// The version of the RPCs that the member serves for others; zero if it was not announced.
+    #[serde(rename = "p", default, skip_serializing_if = "is_zero")]
+    pub protocol: u32,
+}
+
+#[expect(clippy::trivially_copy_pass_by_ref, reason = "serde passes fields by reference")]
+fn is_zero(number: &u32) -> bool {
+    *number == 0
 }
 
 impl Record {
@@ -155,7 +163,7 @@
 
 impl fmt::Display for Record {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let Self { endpoint, zone, incarnation, counter, state, weight: _ } = self;
+        let Self { endpoint, zone, incarnation, counter, state, weight: _, protocol: _ } = self;
         write!(f, "{endpoint} {zone} {incarnation:x}.{counter} {state}")
     }
 }
--- a/crates/members/src/view.rs
+++ b/crates/members/src/view.rs
@@ -73,8 +73,13 @@
 impl View {
     /// Merges a record and returns whether the view changed.
     pub fn apply(&mut self, record: &Record) -> bool {
-        let known = self.records.get(&record.endpoint);
-        if known.is_some_and(|known| !record.overrides(known)) {
+        if let Some(known) = self.records.get_mut(&record.endpoint)
+            && !record.overrides(known)
+        {
+            if !known.overrides(record) {
+                // A member of an earlier release passes records on without this field.
+                known.protocol = known.protocol.max(record.protocol);
+            }
             return false;
         }
         let known = self.records.insert(record.endpoint, record.clone());
@@ -119,8 +124,15 @@
                 if !self.records.contains_key(&endpoint) && !listed.leaving {
                     let zone = Name::clone(&listed.zone);
                     let state = State::Alive;
-                    let record =
-                        Record { endpoint, zone, incarnation: 0, counter: 0, state, weight: 0 };
+                    let record = Record {
+                        endpoint,
+                        zone,
+                        incarnation: 0,
+                        counter: 0,
+                        state,
+                        weight: 0,
+                        protocol: 0,
+                    };
                     self.apply(&record);
                 }
             }
--- a/crates/members/tests/filetests.rs
+++ b/crates/members/tests/filetests.rs
@@ -69,6 +69,7 @@
         counter: counter.parse().unwrap_or(0),
         state,
         weight: 0,
+        protocol: 0,
     }
 }
 
--- a/crates/members/tests/homes.rs
+++ b/crates/members/tests/homes.rs
@@ -36,6 +36,7 @@
         counter: 0,
         state: State::Alive,
         weight: 0,
+        protocol: 0,
     };
     (0..count).map(gather).collect()
 }
--- a/crates/members/tests/incarnation.rs
+++ b/crates/members/tests/incarnation.rs
@@ -11,7 +11,7 @@
 
 fn record(last: u8, incarnation: u64, state: State) -> Record {
     let endpoint = Endpoint { ip: Ipv4Addr::new(10, 0, 0, last), role: Role::Entry };
-    Record { endpoint, zone: "z".into(), incarnation, counter: 0, state, weight: 0 }
+    Record { endpoint, zone: "z".into(), incarnation, counter: 0, state, weight: 0, protocol: 0 }
 }
 
 #[test]
--- a/crates/members/tests/suspicions.rs
+++ b/crates/members/tests/suspicions.rs
@@ -25,6 +25,7 @@
         counter: 0,
         state: State::Alive,
         weight: 1,
+        protocol: 0,
     }
 }
 
--- a/crates/model/src/fleet/simulation.rs
+++ b/crates/model/src/fleet/simulation.rs
@@ -221,6 +221,7 @@
             counter: 0,
             state: State::Alive,
             weight: 250,
+            protocol: 0,
         };
         let rng = Seed(self.rng.random()).generator("member");
         instance.member = Some(Membership::new(now, TIMING, me, seeds, rng));
--- a/crates/model/src/simulation.rs
+++ b/crates/model/src/simulation.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use bergamot_base::Seed;
-use bergamot_declaration::{Gather, Idempotency, Route, Target};
+use bergamot_declaration::{Gather, Idempotency, Residency, Route, Target};
 use bergamot_dispatch::{AttemptPriority, Distance, GatherDecision, Tally};
 use rand::RngExt;
 use rand::rngs::StdRng;
@@ -475,6 +475,7 @@
         target_latency: Some(stream.target),
         attempts: load.replicas,
         priority: 1,
+        residency: Residency::default(),
         target: Target::Gather(gather),
     }
 }
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -431,8 +431,15 @@
     ) -> Self {
         let now = Instant::now();
         let zone = Name::clone(&settings.instance.zone);
-        let own =
-            Record { endpoint, zone, incarnation, counter: 0, state: State::Alive, weight: 0 };
+        let own = Record {
+            endpoint,
+            zone,
+            incarnation,
+            counter: 0,
+            state: State::Alive,
+            weight: 0,
+            protocol: 0,
+        };
         let timing = Timing {
             probe: settings.control.probe,
             answer: settings.control.answer,
--- a/crates/peers/src/directory.rs
+++ b/crates/peers/src/directory.rs
@@ -4,12 +4,14 @@
 //! part separately over the slow links between regions. A caller that uses an instance close to
 //! the searchers crosses these links only once. A caller therefore gets the ready instances of its
 //! own region if that has searchers of enough services, and otherwise those of the regions that
-//! do. Invariant: leaving and unreachable instances are never selected, and at least one instance
-//! is selected if any is ready.
+//! do. If the requests to its host may be processed only in some regions, the others are used only
+//! if no instance is ready in those regions or in that of the caller. Invariant: leaving and
+//! unreachable instances are never selected, and at least one instance is selected if any is ready.
 
 use std::collections::BTreeMap;
 
 use bergamot_base::Name;
+use bergamot_declaration::Residency;
 
 /// The most instances that one caller gets.
 const MAX_INSTANCES: usize = 64;
@@ -29,13 +31,15 @@
     pub region: Name,
 }
 
-/// The location of a caller.
+/// A caller that asks for instances.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Caller<'a> {
     /// Its availability zone.
     pub zone: &'a str,
     /// Its region.
     pub region: &'a str,
+    /// The regions in which its requests may be processed.
+    pub residency: &'a Residency,
 }
 
 /// Selects instances for a caller from those that are ready, the closest first.
@@ -51,14 +55,17 @@
     let is_covered =
         |location: &&InstanceLocation<T>| coverage(covered, &location.region) >= required;
     let is_local = |location: &&InstanceLocation<T>| &*location.region == caller.region;
-    let mut selected: Vec<&InstanceLocation<T>> =
-        ready.iter().filter(is_covered).filter(is_local).collect();
-    if selected.is_empty() {
-        selected = ready.iter().filter(is_covered).collect();
-    }
-    if selected.is_empty() {
-        selected = ready.iter().collect();
-    }
+    let is_resident =
+        |location: &&InstanceLocation<T>| caller.residency.permits(Some(&location.region));
+    let choices: [Vec<&InstanceLocation<T>>; 5] = [
+        ready.iter().filter(is_covered).filter(is_local).collect(),
+        ready.iter().filter(is_covered).filter(is_resident).collect(),
+        ready.iter().filter(|location| is_resident(location) || is_local(location)).collect(),
+        ready.iter().filter(is_covered).collect(),
+        ready.iter().collect(),
+    ];
+    let choice = choices.into_iter().find(|choice| !choice.is_empty());
+    let mut selected = choice.unwrap_or_default();
     selected.sort_by_key(|location| {
         (&*location.zone != caller.zone, &*location.region != caller.region)
     });
--- a/crates/peers/src/peers.rs
+++ b/crates/peers/src/peers.rs
@@ -16,7 +16,7 @@
 };
 use bergamot_net::NetworkError;
 use bergamot_quarantine::Quarantine;
-use bergamot_wire::MAX_DATAGRAM_LEN;
+use bergamot_wire::{MAX_DATAGRAM_LEN, MEMBER_PROTOCOL};
 use rand::RngExt;
 use tokio::net::UdpSocket;
 use tokio::sync::Notify;
@@ -107,6 +107,7 @@
             counter: 0,
             state: State::Alive,
             weight: settings.weight,
+            protocol: MEMBER_PROTOCOL,
         };
         let rng = Seed(me.incarnation).generator("membership");
         let seeds = endpoints(&settings.seeds);
--- a/crates/relay/src/delegate.rs
+++ b/crates/relay/src/delegate.rs
@@ -13,6 +13,7 @@
 use std::time::{Duration, Instant};
 
 use bergamot_base::Name;
+use bergamot_declaration::Residency;
 use bergamot_dispatch::{LatencyEstimator, StallPeriod};
 use bergamot_policy::{Delegate, Policy};
 use bergamot_quarantine::Fingerprint;
@@ -33,11 +34,14 @@
 /// Calls a member with a token from its earlier reply, with a deadline.
 pub type TokenCall<T> = Box<dyn Fn(Ipv4Addr, u64, Instant) -> MemberFuture<T> + Send + Sync>;
 
+/// Queries a member for shards of a request that may be processed in some regions, with a deadline.
+pub type GatherCall =
+    Box<dyn Fn(Ipv4Addr, ShardQuery, Residency, Instant) -> MemberFuture<ShardReply> + Send + Sync>;
+
 /// Calls to other members.
 pub struct Helping {
-    /// Queries a member for shards, with a deadline.
-    pub gather:
-        Box<dyn Fn(Ipv4Addr, ShardQuery, Instant) -> MemberFuture<ShardReply> + Send + Sync>,
+    /// Queries a member for shards.
+    pub gather: GatherCall,
     /// Fetches shards that arrived at a member after its reply, with a deadline.
     pub rest: TokenCall<Vec<Late>>,
     /// Fetches the records that a member left out of its reply, with a deadline.
@@ -61,6 +65,19 @@
     pub zone: Name,
     /// The region of the member.
     pub region: Name,
+    /// The version of the RPCs that it serves.
+    pub protocol: u32,
+}
+
+/// The first version of the RPCs between members that carries the regions of a request.
+const RESIDENCY_PROTOCOL: u32 = 1;
+
+impl DelegateMember {
+    /// Returns whether the member may make attempts for a request on these terms.
+    fn accepts(&self, residency: &Residency) -> bool {
+        !residency.is_bounded()
+            || (residency.permits(Some(&self.region)) && self.protocol >= RESIDENCY_PROTOCOL)
+    }
 }
 
 /// The location of searchers that are queried through a member.
@@ -142,13 +159,19 @@
     }
 
     /// Chooses the member at a location with the lowest expected delay. Returns `None` if there is
-    /// no member or none of them responds.
-    pub(crate) fn choose(&self, location: &RemoteLocation, now: Instant) -> Option<Ipv4Addr> {
+    /// no member that may process the request or none of them responds.
+    pub(crate) fn choose(
+        &self,
+        location: &RemoteLocation,
+        residency: &Residency,
+        now: Instant,
+    ) -> Option<Ipv4Addr> {
         let expected = |member: &DelegateMember| {
             let estimator = self.estimators.get(&member.ip);
             estimator.map_or(0.0, |estimator| estimator.expected(now, MEMBER_SLOTS, false))
         };
-        let local = self.known.iter().filter(|member| location.contains(member));
+        let accepts = |member: &&DelegateMember| member.accepts(residency);
+        let local = self.known.iter().filter(|member| location.contains(member)).filter(accepts);
         let delays = local.map(|member| (expected(member), member.ip));
         let (delay, ip) = delays.min_by(|a, b| a.0.total_cmp(&b.0))?;
         (delay < self.policy.delegate.silent).then_some(ip)
@@ -216,9 +239,9 @@
     let mut pending = PendingQuery { relay, ip, sent, answered: false };
     let until =
         sent + expected_wait.max(policy.least) + relay.expected_delay(location) + policy.late;
-    let answer =
-        tokio::time::timeout_at(until.into(), (relay.helping().gather)(ip, query, until)).await;
-    match answer {
+    let residency = job.constraints.residency.clone();
+    let call = (relay.helping().gather)(ip, query, residency, until);
+    match tokio::time::timeout_at(until.into(), call).await {
         Ok(Ok(reply)) => {
             pending.answered = true;
             Some(reply)
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -1,6 +1,6 @@
 //! Sending one request to one searcher on one connection.
 //!
-//! Invariants: the registry is checked immediately before bytes are sent; a response that names
+//! Invariants: whether the searcher may be asked is checked immediately before bytes are sent; a response that names
 //! another request is discarded; a connection is reused only after its response was read
 //! completely, and is otherwise closed, which also cancels the work at the searcher.
 
@@ -94,14 +94,13 @@
     connect_by: Instant,
     deadline: Instant,
 ) -> Result<SearcherResponse, AttemptError> {
-    let searcher = &link.upstream.incarnation;
     let lease = link.pool.lease(deadline_at(connect_by)).await.map_err(|fault| {
         link.estimator().record_failure(Instant::now());
         AttemptError::new(Ending::NotSent, fault)
     })?;
-    if !relay.takes_work(searcher) {
+    if let Err(unusable) = relay.check_searcher(&link.upstream, &job.constraints) {
         lease.release().await;
-        return Err(AttemptError::new(Ending::NotSent, "searcher no longer accepts work"));
+        return Err(AttemptError::new(Ending::NotSent, unusable));
     }
     let sent = Instant::now();
     let pending = PendingRequest::start(link, sent);
--- a/crates/relay/src/failure_log.rs
+++ b/crates/relay/src/failure_log.rs
@@ -11,6 +11,7 @@
 
 use bergamot_base::Name;
 use bergamot_dispatch::Ending;
+use bergamot_placement::WithheldCounts;
 use bergamot_registry::Incarnation;
 use hyper::header::HeaderValue;
 
@@ -83,6 +84,11 @@
         }
     }
 
+    /// Records a shard or service for which no searcher was asked, because all were withheld.
+    pub(crate) fn record_withheld(&self, service: &Name, withheld: &WithheldCounts) {
+        lock(&self.left_out).note(format!("withheld: {withheld}"), || service.to_string());
+    }
+
     /// Logs the summary of a request.
     pub(crate) fn log(&self, request: &HeaderValue) {
         for (event, group) in
--- a/crates/relay/src/gather.rs
+++ b/crates/relay/src/gather.rs
@@ -55,10 +55,11 @@
     trial_response: Option<TrialResponse>,
 ) -> Reply {
     let fewest = gather.min_shards();
-    let mut delays = relay.expected_delays(&gather.shards);
+    let mut delays = relay.expected_delays(&gather.shards, &job.constraints);
     if delays.len() < fewest {
         let served = delays.len();
-        let cause = format!("{served} of {fewest} shards have a searcher");
+        let withheld = relay.count_withheld(&gather.shards, &job.constraints);
+        let cause = format!("{served} of {fewest} shards have a searcher, withheld: {withheld}");
         return refuse(relay, job, (Cause::NotRun, relay.searcher_unavailability()), &cause);
     }
     let policy = &relay.settings.policy.admit;
@@ -146,7 +147,7 @@
         // With a single attempt allowed, shards that a member misses could not be asked again.
         let may_delegate = relay.settings.policy.delegate.on && job.max_attempts > 1;
         let (direct, groups) =
-            if may_delegate { partition_shards(relay, shards) } else { (shards, Vec::new()) };
+            if may_delegate { partition_shards(relay, job, shards) } else { (shards, Vec::new()) };
         for shard in direct {
             state.start_race(shard, Vec::new());
         }
@@ -346,20 +347,21 @@
 /// Partitions the shards into those queried directly and those queried through members.
 fn partition_shards<'a>(
     relay: &Relay,
+    job: &Job,
     shards: Vec<&'a Name>,
 ) -> (Vec<&'a Name>, Vec<MemberGroup<'a>>) {
     let mut direct = Vec::new();
     let mut locations = BTreeMap::<RemoteLocation, Vec<&Name>>::new();
     for shard in shards {
-        match relay.remote_location(shard) {
+        match relay.remote_location(shard, &job.constraints) {
             Some(location) => locations.entry(location).or_default().push(shard),
             None => direct.push(shard),
         }
     }
-    let now = Instant::now();
+    let (now, residency) = (Instant::now(), &job.constraints.residency);
     let mut groups = Vec::new();
     for (location, shards) in locations {
-        let member = relay.with_delegates(|delegates| delegates.choose(&location, now));
+        let member = relay.with_delegates(|delegates| delegates.choose(&location, residency, now));
         match member.filter(|_| shards.len() >= relay.settings.policy.delegate.fewest) {
             Some(ip) => groups.push(MemberGroup { ip, location, shards }),
             None => direct.extend(shards),
--- a/crates/relay/src/handler.rs
+++ b/crates/relay/src/handler.rs
@@ -6,6 +6,7 @@
 use bergamot_base::{Name, Revision};
 use bergamot_declaration::{Route, Target};
 use bergamot_dispatch::{RequestTimeouts, Tally, Unavailability, retry_delay};
+use bergamot_placement::Constraints;
 use bergamot_quarantine::Standing;
 use bergamot_upstream::LatencyPercentile;
 use hyper::header::HeaderValue;
@@ -123,7 +124,8 @@
             Target::Service(_) | Target::Split(_) => Tally::new(1, 1),
         };
         let kind = (Name::clone(&route.name), route.kind);
-        let job = Arc::new(Job::new(request, kind, route.attempts, tally));
+        let constraints = Constraints { residency: route.residency.clone() };
+        let job = Arc::new(Job::new(request, kind, route.attempts, constraints, tally));
         let standing = self.quarantine().standing(Instant::now(), || job.fingerprint());
         let reply = match standing {
             Standing::Condemned(left) => self.refuse_condemned(&job, left),
--- a/crates/relay/src/message.rs
+++ b/crates/relay/src/message.rs
@@ -7,6 +7,7 @@
 use bergamot_base::Name;
 use bergamot_declaration::Idempotency;
 use bergamot_dispatch::Tally;
+use bergamot_placement::Constraints;
 use bergamot_quarantine::{Fingerprint, SharedGate};
 use bytes::Bytes;
 use hyper::header::HeaderValue;
@@ -111,6 +112,8 @@
     pub kind: Idempotency,
     /// The number of searchers that may run the request, for each shard.
     pub max_attempts: usize,
+    /// What bounds the choice of searchers.
+    pub constraints: Constraints,
     /// The count of the shards; a request to a single searcher has one.
     pub tally: Mutex<Tally>,
     /// Notified when the tally changes.
@@ -131,6 +134,7 @@
         request: Request,
         (route, kind): (Name, Idempotency),
         max_attempts: usize,
+        constraints: Constraints,
         tally: Tally,
     ) -> Self {
         Self {
@@ -138,6 +142,7 @@
             route,
             kind,
             max_attempts,
+            constraints,
             tally: Mutex::new(tally),
             tally_changed: Notify::new(),
             left_out: OnceLock::new(),
--- a/crates/relay/src/meter.rs
+++ b/crates/relay/src/meter.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use bergamot_dispatch::{Distance, Ending};
+use bergamot_placement::WithheldCounts;
 use prometheus::{
     HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
 };
@@ -37,6 +38,46 @@
     }
 }
 
+/// The metrics of what is known of the store.
+#[derive(Debug)]
+pub(crate) struct StoreMeter {
+    pub(crate) updates: IntCounterVec,
+    pub(crate) update_bytes: IntCounterVec,
+    pub(crate) unreadable_records: IntCounter,
+    pub(crate) away: IntGauge,
+    pub(crate) era: IntGauge,
+}
+
+impl StoreMeter {
+    fn new(registry: &Registry) -> Self {
+        Self {
+            updates: counters(
+                registry,
+                "bergamot_relay_news_total",
+                "Questions for news of the store by origin and result.",
+                &["origin", "result"],
+            ),
+            update_bytes: counters(
+                registry,
+                "bergamot_relay_news_bytes_total",
+                "Bytes of the store's records by where they came from, and those sent on.",
+                &["way"],
+            ),
+            unreadable_records: counter(
+                registry,
+                "bergamot_relay_unreadable_records_total",
+                "Records of the store that can't be used.",
+            ),
+            away: gauge(registry, "bergamot_relay_store_away", "Whether the store can't be read."),
+            era: gauge(
+                registry,
+                "bergamot_relay_store_era",
+                "How often the store was restored, by its own count.",
+            ),
+        }
+    }
+}
+
 /// The metrics of a relay.
 #[derive(Debug)]
 pub(crate) struct Meter {
@@ -45,10 +86,9 @@
     latency: HistogramVec,
     attempts: IntCounterVec,
     endings: IntCounterVec,
-    pub(crate) store_updates: IntCounterVec,
-    pub(crate) store_update_bytes: IntCounterVec,
-    pub(crate) unreadable_records: IntCounter,
+    pub(crate) store: StoreMeter,
     pub(crate) quarantine: IntCounterVec,
+    pub(crate) withheld: IntCounterVec,
     pub(crate) denied_attempts: IntCounter,
     pub(crate) missing_parts: IntCounter,
     pub(crate) records_lacking: IntCounter,
@@ -56,26 +96,17 @@
     pub(crate) searchers: IntGauge,
     pub(crate) members: IntGauge,
     pub(crate) connections: IntGauge,
-    pub(crate) store_away: IntGauge,
-    pub(crate) store_era: IntGauge,
+    pub(crate) evacuated_zones: IntGauge,
 }
 
 impl Meter {
     /// Creates and registers the metrics.
     pub(crate) fn new() -> Self {
         let registry = Registry::new();
-        let counters = |name: &str, help: &str, labels: &[&str]| {
-            let metric = IntCounterVec::new(Opts::new(name, help), labels);
-            register(&registry, metric.expect("the names of metrics are valid"))
-        };
-        let counter = |name: &str, help: &str| {
-            let metric = IntCounter::with_opts(Opts::new(name, help));
-            register(&registry, metric.expect("the names of metrics are valid"))
-        };
-        let gauge = |name: &str, help: &str| {
-            let metric = IntGauge::with_opts(Opts::new(name, help));
-            register(&registry, metric.expect("the names of metrics are valid"))
-        };
+        let counters =
+            |name: &str, help: &str, labels: &[&str]| counters(&registry, name, help, labels);
+        let counter = |name: &str, help: &str| counter(&registry, name, help);
+        let gauge = |name: &str, help: &str| gauge(&registry, name, help);
         let latency = HistogramOpts::new("bergamot_relay_request_seconds", "Time to the answer.")
             .buckets(BUCKETS.to_vec());
         let latency = HistogramVec::new(latency, &["route"]);
@@ -96,25 +127,17 @@
                 "Attempts that brought no success, by what their end means.",
                 &["ending"],
             ),
-            store_updates: counters(
-                "bergamot_relay_news_total",
-                "Questions for news of the store by origin and result.",
-                &["origin", "result"],
-            ),
-            store_update_bytes: counters(
-                "bergamot_relay_news_bytes_total",
-                "Bytes of the store's records by where they came from, and those sent on.",
-                &["way"],
-            ),
-            unreadable_records: counter(
-                "bergamot_relay_unreadable_records_total",
-                "Records of the store that can't be used.",
-            ),
+            store: StoreMeter::new(&registry),
             quarantine: counters(
                 "bergamot_relay_quarantine_total",
                 "What happened to requests under which searchers ended.",
                 &["event"],
             ),
+            withheld: counters(
+                "bergamot_relay_withheld_total",
+                "Requests to a service all of whose searchers were withheld, by reason.",
+                &["reason"],
+            ),
             denied_attempts: counter(
                 "bergamot_relay_denied_total",
                 "Additional attempts that the bound did not allow.",
@@ -134,10 +157,9 @@
             searchers: gauge("bergamot_relay_searchers", "Searchers that are known."),
             members: gauge("bergamot_relay_members", "Members that share the searchers."),
             connections: gauge("bergamot_relay_connections", "Open connections to searchers."),
-            store_away: gauge("bergamot_relay_store_away", "Whether the store can't be read."),
-            store_era: gauge(
-                "bergamot_relay_store_era",
-                "How often the store was restored, by its own count.",
+            evacuated_zones: gauge(
+                "bergamot_relay_evacuated_zones",
+                "Availability zones whose searchers receive no requests, by order of the operator.",
             ),
             registry,
         }
@@ -168,6 +190,13 @@
         self.endings.with_label_values(&[ending]).inc();
     }
 
+    /// Counts a request to a service all of whose searchers are withheld.
+    pub(crate) fn count_withheld(&self, withheld: &WithheldCounts) {
+        for reason in withheld.reasons() {
+            self.withheld.with_label_values(&[reason.label()]).inc();
+        }
+    }
+
     /// Counts a request by its outcome and records its duration.
     pub(crate) fn count_request(&self, route: &str, reply: &Reply, took: Duration) {
         self.requests.with_label_values(&[route, outcome(reply)]).inc();
@@ -226,6 +255,21 @@
     }
 }
 
+fn counters(registry: &Registry, name: &str, help: &str, labels: &[&str]) -> IntCounterVec {
+    let metric = IntCounterVec::new(Opts::new(name, help), labels);
+    register(registry, metric.expect("the names of metrics are valid"))
+}
+
+fn counter(registry: &Registry, name: &str, help: &str) -> IntCounter {
+    let metric = IntCounter::with_opts(Opts::new(name, help));
+    register(registry, metric.expect("the names of metrics are valid"))
+}
+
+fn gauge(registry: &Registry, name: &str, help: &str) -> IntGauge {
+    let metric = IntGauge::with_opts(Opts::new(name, help));
+    register(registry, metric.expect("the names of metrics are valid"))
+}
+
 fn register<T: prometheus::core::Collector + Clone + 'static>(registry: &Registry, metric: T) -> T {
     registry.register(Box::new(metric.clone())).expect("each metric is registered once");
     metric
--- a/crates/relay/src/quarantine.rs
+++ b/crates/relay/src/quarantine.rs
@@ -12,6 +12,7 @@
 use bergamot_base::{Name, hash_pair};
 use bergamot_declaration::Target;
 use bergamot_dispatch::{RequestTimeouts, Unavailability};
+use bergamot_placement::Constraints;
 use bergamot_quarantine::{Fingerprint, Report, Standing, Strike};
 use bergamot_registry::Upstream;
 use rand::seq::IndexedRandom;
@@ -106,7 +107,8 @@
     ) -> Result<TrialResponse, Reply> {
         let (request, fingerprint) = (&job.request.id, job.fingerprint());
         let service = self.trial_service(job, target, suspects);
-        let Some(service) = service.filter(|service| self.choose_searcher(service, &[]).is_some())
+        let Some(service) = service
+            .filter(|service| self.choose_searcher(service, &job.constraints, &[]).is_some())
         else {
             let after = self.retry_after(self.searcher_unavailability());
             return Err(refusal(Cause::NotRun, Some(after)));
@@ -142,21 +144,23 @@
             gather.shards.iter().filter(|shard| suspects.contains(shard)).collect();
         let candidates =
             if suspected.is_empty() { gather.shards.iter().collect() } else { suspected };
-        let live = |service: &&Name| self.count_live_searchers(service);
+        let live = |service: &&Name| self.count_live_searchers(service, &job.constraints);
         let max_live = candidates.iter().map(live).max()?;
         let candidates: Vec<&Name> =
             candidates.into_iter().filter(|service| live(service) == max_live).collect();
         candidates.choose(&mut rand::rng()).copied().map(Name::clone)
     }
 
-    /// Counts the searchers of a service that accept work and were not found to have ended.
-    fn count_live_searchers(&self, service: &str) -> usize {
+    /// Counts the searchers of a service that a request may be sent to and that were not found to
+    /// have ended.
+    fn count_live_searchers(&self, service: &str, constraints: &Constraints) -> usize {
         let state = self.lock();
         let links = &state.links;
         let has_ended = |upstream: &Upstream| {
             links.get(&upstream.incarnation).is_some_and(|link| link.has_ended())
         };
-        state.registry.usable(service).filter(|(upstream, _missing)| !has_ended(upstream)).count()
+        let permitted = state.placement.permitted(state.registry.usable(service), constraints);
+        permitted.filter(|(upstream, _missing)| !has_ended(upstream)).count()
     }
 
     /// Requests permission for a trial from the member responsible for the request.
--- a/crates/relay/src/race.rs
+++ b/crates/relay/src/race.rs
@@ -20,6 +20,7 @@
 
 use crate::attempt::{self, Attempt, AttemptLimits};
 use crate::exchange::AttemptError;
+use crate::link::SearcherLink;
 use crate::message::{Job, SearcherResponse};
 use crate::meter::AttemptReason;
 use crate::relay::Relay;
@@ -167,6 +168,7 @@
         }
         let priority = self.hedge_priority();
         if self.start_next(reason, priority) != StartResult::Started {
+            self.log_withheld();
             return None;
         }
         loop {
@@ -297,6 +299,18 @@
         }
     }
 
+    /// Records which searchers are withheld from a request that none was asked for.
+    fn log_withheld(&self) {
+        if !self.plan.tried.is_empty() {
+            return;
+        }
+        let service = std::slice::from_ref(self.service);
+        let withheld = self.relay.count_withheld(service, &self.job.constraints);
+        if !withheld.is_empty() {
+            self.job.failure_log.record_withheld(self.service, &withheld);
+        }
+    }
+
     fn may_retry(&self) -> bool {
         let policy = self.relay.settings.policy.retry;
         let may_resend = policy.on && self.worst.ending.may_resend(self.job.kind);
@@ -313,13 +327,17 @@
         }
     }
 
+    fn choose_searcher(&self) -> Option<Arc<SearcherLink>> {
+        self.relay.choose_searcher(self.service, &self.job.constraints, &self.plan.tried)
+    }
+
     /// Starts the next attempt if a searcher is left and the limits allow it.
     fn start_next(&mut self, reason: AttemptReason, priority: AttemptPriority) -> StartResult {
         let may_have_run = self.plan.tried.len() - self.not_run;
         if may_have_run >= self.job.max_attempts {
             return StartResult::Exhausted;
         }
-        let Some(link) = self.relay.choose_searcher(self.service, &self.plan.tried) else {
+        let Some(link) = self.choose_searcher() else {
             return StartResult::Exhausted;
         };
         if self.delivered > 0 && !self.relay.spend_retry_budget(self.service, priority) {
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -9,9 +9,10 @@
 
 use bergamot_base::{Name, PauseGate, Position, Revision};
 use bergamot_config::RevisionStatus;
-use bergamot_declaration::Declaration;
+use bergamot_declaration::{Declaration, Residency};
 use bergamot_dispatch::{StallPeriod, Unavailability};
 use bergamot_logger::ChangeAggregator;
+use bergamot_placement::Constraints;
 use bergamot_quarantine::Quarantine;
 use bergamot_registry::{Registry, Upstream};
 use bergamot_wire::{Late, ShardQuery, ShardReply};
@@ -60,7 +61,7 @@
     ///
     /// `helping` makes the calls to other members.
     pub fn new(settings: Settings, dialect: Dialect, helping: Helping) -> Arc<Self> {
-        let state = Mutex::new(State::new(&settings.policy));
+        let state = Mutex::new(State::new(&settings));
         let delegates = Mutex::new(DelegateMembers::new(Arc::clone(&settings.policy)));
         let (pending, changes) = (Mutex::default(), Mutex::default());
         let pause_gate = PauseGate::new(settings.pause_threshold);
@@ -111,9 +112,14 @@
         self.lock().serving_members = members;
     }
 
-    /// Answers a shard query of another member.
-    pub async fn answer_shard_query(self: &Arc<Self>, query: ShardQuery) -> ShardReply {
-        shard_query::answer(self, query).await
+    /// Answers a shard query of another member, for a request that may be processed in some
+    /// regions.
+    pub async fn answer_shard_query(
+        self: &Arc<Self>,
+        query: ShardQuery,
+        residency: Residency,
+    ) -> ShardReply {
+        shard_query::answer(self, query, Constraints { residency }).await
     }
 
     /// Returns to a member the next shards of its earlier query.
@@ -157,6 +163,10 @@
             // Writing to a string can't fail.
             let _ = writeln!(text, "request {}", self.describe_report(now, &report));
         }
+        for (zone, evacuation) in state.placement.evacuations.iter() {
+            let (position, age) = (evacuation.position, (now - evacuation.since).as_secs());
+            let _ = writeln!(text, "evacuation {zone} position {position} age_s {age}");
+        }
         for upstream in state.registry.iter() {
             let line = state.links.get(&upstream.incarnation).map_or_else(
                 || "not_linked".to_owned(),
@@ -213,6 +223,11 @@
         self.lock().declaration.clone()
     }
 
+    /// Returns the regions in which every request to a host may be processed.
+    pub fn host_residency(&self, host: &str) -> Residency {
+        self.declaration().map(|declaration| declaration.host_residency(host)).unwrap_or_default()
+    }
+
     /// Returns the current declaration version, or zero if there is none.
     pub fn version(&self) -> Revision {
         self.lock().version_tracker.revision()
@@ -236,6 +251,47 @@
         self.change("overwritten", id, |registry, now| registry.overwrite_entry(id, now));
     }
 
+    /// Withholds the searchers of an availability zone from all requests, until
+    /// [`Relay::end_evacuation`].
+    pub fn begin_evacuation(&self, zone: &Name, position: Position) {
+        let mut state = self.lock();
+        if !state.placement.evacuations.begin(Name::clone(zone), position, Instant::now()) {
+            return;
+        }
+        let searchers = state.registry.iter().filter(|upstream| upstream.zone == *zone).count();
+        self.meter.evacuated_zones.set(state.placement.evacuations.len() as i64);
+        drop(state);
+        log::warn!(
+            "relay: event=evacuation_begun zone={zone} position={position} searchers={searchers}"
+        );
+    }
+
+    /// Ends the evacuation of an availability zone because its record is gone.
+    pub fn end_evacuation(&self, zone: &str) {
+        let mut state = self.lock();
+        let ended = state.placement.evacuations.end(zone, Instant::now());
+        let held = state.placement.evacuations.contains(zone);
+        self.meter.evacuated_zones.set(state.placement.evacuations.len() as i64);
+        drop(state);
+        if ended {
+            log::warn!("relay: event=evacuation_ended zone={zone}");
+        } else if held {
+            log::warn!(
+                "relay: event=evacuation_held zone={zone} cause=\"the restored store lacks its record\""
+            );
+        }
+    }
+
+    /// Ends the evacuations that a restored store has not regained in time.
+    fn expire_evacuations(&self, state: &mut State) {
+        for zone in state.placement.evacuations.expire(Instant::now()) {
+            log::warn!(
+                "relay: event=evacuation_ended zone={zone} cause=\"not written again after a restore\""
+            );
+        }
+        self.meter.evacuated_zones.set(state.placement.evacuations.len() as i64);
+    }
+
     /// Applies a change to the registry and queues it for the log if it had an effect.
     fn change(
         &self,
@@ -293,7 +349,7 @@
             }
             (None, false) | (Some(_), true) => {}
         }
-        self.meter.store_away.set(i64::from(unavailable));
+        self.meter.store.away.set(i64::from(unavailable));
     }
 
     /// Handles the restore of the store from a backup. The earlier state is retained for a while:
@@ -302,7 +358,9 @@
     pub fn record_restore(&self, former: Position, at: Position) {
         let now = Instant::now();
         let mut state = self.lock();
-        state.registry.store_restored(now, self.settings.expiry() + EXPIRY_SLACK);
+        let hold = self.settings.expiry() + EXPIRY_SLACK;
+        state.registry.store_restored(now, hold);
+        state.placement.evacuations.store_restored(now, hold);
         state.store_recovered_at = Some(now);
         let (version, searchers) = (state.version_tracker.revision(), state.registry.len());
         drop(state);
@@ -313,7 +371,7 @@
 
     /// Sets how often the store has been restored, according to its own counter.
     pub fn set_store_era(&self, era: u64) {
-        self.meter.store_era.set(era as i64);
+        self.meter.store.era.set(era as i64);
     }
 
     /// Returns whether a request was received before the first declaration.
@@ -372,18 +430,18 @@
 
     /// Counts a request for store updates by origin and result, and the bytes received.
     pub fn count_store_update(&self, origin: &str, result: &str, bytes: usize) {
-        self.meter.store_updates.with_label_values(&[origin, result]).inc();
-        self.meter.store_update_bytes.with_label_values(&[origin]).inc_by(bytes as u64);
+        self.meter.store.updates.with_label_values(&[origin, result]).inc();
+        self.meter.store.update_bytes.with_label_values(&[origin]).inc_by(bytes as u64);
     }
 
     /// Counts an unreadable record of the store.
     pub fn count_unreadable(&self) {
-        self.meter.unreadable_records.inc();
+        self.meter.store.unreadable_records.inc();
     }
 
     /// Sets the total number of update bytes that this member has sent to others.
     pub fn set_update_bytes_sent(&self, bytes: u64) {
-        let sent = self.meter.store_update_bytes.with_label_values(&["sent"]);
+        let sent = self.meter.store.update_bytes.with_label_values(&["sent"]);
         sent.inc_by(bytes.saturating_sub(sent.get()));
     }
 
@@ -407,6 +465,7 @@
         for searcher in state.registry.expire(Instant::now(), store_unavailable) {
             self.lock_changes().record(Instant::now(), "gone", searcher);
         }
+        self.expire_evacuations(&mut state);
         let changed = state.members != members;
         state.members = members;
         let State { registry, links, .. } = &mut *state;
--- a/crates/relay/src/searchers.rs
+++ b/crates/relay/src/searchers.rs
@@ -4,11 +4,13 @@
 //! one incarnation are never applied to another.
 
 use std::collections::HashMap;
+use std::fmt;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use bergamot_base::{Name, hash_bytes};
 use bergamot_dispatch::{AttemptPriority, Distance, ZoneRoundTrips, rank, sufficient_records};
+use bergamot_placement::{Constraints, Withheld, WithheldCounts};
 use bergamot_registry::{Incarnation, Upstream};
 use bergamot_upstream::LatencyPercentile;
 use bergamot_wire::QuietPeriod;
@@ -21,6 +23,24 @@
 use crate::settings::Settings;
 use crate::state::{State, connection_share};
 
+/// Why a request must not be sent to a searcher.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Unusable {
+    /// The searcher is unknown, leaving or gone.
+    NoWork,
+    /// The request may not be sent there.
+    Withheld(Withheld),
+}
+
+impl fmt::Display for Unusable {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::NoWork => f.write_str("searcher no longer accepts work"),
+            Self::Withheld(reason) => write!(f, "searcher withheld: {reason}"),
+        }
+    }
+}
+
 /// Returns a 32-bit hash that identifies an incarnation within its shard.
 fn short_hash(searcher: &Incarnation) -> u32 {
     hash_bytes(searcher.to_string().as_bytes()) as u32
@@ -33,8 +53,12 @@
 
 impl Relay {
     /// Returns the location of the searcher that would be asked, if it is not in this zone.
-    pub(crate) fn remote_location(&self, service: &str) -> Option<RemoteLocation> {
-        let link = self.choose_searcher(service, &[])?;
+    pub(crate) fn remote_location(
+        &self,
+        service: &str,
+        constraints: &Constraints,
+    ) -> Option<RemoteLocation> {
+        let link = self.choose_searcher(service, constraints, &[])?;
         let zone = &link.upstream.zone;
         match link.distance {
             Distance::Zone => None,
@@ -57,18 +81,20 @@
         }
     }
 
-    /// Chooses the searcher for the next attempt among those not tried yet.
+    /// Chooses the searcher for the next attempt among those that the request may be sent to and
+    /// that were not tried yet.
     pub(crate) fn choose_searcher(
         &self,
         service: &str,
+        constraints: &Constraints,
         tried: &[TriedSearcher],
     ) -> Option<Arc<SearcherLink>> {
         let now = Instant::now();
         let mut state = self.lock();
         let share = connection_share(&state, service);
-        let State { registry, links, round_trips, .. } = &mut *state;
-        let candidates = registry
-            .usable(service)
+        let State { registry, placement, links, round_trips, .. } = &mut *state;
+        let candidates = placement
+            .permitted(registry.usable(service), constraints)
             .filter(|(upstream, _)| !was_tried(tried, &upstream.incarnation))
             .map(|(upstream, missing)| {
                 self.link_to(links, round_trips, upstream, share).candidate(missing, now)
@@ -171,7 +197,11 @@
             return;
         }
         let now = Instant::now();
-        let cold = |link: &&Arc<SearcherLink>| link.pool.usage().open == 0 && link.may_prewarm(now);
+        let anyone = Constraints::default();
+        let is_permitted = |link: &SearcherLink| state.placement.check(&link.upstream, &anyone);
+        let cold = |link: &&Arc<SearcherLink>| {
+            link.pool.usage().open == 0 && is_permitted(link).is_ok() && link.may_prewarm(now)
+        };
         for link in state.links.values().filter(cold).take(policy.at_once) {
             let pool = Arc::clone(&link.pool);
             tokio::spawn(async move {
@@ -183,12 +213,13 @@
     }
 
     /// Estimates the response time of the fastest searcher of each service, in milliseconds.
-    /// Services without a searcher are skipped.
-    pub(crate) fn expected_delays(&self, services: &[Name]) -> Vec<f64> {
+    /// Services without a searcher that the request may be sent to are skipped.
+    pub(crate) fn expected_delays(&self, services: &[Name], constraints: &Constraints) -> Vec<f64> {
         let now = Instant::now();
         let state = self.lock();
         let fastest = |service: &Name| {
-            let known = state.registry.usable(service).map(|(upstream, _missing)| {
+            let permitted = state.placement.permitted(state.registry.usable(service), constraints);
+            let known = permitted.map(|(upstream, _missing)| {
                 // A searcher without a link has not been used yet.
                 state.links.get(&upstream.incarnation).map_or(0.0, |link| link.delay(now))
             });
@@ -197,6 +228,28 @@
         services.iter().filter_map(fastest).collect()
     }
 
+    /// Counts the searchers of some services that are withheld from a request, and the services
+    /// that have no other.
+    pub(crate) fn count_withheld(
+        &self,
+        services: &[Name],
+        constraints: &Constraints,
+    ) -> WithheldCounts {
+        let state = self.lock();
+        let mut counts = WithheldCounts::default();
+        for service in services {
+            let withheld =
+                state.placement.count_withheld(state.registry.usable(service), constraints);
+            let permitted =
+                state.placement.permitted(state.registry.usable(service), constraints).next();
+            if permitted.is_none() {
+                self.meter.count_withheld(&withheld);
+            }
+            counts.add(&withheld);
+        }
+        counts
+    }
+
     /// Returns the number of records initially requested from a member.
     pub(crate) fn initial_record_count(&self, top_k: usize, shards: usize, all: usize) -> usize {
         let policy = &self.settings.policy.brief;
@@ -211,9 +264,17 @@
         self.lock().records_lacking_at = Some(Instant::now());
     }
 
-    /// Returns whether new work may be sent to an incarnation.
-    pub(crate) fn takes_work(&self, searcher: &Incarnation) -> bool {
-        self.lock().registry.takes_work(searcher)
+    /// Returns whether a request may be sent to a searcher now, or why not.
+    pub(crate) fn check_searcher(
+        &self,
+        upstream: &Upstream,
+        constraints: &Constraints,
+    ) -> Result<(), Unusable> {
+        let state = self.lock();
+        if !state.registry.takes_work(&upstream.incarnation) {
+            return Err(Unusable::NoWork);
+        }
+        state.placement.check(upstream, constraints).map_err(Unusable::Withheld)
     }
 
     /// Marks an incarnation as ended because another searcher answered at its address.
--- a/crates/relay/src/shard_query.rs
+++ b/crates/relay/src/shard_query.rs
@@ -11,6 +11,7 @@
 use bergamot_base::Name;
 use bergamot_declaration::Idempotency;
 use bergamot_dispatch::{Ending, RECORD_LEN, Tally, merge_top_k};
+use bergamot_placement::Constraints;
 use bergamot_wire::{Late, ShardOutcome, ShardQuery, ShardReply};
 use bytes::Bytes;
 use hyper::header::{HeaderMap, HeaderName, HeaderValue};
@@ -64,7 +65,11 @@
 }
 
 /// Answers a query of another member.
-pub(crate) async fn answer(relay: &Arc<Relay>, query: ShardQuery) -> ShardReply {
+pub(crate) async fn answer(
+    relay: &Arc<Relay>,
+    query: ShardQuery,
+    constraints: Constraints,
+) -> ShardReply {
     let received = Instant::now();
     let moment = |wait: Duration| received + wait.min(MAX_WAIT);
     let (until, deadline) = (moment(query.answer_within), moment(query.deadline));
@@ -75,7 +80,11 @@
         log::error!("relay: event=query_refused cause=\"malformed request in a member query\"");
         return ShardReply { shards, records: Vec::new(), left_out: 0, rest: 0, quiet: Vec::new() };
     };
-    let mut work = start_attempts(relay, request, &names, (until, deadline), &mut shards);
+    // Attempts for other members must not affect the latencies that this member learns for its own
+    // routes, hence the empty route name. The sender is told of each failure and logs it.
+    let (route, tally) = (Name::from(""), Tally::new(names.len(), names.len()));
+    let job = Job::new(request, (route, Idempotency::Idempotent), 1, constraints, tally);
+    let mut work = start_attempts(relay, &Arc::new(job), &names, (until, deadline), &mut shards);
     let mut parts = Vec::<Bytes>::new();
     while let Ok(Some((index, outcome))) = tokio::time::timeout_at(until.into(), work.next()).await
     {
@@ -112,23 +121,19 @@
 /// Starts one attempt for each shard and records the searcher asked.
 fn start_attempts(
     relay: &Arc<Relay>,
-    request: Request,
+    job: &Arc<Job>,
     names: &[Name],
     (connect_by, deadline): (Instant, Instant),
     shards: &mut [ShardOutcome],
 ) -> RunningAttempts {
-    // Attempts for other members must not affect the latencies that this member learns for its own
-    // routes, hence the empty route name. The sender is told of each failure and logs it.
-    let tally = Tally::new(names.len(), names.len());
-    let job = Arc::new(Job::new(request, (Name::from(""), Idempotency::Idempotent), 1, tally));
     let (sender, results) = mpsc::unbounded_channel();
     let mut running = Vec::with_capacity(names.len());
     for (index, name) in names.iter().enumerate() {
-        let Some(link) = relay.choose_searcher(name, &[]) else { continue };
+        let Some(link) = relay.choose_searcher(name, &job.constraints, &[]) else { continue };
         relay.meter().count_attempt(AttemptReason::Delegated, link.distance);
         shards[index] = ShardOutcome::Silent(link.upstream.incarnation.clone());
         let limits = AttemptLimits { connect_by, deadline, trial: false };
-        let attempt = Attempt::start(relay, link, &job, limits, sender.clone());
+        let attempt = Attempt::start(relay, link, job, limits, sender.clone());
         running.push((index, attempt));
     }
     RunningAttempts { running, results }
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -10,12 +10,13 @@
 use bergamot_declaration::{Declaration, WeightedRoundRobin};
 use bergamot_dispatch::{CallerOverhead, RetryBudget, ZoneRoundTrips};
 use bergamot_logger::Sampler;
-use bergamot_policy::Policy;
+use bergamot_placement::Placement;
 use bergamot_registry::{Incarnation, Registry};
 use bergamot_upstream::LatencyPercentile;
 
 use crate::coverage::CachedCoverage;
 use crate::link::SearcherLink;
+use crate::settings::Settings;
 
 /// Connections of each searcher that members leave unused: a connection that is being closed still
 /// counts at the searcher for a moment.
@@ -32,6 +33,8 @@
     pub(crate) version_tracker: RevisionTracker,
     pub(crate) declaration: Option<Arc<Declaration>>,
     pub(crate) registry: Registry,
+    /// Where requests may be sent.
+    pub(crate) placement: Placement,
     pub(crate) coverage: CachedCoverage,
     pub(crate) round_trips: ZoneRoundTrips,
     pub(crate) links: HashMap<Incarnation, Arc<SearcherLink>>,
@@ -52,11 +55,12 @@
 }
 
 impl State {
-    pub(crate) fn new(policy: &Policy) -> Self {
+    pub(crate) fn new(settings: &Settings) -> Self {
         Self {
             version_tracker: RevisionTracker::default(),
             declaration: None,
-            registry: Registry::new(policy.doubt),
+            registry: Registry::new(settings.policy.doubt),
+            placement: Placement::new(settings.regions.clone()),
             coverage: CachedCoverage::default(),
             round_trips: ZoneRoundTrips::default(),
             links: HashMap::new(),
--- a/crates/relay/tests/helped.rs
+++ b/crates/relay/tests/helped.rs
@@ -13,17 +13,13 @@
 use bergamot_standin::ScriptedServer;
 use bergamot_wire::{Late, QuietPeriod, ShardOutcome, ShardReply};
 use support::{
-    gather, incarnation, merged, part, record, relay_with_members, request, route, upstream,
+    at, gather, incarnation, merged, part, record, relay_with_members, request, route, upstream,
 };
 
 const MEMBER: Ipv4Addr = Ipv4Addr::new(10, 0, 0, 9);
 
 const HOUR: Duration = Duration::from_hours(1);
 
-fn at(zone: &str, upstream: Upstream) -> Upstream {
-    Upstream { zone: zone.into(), ..upstream }
-}
-
 /// A relay whose shards `a` and `b` have searchers in the west, where a member returns `reply` and
 /// then `late`. Shard `a` also has a searcher in the east.
 fn relay(
@@ -33,7 +29,7 @@
     east: &ScriptedServer,
 ) -> Arc<Relay> {
     let helping = Helping {
-        gather: Box::new(move |_, _, _| {
+        gather: Box::new(move |_, _, _, _| {
             let reply = reply.clone();
             Box::pin(async move { Ok(reply) })
         }),
@@ -58,7 +54,8 @@
     ];
     let routes = vec![route("/q/", Idempotency::Idempotent, gather(&["a", "b"], 0.5))];
     let relay = relay_with_members(helping, routes, upstreams);
-    let delegate = |ip, zone: &str| DelegateMember { ip, zone: zone.into(), region: zone.into() };
+    let delegate =
+        |ip, zone: &str| DelegateMember { ip, zone: zone.into(), region: zone.into(), protocol: 0 };
     relay.set_delegate_members(vec![delegate(MEMBER, "west"), delegate(MEMBER, "east")]);
     relay
 }
--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -6,14 +6,15 @@
 use std::time::{Duration, Instant};
 
 use bergamot_base::Name;
-use bergamot_declaration::{Declaration, Gather, Idempotency, Route, Service, Target};
+use bergamot_declaration::{Declaration, Gather, Idempotency, Residency, Route, Service, Target};
 use bergamot_dispatch::RetryBudgetLimits;
 use bergamot_registry::{Incarnation, State, Upstream};
 use bergamot_relay::{
-    Dialect, Helping, MergedResponse, Relay, Reply, Request, RequestMetadata, ResponseMetadata,
-    Settings,
+    Cause, Dialect, Helping, MergedResponse, Relay, Reply, Request, RequestMetadata,
+    ResponseMetadata, Settings,
 };
 use bergamot_standin::{RecordedRequest, ScriptedServer, Step};
+use bergamot_wire::ShardQuery;
 use bytes::Bytes;
 use hyper::header::{HeaderMap, HeaderValue};
 use hyper::http::response::Parts;
@@ -79,6 +80,11 @@
     }
 }
 
+/// A searcher moved to another zone.
+pub fn at(zone: &str, upstream: Upstream) -> Upstream {
+    Upstream { zone: zone.into(), ..upstream }
+}
+
 /// A route with a target latency of 400 ms and a timeout of 2 s.
 pub fn route(prefix: &str, kind: Idempotency, target: Target) -> Route {
     Route {
@@ -90,6 +96,7 @@
         target_latency: Some(Duration::from_millis(400)),
         attempts: 2,
         priority: 1,
+        residency: Residency::default(),
         target,
     }
 }
@@ -105,9 +112,10 @@
     relay_with_members(no_members(), routes, upstreams)
 }
 
-fn no_members() -> Helping {
+/// Calls to other members that all fail.
+pub fn no_members() -> Helping {
     Helping {
-        gather: Box::new(|_, _, _| Box::pin(async { Err("no other members".to_owned()) })),
+        gather: Box::new(|_, _, _, _| Box::pin(async { Err("no other members".to_owned()) })),
         rest: Box::new(|_, _, _| Box::pin(async { Err("no other members".to_owned()) })),
         records: Box::new(|_, _, _| Box::pin(async { Err("no other members".to_owned()) })),
         grant: Box::new(|_, _, _| Box::pin(async { Err("no other members".to_owned()) })),
@@ -191,3 +199,27 @@
         other => panic!("expected a merged response, got {other:?}"),
     }
 }
+
+/// Returns the cause of a refusal and whether it says when to retry.
+pub fn refused(reply: Reply) -> (Cause, bool) {
+    match reply {
+        Reply::Refused(refusal) => (refusal.cause, refusal.retry_after.is_some()),
+        other => panic!("expected a refusal, got {other:?}"),
+    }
+}
+
+/// The query of another member for some shards.
+pub fn shard_query(shards: &[&str]) -> ShardQuery {
+    ShardQuery {
+        id: b"r1".to_vec(),
+        method: "GET".to_owned(),
+        uri: "/q/".to_owned(),
+        headers: Vec::new(),
+        body: Vec::new(),
+        shards: shards.iter().map(|shard| Name::from(*shard)).collect(),
+        top_k: 2,
+        enough: 2,
+        answer_within: Duration::from_millis(500),
+        deadline: Duration::from_secs(1),
+    }
+}
--- a/crates/wire/src/member.rs
+++ b/crates/wire/src/member.rs
@@ -9,6 +9,12 @@
 use bergamot_registry::Incarnation;
 use serde::{Deserialize, Serialize};
 
+/// The version of the RPCs of [`Member`], which members announce.
+///
+/// RPCs are encoded by their order, so new ones are appended, and are sent only to members that
+/// announce a version that serves them.
+pub const MEMBER_PROTOCOL: u32 = 1;
+
 /// A caller's request to some shards, delegated to another member.
 ///
 /// The receiver is in the same region as searchers of these shards. It queries each shard once,
@@ -226,4 +232,7 @@
     async fn chunks(hashes: Vec<u64>, wait: Duration) -> Vec<Vec<u8>>;
     /// Returns the record of a key, if there is one.
     async fn record(key: Name) -> Option<Item>;
+    /// Like [`Member::gather`], for a request that may be processed only in these regions. Served
+    /// from version 1 of the RPCs on.
+    async fn gather_within(query: ShardQuery, regions: Vec<Name>) -> ShardReply;
 }
--- /dev/null
+++ b/crates/wire/tests/compatibility.rs
@@ -0,0 +1,129 @@
+//! Messages between members of two releases.
+//!
+//! `fixtures/protocol-0.txt` holds messages as encoded by the last release whose members announce
+//! no version of their RPCs, in hexadecimal.
+
+use std::collections::BTreeMap;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::pin::Pin;
+use std::time::Duration;
+
+use bergamot_base::Position;
+use bergamot_members::{Datagram, Digest, Endpoint, Kind, Record, Role, Rumour, State, View};
+use bergamot_wire::{MEMBER_PROTOCOL, MemberRequest, NewsQuery, ShardQuery, decode, encode};
+use ciborium::Value;
+use tarpc::tokio_serde::Serializer;
+use tarpc::tokio_serde::formats::Bincode;
+
+fn fixtures() -> BTreeMap<&'static str, Vec<u8>> {
+    let lines = include_str!("fixtures/protocol-0.txt").lines();
+    lines.filter_map(|line| line.split_once(' ')).map(|(name, hex)| (name, bytes(hex))).collect()
+}
+
+fn bytes(hex: &str) -> Vec<u8> {
+    let digits = hex.as_bytes().chunks(2);
+    let byte = |digits| u8::from_str_radix(std::str::from_utf8(digits).expect("ASCII"), 16);
+    digits.map(|digits| byte(digits).expect("two hexadecimal digits")).collect()
+}
+
+fn record(protocol: u32) -> Record {
+    Record {
+        endpoint: Endpoint { ip: Ipv4Addr::new(10, 1, 0, 9), role: Role::Entry },
+        zone: "yxs-cargo".into(),
+        incarnation: 1_764_735_000_000 << 16,
+        counter: 3,
+        state: State::Alive,
+        weight: 500,
+        protocol,
+    }
+}
+
+fn datagram(protocol: u32) -> Datagram {
+    let digest = Digest { revision: 7, hash: 0, view: 9, members: 3, fresh: true, suspicions: 0 };
+    let endpoint = Endpoint { ip: Ipv4Addr::new(10, 1, 0, 10), role: Role::Entry };
+    let rumours = vec![Rumour::Member(Record { endpoint, ..record(protocol) })];
+    Datagram { kind: Kind::Records, from: record(protocol), digest, rumours }
+}
+
+fn encode_request(request: &MemberRequest) -> Vec<u8> {
+    let mut codec = Bincode::<MemberRequest, MemberRequest>::default();
+    Pin::new(&mut codec).serialize(request).expect("requests always serialize").to_vec()
+}
+
+#[test]
+fn datagrams_of_the_former_release_are_understood() {
+    let peer = SocketAddr::from(([10, 1, 0, 9], 7380));
+    assert_eq!(decode(&fixtures()["datagram"], peer), Ok(datagram(0)));
+    assert_eq!(encode(datagram(0)), fixtures()["datagram"]);
+}
+
+/// The former release ignores unknown fields; all others must be as it knows them.
+#[test]
+fn datagrams_differ_from_the_former_release_by_one_field() {
+    fn without_protocol(value: &mut Value) {
+        match value {
+            Value::Array(items) => items.iter_mut().for_each(without_protocol),
+            Value::Map(entries) => {
+                entries.retain(|(key, _)| key.as_text() != Some("p"));
+                for (_, value) in entries {
+                    without_protocol(value);
+                }
+            }
+            _ => {}
+        }
+    }
+    let sent = encode(datagram(MEMBER_PROTOCOL));
+    let mut value: Value = ciborium::from_reader(&*sent).expect("valid CBOR");
+    without_protocol(&mut value);
+    let mut bytes = Vec::new();
+    ciborium::into_writer(&value, &mut bytes).expect("it was decoded");
+    assert_eq!(bytes, fixtures()["datagram"]);
+}
+
+/// RPCs are encoded by position, so one that is inserted or extended would be taken for another.
+#[test]
+fn requests_of_the_former_release_are_encoded_as_before() {
+    let query = ShardQuery {
+        id: b"9c41".to_vec(),
+        method: "GET".to_owned(),
+        uri: "/q/".to_owned(),
+        headers: vec![("accept".to_owned(), b"*/*".to_vec())],
+        body: b"body".to_vec(),
+        shards: vec!["a".into(), "b".into()],
+        top_k: 5,
+        enough: 3,
+        answer_within: Duration::from_millis(50),
+        deadline: Duration::from_secs(1),
+    };
+    let position = |revision| Position { era: 1, revision };
+    let news = NewsQuery {
+        after: position(5),
+        listing: None,
+        known: position(6),
+        wait: Duration::from_secs(1),
+    };
+    let requests = [
+        ("gather", MemberRequest::Gather { query }),
+        ("rest", MemberRequest::Rest { token: 7 }),
+        ("records", MemberRequest::Records { token: 8 }),
+        ("news", MemberRequest::News { query: news }),
+        ("chunks", MemberRequest::Chunks { hashes: vec![1, 2], wait: Duration::from_millis(5) }),
+        ("record", MemberRequest::Record { key: "op/config".into() }),
+    ];
+    for (name, request) in requests {
+        assert_eq!(encode_request(&request), fixtures()[name], "{name}");
+    }
+}
+
+/// A member of the former release passes on records without the version of the RPCs.
+#[test]
+fn the_announced_version_outlasts_a_record_without_it() {
+    for order in [[0, 1], [1, 0]] {
+        let mut view = View::default();
+        for protocol in order {
+            view.apply(&record(protocol));
+        }
+        let known = view.get(record(0).endpoint).expect("it was applied");
+        assert_eq!(known.protocol, 1);
+    }
+}
--- a/crates/wire/tests/datagram.rs
+++ b/crates/wire/tests/datagram.rs
@@ -23,6 +23,7 @@
         counter: 3,
         state: State::Alive,
         weight: 500,
+        protocol: 1,
     }
 }
 
