Evacuations: records of the operator spread by the feed, in force until their record is gone

Cause: op/evacuate/ZONE was not read.

Change: the adapter decodes such a record into EvacuationBegun or EvacuationEnded, the relay withholds the zone's searchers, the dump, a gauge and event=evacuation_begun/ended/held say so. Members hold these records in their mirror already, so they spread with the guarantees of the declaration. Two gaps are closed: - While versions of the declaration come faster than a link carries them, a reader looked up the declaration alone and moved its position past all other records.

--- a/crates/feed/src/follow/store.rs
+++ b/crates/feed/src/follow/store.rs
@@ -13,7 +13,7 @@
 use super::Follower;
 use crate::clock::now;
 use crate::origin::Origin;
-use crate::source::{LookupReply, QueryError, ReadResult, Record, Scope, WatchTimeouts};
+use crate::source::{QueryError, ReadResult, Record, Scope, WatchTimeouts};
 
 /// How many bytes of superseded declarations a reply may hold: 0.15 s of a 14 Mbit/s link. After a
 /// reply with more, only the newest declaration is read, which takes two calls instead of one.
@@ -80,33 +80,46 @@
         changed_recently && self.last_success != Some(Origin::Store)
     }
 
-    /// Reads only the newest declaration, and then the changes of searchers.
+    /// Reads the operator's records as they are now, and then the changes of searchers.
     ///
-    /// A watch returns every version since the last call, each in full. If versions are published
-    /// faster than the link can carry them, each reply would be longer than the one before.
+    /// A watch returns every version of the declaration since the last call, each in full. If
+    /// versions are published faster than the link can carry them, each reply would be longer than
+    /// the one before.
     async fn read_newest(
         &mut self,
         at: Position,
         started: Instant,
     ) -> Result<StoreReply, QueryError> {
-        let source = &self.delivery.source;
-        let LookupReply { record, era } = (source.lookup)(&source.declaration).await?;
-        compare_eras(at, Position { era, ..at })?;
-        let (mut records, _) = self.watch(at, Scope::Searchers).await?;
-        let declared = record.filter(|record| record.position > at);
-        self.read_newest_only = declared.is_some();
-        // Searchers were read after the declaration, so everything up to its position is known.
+        let (listed, listed_at) = (self.delivery.source.list)(Scope::Operator).await?;
+        compare_eras(at, listed_at)?;
+        let (mut records, watched_at) = self.watch(at, Scope::Searchers).await?;
+        let declaration = &self.delivery.source.declaration;
+        self.read_newest_only =
+            listed.iter().any(|record| record.key == *declaration && record.position > at);
         // Later changes are returned again by the next call.
-        let at = declared.as_ref().map_or(at, |record| record.position);
-        records.retain(|record| record.position <= at);
-        records.extend(declared);
-        Ok(StoreReply { records, at, is_listing: false, complete_as_of: started })
+        let complete_at = listed_at.min(watched_at);
+        records.extend(self.deleted_operator_records(&listed, complete_at));
+        records.extend(listed.into_iter().filter(|record| record.position > at));
+        records.retain(|record| record.position <= complete_at);
+        Ok(StoreReply { records, at: complete_at, is_listing: false, complete_as_of: started })
+    }
+
+    /// Returns the deletions of the operator's records that a listing of them lacks.
+    fn deleted_operator_records(&self, listed: &[Record], position: Position) -> Vec<Record> {
+        let is_listed = |key: &Name| listed.iter().any(|record| record.key == *key);
+        let is_deleted =
+            |key: &Name| (self.delivery.source.is_operator_key)(key) && !is_listed(key);
+        let mirror = self.shared().mirror();
+        let deleted = mirror.keys().filter(|key| is_deleted(key));
+        let deletion =
+            |key: &Name| Record { key: Name::clone(key), value: None, position, version: None };
+        deleted.map(deletion).collect()
     }
 
     async fn list(&self, started: Instant) -> Result<StoreReply, QueryError> {
         // Members that query this one in the meantime wait for the result.
         self.shared().arriving.store(true, atomic::Ordering::Relaxed);
-        let (records, at) = (self.delivery.source.list)().await?;
+        let (records, at) = (self.delivery.source.list)(Scope::All).await?;
         let (held, items) = (self.shared().mirror().position(), records.len());
         log::info!("feed: event=listed position={at} held={held} items={items}");
         if at < held {
--- a/crates/feed/src/mirror.rs
+++ b/crates/feed/src/mirror.rs
@@ -185,6 +185,11 @@
         at.era > self.position.era && known.version.is_some()
     }
 
+    /// Iterates over the keys of all records.
+    pub fn keys(&self) -> impl Iterator<Item = &Name> {
+        self.records.keys()
+    }
+
     /// Returns the record of a key.
     pub fn get(&self, key: &str) -> Option<&Item> {
         self.records.get(key)
--- a/crates/feed/src/source.rs
+++ b/crates/feed/src/source.rs
@@ -21,6 +21,15 @@
     Published(Upstream),
     /// The entry of a searcher was removed.
     Removed(Name),
+    /// The operator has evacuated an availability zone.
+    EvacuationBegun {
+        /// The zone.
+        zone: Name,
+        /// The position of the record in the store's history.
+        position: Position,
+    },
+    /// The operator has ended the evacuation of an availability zone.
+    EvacuationEnded(Name),
     /// The record cannot be decoded. If it is a searcher's, its content does not describe a
     /// searcher.
     Unreadable {
@@ -129,13 +138,15 @@
     pub arriving: Arc<AtomicBool>,
 }
 
-/// Which records a watch covers.
+/// Which records a call covers.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Scope {
     /// All records.
     All,
-    /// Searchers' records, without the operator's declaration.
+    /// Searchers' records.
     Searchers,
+    /// The operator's records: the declaration and the evacuations.
+    Operator,
 }
 
 /// Records and the position up to which they are complete.
@@ -161,14 +172,16 @@
 
 /// A store that can be listed and watched.
 pub struct Source {
-    /// Lists all records.
-    pub list: Box<dyn Fn() -> ReadFuture + Send + Sync>,
+    /// Lists the records that exist.
+    pub list: Box<dyn Fn(Scope) -> ReadFuture + Send + Sync>,
     /// Waits for changes after a position.
     pub watch: Box<dyn Fn(Position, Scope, WatchTimeouts) -> ReadFuture + Send + Sync>,
     /// Reads one record.
     pub lookup: Box<dyn Fn(&Name) -> LookupFuture + Send + Sync>,
     /// The key of the operator's declaration.
     pub declaration: Name,
+    /// Returns whether a key belongs to [`Scope::Operator`].
+    pub is_operator_key: fn(&str) -> bool,
     /// Decodes a record. Returns `None` for records that the feed does not follow; a record that
     /// cannot be decoded is logged.
     pub decode: fn(&Record) -> Option<RecordEvent>,
--- a/crates/feed/tests/batches.rs
+++ b/crates/feed/tests/batches.rs
@@ -74,13 +74,20 @@
     }
 
     fn after(&self, position: Position, scope: Scope) -> Vec<Record> {
-        let is_visible = |record: &&Record| {
-            let declaration = record.key == name(DECLARATION);
-            record.position > position && (scope == Scope::All || !declaration)
-        };
+        let is_visible =
+            |record: &&Record| record.position > position && covers(scope, &record.key);
         self.records.iter().filter(is_visible).cloned().collect()
     }
 
+    /// Returns the records that exist.
+    fn list(&self, scope: Scope) -> Vec<Record> {
+        let mut newest = BTreeMap::<&Name, &Record>::new();
+        for record in self.records.iter().filter(|record| covers(scope, &record.key)) {
+            newest.insert(&record.key, record);
+        }
+        newest.into_values().filter(|record| record.value.is_some()).cloned().collect()
+    }
+
     fn newest(&self, key: &str) -> Option<Record> {
         let newest = self.records.iter().rfind(|record| *record.key == *key);
         newest.filter(|record| record.value.is_some()).cloned()
@@ -90,6 +97,21 @@
 /// The key that stands for the operator's declaration.
 const DECLARATION: u8 = 0;
 
+/// The key that stands for another record of the operator.
+const EVACUATION: u8 = 1;
+
+fn is_operator_key(key: &str) -> bool {
+    [DECLARATION, EVACUATION].iter().any(|own| *name(*own) == *key)
+}
+
+fn covers(scope: Scope, key: &str) -> bool {
+    match scope {
+        Scope::All => true,
+        Scope::Operator => is_operator_key(key),
+        Scope::Searchers => !is_operator_key(key),
+    }
+}
+
 fn name(key: u8) -> Name {
     Name::from(format!("k{key}"))
 }
@@ -105,15 +127,36 @@
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
+fn no_members() -> Members {
+    Members {
+        topology: Box::new(|| Some(Topology::default())),
+        query_news: Box::new(|_, _| Box::pin(async { Err(QueryError::Silent) })),
+        fetch_chunks: Box::new(|_, _, _| Box::pin(async { Err(QueryError::Silent) })),
+        find_newer: Box::new(|_| None),
+        fetch_record: Box::new(|_, _| Box::pin(async { Err(QueryError::Silent) })),
+    }
+}
+
 /// Runs a member that reads the store and knows no other members.
 async fn run_reader(batches: &[Vec<Change>]) -> Delivered {
     let store = Arc::new(Mutex::new(Store::new(batches)));
     let delivered_newest = Arc::<Mutex<Newest>>::default();
     let fetches = Arc::new(AtomicUsize::new(0));
-    let (watch_store, lookup_store) = (Arc::clone(&store), Arc::clone(&store));
+    let (list_store, watch_store) = (Arc::clone(&store), Arc::clone(&store));
+    let lookup_store = Arc::clone(&store);
     let (sink_newest, sink_fetches) = (Arc::clone(&delivered_newest), Arc::clone(&fetches));
     let source = Source {
-        list: Box::new(|| Box::pin(async { Ok((Vec::new(), 1.into())) })),
+        list: Box::new(move |scope| {
+            let store = Arc::clone(&list_store);
+            Box::pin(async move {
+                if scope == Scope::All {
+                    return Ok((Vec::new(), 1.into()));
+                }
+                lock(&store).publish();
+                let store = lock(&store);
+                Ok((store.list(scope), store.revision.into()))
+            })
+        }),
         watch: Box::new(move |after, scope, wait| {
             let store = Arc::clone(&watch_store);
             Box::pin(async move {
@@ -133,6 +176,7 @@
             })
         }),
         declaration: name(DECLARATION),
+        is_operator_key,
         decode,
     };
     let sink = Sink {
@@ -153,17 +197,10 @@
                 .fetch_add(usize::from(report.kind == QueryKind::Chunks), Ordering::Relaxed);
         }),
     };
-    let members = Members {
-        topology: Box::new(|| Some(Topology::default())),
-        query_news: Box::new(|_, _| Box::pin(async { Err(QueryError::Silent) })),
-        fetch_chunks: Box::new(|_, _, _| Box::pin(async { Err(QueryError::Silent) })),
-        find_newer: Box::new(|_| None),
-        fetch_record: Box::new(|_, _| Box::pin(async { Err(QueryError::Silent) })),
-    };
     let stop = CancellationToken::new();
     let shared = Arc::new(FeedState::default());
     let following =
-        follow(source, members, sink, Arc::clone(&shared), Settings::default(), stop.clone());
+        follow(source, no_members(), sink, Arc::clone(&shared), Settings::default(), stop.clone());
     let following = tokio::spawn(following);
     while !lock(&store).batches.is_empty()
         || shared.mirror().position().revision < lock(&store).revision
@@ -193,22 +230,41 @@
 
 fn batches() -> impl Strategy<Value = Vec<Vec<Change>>> {
     let size = prop_oneof![200..2000_usize, 9_000..40_000_usize];
-    let change = (0..3_u8, size, prop::bool::weighted(0.1));
+    let change = (0..4_u8, size, prop::bool::weighted(0.1));
     prop::collection::vec(prop::collection::vec(change, 1..8), 1..6)
 }
 
+fn run(batches: &[Vec<Change>]) -> Delivered {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_time()
+        .start_paused(true)
+        .build()
+        .expect("a runtime");
+    runtime.block_on(run_reader(batches))
+}
+
+/// Guards against an evacuation that is ordered or ended between two versions of the declaration
+/// and skipped because only the newest of them is read.
+#[test]
+fn an_evacuation_within_a_burst_of_declarations_is_delivered() {
+    let version = (DECLARATION, 40_000, false);
+    let burst = vec![version; 12];
+    let ordered = vec![version, (EVACUATION, 200, false), version];
+    let revoked = vec![version, (EVACUATION, 200, true), version];
+    let delivered = run(&[burst.clone(), ordered.clone(), burst.clone()]);
+    assert_eq!(delivered.newest[&EVACUATION], Some(15));
+    let delivered = run(&[burst.clone(), ordered, burst.clone(), revoked, burst]);
+    assert_eq!(delivered.newest[&EVACUATION], None);
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::default() })]
 
-    /// Guards against losing chunks of the newest version while earlier versions are processed.
+    /// Guards against losing chunks of the newest version while earlier versions are processed, and
+    /// against missing other records of the operator while only the newest declaration is read.
     #[test]
     fn the_newest_record_of_each_key_is_delivered_without_a_fetch(batches in batches()) {
-        let runtime = tokio::runtime::Builder::new_current_thread()
-            .enable_time()
-            .start_paused(true)
-            .build()
-            .expect("a runtime");
-        let delivered = runtime.block_on(run_reader(&batches));
+        let delivered = run(&batches);
         // A key that was created and deleted within one reply may never be reported.
         let mut expected = newest(&batches);
         expected.retain(|key, revision| revision.is_some() || delivered.newest.contains_key(key));
--- a/crates/feed/tests/fetch.rs
+++ b/crates/feed/tests/fetch.rs
@@ -81,7 +81,7 @@
         };
         let lookup_count = Arc::clone(&lookups);
         let source = Source {
-            list: Box::new(|| Box::pin(async { Err(QueryError::Silent) })),
+            list: Box::new(|_| Box::pin(async { Err(QueryError::Silent) })),
             watch: Box::new(|_, _, _| Box::pin(async { Err(QueryError::Silent) })),
             lookup: Box::new(move |key| {
                 *lookup_count.lock().unwrap_or_else(PoisonError::into_inner) += 1;
@@ -90,6 +90,7 @@
                 Box::pin(async move { Ok(LookupReply { record, era: 0 }) })
             }),
             declaration: Name::from("large"),
+            is_operator_key: |_| true,
             decode,
         };
         let sink = Sink {
--- a/crates/feed/tests/spread/world.rs
+++ b/crates/feed/tests/spread/world.rs
@@ -295,7 +295,7 @@
     let w = || Arc::clone(world);
     let (list_world, watch_world, lookup_world) = (w(), w(), w());
     Source {
-        list: Box::new(move || {
+        list: Box::new(move |_scope| {
             let world = Arc::clone(&list_world);
             Box::pin(async move { world.transmit_from_store(own, world.store.list().await).await })
                 as ReadFuture
@@ -317,6 +317,7 @@
             })
         }),
         declaration: Name::from(KEY),
+        is_operator_key: |key| key == KEY,
         decode,
     }
 }
--- a/crates/front/src/daemon.rs
+++ b/crates/front/src/daemon.rs
@@ -479,6 +479,8 @@
         }
         RecordEvent::Published(upstream) => relay.publish(upstream),
         RecordEvent::Removed(id) => relay.remove_entry(&id),
+        RecordEvent::EvacuationBegun { zone, position } => relay.begin_evacuation(&zone, position),
+        RecordEvent::EvacuationEnded(zone) => relay.end_evacuation(&zone),
         RecordEvent::Unreadable { searcher } => {
             relay.count_unreadable();
             if let Some(id) = searcher {
