Cold searchers: nothing while others serve, permits of the seeds otherwise

Cause: a searcher's warm-up only made it seem slower. An entry that says a searcher is cold again was ignored, since the earliest word counted.

Change: placement withholds a cold searcher of a service with a limit from requests without a permit. Permits are asked for only if a request can't be served without cold searchers, all that it needs at once. The last word of an entry counts, and all searchers of a zone count as cold for their warm-up after its evacuation. Callers are told when searchers will be warm.

--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod capacity;
 pub mod check;
 pub mod cluster;
+pub mod cold;
 pub mod converge;
 pub mod deployment;
 pub mod descriptors;
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -9,7 +9,7 @@
 use bergamot_bench::history::{Ending, History};
 use bergamot_bench::leaving::{self, LeaveSignal};
 use bergamot_bench::storm::Storm;
-use bergamot_bench::{capacity, converge, emulate, plot, quickstart, stand_ins};
+use bergamot_bench::{capacity, cold, converge, emulate, plot, quickstart, stand_ins};
 use bergamot_config::Settings;
 use gumdrop::Options;
 
@@ -41,6 +41,8 @@
     Model(ModelOptions),
     #[options(help = "simulate how long fleet membership takes to converge, without sockets")]
     Fleet(FleetOptions),
+    #[options(help = "simulate ways to limit the requests to cold searchers, without sockets")]
+    Cold(ColdOptions),
     #[options(help = "measure the costs and rewrite the tables of docs/CAPACITY.md")]
     Capacity(Capacity),
 }
@@ -93,6 +95,14 @@
     members: Vec<usize>,
 }
 
+#[derive(Debug, Options)]
+struct ColdOptions {
+    #[options(help = "show this text")]
+    help: bool,
+    #[options(help = "how many seeds", default = "20")]
+    seeds: u64,
+}
+
 #[derive(Debug, Options)]
 struct ModelOptions {
     #[options(help = "show this text")]
@@ -201,6 +211,8 @@
         Some(Command::Model(_)) => help::<ModelOptions>("model"),
         Some(Command::Fleet(options)) if !options.help => measure_fleets(&options),
         Some(Command::Fleet(_)) => help::<FleetOptions>("fleet"),
+        Some(Command::Cold(options)) if !options.help => compare_cold_limits(&options),
+        Some(Command::Cold(_)) => help::<ColdOptions>("cold"),
         Some(Command::Capacity(options)) if !options.help => measure_capacity(&options),
         Some(Command::Capacity(_)) => help::<Capacity>("capacity"),
         Some(Command::StandIns(_)) => help::<StandIns>("stand-ins"),
@@ -379,6 +391,14 @@
     ExitCode::SUCCESS
 }
 
+fn compare_cold_limits(options: &ColdOptions) -> ExitCode {
+    println!("seeds 1 to {}\n\n{}", options.seeds, cold::Row::HEAD);
+    for row in cold::measure(&[6, 90, 300, 1800], options.seeds) {
+        println!("{row}");
+    }
+    ExitCode::SUCCESS
+}
+
 fn measure_capacity(options: &Capacity) -> ExitCode {
     match capacity::run(&options.page, options.quick) {
         Ok(()) => ExitCode::SUCCESS,
--- a/crates/declaration/src/declaration.rs
+++ b/crates/declaration/src/declaration.rs
@@ -103,11 +103,22 @@
     pub target: Target,
 }
 
+/// The warm-up of a service's searchers, during which they tolerate few requests.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Warmup {
+    /// How long a searcher is cold.
+    pub duration: Duration,
+    /// How many requests per second a cold searcher tolerates from all clients together.
+    pub requests_per_s: f64,
+}
+
 /// The declared properties of a service.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Service {
     /// The number of connections that each searcher accepts from all clients together.
     pub connections: usize,
+    /// The warm-up of its searchers, if they tolerate fewer requests during it.
+    pub warmup: Option<Warmup>,
 }
 
 /// Limits on the requests and connections of callers.
--- a/crates/declaration/src/lib.rs
+++ b/crates/declaration/src/lib.rs
@@ -13,7 +13,7 @@
 mod round_robin;
 
 pub use declaration::{
-    Declaration, Gather, Idempotency, Limits, Route, Service, Target, WeightedService,
+    Declaration, Gather, Idempotency, Limits, Route, Service, Target, Warmup, WeightedService,
 };
 pub use residency::Residency;
 pub use round_robin::WeightedRoundRobin;
--- a/crates/declaration/tests/declaration.rs
+++ b/crates/declaration/tests/declaration.rs
@@ -24,7 +24,7 @@
 }
 
 fn declaration(routes: Vec<Route>) -> Declaration {
-    let service = Service { connections: 26 };
+    let service = Service { connections: 26, warmup: None };
     let services = ["a", "b"].map(|name| (Name::from(name), service.clone())).into();
     Declaration { version: 1, routes, services, ..Declaration::default() }
 }
--- a/crates/dispatch/src/retry_delay.rs
+++ b/crates/dispatch/src/retry_delay.rs
@@ -21,6 +21,10 @@
     /// The entries of live searchers are being restored after an outage of the store, which is
     /// complete after this time.
     RestoringEntries(Duration),
+    /// The searchers are cold and take requests after this time.
+    WarmingUp(Duration),
+    /// The searchers are withheld by order of the operator, who can't be predicted.
+    Withheld,
     /// The queued work of the searchers exceeds the target latency by this time.
     Backlog(Duration),
 }
@@ -33,8 +37,10 @@
     }
     match cause {
         Unavailability::Transient => shortest,
-        Unavailability::StoreOutage => policy.outage.mul_f64(1.0 + 0.5 * draw),
-        Unavailability::RestoringEntries(left) => left + shortest,
+        Unavailability::StoreOutage | Unavailability::Withheld => {
+            policy.outage.mul_f64(1.0 + 0.5 * draw)
+        }
+        Unavailability::RestoringEntries(left) | Unavailability::WarmingUp(left) => left + shortest,
         Unavailability::Backlog(excess) => excess.min(policy.outage) + shortest,
     }
 }
--- a/crates/front/src/daemon.rs
+++ b/crates/front/src/daemon.rs
@@ -43,6 +43,9 @@
 /// The number of ticks per summary line in the log: one line every ten seconds.
 const TICKS_PER_SUMMARY: u32 = 100;
 
+/// The first version of the RPCs between members that serves requests for permits.
+const PERMIT_PROTOCOL: u32 = 1;
+
 /// State shared by the request handlers and the background tasks.
 struct Inner {
     settings: Settings,
@@ -315,6 +318,7 @@
             self.peers
                 .with_view(|view| view.available().map(|record| record.endpoint.ip).collect()),
         );
+        self.update_permit_issuers();
         if !self.peers.is_settled() {
             self.relay.tick(self.peers.size(), false);
             return;
@@ -344,6 +348,23 @@
         self.relay.set_delegate_members(self.delegate_members());
     }
 
+    /// Tells the relay which members issue permits for cold searchers: the seeds, since all members
+    /// are configured with the same ones.
+    fn update_permit_issuers(&self) {
+        let (own, seeds) = (self.relay.settings().address, self.peers.seeds());
+        let is_usable = |ip: &Ipv4Addr| {
+            let endpoint = Endpoint { ip: *ip, role: Role::Entry };
+            self.peers.with_view(|view| {
+                view.takes_work(endpoint)
+                    && view.get(endpoint).is_some_and(|record| record.protocol >= PERMIT_PROTOCOL)
+            })
+        };
+        let others = seeds.iter().copied().filter(|ip| *ip != own).filter(is_usable).collect();
+        // A member without seeds is the only one.
+        let is_issuer = seeds.is_empty() || seeds.contains(&own);
+        self.relay.set_permit_issuers(others, is_issuer.then_some(seeds.len()));
+    }
+
     /// Returns the members to which shards of their region can be delegated.
     fn delegate_members(&self) -> Vec<DelegateMember> {
         let settings = self.relay.settings();
--- a/crates/front/src/member.rs
+++ b/crates/front/src/member.rs
@@ -9,6 +9,7 @@
 use bergamot_feed::{ChunkQueryFn, FeedState, NewsQueryFn, QueryError, QueryFuture};
 use bergamot_net::NetworkError;
 use bergamot_quarantine::Fingerprint;
+use bergamot_registry::Incarnation;
 use bergamot_relay::{Helping, MemberFuture, Relay};
 use bergamot_wire::{
     Channels, Item, Late, Member, MemberClient, News, NewsQuery, ShardQuery, ShardReply,
@@ -58,6 +59,15 @@
         self.relay.answer_shard_query(query, Residency::within(regions)).await
     }
 
+    async fn permits(
+        self,
+        _context: Context,
+        searchers: Vec<Incarnation>,
+        needed: u32,
+    ) -> Vec<bool> {
+        self.relay.issue_permits(&searchers, needed as usize)
+    }
+
     async fn rest(self, _context: Context, token: u64) -> Vec<Late> {
         self.relay.next_late_shards(token).await
     }
@@ -102,6 +112,7 @@
 pub(crate) fn relay_calls(channels: &MemberChannels, port: u16) -> Helping {
     let (for_gather, for_rest) = (Arc::clone(channels), Arc::clone(channels));
     let (for_records, for_grant) = (Arc::clone(channels), Arc::clone(channels));
+    let for_permits = Arc::clone(channels);
     Helping {
         gather: Box::new(move |ip, query, residency, deadline| {
             call(&for_gather, (ip, port), deadline, |client, context| async move {
@@ -122,6 +133,11 @@
                 client.records(context, token).await
             })
         }),
+        permits: Box::new(move |ip, searchers, needed, deadline| {
+            call(&for_permits, (ip, port), deadline, move |client, context| async move {
+                client.permits(context, searchers, needed).await
+            })
+        }),
         grant: Box::new(move |ip, fingerprint, deadline| {
             call(&for_grant, (ip, port), deadline, move |client, context| async move {
                 client.grant(context, fingerprint).await
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -9,6 +9,7 @@
 //! behalf of another, and processing cost. Invariant: the same [`Load`] gives the same
 //! [`Report`].
 
+pub mod cold;
 pub mod fleet;
 mod load;
 mod member;
--- a/crates/placement/src/evacuations.rs
+++ b/crates/placement/src/evacuations.rs
@@ -25,6 +25,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Evacuations {
     zones: BTreeMap<Name, Evacuation>,
+    /// When the last evacuation of each other zone ended.
+    ended: BTreeMap<Name, Instant>,
     /// Until when missing records may be written again, after the store was restored.
     hold_until: Option<Instant>,
 }
@@ -35,6 +37,7 @@
         let known = self.zones.get(&zone);
         let since = known.map_or(now, |known| known.since);
         let is_new = known.is_none();
+        self.ended.remove(&zone);
         self.zones.insert(zone, Evacuation { position, since, is_missing: false });
         is_new
     }
@@ -43,7 +46,9 @@
     /// ended.
     pub fn end(&mut self, zone: &str, now: Instant) -> bool {
         if self.hold_until.is_none_or(|until| until <= now) {
-            return self.zones.remove(zone).is_some();
+            let Some((zone, _)) = self.zones.remove_entry(zone) else { return false };
+            self.ended.insert(zone, now);
+            return true;
         }
         if let Some(evacuation) = self.zones.get_mut(zone) {
             evacuation.is_missing = true;
@@ -64,7 +69,14 @@
         }
         self.hold_until = None;
         let overdue = self.zones.extract_if(.., |_, evacuation| evacuation.is_missing);
-        overdue.map(|(zone, _)| zone).collect()
+        let ended: Vec<Name> = overdue.map(|(zone, _)| zone).collect();
+        self.ended.extend(ended.iter().map(|zone| (Name::clone(zone), now)));
+        ended
+    }
+
+    /// Returns when the last evacuation of a zone ended, if one has.
+    pub fn ended_at(&self, zone: &str) -> Option<Instant> {
+        self.ended.get(zone).copied()
     }
 
     /// Returns whether a zone is evacuated.
--- a/crates/placement/src/placement.rs
+++ b/crates/placement/src/placement.rs
@@ -1,17 +1,20 @@
 //! The decision whether a request may be sent to a searcher.
 //!
 //! Invariant: a searcher in an evacuated zone, or outside the regions of a request, is withheld
-//! from it, even if no other searcher is left.
+//! from it, even if no other searcher is left; so is a cold one without a permit, if the number of
+//! requests that it tolerates is limited.
 
 use std::collections::BTreeMap;
 use std::fmt;
 use std::sync::Arc;
+use std::time::Instant;
 
 use bergamot_base::Name;
-use bergamot_declaration::Residency;
+use bergamot_declaration::{Residency, Service, Warmup};
 use bergamot_registry::Upstream;
 
 use crate::evacuations::Evacuations;
+use crate::permits::Permits;
 
 /// Why a searcher is withheld from a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -20,6 +23,8 @@
     Residency,
     /// Its availability zone is evacuated.
     Evacuated,
+    /// It is cold, and the request has no permit.
+    Cold,
 }
 
 impl Withheld {
@@ -28,6 +33,7 @@
         match self {
             Self::Residency => "residency",
             Self::Evacuated => "evacuated",
+            Self::Cold => "cold",
         }
     }
 }
@@ -74,6 +80,15 @@
 pub struct Constraints {
     /// The regions in which it may be processed.
     pub residency: Residency,
+    /// The cold searchers to which it may be sent.
+    pub permits: Permits,
+}
+
+impl Constraints {
+    /// Returns the constraints of a request without permits.
+    pub fn new(residency: Residency) -> Self {
+        Self { residency, permits: Permits::default() }
+    }
 }
 
 /// What is known about where requests may be sent.
@@ -83,32 +98,75 @@
     regions: BTreeMap<Name, Name>,
     /// The availability zones that the operator has evacuated.
     pub evacuations: Evacuations,
+    /// The services whose cold searchers tolerate a limited number of requests.
+    warmups: BTreeMap<Name, Warmup>,
 }
 
 impl Placement {
     /// Creates the state of a member that knows of no evacuation.
     pub fn new(regions: BTreeMap<Name, Name>) -> Self {
-        Self { regions, evacuations: Evacuations::default() }
+        Self { regions, ..Self::default() }
+    }
+
+    /// Applies the warm-ups of a declaration.
+    pub fn set_services(&mut self, services: &BTreeMap<Name, Service>) {
+        let limited = services
+            .iter()
+            .filter_map(|(name, service)| service.warmup.map(|warmup| (Name::clone(name), warmup)));
+        self.warmups = limited.collect();
     }
 
     /// Returns whether a request may be sent to a searcher.
-    pub fn check(&self, upstream: &Upstream, constraints: &Constraints) -> Result<(), Withheld> {
+    pub fn check(
+        &self,
+        upstream: &Upstream,
+        constraints: &Constraints,
+        now: Instant,
+    ) -> Result<(), Withheld> {
         if !self.is_resident(&upstream.zone, &constraints.residency) {
             return Err(Withheld::Residency);
         }
         if self.evacuations.contains(&upstream.zone) {
             return Err(Withheld::Evacuated);
         }
+        if self.cold_until(upstream, now).is_some()
+            && !constraints.permits.allow(&upstream.incarnation, now)
+        {
+            return Err(Withheld::Cold);
+        }
         Ok(())
     }
 
+    /// Returns whether any service has cold searchers that tolerate only a limited number of requests.
+    pub fn limits_cold_searchers(&self) -> bool {
+        !self.warmups.is_empty()
+    }
+
+    /// Returns until when a searcher tolerates only a limited number of requests, if it does.
+    ///
+    /// Searchers of an evacuated zone may become cold shortly before the evacuation ends, and their
+    /// entries say so with their next heartbeat. All of them therefore count as cold after it.
+    pub fn cold_until(&self, upstream: &Upstream, now: Instant) -> Option<Instant> {
+        let warmup = self.warmups.get(&upstream.service)?;
+        let ended = self.evacuations.ended_at(&upstream.zone);
+        let assumed = ended.map_or(now, |ended| ended + warmup.duration);
+        Some(assumed.max(upstream.warm_at)).filter(|until| now < *until)
+    }
+
+    /// Returns how many requests per second a searcher of a service tolerates while it is cold, if
+    /// that is limited.
+    pub fn cold_rate(&self, service: &str) -> Option<f64> {
+        self.warmups.get(service).map(|warmup| warmup.requests_per_s)
+    }
+
     /// Keeps the searchers to which a request may be sent.
     pub fn permitted<'a, 'b>(
         &'a self,
         searchers: impl Iterator<Item = (&'b Arc<Upstream>, bool)>,
         constraints: &'a Constraints,
+        now: Instant,
     ) -> impl Iterator<Item = (&'b Arc<Upstream>, bool)> {
-        searchers.filter(|(upstream, _missing)| self.check(upstream, constraints).is_ok())
+        searchers.filter(move |(upstream, _)| self.check(upstream, constraints, now).is_ok())
     }
 
     /// Counts the searchers that are withheld from a request, by reason.
@@ -116,10 +174,11 @@
         &self,
         searchers: impl Iterator<Item = (&'a Arc<Upstream>, bool)>,
         constraints: &Constraints,
+        now: Instant,
     ) -> WithheldCounts {
         let mut counts = WithheldCounts::default();
         for (upstream, _missing) in searchers {
-            if let Err(reason) = self.check(upstream, constraints) {
+            if let Err(reason) = self.check(upstream, constraints, now) {
                 *counts.0.entry(reason).or_default() += 1;
             }
         }
--- a/crates/placement/tests/placement.rs
+++ b/crates/placement/tests/placement.rs
@@ -29,13 +29,16 @@
 }
 
 fn within(regions: &[&str]) -> Constraints {
-    Constraints { residency: Residency::within(regions.iter().map(|region| Name::from(*region))) }
+    Constraints::new(Residency::within(regions.iter().map(|region| Name::from(*region))))
 }
 
 fn permitted(placement: &Placement, constraints: &Constraints) -> String {
     let searchers = ["a", "b", "c", "z"].map(|zone| searcher(zone, zone));
     let known = searchers.iter().map(|upstream| (upstream, false));
-    placement.permitted(known, constraints).map(|(upstream, _)| &*upstream.zone).collect()
+    placement
+        .permitted(known, constraints, Instant::now())
+        .map(|(upstream, _)| &*upstream.zone)
+        .collect()
 }
 
 #[test]
@@ -56,9 +59,9 @@
     assert_eq!(permitted(&placement, &within(&[])), "acz");
     assert_eq!(permitted(&placement, &within(&["south"])), "a");
     let (at_b, south) = (searcher("b", "b"), within(&["south"]));
-    assert_eq!(placement.check(&at_b, &south), Err(Withheld::Evacuated));
+    assert_eq!(placement.check(&at_b, &south, now), Err(Withheld::Evacuated));
     let known = [(&at_b, false), (&searcher("c", "c"), false)];
-    let counts = placement.count_withheld(known.into_iter(), &south);
+    let counts = placement.count_withheld(known.into_iter(), &south, now);
     assert_eq!(counts.to_string(), "residency=1 evacuated=1");
     assert!(placement.evacuations.end("b", now));
     assert_eq!(permitted(&placement, &within(&[])), "abcz");
--- a/crates/registry/src/registry.rs
+++ b/crates/registry/src/registry.rs
@@ -232,6 +232,11 @@
         self.known(incarnation).is_some_and(|entry| entry.upstream.state == State::Ready)
     }
 
+    /// Returns the entry of an incarnation, if it is known.
+    pub fn get(&self, incarnation: &Incarnation) -> Option<&Arc<Upstream>> {
+        self.known(incarnation).map(|entry| &entry.upstream)
+    }
+
     /// Returns whether an incarnation is known.
     pub fn contains(&self, incarnation: &Incarnation) -> bool {
         self.known(incarnation).is_some()
@@ -271,15 +276,25 @@
         if known.upstream.state == State::Draining {
             upstream.state = State::Draining;
         }
-        // `warm_at` is relative to the time of reading, so rereading an entry would extend it.
-        upstream.warm_at = upstream.warm_at.min(known.upstream.warm_at);
-        if known.missing.is_none() && !earlier && *known.upstream == upstream {
-            return false;
+        if known.missing.is_none() && !earlier && known.upstream.is_same_but_warmth(&upstream) {
+            return self.set_warmth(upstream, now);
         }
         self.insert(upstream, now);
         true
     }
 
+    /// Replaces a searcher by one that differs at most in its warm-up, and returns whether it has
+    /// become cold.
+    ///
+    /// A searcher may become cold at any time. Its last word counts: the warm-up that an earlier
+    /// entry stated has been interrupted.
+    fn set_warmth(&mut self, upstream: Upstream, now: Instant) -> bool {
+        let Some(entry) = self.entries.get_mut(&upstream.incarnation.id) else { return false };
+        let became_cold = upstream.is_cold(now) && !entry.upstream.is_cold(now);
+        entry.upstream = Arc::new(upstream);
+        became_cold
+    }
+
     /// Inserts an incarnation in place of the known state of its searcher.
     fn insert(&mut self, upstream: Upstream, now: Instant) {
         let id = Name::clone(&upstream.incarnation.id);
--- a/crates/registry/src/upstream.rs
+++ b/crates/registry/src/upstream.rs
@@ -68,3 +68,15 @@
     /// The end of its warm-up, during which it is slower.
     pub warm_at: Instant,
 }
+
+impl Upstream {
+    /// Returns whether the searcher is warming up.
+    pub fn is_cold(&self, now: Instant) -> bool {
+        now < self.warm_at
+    }
+
+    /// Returns whether two entries differ at most in the warm-up.
+    pub(crate) fn is_same_but_warmth(&self, other: &Self) -> bool {
+        *self == Self { warm_at: self.warm_at, ..other.clone() }
+    }
+}
--- a/crates/relay/src/delegate.rs
+++ b/crates/relay/src/delegate.rs
@@ -17,6 +17,7 @@
 use bergamot_dispatch::{LatencyEstimator, StallPeriod};
 use bergamot_policy::{Delegate, Policy};
 use bergamot_quarantine::Fingerprint;
+use bergamot_registry::Incarnation;
 use bergamot_wire::{Late, ShardQuery, ShardReply};
 use futures::future::BoxFuture;
 
@@ -38,6 +39,10 @@
 pub type GatherCall =
     Box<dyn Fn(Ipv4Addr, ShardQuery, Residency, Instant) -> MemberFuture<ShardReply> + Send + Sync>;
 
+/// Requests permits for cold searchers from a member, with a deadline.
+pub type PermitCall =
+    Box<dyn Fn(Ipv4Addr, Vec<Incarnation>, u32, Instant) -> MemberFuture<Vec<bool>> + Send + Sync>;
+
 /// Calls to other members.
 pub struct Helping {
     /// Queries a member for shards.
@@ -46,6 +51,8 @@
     pub rest: TokenCall<Vec<Late>>,
     /// Fetches the records that a member left out of its reply, with a deadline.
     pub records: TokenCall<Option<Vec<u8>>>,
+    /// Asks a member for permits for cold searchers, of which a number is needed, with a deadline.
+    pub permits: PermitCall,
     /// Asks a member for permission to run a trial of a request, with a deadline.
     pub grant: Box<dyn Fn(Ipv4Addr, Fingerprint, Instant) -> MemberFuture<bool> + Send + Sync>,
 }
--- a/crates/relay/src/gather.rs
+++ b/crates/relay/src/gather.rs
@@ -59,8 +59,9 @@
     if delays.len() < fewest {
         let served = delays.len();
         let withheld = relay.count_withheld(&gather.shards, &job.constraints);
+        let unavailability = relay.searcher_unavailability(&gather.shards, &job.constraints);
         let cause = format!("{served} of {fewest} shards have a searcher, withheld: {withheld}");
-        return refuse(relay, job, (Cause::NotRun, relay.searcher_unavailability()), &cause);
+        return refuse(relay, job, (Cause::NotRun, unavailability), &cause);
     }
     let policy = &relay.settings.policy.admit;
     let admitted = admit(&mut delays, fewest, timeouts.target, policy, rand::rng().random());
--- a/crates/relay/src/handler.rs
+++ b/crates/relay/src/handler.rs
@@ -124,7 +124,8 @@
             Target::Service(_) | Target::Split(_) => Tally::new(1, 1),
         };
         let kind = (Name::clone(&route.name), route.kind);
-        let constraints = Constraints { residency: route.residency.clone() };
+        let mut constraints = Constraints::new(route.residency.clone());
+        constraints.permits = self.obtain_permits(&route.target, &constraints).await;
         let job = Arc::new(Job::new(request, kind, route.attempts, constraints, tally));
         let standing = self.quarantine().standing(Instant::now(), || job.fingerprint());
         let reply = match standing {
@@ -212,7 +213,7 @@
         let request = &job.request.id;
         log::info!("relay: event=refused request={request:?} service={service} outcome={cause:?}");
         let unavailability = if cause == Cause::NotRun {
-            self.searcher_unavailability()
+            self.searcher_unavailability(std::slice::from_ref(service), &job.constraints)
         } else {
             Unavailability::Transient
         };
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -25,9 +25,11 @@
 mod settings;
 mod shard_query;
 mod state;
+mod warmup;
 
+pub use bergamot_placement::ColdBound;
 pub use coverage::Coverage;
-pub use delegate::{DelegateMember, Helping, MemberFuture, TokenCall};
+pub use delegate::{DelegateMember, GatherCall, Helping, MemberFuture, PermitCall, TokenCall};
 pub use dialect::{Dialect, RequestMetadata, ResponseMetadata};
 pub use message::{Cause, MergedResponse, Refusal, Reply, Request, SearcherResponse};
 pub use relay::Relay;
--- a/crates/relay/src/link.rs
+++ b/crates/relay/src/link.rs
@@ -94,8 +94,12 @@
     }
 
     /// Returns the searcher as a candidate for the choice within its service.
-    pub(crate) fn candidate(self: &Arc<Self>, missing: bool, now: Instant) -> Candidate<Arc<Self>> {
-        let cold = now < self.upstream.warm_at;
+    pub(crate) fn candidate(
+        self: &Arc<Self>,
+        missing: bool,
+        cold: bool,
+        now: Instant,
+    ) -> Candidate<Arc<Self>> {
         let mut expected = self.estimator().expected(now, self.upstream.slots, cold);
         if self.distance == Distance::Far && self.policy.near.on {
             expected *= self.policy.near.factor;
--- a/crates/relay/src/meter.rs
+++ b/crates/relay/src/meter.rs
@@ -89,6 +89,7 @@
     pub(crate) store: StoreMeter,
     pub(crate) quarantine: IntCounterVec,
     pub(crate) withheld: IntCounterVec,
+    pub(crate) permits: IntCounterVec,
     pub(crate) denied_attempts: IntCounter,
     pub(crate) missing_parts: IntCounter,
     pub(crate) records_lacking: IntCounter,
@@ -138,6 +139,11 @@
                 "Requests to a service all of whose searchers were withheld, by reason.",
                 &["reason"],
             ),
+            permits: counters(
+                "bergamot_relay_permits_total",
+                "Requests to this member for permits for cold searchers, by result.",
+                &["result"],
+            ),
             denied_attempts: counter(
                 "bergamot_relay_denied_total",
                 "Additional attempts that the bound did not allow.",
--- a/crates/relay/src/quarantine.rs
+++ b/crates/relay/src/quarantine.rs
@@ -110,7 +110,9 @@
         let Some(service) = service
             .filter(|service| self.choose_searcher(service, &job.constraints, &[]).is_some())
         else {
-            let after = self.retry_after(self.searcher_unavailability());
+            let services: Vec<Name> = target.services().cloned().collect();
+            let unavailability = self.searcher_unavailability(&services, &job.constraints);
+            let after = self.retry_after(unavailability);
             return Err(refusal(Cause::NotRun, Some(after)));
         };
         if !self.request_trial_grant(fingerprint).await {
@@ -159,7 +161,8 @@
         let has_ended = |upstream: &Upstream| {
             links.get(&upstream.incarnation).is_some_and(|link| link.has_ended())
         };
-        let permitted = state.placement.permitted(state.registry.usable(service), constraints);
+        let permitted =
+            state.placement.permitted(state.registry.usable(service), constraints, Instant::now());
         permitted.filter(|(upstream, _missing)| !has_ended(upstream)).count()
     }
 
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -12,7 +12,7 @@
 use bergamot_declaration::{Declaration, Residency};
 use bergamot_dispatch::{StallPeriod, Unavailability};
 use bergamot_logger::ChangeAggregator;
-use bergamot_placement::Constraints;
+use bergamot_placement::{Constraints, WithheldCounts};
 use bergamot_quarantine::Quarantine;
 use bergamot_registry::{Registry, Upstream};
 use bergamot_wire::{Late, ShardQuery, ShardReply};
@@ -119,7 +119,7 @@
         query: ShardQuery,
         residency: Residency,
     ) -> ShardReply {
-        shard_query::answer(self, query, Constraints { residency }).await
+        shard_query::answer(self, query, Constraints::new(residency)).await
     }
 
     /// Returns to a member the next shards of its earlier query.
@@ -172,7 +172,8 @@
                 || "not_linked".to_owned(),
                 |link| {
                     let usage = link.pool.usage();
-                    let expected = link.candidate(false, now).expected;
+                    let cold = upstream.is_cold(now);
+                    let expected = link.candidate(false, cold, now).expected;
                     let (open, share, idle) = (usage.open, usage.share, usage.idle);
                     format!("connections {open}/{share} idle {idle} expected_ms {expected:.1}")
                 },
@@ -210,14 +211,27 @@
             state.splits.retain(|name, _| names.contains(name));
             state.latency_percentiles.retain(|name, _| names.contains(name));
             state.caller_overheads.retain(|name, _| names.contains(name));
+            self.log_unknown_regions(&declaration);
             self.meter.forget_routes();
             self.meter.declaration_version.set(version as i64);
+            state.placement.set_services(&declaration.services);
             state.declaration = Some(Arc::new(declaration));
             Self::resize_pools(&state);
         }
         status
     }
 
+    /// Logs the routes that are bound to a region in which nothing runs; it admits no searcher.
+    fn log_unknown_regions(&self, declaration: &Declaration) {
+        let known: HashSet<&Name> = self.settings.regions.values().collect();
+        for route in &declaration.routes {
+            let unknown = route.residency.regions().iter().filter(|region| !known.contains(region));
+            for region in unknown {
+                log::warn!("relay: event=unknown_region route={} region={region}", route.name);
+            }
+        }
+    }
+
     /// Returns the current declaration.
     pub fn declaration(&self) -> Option<Arc<Declaration>> {
         self.lock().declaration.clone()
@@ -235,7 +249,8 @@
 
     /// Adds or updates the entry of a searcher.
     pub fn publish(&self, upstream: Upstream) {
-        let kind = upstream.state.label();
+        let is_cold = upstream.is_cold(Instant::now());
+        let kind = if is_cold { "cold" } else { upstream.state.label() };
         let searcher = upstream.incarnation.clone();
         self.change(kind, searcher, |registry, now| registry.publish(upstream, now));
     }
@@ -390,13 +405,35 @@
         }
     }
 
-    /// Returns why searchers are missing. After a store outage, the entry of a live searcher
-    /// returns with its next heartbeat.
-    pub(crate) fn searcher_unavailability(&self) -> Unavailability {
-        let since = self.lock().store_recovered_at.map(|recovered_at| recovered_at.elapsed());
+    /// Returns why searchers of some services are missing. After a store outage, the entry of a
+    /// live searcher returns with its next heartbeat; a cold searcher takes requests once it is
+    /// warm; an evacuation ends when the operator says so.
+    pub(crate) fn searcher_unavailability(
+        &self,
+        services: &[Name],
+        constraints: &Constraints,
+    ) -> Unavailability {
+        let now = Instant::now();
+        let state = self.lock();
+        let since = state.store_recovered_at.map(|recovered_at| recovered_at.elapsed());
         let left = since.map(|since| self.settings.heartbeat.saturating_sub(since));
-        left.filter(|left| !left.is_zero())
-            .map_or(Unavailability::Transient, Unavailability::RestoringEntries)
+        if let Some(left) = left.filter(|left| !left.is_zero()) {
+            return Unavailability::RestoringEntries(left);
+        }
+        let mut withheld = WithheldCounts::default();
+        let mut warm_at = None::<Instant>;
+        for service in services {
+            let usable = || state.registry.usable(service);
+            withheld.add(&state.placement.count_withheld(usable(), constraints, now));
+            let cold =
+                usable().filter_map(|(searcher, _)| state.placement.cold_until(searcher, now));
+            warm_at = warm_at.max(cold.min());
+        }
+        match warm_at {
+            Some(warm_at) => Unavailability::WarmingUp(warm_at - now),
+            None if withheld.is_empty() => Unavailability::Transient,
+            None => Unavailability::Withheld,
+        }
     }
 
     /// Waits for a limited time until the state is no older than the last pause of the process.
--- a/crates/relay/src/searchers.rs
+++ b/crates/relay/src/searchers.rs
@@ -94,10 +94,11 @@
         let share = connection_share(&state, service);
         let State { registry, placement, links, round_trips, .. } = &mut *state;
         let candidates = placement
-            .permitted(registry.usable(service), constraints)
+            .permitted(registry.usable(service), constraints, now)
             .filter(|(upstream, _)| !was_tried(tried, &upstream.incarnation))
             .map(|(upstream, missing)| {
-                self.link_to(links, round_trips, upstream, share).candidate(missing, now)
+                let link = self.link_to(links, round_trips, upstream, share);
+                link.candidate(missing, upstream.is_cold(now), now)
             })
             .collect();
         drop(state);
@@ -197,10 +198,10 @@
             return;
         }
         let now = Instant::now();
-        let anyone = Constraints::default();
-        let is_permitted = |link: &SearcherLink| state.placement.check(&link.upstream, &anyone);
+        let is_evacuated =
+            |link: &SearcherLink| state.placement.evacuations.contains(&link.upstream.zone);
         let cold = |link: &&Arc<SearcherLink>| {
-            link.pool.usage().open == 0 && is_permitted(link).is_ok() && link.may_prewarm(now)
+            link.pool.usage().open == 0 && !is_evacuated(link) && link.may_prewarm(now)
         };
         for link in state.links.values().filter(cold).take(policy.at_once) {
             let pool = Arc::clone(&link.pool);
@@ -218,7 +219,8 @@
         let now = Instant::now();
         let state = self.lock();
         let fastest = |service: &Name| {
-            let permitted = state.placement.permitted(state.registry.usable(service), constraints);
+            let permitted =
+                state.placement.permitted(state.registry.usable(service), constraints, now);
             let known = permitted.map(|(upstream, _missing)| {
                 // A searcher without a link has not been used yet.
                 state.links.get(&upstream.incarnation).map_or(0.0, |link| link.delay(now))
@@ -235,13 +237,14 @@
         services: &[Name],
         constraints: &Constraints,
     ) -> WithheldCounts {
+        let now = Instant::now();
         let state = self.lock();
         let mut counts = WithheldCounts::default();
         for service in services {
             let withheld =
-                state.placement.count_withheld(state.registry.usable(service), constraints);
+                state.placement.count_withheld(state.registry.usable(service), constraints, now);
             let permitted =
-                state.placement.permitted(state.registry.usable(service), constraints).next();
+                state.placement.permitted(state.registry.usable(service), constraints, now).next();
             if permitted.is_none() {
                 self.meter.count_withheld(&withheld);
             }
@@ -274,7 +277,9 @@
         if !state.registry.takes_work(&upstream.incarnation) {
             return Err(Unusable::NoWork);
         }
-        state.placement.check(upstream, constraints).map_err(Unusable::Withheld)
+        // The entry may have changed since the link was created.
+        let current = state.registry.get(&upstream.incarnation).map_or(upstream, |known| known);
+        state.placement.check(current, constraints, Instant::now()).map_err(Unusable::Withheld)
     }
 
     /// Marks an incarnation as ended because another searcher answered at its address.
--- a/crates/relay/src/settings.rs
+++ b/crates/relay/src/settings.rs
@@ -7,6 +7,7 @@
 
 use bergamot_base::Name;
 use bergamot_dispatch::RetryBudgetLimits;
+use bergamot_placement::ColdBound;
 use bergamot_policy::Policy;
 
 /// The number of missed heartbeats after which a searcher's entry expires.
@@ -25,6 +26,8 @@
     pub retry_budget_limits: RetryBudgetLimits,
     /// The interval at which searchers renew their entries in the store.
     pub heartbeat: Duration,
+    /// How many requests all members together may send to a cold searcher.
+    pub cold_bound: ColdBound,
     /// The timeout for opening a connection: several round trips between regions (16 ms).
     pub connect_timeout: Duration,
     /// The longest gap between two ticks that is not treated as a pause of the process: seven
@@ -44,6 +47,7 @@
             regions: BTreeMap::new(),
             retry_budget_limits: RetryBudgetLimits::default(),
             heartbeat: Duration::from_secs(1),
+            cold_bound: ColdBound::default(),
             connect_timeout: Duration::from_millis(300),
             pause_threshold: Duration::from_millis(700),
             max_response_bytes: 16 << 20,
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -10,7 +10,7 @@
 use bergamot_declaration::{Declaration, WeightedRoundRobin};
 use bergamot_dispatch::{CallerOverhead, RetryBudget, ZoneRoundTrips};
 use bergamot_logger::Sampler;
-use bergamot_placement::Placement;
+use bergamot_placement::{Constraints, Issuer, Placement, Withheld};
 use bergamot_registry::{Incarnation, Registry};
 use bergamot_upstream::LatencyPercentile;
 
@@ -35,6 +35,12 @@
     pub(crate) registry: Registry,
     /// Where requests may be sent.
     pub(crate) placement: Placement,
+    /// The permits for cold searchers that this member has issued.
+    pub(crate) issuer: Issuer,
+    /// The other members that issue permits and can be reached.
+    pub(crate) permit_issuers: Vec<Ipv4Addr>,
+    /// Until when an issuer that denied permits is not asked again.
+    pub(crate) permit_denials: HashMap<Ipv4Addr, Instant>,
     pub(crate) coverage: CachedCoverage,
     pub(crate) round_trips: ZoneRoundTrips,
     pub(crate) links: HashMap<Incarnation, Arc<SearcherLink>>,
@@ -61,6 +67,9 @@
             declaration: None,
             registry: Registry::new(settings.policy.doubt),
             placement: Placement::new(settings.regions.clone()),
+            issuer: Issuer::default(),
+            permit_issuers: Vec::new(),
+            permit_denials: HashMap::new(),
             coverage: CachedCoverage::default(),
             round_trips: ZoneRoundTrips::default(),
             links: HashMap::new(),
@@ -77,6 +86,34 @@
         }
     }
 
+    /// Returns the best cold searcher of a service to which the request could be sent with a permit,
+    /// if there is no other searcher to which it may be sent.
+    pub(crate) fn cold_candidate(
+        &self,
+        service: &str,
+        constraints: &Constraints,
+        now: Instant,
+    ) -> Result<(), Option<Incarnation>> {
+        let mut best = None::<(f64, &Incarnation)>;
+        for (upstream, _missing) in self.registry.usable(service) {
+            let link = self.links.get(&upstream.incarnation);
+            if link.is_some_and(|link| link.has_ended()) {
+                continue;
+            }
+            match self.placement.check(upstream, constraints, now) {
+                Ok(()) => return Ok(()),
+                Err(Withheld::Cold) => {
+                    let delay = link.map_or(f64::INFINITY, |link| link.delay(now));
+                    if best.is_none_or(|(least, _)| delay < least) {
+                        best = Some((delay, &upstream.incarnation));
+                    }
+                }
+                Err(Withheld::Residency | Withheld::Evacuated) => {}
+            }
+        }
+        Err(best.map(|(_, searcher)| searcher.clone()))
+    }
+
     pub(crate) fn retry_budget(&mut self, service: &Name, now: Instant) -> &mut RetryBudget {
         self.retry_budgets.entry(Name::clone(service)).or_insert_with(|| RetryBudget::new(now))
     }
--- a/crates/relay/tests/helped.rs
+++ b/crates/relay/tests/helped.rs
@@ -13,7 +13,8 @@
 use bergamot_standin::ScriptedServer;
 use bergamot_wire::{Late, QuietPeriod, ShardOutcome, ShardReply};
 use support::{
-    at, gather, incarnation, merged, part, record, relay_with_members, request, route, upstream,
+    at, gather, incarnation, merged, no_members, part, record, relay_with_members, request, route,
+    upstream,
 };
 
 const MEMBER: Ipv4Addr = Ipv4Addr::new(10, 0, 0, 9);
@@ -45,6 +46,7 @@
             Box::pin(async move { Ok(others) })
         }),
         grant: Box::new(|_, _, _| Box::pin(async { Ok(true) })),
+        ..no_members()
     };
     let upstreams = vec![
         at("west", upstream("a-west", "a", west)),
--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -6,7 +6,9 @@
 use std::time::{Duration, Instant};
 
 use bergamot_base::Name;
-use bergamot_declaration::{Declaration, Gather, Idempotency, Residency, Route, Service, Target};
+use bergamot_declaration::{
+    Declaration, Gather, Idempotency, Residency, Route, Service, Target, Warmup,
+};
 use bergamot_dispatch::RetryBudgetLimits;
 use bergamot_registry::{Incarnation, State, Upstream};
 use bergamot_relay::{
@@ -118,6 +120,7 @@
         gather: Box::new(|_, _, _, _| Box::pin(async { Err("no other members".to_owned()) })),
         rest: Box::new(|_, _, _| Box::pin(async { Err("no other members".to_owned()) })),
         records: Box::new(|_, _, _| Box::pin(async { Err("no other members".to_owned()) })),
+        permits: Box::new(|_, _, _, _| Box::pin(async { Err("no other members".to_owned()) })),
         grant: Box::new(|_, _, _| Box::pin(async { Err("no other members".to_owned()) })),
     }
 }
@@ -152,7 +155,9 @@
         Settings { zone: "here".into(), regions, retry_budget_limits, ..settings.clone() };
     let relay = Relay::new(settings, DIALECT, helping);
     let services = routes.iter().flat_map(|route| route.target.services());
-    let services = services.map(|name| (Name::clone(name), Service { connections: 16 })).collect();
+    let services = services
+        .map(|name| (Name::clone(name), Service { connections: 16, warmup: None }))
+        .collect();
     let declaration = Declaration { version: 1, routes, services, ..Declaration::default() };
     relay.apply_declaration(declaration.check().expect("invalid declaration"));
     for upstream in upstreams {
@@ -223,3 +228,18 @@
         deadline: Duration::from_secs(1),
     }
 }
+
+/// Declares that cold searchers of all services tolerate `requests_per_s`.
+pub fn limit_cold_searchers(relay: &Relay, requests_per_s: f64) {
+    let declaration = relay.declaration().expect("it has one");
+    let mut limited = Declaration { version: declaration.version + 1, ..(*declaration).clone() };
+    for service in limited.services.values_mut() {
+        service.warmup = Some(Warmup { duration: Duration::from_secs(3), requests_per_s });
+    }
+    relay.apply_declaration(limited.check().expect("valid declaration"));
+}
+
+/// A searcher that stays cold for longer than any test.
+pub fn cold(upstream: Upstream) -> Upstream {
+    Upstream { warm_at: Instant::now() + Duration::from_hours(1), ..upstream }
+}
--- a/crates/wire/src/member.rs
+++ b/crates/wire/src/member.rs
@@ -235,4 +235,7 @@
     /// Like [`Member::gather`], for a request that may be processed only in these regions. Served
     /// from version 1 of the RPCs on.
     async fn gather_within(query: ShardQuery, regions: Vec<Name>) -> ShardReply;
+    /// Issues permits to send one request to each of these cold searchers, as far as there are any
+    /// left, or none if `needed` of them cannot be had. Served from version 1 of the RPCs on.
+    async fn permits(searchers: Vec<Incarnation>, needed: u32) -> Vec<bool>;
 }
