A retry of a failed shard outlives the member's late shards

Callers got answers without shards, or none, although an attempt for them was still running.

Cause: the sender counts for each shard what may still deliver it. A member that had reported a shard as failed was taken off that count at once, and once more when its stream of late shards ended, which is at every reply with a silent searcher. So the shard was counted missing while its retry ran, and the retry's answer was thrown away.

Evidence: a_retry_of_a_failed_shard_outlives_the_members_late_shards failed before (refused, none of two shards). Now a query remembers which shards the member still owes, and only these end with it.

--- a/crates/relay/src/gather.rs
+++ b/crates/relay/src/gather.rs
@@ -4,7 +4,7 @@
 //! all others directly. Invariant: all shards are from one declaration, each is included at most
 //! once, and the response states how many are missing.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::net::Ipv4Addr;
 use std::sync::Arc;
 use std::time::Instant;
@@ -41,6 +41,8 @@
 struct MemberQuery<'a> {
     ip: Ipv4Addr,
     shards: Vec<&'a Name>,
+    /// The shards that the member may deliver after its reply.
+    owed: HashSet<&'a Name>,
 }
 
 /// The operations in progress.
@@ -187,7 +189,7 @@
                 &plan,
             )
             .await;
-            WorkResult::Member(MemberQuery { ip, shards }, reply)
+            WorkResult::Member(MemberQuery { ip, shards, owed: HashSet::new() }, reply)
         }));
     }
 
@@ -227,7 +229,7 @@
         self.job.tally_changed.notify_waiters();
     }
 
-    fn handle_reply(&mut self, query: MemberQuery<'a>, reply: ShardReply) {
+    fn handle_reply(&mut self, mut query: MemberQuery<'a>, reply: ShardReply) {
         let ShardReply { shards: outcomes, records, left_out, rest, quiet } = reply;
         for quiet in quiet {
             if let Some(shard) = query.shards.get(quiet.index as usize) {
@@ -242,6 +244,7 @@
                     signatures.extend(self.record_part(shard, parse_signature(&signature)));
                 }
                 ShardOutcome::Silent(searcher) => {
+                    query.owed.insert(shard);
                     self.worst_ending = Ending::Unknown;
                     self.start_race(shard, vec![TriedSearcher::Known(searcher)]);
                 }
@@ -270,9 +273,9 @@
         }
     }
 
-    fn handle_late(&mut self, query: MemberQuery<'a>, token: u64, late: Vec<Late>) {
+    fn handle_late(&mut self, mut query: MemberQuery<'a>, token: u64, late: Vec<Late>) {
         if late.is_empty() {
-            for shard in query.shards {
+            for shard in query.owed {
                 self.source_ended(shard);
             }
             return;
@@ -281,7 +284,8 @@
             if ended {
                 self.job.retry_gate.record_crash();
             }
-            let Some(shard) = query.shards.get(index as usize).copied() else { continue };
+            let shard = query.shards.get(index as usize).copied();
+            let Some(shard) = shard.filter(|shard| query.owed.remove(shard)) else { continue };
             match signature {
                 Some(signature) => {
                     self.add_part(shard, parse_signature(&signature), Bytes::from(records));
--- a/crates/relay/tests/helped.rs
+++ b/crates/relay/tests/helped.rs
@@ -10,11 +10,11 @@
 use bergamot_declaration::Idempotency;
 use bergamot_registry::Upstream;
 use bergamot_relay::{DelegateMember, Helping, MergedResponse, Relay};
-use bergamot_standin::ScriptedServer;
+use bergamot_standin::{ScriptedServer, Step};
 use bergamot_wire::{Late, QuietPeriod, ShardOutcome, ShardReply};
 use support::{
-    at, gather, incarnation, merged, no_members, part, record, relay_with_members, request, route,
-    upstream,
+    at, gather, incarnation, merged, no_members, ok, part, record, relay_with_members, request,
+    route, script, upstream,
 };
 
 const MEMBER: Ipv4Addr = Ipv4Addr::new(10, 0, 0, 9);
@@ -111,6 +111,28 @@
     assert_eq!(&*answer.records, [record(9), record(5)].concat());
 }
 
+/// The end of a member's late shards must not count for shards that it had already reported as
+/// failed: the attempt that followed is still running.
+#[tokio::test]
+async fn a_retry_of_a_failed_shard_outlives_the_members_late_shards() {
+    let west = part(1).await;
+    let east = script(|seen| {
+        let answer = ok(seen, "sig2", &record(2)).remove(0);
+        vec![Step::Wait(Duration::from_millis(60)), answer]
+    })
+    .await;
+    let shards = vec![
+        ShardOutcome::Failed(incarnation("a-west")),
+        ShardOutcome::Silent(incarnation("b-west")),
+    ];
+    let reply = ShardReply { shards, records: Vec::new(), left_out: 0, rest: 7, quiet: Vec::new() };
+    // The member delivers nothing more, long before the searcher in the east answers.
+    let relay = relay(reply, Vec::new(), &west, &east);
+    let answer = merged(relay.handle(request("/q/")).await);
+    assert_eq!((answer.signatures.len(), answer.missing), (1, 1));
+    assert_eq!(&*answer.records, record(2));
+}
+
 /// The member's reply holds only its greatest record. Whether more are needed depends on the other
 /// shard, for which the searcher in the east returns the record 2.
 async fn merge_with_left_out(first: u8, left_out: u64) -> MergedResponse {
