A member's late reply still delivers its shards; others are asked for the group as a whole

Cause: a member that is asked for 90 shards nearly always waits for one that is paused, so nearly every reply leaves at the last moment agreed; the sender gave the query up 6 ms after the moment at which the reply would have arrived if nothing delayed it, and threw the reply away with all its shards. The chance that a group is complete in time falls with its size, and the 6 ms grew with nothing. Each lost shard then asked its own retry budget, and the request failed by the refusals.

Change: a room without network (bergamot-scatter) decides what the end of anything that was sent implies for the shards. A query is never given up while its reply can be of use. Its reply is overdue once it is later than replies usually are (mean and four deviations of the lateness observed, of all members together, at most the 120 ms above which members aren't asked at all); then others are asked for the group, only if the budgets allow as many shards as the request needs, and the reply still counts if it comes: where it overlaps with what others brought, its merged records replace theirs. A query that never reached its member leaves all attempts to the sender. A connection on which a reply was overdue and never came is dropped.

--- a/crates/dispatch/src/retry_budget.rs
+++ b/crates/dispatch/src/retry_budget.rs
@@ -75,6 +75,22 @@
         policy: &Policy,
         members: usize,
         priority: AttemptPriority,
+    ) -> bool {
+        let granted = self.can_spend(now, limits, policy, members, priority);
+        if granted {
+            self.bucket(now, limits).extra += 1;
+        }
+        granted
+    }
+
+    /// Returns whether an additional attempt is available.
+    pub fn can_spend(
+        &self,
+        now: Instant,
+        limits: &RetryBudgetLimits,
+        policy: &Policy,
+        members: usize,
+        priority: AttemptPriority,
     ) -> bool {
         let newest = self.bucket_index(now, limits);
         let in_window = |bucket: &&Bucket| bucket.index + BUCKETS as u64 > newest;
@@ -89,11 +105,7 @@
         let slack = limits.slack * slack / members.max(1) as f64;
         let reserved = policy.reserve.on && priority == AttemptPriority::Optional;
         let usable = if reserved { 1.0 - policy.reserve.part } else { 1.0 };
-        let granted = f64::from(extra) + 1.0 <= (earned + slack) * usable;
-        if granted {
-            self.bucket(now, limits).extra += 1;
-        }
-        granted
+        f64::from(extra) + 1.0 <= (earned + slack) * usable
     }
 
     fn bucket_index(&self, now: Instant, limits: &RetryBudgetLimits) -> u64 {
--- a/crates/front/src/member.rs
+++ b/crates/front/src/member.rs
@@ -10,7 +10,7 @@
 use bergamot_net::NetworkError;
 use bergamot_quarantine::Fingerprint;
 use bergamot_registry::Incarnation;
-use bergamot_relay::{Helping, MemberFuture, Relay};
+use bergamot_relay::{CallError, Helping, MemberFuture, Relay};
 use bergamot_wire::{
     Channels, Item, Late, Member, MemberClient, News, NewsQuery, ShardQuery, ShardReply,
     run_requests, serve_requests, transport,
@@ -112,7 +112,7 @@
 pub(crate) fn relay_calls(channels: &MemberChannels, port: u16) -> Helping {
     let (for_gather, for_rest) = (Arc::clone(channels), Arc::clone(channels));
     let (for_records, for_grant) = (Arc::clone(channels), Arc::clone(channels));
-    let for_permits = Arc::clone(channels);
+    let (for_permits, for_disconnect) = (Arc::clone(channels), Arc::clone(channels));
     Helping {
         gather: Box::new(move |ip, query, residency, deadline| {
             call(&for_gather, (ip, port), deadline, |client, context| async move {
@@ -138,6 +138,10 @@
                 client.permits(context, searchers, needed).await
             })
         }),
+        disconnect: Box::new(move |ip| {
+            let channels = Arc::clone(&for_disconnect);
+            tokio::spawn(async move { channels.forget(SocketAddr::from((ip, port))).await });
+        }),
         grant: Box::new(move |ip, fingerprint, deadline| {
             call(&for_grant, (ip, port), deadline, move |client, context| async move {
                 client.grant(context, fingerprint).await
@@ -159,16 +163,40 @@
 {
     let (channels, peer) = (Arc::clone(channels), SocketAddr::from(peer));
     Box::pin(async move {
-        let exchange = async {
-            let client = channels.get(peer).await.map_err(|fault| fault.to_string())?;
-            let mut context = tarpc::context::current();
-            context.deadline = deadline;
-            send(client, context).await.map_err(|error| error.to_string())
-        };
-        with_deadline(&channels, peer, deadline, exchange).await
+        let result = exchange(&channels, peer, deadline, send).await;
+        if result.is_err() {
+            // A timeout may be the only sign that a connection is dead.
+            channels.forget(peer).await;
+        }
+        result
     })
 }
 
+/// Sends a call on the connection to a member, which is opened if there is none, and waits for the
+/// response until a deadline.
+async fn exchange<T, F>(
+    channels: &MemberChannels,
+    peer: SocketAddr,
+    deadline: Instant,
+    send: impl FnOnce(MemberClient, Context) -> F,
+) -> Result<T, CallError>
+where
+    F: Future<Output = Result<T, RpcError>>,
+{
+    let not_sent = |cause: String| CallError::NotSent { cause };
+    let no_reply = |cause: String| CallError::NoReply { cause };
+    let client = tokio::time::timeout_at(deadline.into(), channels.get(peer))
+        .await
+        .map_err(|elapsed| not_sent(elapsed.to_string()))?
+        .map_err(|error| not_sent(error.to_string()))?;
+    let mut context = tarpc::context::current();
+    context.deadline = deadline;
+    tokio::time::timeout_at(deadline.into(), send(client, context))
+        .await
+        .map_err(|elapsed| no_reply(elapsed.to_string()))?
+        .map_err(|error| no_reply(error.to_string()))
+}
+
 /// Returns the function that queries a member for updates of the store.
 pub(crate) fn news_query(channels: &MemberChannels, port: u16) -> NewsQueryFn {
     let channels = Arc::clone(channels);
@@ -230,25 +258,8 @@
     F: Future<Output = Result<T, RpcError>> + Send,
 {
     let response = call(channels, peer, deadline, send);
-    let fault = move |cause| NetworkError::new(step, SocketAddr::from(peer), cause);
+    let fault = move |error: CallError| NetworkError::new(step, SocketAddr::from(peer), error);
     Box::pin(
-        async move { response.await.map_err(|cause| QueryError::Failed { source: fault(cause) }) },
+        async move { response.await.map_err(|error| QueryError::Failed { source: fault(error) }) },
     )
 }
-
-/// Awaits an exchange until a deadline, and drops the connection if the exchange fails or times
-/// out: a time-out may be the only sign that a connection is dead.
-async fn with_deadline<T>(
-    channels: &MemberChannels,
-    peer: SocketAddr,
-    deadline: Instant,
-    exchange: impl Future<Output = Result<T, String>>,
-) -> Result<T, String> {
-    let timed_out = |elapsed: tokio::time::error::Elapsed| elapsed.to_string();
-    let result = tokio::time::timeout_at(deadline.into(), exchange).await;
-    let result = result.map_err(timed_out).and_then(|result| result);
-    if result.is_err() {
-        channels.forget(peer).await;
-    }
-    result
-}
--- a/crates/policy/src/table.rs
+++ b/crates/policy/src/table.rs
@@ -138,7 +138,8 @@
         fewest: usize = 2, "shards";
         /// The lower bound of the searchers' work and the latency within the zone.
         least: Duration = ms(8), "ms";
-        /// Timers on a small machine fire several milliseconds late.
+        /// How late a reply may be until one was observed: timers on a small machine fire several
+        /// milliseconds late.
         late: Duration = ms(6), "ms";
         /// Above this time, querying the searchers directly is faster.
         silent: f64 = 120.0, "ms";
--- a/crates/relay/src/delegate.rs
+++ b/crates/relay/src/delegate.rs
@@ -18,19 +18,37 @@
 use bergamot_policy::{Delegate, Policy};
 use bergamot_quarantine::Fingerprint;
 use bergamot_registry::Incarnation;
+use bergamot_scatter::Lateness;
 use bergamot_wire::{Late, ShardQuery, ShardReply};
 use futures::future::BoxFuture;
+use snafu::Snafu;
 
 use crate::message::Job;
-use crate::race::RacePlan;
 use crate::relay::Relay;
 
 /// The number of requests that a member is assumed to process concurrently, used to choose among
 /// members.
 const MEMBER_SLOTS: usize = 8;
 
+/// The failure of a call to another member.
+#[derive(Clone, Debug, PartialEq, Eq, Snafu)]
+pub enum CallError {
+    /// There was no connection, so the member has not received the call.
+    #[snafu(display("not sent: {cause}"))]
+    NotSent {
+        /// The cause.
+        cause: String,
+    },
+    /// The member may have received the call.
+    #[snafu(display("no reply: {cause}"))]
+    NoReply {
+        /// The cause.
+        cause: String,
+    },
+}
+
 /// The pending result of a call to another member.
-pub type MemberFuture<T> = BoxFuture<'static, Result<T, String>>;
+pub type MemberFuture<T> = BoxFuture<'static, Result<T, CallError>>;
 
 /// Calls a member with a token from its earlier reply, with a deadline.
 pub type TokenCall<T> = Box<dyn Fn(Ipv4Addr, u64, Instant) -> MemberFuture<T> + Send + Sync>;
@@ -53,6 +71,8 @@
     pub records: TokenCall<Option<Vec<u8>>>,
     /// Asks a member for permits for cold searchers, of which a number is needed, with a deadline.
     pub permits: PermitCall,
+    /// Drops the connection to a member, which may be dead: the next call opens a new one.
+    pub disconnect: Box<dyn Fn(Ipv4Addr) + Send + Sync>,
     /// Asks a member for permission to run a trial of a request, with a deadline.
     pub grant: Box<dyn Fn(Ipv4Addr, Fingerprint, Instant) -> MemberFuture<bool> + Send + Sync>,
 }
@@ -116,7 +136,7 @@
 
 impl Relay {
     /// Returns the additional wait for a member at a location, compared with a nearby searcher.
-    fn expected_delay(&self, location: &RemoteLocation) -> Duration {
+    pub(crate) fn expected_delay(&self, location: &RemoteLocation) -> Duration {
         let policy = &self.settings.policy.delegate;
         let state = self.lock();
         let round_trip = match location {
@@ -152,11 +172,18 @@
     policy: Arc<Policy>,
     known: Vec<DelegateMember>,
     estimators: BTreeMap<Ipv4Addr, LatencyEstimator>,
+    /// How late replies are. All members count together: a single one is queried too seldom.
+    lateness: Lateness,
 }
 
 impl DelegateMembers {
     pub(crate) fn new(policy: Arc<Policy>) -> Self {
-        Self { policy, known: Vec::new(), estimators: BTreeMap::new() }
+        Self {
+            policy,
+            known: Vec::new(),
+            estimators: BTreeMap::new(),
+            lateness: Lateness::default(),
+        }
     }
 
     /// Replaces the set of available members.
@@ -184,6 +211,24 @@
         (delay < self.policy.delegate.silent).then_some(ip)
     }
 
+    /// Records by how much a reply was late that had to be sent.
+    pub(crate) fn record_lateness(&mut self, late: Duration) {
+        self.lateness.record(late);
+    }
+
+    /// Returns how late a reply may be before it is overdue.
+    pub(crate) fn allowance(&self) -> Duration {
+        let policy = &self.policy.delegate;
+        // A member whose reply takes longer is not queried either.
+        let most = Duration::from_secs_f64(policy.silent / 1e3);
+        self.lateness.allowance(policy.late).min(most)
+    }
+
+    /// Records that a query to a member has failed or is overdue.
+    pub(crate) fn record_failure(&mut self, ip: Ipv4Addr) {
+        self.estimator(ip).record_failure(Instant::now());
+    }
+
     fn estimator(&mut self, ip: Ipv4Addr) -> &mut LatencyEstimator {
         let policy = &self.policy;
         let new_estimator = || {
@@ -202,6 +247,7 @@
     relay: &'a Relay,
     ip: Ipv4Addr,
     sent: Instant,
+    overdue_at: Instant,
     answered: bool,
 }
 
@@ -214,9 +260,12 @@
                 estimator.record_answer(self.sent, now);
             } else {
                 estimator.record_abandon(self.sent, now);
-                estimator.record_failure(now);
             }
         });
+        if !self.answered && now >= self.overdue_at {
+            // Only the missing reply shows that a connection is dead.
+            (self.relay.helping().disconnect)(self.ip);
+        }
     }
 }
 
@@ -229,50 +278,34 @@
     pub(crate) sufficient: usize,
 }
 
-/// Queries a member for some shards. Returns `None` if it does not reply in time.
+/// Queries a member for some shards and waits for its reply until the deadline of the request.
 pub(crate) async fn query_shards(
     relay: &Relay,
     job: &Job,
-    (ip, location): (Ipv4Addr, &RemoteLocation),
-    shards: Vec<Name>,
-    limits: RecordLimits,
-    plan: &RacePlan,
-) -> Option<ShardReply> {
+    ip: Ipv4Addr,
+    query: ShardQuery,
+    overdue_at: Instant,
+    deadline: Instant,
+) -> Result<ShardReply, CallError> {
     let sent = Instant::now();
-    let expected_wait = plan.expected_response_by.saturating_duration_since(sent);
-    let policy = relay.settings.policy.delegate;
-    let query = build_query(job, shards, limits, expected_wait.max(policy.least), plan);
     relay.with_delegates(|delegates| delegates.estimator(ip).record_send(sent));
-    let mut pending = PendingQuery { relay, ip, sent, answered: false };
-    let until =
-        sent + expected_wait.max(policy.least) + relay.expected_delay(location) + policy.late;
+    let mut pending = PendingQuery { relay, ip, sent, overdue_at, answered: false };
     let residency = job.constraints.residency.clone();
-    let call = (relay.helping().gather)(ip, query, residency, until);
-    match tokio::time::timeout_at(until.into(), call).await {
-        Ok(Ok(reply)) => {
-            pending.answered = true;
-            Some(reply)
-        }
-        Ok(Err(cause)) => {
-            log::info!(
-                "relay: event=helper_failed request={:?} member={ip} cause=\"{cause}\"",
-                job.request.id
-            );
-            None
-        }
-        Err(_elapsed) => {
-            log::info!("relay: event=helper_silent request={:?} member={ip}", job.request.id);
-            None
-        }
-    }
+    let call = (relay.helping().gather)(ip, query, residency, deadline);
+    let result = tokio::time::timeout_at(deadline.into(), call).await;
+    let result =
+        result.unwrap_or_else(|elapsed| Err(CallError::NoReply { cause: elapsed.to_string() }));
+    pending.answered = result.is_ok();
+    result
 }
 
-fn build_query(
+/// Creates the query for some shards; the member replies within a time.
+pub(crate) fn build_query(
     job: &Job,
     shards: Vec<Name>,
     limits: RecordLimits,
     within: Duration,
-    plan: &RacePlan,
+    deadline: Instant,
 ) -> ShardQuery {
     let request = &job.request;
     let headers = request.headers.iter();
@@ -288,6 +321,6 @@
         top_k: limits.top_k as u32,
         enough: limits.sufficient as u32,
         answer_within: within,
-        deadline: plan.deadline.saturating_duration_since(Instant::now()),
+        deadline: deadline.saturating_duration_since(Instant::now()),
     }
 }
--- a/crates/relay/src/gather.rs
+++ b/crates/relay/src/gather.rs
@@ -4,14 +4,18 @@
 //! all others directly. Invariant: all shards are from one declaration, each is included at most
 //! once, and the response states how many are missing.
 
-use std::collections::{BTreeMap, HashMap, HashSet};
+use std::collections::BTreeMap;
 use std::net::Ipv4Addr;
 use std::sync::Arc;
 use std::time::Instant;
 
 use bergamot_base::Name;
 use bergamot_declaration::Gather;
-use bergamot_dispatch::{Ending, GatherDecision, RequestTimeouts, Unavailability, admit};
+use bergamot_dispatch::{
+    AttemptPriority, Ending, GatherDecision, RequestTimeouts, Unavailability, admit,
+};
+use bergamot_registry::Incarnation;
+use bergamot_scatter::{Next, Outcome, Progress, Query, ReplyDelay, Schedule, Steps};
 use bergamot_wire::{Late, ShardOutcome, ShardReply};
 use bytes::Bytes;
 use futures::future::BoxFuture;
@@ -20,33 +24,35 @@
 use rand::RngExt;
 use tokio::time::sleep_until;
 
-use crate::delegate::{self, RecordLimits, RemoteLocation};
+use crate::delegate::{self, CallError, RecordLimits, RemoteLocation};
 use crate::message::{Cause, Job, MergedResponse, Refusal, Reply, SearcherResponse};
 use crate::partial_results::{MemberPart, PartialResults};
 use crate::quarantine::TrialResponse;
 use crate::race::{Race, RaceFailure, RacePlan, TriedSearcher};
 use crate::relay::Relay;
 
-/// The result of one of the concurrent operations.
-enum WorkResult<'a> {
+/// The result of one of the concurrent operations. Shards and queries are given by their index.
+enum WorkResult {
     /// The result of the attempts for one shard.
-    Searcher(&'a Name, Result<SearcherResponse, RaceFailure>),
-    /// The reply of a member.
-    Member(MemberQuery<'a>, Option<ShardReply>),
-    /// Shards that arrived at a member after its reply.
-    LateShards(MemberQuery<'a>, u64, Vec<Late>),
+    Race(usize, Result<SearcherResponse, RaceFailure>),
+    /// The end of a query to a member.
+    Reply(usize, Result<ShardReply, CallError>),
+    /// The reply to a query is overdue.
+    Overdue(usize),
+    /// Shards that arrived at a member after its reply, and the token for further ones.
+    LateShards(usize, u64, Vec<Late>),
 }
 
 /// A query to a member.
-struct MemberQuery<'a> {
+struct MemberQuery {
     ip: Ipv4Addr,
-    shards: Vec<&'a Name>,
-    /// The shards that the member may deliver after its reply.
-    owed: HashSet<&'a Name>,
+    query: Query,
+    /// When the reply arrives at the latest if nothing delays it.
+    expected_reply: Instant,
 }
 
 /// The operations in progress.
-type PendingWork<'a> = FuturesUnordered<BoxFuture<'a, WorkResult<'a>>>;
+type PendingWork<'a> = FuturesUnordered<BoxFuture<'a, WorkResult>>;
 
 /// Sends a request to all shards and merges the responses.
 pub(crate) async fn gather(
@@ -101,14 +107,15 @@
         }
     }
     let GatherState { parts, plan, .. } = &mut state;
-    let records = Bytes::from(parts.merge(relay, job, gather.top_k, plan.deadline).await);
+    let records = Bytes::from(parts.merge(relay, job, gather, plan).await);
     if job.tally().arrived() < fewest {
         let cause = "records left out of a member reply could not be fetched";
         return refuse(relay, job, (Cause::Lost, Unavailability::Transient), cause);
     }
     let missing = job.tally().not_arrived();
     if missing > 0 {
-        let left_out = state.sources.keys().map(|shard| Name::clone(shard)).collect();
+        let left_out = state.progress.pending().map(|shard| Name::clone(state.name(shard)));
+        let left_out = left_out.collect();
         job.left_out.get_or_init(|| left_out);
     }
     Reply::Merged(MergedResponse { signatures: state.parts.into_signatures(), missing, records })
@@ -118,13 +125,13 @@
 struct GatherState<'a> {
     relay: &'a Arc<Relay>,
     job: &'a Arc<Job>,
+    gather: &'a Gather,
     plan: RacePlan,
     worst_ending: Ending,
     parts: PartialResults,
     work: PendingWork<'a>,
-    /// For each shard not yet received, the number of operations (race, member query) that may
-    /// still deliver it.
-    sources: HashMap<&'a Name, u32>,
+    progress: Progress,
+    queries: Vec<MemberQuery>,
 }
 
 impl<'a> GatherState<'a> {
@@ -135,71 +142,88 @@
         timeouts: RequestTimeouts,
         trial_response: Option<TrialResponse>,
     ) -> Self {
-        let plan = RacePlan::new(job, timeouts, &relay.settings.policy);
-        let (worst_ending, work) = (Ending::NotSent, PendingWork::new());
-        let (parts, sources) = (PartialResults::default(), HashMap::new());
-        let mut state = Self { relay, job, plan, worst_ending, parts, work, sources };
-        let mut shards: Vec<&Name> = gather.shards.iter().collect();
+        let mut state = Self {
+            relay,
+            job,
+            gather,
+            plan: RacePlan::new(job, timeouts, &relay.settings.policy),
+            worst_ending: Ending::NotSent,
+            parts: PartialResults::default(),
+            work: PendingWork::new(),
+            progress: Progress::new(gather.shards.len()),
+            queries: Vec::new(),
+        };
+        let mut shards: Vec<usize> = (0..gather.shards.len()).collect();
         if let Some(TrialResponse { service, response }) = trial_response
-            && let Some(at) = shards.iter().position(|shard| **shard == service)
+            && let Some(at) = gather.shards.iter().position(|shard| *shard == service)
         {
-            let shard = shards.remove(at);
-            state.sources.insert(shard, 1);
-            state.add_part(shard, response.signature, response.body);
+            shards.remove(at);
+            state.add_part(at, response.signature, response.body);
         }
         // With a single attempt allowed, shards that a member misses could not be asked again.
         let may_delegate = relay.settings.policy.delegate.on && job.max_attempts > 1;
-        let (direct, groups) =
-            if may_delegate { partition_shards(relay, job, shards) } else { (shards, Vec::new()) };
+        let (direct, groups) = if may_delegate {
+            partition_shards(relay, job, gather, shards)
+        } else {
+            (shards, Vec::new())
+        };
         for shard in direct {
-            state.start_race(shard, Vec::new());
+            state.start_race(shard, state.plan.clone());
         }
         for group in groups {
-            state.query_member(group, gather);
+            state.query_member(group);
         }
         state
     }
 
-    fn start_race(&mut self, shard: &'a Name, tried: Vec<TriedSearcher>) {
-        let mut plan = self.plan.clone();
-        if !tried.is_empty() {
-            plan.hedge_at = None;
-        }
-        *self.sources.entry(shard).or_default() += 1;
-        let race = Race::new(self.relay, self.job, shard, RacePlan { tried, ..plan });
-        self.work.push(Box::pin(async move { WorkResult::Searcher(shard, race.run().await) }));
+    fn name(&self, shard: usize) -> &'a Name {
+        &self.gather.shards[shard]
+    }
+
+    fn start_race(&mut self, shard: usize, plan: RacePlan) {
+        self.progress.add_attempt(shard);
+        let race = Race::new(self.relay, self.job, self.name(shard), plan);
+        self.work.push(Box::pin(async move { WorkResult::Race(shard, race.run().await) }));
     }
 
-    fn query_member(&mut self, group: MemberGroup<'a>, gather: &Gather) {
+    fn query_member(&mut self, group: MemberGroup) {
         let MemberGroup { ip, location, shards } = group;
-        let (relay, job, plan) = (self.relay, self.job, self.plan.clone());
-        for shard in &shards {
-            *self.sources.entry(shard).or_default() += 1;
-        }
-        let names = shards.iter().map(|shard| Name::clone(shard)).collect();
-        let (top_k, all) = (gather.top_k, gather.shards.len());
-        let sufficient = relay.initial_record_count(top_k, shards.len(), all);
+        let (relay, job, deadline) = (self.relay, self.job, self.plan.deadline);
+        let names = shards.iter().map(|shard| Name::clone(self.name(*shard))).collect();
+        let top_k = self.gather.top_k;
+        let sufficient = relay.initial_record_count(top_k, shards.len(), self.gather.shards.len());
+        let Schedule { answer_within, expected_reply, overdue_at } = self.schedule(&location);
+        let limits = RecordLimits { top_k, sufficient };
+        let request = delegate::build_query(job, names, limits, answer_within, deadline);
+        let number = self.queries.len();
+        let query = Query::send(&shards, &mut self.progress);
+        self.queries.push(MemberQuery { ip, query, expected_reply });
+        self.work.push(Box::pin(async move {
+            let reply = delegate::query_shards(relay, job, ip, request, overdue_at, deadline);
+            WorkResult::Reply(number, reply.await)
+        }));
         self.work.push(Box::pin(async move {
-            let reply = delegate::query_shards(
-                relay,
-                job,
-                (ip, &location),
-                names,
-                RecordLimits { top_k, sufficient },
-                &plan,
-            )
-            .await;
-            WorkResult::Member(MemberQuery { ip, shards, owed: HashSet::new() }, reply)
+            sleep_until(overdue_at.into()).await;
+            WorkResult::Overdue(number)
         }));
     }
 
-    /// Fetches the shards that arrived at a member after its reply.
-    fn fetch_late_shards(&self, query: MemberQuery<'a>, token: u64) {
-        let (relay, deadline) = (self.relay, self.plan.deadline);
+    /// Returns when a member at a location must reply.
+    fn schedule(&self, location: &RemoteLocation) -> Schedule {
+        let delay = ReplyDelay {
+            expected: self.relay.expected_delay(location),
+            allowance: self.relay.with_delegates(|delegates| delegates.allowance()),
+        };
+        let least = self.relay.settings.policy.delegate.least;
+        Schedule::new(self.plan.expected_response_by, delay, least, Instant::now())
+    }
+
+    /// Fetches the shards that arrive at a member after its reply.
+    fn fetch_late_shards(&self, query: usize, token: u64) {
+        let (relay, deadline, ip) = (self.relay, self.plan.deadline, self.queries[query].ip);
         self.work.push(Box::pin(async move {
-            let late = (relay.helping().rest)(query.ip, token, deadline).await;
+            let late = (relay.helping().rest)(ip, token, deadline).await;
             let late = late.unwrap_or_else(|cause| {
-                let ip = query.ip;
                 log::info!("relay: event=helper_failed member={ip} cause=\"{cause}\"");
                 Vec::new()
             });
@@ -207,123 +231,190 @@
         }));
     }
 
-    fn handle_result(&mut self, result: WorkResult<'a>) {
+    fn handle_result(&mut self, result: WorkResult) {
         match result {
-            WorkResult::Searcher(shard, Ok(response)) => {
+            WorkResult::Race(shard, Ok(response)) => {
                 self.add_part(shard, response.signature, response.body);
             }
-            WorkResult::Searcher(shard, Err(failure)) => {
+            WorkResult::Race(shard, Err(failure)) => {
                 self.worst_ending = self.worst_ending.max(failure.ending);
-                self.source_ended(shard);
-            }
-            WorkResult::Member(query, Some(reply)) => self.handle_reply(query, reply),
-            WorkResult::Member(query, None) => {
-                for shard in query.shards {
-                    // The searcher that the member asked is unknown; it counts as one attempt.
-                    self.start_race(shard, vec![TriedSearcher::Unidentified]);
-                    self.source_ended(shard);
-                }
+                self.end_source(shard);
             }
+            WorkResult::Reply(query, Ok(reply)) => self.handle_reply(query, reply),
+            WorkResult::Reply(query, Err(error)) => self.handle_failure(query, &error),
+            WorkResult::Overdue(query) => self.handle_overdue(query),
             WorkResult::LateShards(query, token, late) => self.handle_late(query, token, late),
         }
         self.job.tally_changed.notify_waiters();
     }
 
-    fn handle_reply(&mut self, mut query: MemberQuery<'a>, reply: ShardReply) {
+    fn handle_overdue(&mut self, query: usize) {
+        let MemberQuery { ip, query, .. } = &self.queries[query];
+        let steps = query.overdue(&self.progress);
+        if steps.attempts.is_empty() {
+            return;
+        }
+        let (request, shards) = (&self.job.request.id, steps.attempts.len());
+        log::info!("relay: event=helper_late request={request:?} member={ip} shards={shards}");
+        self.relay.with_delegates(|delegates| delegates.record_failure(*ip));
+        let lost = query.owed();
+        self.take_steps(steps, &lost);
+    }
+
+    fn handle_failure(&mut self, query: usize, error: &CallError) {
+        let MemberQuery { ip, query, .. } = &mut self.queries[query];
+        let (request, ip) = (&self.job.request.id, *ip);
+        log::info!("relay: event=helper_failed request={request:?} member={ip} cause=\"{error}\"");
+        self.relay.with_delegates(|delegates| delegates.record_failure(ip));
+        let may_have_run = matches!(error, CallError::NoReply { .. });
+        if may_have_run {
+            self.worst_ending = Ending::Unknown;
+        }
+        let steps = query.fail(may_have_run, &self.progress);
+        let lost = steps.ended.clone();
+        self.take_steps(steps, &lost);
+    }
+
+    fn handle_reply(&mut self, query: usize, reply: ShardReply) {
         let ShardReply { shards: outcomes, records, left_out, rest, quiet } = reply;
-        for quiet in quiet {
-            if let Some(shard) = query.shards.get(quiet.index as usize) {
-                self.relay.apply_reported_stall(shard, quiet);
-            }
+        let Some(signatures) = parse_signatures(&outcomes) else {
+            let cause = "malformed signature".to_owned();
+            self.handle_failure(query, &CallError::NoReply { cause });
+            return;
+        };
+        let MemberQuery { ip, query: asked, expected_reply } = &self.queries[query];
+        if rest != 0 {
+            // Without a silent searcher, the reply left before the member had to send it.
+            let late = Instant::now().saturating_duration_since(*expected_reply);
+            self.relay.with_delegates(|delegates| delegates.record_lateness(late));
         }
-        let records = Bytes::from(records);
-        let mut signatures = Vec::new();
-        for (shard, outcome) in query.shards.iter().copied().zip(outcomes) {
-            match outcome {
-                ShardOutcome::In(signature) => {
-                    signatures.extend(self.record_part(shard, parse_signature(&signature)));
-                }
-                ShardOutcome::Silent(searcher) => {
-                    query.owed.insert(shard);
-                    self.worst_ending = Ending::Unknown;
-                    self.start_race(shard, vec![TriedSearcher::Known(searcher)]);
-                }
-                ShardOutcome::Failed(searcher) => {
-                    self.worst_ending = Ending::Unknown;
-                    self.relay.record_searcher_failure(&searcher);
-                    self.start_race(shard, vec![TriedSearcher::Known(searcher)]);
-                    self.source_ended(shard);
-                }
-                ShardOutcome::Ended(searcher) => {
-                    self.worst_ending = Ending::Unknown;
-                    self.relay.record_searcher_failure(&searcher);
-                    self.job.retry_gate.record_crash();
-                    self.start_race(shard, vec![TriedSearcher::Known(searcher)]);
-                    self.source_ended(shard);
-                }
-                ShardOutcome::NotAsked => {
-                    self.start_race(shard, Vec::new());
-                    self.source_ended(shard);
-                }
+        for quiet in quiet {
+            if let Some(shard) = asked.shard(quiet.index as usize) {
+                self.relay.apply_reported_stall(self.name(shard), quiet);
             }
         }
-        self.parts.add_merged(MemberPart { ip: query.ip, signatures, records, left_out });
+        let arrived = outcomes.iter().enumerate();
+        let arrived = arrived.filter(|(_, outcome)| matches!(outcome, ShardOutcome::In(_)));
+        let arrived = arrived.filter_map(|(position, _)| asked.shard(position));
+        let shards: Vec<usize> = arrived.collect();
+        let part =
+            MemberPart { ip: *ip, shards, signatures, records: Bytes::from(records), left_out };
+        self.add_merged_part(part);
+        let outcomes = outcomes.into_iter().map(|outcome| self.read_outcome(outcome)).collect();
+        let steps = self.queries[query].query.reply(outcomes, &self.progress);
+        let lost = steps.ended.clone();
+        self.take_steps(steps, &lost);
         if rest != 0 {
             self.fetch_late_shards(query, rest);
+        } else {
+            self.end_query(query);
         }
     }
 
-    fn handle_late(&mut self, mut query: MemberQuery<'a>, token: u64, late: Vec<Late>) {
-        if late.is_empty() {
-            for shard in query.owed {
-                self.source_ended(shard);
+    /// Applies what the outcome of a shard at a member says of its searcher.
+    fn read_outcome(&mut self, outcome: ShardOutcome) -> Outcome<Incarnation> {
+        if !matches!(outcome, ShardOutcome::In(_) | ShardOutcome::NotAsked) {
+            self.worst_ending = Ending::Unknown;
+        }
+        match outcome {
+            ShardOutcome::In(_) => Outcome::Arrived,
+            ShardOutcome::Silent(searcher) => Outcome::Silent(searcher),
+            ShardOutcome::Failed(searcher) => {
+                self.relay.record_searcher_failure(&searcher);
+                Outcome::Failed(searcher)
+            }
+            ShardOutcome::Ended(searcher) => {
+                self.relay.record_searcher_failure(&searcher);
+                self.job.retry_gate.record_crash();
+                Outcome::Failed(searcher)
             }
+            ShardOutcome::NotAsked => Outcome::NotAsked,
+        }
+    }
+
+    /// Makes the attempts that follow from an event of a query. `lost` are the shards that the
+    /// member is expected not to deliver.
+    fn take_steps(&mut self, steps: Steps<Incarnation>, lost: &[usize]) {
+        let Steps { attempts, ended } = steps;
+        let (first, additional): (Vec<_>, Vec<_>) =
+            attempts.into_iter().partition(|(_, next)| *next == Next::First);
+        for (shard, _) in first {
+            self.start_race(shard, self.plan.clone());
+        }
+        let possible = self.progress.possible_without(lost);
+        let needed = self.gather.min_shards().saturating_sub(possible);
+        let names: Vec<&Name> = additional.iter().map(|(shard, _)| self.name(*shard)).collect();
+        let is_below_coverage = self.job.tally().is_below_coverage();
+        let priority =
+            if is_below_coverage { AttemptPriority::Required } else { AttemptPriority::Optional };
+        let granted = self.relay.spend_group_budget(&names, needed, priority);
+        let granted = additional.into_iter().zip(granted).filter(|(_, is_granted)| *is_granted);
+        for ((shard, next), _) in granted {
+            let tried = match next {
+                Next::First => Vec::new(),
+                Next::After(searcher) => vec![TriedSearcher::Known(searcher)],
+                Next::AfterUnknown => vec![TriedSearcher::Unidentified],
+            };
+            let plan = self.plan.clone();
+            self.start_race(shard, RacePlan { tried, hedge_at: None, is_funded: true, ..plan });
+        }
+        for shard in ended {
+            self.end_source(shard);
+        }
+    }
+
+    fn handle_late(&mut self, query: usize, token: u64, late: Vec<Late>) {
+        if late.is_empty() {
+            self.end_query(query);
             return;
         }
         for Late { index, signature, records, ended } in late {
             if ended {
                 self.job.retry_gate.record_crash();
             }
-            let shard = query.shards.get(index as usize).copied();
-            let Some(shard) = shard.filter(|shard| query.owed.remove(shard)) else { continue };
-            match signature {
-                Some(signature) => {
-                    self.add_part(shard, parse_signature(&signature), Bytes::from(records));
-                }
-                None => self.source_ended(shard),
+            let shard = self.queries[query].query.settle(index as usize);
+            let Some(shard) = shard else { continue };
+            match signature.as_deref().and_then(parse_signature) {
+                Some(signature) => self.add_part(shard, Some(signature), Bytes::from(records)),
+                None => self.end_source(shard),
             }
         }
         self.fetch_late_shards(query, token);
     }
 
-    /// Adds the records of a shard, unless the shard is already included.
-    fn add_part(&mut self, shard: &'a Name, signature: Option<HeaderValue>, records: Bytes) {
-        if let Some(signature) = self.record_part(shard, signature) {
-            self.parts.add(signature, records);
+    /// Handles that a member delivers nothing more.
+    fn end_query(&mut self, query: usize) {
+        for shard in self.queries[query].query.end() {
+            self.end_source(shard);
         }
     }
 
-    /// Counts a shard received with a signature, unless it is already included.
-    fn record_part(
-        &mut self,
-        shard: &'a Name,
-        signature: Option<HeaderValue>,
-    ) -> Option<HeaderValue> {
-        self.sources.remove(shard)?;
-        if signature.is_some() {
+    /// Adds the records of a shard, unless the shard is already included.
+    fn add_part(&mut self, shard: usize, signature: Option<HeaderValue>, records: Bytes) {
+        let Some(signature) = signature else {
+            self.end_source(shard);
+            return;
+        };
+        if self.progress.arrive(shard) {
             self.job.tally().record_arrived();
-        } else {
-            self.job.tally().record_missing();
+            self.parts.add(shard, signature, records);
+        }
+    }
+
+    /// Adds the merged reply of a member. Its shards that are already included are taken from the
+    /// reply, since its records can't be separated.
+    fn add_merged_part(&mut self, part: MemberPart) {
+        for shard in &part.shards {
+            if self.progress.arrive(*shard) {
+                self.job.tally().record_arrived();
+            }
         }
-        signature
+        self.parts.add_merged(part);
     }
 
-    /// Records that one of the sources of a shard ended without delivering it.
-    fn source_ended(&mut self, shard: &'a Name) {
-        let Some(remaining) = self.sources.get_mut(shard) else { return };
-        *remaining -= 1;
-        if *remaining == 0 {
-            self.sources.remove(shard);
+    /// Records that an attempt or query ended without delivering a shard.
+    fn end_source(&mut self, shard: usize) {
+        if self.progress.end_source(shard) {
             self.job.tally().record_missing();
         }
     }
@@ -343,22 +434,23 @@
 }
 
 /// Shards and the member through which they are queried.
-struct MemberGroup<'a> {
+struct MemberGroup {
     ip: Ipv4Addr,
     location: RemoteLocation,
-    shards: Vec<&'a Name>,
+    shards: Vec<usize>,
 }
 
 /// Partitions the shards into those queried directly and those queried through members.
-fn partition_shards<'a>(
+fn partition_shards(
     relay: &Relay,
     job: &Job,
-    shards: Vec<&'a Name>,
-) -> (Vec<&'a Name>, Vec<MemberGroup<'a>>) {
+    gather: &Gather,
+    shards: Vec<usize>,
+) -> (Vec<usize>, Vec<MemberGroup>) {
     let mut direct = Vec::new();
-    let mut locations = BTreeMap::<RemoteLocation, Vec<&Name>>::new();
+    let mut locations = BTreeMap::<RemoteLocation, Vec<usize>>::new();
     for shard in shards {
-        match relay.remote_location(shard, &job.constraints) {
+        match relay.remote_location(&gather.shards[shard], &job.constraints) {
             Some(location) => locations.entry(location).or_default().push(shard),
             None => direct.push(shard),
         }
@@ -375,6 +467,15 @@
     (direct, groups)
 }
 
+/// Parses the signatures of the shards in a member's reply; `None` if any is malformed.
+fn parse_signatures(outcomes: &[ShardOutcome]) -> Option<Vec<HeaderValue>> {
+    let signatures = outcomes.iter().filter_map(|outcome| match outcome {
+        ShardOutcome::In(signature) => Some(parse_signature(signature)),
+        _ => None,
+    });
+    signatures.collect()
+}
+
 /// Parses a signature received from a member.
 fn parse_signature(signature: &[u8]) -> Option<HeaderValue> {
     HeaderValue::from_bytes(signature)
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -29,7 +29,9 @@
 
 pub use bergamot_placement::ColdBound;
 pub use coverage::Coverage;
-pub use delegate::{DelegateMember, GatherCall, Helping, MemberFuture, PermitCall, TokenCall};
+pub use delegate::{
+    CallError, DelegateMember, GatherCall, Helping, MemberFuture, PermitCall, TokenCall,
+};
 pub use dialect::{Dialect, RequestMetadata, ResponseMetadata};
 pub use message::{Cause, MergedResponse, Refusal, Reply, Request, SearcherResponse};
 pub use relay::Relay;
--- a/crates/relay/src/race.rs
+++ b/crates/relay/src/race.rs
@@ -63,10 +63,14 @@
     pub(crate) hedge_at: Option<Instant>,
     /// The time by which nearly all nearby searchers have answered.
     pub(crate) expected_response_by: Instant,
+    /// When a response with the required coverage is sent.
+    pub(crate) target: Instant,
     /// The time after which the response is no longer useful.
     pub(crate) deadline: Instant,
     /// The searchers already asked for this request.
     pub(crate) tried: Vec<TriedSearcher>,
+    /// Whether the retry budget was already charged for the next attempt.
+    pub(crate) is_funded: bool,
     /// Whether only one searcher is asked, to test whether the request crashes it.
     pub(crate) single_attempt: bool,
 }
@@ -82,8 +86,10 @@
             connect_by,
             hedge_at,
             expected_response_by,
+            target: at(timeouts.target),
             deadline: at(timeouts.end),
             tried: Vec::new(),
+            is_funded: false,
             single_attempt: false,
         }
     }
@@ -340,7 +346,8 @@
         let Some(link) = self.choose_searcher() else {
             return StartResult::Exhausted;
         };
-        if self.delivered > 0 && !self.relay.spend_retry_budget(self.service, priority) {
+        let is_funded = std::mem::take(&mut self.plan.is_funded) || self.delivered == 0;
+        if !is_funded && !self.relay.spend_retry_budget(self.service, priority) {
             self.budget_denied = true;
             return StartResult::Denied;
         }
--- a/crates/relay/src/searchers.rs
+++ b/crates/relay/src/searchers.rs
@@ -12,6 +12,7 @@
 use bergamot_dispatch::{AttemptPriority, Distance, ZoneRoundTrips, rank, sufficient_records};
 use bergamot_placement::{Constraints, Withheld, WithheldCounts};
 use bergamot_registry::{Incarnation, Upstream};
+use bergamot_scatter::fund_attempts;
 use bergamot_upstream::LatencyPercentile;
 use bergamot_wire::QuietPeriod;
 use rand::RngExt;
@@ -314,6 +315,35 @@
         granted
     }
 
+    /// Charges one additional attempt for each of some shards, as far as their retry budgets allow
+    /// it and the `needed` number of them is allowed. Returns whether each was granted.
+    pub(crate) fn spend_group_budget(
+        &self,
+        shards: &[&Name],
+        needed: usize,
+        priority: AttemptPriority,
+    ) -> Vec<bool> {
+        let now = Instant::now();
+        let mut state = self.lock();
+        let members = state.members;
+        let Settings { retry_budget_limits: limits, policy, .. } = &self.settings;
+        let allowed: Vec<bool> = shards
+            .iter()
+            .map(|shard| {
+                state.retry_budget(shard, now).can_spend(now, limits, policy, members, priority)
+            })
+            .collect();
+        let granted = fund_attempts(&allowed, needed);
+        for (shard, granted) in shards.iter().zip(&granted) {
+            if *granted {
+                state.retry_budget(shard, now).try_spend(now, limits, policy, members, priority);
+            } else {
+                self.meter.denied_attempts.inc();
+            }
+        }
+        granted
+    }
+
     /// Sets the connection limit of every link to its current share.
     pub(crate) fn resize_pools(state: &State) {
         for link in state.links.values() {
--- a/crates/relay/tests/helped.rs
+++ b/crates/relay/tests/helped.rs
@@ -12,6 +12,7 @@
 use bergamot_relay::{DelegateMember, Helping, MergedResponse, Relay};
 use bergamot_standin::{ScriptedServer, Step};
 use bergamot_wire::{Late, QuietPeriod, ShardOutcome, ShardReply};
+use hyper::header::HeaderValue;
 use support::{
     at, gather, incarnation, merged, no_members, ok, part, record, relay_with_members, request,
     route, script, upstream,
@@ -28,11 +29,25 @@
     late: Vec<Late>,
     west: &ScriptedServer,
     east: &ScriptedServer,
+) -> Arc<Relay> {
+    relay_after(Duration::ZERO, reply, late, west, east)
+}
+
+/// The same, where the member takes some time to reply.
+fn relay_after(
+    time: Duration,
+    reply: ShardReply,
+    late: Vec<Late>,
+    west: &ScriptedServer,
+    east: &ScriptedServer,
 ) -> Arc<Relay> {
     let helping = Helping {
         gather: Box::new(move |_, _, _, _| {
             let reply = reply.clone();
-            Box::pin(async move { Ok(reply) })
+            Box::pin(async move {
+                tokio::time::sleep(time).await;
+                Ok(reply)
+            })
         }),
         rest: Box::new(move |_, token, _| {
             let late = if token == 7 { late.clone() } else { Vec::new() };
@@ -56,12 +71,15 @@
     ];
     let routes = vec![route("/q/", Idempotency::Idempotent, gather(&["a", "b"], 0.5))];
     let relay = relay_with_members(helping, routes, upstreams);
-    let delegate =
-        |ip, zone: &str| DelegateMember { ip, zone: zone.into(), region: zone.into(), protocol: 0 };
     relay.set_delegate_members(vec![delegate(MEMBER, "west"), delegate(MEMBER, "east")]);
     relay
 }
 
+/// A member in a zone that is its own region.
+fn delegate(ip: Ipv4Addr, zone: &str) -> DelegateMember {
+    DelegateMember { ip, zone: zone.into(), region: zone.into(), protocol: 0 }
+}
+
 #[tokio::test]
 async fn a_merged_reply_of_a_member_counts_each_of_its_shards() {
     let (west, east) = (part(1).await, part(2).await);
@@ -133,6 +151,45 @@
     assert_eq!(&*answer.records, record(2));
 }
 
+/// A member that replies some milliseconds later than expected still delivers all its shards, and
+/// those that others have delivered in the meantime are counted once.
+#[tokio::test]
+async fn a_reply_after_the_expected_time_still_delivers_its_shards() {
+    let east = part(2).await;
+    let silent = script(|_| vec![Step::Hang]).await;
+    let shards = vec![ShardOutcome::In(b"s1".to_vec()), ShardOutcome::In(b"s2".to_vec())];
+    let records = [record(9), record(3)].concat();
+    let reply = ShardReply { shards, records, left_out: 0, rest: 0, quiet: Vec::new() };
+    // The reply is expected within 150 ms; the target latency is 400 ms.
+    let late = Duration::from_millis(250);
+    let relay = relay_after(late, reply, Vec::new(), &silent, &east);
+    let answer = merged(relay.handle(request("/q/")).await);
+    let mut signatures: Vec<_> = answer.signatures.iter().map(HeaderValue::as_bytes).collect();
+    signatures.sort_unstable();
+    assert_eq!((signatures, answer.missing), (vec![&b"s1"[..], b"s2"], 0));
+    assert_eq!(&*answer.records, [record(9), record(3)].concat());
+}
+
+/// A member that could not be reached has asked nobody, so its shards still have all attempts.
+#[tokio::test]
+async fn the_shards_of_an_unreachable_member_are_requested_at_once() {
+    let (west, east) = (part(1).await, part(2).await);
+    let helping = no_members();
+    let upstreams = vec![
+        at("west", upstream("a-west", "a", &west)),
+        at("west", upstream("b-west", "b", &west)),
+        Upstream { warm_at: Instant::now() + HOUR, ..at("east", upstream("a-east", "a", &east)) },
+    ];
+    let routes = vec![route("/q/", Idempotency::Idempotent, gather(&["a", "b"], 1.0))];
+    let relay = relay_with_members(helping, routes, upstreams);
+    relay.set_delegate_members(vec![delegate(MEMBER, "west")]);
+    let started = Instant::now();
+    let answer = merged(relay.handle(request("/q/")).await);
+    assert_eq!((answer.signatures.len(), answer.missing), (2, 0));
+    // A hedge would begin after 132 ms.
+    assert!(started.elapsed() < Duration::from_millis(100), "{:?}", started.elapsed());
+}
+
 /// The member's reply holds only its greatest record. Whether more are needed depends on the other
 /// shard, for which the searcher in the east returns the record 2.
 async fn merge_with_left_out(first: u8, left_out: u64) -> MergedResponse {
--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -12,7 +12,7 @@
 use bergamot_dispatch::RetryBudgetLimits;
 use bergamot_registry::{Incarnation, State, Upstream};
 use bergamot_relay::{
-    Cause, Dialect, Helping, MergedResponse, Relay, Reply, Request, RequestMetadata,
+    CallError, Cause, Dialect, Helping, MergedResponse, Relay, Reply, Request, RequestMetadata,
     ResponseMetadata, Settings,
 };
 use bergamot_standin::{RecordedRequest, ScriptedServer, Step};
@@ -114,14 +114,20 @@
     relay_with_members(no_members(), routes, upstreams)
 }
 
+/// The error of a call to a member that does not exist.
+fn absent() -> CallError {
+    CallError::NotSent { cause: "no other members".to_owned() }
+}
+
 /// Calls to other members that all fail.
 pub fn no_members() -> Helping {
     Helping {
-        gather: Box::new(|_, _, _, _| Box::pin(async { Err("no other members".to_owned()) })),
-        rest: Box::new(|_, _, _| Box::pin(async { Err("no other members".to_owned()) })),
-        records: Box::new(|_, _, _| Box::pin(async { Err("no other members".to_owned()) })),
-        permits: Box::new(|_, _, _, _| Box::pin(async { Err("no other members".to_owned()) })),
-        grant: Box::new(|_, _, _| Box::pin(async { Err("no other members".to_owned()) })),
+        disconnect: Box::new(|_| ()),
+        gather: Box::new(|_, _, _, _| Box::pin(async { Err(absent()) })),
+        rest: Box::new(|_, _, _| Box::pin(async { Err(absent()) })),
+        records: Box::new(|_, _, _| Box::pin(async { Err(absent()) })),
+        permits: Box::new(|_, _, _, _| Box::pin(async { Err(absent()) })),
+        grant: Box::new(|_, _, _| Box::pin(async { Err(absent()) })),
     }
 }
 
