A tick costs what has changed since the last one, not the number of searchers

Cause: every tick expired the registry, looked at every link, every pool's newest dial and usage, and made sure of a link to every searcher; the selection of serving members was made anew from all members.

Change: the registry says which incarnations have changed and keeps the missing ones apart; pools report what they open and lose instead of being asked (upstream::Observer); connections are opened in advance from a queue, those due together in random order, where a walk over the hash map made them random before; links of draining searchers are closed once and not reopened by a new share; the serving members are selected when the view, the coverage or the seeds have changed, and the connection shares computed when the services have.

--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -153,6 +153,8 @@
     page: std::path::PathBuf,
     #[options(help = "fewer and smaller sizes, for a quick look")]
     quick: bool,
+    #[options(help = "only the request path of the platform's daemon", no_short)]
+    relay: bool,
 }
 
 #[derive(Debug, Options)]
@@ -400,7 +402,8 @@
 }
 
 fn measure_capacity(options: &Capacity) -> ExitCode {
-    match capacity::run(&options.page, options.quick) {
+    let run = if options.relay { capacity::run_relay } else { capacity::run };
+    match run(&options.page, options.quick) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("{PROGRAM}: rewrite {}: {error}", options.page.display());
--- a/crates/front/src/daemon.rs
+++ b/crates/front/src/daemon.rs
@@ -17,12 +17,12 @@
     FeedState, Members, Origin, QueryKind, QueryReport, ReadRole, RecordEvent, Sink, Source,
     Topology, ancestors, follow,
 };
-use bergamot_members::{Endpoint, Record, Role, State, rank_members};
+use bergamot_members::{Endpoint, Record, Role, State, View, rank_members};
 use bergamot_net::{Body, NetworkError, listen, serve, text};
 use bergamot_peers::{
     Caller, Candidate, InstanceLocation, Peers, select_instances, select_serving,
 };
-use bergamot_relay::{DelegateMember, Dialect, Relay};
+use bergamot_relay::{Coverage, DelegateMember, Dialect, Relay};
 use bergamot_wire::Channels;
 use hyper::header::{CONNECTION, HeaderValue};
 use hyper::{Response, StatusCode, Uri};
@@ -57,6 +57,18 @@
     leaving: AtomicBool,
     /// The members that serve callers, as of the last tick.
     serving: Mutex<BTreeSet<Ipv4Addr>>,
+    /// What they were selected from.
+    selection_basis: Mutex<Option<SelectionBasis>>,
+}
+
+/// What the members that serve callers, and those that this one may call, are selected from.
+#[derive(Clone, Debug, PartialEq)]
+struct SelectionBasis {
+    /// The number of changes to the view of the members.
+    view: u64,
+    is_settled: bool,
+    seeds: Vec<Ipv4Addr>,
+    coverage: Arc<Coverage>,
 }
 
 /// A running daemon.
@@ -103,6 +115,7 @@
             tasks: tasks.clone(),
             leaving: AtomicBool::new(false),
             serving: Mutex::default(),
+            selection_basis: Mutex::default(),
         });
         let sink = feed_sink(&inner);
         let (for_topology, for_versions) = (Arc::clone(&inner), Arc::clone(&inner));
@@ -314,17 +327,41 @@
     /// for one of few members. It answers the requests that reach it with the number of
     /// connections that one of [`Peers::size`] members may hold.
     fn update_serving(&self) {
+        let basis = SelectionBasis {
+            view: self.peers.with_view(View::changes),
+            is_settled: self.peers.is_settled(),
+            seeds: self.peers.seeds(),
+            coverage: self.relay.coverage(),
+        };
+        let mut known = self.selection_basis.lock().unwrap_or_else(PoisonError::into_inner);
+        if known.as_ref() != Some(&basis) {
+            self.apply_view(&basis);
+            *known = Some(basis.clone());
+        }
+        drop(known);
+        let serving = self.serving.lock().unwrap_or_else(PoisonError::into_inner);
+        let serves = basis.is_settled && serving.contains(&self.relay.settings().address);
+        let members = if serves { serving.len() } else { self.peers.size() };
+        drop(serving);
+        self.relay.tick(members, serves);
+    }
+
+    /// Applies a changed view of the members to the relay.
+    fn apply_view(&self, basis: &SelectionBasis) {
         self.relay.set_members(
             self.peers
                 .with_view(|view| view.available().map(|record| record.endpoint.ip).collect()),
         );
         self.update_permit_issuers();
-        if !self.peers.is_settled() {
-            self.relay.tick(self.peers.size(), false);
-            return;
+        if basis.is_settled {
+            let selected = self.select_serving(&basis.coverage);
+            *self.serving.lock().unwrap_or_else(PoisonError::into_inner) = selected;
+            self.relay.set_delegate_members(self.delegate_members());
         }
-        let settings = self.relay.settings();
-        let coverage = self.relay.coverage();
+    }
+
+    /// Selects the members that serve callers from the members that accept work.
+    fn select_serving(&self, coverage: &Coverage) -> BTreeSet<Ipv4Addr> {
         let count = |zone: &Name| coverage.zones.get(zone).copied().unwrap_or(0);
         let best = coverage.zones.values().copied().max().unwrap_or(0);
         // A zone counts only if it has searchers of more than half as many services as the zone
@@ -336,16 +373,10 @@
             in_searcher_zone: has_searchers(&record.zone),
             weight: record.weight,
         };
-        let candidates: Vec<Candidate> = self.peers.with_view(|view| {
-            view.iter().filter(|record| record.state.takes_work()).map(candidate).collect()
-        });
+        let candidates: Vec<Candidate> =
+            self.peers.with_view(|view| view.available().map(candidate).collect());
         let connections = coverage.fewest_connections.unwrap_or(usize::MAX);
-        let selected = select_serving(&candidates, connections, &settings.policy.seats);
-        let serves = selected.contains(&settings.address);
-        let members = if serves { selected.len() } else { self.peers.size() };
-        *self.serving.lock().unwrap_or_else(PoisonError::into_inner) = selected;
-        self.relay.tick(members, serves);
-        self.relay.set_delegate_members(self.delegate_members());
+        select_serving(&candidates, connections, &self.relay.settings().policy.seats)
     }
 
     /// Tells the relay which members issue permits for cold searchers: the seeds, since all members
--- a/crates/members/src/view.rs
+++ b/crates/members/src/view.rs
@@ -78,6 +78,7 @@
         {
             if !known.overrides(record) {
                 // A member of an earlier release passes records on without this field.
+                self.changes += u64::from(known.protocol < record.protocol);
                 known.protocol = known.protocol.max(record.protocol);
             }
             return false;
--- a/crates/registry/src/registry.rs
+++ b/crates/registry/src/registry.rs
@@ -61,6 +61,11 @@
 pub struct Registry {
     policy: Doubt,
     entries: BTreeMap<Name, Entry>,
+    /// The searchers whose entry is missing.
+    missing: BTreeSet<Name>,
+    /// The incarnations that were added, removed or changed since
+    /// [`Registry::take_changed`] was last called.
+    changed: BTreeSet<Incarnation>,
     by_service: BTreeMap<Name, BTreeSet<Name>>,
     /// The start time of the last ended incarnation, of each searcher without a live one.
     ended: HashMap<Name, Option<u64>>,
@@ -149,13 +154,11 @@
     /// Searchers whose entries had been removed depart at once, since the copy would otherwise
     /// bring them back.
     pub fn store_restored(&mut self, now: Instant, expiry: Duration) {
-        let removed = |entry: &&Entry| matches!(entry.missing, Some((Absence::Removed, _)));
-        let removed: Vec<Name> = self
-            .entries
-            .values()
-            .filter(removed)
-            .map(|entry| Name::clone(&entry.upstream.incarnation.id))
-            .collect();
+        let is_removed = |id: &&Name| {
+            let entry = self.entries.get(*id);
+            matches!(entry.and_then(|entry| entry.missing), Some((Absence::Removed, _)))
+        };
+        let removed: Vec<Name> = self.missing.iter().filter(is_removed).cloned().collect();
         for id in removed {
             self.remove(&id, false);
         }
@@ -200,9 +203,8 @@
                 .missing
                 .is_some_and(|(absence, since)| now >= self.grace_period_end(absence, since))
         };
-        let overdue: Vec<Arc<Upstream>> = self
-            .entries
-            .values()
+        let missing = self.missing.iter().filter_map(|id| self.entries.get(id));
+        let overdue: Vec<Arc<Upstream>> = missing
             .filter(|entry| is_overdue(entry))
             .map(|entry| Arc::clone(&entry.upstream))
             .collect();
@@ -253,6 +255,12 @@
         self.changes
     }
 
+    /// Returns the incarnations that were added, removed or changed since the last call, so that
+    /// what is derived from them costs no more than what has changed.
+    pub fn take_changed(&mut self) -> BTreeSet<Incarnation> {
+        std::mem::take(&mut self.changed)
+    }
+
     /// Returns how many searchers are known.
     pub fn len(&self) -> usize {
         self.entries.len()
@@ -305,6 +313,7 @@
         if let Some(before) = self.entries.remove(&id) {
             self.remove_from_indexes(&before.upstream);
         }
+        self.changed.insert(upstream.incarnation.clone());
         self.with_start_time += usize::from(upstream.incarnation.start_time_ms.is_some());
         if self.ended.remove(&id).is_some() {
             self.ended_order.retain(|ended| *ended != id);
@@ -349,6 +358,7 @@
         if before.is_none() || (before, missing.0) == (Some(Absence::Overwritten), Absence::Removed)
         {
             entry.missing = Some(missing);
+            self.missing.insert(Name::from(id));
         }
         before.is_none()
     }
@@ -376,6 +386,8 @@
 
     /// Removes a searcher without an entry from the data derived from the entries.
     fn remove_from_indexes(&mut self, upstream: &Upstream) {
+        self.changed.insert(upstream.incarnation.clone());
+        self.missing.remove(&upstream.incarnation.id);
         self.with_start_time -= usize::from(upstream.incarnation.start_time_ms.is_some());
         if let Some(ids) = self.by_service.get_mut(&upstream.service) {
             ids.remove(&upstream.incarnation.id);
--- a/crates/registry/tests/registry.rs
+++ b/crates/registry/tests/registry.rs
@@ -284,3 +284,28 @@
     registry.publish(started("b", 9, State::Ready), now);
     assert_eq!(usable(&registry), [("a@5".to_owned(), false), ("b@9".to_owned(), false)]);
 }
+
+/// What is derived from the registry costs what has changed only if every change is reported, and
+/// nothing else.
+#[test]
+fn only_searchers_that_were_added_changed_or_removed_are_reported_as_changed() {
+    let (mut registry, now) = (Registry::default(), Instant::now());
+    let changed = |registry: &mut Registry| -> Vec<String> {
+        registry.take_changed().iter().map(ToString::to_string).collect()
+    };
+    registry.publish(started("a", 1, State::Ready), now);
+    registry.publish(started("b", 1, State::Ready), now);
+    assert_eq!(changed(&mut registry), ["a@1", "b@1"]);
+    // A heartbeat and a missing entry leave the searcher as it is.
+    registry.publish(started("a", 1, State::Ready), now);
+    registry.remove_entry("b", now);
+    assert_eq!(changed(&mut registry), Vec::<String>::new());
+    registry.publish(started("a", 2, State::Ready), now);
+    assert_eq!(changed(&mut registry), ["a@1", "a@2"]);
+    registry.publish(started("a", 2, State::Draining), now);
+    assert_eq!(changed(&mut registry), ["a@2"]);
+    registry.expire(now + LONG, false);
+    assert_eq!(changed(&mut registry), ["b@1"]);
+    assert!(registry.expire(now + LONG, false).is_empty());
+    assert_eq!(changed(&mut registry), Vec::<String>::new());
+}
--- a/crates/relay/src/delegate.rs
+++ b/crates/relay/src/delegate.rs
@@ -138,11 +138,10 @@
     /// Returns the additional wait for a member at a location, compared with a nearby searcher.
     pub(crate) fn expected_delay(&self, location: &RemoteLocation) -> Duration {
         let policy = &self.settings.policy.delegate;
-        let state = self.lock();
         let round_trip = match location {
-            RemoteLocation::Zone(zone) => state.round_trips.round_trip(zone),
+            RemoteLocation::Zone(zone) => self.monitor.round_trip(zone),
             RemoteLocation::Region(region) => {
-                state.round_trips.shortest_to(|zone| self.zone_is_in(zone, region))
+                self.monitor.shortest_round_trip(|zone| self.zone_is_in(zone, region))
             }
         };
         round_trip.map_or(location.default_delay(policy), |round_trip| round_trip + policy.handling)
--- a/crates/relay/src/link.rs
+++ b/crates/relay/src/link.rs
@@ -2,7 +2,7 @@
 
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use bergamot_base::Name;
 use bergamot_dispatch::{Candidate, Distance, LatencyEstimator, StallPeriod};
@@ -10,6 +10,7 @@
 use bergamot_registry::Upstream;
 use bergamot_upstream::Pool;
 
+use crate::monitor::Monitor;
 use crate::settings::Settings;
 
 /// Added to the expected latency of a searcher with no free connection, in milliseconds: more than
@@ -35,7 +36,7 @@
     pub(crate) fn new(
         upstream: Arc<Upstream>,
         share: usize,
-        round_trip: Option<Duration>,
+        monitor: &Arc<Monitor>,
         stall_period: StallPeriod,
         settings: &Settings,
     ) -> Arc<Self> {
@@ -43,10 +44,12 @@
         let here = (&*settings.zone, region(&settings.zone));
         let there = (&*upstream.zone, region(&upstream.zone));
         let distance = Distance::between(here, there);
-        let pool = Pool::new(settings.address, upstream.address, share, settings.connect_timeout);
+        let observer = monitor.observe(&upstream);
+        let (from, timeout) = (settings.address, settings.connect_timeout);
+        let pool = Pool::new(from, upstream.address, share, timeout, observer);
         let policy = Arc::clone(&settings.policy);
         let estimator = Mutex::new(LatencyEstimator::new(
-            distance.initial_latency(round_trip),
+            distance.initial_latency(monitor.round_trip(&upstream.zone)),
             Arc::clone(&policy),
             stall_period,
         ));
@@ -78,14 +81,18 @@
         self.estimator.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Returns whether a connection may be opened in advance, and if so records that one is.
-    pub(crate) fn may_prewarm(&self, now: Instant) -> bool {
-        let mut last_prewarm = self.last_prewarm.lock().unwrap_or_else(PoisonError::into_inner);
-        let due = last_prewarm.is_none_or(|last| now >= last + self.policy.warm.again);
-        if due {
-            *last_prewarm = Some(now);
-        }
-        due
+    /// Returns when a connection was last opened in advance.
+    pub(crate) fn last_prewarm(&self) -> Option<Instant> {
+        *self.lock_last_prewarm()
+    }
+
+    /// Records that a connection is opened in advance.
+    pub(crate) fn record_prewarm(&self, now: Instant) {
+        *self.lock_last_prewarm() = Some(now);
+    }
+
+    fn lock_last_prewarm(&self) -> MutexGuard<'_, Option<Instant>> {
+        self.last_prewarm.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Estimates the latency of one more request, in milliseconds.
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -20,6 +20,7 @@
 use crate::delegate::{DelegateMember, DelegateMembers, Helping};
 use crate::dialect::Dialect;
 use crate::meter::Meter;
+use crate::monitor::Monitor;
 use crate::settings::Settings;
 use crate::shard_query::{self, PendingResults};
 use crate::state::State;
@@ -44,6 +45,8 @@
     early_request: AtomicBool,
     /// Searcher changes that have not been logged yet.
     changes: Mutex<ChangeAggregator>,
+    /// What the connections to searchers report.
+    pub(crate) monitor: Arc<Monitor>,
     /// The period at which searchers stall, shared by all links.
     pub(crate) stall_period: StallPeriod,
     /// Requests suspected or known to crash searchers.
@@ -79,6 +82,7 @@
             pending,
             early_request: AtomicBool::new(false),
             changes,
+            monitor: Arc::default(),
             stall_period,
             quarantine: Arc::default(),
         })
@@ -214,9 +218,16 @@
             self.log_unknown_regions(&declaration);
             self.meter.forget_routes();
             self.meter.declaration_version.set(version as i64);
-            state.placement.set_services(&declaration.services);
+            let known = state.declaration.as_ref().map(|known| &known.services);
+            let are_services_new = known != Some(&declaration.services);
+            if are_services_new {
+                state.placement.set_services(&declaration.services);
+                state.are_links_complete = false;
+            }
             state.declaration = Some(Arc::new(declaration));
-            Self::resize_pools(&state);
+            if are_services_new {
+                Self::resize_pools(&state);
+            }
         }
         status
     }
@@ -503,34 +514,20 @@
             self.lock_changes().record(Instant::now(), "gone", searcher);
         }
         self.expire_evacuations(&mut state);
-        let changed = state.members != members;
-        state.members = members;
-        let State { registry, links, .. } = &mut *state;
-        links.retain(|searcher, link| {
-            let known = registry.contains(searcher);
-            if !known || !registry.takes_work(searcher) {
-                link.pool.close();
-            }
-            known
-        });
-        let now = Instant::now();
-        let State { links, round_trips, .. } = &mut *state;
-        for link in links.values() {
-            if let Some(took) = link.pool.take_fastest_dial() {
-                round_trips.record(&link.upstream.zone, took, now);
-            }
-        }
-        let open: usize = state.links.values().map(|link| link.pool.usage().open).sum();
-        self.meter.connections.set(open as i64);
-        self.meter.searchers.set(state.registry.len() as i64);
-        self.meter.members.set(members as i64);
-        if changed {
+        if state.members != members {
+            state.members = members;
             Self::resize_pools(&state);
         }
+        self.update_links(&mut state, serves);
         if serves {
-            self.create_links(&mut state);
-            self.prewarm(&state);
+            self.prewarm(&mut state, Instant::now());
+        } else {
+            state.prewarm_queue.clear();
+            self.monitor.take_unconnected();
         }
+        self.meter.connections.set(self.monitor.open() as i64);
+        self.meter.searchers.set(state.registry.len() as i64);
+        self.meter.members.set(members as i64);
     }
 
     pub(crate) fn lock(&self) -> MutexGuard<'_, State> {
--- a/crates/relay/src/searchers.rs
+++ b/crates/relay/src/searchers.rs
@@ -1,15 +1,11 @@
-//! The known searchers: selection, connections, and the retry budgets.
-//!
-//! Invariant: a link exists as long as its incarnation is in the registry, so that observations of
-//! one incarnation are never applied to another.
+//! The known searchers: selection, observations, and the retry budgets.
 
-use std::collections::HashMap;
 use std::fmt;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use bergamot_base::{Name, hash_bytes};
-use bergamot_dispatch::{AttemptPriority, Distance, ZoneRoundTrips, rank, sufficient_records};
+use bergamot_dispatch::{AttemptPriority, Distance, rank, sufficient_records};
 use bergamot_placement::{Constraints, Withheld, WithheldCounts};
 use bergamot_registry::{Incarnation, Upstream};
 use bergamot_scatter::fund_attempts;
@@ -22,7 +18,7 @@
 use crate::race::TriedSearcher;
 use crate::relay::Relay;
 use crate::settings::Settings;
-use crate::state::{State, connection_share};
+use crate::state::connection_share;
 
 /// Why a request must not be sent to a searcher.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -68,20 +64,6 @@
         }
     }
 
-    /// Creates links to newly published searchers.
-    pub(crate) fn create_links(&self, state: &mut State) {
-        let Some(declaration) = state.declaration.clone() else {
-            return;
-        };
-        for service in declaration.services.keys() {
-            let share = connection_share(state, service);
-            let State { registry, links, round_trips, .. } = state;
-            for (upstream, _missing) in registry.usable(service) {
-                self.link_to(links, round_trips, upstream, share);
-            }
-        }
-    }
-
     /// Chooses the searcher for the next attempt among those that the request may be sent to and
     /// that were not tried yet.
     pub(crate) fn choose_searcher(
@@ -93,12 +75,17 @@
         let now = Instant::now();
         let mut state = self.lock();
         let share = connection_share(&state, service);
-        let State { registry, placement, links, round_trips, .. } = &mut *state;
-        let candidates = placement
-            .permitted(registry.usable(service), constraints, now)
+        let usable = state.registry.usable(service);
+        let permitted: Vec<(Arc<Upstream>, bool)> = state
+            .placement
+            .permitted(usable, constraints, now)
             .filter(|(upstream, _)| !was_tried(tried, &upstream.incarnation))
+            .map(|(upstream, missing)| (Arc::clone(upstream), missing))
+            .collect();
+        let candidates = permitted
+            .into_iter()
             .map(|(upstream, missing)| {
-                let link = self.link_to(links, round_trips, upstream, share);
+                let link = self.link_to(&mut state, &upstream, share);
                 link.candidate(missing, upstream.is_cold(now), now)
             })
             .collect();
@@ -107,33 +94,6 @@
         rank(candidates, &self.settings.policy.spread, || rng.random()).into_iter().next()
     }
 
-    pub(crate) fn link_to(
-        &self,
-        links: &mut HashMap<Incarnation, Arc<SearcherLink>>,
-        round_trips: &ZoneRoundTrips,
-        upstream: &Arc<Upstream>,
-        share: usize,
-    ) -> Arc<SearcherLink> {
-        let round_trip = round_trips.round_trip(&upstream.zone);
-        let create_link = || {
-            let upstream = Arc::clone(upstream);
-            SearcherLink::new(
-                upstream,
-                share,
-                round_trip,
-                self.stall_period.clone(),
-                &self.settings,
-            )
-        };
-        let link = links.entry(upstream.incarnation.clone()).or_insert_with(create_link);
-        if !link.is_same_endpoint(upstream) {
-            // The existing connections lead to the previous address.
-            link.pool.close();
-            *link = create_link();
-        }
-        Arc::clone(link)
-    }
-
     /// Records a searcher failure reported by the member that sent the request for this one.
     pub(crate) fn record_searcher_failure(&self, searcher: &Incarnation) {
         if let Some(link) = self.lock().links.get(searcher) {
@@ -188,32 +148,6 @@
         latency_percentile.record(took);
     }
 
-    /// Opens connections in advance to searchers that have none.
-    ///
-    /// A new connection costs a round trip and some of the searcher's time, which delays the first
-    /// request on it; a hedge to another region would be late by 20 ms or more. Only a few are
-    /// opened at a time, so that the members do not all connect at once.
-    pub(crate) fn prewarm(&self, state: &State) {
-        let policy = self.settings.policy.warm;
-        if !policy.on {
-            return;
-        }
-        let now = Instant::now();
-        let is_evacuated =
-            |link: &SearcherLink| state.placement.evacuations.contains(&link.upstream.zone);
-        let cold = |link: &&Arc<SearcherLink>| {
-            link.pool.usage().open == 0 && !is_evacuated(link) && link.may_prewarm(now)
-        };
-        for link in state.links.values().filter(cold).take(policy.at_once) {
-            let pool = Arc::clone(&link.pool);
-            tokio::spawn(async move {
-                if let Err(fault) = pool.warm().await {
-                    log::debug!("relay: event=warm_failed cause=\"{fault}\"");
-                }
-            });
-        }
-    }
-
     /// Estimates the response time of the fastest searcher of each service, in milliseconds.
     /// Services without a searcher that the request may be sent to are skipped.
     pub(crate) fn expected_delays(&self, services: &[Name], constraints: &Constraints) -> Vec<f64> {
@@ -343,11 +277,4 @@
         }
         granted
     }
-
-    /// Sets the connection limit of every link to its current share.
-    pub(crate) fn resize_pools(state: &State) {
-        for link in state.links.values() {
-            link.pool.resize(connection_share(state, &link.upstream.service));
-        }
-    }
 }
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -8,7 +8,7 @@
 use bergamot_base::Name;
 use bergamot_config::RevisionTracker;
 use bergamot_declaration::{Declaration, WeightedRoundRobin};
-use bergamot_dispatch::{CallerDeadlines, CallerRoundTrip, RetryBudget, ZoneRoundTrips};
+use bergamot_dispatch::{CallerDeadlines, CallerRoundTrip, RetryBudget};
 use bergamot_logger::Sampler;
 use bergamot_placement::{Constraints, Issuer, Placement, Withheld};
 use bergamot_registry::{Incarnation, Registry};
@@ -16,6 +16,7 @@
 
 use crate::coverage::CachedCoverage;
 use crate::link::SearcherLink;
+use crate::prewarm::Queue;
 use crate::settings::Settings;
 
 /// Connections of each searcher that members leave unused: a connection that is being closed still
@@ -42,8 +43,11 @@
     /// Until when an issuer that denied permits is not asked again.
     pub(crate) permit_denials: HashMap<Ipv4Addr, Instant>,
     pub(crate) coverage: CachedCoverage,
-    pub(crate) round_trips: ZoneRoundTrips,
     pub(crate) links: HashMap<Incarnation, Arc<SearcherLink>>,
+    /// Whether there is a link to every searcher of the declared services.
+    pub(crate) are_links_complete: bool,
+    /// The searchers to which a connection is opened in advance.
+    pub(crate) prewarm_queue: Queue,
     pub(crate) splits: HashMap<Name, WeightedRoundRobin>,
     pub(crate) retry_budgets: HashMap<Name, RetryBudget>,
     pub(crate) latency_percentiles: HashMap<Name, LatencyPercentile>,
@@ -72,8 +76,9 @@
             permit_issuers: Vec::new(),
             permit_denials: HashMap::new(),
             coverage: CachedCoverage::default(),
-            round_trips: ZoneRoundTrips::default(),
             links: HashMap::new(),
+            are_links_complete: false,
+            prewarm_queue: Queue::default(),
             splits: HashMap::new(),
             retry_budgets: HashMap::new(),
             latency_percentiles: HashMap::new(),
--- a/crates/upstream/src/client_set.rs
+++ b/crates/upstream/src/client_set.rs
@@ -14,7 +14,7 @@
 use bergamot_config::{Document, Settings};
 
 use crate::client::Client;
-use crate::pool::Pool;
+use crate::pool::{Observer, Pool};
 
 /// Initial latency estimate for a searcher in the same zone.
 const SAME_ZONE_LATENCY: Duration = Duration::from_millis(4);
@@ -137,7 +137,9 @@
     slots: usize,
     initial_latency: Duration,
 ) -> Arc<Client> {
-    let pool = Pool::new(settings.instance.address, remote, share, settings.gather.dial);
+    let dial_timeout = settings.gather.dial;
+    let pool =
+        Pool::new(settings.instance.address, remote, share, dial_timeout, Observer::default());
     Client::new(remote, pool, slots, settings.gather.queue as usize, initial_latency)
 }
 
--- a/crates/upstream/src/lib.rs
+++ b/crates/upstream/src/lib.rs
@@ -24,6 +24,6 @@
 pub use health::Health;
 pub use hedged_request::{HedgedRequest, NextAction};
 pub use latency::LatencyPercentile;
-pub use pool::{Lease, Pool, Usage};
+pub use pool::{Lease, Observer, Pool, Usage};
 pub use rank::{Candidate, rank};
 pub use slots::{Admission, Slots};
--- a/crates/upstream/src/pool.rs
+++ b/crates/upstream/src/pool.rs
@@ -55,6 +55,30 @@
     pub refused: u64,
 }
 
+/// What a pool reports to its owner, which would otherwise have to ask each of many pools again
+/// and again. The functions are called under the lock of the pool and must not call it.
+pub struct Observer {
+    /// Called with the time that it took to open a connection, which is about one round trip.
+    pub dialled: Box<dyn Fn(Duration) + Send + Sync>,
+    /// Called when a connection is opened or begins to be established.
+    pub opened: Box<dyn Fn() + Send + Sync>,
+    /// Called with the number of connections that are left when one is closed.
+    pub closed: Box<dyn Fn(usize) + Send + Sync>,
+}
+
+impl Default for Observer {
+    /// Returns an observer that ignores everything.
+    fn default() -> Self {
+        Self { dialled: Box::new(|_| ()), opened: Box::new(|| ()), closed: Box::new(|_| ()) }
+    }
+}
+
+impl fmt::Debug for Observer {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("Observer")
+    }
+}
+
 #[derive(Debug)]
 struct State {
     usage: Usage,
@@ -62,11 +86,21 @@
     /// The limit after a refused connection, and when it ends.
     reduced: Option<(usize, Instant)>,
     closing: bool,
-    /// Shortest connection time since [`Pool::take_fastest_dial`] was last called.
-    fastest: Option<Duration>,
+    observer: Observer,
 }
 
 impl State {
+    fn count_opened(&mut self) {
+        self.usage.open += 1;
+        self.usage.dials += 1;
+        (self.observer.opened)();
+    }
+
+    fn count_closed(&mut self) {
+        self.usage.open -= 1;
+        (self.observer.closed)(self.usage.open);
+    }
+
     fn limit(&mut self, now: Instant) -> usize {
         match self.reduced {
             _ if self.closing => 0,
@@ -97,9 +131,10 @@
         remote: SocketAddr,
         share: usize,
         dial_timeout: Duration,
+        observer: Observer,
     ) -> Arc<Self> {
         let usage = Usage { share, ..Usage::default() };
-        let state = State { usage, idle: Vec::new(), reduced: None, closing: false, fastest: None };
+        let state = State { usage, idle: Vec::new(), reduced: None, closing: false, observer };
         Arc::new(Self {
             local,
             remote,
@@ -130,11 +165,6 @@
         Usage { idle: state.idle.len(), ..state.usage }
     }
 
-    /// Returns the shortest connection time since the last call, which is about one round trip.
-    pub fn take_fastest_dial(&self) -> Option<Duration> {
-        self.lock().fastest.take()
-    }
-
     /// Opens one connection in advance, if the share allows it, and returns whether it did.
     pub async fn warm(self: &Arc<Self>) -> Result<bool, SearcherError> {
         if !self.reserve() {
@@ -207,7 +237,7 @@
             if connection.sender.is_ready() {
                 return Some(connection);
             }
-            state.usage.open -= 1;
+            state.count_closed();
         }
         None
     }
@@ -216,8 +246,7 @@
         let mut state = self.lock();
         let room = state.usage.open < state.limit(Instant::now());
         if room {
-            state.usage.open += 1;
-            state.usage.dials += 1;
+            state.count_opened();
         }
         room
     }
@@ -254,8 +283,7 @@
     }
 
     fn record_dial(&self, took: Duration) {
-        let mut state = self.lock();
-        state.fastest = Some(state.fastest.map_or(took, |fastest| fastest.min(took)));
+        (self.lock().observer.dialled)(took);
     }
 
     /// Temporarily limits the pool to the number of connections that are open without the one
@@ -271,7 +299,7 @@
         let mut state = self.lock();
         let limit = state.limit(Instant::now());
         if connection.sender.is_closed() || state.usage.open > limit {
-            state.usage.open -= 1;
+            state.count_closed();
         } else {
             state.idle.push(connection);
         }
@@ -280,7 +308,7 @@
     }
 
     fn release_place(&self) {
-        self.lock().usage.open -= 1;
+        self.lock().count_closed();
         self.available.notify_one();
     }
 
@@ -288,7 +316,7 @@
         let mut state = self.lock();
         let limit = state.limit(Instant::now());
         while state.usage.open > limit && state.idle.pop().is_some() {
-            state.usage.open -= 1;
+            state.count_closed();
         }
         drop(state);
         self.available.notify_waiters();
