A page of a listing costs its items, not all records

Whoever starts asks a few members for everything that the store holds, page by page of 16 KB. Each page sorted all records by their position: with 9,100 of them 0.94 ms a page (debug build) and 167 pages, so a listing grew with the square of the searchers, for each member that starts. On an eighth of a core one listing served would take more than a second of the processor; after a loss of all power hundreds ask at once.

Change: the mirror keeps the keys of its records, and the log of its changes, in the order of their positions; a page starts there and ends when it is full.

Evidence: a_page_of_many_records_costs_no_more_than_one_of_few failed before (29 us with 500 records, 936 us with 9,100); the properties of pages and of restored stores hold as they were.

--- a/crates/base/src/position.rs
+++ b/crates/base/src/position.rs
@@ -21,6 +21,12 @@
 }
 
 impl Position {
+    /// Returns the first position after this one within the era.
+    #[must_use]
+    pub fn next(self) -> Self {
+        Self { revision: self.revision.saturating_add(1), ..self }
+    }
+
     /// Returns whether this is the position before the first change.
     pub fn is_start(self) -> bool {
         self.revision == 0
--- a/crates/feed/src/mirror.rs
+++ b/crates/feed/src/mirror.rs
@@ -12,7 +12,7 @@
 //! state. A follower whose position falls into a gap receives a full listing. See
 //! `docs/design/0016-restored-stores.md`.
 
-use std::collections::{BTreeMap, HashSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashSet, VecDeque};
 use std::time::{Duration, Instant};
 
 use bergamot_base::{Name, Position};
@@ -38,7 +38,13 @@
 #[derive(Clone, Debug, Default)]
 pub struct Mirror {
     records: BTreeMap<Name, Item>,
-    change_log: VecDeque<Item>,
+    /// The keys of the records in the order of their positions, so that a page of a listing costs
+    /// no more than its items.
+    by_position: BTreeSet<(Position, Name)>,
+    /// Recent changes in the order of their positions, and of their arrival within one.
+    change_log: BTreeMap<(Position, u64), Item>,
+    /// How many changes were ever added to the log.
+    logged: u64,
     /// All changes after this position are in `change_log`.
     complete_after: Position,
     /// The position from which changes are known without a gap.
@@ -221,13 +227,10 @@
             return self.listing(query.after, since, limit, age);
         }
         if query.listing.is_none() && self.has_changes_since(query.after) {
-            let newer = |item: &&Item| item.position > query.after;
-            let items = sorted(self.change_log.iter().filter(newer));
-            let length = page(&items, limit);
-            let more = length < items.len();
+            let (items, more) = page(self.changes_after(query.after), limit);
             // Changes found by a listing must fit into one reply.
             if !more || query.after >= self.last_listing {
-                let news = self.page((&items[..length], more), age);
+                let news = self.page((&items, more), age);
                 return News { items: newest(news.items), ..news };
             }
         }
@@ -242,13 +245,21 @@
         limit: usize,
         age: Option<Duration>,
     ) -> News {
-        let newer = |item: &&Item| item.position > after;
         let deleted = |item: &&Item| item.value == Value::Deleted && item.position > since;
-        let deletions = self.change_log.iter().filter(newer).filter(deleted);
-        let items = sorted(self.records.values().filter(newer).chain(deletions));
-        let length = page(&items, limit);
-        let news = self.page((&items[..length], length < items.len()), age);
-        News { listing: Some(since), ..news }
+        let deletions = self.changes_after(after).filter(deleted);
+        let (items, more) = page(merge(self.records_after(after), deletions), limit);
+        News { listing: Some(since), ..self.page((&items, more), age) }
+    }
+
+    /// Iterates over the records after a position, in the order of their positions.
+    fn records_after(&self, after: Position) -> impl Iterator<Item = &Item> {
+        let first = (after.next(), Name::from(""));
+        self.by_position.range(first..).filter_map(|(_, key)| self.records.get(key))
+    }
+
+    /// Iterates over the kept changes after a position, in the order of their positions.
+    fn changes_after(&self, after: Position) -> impl Iterator<Item = &Item> {
+        self.change_log.range((after.next(), 0)..).map(|(_, item)| item)
     }
 
     /// Builds a reply from items; `more` says whether others follow them.
@@ -293,17 +304,23 @@
         if known.is_some_and(older) {
             return false;
         }
+        let known = self.records.remove(&item.key);
+        if let Some(known) = &known {
+            self.by_position.remove(&(known.position, Name::clone(&known.key)));
+        }
         if item.value == Value::Deleted {
-            return self.records.remove(&item.key).is_some();
+            return known.is_some();
         }
+        self.by_position.insert((item.position, Name::clone(&item.key)));
         self.records.insert(Name::clone(&item.key), item.clone());
         true
     }
 
     fn log_change(&mut self, item: Item) {
-        self.change_log.push_back(item);
+        self.logged += 1;
+        self.change_log.insert((item.position, self.logged), item);
         if self.change_log.len() > MAX_KEPT_CHANGES
-            && let Some(dropped) = self.change_log.pop_front()
+            && let Some((_, dropped)) = self.change_log.pop_first()
         {
             self.complete_after = self.complete_after.max(dropped.position);
         }
@@ -324,21 +341,29 @@
     items
 }
 
-fn sorted<'a>(items: impl Iterator<Item = &'a Item>) -> Vec<&'a Item> {
-    let mut items: Vec<&Item> = items.collect();
-    items.sort_by_key(|item| item.position);
-    items
+/// Merges two sequences that are in the order of their positions.
+fn merge<'a>(
+    first: impl Iterator<Item = &'a Item>,
+    second: impl Iterator<Item = &'a Item>,
+) -> impl Iterator<Item = &'a Item> {
+    let (mut first, mut second) = (first.peekable(), second.peekable());
+    std::iter::from_fn(move || match (first.peek(), second.peek()) {
+        (Some(a), Some(b)) if b.position < a.position => second.next(),
+        (Some(_), _) => first.next(),
+        (None, _) => second.next(),
+    })
 }
 
-/// Returns how many items, sorted by position, make up a page of about `limit` bytes. A page has at
-/// least one item and never splits items of the same position.
-fn page(items: &[&Item], limit: usize) -> usize {
-    let mut size = 0;
-    let full = items.iter().position(|item| {
+/// Takes a page of about `limit` bytes from items in the order of their positions, and returns
+/// whether there are more. A page has at least one item and never splits items of the same position.
+fn page<'a>(items: impl Iterator<Item = &'a Item>, limit: usize) -> (Vec<&'a Item>, bool) {
+    let (mut page, mut size) = (Vec::<&Item>::new(), 0);
+    for item in items {
         size += item.size();
-        size > limit
-    });
-    let Some(full) = full else { return items.len() };
-    let last = items[full.saturating_sub(1)].position;
-    items.partition_point(|item| item.position <= last)
+        if size > limit && page.last().is_some_and(|last| last.position < item.position) {
+            return (page, true);
+        }
+        page.push(item);
+    }
+    (page, false)
 }
--- a/crates/feed/tests/pages.rs
+++ b/crates/feed/tests/pages.rs
@@ -2,7 +2,7 @@
 //! content.
 
 use std::collections::BTreeMap;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use bergamot_base::{Name, Position};
 use bergamot_feed::Mirror;
@@ -127,3 +127,30 @@
     let news = behind.news(&query, PAGE, Instant::now());
     assert_eq!((news.items, news.at, news.more), (vec![], at(5), false));
 }
+
+/// Returns the shortest time in which a mirror of some records answers with one page.
+fn page_time(records: u64) -> Duration {
+    let record = |revision: u64| Item {
+        key: Name::from(format!("searchers/i-{revision:x}")),
+        value: Value::Inline(vec![7; 300]),
+        position: at(revision),
+        version: None,
+    };
+    let mut reader = Mirror::default();
+    reader.replace((1..=records).map(record).collect(), at(records));
+    let run = |_| {
+        let start = Instant::now();
+        let news = reader.news(&NewsQuery::default(), 16 << 10, start);
+        assert!(news.more && news.items.len() > 10);
+        start.elapsed()
+    };
+    (0..50).map(run).min().expect("several runs")
+}
+
+/// A fleet that starts asks few members for everything. If each page cost as much as all records,
+/// a listing would grow with the square of the searchers, for each member that starts.
+#[test]
+fn a_page_of_many_records_costs_no_more_than_one_of_few() {
+    let (few, many) = (page_time(500), page_time(9100));
+    assert!(many < few * 4, "{few:?} {many:?}");
+}
