A connection that a request stopped waiting for is opened all the same

After a start requests were refused although searchers were there and idle: a first attempt must have a connection within a quarter of the target latency, and where many members connect to a searcher at once, or a small machine to many searchers, opening one takes longer.

Cause: the connection was opened within the wait of the request that needed it, and given up with it. The next request began anew, and paid for as little.

Change: a pool opens connections in the background. The request that began it learns of its result, or of its failure, as before; if it has stopped waiting, the connection goes to the pool.

--- a/crates/upstream/src/pool.rs
+++ b/crates/upstream/src/pool.rs
@@ -17,7 +17,7 @@
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
-use tokio::sync::Notify;
+use tokio::sync::{Notify, oneshot};
 use tokio::task::AbortHandle;
 
 use crate::client::SearcherError;
@@ -215,7 +215,7 @@
                 return Ok(self.new_lease(connection));
             }
             if self.reserve() {
-                let connection = self.dial().await?;
+                let connection = self.dial_in_background().await?;
                 return Ok(self.new_lease(connection));
             }
             if self.lock().closing {
@@ -251,6 +251,22 @@
         room
     }
 
+    /// Opens a connection for a reservation that the caller has made. If the caller stops waiting,
+    /// the connection is opened all the same and returned to the pool: the searcher has spent its
+    /// time on it, and the next request would have to begin anew.
+    async fn dial_in_background(self: &Arc<Self>) -> Result<Connection, SearcherError> {
+        let (sender, receiver) = oneshot::channel();
+        let pool = Arc::clone(self);
+        tokio::spawn(async move {
+            let unclaimed = sender.send(pool.dial().await);
+            if let Err(Ok(connection)) = unclaimed {
+                pool.put(connection);
+            }
+        });
+        let ended = |_closed| Err(self.fault("dial", "the runtime stopped"));
+        receiver.await.unwrap_or_else(ended)
+    }
+
     /// Opens a connection for a reservation that the caller has made. The reservation is
     /// released on failure or cancellation.
     async fn dial(self: &Arc<Self>) -> Result<Connection, SearcherError> {
