--- a/crates/dispatch/src/latency.rs
+++ b/crates/dispatch/src/latency.rs
@@ -26,6 +26,15 @@
 /// The weight with which each sample raises the best latency, so that outdated minima expire.
 const BEST_DRIFT: f64 = 0.005;
 
+/// The estimated latency of another request, in milliseconds.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Estimate {
+    /// Without the penalties that only affect the choice among searchers.
+    pub delay: f64,
+    /// With the penalties for predicted stalls, cold starts and recent failures.
+    pub expected: f64,
+}
+
 /// One member's observations of one searcher.
 #[derive(Clone, Debug)]
 pub struct LatencyEstimator {
@@ -178,21 +187,33 @@
     /// Estimates the latency for the choice among searchers, including the penalties for predicted
     /// stalls, cold starts and recent failures.
     pub fn expected(&self, now: Instant, slots: usize, cold: bool) -> f64 {
+        self.estimate(now, slots, cold).expected
+    }
+
+    /// Estimates the latency of another request, with and without the penalties.
+    pub fn estimate(&self, now: Instant, slots: usize, cold: bool) -> Estimate {
         let cold = if cold && self.policy.cold.on { self.policy.cold.factor } else { 1.0 };
         let weight = if self.policy.failing.on { self.policy.failing.factor } else { 0.0 };
         let penalty = 1.0 + weight * self.failure_rate(now).powi(2);
-        (self.delay(now, slots) + self.stall_delay(now)) * cold * penalty
+        let delay = self.delay(now, slots);
+        Estimate { delay, expected: (delay + self.stall_delay(now)) * cold * penalty }
     }
 
     fn mean(&self, now: Instant) -> f64 {
         let Some(last) = self.last_sample else {
             return self.mean;
         };
+        if self.mean <= self.best {
+            return self.best;
+        }
         let decay = 0.5_f64.powf(seconds(now, last) / MEAN_HALF_LIFE);
-        self.best + (self.mean - self.best).max(0.0) * decay
+        self.best + (self.mean - self.best) * decay
     }
 
     fn failure_rate(&self, now: Instant) -> f64 {
+        if self.failure_rate == 0.0 {
+            return 0.0;
+        }
         let half_life = self.policy.failing.forgive.as_secs_f64();
         self.failure_rate_updated.map_or(0.0, |updated| {
             self.failure_rate * 0.5_f64.powf(seconds(now, updated) / half_life)
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -2,8 +2,8 @@
 //! and when to answer.
 //!
 //! This crate is free of I/O: times and events are passed in and decisions are returned, so that
-//! tests need no sockets. [`LatencyEstimator`] estimates the latency of a searcher, and [`rank()`]
-//! orders the searchers. [`RetryBudget`] bounds the additional attempts of the whole fleet without
+//! tests need no sockets. [`LatencyEstimator`] estimates the latency of a searcher, and [`best()`]
+//! chooses among the searchers. [`RetryBudget`] bounds the additional attempts of the whole fleet without
 //! messages between its members. [`ZoneRoundTrips`] tracks the round-trip times to other zones, and
 //! [`CallerDeadlines`] and [`CallerRoundTrip`] estimate how much of a caller's latency is spent
 //! elsewhere.
@@ -28,8 +28,8 @@
 pub use admit::admit;
 pub use caller_overhead::{CallerDeadlines, CallerRoundTrip, Spent};
 pub use ending::Ending;
-pub use latency::LatencyEstimator;
-pub use rank::{Candidate, Distance, rank};
+pub use latency::{Estimate, LatencyEstimator};
+pub use rank::{Candidate, Distance, best};
 pub use record::{RECORD_LEN, may_be_incomplete, merge_top_k, sufficient_records};
 pub use retry_budget::{AttemptPriority, RetryBudget, RetryBudgetLimits};
 pub use retry_delay::{Unavailability, retry_delay};
--- a/crates/dispatch/src/rank.rs
+++ b/crates/dispatch/src/rank.rs
@@ -1,9 +1,9 @@
-//! The order in which the searchers of a service are tried.
+//! The choice of the searcher of a service that is tried next.
 //!
-//! The searcher with the lowest expected latency goes first. The expected latency is increased by a
+//! The searcher with the lowest expected latency is chosen. The expected latency is increased by a
 //! small random amount, so that members with the same information don't all choose the same
-//! searcher. Invariant: every candidate stays in the order; one whose entry is missing from the
-//! registry goes after all others, since it may be shutting down.
+//! searcher. Invariant: a candidate whose entry is missing from the registry is chosen only if there
+//! is no other, since it may be shutting down.
 
 use std::time::Duration;
 
@@ -53,17 +53,18 @@
     pub expected: f64,
 }
 
-/// Sorts the candidates, the best first; `draw` returns random numbers from 0 to 1.
-pub fn rank<T>(
-    mut candidates: Vec<Candidate<T>>,
+/// Returns the best candidate; `draw` returns random numbers from 0 to 1.
+pub fn best<T>(
+    candidates: impl IntoIterator<Item = Candidate<T>>,
     policy: &Spread,
     mut draw: impl FnMut() -> f64,
-) -> Vec<T> {
+) -> Option<T> {
     let jitter = if policy.on { policy.part } else { 0.0 };
-    for candidate in &mut candidates {
-        candidate.expected *= 1.0 + jitter * draw();
-    }
-    candidates
-        .sort_by(|a, b| a.missing.cmp(&b.missing).then_with(|| a.expected.total_cmp(&b.expected)));
-    candidates.into_iter().map(|candidate| candidate.searcher).collect()
+    let with_jitter = candidates.into_iter().map(|candidate| {
+        let expected = candidate.expected * (1.0 + jitter * draw());
+        Candidate { expected, ..candidate }
+    });
+    let best = with_jitter
+        .min_by(|a, b| a.missing.cmp(&b.missing).then_with(|| a.expected.total_cmp(&b.expected)));
+    best.map(|candidate| candidate.searcher)
 }
--- a/crates/dispatch/src/stalls.rs
+++ b/crates/dispatch/src/stalls.rs
@@ -40,6 +40,8 @@
     period: Option<f64>,
     /// The observed durations of stalls, in seconds.
     durations: VecDeque<f64>,
+    /// The 90th percentile of the durations.
+    long_duration: f64,
 }
 
 impl StallPeriod {
@@ -51,13 +53,7 @@
 
     /// Returns the 90th percentile of the observed durations of stalls, in seconds.
     fn long_duration(&self) -> f64 {
-        let samples = self.0.lock().unwrap_or_else(PoisonError::into_inner);
-        let mut durations: Vec<f64> = samples.durations.iter().copied().collect();
-        if durations.is_empty() {
-            return 0.0;
-        }
-        let rank = durations.len() * 9 / 10;
-        *durations.select_nth_unstable_by(rank, f64::total_cmp).1
+        self.0.lock().unwrap_or_else(PoisonError::into_inner).long_duration
     }
 
     fn add_duration(&self, duration: Duration) {
@@ -66,6 +62,9 @@
             samples.durations.pop_front();
         }
         samples.durations.push_back(duration.as_secs_f64());
+        let mut durations: Vec<f64> = samples.durations.iter().copied().collect();
+        let rank = durations.len() * 9 / 10;
+        samples.long_duration = *durations.select_nth_unstable_by(rank, f64::total_cmp).1;
     }
 
     /// Records the interval between two stalls of a searcher.
--- a/crates/dispatch/tests/dispatch.rs
+++ b/crates/dispatch/tests/dispatch.rs
@@ -6,7 +6,7 @@
 use bergamot_declaration::{Idempotency, Residency, Route, Target};
 use bergamot_dispatch::{
     AttemptPriority, Candidate, Ending, GatherDecision, LatencyEstimator, RequestTimeouts,
-    RetryBudget, RetryBudgetLimits, StallPeriod, Tally, admit, merge_top_k, rank,
+    RetryBudget, RetryBudgetLimits, StallPeriod, Tally, admit, best, merge_top_k,
 };
 use bergamot_policy::{Admit, Policy, Spread};
 use bytes::Bytes;
@@ -259,9 +259,14 @@
 #[test]
 fn faster_searchers_go_first_and_those_without_an_entry_last() {
     let candidate = |searcher, missing, expected| Candidate { searcher, missing, expected };
-    let all =
+    let mut left =
         vec![candidate('a', true, 1.0), candidate('b', false, 30.0), candidate('c', false, 10.0)];
-    assert_eq!(rank(all, &Spread::default(), || 0.5), ['c', 'b', 'a']);
+    let mut order = Vec::new();
+    while let Some(next) = best(left.clone(), &Spread::default(), || 0.5) {
+        left.retain(|candidate| candidate.searcher != next);
+        order.push(next);
+    }
+    assert_eq!(order, ['c', 'b', 'a']);
 }
 
 #[test]
--- a/crates/model/src/member.rs
+++ b/crates/model/src/member.rs
@@ -6,7 +6,7 @@
 use bergamot_declaration::Route;
 use bergamot_dispatch::{
     AttemptPriority, Candidate, Distance, LatencyEstimator, RequestTimeouts, RetryBudget,
-    RetryBudgetLimits, StallPeriod, admit, rank,
+    RetryBudgetLimits, StallPeriod, admit, best,
 };
 use bergamot_policy::Policy;
 use bergamot_upstream::LatencyPercentile;
@@ -103,9 +103,9 @@
             Candidate { searcher: *searcher, missing: false, expected }
         };
         let untried = shards.replicas[shard].iter().filter(|searcher| !tried.contains(searcher));
-        let candidates = untried.map(candidate).collect();
+        let candidates: Vec<_> = untried.map(candidate).collect();
         let rng = &mut self.rng;
-        rank(candidates, &self.policy.spread, || rng.random()).into_iter().next()
+        best(candidates, &self.policy.spread, || rng.random())
     }
 
     /// Adds the budget that a request earns for additional attempts at a shard.
--- a/crates/registry/src/registry.rs
+++ b/crates/registry/src/registry.rs
@@ -56,6 +56,14 @@
     since: Instant,
 }
 
+/// The searchers of one service.
+#[derive(Clone, Debug, Default)]
+struct ServiceIndex {
+    ids: BTreeSet<Name>,
+    /// The value of [`Registry::revision`] at the last change of any of them.
+    revision: u64,
+}
+
 /// The published searchers.
 #[derive(Clone, Debug, Default)]
 pub struct Registry {
@@ -66,7 +74,7 @@
     /// The incarnations that were added, removed or changed since
     /// [`Registry::take_changed`] was last called.
     changed: BTreeSet<Incarnation>,
-    by_service: BTreeMap<Name, BTreeSet<Name>>,
+    by_service: HashMap<Name, ServiceIndex>,
     /// The start time of the last ended incarnation, of each searcher without a live one.
     ended: HashMap<Name, Option<u64>>,
     ended_order: VecDeque<Name>,
@@ -75,6 +83,8 @@
     earlier: BTreeMap<Name, EarlierEntry>,
     /// How often a searcher was added, removed or changed.
     changes: u64,
+    /// How often anything was changed that [`Registry::usable`] returns.
+    revision: u64,
     /// How many of the known searchers publish a start time.
     with_start_time: usize,
     /// When the store last became available again.
@@ -223,12 +233,18 @@
         self.by_service
             .get(service)
             .into_iter()
-            .flatten()
+            .flat_map(|index| &index.ids)
             .filter_map(|id| self.entries.get(id))
             .filter(|entry| entry.upstream.state == State::Ready)
             .map(|entry| (&entry.upstream, entry.missing.is_some()))
     }
 
+    /// Returns a number that changes whenever [`Registry::usable`] returns something else for a
+    /// service; zero if the service has no searchers.
+    pub fn service_revision(&self, service: &str) -> u64 {
+        self.by_service.get(service).map_or(0, |index| index.revision)
+    }
+
     /// Returns whether new requests may be sent to an incarnation.
     pub fn takes_work(&self, incarnation: &Incarnation) -> bool {
         self.known(incarnation).is_some_and(|entry| entry.upstream.state == State::Ready)
@@ -299,10 +315,20 @@
     fn set_warmth(&mut self, upstream: Upstream, now: Instant) -> bool {
         let Some(entry) = self.entries.get_mut(&upstream.incarnation.id) else { return false };
         let became_cold = upstream.is_cold(now) && !entry.upstream.is_cold(now);
+        let service = Name::clone(&upstream.service);
         entry.upstream = Arc::new(upstream);
+        self.touch_service(&service);
         became_cold
     }
 
+    /// Records that the searchers of a service have changed.
+    fn touch_service(&mut self, service: &str) {
+        self.revision += 1;
+        if let Some(index) = self.by_service.get_mut(service) {
+            index.revision = self.revision;
+        }
+    }
+
     /// Inserts an incarnation in place of the known state of its searcher.
     fn insert(&mut self, upstream: Upstream, now: Instant) {
         let id = Name::clone(&upstream.incarnation.id);
@@ -319,7 +345,9 @@
             self.ended_order.retain(|ended| *ended != id);
         }
         let service = Name::clone(&upstream.service);
-        self.by_service.entry(service).or_default().insert(Name::clone(&id));
+        let index = self.by_service.entry(Name::clone(&service)).or_default();
+        index.ids.insert(Name::clone(&id));
+        self.touch_service(&service);
         self.entries.insert(id, Entry { upstream: Arc::new(upstream), missing: None });
         if !expected_start_times && self.expects_start_times() {
             self.mark_entries_without_start_time(now);
@@ -358,7 +386,9 @@
         if before.is_none() || (before, missing.0) == (Some(Absence::Overwritten), Absence::Removed)
         {
             entry.missing = Some(missing);
+            let service = Name::clone(&entry.upstream.service);
             self.missing.insert(Name::from(id));
+            self.touch_service(&service);
         }
         before.is_none()
     }
@@ -389,9 +419,10 @@
         self.changed.insert(upstream.incarnation.clone());
         self.missing.remove(&upstream.incarnation.id);
         self.with_start_time -= usize::from(upstream.incarnation.start_time_ms.is_some());
-        if let Some(ids) = self.by_service.get_mut(&upstream.service) {
-            ids.remove(&upstream.incarnation.id);
-            if ids.is_empty() {
+        self.touch_service(&upstream.service);
+        if let Some(index) = self.by_service.get_mut(&upstream.service) {
+            index.ids.remove(&upstream.incarnation.id);
+            if index.ids.is_empty() {
                 self.by_service.remove(&upstream.service);
             }
         }
--- a/crates/registry/tests/registry.rs
+++ b/crates/registry/tests/registry.rs
@@ -309,3 +309,33 @@
     assert!(registry.expire(now + LONG, false).is_empty());
     assert_eq!(changed(&mut registry), Vec::<String>::new());
 }
+
+/// What is looked up once and used until the revision changes must be what a new lookup returns.
+#[test]
+fn the_revision_of_a_service_changes_with_its_usable_searchers() {
+    let (mut registry, now) = (Registry::default(), Instant::now());
+    let mut last = registry.service_revision("queue");
+    let mut changed = |registry: &Registry| {
+        let revision = registry.service_revision("queue");
+        std::mem::replace(&mut last, revision) != revision
+    };
+    registry.publish(started("a", 1, State::Ready), now);
+    assert!(changed(&registry));
+    registry.publish(Upstream { service: "other".into(), ..ready("x") }, now);
+    assert!(!changed(&registry));
+    registry.remove_entry("a", now);
+    assert!(changed(&registry), "missing");
+    registry.publish(started("a", 1, State::Ready), now);
+    assert!(changed(&registry), "there again");
+    let warm_at = now + LONG;
+    registry.publish(Upstream { warm_at, ..started("a", 1, State::Ready) }, now);
+    assert!(changed(&registry), "cold");
+    registry.publish(started("a", 2, State::Ready), now);
+    assert!(changed(&registry), "restarted");
+    registry.publish(started("a", 2, State::Draining), now);
+    assert!(changed(&registry), "draining");
+    registry.remove_entry("a", now);
+    assert!(changed(&registry), "gone");
+    registry.publish(started("b", 1, State::Ready), now);
+    assert!(changed(&registry), "the first of a service that had none left");
+}
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -1,14 +1,15 @@
-//! A single attempt, run as its own task so that a race can abandon it.
+//! The attempts for one request at the searchers of one service.
 //!
 //! Invariant: an attempt is aborted as soon as nobody waits for it, which also cancels the work at
 //! the searcher. Letting it finish would save the connection, but under load the losing attempts
 //! are those with the longest queues, where a free slot is worth more than a connection.
 
+use std::future::poll_fn;
 use std::sync::Arc;
+use std::task::Poll;
 use std::time::Instant;
 
-use tokio::sync::mpsc;
-use tokio::task::JoinHandle;
+use futures::future::BoxFuture;
 
 use crate::exchange::{AttemptError, exchange};
 use crate::link::SearcherLink;
@@ -30,40 +31,54 @@
     pub(crate) trial: bool,
 }
 
-#[derive(Debug)]
-pub(crate) struct Attempt {
-    pub(crate) link: Arc<SearcherLink>,
-    task: JoinHandle<()>,
+/// Makes one attempt.
+pub(crate) async fn attempt(
+    relay: &Arc<Relay>,
+    link: Arc<SearcherLink>,
+    job: &Arc<Job>,
+    limits: AttemptLimits,
+) -> AttemptResult {
+    let mut outcome = exchange(relay, &link, job, limits.connect_by, limits.deadline).await;
+    if let Err(error) = &mut outcome
+        && error.connection_lost
+    {
+        error.searcher_ended = relay.check_searcher_ended(&link, job, limits.trial).await;
+    }
+    (link, outcome)
 }
 
-impl Attempt {
-    /// Starts an attempt that sends its result to `results`.
+/// The running attempts, of which there are two or three at most.
+#[derive(Default)]
+pub(crate) struct Attempts<'a>(Vec<BoxFuture<'a, AttemptResult>>);
+
+impl<'a> Attempts<'a> {
+    /// Starts an attempt.
     pub(crate) fn start(
-        relay: &Arc<Relay>,
+        &mut self,
+        relay: &'a Arc<Relay>,
         link: Arc<SearcherLink>,
-        job: &Arc<Job>,
+        job: &'a Arc<Job>,
         limits: AttemptLimits,
-        results: mpsc::UnboundedSender<AttemptResult>,
-    ) -> Self {
-        let (relay, job, target) = (Arc::clone(relay), Arc::clone(job), Arc::clone(&link));
-        let task = tokio::spawn(async move {
-            let mut outcome =
-                exchange(&relay, &target, &job, limits.connect_by, limits.deadline).await;
-            if let Err(error) = &mut outcome
-                && error.connection_lost
-            {
-                error.searcher_ended =
-                    relay.check_searcher_ended(&target, &job, limits.trial).await;
-            }
-            // The race may have finished in the meantime.
-            let _ended = results.send((target, outcome));
-        });
-        Self { link, task }
+    ) {
+        self.0.push(Box::pin(attempt(relay, link, job, limits)));
     }
-}
 
-impl Drop for Attempt {
-    fn drop(&mut self) {
-        self.task.abort();
+    /// Returns whether none is running.
+    pub(crate) fn is_empty(&self) -> bool {
+        self.0.is_empty()
+    }
+
+    /// Waits for the next attempt to end; never returns if none is running.
+    pub(crate) async fn next(&mut self) -> AttemptResult {
+        poll_fn(|context| {
+            for index in 0..self.0.len() {
+                if let Poll::Ready(result) = self.0[index].as_mut().poll(context) {
+                    drop(self.0.swap_remove(index));
+                    return Poll::Ready(result);
+                }
+            }
+            Poll::Pending
+        })
+        .await
     }
 }
--- a/crates/relay/src/delegate.rs
+++ b/crates/relay/src/delegate.rs
@@ -7,18 +7,13 @@
 //! response is used. Invariant: the member makes only the first attempt for a shard, so that
 //! additional attempts are decided in one place.
 
-use std::collections::{BTreeMap, BTreeSet};
 use std::net::Ipv4Addr;
-use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use bergamot_base::Name;
 use bergamot_declaration::Residency;
-use bergamot_dispatch::{LatencyEstimator, StallPeriod};
-use bergamot_policy::{Delegate, Policy};
 use bergamot_quarantine::Fingerprint;
 use bergamot_registry::Incarnation;
-use bergamot_scatter::Lateness;
 use bergamot_wire::{Late, ShardQuery, ShardReply};
 use futures::future::BoxFuture;
 use snafu::Snafu;
@@ -26,10 +21,6 @@
 use crate::message::Job;
 use crate::relay::Relay;
 
-/// The number of requests that a member is assumed to process concurrently, used to choose among
-/// members.
-const MEMBER_SLOTS: usize = 8;
-
 /// The failure of a call to another member.
 #[derive(Clone, Debug, PartialEq, Eq, Snafu)]
 pub enum CallError {
@@ -83,164 +74,6 @@
     }
 }
 
-/// Another member to which shards can be delegated.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct DelegateMember {
-    /// The address of the member.
-    pub ip: Ipv4Addr,
-    /// The availability zone of the member.
-    pub zone: Name,
-    /// The region of the member.
-    pub region: Name,
-    /// The version of the RPCs that it serves.
-    pub protocol: u32,
-}
-
-/// The first version of the RPCs between members that carries the regions of a request.
-const RESIDENCY_PROTOCOL: u32 = 1;
-
-impl DelegateMember {
-    /// Returns whether the member may make attempts for a request on these terms.
-    fn accepts(&self, residency: &Residency) -> bool {
-        !residency.is_bounded()
-            || (residency.permits(Some(&self.region)) && self.protocol >= RESIDENCY_PROTOCOL)
-    }
-}
-
-/// The location of searchers that are queried through a member.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub(crate) enum RemoteLocation {
-    /// Another availability zone of this region.
-    Zone(Name),
-    /// Another region.
-    Region(Name),
-}
-
-impl RemoteLocation {
-    /// Returns the additional wait for a member at this location, compared with a nearby searcher,
-    /// if no round trip has been measured.
-    fn default_delay(&self, policy: &Delegate) -> Duration {
-        match self {
-            Self::Zone(_) => policy.zone,
-            Self::Region(_) => policy.region,
-        }
-    }
-
-    fn contains(&self, member: &DelegateMember) -> bool {
-        match self {
-            Self::Zone(zone) => member.zone == *zone,
-            Self::Region(region) => member.region == *region,
-        }
-    }
-}
-
-impl Relay {
-    /// Returns the additional wait for a member at a location, compared with a nearby searcher.
-    pub(crate) fn expected_delay(&self, location: &RemoteLocation) -> Duration {
-        let policy = &self.settings.policy.delegate;
-        let round_trip = match location {
-            RemoteLocation::Zone(zone) => self.monitor.round_trip(zone),
-            RemoteLocation::Region(region) => {
-                self.monitor.shortest_round_trip(|zone| self.zone_is_in(zone, region))
-            }
-        };
-        round_trip.map_or(location.default_delay(policy), |round_trip| round_trip + policy.handling)
-    }
-
-    /// Returns the additional wait for a member of the farthest region, compared with a nearby
-    /// searcher.
-    pub(crate) fn max_member_delay(&self) -> Duration {
-        let regions: BTreeSet<&Name> = self.settings.regions.values().collect();
-        let locations =
-            regions.into_iter().map(|region| RemoteLocation::Region(Name::clone(region)));
-        let own = self.settings.regions.get(&self.settings.zone);
-        let others = locations.filter(
-            |location| !matches!(location, RemoteLocation::Region(region) if Some(region) == own),
-        );
-        others.map(|location| self.expected_delay(&location)).max().unwrap_or_default()
-    }
-
-    fn zone_is_in(&self, zone: &Name, region: &Name) -> bool {
-        self.settings.regions.get(zone) == Some(region)
-    }
-}
-
-/// The members available for delegation, with the response times observed for each.
-#[derive(Debug)]
-pub(crate) struct DelegateMembers {
-    policy: Arc<Policy>,
-    known: Vec<DelegateMember>,
-    estimators: BTreeMap<Ipv4Addr, LatencyEstimator>,
-    /// How late replies are. All members count together: a single one is queried too seldom.
-    lateness: Lateness,
-}
-
-impl DelegateMembers {
-    pub(crate) fn new(policy: Arc<Policy>) -> Self {
-        Self {
-            policy,
-            known: Vec::new(),
-            estimators: BTreeMap::new(),
-            lateness: Lateness::default(),
-        }
-    }
-
-    /// Replaces the set of available members.
-    pub(crate) fn set(&mut self, known: Vec<DelegateMember>) {
-        self.estimators.retain(|ip, _| known.iter().any(|member| member.ip == *ip));
-        self.known = known;
-    }
-
-    /// Chooses the member at a location with the lowest expected delay. Returns `None` if there is
-    /// no member that may process the request or none of them responds.
-    pub(crate) fn choose(
-        &self,
-        location: &RemoteLocation,
-        residency: &Residency,
-        now: Instant,
-    ) -> Option<Ipv4Addr> {
-        let expected = |member: &DelegateMember| {
-            let estimator = self.estimators.get(&member.ip);
-            estimator.map_or(0.0, |estimator| estimator.expected(now, MEMBER_SLOTS, false))
-        };
-        let accepts = |member: &&DelegateMember| member.accepts(residency);
-        let local = self.known.iter().filter(|member| location.contains(member)).filter(accepts);
-        let delays = local.map(|member| (expected(member), member.ip));
-        let (delay, ip) = delays.min_by(|a, b| a.0.total_cmp(&b.0))?;
-        (delay < self.policy.delegate.silent).then_some(ip)
-    }
-
-    /// Records by how much a reply was late that had to be sent.
-    pub(crate) fn record_lateness(&mut self, late: Duration) {
-        self.lateness.record(late);
-    }
-
-    /// Returns how late a reply may be before it is overdue.
-    pub(crate) fn allowance(&self) -> Duration {
-        let policy = &self.policy.delegate;
-        // A member whose reply takes longer is not queried either.
-        let most = Duration::from_secs_f64(policy.silent / 1e3);
-        self.lateness.allowance(policy.late).min(most)
-    }
-
-    /// Records that a query to a member has failed or is overdue.
-    pub(crate) fn record_failure(&mut self, ip: Ipv4Addr) {
-        self.estimator(ip).record_failure(Instant::now());
-    }
-
-    fn estimator(&mut self, ip: Ipv4Addr) -> &mut LatencyEstimator {
-        let policy = &self.policy;
-        let new_estimator = || {
-            LatencyEstimator::new(
-                policy.delegate.region,
-                Arc::clone(policy),
-                StallPeriod::default(),
-            )
-        };
-        self.estimators.entry(ip).or_insert_with(new_estimator)
-    }
-}
-
 /// An unanswered query; updates the statistics of its member on drop.
 struct PendingQuery<'a> {
     relay: &'a Relay,
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -94,10 +94,13 @@
     connect_by: Instant,
     deadline: Instant,
 ) -> Result<SearcherResponse, AttemptError> {
-    let lease = link.pool.lease(deadline_at(connect_by)).await.map_err(|fault| {
-        link.estimator().record_failure(Instant::now());
-        AttemptError::new(Ending::NotSent, fault)
-    })?;
+    let lease = match link.pool.lease_idle() {
+        Some(lease) => lease,
+        None => link.pool.lease(deadline_at(connect_by)).await.map_err(|fault| {
+            link.estimator().record_failure(Instant::now());
+            AttemptError::new(Ending::NotSent, fault)
+        })?,
+    };
     if let Err(unusable) = relay.check_searcher(&link.upstream, &job.constraints) {
         lease.release().await;
         return Err(AttemptError::new(Ending::NotSent, unusable));
@@ -150,7 +153,7 @@
         let ending = if metadata.not_run { Ending::NotRun } else { Ending::Unknown };
         AttemptError::new(ending, error)
     })?;
-    tokio::spawn(lease.release());
+    lease.release_soon();
     classify_response(relay, link, Response::from_parts(parts, body.to_bytes()), metadata)
 }
 
--- a/crates/relay/src/gather.rs
+++ b/crates/relay/src/gather.rs
@@ -24,7 +24,9 @@
 use rand::RngExt;
 use tokio::time::sleep_until;
 
-use crate::delegate::{self, CallError, RecordLimits, RemoteLocation};
+use crate::choice::Choice;
+use crate::delegate::{self, CallError, RecordLimits};
+use crate::location::Location;
 use crate::message::{Cause, Job, MergedResponse, Refusal, Reply, SearcherResponse};
 use crate::partial_results::{MemberPart, PartialResults};
 use crate::quarantine::TrialResponse;
@@ -63,7 +65,8 @@
     trial_response: Option<TrialResponse>,
 ) -> Reply {
     let fewest = gather.min_shards();
-    let mut delays = relay.expected_delays(&gather.shards, &job.constraints);
+    let choices = relay.choose_searchers(&gather.shards, &job.constraints);
+    let mut delays: Vec<f64> = choices.iter().flatten().map(|choice| choice.delay).collect();
     if delays.len() < fewest {
         let served = delays.len();
         let withheld = relay.count_withheld(&gather.shards, &job.constraints);
@@ -77,10 +80,9 @@
         let cause = "expected delay at the searchers exceeds the target latency";
         return refuse(relay, job, (Cause::NotRun, Unavailability::Backlog(excess)), cause);
     }
-    for shard in &gather.shards {
-        relay.credit_retry_budget(shard);
-    }
-    let mut state = GatherState::start(relay, job, gather, timeouts, trial_response);
+    relay.credit_retry_budgets(&gather.shards);
+    let mut state = GatherState::new(relay, job, gather, timeouts);
+    state.start(choices, trial_response);
     let target = job.request.received + timeouts.target;
     let mut late = false;
     loop {
@@ -135,14 +137,13 @@
 }
 
 impl<'a> GatherState<'a> {
-    fn start(
+    fn new(
         relay: &'a Arc<Relay>,
         job: &'a Arc<Job>,
         gather: &'a Gather,
         timeouts: RequestTimeouts,
-        trial_response: Option<TrialResponse>,
     ) -> Self {
-        let mut state = Self {
+        Self {
             relay,
             job,
             gather,
@@ -152,28 +153,60 @@
             work: PendingWork::new(),
             progress: Progress::new(gather.shards.len()),
             queries: Vec::new(),
-        };
-        let mut shards: Vec<usize> = (0..gather.shards.len()).collect();
+        }
+    }
+
+    /// Asks for all shards, given the searcher chosen for each.
+    fn start(&mut self, choices: Vec<Option<Choice>>, trial_response: Option<TrialResponse>) {
+        let mut trial = None;
         if let Some(TrialResponse { service, response }) = trial_response
-            && let Some(at) = gather.shards.iter().position(|shard| *shard == service)
+            && let Some(at) = self.gather.shards.iter().position(|shard| *shard == service)
         {
-            shards.remove(at);
-            state.add_part(at, response.signature, response.body);
+            trial = Some(at);
+            self.add_part(at, response.signature, response.body);
         }
         // With a single attempt allowed, shards that a member misses could not be asked again.
-        let may_delegate = relay.settings.policy.delegate.on && job.max_attempts > 1;
-        let (direct, groups) = if may_delegate {
-            partition_shards(relay, job, gather, shards)
-        } else {
-            (shards, Vec::new())
-        };
+        let may_delegate = self.relay.settings.policy.delegate.on && self.job.max_attempts > 1;
+        let mut links = Vec::with_capacity(choices.len());
+        let mut locations = BTreeMap::<Option<Location>, Vec<usize>>::new();
+        for (shard, choice) in choices.into_iter().enumerate() {
+            let link = choice.map(|choice| choice.link);
+            let location = link.as_ref().filter(|_| may_delegate);
+            let location = location.and_then(|link| self.relay.location(link));
+            links.push(link);
+            if trial != Some(shard) {
+                locations.entry(location).or_default().push(shard);
+            }
+        }
+        let mut direct = Vec::new();
+        for (location, shards) in locations {
+            let member = location.and_then(|location| {
+                Some((self.choose_member(&location, shards.len())?, location))
+            });
+            match member {
+                Some((ip, location)) => self.query_member(MemberGroup { ip, location, shards }),
+                None => direct.extend(shards),
+            }
+        }
         for shard in direct {
-            state.start_race(shard, state.plan.clone());
+            let first = links[shard].take();
+            self.start_race(shard, RacePlan { first, ..self.plan.clone() });
         }
-        for group in groups {
-            state.query_member(group);
+    }
+
+    /// Chooses the member at a location through which some shards are queried, if there is one.
+    fn choose_member(&self, location: &Location, shards: usize) -> Option<Ipv4Addr> {
+        let is_own = *location == self.relay.own_location();
+        if is_own || shards < self.relay.settings.policy.delegate.fewest {
+            return None;
         }
-        state
+        let residency = &self.job.constraints.residency;
+        let unmeasured = self.relay.expected_delay(location);
+        let mut rng = rand::rng();
+        self.relay.with_delegates(|delegates| {
+            let ranked = delegates.rank(location, residency, unmeasured, || rng.random());
+            ranked.first().map(|member| member.ip)
+        })
     }
 
     fn name(&self, shard: usize) -> &'a Name {
@@ -209,7 +242,7 @@
     }
 
     /// Returns when a member at a location must reply.
-    fn schedule(&self, location: &RemoteLocation) -> Schedule {
+    fn schedule(&self, location: &Location) -> Schedule {
         let delay = ReplyDelay {
             expected: self.relay.expected_delay(location),
             allowance: self.relay.with_delegates(|delegates| delegates.allowance()),
@@ -436,35 +469,8 @@
 /// Shards and the member through which they are queried.
 struct MemberGroup {
     ip: Ipv4Addr,
-    location: RemoteLocation,
-    shards: Vec<usize>,
-}
-
-/// Partitions the shards into those queried directly and those queried through members.
-fn partition_shards(
-    relay: &Relay,
-    job: &Job,
-    gather: &Gather,
+    location: Location,
     shards: Vec<usize>,
-) -> (Vec<usize>, Vec<MemberGroup>) {
-    let mut direct = Vec::new();
-    let mut locations = BTreeMap::<RemoteLocation, Vec<usize>>::new();
-    for shard in shards {
-        match relay.remote_location(&gather.shards[shard], &job.constraints) {
-            Some(location) => locations.entry(location).or_default().push(shard),
-            None => direct.push(shard),
-        }
-    }
-    let (now, residency) = (Instant::now(), &job.constraints.residency);
-    let mut groups = Vec::new();
-    for (location, shards) in locations {
-        let member = relay.with_delegates(|delegates| delegates.choose(&location, residency, now));
-        match member.filter(|_| shards.len() >= relay.settings.policy.delegate.fewest) {
-            Some(ip) => groups.push(MemberGroup { ip, location, shards }),
-            None => direct.extend(shards),
-        }
-    }
-    (direct, groups)
 }
 
 /// Parses the signatures of the shards in a member's reply; `None` if any is malformed.
--- a/crates/relay/src/handler.rs
+++ b/crates/relay/src/handler.rs
@@ -194,7 +194,7 @@
         service: &Name,
         timeouts: RequestTimeouts,
     ) -> Reply {
-        self.credit_retry_budget(service);
+        self.credit_retry_budgets(std::slice::from_ref(service));
         let plan = RacePlan::new(job, timeouts, &self.settings.policy);
         match Race::new(self, job, service, plan).run().await {
             Ok(response) => Reply::Forwarded(response),
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -7,8 +7,10 @@
 //! `docs/design/0009-platform.md`.
 
 mod attempt;
+mod choice;
 mod coverage;
 mod delegate;
+mod delegates;
 mod dialect;
 mod exchange;
 mod failure_log;
@@ -16,6 +18,7 @@
 mod handler;
 mod link;
 mod links;
+mod location;
 mod message;
 mod meter;
 mod monitor;
@@ -32,9 +35,8 @@
 
 pub use bergamot_placement::ColdBound;
 pub use coverage::Coverage;
-pub use delegate::{
-    CallError, DelegateMember, GatherCall, Helping, MemberFuture, PermitCall, TokenCall,
-};
+pub use delegate::{CallError, GatherCall, Helping, MemberFuture, PermitCall, TokenCall};
+pub use delegates::DelegateMember;
 pub use dialect::{Dialect, RequestMetadata, ResponseMetadata};
 pub use message::{Cause, MergedResponse, Refusal, Reply, Request, SearcherResponse};
 pub use relay::Relay;
--- a/crates/relay/src/link.rs
+++ b/crates/relay/src/link.rs
@@ -4,8 +4,8 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Instant;
 
-use bergamot_base::Name;
-use bergamot_dispatch::{Candidate, Distance, LatencyEstimator, StallPeriod};
+use bergamot_base::{Name, hash_bytes};
+use bergamot_dispatch::{Candidate, Distance, Estimate, LatencyEstimator, StallPeriod};
 use bergamot_policy::Policy;
 use bergamot_registry::Upstream;
 use bergamot_upstream::Pool;
@@ -24,6 +24,8 @@
     pub(crate) pool: Arc<Pool>,
     pub(crate) distance: Distance,
     policy: Arc<Policy>,
+    /// A hash that identifies the incarnation within its shard, in messages to other members.
+    short_hash: u32,
     estimator: Mutex<LatencyEstimator>,
     /// When a connection was last opened in advance.
     last_prewarm: Mutex<Option<Instant>>,
@@ -55,7 +57,22 @@
         ));
         let last_prewarm = Mutex::default();
         let ended = AtomicBool::new(false);
-        Arc::new(Self { upstream, pool, distance, policy, estimator, last_prewarm, ended })
+        let short_hash = hash_bytes(upstream.incarnation.to_string().as_bytes()) as u32;
+        Arc::new(Self {
+            upstream,
+            pool,
+            distance,
+            policy,
+            short_hash,
+            estimator,
+            last_prewarm,
+            ended,
+        })
+    }
+
+    /// Returns a hash that identifies the incarnation within its shard.
+    pub(crate) fn short_hash(&self) -> u32 {
+        self.short_hash
     }
 
     /// Returns whether the searcher was found to have ended.
@@ -95,26 +112,25 @@
         self.last_prewarm.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Estimates the latency of one more request, in milliseconds.
-    pub(crate) fn delay(&self, now: Instant) -> f64 {
-        self.estimator().delay(now, self.upstream.slots)
+    /// Estimates the latency of one more request.
+    pub(crate) fn estimate(&self, cold: bool, now: Instant) -> Estimate {
+        self.estimator().estimate(now, self.upstream.slots, cold)
     }
 
-    /// Returns the searcher as a candidate for the choice within its service.
+    /// Returns the searcher as a candidate for the choice within its service, given its expected
+    /// latency in milliseconds.
     pub(crate) fn candidate(
         self: &Arc<Self>,
         missing: bool,
-        cold: bool,
-        now: Instant,
-    ) -> Candidate<Arc<Self>> {
-        let mut expected = self.estimator().expected(now, self.upstream.slots, cold);
+        expected: f64,
+    ) -> Candidate<&Arc<Self>> {
+        let mut expected = expected;
         if self.distance == Distance::Far && self.policy.near.on {
             expected *= self.policy.near.factor;
         }
-        let usage = self.pool.usage();
-        if usage.idle == 0 && usage.open >= usage.share {
+        if self.pool.is_saturated() {
             expected += SATURATION_PENALTY_MS;
         }
-        Candidate { searcher: Arc::clone(self), missing, expected }
+        Candidate { searcher: self, missing, expected }
     }
 }
--- a/crates/relay/src/links.rs
+++ b/crates/relay/src/links.rs
@@ -24,6 +24,7 @@
             let Some(upstream) = upstream else {
                 if let Some(link) = state.links.remove(&incarnation) {
                     link.pool.close();
+                    state.usable.remove(&link.upstream.service);
                 }
                 continue;
             };
--- a/crates/relay/src/quarantine.rs
+++ b/crates/relay/src/quarantine.rs
@@ -124,7 +124,7 @@
         }
         self.meter().quarantine.with_label_values(&["tried"]).inc();
         if !matches!(target, Target::Gather(_)) {
-            self.credit_retry_budget(&service);
+            self.credit_retry_budgets(std::slice::from_ref(&service));
         }
         let plan = RacePlan::new(job, timeouts, &self.settings.policy).single_attempt();
         match Race::new(self, job, &service, plan).run().await {
--- a/crates/relay/src/race.rs
+++ b/crates/relay/src/race.rs
@@ -15,10 +15,9 @@
 use bergamot_policy::Policy;
 use bergamot_quarantine::{Permit, TrialOutcome};
 use bergamot_registry::Incarnation;
-use tokio::sync::mpsc;
 use tokio::time::sleep_until;
 
-use crate::attempt::{self, Attempt, AttemptLimits};
+use crate::attempt::{AttemptLimits, Attempts};
 use crate::exchange::AttemptError;
 use crate::link::SearcherLink;
 use crate::message::{Job, SearcherResponse};
@@ -67,6 +66,8 @@
     pub(crate) target: Instant,
     /// The time after which the response is no longer useful.
     pub(crate) deadline: Instant,
+    /// The searcher that is asked first, if it was chosen already.
+    pub(crate) first: Option<Arc<SearcherLink>>,
     /// The searchers already asked for this request.
     pub(crate) tried: Vec<TriedSearcher>,
     /// Whether the retry budget was already charged for the next attempt.
@@ -88,6 +89,7 @@
             expected_response_by,
             target: at(timeouts.target),
             deadline: at(timeouts.end),
+            first: None,
             tried: Vec::new(),
             is_funded: false,
             single_attempt: false,
@@ -117,7 +119,7 @@
     job: &'a Arc<Job>,
     service: &'a Name,
     plan: RacePlan,
-    running: Vec<Attempt>,
+    running: Attempts<'a>,
     delivered: usize,
     not_run: usize,
     /// Whether an attempt was denied by the retry budget.
@@ -127,10 +129,6 @@
     /// crashes searchers.
     trial: bool,
     worst: RaceFailure,
-    results: (
-        mpsc::UnboundedSender<attempt::AttemptResult>,
-        mpsc::UnboundedReceiver<attempt::AttemptResult>,
-    ),
 }
 
 impl<'a> Race<'a> {
@@ -147,14 +145,13 @@
             job,
             service,
             plan,
-            running: Vec::new(),
+            running: Attempts::default(),
             delivered,
             not_run: 0,
             budget_denied: false,
             finished: false,
             trial: false,
             worst: RaceFailure { ending: Ending::NotSent, timed_out: false, response: None },
-            results: mpsc::unbounded_channel(),
         }
     }
 
@@ -181,9 +178,7 @@
             let due = hedge_at.unwrap_or(deadline).min(deadline);
             tokio::select! {
                 biased;
-                outcome = self.results.1.recv() => {
-                    let (link, outcome) = outcome?;
-                    self.running.retain(|attempt| !Arc::ptr_eq(&attempt.link, &link));
+                (link, outcome) = self.running.next() => {
                     match outcome {
                         Ok(response) => {
                             self.settle_trial(TrialOutcome::Answered);
@@ -260,7 +255,7 @@
 
     /// Waits until the first attempts for all shards have ended or the hedging time has passed.
     /// Returns whether the request needs this shard.
-    async fn wait_until_needed(&self) -> bool {
+    async fn wait_until_needed(&mut self) -> bool {
         self.job.tally().defer();
         let wait = async {
             loop {
@@ -343,7 +338,7 @@
         if may_have_run >= self.job.max_attempts {
             return StartResult::Exhausted;
         }
-        let Some(link) = self.choose_searcher() else {
+        let Some(link) = self.plan.first.take().or_else(|| self.choose_searcher()) else {
             return StartResult::Exhausted;
         };
         let is_funded = std::mem::take(&mut self.plan.is_funded) || self.delivered == 0;
@@ -361,8 +356,7 @@
             self.plan.connect_by.max(Instant::now() + connect_timeout).min(self.plan.deadline);
         let trial = self.plan.single_attempt || self.trial;
         let limits = AttemptLimits { connect_by, deadline: self.plan.deadline, trial };
-        let results = self.results.0.clone();
-        self.running.push(Attempt::start(self.relay, link, self.job, limits, results));
+        self.running.start(self.relay, link, self.job, limits);
         StartResult::Started
     }
 }
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -17,7 +17,8 @@
 use bergamot_registry::{Registry, Upstream};
 use bergamot_wire::{Late, ShardQuery, ShardReply};
 
-use crate::delegate::{DelegateMember, DelegateMembers, Helping};
+use crate::delegate::Helping;
+use crate::delegates::{DelegateMember, DelegateMembers};
 use crate::dialect::Dialect;
 use crate::meter::Meter;
 use crate::monitor::Monitor;
@@ -176,8 +177,8 @@
                 || "not_linked".to_owned(),
                 |link| {
                     let usage = link.pool.usage();
-                    let cold = upstream.is_cold(now);
-                    let expected = link.candidate(false, cold, now).expected;
+                    let estimate = link.estimate(upstream.is_cold(now), now);
+                    let expected = link.candidate(false, estimate.expected).expected;
                     let (open, share, idle) = (usage.open, usage.share, usage.idle);
                     format!("connections {open}/{share} idle {idle} expected_ms {expected:.1}")
                 },
--- a/crates/relay/src/searchers.rs
+++ b/crates/relay/src/searchers.rs
@@ -4,21 +4,17 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use bergamot_base::{Name, hash_bytes};
-use bergamot_dispatch::{AttemptPriority, Distance, rank, sufficient_records};
+use bergamot_base::Name;
+use bergamot_dispatch::{AttemptPriority, Distance, sufficient_records};
 use bergamot_placement::{Constraints, Withheld, WithheldCounts};
 use bergamot_registry::{Incarnation, Upstream};
 use bergamot_scatter::fund_attempts;
 use bergamot_upstream::LatencyPercentile;
 use bergamot_wire::QuietPeriod;
-use rand::RngExt;
 
-use crate::delegate::RemoteLocation;
 use crate::link::SearcherLink;
-use crate::race::TriedSearcher;
 use crate::relay::Relay;
 use crate::settings::Settings;
-use crate::state::connection_share;
 
 /// Why a request must not be sent to a searcher.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -38,62 +34,7 @@
     }
 }
 
-/// Returns a 32-bit hash that identifies an incarnation within its shard.
-fn short_hash(searcher: &Incarnation) -> u32 {
-    hash_bytes(searcher.to_string().as_bytes()) as u32
-}
-
-/// Returns whether a searcher was already asked.
-fn was_tried(tried: &[TriedSearcher], searcher: &Incarnation) -> bool {
-    tried.iter().any(|tried| matches!(tried, TriedSearcher::Known(known) if known == searcher))
-}
-
 impl Relay {
-    /// Returns the location of the searcher that would be asked, if it is not in this zone.
-    pub(crate) fn remote_location(
-        &self,
-        service: &str,
-        constraints: &Constraints,
-    ) -> Option<RemoteLocation> {
-        let link = self.choose_searcher(service, constraints, &[])?;
-        let zone = &link.upstream.zone;
-        match link.distance {
-            Distance::Zone => None,
-            Distance::Region => Some(RemoteLocation::Zone(Name::clone(zone))),
-            Distance::Far => self.settings.regions.get(zone).cloned().map(RemoteLocation::Region),
-        }
-    }
-
-    /// Chooses the searcher for the next attempt among those that the request may be sent to and
-    /// that were not tried yet.
-    pub(crate) fn choose_searcher(
-        &self,
-        service: &str,
-        constraints: &Constraints,
-        tried: &[TriedSearcher],
-    ) -> Option<Arc<SearcherLink>> {
-        let now = Instant::now();
-        let mut state = self.lock();
-        let share = connection_share(&state, service);
-        let usable = state.registry.usable(service);
-        let permitted: Vec<(Arc<Upstream>, bool)> = state
-            .placement
-            .permitted(usable, constraints, now)
-            .filter(|(upstream, _)| !was_tried(tried, &upstream.incarnation))
-            .map(|(upstream, missing)| (Arc::clone(upstream), missing))
-            .collect();
-        let candidates = permitted
-            .into_iter()
-            .map(|(upstream, missing)| {
-                let link = self.link_to(&mut state, &upstream, share);
-                link.candidate(missing, upstream.is_cold(now), now)
-            })
-            .collect();
-        drop(state);
-        let mut rng = rand::rng();
-        rank(candidates, &self.settings.policy.spread, || rng.random()).into_iter().next()
-    }
-
     /// Records a searcher failure reported by the member that sent the request for this one.
     pub(crate) fn record_searcher_failure(&self, searcher: &Incarnation) {
         if let Some(link) = self.lock().links.get(searcher) {
@@ -107,15 +48,12 @@
         let state = self.lock();
         let mut quiet = Vec::new();
         for (index, shard) in shards.iter().enumerate() {
-            let known = state.registry.usable(shard);
-            let links =
-                known.filter_map(|(upstream, _missing)| state.links.get(&upstream.incarnation));
-            for link in links.filter(|link| link.distance != Distance::Far) {
+            for link in state.usable_links(shard).filter(|link| link.distance != Distance::Far) {
                 let Some((begin, end)) = link.estimator().next_stall(now) else { continue };
                 let ms_from_now =
                     |at: Instant| at.saturating_duration_since(now).as_millis() as u32;
-                let searcher = short_hash(&link.upstream.incarnation);
                 let (begins_ms, ends_ms) = (ms_from_now(begin), ms_from_now(end));
+                let searcher = link.short_hash();
                 quiet.push(QuietPeriod { index: index as u32, searcher, begins_ms, ends_ms });
             }
         }
@@ -127,12 +65,8 @@
         let now = Instant::now();
         let at = |ms: u32| now + Duration::from_millis(u64::from(ms));
         let state = self.lock();
-        let known = state.registry.usable(shard);
-        let mut links =
-            known.filter_map(|(upstream, _missing)| state.links.get(&upstream.incarnation));
-        if let Some(link) =
-            links.find(|link| short_hash(&link.upstream.incarnation) == quiet.searcher)
-        {
+        let reported = |link: &&Arc<SearcherLink>| link.short_hash() == quiet.searcher;
+        if let Some(link) = state.usable_links(shard).find(reported) {
             link.estimator().set_reported_stall(at(quiet.begins_ms), at(quiet.ends_ms));
         }
     }
@@ -148,23 +82,6 @@
         latency_percentile.record(took);
     }
 
-    /// Estimates the response time of the fastest searcher of each service, in milliseconds.
-    /// Services without a searcher that the request may be sent to are skipped.
-    pub(crate) fn expected_delays(&self, services: &[Name], constraints: &Constraints) -> Vec<f64> {
-        let now = Instant::now();
-        let state = self.lock();
-        let fastest = |service: &Name| {
-            let permitted =
-                state.placement.permitted(state.registry.usable(service), constraints, now);
-            let known = permitted.map(|(upstream, _missing)| {
-                // A searcher without a link has not been used yet.
-                state.links.get(&upstream.incarnation).map_or(0.0, |link| link.delay(now))
-            });
-            known.min_by(f64::total_cmp)
-        };
-        services.iter().filter_map(fastest).collect()
-    }
-
     /// Counts the searchers of some services that are withheld from a request, and the services
     /// that have no other.
     pub(crate) fn count_withheld(
@@ -227,11 +144,14 @@
         }
     }
 
-    /// Credits the retry budget of a service for one request.
-    pub(crate) fn credit_retry_budget(&self, service: &Name) {
+    /// Credits the retry budgets of some services for one request to each.
+    pub(crate) fn credit_retry_budgets(&self, services: &[Name]) {
         let now = Instant::now();
         let limits = &self.settings.retry_budget_limits;
-        self.lock().retry_budget(service, now).record_request(now, limits);
+        let mut state = self.lock();
+        for service in services {
+            state.retry_budget(service, now).record_request(now, limits);
+        }
     }
 
     /// Charges one additional attempt to the retry budget of a service. Returns whether it
--- a/crates/relay/src/shard_query.rs
+++ b/crates/relay/src/shard_query.rs
@@ -14,11 +14,16 @@
 use bergamot_placement::Constraints;
 use bergamot_wire::{Late, ShardOutcome, ShardQuery, ShardReply};
 use bytes::Bytes;
+use futures::future::BoxFuture;
+use futures::stream::{FuturesUnordered, StreamExt};
 use hyper::header::{HeaderMap, HeaderName, HeaderValue};
 use hyper::{Method, Uri};
 use tokio::sync::mpsc;
+use tokio::time::sleep_until;
+use tokio_util::task::AbortOnDropHandle;
 
-use crate::attempt::{Attempt, AttemptLimits, AttemptResult};
+use crate::attempt::{AttemptLimits, attempt};
+use crate::choice::Choice;
 use crate::exchange::AttemptError;
 use crate::message::{Job, Request, SearcherResponse};
 use crate::meter::AttemptReason;
@@ -31,7 +36,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct PendingResults {
     next: u64,
-    running: HashMap<u64, RunningAttempts>,
+    late: HashMap<u64, LateAttempts>,
     /// Records left out of replies.
     left_out: HashMap<u64, Vec<u8>>,
 }
@@ -43,24 +48,38 @@
     }
 }
 
-/// The attempts for one query.
+/// The end of an attempt, with the index of its shard.
+type ShardResult = (usize, Result<SearcherResponse, AttemptError>);
+
+/// The attempts for one query that are still running.
+type RunningAttempts = FuturesUnordered<BoxFuture<'static, ShardResult>>;
+
+/// The attempts that continue after the reply to a query, in a task that is aborted with this value.
 #[derive(Debug)]
-struct RunningAttempts {
-    running: Vec<(usize, Attempt)>,
-    results: mpsc::UnboundedReceiver<AttemptResult>,
+struct LateAttempts {
+    results: mpsc::UnboundedReceiver<ShardResult>,
+    _task: AbortOnDropHandle<()>,
 }
 
-impl RunningAttempts {
-    /// Waits for the next attempt to end and returns it with the index of its shard.
-    async fn next(&mut self) -> Option<(usize, Result<SearcherResponse, AttemptError>)> {
-        while !self.running.is_empty() {
-            let (link, outcome) = self.results.recv().await?;
-            let ours = |(_, attempt): &(usize, Attempt)| Arc::ptr_eq(&attempt.link, &link);
-            if let Some(position) = self.running.iter().position(ours) {
-                return Some((self.running.swap_remove(position).0, outcome));
+impl LateAttempts {
+    fn start(mut attempts: RunningAttempts) -> Self {
+        let (sender, results) = mpsc::unbounded_channel();
+        let task = tokio::spawn(async move {
+            while let Some(result) = attempts.next().await {
+                // Without a receiver, this task is aborted.
+                let _closed = sender.send(result);
             }
+        });
+        Self { results, _task: AbortOnDropHandle::new(task) }
+    }
+
+    /// Waits for the next attempts to end; returns none if all have.
+    async fn next(&mut self) -> Vec<ShardResult> {
+        let mut ended = Vec::from_iter(self.results.recv().await);
+        while let Ok(result) = self.results.try_recv() {
+            ended.push(result);
         }
-        None
+        ended
     }
 }
 
@@ -84,10 +103,19 @@
     // routes, hence the empty route name. The sender is told of each failure and logs it.
     let (route, tally) = (Name::from(""), Tally::new(names.len(), names.len()));
     let job = Job::new(request, (route, Idempotency::Idempotent), 1, constraints, tally);
-    let mut work = start_attempts(relay, &Arc::new(job), &names, (until, deadline), &mut shards);
+    let mut attempts =
+        start_attempts(relay, &Arc::new(job), &names, (until, deadline), &mut shards);
     let mut parts = Vec::<Bytes>::new();
-    while let Ok(Some((index, outcome))) = tokio::time::timeout_at(until.into(), work.next()).await
-    {
+    let mut due = std::pin::pin!(sleep_until(until.into()));
+    loop {
+        let (index, outcome) = tokio::select! {
+            biased;
+            ended = attempts.next() => match ended {
+                Some(ended) => ended,
+                None => break,
+            },
+            () = &mut due => break,
+        };
         match outcome {
             Ok(response) => {
                 shards[index] = ShardOutcome::In(signature(&response));
@@ -110,7 +138,7 @@
             }
         }
     }
-    let rest = if work.running.is_empty() { 0 } else { store_running(relay, work) };
+    let rest = if attempts.is_empty() { 0 } else { store_late(relay, attempts) };
     let mut records = merge_top_k(&parts, top_k);
     let others = records.split_off(enough.min(records.len()));
     let left_out = if others.is_empty() { 0 } else { store_left_out(relay, others) };
@@ -126,29 +154,33 @@
     (connect_by, deadline): (Instant, Instant),
     shards: &mut [ShardOutcome],
 ) -> RunningAttempts {
-    let (sender, results) = mpsc::unbounded_channel();
-    let mut running = Vec::with_capacity(names.len());
-    for (index, name) in names.iter().enumerate() {
-        let Some(link) = relay.choose_searcher(name, &job.constraints, &[]) else { continue };
+    let attempts = RunningAttempts::new();
+    let choices = relay.choose_searchers(names, &job.constraints);
+    for (index, choice) in choices.into_iter().enumerate() {
+        let Some(Choice { link, .. }) = choice else { continue };
         relay.meter().count_attempt(AttemptReason::Delegated, link.distance);
         shards[index] = ShardOutcome::Silent(link.upstream.incarnation.clone());
         let limits = AttemptLimits { connect_by, deadline, trial: false };
-        let attempt = Attempt::start(relay, link, job, limits, sender.clone());
-        running.push((index, attempt));
+        let (relay, job) = (Arc::clone(relay), Arc::clone(job));
+        attempts.push(Box::pin(async move {
+            let (_link, outcome) = attempt(&relay, link, &job, limits).await;
+            (index, outcome)
+        }));
     }
-    RunningAttempts { running, results }
+    attempts
 }
 
 /// Stores the running attempts until the sender asks for their results.
-fn store_running(relay: &Arc<Relay>, work: RunningAttempts) -> u64 {
+fn store_late(relay: &Arc<Relay>, attempts: RunningAttempts) -> u64 {
+    let late = LateAttempts::start(attempts);
     let token = relay.with_pending(|pending| {
         let token = pending.token();
-        pending.running.insert(token, work);
+        pending.late.insert(token, late);
         token
     });
     // Attempts unclaimed by then are aborted: the sender has responded without them.
     let unclaimed = relay.settings.policy.delegate.unclaimed;
-    remove_after(relay, unclaimed, move |pending| drop(pending.running.remove(&token)));
+    remove_after(relay, unclaimed, move |pending| drop(pending.late.remove(&token)));
     token
 }
 
@@ -182,29 +214,31 @@
     relay.with_pending(|pending| pending.left_out.remove(&token))
 }
 
-/// Waits for the next shard of an earlier query.
+/// Waits for the next shards of an earlier query.
 pub(crate) async fn next_late(relay: &Arc<Relay>, token: u64) -> Vec<Late> {
-    let Some(mut work) = relay.with_pending(|pending| pending.running.remove(&token)) else {
-        return Vec::new();
-    };
-    let Some((index, outcome)) = work.next().await else {
+    let Some(mut attempts) = relay.with_pending(|pending| pending.late.remove(&token)) else {
         return Vec::new();
     };
-    let late = match outcome {
+    let ended = attempts.next().await;
+    if !ended.is_empty() {
+        relay.with_pending(|pending| pending.late.insert(token, attempts));
+    }
+    ended.into_iter().map(|(index, outcome)| late(relay, index, outcome)).collect()
+}
+
+/// Describes the end of an attempt after the reply.
+fn late(relay: &Relay, index: usize, outcome: Result<SearcherResponse, AttemptError>) -> Late {
+    let index = index as u32;
+    match outcome {
         Ok(response) => {
             let signature = Some(signature(&response));
-            Late { index: index as u32, signature, records: response.body.to_vec(), ended: false }
+            Late { index, signature, records: response.body.to_vec(), ended: false }
         }
         Err(error) => {
             relay.meter().count_ending(error.ending);
-            let ended = error.searcher_ended;
-            Late { index: index as u32, signature: None, records: Vec::new(), ended }
+            Late { index, signature: None, records: Vec::new(), ended: error.searcher_ended }
         }
-    };
-    if !work.running.is_empty() {
-        relay.with_pending(|pending| pending.running.insert(token, work));
     }
-    vec![late]
 }
 
 fn signature(response: &SearcherResponse) -> Vec<u8> {
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -14,6 +14,7 @@
 use bergamot_registry::{Incarnation, Registry};
 use bergamot_upstream::LatencyPercentile;
 
+use crate::choice::UsableSearchers;
 use crate::coverage::CachedCoverage;
 use crate::link::SearcherLink;
 use crate::prewarm::Queue;
@@ -44,6 +45,8 @@
     pub(crate) permit_denials: HashMap<Ipv4Addr, Instant>,
     pub(crate) coverage: CachedCoverage,
     pub(crate) links: HashMap<Incarnation, Arc<SearcherLink>>,
+    /// The searchers of each service that may receive requests, as last looked up.
+    pub(crate) usable: HashMap<Name, UsableSearchers>,
     /// Whether there is a link to every searcher of the declared services.
     pub(crate) are_links_complete: bool,
     /// The searchers to which a connection is opened in advance.
@@ -77,6 +80,7 @@
             permit_denials: HashMap::new(),
             coverage: CachedCoverage::default(),
             links: HashMap::new(),
+            usable: HashMap::new(),
             are_links_complete: false,
             prewarm_queue: Queue::default(),
             splits: HashMap::new(),
@@ -110,7 +114,7 @@
             match self.placement.check(upstream, constraints, now) {
                 Ok(()) => return Ok(()),
                 Err(Withheld::Cold) => {
-                    let delay = link.map_or(f64::INFINITY, |link| link.delay(now));
+                    let delay = link.map_or(f64::INFINITY, |link| link.estimate(true, now).delay);
                     if best.is_none_or(|(least, _)| delay < least) {
                         best = Some((delay, &upstream.incarnation));
                     }
--- a/crates/upstream/src/pool.rs
+++ b/crates/upstream/src/pool.rs
@@ -165,6 +165,12 @@
         Usage { idle: state.idle.len(), ..state.usage }
     }
 
+    /// Returns whether all connections that the share allows are in use.
+    pub fn is_saturated(&self) -> bool {
+        let state = self.lock();
+        state.idle.is_empty() && state.usage.open >= state.usage.share
+    }
+
     /// Opens one connection in advance, if the share allows it, and returns whether it did.
     pub async fn warm(self: &Arc<Self>) -> Result<bool, SearcherError> {
         if !self.reserve() {
@@ -381,6 +387,17 @@
             .sender
     }
 
+    /// Returns the connection to the pool at once if it is ready for another request, and otherwise
+    /// in the background as soon as it is.
+    pub fn release_soon(mut self) {
+        let is_ready = self.connection.as_ref().is_some_and(|known| known.sender.is_ready());
+        if !is_ready {
+            tokio::spawn(self.release());
+        } else if let Some(connection) = self.connection.take() {
+            self.pool.put(connection);
+        }
+    }
+
     /// Returns the connection to the pool as soon as it is ready for another request.
     pub async fn release(mut self) {
         let Some(mut connection) = self.connection.take() else {
