The shards of one place are divided among as many members as their processors need

Change: scatter::divide gives each member no more shards than it can process within a fifth of the target latency, by the processor time that its settings state and 0.08 ms of a core a shard; members of its own zone help a small machine, a group elsewhere is divided among several there, and where too few are left they share in proportion. `--without fanout` switches it off.

--- a/crates/front/src/daemon.rs
+++ b/crates/front/src/daemon.rs
@@ -401,7 +401,8 @@
         let settings = self.relay.settings();
         let delegate = |record: &Record| {
             let (zone, region) = (Name::clone(&record.zone), self.region(&record.zone));
-            DelegateMember { ip: record.endpoint.ip, zone, region, protocol: record.protocol }
+            let Record { endpoint, weight, protocol, .. } = *record;
+            DelegateMember { ip: endpoint.ip, zone, region, weight, protocol }
         };
         let serving = self.serving();
         let is_eligible = |record: &&Record| {
--- a/crates/policy/src/table.rs
+++ b/crates/policy/src/table.rs
@@ -157,6 +157,15 @@
         zone: Duration = ms(5), "ms";
     }
 
+    /// Divides the shards of one place among several members, so that each processes its part within
+    /// a fraction of the target latency. If off, each member processes all that are near it.
+    fanout: Fanout {
+        /// The processor time that one shard takes, of a whole core.
+        shard: f64 = 0.08, "ms";
+        /// The searchers' own time, the network and the merge need the rest.
+        part: f64 = 0.2, "of the target latency";
+    }
+
     /// A member that is queried for some of the shards sends only as many records as are likely to
     /// be in the top k of all shards, and the others on request. If off, it sends all records that
     /// could be. Of 50 records for 7 of 20 shards it sends 29, a quarter of the bytes of such an
--- a/crates/relay/src/delegates.rs
+++ b/crates/relay/src/delegates.rs
@@ -26,6 +26,8 @@
     pub zone: Name,
     /// The region of the member.
     pub region: Name,
+    /// The processor time available to it, in thousandths of a core.
+    pub weight: u32,
     /// The version of the RPCs that it serves.
     pub protocol: u32,
 }
--- a/crates/relay/src/gather.rs
+++ b/crates/relay/src/gather.rs
@@ -15,7 +15,9 @@
     AttemptPriority, Ending, GatherDecision, RequestTimeouts, Unavailability, admit,
 };
 use bergamot_registry::Incarnation;
-use bergamot_scatter::{Next, Outcome, Progress, Query, ReplyDelay, Schedule, Steps};
+use bergamot_scatter::{
+    Next, Outcome, Progress, Query, ReplyDelay, Schedule, Steps, Worker, capacity, divide,
+};
 use bergamot_wire::{Late, ShardOutcome, ShardReply};
 use bytes::Bytes;
 use futures::future::BoxFuture;
@@ -26,6 +28,7 @@
 
 use crate::choice::Choice;
 use crate::delegate::{self, CallError, RecordLimits};
+use crate::delegates::DelegateMember;
 use crate::location::Location;
 use crate::message::{Cause, Job, MergedResponse, Refusal, Reply, SearcherResponse};
 use crate::partial_results::{MemberPart, PartialResults};
@@ -180,12 +183,19 @@
         }
         let mut direct = Vec::new();
         for (location, shards) in locations {
-            let member = location.and_then(|location| {
-                Some((self.choose_member(&location, shards.len())?, location))
-            });
-            match member {
-                Some((ip, location)) => self.query_member(MemberGroup { ip, location, shards }),
-                None => direct.extend(shards),
+            let Some(location) = location else {
+                direct.extend(shards);
+                continue;
+            };
+            let fewest = self.relay.settings.policy.delegate.fewest;
+            for (worker, shards) in divide(&shards, &self.workers(&location), fewest) {
+                match worker {
+                    Some(ip) if shards.len() >= fewest => {
+                        let location = location.clone();
+                        self.query_member(MemberGroup { ip, location, shards });
+                    }
+                    Some(_) | None => direct.extend(shards),
+                }
             }
         }
         for shard in direct {
@@ -194,19 +204,30 @@
         }
     }
 
-    /// Chooses the member at a location through which some shards are queried, if there is one.
-    fn choose_member(&self, location: &Location, shards: usize) -> Option<Ipv4Addr> {
-        let is_own = *location == self.relay.own_location();
-        if is_own || shards < self.relay.settings.policy.delegate.fewest {
-            return None;
-        }
+    /// Returns who can ask for shards at a location, in the order of preference; `None` stands for
+    /// this member, which is the first in its own zone, and asks searchers elsewhere only if no
+    /// member there can.
+    fn workers(&self, location: &Location) -> Vec<Worker<Option<Ipv4Addr>>> {
+        let relay = self.relay;
+        let target = self.plan.target.saturating_duration_since(self.job.request.received);
+        let policy = &relay.settings.policy.fanout;
+        let own =
+            Worker { member: None, capacity: capacity(target, relay.settings.weight, policy) };
         let residency = &self.job.constraints.residency;
-        let unmeasured = self.relay.expected_delay(location);
+        let unmeasured = relay.expected_delay(location);
         let mut rng = rand::rng();
-        self.relay.with_delegates(|delegates| {
+        let mut workers: Vec<_> = relay.with_delegates(|delegates| {
             let ranked = delegates.rank(location, residency, unmeasured, || rng.random());
-            ranked.first().map(|member| member.ip)
-        })
+            let worker = |member: &DelegateMember| Worker {
+                member: Some(member.ip),
+                capacity: capacity(target, member.weight, policy),
+            };
+            ranked.into_iter().map(worker).collect()
+        });
+        if *location == relay.own_location() || workers.is_empty() {
+            workers.insert(0, own);
+        }
+        workers
     }
 
     fn name(&self, shard: usize) -> &'a Name {
--- a/crates/relay/src/settings.rs
+++ b/crates/relay/src/settings.rs
@@ -22,6 +22,8 @@
     pub zone: Name,
     /// The region of each availability zone.
     pub regions: BTreeMap<Name, Name>,
+    /// The processor time available to this instance, in thousandths of a core.
+    pub weight: u32,
     /// The limits of the retry budget of each service, across all members.
     pub retry_budget_limits: RetryBudgetLimits,
     /// The interval at which searchers renew their entries in the store.
@@ -45,6 +47,7 @@
             address: Ipv4Addr::LOCALHOST,
             zone: Name::from("local"),
             regions: BTreeMap::new(),
+            weight: 1000,
             retry_budget_limits: RetryBudgetLimits::default(),
             heartbeat: Duration::from_secs(1),
             cold_bound: ColdBound::default(),
--- a/crates/relay/tests/helped.rs
+++ b/crates/relay/tests/helped.rs
@@ -77,7 +77,7 @@
 
 /// A member in a zone that is its own region.
 fn delegate(ip: Ipv4Addr, zone: &str) -> DelegateMember {
-    DelegateMember { ip, zone: zone.into(), region: zone.into(), protocol: 0 }
+    DelegateMember { ip, zone: zone.into(), region: zone.into(), weight: 1000, protocol: 0 }
 }
 
 #[tokio::test]
--- a/crates/relay/tests/residency.rs
+++ b/crates/relay/tests/residency.rs
@@ -103,7 +103,13 @@
     let relay = relay_with_members(helping, vec![all], upstreams);
     let zone: Name = "west".into();
     let region = Name::clone(&zone);
-    relay.set_delegate_members(vec![DelegateMember { ip: MEMBER, zone, region, protocol }]);
+    relay.set_delegate_members(vec![DelegateMember {
+        ip: MEMBER,
+        zone,
+        region,
+        weight: 1000,
+        protocol,
+    }]);
     (relay, named)
 }
 
