--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -6,6 +6,12 @@
 //! queued, with the delay after which a slot is likely to be free. See
 //! `docs/design/0006-admission.md`.
 
+mod controller;
+mod coordinator;
 mod limiter;
+mod pool;
 
+pub use controller::{Changes, Decision, Demand, Grant, Outcome, Shortage};
+pub use coordinator::Coordinator;
 pub use limiter::{Class, ConcurrencyLimiter, Refusal};
+pub use pool::{Pool, rank_coordinators};
--- a/crates/policy/src/table.rs
+++ b/crates/policy/src/table.rs
@@ -219,6 +219,22 @@
         least: f64 = 0.15, "of the requests";
     }
 
+    /// While searchers are short, one member of each region admits the requests to a pool of
+    /// searchers, the most urgent first. If off, each member admits by its own estimates.
+    queue: Queue {}
+
+    /// Takes over the latencies of searchers that the member near them reports with its reply. If
+    /// off, a member estimates the latency of a searcher from its own requests alone.
+    report: Report {}
+
+    /// Leaves out shards that can't answer in time before they are asked, as far as the required
+    /// coverage allows. If off, all shards are asked.
+    leave_out: LeaveOut {}
+
+    /// Names instances of other regions to a caller while the caller's own region is losing members.
+    /// If off, a caller gets the instances of its own region alone.
+    spare: Spare {}
+
     /// Tells a refused caller to retry when the cause of the refusal has probably cleared. If off,
     /// every caller gets the shortest delay.
     comeback: ComeBack {
