A coordinator queues the requests to a pool of searchers in order of urgency

Cause: while searchers are scarce, each member admits by its own estimates, no decision uses the priority of a route, and most of the admitted requests are late (design 0019).

Change: `Coordinator` holds a controller for each pool. A controller has an adaptive concurrency limit, a queue by priority, origin and target with one grant in five against starvation, bookings of retry times, and leases. The constants are the policy group `queue`. `Coordinator::status` returns the state of each pool.

--- a/crates/admission/src/controller.rs
+++ b/crates/admission/src/controller.rs
@@ -1,66 +1,191 @@
 //! Admission to one pool of searchers.
+//!
+//! A request is granted while fewer run than the limit allows, queued if it is expected to finish
+//! within its target latency nevertheless, and otherwise refused. Invariant: after each event, no
+//! request that can finish in time waits while fewer run than the limit allows.
 
-use std::time::Duration;
-
-use bergamot_base::Name;
-
-/// What a request asks of a pool.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Demand {
-    /// The priority of its route, where zero is the most urgent.
-    pub priority: u32,
-    /// The availability zone of the member that received it.
-    pub origin: Name,
-    /// The time left until its target latency.
-    pub target: Duration,
-    /// The time left until the caller's deadline.
-    pub deadline: Duration,
-    /// The region's share of the slots of the searchers that bind it.
-    pub slots: usize,
-}
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
 
-/// Identifies a request at its coordinator, unique within the process.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
-pub struct Grant(pub u64);
-
-/// Why a request is refused: the pool has no room for it in time.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Shortage {
-    /// How long the request would have taken.
-    pub expected: Duration,
-    /// When the caller should come back.
-    pub retry_after: Duration,
-    /// The number of requests that were ahead of it.
-    pub ahead: usize,
-    /// The number of requests that may run at once.
-    pub limit: usize,
-}
+use bergamot_policy::{ComeBack, Queue};
 
-/// What happens to a request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Decision {
-    /// It may run now.
-    Granted(Grant),
-    /// It waits until a later [`Changes`] names it.
-    Queued(Grant),
-    /// It must not run.
-    Refused(Shortage),
-}
+use crate::bookings::Bookings;
+use crate::decision::{Changes, Decision, Demand, Grant, Outcome, Shortage};
+use crate::holding_time::HoldingTime;
+use crate::limit::Limit;
+use crate::pool::Pool;
+use crate::queue::{WaitQueue, Waiting};
+use crate::running::{Run, Running};
+use crate::status::{Counts, Status};
 
-/// How a granted request ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Outcome {
-    /// The required coverage was reached this long after the grant.
-    Covered(Duration),
-    /// It ended without.
-    Ended,
+/// Decides about the requests to one pool.
+#[derive(Clone, Debug)]
+pub(crate) struct Controller {
+    policy: Queue,
+    comeback: ComeBack,
+    limit: Limit,
+    holding: HoldingTime,
+    running: Running,
+    queue: WaitQueue,
+    bookings: Bookings,
+    counts: BTreeMap<u32, Counts>,
+    /// The slots that the latest request found.
+    slots: usize,
 }
 
-/// What an event changed for requests that were waiting.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct Changes {
-    /// These may run now.
-    pub granted: Vec<Grant>,
-    /// These can't finish in time any more.
-    pub refused: Vec<(Grant, Shortage)>,
+impl Controller {
+    /// Creates the controller of a pool without observations.
+    pub(crate) fn new(policy: Queue, comeback: ComeBack, slots: usize) -> Self {
+        Self {
+            policy,
+            comeback,
+            limit: Limit::new(policy, slots),
+            holding: HoldingTime::default(),
+            running: Running::default(),
+            queue: WaitQueue::new(policy.starvation),
+            bookings: Bookings::default(),
+            counts: BTreeMap::new(),
+            slots,
+        }
+    }
+
+    /// Decides about a request, which `grant` identifies.
+    pub(crate) fn request(&mut self, now: Instant, grant: Grant, demand: Demand) -> Decision {
+        self.slots = demand.slots;
+        if self.queue.is_empty() {
+            // While requests wait, a higher limit is used by the next event that can grant them.
+            self.limit.set_slots(self.slots);
+        }
+        let waiting = Waiting {
+            grant,
+            priority: demand.priority,
+            origin: demand.origin,
+            since: now,
+            target: demand.target,
+            deadline: demand.deadline,
+        };
+        if self.queue.is_empty() && self.running.len() < self.limit.get() {
+            self.start(now, waiting);
+            return Decision::Granted(grant);
+        }
+        self.queue.insert(waiting.clone());
+        let ahead = self.queue.ahead(grant, &self.running).unwrap_or(0);
+        if self.expected(&waiting, ahead) <= waiting.target {
+            return Decision::Queued(grant);
+        }
+        self.queue.remove(grant);
+        Decision::Refused(self.refuse(now, &waiting, ahead))
+    }
+
+    /// Records how a granted request ended, or that a waiting one is not needed any more.
+    pub(crate) fn complete(&mut self, now: Instant, grant: Grant, outcome: Outcome) -> Changes {
+        self.queue.remove(grant);
+        if let Some(run) = self.running.remove(grant) {
+            self.record(now, &run, outcome);
+        }
+        self.grant_waiting(now)
+    }
+
+    /// Ends leases, and refuses the waiting requests that can't finish in time any more; also
+    /// returns the grants whose lease has ended.
+    pub(crate) fn expire(&mut self, now: Instant) -> (Changes, Vec<Grant>) {
+        self.bookings.expire(now);
+        let ended = self.running.expire(now);
+        let mut changes = self.grant_waiting(now);
+        changes.refused.extend(self.refuse_late(now));
+        (changes, ended)
+    }
+
+    /// Returns whether no request is running or waiting.
+    pub(crate) fn is_idle(&self) -> bool {
+        self.running.len() == 0 && self.queue.is_empty()
+    }
+
+    /// Returns the state of the controller, which decides about `pool`.
+    pub(crate) fn status(&self, pool: Pool) -> Status {
+        Status {
+            pool,
+            running: self.running.len(),
+            waiting: self.queue.by_priority().into_iter().collect(),
+            limit: self.limit.get(),
+            holding: self.holding.mean(),
+            bookings: self.bookings.len(),
+            counts: self.counts.iter().map(|(priority, counts)| (*priority, *counts)).collect(),
+        }
+    }
+
+    fn record(&mut self, now: Instant, run: &Run, outcome: Outcome) {
+        match outcome {
+            Outcome::Covered(took) => {
+                self.holding.record(now, took);
+                self.limit.record(now, took, run.target);
+            }
+            Outcome::Ended => {
+                let took = now.saturating_duration_since(run.since);
+                self.holding.record_at_least(now, took);
+                self.limit.record_unanswered(now, took, run.target);
+            }
+        }
+    }
+
+    /// Grants waiting requests up to the limit, and refuses those that can't finish in time.
+    fn grant_waiting(&mut self, now: Instant) -> Changes {
+        self.limit.set_slots(self.slots);
+        let mut changes = Changes::default();
+        while self.running.len() < self.limit.get() {
+            let Some(waiting) = self.queue.pop(&self.running) else {
+                break;
+            };
+            let holding = self.holding.expected(waiting.target, &self.policy);
+            if holding <= waiting.left(now) {
+                changes.granted.push(waiting.grant);
+                self.start(now, waiting);
+            } else {
+                changes.refused.push((waiting.grant, self.refuse(now, &waiting, 0)));
+            }
+        }
+        changes
+    }
+
+    /// Refuses the waiting requests that can't finish in time.
+    fn refuse_late(&mut self, now: Instant) -> Vec<(Grant, Shortage)> {
+        let mut queue = std::mem::replace(&mut self.queue, WaitQueue::new(self.policy.starvation));
+        let late = queue.remove_late(&self.running, |waiting, ahead| {
+            self.expected(waiting, ahead) > waiting.left(now)
+        });
+        self.queue = queue;
+        let refused = late.into_iter();
+        refused.map(|(one, ahead)| (one.grant, self.refuse(now, &one, ahead))).collect()
+    }
+
+    fn start(&mut self, now: Instant, waiting: Waiting) {
+        self.counts.entry(waiting.priority).or_default().granted += 1;
+        let lease = waiting.since + waiting.deadline + self.policy.lease;
+        let run = Run { origin: waiting.origin, since: now, target: waiting.target, lease };
+        self.running.insert(waiting.grant, run);
+    }
+
+    fn refuse(&mut self, now: Instant, waiting: &Waiting, ahead: usize) -> Shortage {
+        self.counts.entry(waiting.priority).or_default().refused += 1;
+        let deadline = (waiting.since + waiting.deadline).saturating_duration_since(now);
+        let interval = self.interval(waiting);
+        Shortage {
+            expected: self.expected(waiting, ahead),
+            retry_after: self.bookings.book(now, interval, deadline, &self.comeback),
+            ahead,
+            limit: self.limit.get(),
+        }
+    }
+
+    /// Returns the expected time until a request finishes that has `ahead` grants before its own.
+    fn expected(&self, waiting: &Waiting, ahead: usize) -> Duration {
+        let holding = self.holding.expected(waiting.target, &self.policy);
+        self.interval(waiting).mul_f64(ahead as f64 + 1.0) + holding
+    }
+
+    /// Returns the mean time between two grants while the limit is reached.
+    fn interval(&self, waiting: &Waiting) -> Duration {
+        let holding = self.holding.expected(waiting.target, &self.policy);
+        holding.div_f64(self.limit.get() as f64)
+    }
 }
--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -1,17 +1,29 @@
-//! Concurrency limits per workspace, with admission classes and retry delays.
+//! Admission of requests: concurrency limits per workspace, and queues per pool of searchers.
 //!
 //! An entry runs a bounded number of concurrent requests for each workspace. Interactive requests
 //! are admitted up to the limit; bulk requests may use idle slots, except for those that are
 //! reserved for interactive requests. A request that isn't admitted is refused immediately, never
 //! queued, with the delay after which a slot is likely to be free. See
 //! `docs/design/0006-admission.md`.
+//!
+//! While searchers are scarce, the coordinator of a pool of searchers grants the requests of its
+//! region, the most urgent first, and refuses those that can't finish within their target latency.
+//! See `docs/design/0019-admission-under-scarcity.md`.
 
+mod bookings;
 mod controller;
 mod coordinator;
+mod decision;
+mod holding_time;
+mod limit;
 mod limiter;
 mod pool;
+mod queue;
+mod running;
+mod status;
 
-pub use controller::{Changes, Decision, Demand, Grant, Outcome, Shortage};
 pub use coordinator::Coordinator;
+pub use decision::{Changes, Decision, Demand, Grant, Outcome, Shortage};
 pub use limiter::{Class, ConcurrencyLimiter, Refusal};
 pub use pool::{Pool, rank_coordinators};
+pub use status::{Counts, Status};
--- a/crates/policy/src/table.rs
+++ b/crates/policy/src/table.rs
@@ -221,7 +221,29 @@
 
     /// While searchers are short, one member of each region admits the requests to a pool of
     /// searchers, the most urgent first. If off, each member admits by its own estimates.
-    queue: Queue {}
+    queue: Queue {
+        /// A coordinator that starts knows of no running requests. A limit that is too high is
+        /// lowered by the first late answers; one that is too low refuses callers that could be
+        /// served.
+        start: f64 = 8.0, "times the slots";
+        /// Beyond this, requests only wait at the searchers, where the order of urgency is lost.
+        most: f64 = 16.0, "times the slots";
+        /// The rest is for the caller's connection and the variation between searchers.
+        early: f64 = 0.75, "of the target latency";
+        /// Several late answers in a row are needed to halve the limit, so that a single slow
+        /// searcher doesn't leave the others idle.
+        decrease: f64 = 0.1, "of the limit";
+        /// A steady load of urgent requests would otherwise leave the others without any answer.
+        starvation: usize = 5, "grants, of which one goes to a less urgent request";
+        /// The holding time that is expected before the first observation: callers can then wait
+        /// for one grant of the whole limit, and are refused in time to retry if it takes longer.
+        unknown: f64 = 0.5, "of the target latency";
+        /// The member that holds a grant answers its caller by the deadline, and its message to the
+        /// coordinator may be late.
+        lease: Duration = ms(1000), "ms after the deadline";
+        /// Bursts that follow each other within this time find the limit of the one before.
+        kept: Duration = ms(10_000), "ms without a request";
+    }
 
     /// Takes over the latencies of searchers that the member near them reports with its reply. If
     /// off, a member estimates the latency of a searcher from its own requests alone.
