When the coordinator of a pool is asked, and which one

Cause: a member asks the coordinator of a pool only while the pool is short, and must not wait for a coordinator that is dead (design 0019, Part A).

Change: `Signs` remembers the latest sign of a shortage of each pool for 2 s. `Candidates` ranks the members that may coordinate a pool, selects at most two for a request and skips for 1 s one that did not answer. Both take `now`; their parameters are appended to the policy group `queue`.

--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -11,6 +11,7 @@
 //! See `docs/design/0019-admission-under-scarcity.md`.
 
 mod bookings;
+mod candidates;
 mod controller;
 mod coordinator;
 mod decision;
@@ -20,10 +21,13 @@
 mod pool;
 mod queue;
 mod running;
+mod signs;
 mod status;
 
+pub use candidates::{Candidates, answer_timeout};
 pub use coordinator::Coordinator;
 pub use decision::{Changes, Decision, Demand, Grant, Outcome, Shortage};
 pub use limiter::{Class, ConcurrencyLimiter, Refusal};
 pub use pool::{Pool, rank_coordinators};
+pub use signs::Signs;
 pub use status::{Counts, Status};
--- a/crates/policy/src/table.rs
+++ b/crates/policy/src/table.rs
@@ -243,6 +243,16 @@
         lease: Duration = ms(1000), "ms after the deadline";
         /// Bursts that follow each other within this time find the limit of the one before.
         kept: Duration = ms(10_000), "ms without a request";
+        /// Signs of a shortage recur within this time while it lasts, since some requests are late
+        /// or refused at any limit that uses the searchers fully.
+        recent: Duration = ms(2000), "ms after a sign of a shortage";
+        /// Several round trips within a region, and late timers of a slow core.
+        answer: Duration = ms(25), "ms within which a coordinator answers";
+        /// A caller that is refused within a quarter of its target can still retry in time, even if
+        /// the first coordinator doesn't answer.
+        answer_part: f64 = 0.1, "of the target latency within which it answers, if that is longer";
+        /// A process that hangs or restarts is back within about this time.
+        skip: Duration = ms(1000), "ms during which a coordinator that didn't answer isn't asked";
     }
 
     /// Takes over the latencies of searchers that the member near them reports with its reply. If
