Requests to a pool that is short are admitted by its coordinator

Cause: each serving member of a region admits by its own estimates, so no member knows how many requests the region is running, and requests to a single searcher bypass admission control (design 0019, Part A).

Change: the RPCs `admit`, `await_grant` and `complete` are appended to `Member`, version 2 of the protocol. `Relay::request_admission` asks, for gathered requests and for those to one service on routes with a target latency, the coordinators that `Candidates` selects, waits for a grant, and otherwise leaves the decision to `dispatch::admit`. A grant is ended when the tally reaches its required coverage, or on drop. A request that was queued is hedged as late as one that just arrived, and its searchers are chosen after the wait. Metrics count the decisions by priority and the running and waiting requests; the dump lists the pools.

--- a/crates/bench/src/capacity/relay.rs
+++ b/crates/bench/src/capacity/relay.rs
@@ -71,6 +71,9 @@
         rest: Box::new(|_, _, _| absent()),
         records: Box::new(|_, _, _| absent()),
         permits: Box::new(|_, _, _, _| absent()),
+        admit: Box::new(|_, _, _| absent()),
+        await_grant: Box::new(|_, _, _| absent()),
+        complete: Box::new(|_, _, _, _| absent()),
         disconnect: Box::new(|_| ()),
         grant: Box::new(|_, _, _| absent()),
     }
--- a/crates/front/src/member.rs
+++ b/crates/front/src/member.rs
@@ -12,8 +12,8 @@
 use bergamot_registry::Incarnation;
 use bergamot_relay::{CallError, Helping, MemberFuture, Relay};
 use bergamot_wire::{
-    Channels, Item, Late, Member, MemberClient, News, NewsQuery, ShardQuery, ShardReply,
-    run_requests, serve_requests, transport,
+    Admission, AdmissionRequest, Channels, Item, Late, Member, MemberClient, News, NewsQuery,
+    ShardQuery, ShardReply, run_requests, serve_requests, transport,
 };
 use tarpc::client::RpcError;
 use tarpc::context::Context;
@@ -68,6 +68,18 @@
         self.relay.issue_permits(&searchers, needed as usize)
     }
 
+    async fn admit(self, _context: Context, request: AdmissionRequest) -> Admission {
+        self.relay.coordinator().admit(request)
+    }
+
+    async fn await_grant(self, _context: Context, grant: u64) -> Option<Admission> {
+        self.relay.coordinator().await_grant(grant).await
+    }
+
+    async fn complete(self, _context: Context, grant: u64, covered: Option<Duration>) {
+        self.relay.coordinator().complete(grant, covered);
+    }
+
     async fn rest(self, _context: Context, token: u64) -> Vec<Late> {
         self.relay.next_late_shards(token).await
     }
@@ -113,6 +125,8 @@
     let (for_gather, for_rest) = (Arc::clone(channels), Arc::clone(channels));
     let (for_records, for_grant) = (Arc::clone(channels), Arc::clone(channels));
     let (for_permits, for_disconnect) = (Arc::clone(channels), Arc::clone(channels));
+    let (for_admit, for_await) = (Arc::clone(channels), Arc::clone(channels));
+    let for_complete = Arc::clone(channels);
     Helping {
         gather: Box::new(move |ip, query, residency, deadline| {
             call(&for_gather, (ip, port), deadline, |client, context| async move {
@@ -142,6 +156,21 @@
             let channels = Arc::clone(&for_disconnect);
             tokio::spawn(async move { channels.forget(SocketAddr::from((ip, port))).await });
         }),
+        admit: Box::new(move |ip, request, deadline| {
+            call(&for_admit, (ip, port), deadline, move |client, context| async move {
+                client.admit(context, request).await
+            })
+        }),
+        await_grant: Box::new(move |ip, grant, deadline| {
+            call(&for_await, (ip, port), deadline, move |client, context| async move {
+                client.await_grant(context, grant).await
+            })
+        }),
+        complete: Box::new(move |ip, grant, covered, deadline| {
+            call(&for_complete, (ip, port), deadline, move |client, context| async move {
+                client.complete(context, grant, covered).await
+            })
+        }),
         grant: Box::new(move |ip, fingerprint, deadline| {
             call(&for_grant, (ip, port), deadline, move |client, context| async move {
                 client.grant(context, fingerprint).await
--- /dev/null
+++ b/crates/relay/src/admission.rs
@@ -0,0 +1,403 @@
+//! Admission of callers' requests by the coordinator of their pool of searchers.
+//!
+//! While a pool is short at this member, each request to it is decided by the first member in rank
+//! that answers ([`crate::coordinator`]); otherwise, and if none answers, this member decides by its
+//! own estimates. Invariants: a grant is ended exactly once, when the required coverage is reached
+//! or when the request ends without it; a request that is refused has not been sent to a searcher.
+
+use std::collections::HashMap;
+use std::fmt::{self, Write as _};
+use std::net::Ipv4Addr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bergamot_admission::{Candidates, Pool, Signs, answer_timeout};
+use bergamot_base::{Name, Revision};
+use bergamot_dispatch::RequestTimeouts;
+use bergamot_policy::Queue;
+use bergamot_wire::{Admission, AdmissionRequest};
+use tokio::runtime::Handle;
+use tokio::time::timeout_at;
+
+use crate::delegate::CallError;
+use crate::handler::refusal;
+use crate::message::{Cause, Job, Reply};
+use crate::relay::Relay;
+
+/// The timeout for reporting the end of a grant, which nothing waits for: some round trips between
+/// regions (16 ms) plus late timers of a slow core. If it fails, the lease ends the grant.
+const COMPLETE_TIMEOUT: Duration = Duration::from_millis(250);
+
+/// What decides whether a coordinator is asked, and which one.
+#[derive(Debug, Default)]
+pub(crate) struct Asking {
+    pub(crate) signs: Signs,
+    candidates: Candidates,
+}
+
+/// The slots that bind the requests to each pool, by the number of services that a request needs.
+#[derive(Debug, Default)]
+pub(crate) struct PoolSlots {
+    /// The declaration version, the number of registry changes and the number of regions that they
+    /// were computed for.
+    key: (Revision, u64, usize),
+    slots: HashMap<(Pool, usize), u32>,
+}
+
+/// The searchers that a request needs.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Need<'a> {
+    /// The services, each of which is asked.
+    pub(crate) services: &'a [Name],
+    /// The number of services that must answer.
+    pub(crate) fewest: usize,
+    /// Whether a searcher has run the request already, so that it can't be refused as not run.
+    pub(crate) has_run: bool,
+}
+
+/// A grant of a coordinator, which is ended on drop at the latest.
+#[derive(Debug)]
+struct HeldGrant {
+    relay: Arc<Relay>,
+    coordinator: Ipv4Addr,
+    grant: u64,
+    since: Instant,
+    ended: bool,
+}
+
+impl HeldGrant {
+    fn new(relay: &Arc<Relay>, coordinator: Ipv4Addr, grant: u64) -> Self {
+        let since = Instant::now();
+        Self { relay: Arc::clone(relay), coordinator, grant, since, ended: false }
+    }
+
+    /// Reports the end of the grant to its coordinator.
+    fn end(&mut self, covered: Option<Duration>) {
+        if std::mem::replace(&mut self.ended, true) {
+            return;
+        }
+        if self.coordinator == self.relay.settings.address {
+            self.relay.coordinator().complete(self.grant, covered);
+            return;
+        }
+        // A request may be dropped while the runtime shuts down; the lease then ends the grant.
+        let Ok(runtime) = Handle::try_current() else { return };
+        let (ip, until) = (self.coordinator, Instant::now() + COMPLETE_TIMEOUT);
+        let call = (self.relay.helping().complete)(ip, self.grant, covered, until);
+        runtime.spawn(async move {
+            if let Err(cause) = call.await {
+                log::info!("relay: event=grant_not_ended member={ip} cause=\"{cause}\"");
+            }
+        });
+    }
+}
+
+impl Drop for HeldGrant {
+    fn drop(&mut self) {
+        self.end(None);
+    }
+}
+
+/// The admission of one request.
+#[derive(Debug)]
+pub(crate) struct Ticket<'a> {
+    relay: &'a Relay,
+    /// The pool and the target latency, if the admission to the pool is controlled.
+    pool: Option<(Pool, Duration)>,
+    received: Instant,
+    grant: Option<HeldGrant>,
+    /// How long the decision took.
+    pub(crate) waited: Duration,
+    /// Whether the request is granted by a coordinator.
+    pub(crate) is_granted: bool,
+}
+
+impl Ticket<'_> {
+    /// Records that the required coverage is reached.
+    pub(crate) fn record_coverage(&mut self) {
+        let Some((pool, target)) = self.pool.take() else {
+            return;
+        };
+        let now = Instant::now();
+        let took = now.saturating_duration_since(self.received);
+        let policy = &self.relay.settings.policy.queue;
+        self.relay.with_asking(|asking| {
+            asking.signs.record_answer(now, pool, took, target, policy);
+        });
+        if let Some(mut grant) = self.grant.take() {
+            let covered = now.saturating_duration_since(grant.since);
+            grant.end(Some(covered));
+        }
+    }
+
+    /// Returns the timeouts of a request whose first attempts start only now. Without the wait,
+    /// each request that was queued would be hedged at once.
+    pub(crate) fn delay(&self, timeouts: RequestTimeouts) -> RequestTimeouts {
+        let delayed = |at: Duration| at.max((at + self.waited).min(timeouts.target));
+        let (hedge, connect) = (delayed(timeouts.hedge), delayed(timeouts.connect));
+        RequestTimeouts { hedge, connect, ..timeouts }
+    }
+}
+
+/// What follows from asking the coordinators of a pool.
+enum Ruling {
+    Granted(HeldGrant),
+    Refused(Ipv4Addr, Rejection),
+    /// No coordinator has answered, so this member decides.
+    Undecided,
+}
+
+/// The grounds of a refusal.
+struct Rejection {
+    expected: Duration,
+    retry_after: Duration,
+    ahead: u32,
+    limit: u32,
+}
+
+impl fmt::Display for Rejection {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self { expected, ahead, limit, .. } = self;
+        write!(f, "ahead={ahead} limit={limit} expected_ms={}", expected.as_millis())
+    }
+}
+
+impl Relay {
+    /// Requests the admission of a request to the searchers that it needs; a refusal is its reply.
+    ///
+    /// `is_expected_late` is whether this member would refuse it by its own estimates.
+    pub(crate) async fn request_admission<'a>(
+        self: &'a Arc<Self>,
+        job: &Job,
+        need: Need<'_>,
+        timeouts: RequestTimeouts,
+        is_expected_late: bool,
+    ) -> Result<Ticket<'a>, Reply> {
+        let (began, received) = (Instant::now(), job.request.received);
+        let (relay, waited) = (&**self, Duration::ZERO);
+        let unasked =
+            Ticket { relay, pool: None, received, grant: None, waited, is_granted: false };
+        let policy = &self.settings.policy.queue;
+        let Some(target) = job.target.filter(|_| policy.on && !need.has_run) else {
+            return Ok(unasked);
+        };
+        let pool = *job.pool.get_or_init(|| Pool::of(need.services));
+        let unasked = Ticket { pool: Some((pool, target)), ..unasked };
+        if is_expected_late {
+            self.record_shortage(job);
+        }
+        if !self.with_asking(|asking| asking.signs.is_short(began, pool, policy)) {
+            return Ok(unasked);
+        }
+        let slots = self.binding_slots(pool, need);
+        let ruling = self.ask_coordinators(job, pool, slots, (target, timeouts.end)).await;
+        let asked = Ticket { waited: began.elapsed(), ..unasked };
+        match ruling {
+            Ruling::Granted(grant) => Ok(Ticket { grant: Some(grant), is_granted: true, ..asked }),
+            Ruling::Refused(coordinator, rejection) => {
+                Err(refuse(job, coordinator, target, &rejection))
+            }
+            Ruling::Undecided => Ok(asked),
+        }
+    }
+
+    /// Records a sign that the searchers of a request are short.
+    pub(crate) fn record_shortage(&self, job: &Job) {
+        if let Some(pool) = job.pool.get() {
+            self.with_asking(|asking| asking.signs.record(Instant::now(), *pool));
+        }
+    }
+
+    /// Removes what no longer counts, and updates the metrics of the coordinated pools.
+    pub(crate) fn expire_admission(&self, now: Instant) {
+        let policy = &self.settings.policy.queue;
+        self.with_asking(|asking| asking.signs.expire(now, policy));
+        self.coordinator().expire(now);
+        let pools = self.coordinator().status();
+        let running: usize = pools.iter().map(|pool| pool.running).sum();
+        let waiting: usize =
+            pools.iter().flat_map(|pool| &pool.waiting).map(|(_, waiting)| waiting).sum();
+        self.meter.admission.running.set(running as i64);
+        self.meter.admission.waiting.set(waiting as i64);
+    }
+
+    /// Formats the coordinated pools, one to a line.
+    pub(crate) fn describe_pools(&self) -> String {
+        let mut text = String::new();
+        for pool in self.coordinator().status() {
+            let holding = pool.holding.unwrap_or_default().as_millis();
+            // Writing to a string can't fail.
+            let _ = write!(
+                text,
+                "pool {:016x} running {} limit {} holding_ms {holding} bookings {} waiting",
+                pool.pool.id(),
+                pool.running,
+                pool.limit,
+                pool.bookings
+            );
+            for (priority, waiting) in pool.waiting {
+                let _ = write!(text, " {priority}:{waiting}");
+            }
+            text.push('\n');
+        }
+        text
+    }
+
+    /// Asks the coordinators of a pool, until one has decided. The target latency and the end of
+    /// the request are relative to its arrival.
+    async fn ask_coordinators(
+        self: &Arc<Self>,
+        job: &Job,
+        pool: Pool,
+        slots: u32,
+        (target, end): (Duration, Duration),
+    ) -> Ruling {
+        let received = job.request.received;
+        for ip in self.coordinators_to_ask(pool) {
+            let now = Instant::now();
+            let left = |at: Duration| (received + at).saturating_duration_since(now);
+            let request = AdmissionRequest {
+                pool: pool.id(),
+                priority: job.priority,
+                origin: Name::clone(&self.settings.zone),
+                target: left(target),
+                deadline: left(end),
+                slots,
+            };
+            let until = now + answer_timeout(target, &self.settings.policy.queue);
+            match self.send_request(ip, request, until).await {
+                Ok(admission) => return self.follow(job, ip, admission, received + target).await,
+                Err(cause) => self.skip_coordinator(ip, "admit", &cause),
+            }
+        }
+        Ruling::Undecided
+    }
+
+    /// Acts on the first answer of a coordinator, and waits until `until` for the decision on a
+    /// queued request.
+    async fn follow(
+        self: &Arc<Self>,
+        job: &Job,
+        ip: Ipv4Addr,
+        admission: Admission,
+        until: Instant,
+    ) -> Ruling {
+        let grant = match admission {
+            Admission::Granted(grant) => return Ruling::Granted(HeldGrant::new(self, ip, grant)),
+            Admission::Queued(grant) => grant,
+            Admission::Refused { expected, retry_after, ahead, limit } => {
+                self.record_shortage(job);
+                return Ruling::Refused(ip, Rejection { expected, retry_after, ahead, limit });
+            }
+        };
+        self.record_shortage(job);
+        // If the caller leaves, the request is removed from the queue.
+        let mut queued = HeldGrant::new(self, ip, grant);
+        match self.wait_for_grant(ip, grant, until).await {
+            Ok(Some(Admission::Granted(_))) => {
+                queued.since = Instant::now();
+                Ruling::Granted(queued)
+            }
+            Ok(Some(Admission::Refused { expected, retry_after, ahead, limit })) => {
+                queued.ended = true;
+                Ruling::Refused(ip, Rejection { expected, retry_after, ahead, limit })
+            }
+            Ok(Some(Admission::Queued(_)) | None) => {
+                log::info!("relay: event=grant_unknown member={ip} cause=\"it has restarted\"");
+                Ruling::Undecided
+            }
+            Err(cause) => {
+                self.skip_coordinator(ip, "await_grant", &cause);
+                Ruling::Undecided
+            }
+        }
+    }
+
+    async fn send_request(
+        &self,
+        ip: Ipv4Addr,
+        request: AdmissionRequest,
+        until: Instant,
+    ) -> Result<Admission, CallError> {
+        if ip == self.settings.address {
+            return Ok(self.coordinator().admit(request));
+        }
+        let call = (self.helping().admit)(ip, request, until);
+        timeout_at(until.into(), call).await.unwrap_or_else(no_reply)
+    }
+
+    async fn wait_for_grant(
+        &self,
+        ip: Ipv4Addr,
+        grant: u64,
+        until: Instant,
+    ) -> Result<Option<Admission>, CallError> {
+        if ip == self.settings.address {
+            let wait = self.coordinator().await_grant(grant);
+            return timeout_at(until.into(), wait).await.map_or_else(no_reply, Ok);
+        }
+        let call = (self.helping().await_grant)(ip, grant, until);
+        timeout_at(until.into(), call).await.unwrap_or_else(no_reply)
+    }
+
+    /// Returns the coordinators that are asked for admission to a pool, in order: members of this
+    /// region that serve callers.
+    fn coordinators_to_ask(&self, pool: Pool) -> Vec<Ipv4Addr> {
+        let mut members =
+            self.with_delegates(|delegates| delegates.coordinators(self.own_region()));
+        if self.lock().serves {
+            members.push(self.settings.address);
+        }
+        self.with_asking(|asking| asking.candidates.select(Instant::now(), pool, &members))
+    }
+
+    fn skip_coordinator(&self, ip: Ipv4Addr, call: &str, cause: &CallError) {
+        log::info!("relay: event=coordinator_failed member={ip} call={call} cause=\"{cause}\"");
+        let policy: &Queue = &self.settings.policy.queue;
+        self.with_asking(|asking| asking.candidates.record_silence(Instant::now(), ip, policy));
+    }
+
+    /// Returns this region's share of the slots of the shard that binds a request: the one with the
+    /// fewest slots that the request can't do without.
+    fn binding_slots(&self, pool: Pool, need: Need<'_>) -> u32 {
+        let regions = self.with_delegates(|delegates| delegates.count_regions(self.own_region()));
+        let mut state = self.lock();
+        let key = (state.version_tracker.revision(), state.registry.changes(), regions);
+        if state.pool_slots.key != key {
+            state.pool_slots = PoolSlots { key, slots: HashMap::new() };
+        }
+        if let Some(slots) = state.pool_slots.slots.get(&(pool, need.fewest)) {
+            return *slots;
+        }
+        let of_service = |service: &Name| {
+            state.registry.usable(service).map(|(upstream, _missing)| upstream.slots).sum()
+        };
+        let mut slots: Vec<usize> = need.services.iter().map(of_service).collect();
+        slots.sort_unstable();
+        let binding = slots.get(slots.len().saturating_sub(need.fewest)).copied().unwrap_or(0);
+        let share = (binding / regions).max(1) as u32;
+        state.pool_slots.slots.insert((pool, need.fewest), share);
+        share
+    }
+
+    /// Returns the region of this member; an unknown zone counts as a region of its own.
+    fn own_region(&self) -> &Name {
+        self.settings.regions.get(&self.settings.zone).unwrap_or(&self.settings.zone)
+    }
+}
+
+fn no_reply<T>(elapsed: impl fmt::Display) -> Result<T, CallError> {
+    Err(CallError::NoReply { cause: elapsed.to_string() })
+}
+
+/// Ends a request that its coordinator has refused.
+fn refuse(job: &Job, coordinator: Ipv4Addr, target: Duration, rejection: &Rejection) -> Reply {
+    let Job { request, route, priority, .. } = job;
+    let (id, target_ms) = (&request.id, target.as_millis());
+    log::info!(
+        "relay: event=refused request={id:?} route={route} outcome=NotRun cause=\"the searchers \
+         have no capacity for it within the target latency\" coordinator={coordinator} \
+         {rejection} target_ms={target_ms} priority={priority}"
+    );
+    refusal(Cause::NotRun, Some(rejection.retry_after))
+}
--- a/crates/relay/src/delegate.rs
+++ b/crates/relay/src/delegate.rs
@@ -14,7 +14,7 @@
 use bergamot_declaration::Residency;
 use bergamot_quarantine::Fingerprint;
 use bergamot_registry::Incarnation;
-use bergamot_wire::{Late, ShardQuery, ShardReply};
+use bergamot_wire::{Admission, AdmissionRequest, Late, ShardQuery, ShardReply};
 use futures::future::BoxFuture;
 use snafu::Snafu;
 
@@ -52,6 +52,15 @@
 pub type PermitCall =
     Box<dyn Fn(Ipv4Addr, Vec<Incarnation>, u32, Instant) -> MemberFuture<Vec<bool>> + Send + Sync>;
 
+/// Asks a member for admission to a pool that it coordinates, with a deadline.
+pub type AdmitCall =
+    Box<dyn Fn(Ipv4Addr, AdmissionRequest, Instant) -> MemberFuture<Admission> + Send + Sync>;
+
+/// Ends a grant of a member, with the time to the required coverage, if it was reached, and a
+/// deadline.
+pub type CompleteCall =
+    Box<dyn Fn(Ipv4Addr, u64, Option<Duration>, Instant) -> MemberFuture<()> + Send + Sync>;
+
 /// Calls to other members.
 pub struct Helping {
     /// Queries a member for shards.
@@ -62,6 +71,13 @@
     pub records: TokenCall<Option<Vec<u8>>>,
     /// Asks a member for permits for cold searchers, of which a number is needed, with a deadline.
     pub permits: PermitCall,
+    /// Asks a coordinator for admission to a pool.
+    pub admit: AdmitCall,
+    /// Waits for a coordinator's decision on a queued request, with a deadline; `None` if the
+    /// coordinator doesn't know the grant.
+    pub await_grant: TokenCall<Option<Admission>>,
+    /// Ends a grant of a coordinator.
+    pub complete: CompleteCall,
     /// Drops the connection to a member, which may be dead: the next call opens a new one.
     pub disconnect: Box<dyn Fn(Ipv4Addr) + Send + Sync>,
     /// Asks a member for permission to run a trial of a request, with a deadline.
--- a/crates/relay/src/delegates.rs
+++ b/crates/relay/src/delegates.rs
@@ -1,6 +1,6 @@
 //! The members to which shards can be delegated, and what was observed of each.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::Ipv4Addr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -35,6 +35,9 @@
 /// The first version of the RPCs between members that carries the regions of a request.
 const RESIDENCY_PROTOCOL: u32 = 1;
 
+/// The first version of the RPCs between members that admits requests to pools of searchers.
+const ADMISSION_PROTOCOL: u32 = 2;
+
 impl DelegateMember {
     /// Returns whether the member may make attempts for a request on these terms.
     fn accepts(&self, residency: &Residency) -> bool {
@@ -97,6 +100,20 @@
         ranked.into_iter().map(|(_, member)| member).collect()
     }
 
+    /// Returns the members of a region that can coordinate pools of searchers.
+    pub(crate) fn coordinators(&self, region: &Name) -> Vec<Ipv4Addr> {
+        let can_coordinate = |member: &&DelegateMember| {
+            member.region == *region && member.protocol >= ADMISSION_PROTOCOL
+        };
+        self.known.iter().filter(can_coordinate).map(|member| member.ip).collect()
+    }
+
+    /// Returns the number of regions with a serving member, one of which is `own`.
+    pub(crate) fn count_regions(&self, own: &Name) -> usize {
+        let regions = self.known.iter().map(|member| &member.region);
+        regions.chain([own]).collect::<BTreeSet<_>>().len()
+    }
+
     /// Records by how much a reply was late that had to be sent.
     pub(crate) fn record_lateness(&mut self, late: Duration) {
         self.lateness.record(late);
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -33,6 +33,8 @@
     pub(crate) connection_lost: bool,
     /// Whether the searcher process has ended.
     pub(crate) searcher_ended: bool,
+    /// Whether the searcher refused the request, as it does while it is full.
+    pub(crate) refused: bool,
     /// The searcher's error response, if it can be forwarded.
     pub(crate) response: Option<Box<SearcherResponse>>,
 }
@@ -44,6 +46,7 @@
             cause: cause.to_string(),
             connection_lost: false,
             searcher_ended: false,
+            refused: false,
             response: None,
         }
     }
@@ -198,10 +201,8 @@
         return Err(AttemptError::new(Ending::NotRun, "another searcher answered at this address"));
     }
     if metadata.not_run {
-        return Err(AttemptError::new(
-            Ending::NotRun,
-            format!("not executed, status {}", status.as_u16()),
-        ));
+        let cause = format!("not executed, status {}", status.as_u16());
+        return Err(AttemptError { refused: true, ..AttemptError::new(Ending::NotRun, cause) });
     }
     let signed = metadata.signature.is_some();
     if !signed && status.is_success() {
--- a/crates/relay/src/gather.rs
+++ b/crates/relay/src/gather.rs
@@ -26,6 +26,7 @@
 use rand::RngExt;
 use tokio::time::sleep_until;
 
+use crate::admission::Need;
 use crate::choice::Choice;
 use crate::delegate::{self, CallError, RecordLimits};
 use crate::delegates::DelegateMember;
@@ -79,10 +80,25 @@
     }
     let policy = &relay.settings.policy.admit;
     let admitted = admit(&mut delays, fewest, timeouts.target, policy, rand::rng().random());
-    if let Err(excess) = admitted {
+    let has_run = trial_response.is_some();
+    let need = Need { services: &gather.shards, fewest, has_run };
+    let mut ticket = match relay.request_admission(job, need, timeouts, admitted.is_err()).await {
+        Ok(ticket) => ticket,
+        Err(refusal) => return refusal,
+    };
+    if let Err(excess) = admitted
+        && !ticket.is_granted
+    {
         let cause = "expected delay at the searchers exceeds the target latency";
         return refuse(relay, job, (Cause::NotRun, Unavailability::Backlog(excess)), cause);
     }
+    // The choice is outdated if the request was queued.
+    let choices = if ticket.is_granted {
+        relay.choose_searchers(&gather.shards, &job.constraints)
+    } else {
+        choices
+    };
+    let timeouts = ticket.delay(timeouts);
     relay.credit_retry_budgets(&gather.shards);
     let mut state = GatherState::new(relay, job, gather, timeouts);
     state.start(choices, trial_response);
@@ -91,6 +107,9 @@
     loop {
         // The lock on the tally is released before the decision is handled.
         let decision = job.tally().decide(late);
+        if !job.tally().is_below_coverage() {
+            ticket.record_coverage();
+        }
         match decision {
             GatherDecision::Wait => {}
             GatherDecision::Answer => break,
--- a/crates/relay/src/handler.rs
+++ b/crates/relay/src/handler.rs
@@ -12,6 +12,7 @@
 use hyper::header::HeaderValue;
 use rand::RngExt;
 
+use crate::admission::Need;
 use crate::gather::gather;
 use crate::message::{Cause, Job, Refusal, Reply, Request};
 use crate::meter::outcome;
@@ -126,7 +127,9 @@
         let kind = (Name::clone(&route.name), route.kind);
         let mut constraints = Constraints::new(route.residency.clone());
         constraints.permits = self.obtain_permits(&route.target, &constraints).await;
-        let job = Arc::new(Job::new(request, kind, route.attempts, constraints, tally));
+        let job = Job::new(request, kind, route.attempts, constraints, tally);
+        let (priority, target) = (route.priority, route.target_latency);
+        let job = Arc::new(Job { priority, target, ..job });
         let standing = self.quarantine().standing(Instant::now(), || job.fingerprint());
         let reply = match standing {
             Standing::Condemned(left) => self.refuse_condemned(&job, left),
@@ -194,10 +197,19 @@
         service: &Name,
         timeouts: RequestTimeouts,
     ) -> Reply {
+        let need = Need { services: std::slice::from_ref(service), fewest: 1, has_run: false };
+        let mut ticket = match self.request_admission(job, need, timeouts, false).await {
+            Ok(ticket) => ticket,
+            Err(refusal) => return refusal,
+        };
+        let timeouts = ticket.delay(timeouts);
         self.credit_retry_budgets(std::slice::from_ref(service));
         let plan = RacePlan::new(job, timeouts, &self.settings.policy);
         match Race::new(self, job, service, plan).run().await {
-            Ok(response) => Reply::Forwarded(response),
+            Ok(response) => {
+                ticket.record_coverage();
+                Reply::Forwarded(response)
+            }
             Err(failure) => self.refuse_failed(job, service, failure),
         }
     }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -6,8 +6,10 @@
 //! searchers; it is a parameter so that several platforms can use the same relay. See
 //! `docs/design/0009-platform.md`.
 
+mod admission;
 mod attempt;
 mod choice;
+mod coordinator;
 mod coverage;
 mod delegate;
 mod delegates;
@@ -34,8 +36,11 @@
 mod warmup;
 
 pub use bergamot_placement::ColdBound;
+pub use coordinator::PoolCoordinator;
 pub use coverage::Coverage;
-pub use delegate::{CallError, GatherCall, Helping, MemberFuture, PermitCall, TokenCall};
+pub use delegate::{
+    AdmitCall, CallError, CompleteCall, GatherCall, Helping, MemberFuture, PermitCall, TokenCall,
+};
 pub use delegates::DelegateMember;
 pub use dialect::{Dialect, RequestMetadata, ResponseMetadata};
 pub use message::{Cause, MergedResponse, Refusal, Reply, Request, SearcherResponse};
--- a/crates/relay/src/message.rs
+++ b/crates/relay/src/message.rs
@@ -4,6 +4,7 @@
 use std::sync::{Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::{Duration, Instant};
 
+use bergamot_admission::Pool;
 use bergamot_base::Name;
 use bergamot_declaration::Idempotency;
 use bergamot_dispatch::Tally;
@@ -110,6 +111,12 @@
     /// The route, under which the latency of attempts is recorded; empty to record none.
     pub route: Name,
     pub kind: Idempotency,
+    /// The priority of the route, where zero is the most urgent.
+    pub priority: u32,
+    /// The target latency of the route, if it declares one.
+    pub target: Option<Duration>,
+    /// The searchers that the request competes for, once known, if its admission is controlled.
+    pub pool: OnceLock<Pool>,
     /// The number of searchers that may run the request, for each shard.
     pub max_attempts: usize,
     /// What bounds the choice of searchers.
@@ -141,6 +148,9 @@
             request,
             route,
             kind,
+            priority: 0,
+            target: None,
+            pool: OnceLock::new(),
             max_attempts,
             constraints,
             tally: Mutex::new(tally),
--- a/crates/relay/src/meter.rs
+++ b/crates/relay/src/meter.rs
@@ -78,6 +78,42 @@
     }
 }
 
+/// The metrics of the pools that a member coordinates.
+#[derive(Clone, Debug)]
+pub(crate) struct AdmissionMeter {
+    pub(crate) decisions: IntCounterVec,
+    pub(crate) running: IntGauge,
+    pub(crate) waiting: IntGauge,
+}
+
+impl AdmissionMeter {
+    fn new(registry: &Registry) -> Self {
+        Self {
+            decisions: counters(
+                registry,
+                "bergamot_relay_admission_total",
+                "Decisions as the coordinator of a pool of searchers, by priority and result.",
+                &["priority", "result"],
+            ),
+            running: gauge(
+                registry,
+                "bergamot_relay_admission_running",
+                "Requests that run under a grant of this member.",
+            ),
+            waiting: gauge(
+                registry,
+                "bergamot_relay_admission_waiting",
+                "Requests that wait for a grant of this member.",
+            ),
+        }
+    }
+
+    /// Counts a decision on a request.
+    pub(crate) fn count(&self, priority: u32, result: &str) {
+        self.decisions.with_label_values(&[&*priority.to_string(), result]).inc();
+    }
+}
+
 /// The metrics of a relay.
 #[derive(Debug)]
 pub(crate) struct Meter {
@@ -87,6 +123,7 @@
     attempts: IntCounterVec,
     endings: IntCounterVec,
     pub(crate) store: StoreMeter,
+    pub(crate) admission: AdmissionMeter,
     pub(crate) quarantine: IntCounterVec,
     pub(crate) withheld: IntCounterVec,
     pub(crate) permits: IntCounterVec,
@@ -129,6 +166,7 @@
                 &["ending"],
             ),
             store: StoreMeter::new(&registry),
+            admission: AdmissionMeter::new(&registry),
             quarantine: counters(
                 "bergamot_relay_quarantine_total",
                 "What happened to requests under which searchers ended.",
--- a/crates/relay/src/race.rs
+++ b/crates/relay/src/race.rs
@@ -282,6 +282,9 @@
         let ending = error.ending;
         self.job.failure_log.record_attempt(self.service, searcher, ending, &error.cause);
         self.relay.meter().count_ending(ending);
+        if error.refused {
+            self.relay.record_shortage(self.job);
+        }
         if error.searcher_ended {
             self.job.retry_gate.record_crash();
         }
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -17,6 +17,8 @@
 use bergamot_registry::{Registry, Upstream};
 use bergamot_wire::{Late, ShardQuery, ShardReply};
 
+use crate::admission::Asking;
+use crate::coordinator::PoolCoordinator;
 use crate::delegate::Helping;
 use crate::delegates::{DelegateMember, DelegateMembers};
 use crate::dialect::Dialect;
@@ -37,6 +39,10 @@
     state: Mutex<State>,
     delegates: Mutex<DelegateMembers>,
     helping: Helping,
+    /// When the coordinators of pools are asked.
+    asking: Mutex<Asking>,
+    /// Admission to the pools that this member coordinates.
+    coordinator: Arc<PoolCoordinator>,
     /// Makes new requests wait for a store update after the process was paused.
     pause_gate: PauseGate,
     /// When the last pause was detected, until a store update requested after it is received.
@@ -71,6 +77,7 @@
         let pause_gate = PauseGate::new(settings.pause_threshold);
         let (meter, woke_at) = (Meter::new(), Mutex::default());
         let stall_period = StallPeriod::default();
+        let coordinator = PoolCoordinator::new(&settings.policy, meter.admission.clone());
         Arc::new(Self {
             settings,
             dialect,
@@ -78,6 +85,8 @@
             state,
             delegates,
             helping,
+            asking: Mutex::default(),
+            coordinator,
             pause_gate,
             woke_at,
             pending,
@@ -137,6 +146,15 @@
         shard_query::take_records(self, token)
     }
 
+    /// Returns the admission to the pools that this member coordinates.
+    pub fn coordinator(&self) -> &Arc<PoolCoordinator> {
+        &self.coordinator
+    }
+
+    pub(crate) fn with_asking<T>(&self, change: impl FnOnce(&mut Asking) -> T) -> T {
+        change(&mut self.asking.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+
     pub(crate) fn with_delegates<T>(&self, change: impl FnOnce(&mut DelegateMembers) -> T) -> T {
         change(&mut self.delegates.lock().unwrap_or_else(PoisonError::into_inner))
     }
@@ -168,6 +186,7 @@
             // Writing to a string can't fail.
             let _ = writeln!(text, "request {}", self.describe_report(now, &report));
         }
+        text.push_str(&self.describe_pools());
         for (zone, evacuation) in state.placement.evacuations.iter() {
             let (position, age) = (evacuation.position, (now - evacuation.since).as_secs());
             let _ = writeln!(text, "evacuation {zone} position {position} age_s {age}");
@@ -509,12 +528,14 @@
     pub fn tick(&self, members: usize, serves: bool) {
         self.detect_pause();
         self.quarantine.expire(Instant::now());
+        self.expire_admission(Instant::now());
         let mut state = self.lock();
         let store_unavailable = state.store_unavailable_since.is_some();
         for searcher in state.registry.expire(Instant::now(), store_unavailable) {
             self.lock_changes().record(Instant::now(), "gone", searcher);
         }
         self.expire_evacuations(&mut state);
+        state.serves = serves;
         if state.members != members {
             state.members = members;
             Self::resize_pools(&state);
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -14,6 +14,7 @@
 use bergamot_registry::{Incarnation, Registry};
 use bergamot_upstream::LatencyPercentile;
 
+use crate::admission::PoolSlots;
 use crate::choice::UsableSearchers;
 use crate::coverage::CachedCoverage;
 use crate::link::SearcherLink;
@@ -58,6 +59,10 @@
     pub(crate) caller_round_trip: CallerRoundTrip,
     pub(crate) log_sampler: Sampler,
     pub(crate) members: usize,
+    /// Whether this member serves callers, as it does once it knows the other members.
+    pub(crate) serves: bool,
+    /// The slots that bind the requests to each pool of searchers.
+    pub(crate) pool_slots: PoolSlots,
     /// All members that serve requests, including this one.
     pub(crate) serving_members: Vec<Ipv4Addr>,
     pub(crate) store_unavailable_since: Option<Instant>,
@@ -90,6 +95,8 @@
             caller_round_trip: CallerRoundTrip::default(),
             log_sampler: Sampler::new(MAX_ORDINARY_LOG_LINES),
             members: 1,
+            serves: false,
+            pool_slots: PoolSlots::default(),
             serving_members: Vec::new(),
             store_unavailable_since: None,
             records_lacking_at: None,
--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -127,6 +127,9 @@
         rest: Box::new(|_, _, _| Box::pin(async { Err(absent()) })),
         records: Box::new(|_, _, _| Box::pin(async { Err(absent()) })),
         permits: Box::new(|_, _, _, _| Box::pin(async { Err(absent()) })),
+        admit: Box::new(|_, _, _| Box::pin(async { Err(absent()) })),
+        await_grant: Box::new(|_, _, _| Box::pin(async { Err(absent()) })),
+        complete: Box::new(|_, _, _, _| Box::pin(async { Err(absent()) })),
         grant: Box::new(|_, _, _| Box::pin(async { Err(absent()) })),
     }
 }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -14,8 +14,8 @@
 pub use channel::{Channels, Connect, Connection, run_requests, serve_requests, transport};
 pub use datagram::{DecodeError, MAX_DATAGRAM_LEN, decode, encode};
 pub use member::{
-    Item, Late, MEMBER_PROTOCOL, Manifest, Member, MemberClient, MemberRequest, News, NewsQuery,
-    QuietPeriod, Rank, ShardOutcome, ShardQuery, ShardReply, Value,
+    Admission, AdmissionRequest, Item, Late, MEMBER_PROTOCOL, Manifest, Member, MemberClient,
+    MemberRequest, News, NewsQuery, QuietPeriod, Rank, ShardOutcome, ShardQuery, ShardReply, Value,
 };
 pub use rpc::{
     Entry, EntryClient, EntryRequest, EntryResponse, Gather, GatherClient, GatherRequest,
--- a/crates/wire/src/member.rs
+++ b/crates/wire/src/member.rs
@@ -13,7 +13,7 @@
 ///
 /// RPCs are encoded by their order, so new ones are appended, and are sent only to members that
 /// announce a version that serves them.
-pub const MEMBER_PROTOCOL: u32 = 1;
+pub const MEMBER_PROTOCOL: u32 = 2;
 
 /// A caller's request to some shards, delegated to another member.
 ///
@@ -100,6 +100,43 @@
     pub ended: bool,
 }
 
+/// A request for admission to a pool of searchers, sent to the member that coordinates the pool.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AdmissionRequest {
+    /// The identifier of the pool.
+    pub pool: u64,
+    /// The priority of the route, where zero is the most urgent.
+    pub priority: u32,
+    /// The availability zone of the member that received the request.
+    pub origin: Name,
+    /// The time remaining until the target latency.
+    pub target: Duration,
+    /// The time remaining until the caller's deadline.
+    pub deadline: Duration,
+    /// The region's share of the slots of the searchers that bind the request.
+    pub slots: u32,
+}
+
+/// A coordinator's decision on an [`AdmissionRequest`].
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Admission {
+    /// The request may run, under this grant.
+    Granted(u64),
+    /// The request waits under this grant; [`Member::await_grant`] returns the decision.
+    Queued(u64),
+    /// The request must not run.
+    Refused {
+        /// How long the request would have taken.
+        expected: Duration,
+        /// When the caller may retry.
+        retry_after: Duration,
+        /// The number of requests that were ahead of it.
+        ahead: u32,
+        /// The number of requests that may run at once.
+        limit: u32,
+    },
+}
+
 /// The chunk hashes of a value that is split by content-defined chunking, so that two versions of
 /// the value share most chunks.
 ///
@@ -238,4 +275,13 @@
     /// Issues permits to send one request to each of these cold searchers, as far as there are any
     /// left, or none if `needed` of them cannot be had. Served from version 1 of the RPCs on.
     async fn permits(searchers: Vec<Incarnation>, needed: u32) -> Vec<bool>;
+    /// Decides whether a request may run on a pool of searchers that this member coordinates.
+    /// Served from version 2 of the RPCs on.
+    async fn admit(request: AdmissionRequest) -> Admission;
+    /// Waits until a queued request is granted or refused; `None` if the grant is unknown, as it is
+    /// after a restart. Served from version 2 of the RPCs on.
+    async fn await_grant(grant: u64) -> Option<Admission>;
+    /// Ends a grant: the required coverage was reached this long after it, or there was no answer.
+    /// Served from version 2 of the RPCs on.
+    async fn complete(grant: u64, covered: Option<Duration>);
 }
--- a/crates/wire/tests/compatibility.rs
+++ b/crates/wire/tests/compatibility.rs
@@ -10,7 +10,9 @@
 
 use bergamot_base::Position;
 use bergamot_members::{Datagram, Digest, Endpoint, Kind, Record, Role, Rumour, State, View};
-use bergamot_wire::{MEMBER_PROTOCOL, MemberRequest, NewsQuery, ShardQuery, decode, encode};
+use bergamot_wire::{
+    AdmissionRequest, MEMBER_PROTOCOL, MemberRequest, NewsQuery, ShardQuery, decode, encode,
+};
 use ciborium::Value;
 use tarpc::tokio_serde::Serializer;
 use tarpc::tokio_serde::formats::Bincode;
@@ -115,6 +117,31 @@
     }
 }
 
+/// A later RPC that is inserted before these would be taken for one of them by members that announce
+/// version 2.
+#[test]
+fn admission_requests_have_their_positions_and_about_60_bytes() {
+    let request = AdmissionRequest {
+        pool: u64::MAX,
+        priority: 1,
+        origin: "yxs-cargo".into(),
+        target: Duration::from_millis(80),
+        deadline: Duration::from_secs(1),
+        slots: 2,
+    };
+    let covered = Some(Duration::from_millis(30));
+    let requests = [
+        (9, MemberRequest::Admit { request }),
+        (10, MemberRequest::AwaitGrant { grant: u64::MAX }),
+        (11, MemberRequest::Complete { grant: u64::MAX, covered }),
+    ];
+    for (position, request) in requests {
+        let bytes = encode_request(&request);
+        assert_eq!(bytes[0], position, "{request:?}");
+        assert!(bytes.len() <= 70, "{request:?} takes {} bytes", bytes.len());
+    }
+}
+
 /// A member of the former release passes on records without the version of the RPCs.
 #[test]
 fn the_announced_version_outlasts_a_record_without_it() {
