Grants that arrive late are ended; requests without an answer are signs of a shortage

Cause: a coordinator that answers `admit` after the timeout, or after the caller has left, has granted a request that nobody runs under that grant. The grant counts against the limit until its lease ends, and then counts as a late answer. While searchers are short enough, no request reaches its coverage, so none of the signs of a shortage would occur.

Change: the answer of a coordinator is received by a task of its own, which ends a grant that nobody waits for. `HeldGrant` and the slots of a pool have modules of their own.

--- a/crates/relay/src/admission.rs
+++ b/crates/relay/src/admission.rs
@@ -5,28 +5,28 @@
 //! own estimates. Invariants: a grant is ended exactly once, when the required coverage is reached
 //! or when the request ends without it; a request that is refused has not been sent to a searcher.
 
-use std::collections::HashMap;
 use std::fmt::{self, Write as _};
 use std::net::Ipv4Addr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use bergamot_admission::{Candidates, Pool, Signs, answer_timeout};
-use bergamot_base::{Name, Revision};
+use bergamot_base::Name;
 use bergamot_dispatch::RequestTimeouts;
 use bergamot_policy::Queue;
 use bergamot_wire::{Admission, AdmissionRequest};
-use tokio::runtime::Handle;
+use tokio::sync::oneshot;
 use tokio::time::timeout_at;
 
 use crate::delegate::CallError;
+use crate::grant::HeldGrant;
 use crate::handler::refusal;
 use crate::message::{Cause, Job, Reply};
 use crate::relay::Relay;
 
-/// The timeout for reporting the end of a grant, which nothing waits for: some round trips between
-/// regions (16 ms) plus late timers of a slow core. If it fails, the lease ends the grant.
-const COMPLETE_TIMEOUT: Duration = Duration::from_millis(250);
+/// How long the answer of a coordinator is waited for after its request is decided without it. A
+/// process that is slower has probably stopped, and its grants end with their leases.
+const LATE_ANSWER_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// What decides whether a coordinator is asked, and which one.
 #[derive(Debug, Default)]
@@ -35,15 +35,6 @@
     candidates: Candidates,
 }
 
-/// The slots that bind the requests to each pool, by the number of services that a request needs.
-#[derive(Debug, Default)]
-pub(crate) struct PoolSlots {
-    /// The declaration version, the number of registry changes and the number of regions that they
-    /// were computed for.
-    key: (Revision, u64, usize),
-    slots: HashMap<(Pool, usize), u32>,
-}
-
 /// The searchers that a request needs.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Need<'a> {
@@ -55,78 +46,46 @@
     pub(crate) has_run: bool,
 }
 
-/// A grant of a coordinator, which is ended on drop at the latest.
+/// Watches how long a request takes until its required coverage, or until it ends without it.
+///
+/// On drop, a time that leaves too little of the target latency is recorded as a sign of a shortage:
+/// while searchers are short enough, no request reaches its coverage at all.
 #[derive(Debug)]
-struct HeldGrant {
-    relay: Arc<Relay>,
-    coordinator: Ipv4Addr,
-    grant: u64,
-    since: Instant,
-    ended: bool,
-}
-
-impl HeldGrant {
-    fn new(relay: &Arc<Relay>, coordinator: Ipv4Addr, grant: u64) -> Self {
-        let since = Instant::now();
-        Self { relay: Arc::clone(relay), coordinator, grant, since, ended: false }
-    }
-
-    /// Reports the end of the grant to its coordinator.
-    fn end(&mut self, covered: Option<Duration>) {
-        if std::mem::replace(&mut self.ended, true) {
-            return;
-        }
-        if self.coordinator == self.relay.settings.address {
-            self.relay.coordinator().complete(self.grant, covered);
-            return;
-        }
-        // A request may be dropped while the runtime shuts down; the lease then ends the grant.
-        let Ok(runtime) = Handle::try_current() else { return };
-        let (ip, until) = (self.coordinator, Instant::now() + COMPLETE_TIMEOUT);
-        let call = (self.relay.helping().complete)(ip, self.grant, covered, until);
-        runtime.spawn(async move {
-            if let Err(cause) = call.await {
-                log::info!("relay: event=grant_not_ended member={ip} cause=\"{cause}\"");
-            }
-        });
-    }
+struct Watch<'a> {
+    relay: &'a Relay,
+    pool: Pool,
+    received: Instant,
+    target: Duration,
 }
 
-impl Drop for HeldGrant {
+impl Drop for Watch<'_> {
     fn drop(&mut self) {
-        self.end(None);
+        let (now, policy) = (Instant::now(), &self.relay.settings.policy.queue);
+        let took = now.saturating_duration_since(self.received);
+        self.relay.with_asking(|asking| {
+            asking.signs.record_answer(now, self.pool, took, self.target, policy);
+        });
     }
 }
 
 /// The admission of one request.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub(crate) struct Ticket<'a> {
-    relay: &'a Relay,
-    /// The pool and the target latency, if the admission to the pool is controlled.
-    pool: Option<(Pool, Duration)>,
-    received: Instant,
+    /// Present until the coverage is reached, if the admission to the pool is controlled.
+    watch: Option<Watch<'a>>,
     grant: Option<HeldGrant>,
     /// How long the decision took.
-    pub(crate) waited: Duration,
-    /// Whether the request is granted by a coordinator.
+    waited: Duration,
+    /// Whether a coordinator has granted the request.
     pub(crate) is_granted: bool,
 }
 
 impl Ticket<'_> {
     /// Records that the required coverage is reached.
     pub(crate) fn record_coverage(&mut self) {
-        let Some((pool, target)) = self.pool.take() else {
-            return;
-        };
-        let now = Instant::now();
-        let took = now.saturating_duration_since(self.received);
-        let policy = &self.relay.settings.policy.queue;
-        self.relay.with_asking(|asking| {
-            asking.signs.record_answer(now, pool, took, target, policy);
-        });
+        drop(self.watch.take());
         if let Some(mut grant) = self.grant.take() {
-            let covered = now.saturating_duration_since(grant.since);
-            grant.end(Some(covered));
+            grant.end(Some(grant.since.elapsed()));
         }
     }
 
@@ -173,32 +132,29 @@
         timeouts: RequestTimeouts,
         is_expected_late: bool,
     ) -> Result<Ticket<'a>, Reply> {
-        let (began, received) = (Instant::now(), job.request.received);
-        let (relay, waited) = (&**self, Duration::ZERO);
-        let unasked =
-            Ticket { relay, pool: None, received, grant: None, waited, is_granted: false };
         let policy = &self.settings.policy.queue;
         let Some(target) = job.target.filter(|_| policy.on && !need.has_run) else {
-            return Ok(unasked);
+            return Ok(Ticket::default());
         };
+        let (began, received) = (Instant::now(), job.request.received);
         let pool = *job.pool.get_or_init(|| Pool::of(need.services));
-        let unasked = Ticket { pool: Some((pool, target)), ..unasked };
+        let watch = Some(Watch { relay: self, pool, received, target });
         if is_expected_late {
             self.record_shortage(job);
         }
         if !self.with_asking(|asking| asking.signs.is_short(began, pool, policy)) {
-            return Ok(unasked);
+            return Ok(Ticket { watch, ..Ticket::default() });
         }
         let slots = self.binding_slots(pool, need);
-        let ruling = self.ask_coordinators(job, pool, slots, (target, timeouts.end)).await;
-        let asked = Ticket { waited: began.elapsed(), ..unasked };
-        match ruling {
-            Ruling::Granted(grant) => Ok(Ticket { grant: Some(grant), is_granted: true, ..asked }),
+        let grant = match self.ask_coordinators(job, pool, slots, (target, timeouts.end)).await {
+            Ruling::Granted(grant) => Some(grant),
             Ruling::Refused(coordinator, rejection) => {
-                Err(refuse(job, coordinator, target, &rejection))
+                return Err(refuse(job, coordinator, target, &rejection));
             }
-            Ruling::Undecided => Ok(asked),
-        }
+            Ruling::Undecided => None,
+        };
+        let is_granted = grant.is_some();
+        Ok(Ticket { watch, grant, waited: began.elapsed(), is_granted })
     }
 
     /// Records a sign that the searchers of a request are short.
@@ -299,7 +255,7 @@
                 Ruling::Granted(queued)
             }
             Ok(Some(Admission::Refused { expected, retry_after, ahead, limit })) => {
-                queued.ended = true;
+                queued.forget();
                 Ruling::Refused(ip, Rejection { expected, retry_after, ahead, limit })
             }
             Ok(Some(Admission::Queued(_)) | None) => {
@@ -313,8 +269,12 @@
         }
     }
 
+    /// Sends a request to a coordinator and waits for its answer until a deadline.
+    ///
+    /// A grant that arrives later, or after the caller has left, is ended: otherwise it would count
+    /// against the limit of the pool until its lease ends.
     async fn send_request(
-        &self,
+        self: &Arc<Self>,
         ip: Ipv4Addr,
         request: AdmissionRequest,
         until: Instant,
@@ -322,8 +282,20 @@
         if ip == self.settings.address {
             return Ok(self.coordinator().admit(request));
         }
-        let call = (self.helping().admit)(ip, request, until);
-        timeout_at(until.into(), call).await.unwrap_or_else(no_reply)
+        let call = (self.helping().admit)(ip, request, until + LATE_ANSWER_TIMEOUT);
+        let (sender, answer) = oneshot::channel();
+        let relay = Arc::clone(self);
+        tokio::spawn(async move {
+            let unclaimed = sender.send(call.await).err();
+            if let Some(Ok(Admission::Granted(grant) | Admission::Queued(grant))) = unclaimed {
+                HeldGrant::new(&relay, ip, grant).end(None);
+            }
+        });
+        match timeout_at(until.into(), answer).await {
+            Ok(Ok(answer)) => answer,
+            Ok(Err(closed)) => no_reply(closed),
+            Err(elapsed) => no_reply(elapsed),
+        }
     }
 
     async fn wait_for_grant(
@@ -357,31 +329,8 @@
         self.with_asking(|asking| asking.candidates.record_silence(Instant::now(), ip, policy));
     }
 
-    /// Returns this region's share of the slots of the shard that binds a request: the one with the
-    /// fewest slots that the request can't do without.
-    fn binding_slots(&self, pool: Pool, need: Need<'_>) -> u32 {
-        let regions = self.with_delegates(|delegates| delegates.count_regions(self.own_region()));
-        let mut state = self.lock();
-        let key = (state.version_tracker.revision(), state.registry.changes(), regions);
-        if state.pool_slots.key != key {
-            state.pool_slots = PoolSlots { key, slots: HashMap::new() };
-        }
-        if let Some(slots) = state.pool_slots.slots.get(&(pool, need.fewest)) {
-            return *slots;
-        }
-        let of_service = |service: &Name| {
-            state.registry.usable(service).map(|(upstream, _missing)| upstream.slots).sum()
-        };
-        let mut slots: Vec<usize> = need.services.iter().map(of_service).collect();
-        slots.sort_unstable();
-        let binding = slots.get(slots.len().saturating_sub(need.fewest)).copied().unwrap_or(0);
-        let share = (binding / regions).max(1) as u32;
-        state.pool_slots.slots.insert((pool, need.fewest), share);
-        share
-    }
-
     /// Returns the region of this member; an unknown zone counts as a region of its own.
-    fn own_region(&self) -> &Name {
+    pub(crate) fn own_region(&self) -> &Name {
         self.settings.regions.get(&self.settings.zone).unwrap_or(&self.settings.zone)
     }
 }
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -14,10 +14,10 @@
 use bergamot_registry::{Incarnation, Registry};
 use bergamot_upstream::LatencyPercentile;
 
-use crate::admission::PoolSlots;
 use crate::choice::UsableSearchers;
 use crate::coverage::CachedCoverage;
 use crate::link::SearcherLink;
+use crate::pool_slots::PoolSlots;
 use crate::prewarm::Queue;
 use crate::settings::Settings;
 
--- a/crates/relay/tests/admission.rs
+++ b/crates/relay/tests/admission.rs
@@ -37,8 +37,8 @@
 
 type Calls = Arc<Mutex<Vec<Call>>>;
 
-/// Calls to coordinators of which `silent` doesn't answer, and the others answer with `first` and
-/// then, 50 ms later, with `decision`.
+/// Calls to coordinators, which answer with `first` and 50 ms later with `decision`; `silent` takes
+/// 200 ms for its first answer.
 fn coordinators(
     silent: Option<Ipv4Addr>,
     first: Admission,
@@ -52,7 +52,7 @@
             let first = first.clone();
             Box::pin(async move {
                 if silent == Some(ip) {
-                    std::future::pending::<()>().await;
+                    tokio::time::sleep(Duration::from_millis(200)).await;
                 }
                 Ok(first)
             })
@@ -137,7 +137,8 @@
     }
 }
 
-/// Guards against a dead coordinator that delays each request.
+/// Guards against a slow coordinator that delays each request, and against its late grants, which
+/// nobody uses.
 #[tokio::test]
 async fn the_next_coordinator_is_asked_if_the_first_is_silent() {
     let services = ["s".into()];
@@ -155,6 +156,8 @@
     assert_eq!(take(&calls), [first, second.clone(), done.clone()]);
     assert!(is_answered(&relay).await);
     assert_eq!(take(&calls), [second, done]);
+    tokio::time::sleep(Duration::from_millis(250)).await;
+    assert_eq!(take(&calls), [Call::Complete(5, false)]);
 }
 
 /// Guards against work for a refused request, and against another retry time than the booked one.
