--- a/crates/relay/src/admission.rs
+++ b/crates/relay/src/admission.rs
@@ -121,6 +121,26 @@
     }
 }
 
+/// The first answer of a coordinator.
+enum Answer {
+    Granted(HeldGrant),
+    /// The grant removes the request from the queue if the caller leaves.
+    Queued(HeldGrant),
+    Refused(Rejection),
+}
+
+impl Answer {
+    fn new(relay: &Arc<Relay>, ip: Ipv4Addr, admission: &Admission) -> Self {
+        match *admission {
+            Admission::Granted(grant) => Self::Granted(HeldGrant::new(relay, ip, grant)),
+            Admission::Queued(grant) => Self::Queued(HeldGrant::new(relay, ip, grant)),
+            Admission::Refused { expected, retry_after, ahead, limit } => {
+                Self::Refused(Rejection { expected, retry_after, ahead, limit })
+            }
+        }
+    }
+}
+
 impl Relay {
     /// Requests the admission of a request to the searchers that it needs; a refusal is its reply.
     ///
@@ -222,34 +242,24 @@
             };
             let until = now + answer_timeout(target, &self.settings.policy.queue);
             match self.send_request(ip, request, until).await {
-                Ok(admission) => return self.follow(job, ip, admission, received + target).await,
+                Ok(Answer::Granted(grant)) => return Ruling::Granted(grant),
+                Ok(Answer::Queued(grant)) => {
+                    self.record_shortage(job);
+                    return self.wait_in_queue(ip, grant, received + target).await;
+                }
+                Ok(Answer::Refused(rejection)) => {
+                    self.record_shortage(job);
+                    return Ruling::Refused(ip, rejection);
+                }
                 Err(cause) => self.skip_coordinator(ip, "admit", &cause),
             }
         }
         Ruling::Undecided
     }
 
-    /// Acts on the first answer of a coordinator, and waits until `until` for the decision on a
-    /// queued request.
-    async fn follow(
-        self: &Arc<Self>,
-        job: &Job,
-        ip: Ipv4Addr,
-        admission: Admission,
-        until: Instant,
-    ) -> Ruling {
-        let grant = match admission {
-            Admission::Granted(grant) => return Ruling::Granted(HeldGrant::new(self, ip, grant)),
-            Admission::Queued(grant) => grant,
-            Admission::Refused { expected, retry_after, ahead, limit } => {
-                self.record_shortage(job);
-                return Ruling::Refused(ip, Rejection { expected, retry_after, ahead, limit });
-            }
-        };
-        self.record_shortage(job);
-        // If the caller leaves, the request is removed from the queue.
-        let mut queued = HeldGrant::new(self, ip, grant);
-        match self.wait_for_grant(ip, grant, until).await {
+    /// Waits until `until` for the decision on a queued request.
+    async fn wait_in_queue(&self, ip: Ipv4Addr, mut queued: HeldGrant, until: Instant) -> Ruling {
+        match self.wait_for_grant(ip, queued.grant, until).await {
             Ok(Some(Admission::Granted(_))) => {
                 queued.since = Instant::now();
                 Ruling::Granted(queued)
@@ -271,25 +281,23 @@
 
     /// Sends a request to a coordinator and waits for its answer until a deadline.
     ///
-    /// A grant that arrives later, or after the caller has left, is ended: otherwise it would count
-    /// against the limit of the pool until its lease ends.
+    /// A grant that arrives later, or after the caller has left, is dropped and thereby ended:
+    /// otherwise it would count against the limit of the pool until its lease ends.
     async fn send_request(
         self: &Arc<Self>,
         ip: Ipv4Addr,
         request: AdmissionRequest,
         until: Instant,
-    ) -> Result<Admission, CallError> {
+    ) -> Result<Answer, CallError> {
         if ip == self.settings.address {
-            return Ok(self.coordinator().admit(request));
+            return Ok(Answer::new(self, ip, &self.coordinator().admit(request)));
         }
         let call = (self.helping().admit)(ip, request, until + LATE_ANSWER_TIMEOUT);
         let (sender, answer) = oneshot::channel();
         let relay = Arc::clone(self);
         tokio::spawn(async move {
-            let unclaimed = sender.send(call.await).err();
-            if let Some(Ok(Admission::Granted(grant) | Admission::Queued(grant))) = unclaimed {
-                HeldGrant::new(&relay, ip, grant).end(None);
-            }
+            let answer = call.await.map(|admission| Answer::new(&relay, ip, &admission));
+            drop(sender.send(answer));
         });
         match timeout_at(until.into(), answer).await {
             Ok(Ok(answer)) => answer,
--- a/crates/relay/src/grant.rs
+++ b/crates/relay/src/grant.rs
@@ -19,7 +19,7 @@
 pub(crate) struct HeldGrant {
     relay: Arc<Relay>,
     coordinator: Ipv4Addr,
-    grant: u64,
+    pub(crate) grant: u64,
     pub(crate) since: Instant,
     ended: bool,
 }
