The limit of a pool follows the upper holding time, so that queued requests are in time

Where the searchers need more than 0.75 of the target without any queue, each answer lowers the limit to its floor, where searchers are idle. The floor is as low as one request for each slot of the binding shard. A limit that is too high is lowered by a tenth for each late request that was granted after the last decrease, which takes seconds.

Change: requests are queued and granted only if the mean holding time plus 1.5 mean deviations fits. The limit is raised while that sum is at most 0.75 of the target, or while it is at most the target and the mean is at most 1.6 times the best mean. It is lowered to the number of answers within 0.75 of the target, also when a quarter of the running requests is overdue.

--- a/crates/admission/src/controller.rs
+++ b/crates/admission/src/controller.rs
@@ -70,7 +70,7 @@
         }
         self.queue.insert(waiting.clone());
         let ahead = self.queue.ahead(grant, &self.running).unwrap_or(0);
-        if self.expected(&waiting, ahead) <= waiting.target {
+        if waiting.meets_target(now, self.expected(&waiting, ahead)) {
             return Decision::Queued(grant);
         }
         self.queue.remove(grant);
@@ -91,6 +91,7 @@
     pub(crate) fn expire(&mut self, now: Instant) -> (Changes, Vec<Grant>) {
         self.bookings.expire(now);
         let ended = self.running.expire(now);
+        self.lower_limit_if_overdue(now);
         let mut changes = self.grant_waiting(now);
         changes.refused.extend(self.refuse_late(now));
         (changes, ended)
@@ -115,43 +116,66 @@
     }
 
     fn record(&mut self, now: Instant, run: &Run, outcome: Outcome) {
-        match outcome {
+        let took = match outcome {
             Outcome::Covered(took) => {
-                self.holding.record(now, took);
-                self.limit.record(now, took, run.target);
-            }
-            Outcome::Ended => {
-                let took = now.saturating_duration_since(run.since);
-                self.holding.record_at_least(now, took);
-                self.limit.record_unanswered(now, took, run.target);
+                self.limit.record_answer(now);
+                took
             }
+            Outcome::Ended => now.saturating_duration_since(run.since),
+        };
+        let is_early = took < self.holding.expected(run.target, &self.policy);
+        if outcome == Outcome::Ended && is_early {
+            // Its caller left or an attempt failed, which says nothing about the searchers.
+            return;
+        }
+        self.holding.record(now, took, self.limit.get());
+        self.adjust_limit(now, run, took);
+    }
+
+    /// Adjusts the limit after a request held its grant for `took`.
+    fn adjust_limit(&mut self, now: Instant, run: &Run, took: Duration) {
+        let upper = self.holding.upper(run.target, &self.policy);
+        let is_early = upper <= run.target.mul_f64(self.policy.early);
+        if is_early || upper <= run.target && self.holding.is_best(&self.policy) {
+            self.limit.raise(self.running.len() + 1);
+        } else {
+            self.limit.lower(now, took, run.target);
+        }
+    }
+
+    /// Lowers the limit if searchers have become so slow that answers are late before the first one
+    /// arrives.
+    fn lower_limit_if_overdue(&mut self, now: Instant) {
+        if let Some(run) = self.running.overdue(now) {
+            let age = now.saturating_duration_since(run.since);
+            self.limit.lower(now, age, run.target);
         }
     }
 
     /// Grants waiting requests up to the limit, and refuses those that can't finish in time.
     fn grant_waiting(&mut self, now: Instant) -> Changes {
         self.limit.set_slots(self.slots);
-        let mut changes = Changes::default();
+        let (mut granted, mut late) = (Vec::new(), Vec::new());
         while self.running.len() < self.limit.get() {
-            let Some(waiting) = self.queue.pop(&self.running) else {
+            let can_finish = |waiting: &Waiting| {
+                let upper = self.holding.upper(waiting.target, &self.policy);
+                waiting.meets_target(now, upper)
+            };
+            let Some(waiting) = self.queue.pop(&self.running, can_finish, &mut late) else {
                 break;
             };
-            let holding = self.holding.expected(waiting.target, &self.policy);
-            if holding <= waiting.left(now) {
-                changes.granted.push(waiting.grant);
-                self.start(now, waiting);
-            } else {
-                changes.refused.push((waiting.grant, self.refuse(now, &waiting, 0)));
-            }
+            granted.push(waiting.grant);
+            self.start(now, waiting);
         }
-        changes
+        let refused = late.iter().map(|one| (one.grant, self.refuse(now, one, 0))).collect();
+        Changes { granted, refused }
     }
 
     /// Refuses the waiting requests that can't finish in time.
     fn refuse_late(&mut self, now: Instant) -> Vec<(Grant, Shortage)> {
         let mut queue = std::mem::replace(&mut self.queue, WaitQueue::new(self.policy.starvation));
         let late = queue.remove_late(&self.running, |waiting, ahead| {
-            self.expected(waiting, ahead) > waiting.left(now)
+            !waiting.meets_target(now, self.expected(waiting, ahead))
         });
         self.queue = queue;
         let refused = late.into_iter();
@@ -179,7 +203,7 @@
 
     /// Returns the expected time until a request finishes that has `ahead` grants before its own.
     fn expected(&self, waiting: &Waiting, ahead: usize) -> Duration {
-        let holding = self.holding.expected(waiting.target, &self.policy);
+        let holding = self.holding.upper(waiting.target, &self.policy);
         self.interval(waiting).mul_f64(ahead as f64 + 1.0) + holding
     }
 
--- a/crates/admission/src/limit.rs
+++ b/crates/admission/src/limit.rs
@@ -1,10 +1,12 @@
 //! The number of requests of a pool that may run at once.
 //!
-//! The limit is adjusted by additive increase and multiplicative decrease: an early answer raises
-//! it by one for each `limit` answers, a late one lowers it by a fixed part. Invariant: it stays
-//! between one and `most` times the slots of the searchers, and late answers to requests that were
-//! granted before a decrease don't lower it again.
+//! While requests are early, each answer raises the limit by one for each `limit` answers. Otherwise
+//! the limit is lowered to the number of answers within a part of the target, which by Little's law
+//! is the number of running requests that the searchers can answer in it. Invariant: the limit stays
+//! between one and `most` times the slots of the searchers, and requests that were granted before a
+//! decrease don't lower it again.
 
+use std::collections::VecDeque;
 use std::time::{Duration, Instant};
 
 use bergamot_policy::Queue;
@@ -17,12 +19,15 @@
     /// The limit as a multiple of the slots, so that it follows their number.
     per_slot: f64,
     lowered: Option<Instant>,
+    /// The times of recent answers, at most as many as the limit.
+    answers: VecDeque<Instant>,
 }
 
 impl Limit {
     /// Creates the limit of a pool without observations.
     pub(crate) fn new(policy: Queue, slots: usize) -> Self {
-        Self { policy, slots: slots.max(1), per_slot: policy.start, lowered: None }
+        let (slots, per_slot, answers) = (slots.max(1), policy.start, VecDeque::new());
+        Self { policy, slots, per_slot, lowered: None, answers }
     }
 
     /// Sets the number of slots; the limit changes in proportion.
@@ -35,26 +40,36 @@
         self.exact() as usize
     }
 
-    /// Records a request that ended `took` after its grant, which left it `target`.
-    pub(crate) fn record(&mut self, now: Instant, took: Duration, target: Duration) {
-        if took <= target.mul_f64(self.policy.early) {
+    /// Records an answer.
+    pub(crate) fn record_answer(&mut self, now: Instant) {
+        self.answers.push_back(now);
+        while self.answers.len() > self.get() {
+            self.answers.pop_front();
+        }
+    }
+
+    /// Raises the limit, unless it can't be the reason why no more than `running` requests run.
+    pub(crate) fn raise(&mut self, running: usize) {
+        if running * 2 >= self.get() {
             self.set(self.exact() + 1.0 / self.exact());
-        } else {
-            self.record_unanswered(now, took, target);
         }
     }
 
-    /// Records a request that ended without an answer `took` after its grant.
-    pub(crate) fn record_unanswered(&mut self, now: Instant, took: Duration, target: Duration) {
-        if took > target.mul_f64(self.policy.early) && self.may_lower(now, took) {
-            self.lowered = Some(now);
-            self.set(self.exact() * (1.0 - self.policy.decrease));
+    /// Lowers the limit because of a request that was granted `age` ago and had `target` left.
+    pub(crate) fn lower(&mut self, now: Instant, age: Duration, target: Duration) {
+        if self.lowered.is_some_and(|lowered| now.saturating_duration_since(lowered) < age) {
+            return;
         }
+        self.lowered = Some(now);
+        let most = self.exact() * (1.0 - self.policy.least_decrease);
+        self.set(most.min(self.answered(now, target) as f64));
     }
 
-    /// Returns whether a late request was granted after the last decrease.
-    fn may_lower(&self, now: Instant, took: Duration) -> bool {
-        self.lowered.is_none_or(|lowered| now.saturating_duration_since(lowered) >= took)
+    /// Returns the number of recent answers within the part of a target that searchers may take.
+    fn answered(&self, now: Instant, target: Duration) -> usize {
+        let time = target.mul_f64(self.policy.early);
+        let is_recent = |answer: &&Instant| now.saturating_duration_since(**answer) <= time;
+        self.answers.iter().rev().take_while(is_recent).count()
     }
 
     fn exact(&self) -> f64 {
--- a/crates/admission/src/queue.rs
+++ b/crates/admission/src/queue.rs
@@ -28,9 +28,9 @@
 }
 
 impl Waiting {
-    /// Returns the time left until its target latency.
-    pub(crate) fn left(&self, now: Instant) -> Duration {
-        (self.since + self.target).saturating_duration_since(now)
+    /// Returns whether it meets its target latency if it takes this time from now on.
+    pub(crate) fn meets_target(&self, now: Instant, time: Duration) -> bool {
+        now + time <= self.since + self.target
     }
 
     fn key(&self) -> (u32, Instant, Grant) {
@@ -139,20 +139,35 @@
         ahead
     }
 
-    /// Removes and returns the request that is granted next.
-    pub(crate) fn pop(&mut self, running: &Running) -> Option<Waiting> {
+    /// Removes and returns the request that is granted next. Those that would have come before it but
+    /// can't finish in time are moved to `late`.
+    pub(crate) fn pop(
+        &mut self,
+        running: &Running,
+        can_finish: impl Fn(&Waiting) -> bool,
+        late: &mut Vec<Waiting>,
+    ) -> Option<Waiting> {
+        loop {
+            let is_contested = self.urgent() < self.waiting.len();
+            let next = self.waiting.remove(self.next(running)?);
+            if !can_finish(&next) {
+                late.push(next);
+                continue;
+            }
+            if is_contested {
+                self.contested = (self.contested + 1) % self.starvation;
+            }
+            return Some(next);
+        }
+    }
+
+    /// Returns the index of the request that comes next.
+    fn next(&self, running: &Running) -> Option<usize> {
         let urgent = self.urgent();
         let longest = (urgent..self.waiting.len()).min_by_key(|at| self.seniority(*at));
         let fewest = (0..urgent).min_by_key(|at| (running.of(&self.waiting[*at].origin), *at));
-        let next = longest.filter(|_| self.is_turn_of_starving()).or(fewest)?;
-        Some(self.waiting.remove(next))
-    }
-
-    /// Counts a grant that had several priorities to choose from, and returns whether it goes to a
-    /// less urgent one.
-    fn is_turn_of_starving(&mut self) -> bool {
-        self.contested = (self.contested + 1) % self.starvation;
-        self.contested == 0
+        let is_turn_of_starving = self.contested + 1 == self.starvation;
+        longest.filter(|_| is_turn_of_starving).or(fewest)
     }
 
     /// Returns the number of requests of the most urgent priority.
--- a/crates/admission/src/running.rs
+++ b/crates/admission/src/running.rs
@@ -10,6 +10,9 @@
 
 use crate::decision::Grant;
 
+/// The number of overdue requests that a single slow searcher doesn't explain.
+const SEVERAL: usize = 3;
+
 /// A request that holds a grant.
 #[derive(Clone, Debug)]
 pub(crate) struct Run {
@@ -58,6 +61,15 @@
         Some(run)
     }
 
+    /// Returns the latest request that has been running for longer than its target allows, if several
+    /// requests and at least a quarter of all have been.
+    pub(crate) fn overdue(&self, now: Instant) -> Option<&Run> {
+        let is_overdue = |run: &&Run| now.saturating_duration_since(run.since) > run.target;
+        let overdue: Vec<_> = self.runs.values().filter(is_overdue).collect();
+        let enough = overdue.len() >= SEVERAL && overdue.len() * 4 >= self.len();
+        overdue.into_iter().max_by_key(|run| run.since).filter(|_| enough)
+    }
+
     /// Removes the requests whose lease has ended, and returns their grants.
     pub(crate) fn expire(&mut self, now: Instant) -> Vec<Grant> {
         let ended = self.runs.iter().filter(|(_, run)| run.lease <= now);
--- a/crates/admission/tests/model/mod.rs
+++ b/crates/admission/tests/model/mod.rs
@@ -1,22 +1,20 @@
-//! A model of searchers that serve one region: shards with slots and service times.
+//! A model of the searchers that serve one region, with a coordinator.
 //!
 //! Each request queries all shards and is covered when `fewest` of them have answered. It ends when
 //! all have answered, at its target if it is covered by then, or else at its coverage or deadline;
 //! its unstarted work is then dropped. Requests arrive at random from three zones. Service times
-//! are exponential around their mean, with a constant half.
-
-pub mod coordinated;
+//! are exponential around their mean, with a constant half. Times are in seconds.
 
 use std::cmp::Reverse;
-use std::collections::{BinaryHeap, VecDeque};
+use std::collections::{BinaryHeap, HashMap, VecDeque};
 use std::time::{Duration, Instant};
 
-use bergamot_admission::{Demand, Outcome};
+use bergamot_admission::{Changes, Coordinator, Decision, Demand, Grant, Outcome, Pool};
 use bergamot_base::Seed;
 use rand::RngExt;
 use rand::rngs::StdRng;
 
-/// The round trip between a member and the searchers, in seconds.
+/// The round trip between a member and the searchers.
 const TRIP: f64 = 0.004;
 
 /// The searchers and the requests.
@@ -25,44 +23,26 @@
     pub slots: Vec<usize>,
     /// The shards that a request needs.
     pub fewest: usize,
-    /// The mean service time in seconds, at a time and an occupied part of the slots.
+    /// The mean service time, at a time and an occupied part of the slots.
     pub work: fn(f64, f64) -> f64,
     /// The requests per second at a time.
     pub rate: Box<dyn Fn(f64) -> f64>,
     pub target: Duration,
-    /// The priorities, with the part of the requests that has each.
-    pub priorities: Vec<(u32, f64)>,
+    /// The part of the requests that has priority 0; the others have priority 1.
+    pub urgent: f64,
     pub seconds: f64,
 }
 
-/// Decides which requests run. The second value of a change is whether the request runs.
-pub trait Gate {
-    fn request(&mut self, now: Instant, id: usize, demand: Demand) -> Vec<(usize, bool)>;
-    fn answer(&mut self, now: Instant, id: usize, shard: usize);
-    fn complete(&mut self, now: Instant, id: usize, outcome: Outcome) -> Vec<(usize, bool)>;
-    fn end(&mut self, _now: Instant, _id: usize) {}
-    fn tick(&mut self, now: Instant) -> Vec<(usize, bool)>;
-}
-
-/// One request. Times are in seconds since the start.
 #[derive(Clone, Copy, Debug)]
 pub struct Request {
     pub arrived: f64,
     pub priority: u32,
-    pub granted: Option<f64>,
-    pub refused: Option<f64>,
     pub covered: Option<f64>,
+    granted: f64,
     answers: usize,
     ended: bool,
 }
 
-impl Request {
-    /// Returns whether the request was answered within a target.
-    pub fn in_time(&self, target: Duration) -> bool {
-        self.covered.is_some_and(|covered| covered - self.arrived <= target.as_secs_f64())
-    }
-}
-
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum Event {
     Arrive,
@@ -72,44 +52,50 @@
     Deadline(usize),
 }
 
-struct Model<'a> {
-    load: &'a Load,
-    gate: &'a mut dyn Gate,
+pub struct Model {
+    load: Load,
+    coordinator: Coordinator,
     start: Instant,
     now: f64,
     draws: StdRng,
     events: BinaryHeap<Reverse<(Duration, usize, Event)>>,
     sequence: usize,
+    /// The occupied slots and the queue of each shard.
     shards: Vec<(usize, VecDeque<usize>)>,
-    requests: Vec<Request>,
+    ids: HashMap<Grant, usize>,
+    grants: HashMap<usize, Grant>,
+    pub requests: Vec<Request>,
+    /// The limit at each tick.
+    pub limits: Vec<usize>,
 }
 
-/// Plays a load and returns its requests.
-pub fn play(load: &Load, gate: &mut dyn Gate, seed: u64) -> Vec<Request> {
-    let mut model = Model {
-        load,
-        gate,
-        start: Instant::now(),
-        now: 0.0,
-        draws: Seed(seed).generator("model"),
-        events: BinaryHeap::new(),
-        sequence: 0,
-        shards: vec![(0, VecDeque::new()); load.slots.len()],
-        requests: Vec::new(),
-    };
-    model.schedule(0.0, Event::Arrive);
-    model.schedule(0.0, Event::Tick);
-    while let Some(Reverse((at, _, event))) = model.events.pop() {
-        model.now = at.as_secs_f64();
-        if model.now > load.seconds {
-            break;
+impl Model {
+    /// Plays a load.
+    pub fn play(load: Load, seed: u64) -> Self {
+        let mut model = Self {
+            coordinator: Coordinator::default(),
+            start: Instant::now(),
+            now: 0.0,
+            draws: Seed(seed).generator("model"),
+            events: BinaryHeap::new(),
+            sequence: 0,
+            shards: vec![(0, VecDeque::new()); load.slots.len()],
+            ids: HashMap::new(),
+            grants: HashMap::new(),
+            requests: Vec::new(),
+            limits: Vec::new(),
+            load,
+        };
+        model.schedule(0.0, Event::Arrive);
+        model.schedule(0.0, Event::Tick);
+        while model.now < model.load.seconds {
+            let Some(Reverse((at, _, event))) = model.events.pop() else { break };
+            model.now = at.as_secs_f64();
+            model.handle(event);
         }
-        model.handle(event);
+        model
     }
-    model.requests
-}
 
-impl Model<'_> {
     fn schedule(&mut self, after: f64, event: Event) {
         self.sequence += 1;
         let at = Duration::from_secs_f64(self.now + after);
@@ -128,8 +114,9 @@
         match event {
             Event::Arrive => self.arrive(),
             Event::Tick => {
-                let changes = self.gate.tick(self.at());
-                self.apply(changes);
+                let changes = self.coordinator.expire(self.at());
+                self.apply(&changes);
+                self.limits.extend(self.coordinator.status().iter().map(|pool| pool.limit));
                 self.schedule(0.01, Event::Tick);
             }
             Event::Done(id, shard) => self.finish_work(id, shard),
@@ -140,28 +127,12 @@
     }
 
     fn arrive(&mut self) {
-        let rate = (self.load.rate)(self.now);
-        let gap = self.exponential() / rate;
+        let gap = self.exponential() / (self.load.rate)(self.now);
         self.schedule(gap, Event::Arrive);
-        let mut draw = self.draws.random::<f64>();
-        let priority = self.load.priorities.iter().find(|(_, part)| {
-            draw -= part;
-            draw < 0.0
-        });
-        let priority = priority.map_or(self.load.priorities[0].0, |(priority, _)| *priority);
-        let (id, arrived) = (self.requests.len(), self.now);
-        let (granted, refused, covered) = (None, None, None);
-        let (answers, ended) = (0, false);
-        self.requests.push(Request {
-            arrived,
-            priority,
-            granted,
-            refused,
-            covered,
-            answers,
-            ended,
-        });
-        let target = self.load.target;
+        let (id, arrived, target) = (self.requests.len(), self.now, self.load.target);
+        let priority = u32::from(self.draws.random::<f64>() >= self.load.urgent);
+        let (covered, granted, answers, ended) = (None, arrived, 0, false);
+        self.requests.push(Request { arrived, priority, covered, granted, answers, ended });
         self.schedule(target.as_secs_f64(), Event::Target(id));
         self.schedule(target.as_secs_f64() * 4.0, Event::Deadline(id));
         let mut slots = self.load.slots.clone();
@@ -169,31 +140,39 @@
         let slots = slots[slots.len() - self.load.fewest];
         let origin = ["a", "b", "c"][self.draws.random_range(0..3)].into();
         let demand = Demand { priority, origin, target, deadline: target * 4, slots };
-        let changes = self.gate.request(self.at(), id, demand);
-        self.apply(changes);
+        let decision = self.coordinator.request(self.at(), Pool::from_id(1), demand);
+        if let Decision::Granted(grant) | Decision::Queued(grant) = decision {
+            self.ids.insert(grant, id);
+            self.grants.insert(id, grant);
+        }
+        match decision {
+            Decision::Granted(_) => self.run(id),
+            Decision::Queued(_) => (),
+            Decision::Refused(_) => self.requests[id].ended = true,
+        }
     }
 
-    fn apply(&mut self, changes: Vec<(usize, bool)>) {
-        for (id, runs) in changes {
-            if !runs {
-                self.requests[id].refused = Some(self.now);
-                self.requests[id].ended = true;
-                continue;
-            }
-            self.requests[id].granted = Some(self.now);
-            for shard in 0..self.shards.len() {
-                self.shards[shard].1.push_back(id);
-                self.start_work(shard);
-            }
+    fn apply(&mut self, changes: &Changes) {
+        for (grant, _) in &changes.refused {
+            self.requests[self.ids[grant]].ended = true;
+        }
+        for grant in &changes.granted {
+            self.run(self.ids[grant]);
+        }
+    }
+
+    fn run(&mut self, id: usize) {
+        self.requests[id].granted = self.now;
+        for shard in 0..self.shards.len() {
+            self.shards[shard].1.push_back(id);
+            self.start_work(shard);
         }
     }
 
     fn start_work(&mut self, shard: usize) {
         let slots = self.load.slots[shard];
         while self.shards[shard].0 < slots {
-            let Some(id) = self.shards[shard].1.pop_front() else {
-                return;
-            };
+            let Some(id) = self.shards[shard].1.pop_front() else { return };
             if self.requests[id].ended {
                 continue;
             }
@@ -207,28 +186,29 @@
     fn finish_work(&mut self, id: usize, shard: usize) {
         self.shards[shard].0 -= 1;
         self.start_work(shard);
-        self.gate.answer(self.at(), id, shard);
         self.requests[id].answers += 1;
-        let Request { answers, ended, granted, arrived, .. } = self.requests[id];
+        let Request { arrived, granted, answers, ended, .. } = self.requests[id];
         if !ended && answers == self.load.fewest {
             self.requests[id].covered = Some(self.now + TRIP);
-            let took = Duration::from_secs_f64(self.now - granted.unwrap_or(0.0) + TRIP);
-            let changes = self.gate.complete(self.at(), id, Outcome::Covered(took));
-            self.apply(changes);
+            let took = Duration::from_secs_f64(self.now - granted + TRIP);
+            self.complete(id, Outcome::Covered(took));
         }
-        let late = self.now > arrived + self.load.target.as_secs_f64();
-        if answers == self.shards.len() || (answers >= self.load.fewest && late) {
+        let is_late = self.now > arrived + self.load.target.as_secs_f64();
+        if answers == self.shards.len() || (answers >= self.load.fewest && is_late) {
             self.end(id);
         }
     }
 
     fn end(&mut self, id: usize) {
-        let Request { ended, covered, granted, .. } = self.requests[id];
+        let Request { ended, covered, .. } = self.requests[id];
         self.requests[id].ended = true;
-        self.gate.end(self.at(), id);
-        if !ended && covered.is_none() && granted.is_some() {
-            let changes = self.gate.complete(self.at(), id, Outcome::Ended);
-            self.apply(changes);
+        if !ended && covered.is_none() {
+            self.complete(id, Outcome::Ended);
         }
     }
+
+    fn complete(&mut self, id: usize, outcome: Outcome) {
+        let changes = self.coordinator.complete(self.at(), self.grants[&id], outcome);
+        self.apply(&changes);
+    }
 }
--- a/crates/policy/src/table.rs
+++ b/crates/policy/src/table.rs
@@ -228,11 +228,17 @@
         start: f64 = 8.0, "times the slots";
         /// Beyond this, requests only wait at the searchers, where the order of urgency is lost.
         most: f64 = 16.0, "times the slots";
-        /// The rest is for the caller's connection and the variation between searchers.
+        /// The rest is for waiting in the order of urgency, and for the caller's connection.
         early: f64 = 0.75, "of the target latency";
-        /// Several late answers in a row are needed to halve the limit, so that a single slow
-        /// searcher doesn't leave the others idle.
-        decrease: f64 = 0.1, "of the limit";
+        /// Up to this time requests hardly wait at the searchers. Where it exceeds the early part of
+        /// the target, a lower limit would leave searchers idle without making callers less late.
+        unloaded: f64 = 1.6, "times the best mean holding time";
+        /// A caller that is granted at the last moment is to be answered in time also if its
+        /// searchers take longer than usual.
+        deviations: f64 = 1.5, "mean deviations above the mean holding time";
+        /// Late answers show that fewer callers can be served at once, also where the number of
+        /// recent answers varies too much to show it.
+        least_decrease: f64 = 0.05, "of the limit";
         /// A steady load of urgent requests would otherwise leave the others without any answer.
         starvation: usize = 5, "grants, of which one goes to a less urgent request";
         /// The holding time that is expected before the first observation: callers can then wait
