--- a/crates/admission/src/controller.rs
+++ b/crates/admission/src/controller.rs
@@ -18,6 +18,9 @@
 use crate::running::{Run, Running};
 use crate::status::{Counts, Status};
 
+/// The longest target and deadline that are taken from another member.
+const LONGEST: Duration = Duration::from_hours(1);
+
 /// Decides about the requests to one pool.
 #[derive(Clone, Debug)]
 pub(crate) struct Controller {
@@ -61,8 +64,8 @@
             priority: demand.priority,
             origin: demand.origin,
             since: now,
-            target: demand.target,
-            deadline: demand.deadline,
+            target: demand.target.min(LONGEST),
+            deadline: demand.deadline.min(LONGEST),
         };
         if self.queue.is_empty() && self.running.len() < self.limit.get() {
             self.start(now, waiting);
@@ -116,12 +119,13 @@
     }
 
     fn record(&mut self, now: Instant, run: &Run, outcome: Outcome) {
+        let elapsed = now.saturating_duration_since(run.since);
         let took = match outcome {
             Outcome::Covered(took) => {
                 self.limit.record_answer(now);
-                took
+                took.min(elapsed)
             }
-            Outcome::Ended => now.saturating_duration_since(run.since),
+            Outcome::Ended => elapsed,
         };
         let is_early = took < self.holding.expected(run.target, &self.policy);
         if outcome == Outcome::Ended && is_early {
--- a/crates/admission/src/limit.rs
+++ b/crates/admission/src/limit.rs
@@ -11,6 +11,9 @@
 
 use bergamot_policy::Queue;
 
+/// The largest number of slots that is taken from another member. It bounds the memory of a pool.
+const MAX_SLOTS: usize = 4096;
+
 /// The adaptive concurrency limit of a pool.
 #[derive(Clone, Debug)]
 pub(crate) struct Limit {
@@ -26,13 +29,13 @@
 impl Limit {
     /// Creates the limit of a pool without observations.
     pub(crate) fn new(policy: Queue, slots: usize) -> Self {
-        let (slots, per_slot, answers) = (slots.max(1), policy.start, VecDeque::new());
-        Self { policy, slots, per_slot, lowered: None, answers }
+        let (slots, answers) = (slots.clamp(1, MAX_SLOTS), VecDeque::new());
+        Self { policy, slots, per_slot: policy.start, lowered: None, answers }
     }
 
     /// Sets the number of slots; the limit changes in proportion.
     pub(crate) fn set_slots(&mut self, slots: usize) {
-        self.slots = slots.max(1);
+        self.slots = slots.clamp(1, MAX_SLOTS);
     }
 
     /// Returns how many requests may run at once.
--- a/crates/admission/tests/model/mod.rs
+++ b/crates/admission/tests/model/mod.rs
@@ -6,7 +6,7 @@
 //! are exponential around their mean, with a constant half. Times are in seconds.
 
 use std::cmp::Reverse;
-use std::collections::{BinaryHeap, HashMap, VecDeque};
+use std::collections::{BinaryHeap, VecDeque};
 use std::time::{Duration, Instant};
 
 use bergamot_admission::{Changes, Coordinator, Decision, Demand, Grant, Outcome, Pool};
@@ -33,7 +33,7 @@
     pub seconds: f64,
 }
 
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Default)]
 pub struct Request {
     pub arrived: f64,
     pub priority: u32,
@@ -48,8 +48,7 @@
     Arrive,
     Tick,
     Done(usize, usize),
-    Target(usize),
-    Deadline(usize),
+    Timeout(usize),
 }
 
 pub struct Model {
@@ -58,12 +57,10 @@
     start: Instant,
     now: f64,
     draws: StdRng,
-    events: BinaryHeap<Reverse<(Duration, usize, Event)>>,
-    sequence: usize,
+    events: BinaryHeap<Reverse<(Duration, Event)>>,
     /// The occupied slots and the queue of each shard.
     shards: Vec<(usize, VecDeque<usize>)>,
-    ids: HashMap<Grant, usize>,
-    grants: HashMap<usize, Grant>,
+    /// The requests in the order of their arrival, which is that of their grants.
     pub requests: Vec<Request>,
     /// The limit at each tick.
     pub limits: Vec<usize>,
@@ -78,10 +75,7 @@
             now: 0.0,
             draws: Seed(seed).generator("model"),
             events: BinaryHeap::new(),
-            sequence: 0,
             shards: vec![(0, VecDeque::new()); load.slots.len()],
-            ids: HashMap::new(),
-            grants: HashMap::new(),
             requests: Vec::new(),
             limits: Vec::new(),
             load,
@@ -89,17 +83,21 @@
         model.schedule(0.0, Event::Arrive);
         model.schedule(0.0, Event::Tick);
         while model.now < model.load.seconds {
-            let Some(Reverse((at, _, event))) = model.events.pop() else { break };
+            let Some(Reverse((at, event))) = model.events.pop() else { break };
             model.now = at.as_secs_f64();
-            model.handle(event);
+            match event {
+                Event::Arrive => model.arrive(),
+                Event::Tick => model.tick(),
+                Event::Done(id, shard) => model.finish_work(id, shard),
+                Event::Timeout(id) => model.time_out(id),
+            }
         }
         model
     }
 
     fn schedule(&mut self, after: f64, event: Event) {
-        self.sequence += 1;
         let at = Duration::from_secs_f64(self.now + after);
-        self.events.push(Reverse((at, self.sequence, event)));
+        self.events.push(Reverse((at, event)));
     }
 
     fn exponential(&mut self) -> f64 {
@@ -110,20 +108,11 @@
         self.start + Duration::from_secs_f64(self.now)
     }
 
-    fn handle(&mut self, event: Event) {
-        match event {
-            Event::Arrive => self.arrive(),
-            Event::Tick => {
-                let changes = self.coordinator.expire(self.at());
-                self.apply(&changes);
-                self.limits.extend(self.coordinator.status().iter().map(|pool| pool.limit));
-                self.schedule(0.01, Event::Tick);
-            }
-            Event::Done(id, shard) => self.finish_work(id, shard),
-            Event::Target(id) if self.requests[id].covered.is_some() => self.end(id),
-            Event::Target(_) => (),
-            Event::Deadline(id) => self.end(id),
-        }
+    fn tick(&mut self) {
+        let changes = self.coordinator.expire(self.at());
+        self.apply(&changes);
+        self.limits.extend(self.coordinator.status().iter().map(|pool| pool.limit));
+        self.schedule(0.01, Event::Tick);
     }
 
     fn arrive(&mut self) {
@@ -131,21 +120,14 @@
         self.schedule(gap, Event::Arrive);
         let (id, arrived, target) = (self.requests.len(), self.now, self.load.target);
         let priority = u32::from(self.draws.random::<f64>() >= self.load.urgent);
-        let (covered, granted, answers, ended) = (None, arrived, 0, false);
-        self.requests.push(Request { arrived, priority, covered, granted, answers, ended });
-        self.schedule(target.as_secs_f64(), Event::Target(id));
-        self.schedule(target.as_secs_f64() * 4.0, Event::Deadline(id));
+        self.requests.push(Request { arrived, priority, ..Request::default() });
+        self.schedule(target.as_secs_f64(), Event::Timeout(id));
         let mut slots = self.load.slots.clone();
         slots.sort_unstable();
         let slots = slots[slots.len() - self.load.fewest];
         let origin = ["a", "b", "c"][self.draws.random_range(0..3)].into();
         let demand = Demand { priority, origin, target, deadline: target * 4, slots };
-        let decision = self.coordinator.request(self.at(), Pool::from_id(1), demand);
-        if let Decision::Granted(grant) | Decision::Queued(grant) = decision {
-            self.ids.insert(grant, id);
-            self.grants.insert(id, grant);
-        }
-        match decision {
+        match self.coordinator.request(self.at(), Pool::from_id(1), demand) {
             Decision::Granted(_) => self.run(id),
             Decision::Queued(_) => (),
             Decision::Refused(_) => self.requests[id].ended = true,
@@ -154,10 +136,10 @@
 
     fn apply(&mut self, changes: &Changes) {
         for (grant, _) in &changes.refused {
-            self.requests[self.ids[grant]].ended = true;
+            self.requests[grant.0 as usize].ended = true;
         }
         for grant in &changes.granted {
-            self.run(self.ids[grant]);
+            self.run(grant.0 as usize);
         }
     }
 
@@ -199,6 +181,17 @@
         }
     }
 
+    /// Ends a request at its target if it is covered, and at four times its target in any case.
+    fn time_out(&mut self, id: usize) {
+        let (target, Request { arrived, covered, .. }) =
+            (self.load.target.as_secs_f64(), self.requests[id]);
+        if covered.is_some() || self.now > arrived + target * 3.0 {
+            self.end(id);
+        } else {
+            self.schedule(target * 3.0, Event::Timeout(id));
+        }
+    }
+
     fn end(&mut self, id: usize) {
         let Request { ended, covered, .. } = self.requests[id];
         self.requests[id].ended = true;
@@ -208,7 +201,7 @@
     }
 
     fn complete(&mut self, id: usize, outcome: Outcome) {
-        let changes = self.coordinator.complete(self.at(), self.grants[&id], outcome);
+        let changes = self.coordinator.complete(self.at(), Grant(id as u64), outcome);
         self.apply(&changes);
     }
 }
