Latency estimators take over reported delays, and decide what to report

`LatencyEstimator::set_reported_delay` stores the latency that a member near the searcher has measured. It replaces the mean in `delay` and `estimate` for 5 s or until this member has an answer of its own; it doesn't decay, and own samples of the last second aren't undercut. `LoadReport` decides for each searcher whether a reply reports on it: while it is slow, and for 5 s afterwards. Policy group `report` holds the parameters; if it is off, nothing is reported and nothing that was reported is used.

--- a/crates/dispatch/src/latency.rs
+++ b/crates/dispatch/src/latency.rs
@@ -6,12 +6,18 @@
 //! latency, so that a searcher that was slow is tried again after several seconds. Invariant: an
 //! answer after a long time without any has nearly all the weight, and one within a busy second has
 //! an eighth, so that neither a single outlier nor outdated samples dominate.
+//!
+//! A member near the searcher may report its latency there. Until this member has a newer answer,
+//! the report replaces the mean and doesn't decay, so that only the members near a slow searcher
+//! try it again, whatever the number of members. Invariant: a report never makes the searcher look
+//! better than this member's own samples of the last second do.
 
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use bergamot_policy::Policy;
 
+use crate::load_report::{Measured, Slowness};
 use crate::stalls::{StallHistory, StallPeriod};
 
 /// The minimum weight of a new sample.
@@ -51,6 +57,9 @@
     stalls: StallHistory,
     /// The stall that another member has predicted.
     reported_stall: Option<(Instant, Instant)>,
+    slowness: Slowness,
+    /// The latency that another member has reported, in milliseconds, and when it was received.
+    reported_delay: Option<(f64, Instant)>,
 }
 
 impl LatencyEstimator {
@@ -70,6 +79,8 @@
             stall_period,
             stalls: StallHistory::default(),
             reported_stall: None,
+            slowness: Slowness::default(),
+            reported_delay: None,
         }
     }
 
@@ -93,6 +104,7 @@
         self.best = if self.last_sample.is_none() { took } else { self.best.min(took) };
         self.best += (took - self.best) * BEST_DRIFT;
         self.update_mean(took, now);
+        self.update_slowness(sent, took, now);
         self.update_failure_rate(0.0, now);
     }
 
@@ -104,6 +116,7 @@
         let took = millis(now.saturating_duration_since(sent));
         if took > self.mean(now) {
             self.update_mean(took, now);
+            self.update_slowness(sent, took, now + self.policy.report.pause);
         }
     }
 
@@ -119,7 +132,7 @@
 
     /// Estimates the latency of another request, in milliseconds.
     pub fn delay(&self, now: Instant, slots: usize) -> f64 {
-        let mean = self.mean(now);
+        let mean = self.reported_or_mean(now);
         let oldest = self.in_flight.iter().min().map_or(0.0, |sent| millis(now - *sent));
         let policy = self.policy.overdue;
         let overdue = if policy.on && oldest > mean * policy.factor { oldest } else { 0.0 };
@@ -149,6 +162,41 @@
         self.reported_stall = Some((begin, end));
     }
 
+    /// Sets the latency that a member near the searcher has reported, as seen from this member.
+    pub fn set_reported_delay(&mut self, now: Instant, delay: Duration) {
+        self.reported_delay = Some((millis(delay), now));
+    }
+
+    /// Returns the reported latency that is in force, in milliseconds, and when it was received.
+    pub fn reported_delay(&self, now: Instant) -> Option<(f64, Instant)> {
+        let policy = self.policy.report;
+        let is_in_force = |received: Instant| {
+            // An abandoned request says only that the answer would have taken longer.
+            let is_newest = self.last_answer.is_none_or(|last| last <= received);
+            policy.on && is_newest && now.saturating_duration_since(received) < policy.valid
+        };
+        self.reported_delay.filter(|(_, received)| is_in_force(*received))
+    }
+
+    /// Returns the latencies that this member has measured, to report them to another member.
+    pub fn measured(&self, now: Instant) -> Option<Measured> {
+        self.last_sample?;
+        let (decayed, is_slow) = (self.mean(now), self.slowness.is_slow());
+        Some(Measured { mean: self.mean, decayed, best: self.best, is_slow })
+    }
+
+    /// Returns the reported latency if it is in force, and the mean of the own samples otherwise.
+    fn reported_or_mean(&self, now: Instant) -> f64 {
+        let mean = self.mean(now);
+        let Some((reported, _)) = self.reported_delay(now) else {
+            return mean;
+        };
+        let own = self.policy.report.own;
+        let is_recent =
+            self.last_sample.is_some_and(|last| now.saturating_duration_since(last) < own);
+        if is_recent { reported.max(mean) } else { reported }
+    }
+
     /// Updates the stall history after an answer, which may have ended a stall.
     fn update_stalls_on_answer(&mut self, sent: Instant, now: Instant) {
         let policy = self.policy.foresight;
@@ -228,6 +276,12 @@
         self.last_sample = Some(now);
     }
 
+    /// Updates whether the searcher is slow, after the mean was updated.
+    fn update_slowness(&mut self, sent: Instant, took: f64, pause_end: Instant) {
+        let most = self.best * self.policy.report.slow;
+        self.slowness.record(sent, pause_end, took > most, self.mean > most);
+    }
+
     fn update_failure_rate(&mut self, failure: f64, now: Instant) {
         let before = self.failure_rate(now);
         self.failure_rate = before + (failure - before) * MIN_WEIGHT * 2.0;
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -2,8 +2,9 @@
 //! and when to answer.
 //!
 //! This crate is free of I/O: times and events are passed in and decisions are returned, so that
-//! tests need no sockets. [`LatencyEstimator`] estimates the latency of a searcher, and [`best()`]
-//! chooses among the searchers. [`RetryBudget`] bounds the additional attempts of the whole fleet without
+//! tests need no sockets. [`LatencyEstimator`] estimates the latency of a searcher, [`LoadReport`]
+//! decides when to report it to other members, and [`best()`] chooses among the searchers.
+//! [`RetryBudget`] bounds the additional attempts of the whole fleet without
 //! messages between its members. [`ZoneRoundTrips`] tracks the round-trip times to other zones, and
 //! [`CallerDeadlines`] and [`CallerRoundTrip`] estimate how much of a caller's latency is spent
 //! elsewhere.
@@ -16,6 +17,7 @@
 mod caller_overhead;
 mod ending;
 mod latency;
+mod load_report;
 mod rank;
 mod record;
 mod retry_budget;
@@ -29,6 +31,7 @@
 pub use caller_overhead::{CallerDeadlines, CallerRoundTrip, Spent};
 pub use ending::Ending;
 pub use latency::{Estimate, LatencyEstimator};
+pub use load_report::{LoadReport, Measured};
 pub use rank::{Candidate, Distance, best};
 pub use record::{RECORD_LEN, may_be_incomplete, merge_top_k, sufficient_records};
 pub use retry_budget::{AttemptPriority, RetryBudget, RetryBudgetLimits};
--- a/crates/dispatch/src/rank.rs
+++ b/crates/dispatch/src/rank.rs
@@ -33,12 +33,17 @@
     /// Returns the initial latency estimate of a searcher without observations: 10 ms of work plus
     /// the round-trip time, or if that is unknown, 3 ms between zones and 16 ms between regions.
     pub fn initial_latency(self, round_trip: Option<Duration>) -> Duration {
+        Duration::from_millis(10) + self.round_trip(round_trip)
+    }
+
+    /// Returns the measured round-trip time, or if that is unknown, the assumed one.
+    pub fn round_trip(self, measured: Option<Duration>) -> Duration {
         let assumed = Duration::from_millis(match self {
             Self::Zone => 0,
             Self::Region => 3,
             Self::Far => 16,
         });
-        Duration::from_millis(10) + round_trip.unwrap_or(assumed)
+        measured.unwrap_or(assumed)
     }
 }
 
--- a/crates/policy/src/table.rs
+++ b/crates/policy/src/table.rs
@@ -225,7 +225,21 @@
 
     /// Takes over the latencies of searchers that the member near them reports with its reply. If
     /// off, a member estimates the latency of a searcher from its own requests alone.
-    report: Report {}
+    report: Report {
+        /// Answers vary by less than this around their usual latency, so that nothing is reported
+        /// while there are enough searchers.
+        slow: f64 = 2.0, "times the best latency";
+        /// Searchers pause for several hundred milliseconds: an abandoned request shows nothing else
+        /// before.
+        pause: Duration = ms(500), "ms after an abandoned request";
+        /// Below this, the member that reports a searcher tries it again itself.
+        again: f64 = 1.1, "times the best latency";
+        /// Callers wait for a few seconds at most: an older report describes other requests.
+        valid: Duration = ms(5000), "ms after it was received";
+        /// Samples of the last second reflect the current load of a searcher as well as a report
+        /// does, and are this member's own.
+        own: Duration = ms(1000), "ms during which own samples count beside a report";
+    }
 
     /// Leaves out shards that can't answer in time before they are asked, as far as the required
     /// coverage allows. If off, all shards are asked.
