Replies between members report slow searchers

`gather_reporting` is appended to the RPCs of members, which now announce protocol 2. Its reply carries the delays of slow searchers, and of those that recovered within 5 s, that are in the region of the replying member. The sender adds its round trip to the searcher's zone and stores them in the estimators, which decide the choice of the searcher, the location to which a shard is delegated, and admission. Members that announce an earlier protocol are asked as before, and so are all if `report` is off. `bergamotctl dump` shows a report in force and its age; `bergamot_relay_reported_delays_total` counts them.

The bytes of the RPCs of protocol 1 are now checked as those of protocol 0 were. They were derived from the earlier ones by hand, not recorded from a member of that release.

With two relays, the sender's second request goes to the searcher in another region; with the stored delay ignored, it goes to the slow one. Not run: fleets, and reported delays over a connection.

--- a/crates/front/src/member.rs
+++ b/crates/front/src/member.rs
@@ -12,8 +12,8 @@
 use bergamot_registry::Incarnation;
 use bergamot_relay::{CallError, Helping, MemberFuture, Relay};
 use bergamot_wire::{
-    Channels, Item, Late, Member, MemberClient, News, NewsQuery, ShardQuery, ShardReply,
-    run_requests, serve_requests, transport,
+    Channels, Item, Late, Member, MemberClient, News, NewsQuery, ReportingReply, ShardQuery,
+    ShardReply, run_requests, serve_requests, transport,
 };
 use tarpc::client::RpcError;
 use tarpc::context::Context;
@@ -59,6 +59,15 @@
         self.relay.answer_shard_query(query, Residency::within(regions)).await
     }
 
+    async fn gather_reporting(
+        self,
+        _context: Context,
+        query: ShardQuery,
+        regions: Vec<Name>,
+    ) -> ReportingReply {
+        self.relay.answer_reporting_query(query, Residency::within(regions)).await
+    }
+
     async fn permits(
         self,
         _context: Context,
@@ -113,6 +122,7 @@
     let (for_gather, for_rest) = (Arc::clone(channels), Arc::clone(channels));
     let (for_records, for_grant) = (Arc::clone(channels), Arc::clone(channels));
     let (for_permits, for_disconnect) = (Arc::clone(channels), Arc::clone(channels));
+    let for_reports = Arc::clone(channels);
     Helping {
         gather: Box::new(move |ip, query, residency, deadline| {
             call(&for_gather, (ip, port), deadline, |client, context| async move {
@@ -123,6 +133,11 @@
                 }
             })
         }),
+        gather_reporting: Box::new(move |ip, query, residency, deadline| {
+            call(&for_reports, (ip, port), deadline, |client, context| async move {
+                client.gather_reporting(context, query, residency.regions().to_vec()).await
+            })
+        }),
         rest: Box::new(move |ip, token, deadline| {
             call(&for_rest, (ip, port), deadline, move |client, context| async move {
                 client.rest(context, token).await
--- a/crates/relay/src/delegate.rs
+++ b/crates/relay/src/delegate.rs
@@ -14,7 +14,7 @@
 use bergamot_declaration::Residency;
 use bergamot_quarantine::Fingerprint;
 use bergamot_registry::Incarnation;
-use bergamot_wire::{Late, ShardQuery, ShardReply};
+use bergamot_wire::{Late, ReportingReply, ShardQuery, ShardReply};
 use futures::future::BoxFuture;
 use snafu::Snafu;
 
@@ -45,8 +45,8 @@
 pub type TokenCall<T> = Box<dyn Fn(Ipv4Addr, u64, Instant) -> MemberFuture<T> + Send + Sync>;
 
 /// Queries a member for shards of a request that may be processed in some regions, with a deadline.
-pub type GatherCall =
-    Box<dyn Fn(Ipv4Addr, ShardQuery, Residency, Instant) -> MemberFuture<ShardReply> + Send + Sync>;
+pub type GatherCall<T = ShardReply> =
+    Box<dyn Fn(Ipv4Addr, ShardQuery, Residency, Instant) -> MemberFuture<T> + Send + Sync>;
 
 /// Requests permits for cold searchers from a member, with a deadline.
 pub type PermitCall =
@@ -56,6 +56,8 @@
 pub struct Helping {
     /// Queries a member for shards.
     pub gather: GatherCall,
+    /// Queries a member for shards, if it reports on slow searchers with its replies.
+    pub gather_reporting: GatherCall<ReportingReply>,
     /// Fetches shards that arrived at a member after its reply, with a deadline.
     pub rest: TokenCall<Vec<Late>>,
     /// Fetches the records that a member left out of its reply, with a deadline.
@@ -123,7 +125,7 @@
     relay.with_delegates(|delegates| delegates.estimator(ip).record_send(sent));
     let mut pending = PendingQuery { relay, ip, sent, overdue_at, answered: false };
     let residency = job.constraints.residency.clone();
-    let call = (relay.helping().gather)(ip, query, residency, deadline);
+    let call = call_member(relay, ip, query, residency, deadline);
     let result = tokio::time::timeout_at(deadline.into(), call).await;
     let result =
         result.unwrap_or_else(|elapsed| Err(CallError::NoReply { cause: elapsed.to_string() }));
@@ -131,6 +133,24 @@
     result
 }
 
+/// Calls a member for some shards and applies what its reply reports.
+async fn call_member(
+    relay: &Relay,
+    ip: Ipv4Addr,
+    query: ShardQuery,
+    residency: Residency,
+    deadline: Instant,
+) -> Result<ShardReply, CallError> {
+    if !relay.with_delegates(|delegates| delegates.reports(ip)) {
+        return (relay.helping().gather)(ip, query, residency, deadline).await;
+    }
+    let shards = query.shards.clone();
+    let call = (relay.helping().gather_reporting)(ip, query, residency, deadline);
+    let ReportingReply { reply, delays } = call.await?;
+    relay.apply_reported_delays(&shards, &delays);
+    Ok(reply)
+}
+
 /// Creates the query for some shards; the member replies within a time.
 pub(crate) fn build_query(
     job: &Job,
--- a/crates/relay/src/delegates.rs
+++ b/crates/relay/src/delegates.rs
@@ -35,6 +35,9 @@
 /// The first version of the RPCs between members that carries the regions of a request.
 const RESIDENCY_PROTOCOL: u32 = 1;
 
+/// The first version of the RPCs between members whose replies report on slow searchers.
+const REPORT_PROTOCOL: u32 = 2;
+
 impl DelegateMember {
     /// Returns whether the member may make attempts for a request on these terms.
     fn accepts(&self, residency: &Residency) -> bool {
@@ -97,6 +100,13 @@
         ranked.into_iter().map(|(_, member)| member).collect()
     }
 
+    /// Returns whether a member reports on slow searchers with its replies.
+    pub(crate) fn reports(&self, ip: Ipv4Addr) -> bool {
+        let serves =
+            |member: &DelegateMember| member.ip == ip && member.protocol >= REPORT_PROTOCOL;
+        self.policy.report.on && self.known.iter().any(serves)
+    }
+
     /// Records by how much a reply was late that had to be sent.
     pub(crate) fn record_lateness(&mut self, late: Duration) {
         self.lateness.record(late);
--- a/crates/relay/src/link.rs
+++ b/crates/relay/src/link.rs
@@ -5,7 +5,7 @@
 use std::time::Instant;
 
 use bergamot_base::{Name, hash_bytes};
-use bergamot_dispatch::{Candidate, Distance, Estimate, LatencyEstimator, StallPeriod};
+use bergamot_dispatch::{Candidate, Distance, Estimate, LatencyEstimator, LoadReport, StallPeriod};
 use bergamot_policy::Policy;
 use bergamot_registry::Upstream;
 use bergamot_upstream::Pool;
@@ -27,6 +27,7 @@
     /// A hash that identifies the incarnation within its shard, in messages to other members.
     short_hash: u32,
     estimator: Mutex<LatencyEstimator>,
+    load_report: Mutex<LoadReport>,
     /// When a connection was last opened in advance.
     last_prewarm: Mutex<Option<Instant>>,
     /// Whether the searcher's address was found not to be listening.
@@ -55,7 +56,7 @@
             Arc::clone(&policy),
             stall_period,
         ));
-        let last_prewarm = Mutex::default();
+        let (load_report, last_prewarm) = (Mutex::default(), Mutex::default());
         let ended = AtomicBool::new(false);
         let short_hash = hash_bytes(upstream.incarnation.to_string().as_bytes()) as u32;
         Arc::new(Self {
@@ -65,6 +66,7 @@
             policy,
             short_hash,
             estimator,
+            load_report,
             last_prewarm,
             ended,
         })
@@ -117,6 +119,13 @@
         self.estimator().estimate(now, self.upstream.slots, cold)
     }
 
+    /// Returns the latency to report in a reply to another member, in milliseconds, if any.
+    pub(crate) fn delay_to_report(&self, now: Instant) -> Option<f64> {
+        let measured = self.estimator().measured(now)?;
+        let mut report = self.load_report.lock().unwrap_or_else(PoisonError::into_inner);
+        report.delay(now, measured, &self.policy.report)
+    }
+
     /// Returns the searcher as a candidate for the choice within its service, given its expected
     /// latency in milliseconds.
     pub(crate) fn candidate(
--- a/crates/relay/src/meter.rs
+++ b/crates/relay/src/meter.rs
@@ -90,6 +90,7 @@
     pub(crate) quarantine: IntCounterVec,
     pub(crate) withheld: IntCounterVec,
     pub(crate) permits: IntCounterVec,
+    reports: IntCounterVec,
     pub(crate) denied_attempts: IntCounter,
     pub(crate) missing_parts: IntCounter,
     pub(crate) records_lacking: IntCounter,
@@ -144,6 +145,11 @@
                 "Requests to this member for permits for cold searchers, by result.",
                 &["result"],
             ),
+            reports: counters(
+                "bergamot_relay_reported_delays_total",
+                "Latencies of searchers in replies between members, by direction.",
+                &["way"],
+            ),
             denied_attempts: counter(
                 "bergamot_relay_denied_total",
                 "Additional attempts that the bound did not allow.",
@@ -203,6 +209,13 @@
         }
     }
 
+    /// Counts the latencies of searchers in a reply, `sent` or `received`.
+    pub(crate) fn count_reports(&self, way: &str, count: usize) {
+        if count > 0 {
+            self.reports.with_label_values(&[way]).inc_by(count as u64);
+        }
+    }
+
     /// Counts a request by its outcome and records its duration.
     pub(crate) fn count_request(&self, route: &str, reply: &Reply, took: Duration) {
         self.requests.with_label_values(&[route, outcome(reply)]).inc();
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -15,11 +15,12 @@
 use bergamot_placement::{Constraints, WithheldCounts};
 use bergamot_quarantine::Quarantine;
 use bergamot_registry::{Registry, Upstream};
-use bergamot_wire::{Late, ShardQuery, ShardReply};
+use bergamot_wire::{Late, ReportingReply, ShardQuery, ShardReply};
 
 use crate::delegate::Helping;
 use crate::delegates::{DelegateMember, DelegateMembers};
 use crate::dialect::Dialect;
+use crate::link::SearcherLink;
 use crate::meter::Meter;
 use crate::monitor::Monitor;
 use crate::settings::Settings;
@@ -127,6 +128,18 @@
         shard_query::answer(self, query, Constraints::new(residency)).await
     }
 
+    /// Answers a shard query of another member like [`Relay::answer_shard_query`], and reports the
+    /// slow searchers near this member.
+    pub async fn answer_reporting_query(
+        self: &Arc<Self>,
+        query: ShardQuery,
+        residency: Residency,
+    ) -> ReportingReply {
+        let shards = query.shards.clone();
+        let reply = self.answer_shard_query(query, residency).await;
+        ReportingReply { reply, delays: self.delays_to_report(&shards) }
+    }
+
     /// Returns to a member the next shards of its earlier query.
     pub async fn next_late_shards(self: &Arc<Self>, token: u64) -> Vec<Late> {
         shard_query::next_late(self, token).await
@@ -180,7 +193,10 @@
                     let estimate = link.estimate(upstream.is_cold(now), now);
                     let expected = link.candidate(false, estimate.expected).expected;
                     let (open, share, idle) = (usage.open, usage.share, usage.idle);
-                    format!("connections {open}/{share} idle {idle} expected_ms {expected:.1}")
+                    let report = describe_report(link, now);
+                    format!(
+                        "connections {open}/{share} idle {idle} expected_ms {expected:.1}{report}"
+                    )
                 },
             );
             let Upstream { incarnation, service, address, zone, state, .. } = &**upstream;
@@ -535,3 +551,12 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
+
+/// Formats the reported latency of a searcher that is in force, if there is one.
+fn describe_report(link: &SearcherLink, now: Instant) -> String {
+    let report = link.estimator().reported_delay(now);
+    report.map_or_else(String::new, |(delay, received)| {
+        let age = now.saturating_duration_since(received).as_millis();
+        format!(" reported_ms {delay:.1} age_ms {age}")
+    })
+}
--- a/crates/relay/src/searchers.rs
+++ b/crates/relay/src/searchers.rs
@@ -10,7 +10,7 @@
 use bergamot_registry::{Incarnation, Upstream};
 use bergamot_scatter::fund_attempts;
 use bergamot_upstream::LatencyPercentile;
-use bergamot_wire::QuietPeriod;
+use bergamot_wire::{QuietPeriod, ReportedDelay};
 
 use crate::link::SearcherLink;
 use crate::relay::Relay;
@@ -71,6 +71,41 @@
         }
     }
 
+    /// Returns the delays to report of the searchers near this member.
+    pub(crate) fn delays_to_report(&self, shards: &[Name]) -> Vec<ReportedDelay> {
+        let now = Instant::now();
+        let state = self.lock();
+        let mut delays = Vec::new();
+        for (index, shard) in shards.iter().enumerate() {
+            for link in state.usable_links(shard).filter(|link| link.distance != Distance::Far) {
+                let Some(delay) = link.delay_to_report(now) else { continue };
+                let (index, searcher) = (index as u32, link.short_hash());
+                // The conversion saturates.
+                delays.push(ReportedDelay { index, searcher, delay_ms: delay.ceil() as u16 });
+            }
+        }
+        self.meter.count_reports("sent", delays.len());
+        delays
+    }
+
+    /// Applies the delays of searchers of some shards that were reported by a member near them.
+    pub(crate) fn apply_reported_delays(&self, shards: &[Name], delays: &[ReportedDelay]) {
+        let now = Instant::now();
+        let state = self.lock();
+        let mut applied = 0;
+        for delay in delays {
+            let Some(shard) = shards.get(delay.index as usize) else { continue };
+            let reported = |link: &&Arc<SearcherLink>| link.short_hash() == delay.searcher;
+            let Some(link) = state.usable_links(shard).find(reported) else { continue };
+            let measured = self.monitor.round_trip(&link.upstream.zone);
+            let there = Duration::from_millis(u64::from(delay.delay_ms));
+            let here = there + link.distance.round_trip(measured);
+            link.estimator().set_reported_delay(now, here);
+            applied += 1;
+        }
+        self.meter.count_reports("received", applied);
+    }
+
     /// Records the latency of a successful attempt for a route.
     pub(crate) fn record_latency(&self, route: &Name, took: Duration) {
         let percentile = self.settings.policy.hedge.percentile;
--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -124,6 +124,7 @@
     Helping {
         disconnect: Box::new(|_| ()),
         gather: Box::new(|_, _, _, _| Box::pin(async { Err(absent()) })),
+        gather_reporting: Box::new(|_, _, _, _| Box::pin(async { Err(absent()) })),
         rest: Box::new(|_, _, _| Box::pin(async { Err(absent()) })),
         records: Box::new(|_, _, _| Box::pin(async { Err(absent()) })),
         permits: Box::new(|_, _, _, _| Box::pin(async { Err(absent()) })),
@@ -133,7 +134,7 @@
 
 /// A relay that treats a gap of 600 ms between two ticks as a pause.
 pub fn relay_with_short_pause(routes: Vec<Route>, upstreams: Vec<Upstream>) -> Arc<Relay> {
-    let settings = Settings { pause_threshold: Duration::from_millis(600), ..Settings::default() };
+    let settings = Settings { pause_threshold: Duration::from_millis(600), ..here() };
     relay_with(&settings, no_members(), routes, upstreams)
 }
 
@@ -143,7 +144,17 @@
     routes: Vec<Route>,
     upstreams: Vec<Upstream>,
 ) -> Arc<Relay> {
-    relay_with(&Settings::default(), helping, routes, upstreams)
+    relay_with(&here(), helping, routes, upstreams)
+}
+
+/// A relay in a zone that is its own region, without other members.
+pub fn relay_in(zone: &str, routes: Vec<Route>, upstreams: Vec<Upstream>) -> Arc<Relay> {
+    let settings = Settings { zone: zone.into(), ..Settings::default() };
+    relay_with(&settings, no_members(), routes, upstreams)
+}
+
+fn here() -> Settings {
+    Settings { zone: "here".into(), ..Settings::default() }
 }
 
 fn relay_with(
@@ -157,8 +168,7 @@
         RetryBudgetLimits { ratio: 0.2, slack: 56.0, window: Duration::from_secs(10) };
     let zones = ["here", "west", "east"];
     let regions = zones.iter().map(|zone| (Name::from(*zone), Name::from(*zone))).collect();
-    let settings =
-        Settings { zone: "here".into(), regions, retry_budget_limits, ..settings.clone() };
+    let settings = Settings { regions, retry_budget_limits, ..settings.clone() };
     let relay = Relay::new(settings, DIALECT, helping);
     let services = routes.iter().flat_map(|route| route.target.services());
     let services = services
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -15,7 +15,7 @@
 pub use datagram::{DecodeError, MAX_DATAGRAM_LEN, decode, encode};
 pub use member::{
     Item, Late, MEMBER_PROTOCOL, Manifest, Member, MemberClient, MemberRequest, News, NewsQuery,
-    QuietPeriod, Rank, ShardOutcome, ShardQuery, ShardReply, Value,
+    QuietPeriod, Rank, ReportedDelay, ReportingReply, ShardOutcome, ShardQuery, ShardReply, Value,
 };
 pub use rpc::{
     Entry, EntryClient, EntryRequest, EntryResponse, Gather, GatherClient, GatherRequest,
--- a/crates/wire/src/member.rs
+++ b/crates/wire/src/member.rs
@@ -13,7 +13,7 @@
 ///
 /// RPCs are encoded by their order, so new ones are appended, and are sent only to members that
 /// announce a version that serves them.
-pub const MEMBER_PROTOCOL: u32 = 1;
+pub const MEMBER_PROTOCOL: u32 = 2;
 
 /// A caller's request to some shards, delegated to another member.
 ///
@@ -86,6 +86,26 @@
     pub quiet: Vec<QuietPeriod>,
 }
 
+/// The latency of a searcher that is slow, or was reported as slow a few seconds ago.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ReportedDelay {
+    /// The index of the searcher's shard in the query.
+    pub index: u32,
+    /// The hash of the searcher's incarnation, truncated to 32 bits.
+    pub searcher: u32,
+    /// The latency measured by the member that replies, in milliseconds.
+    pub delay_ms: u16,
+}
+
+/// A [`ShardReply`] with the latencies of slow searchers near the member that replies.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ReportingReply {
+    /// The reply.
+    pub reply: ShardReply,
+    /// The latencies; empty while there are enough searchers.
+    pub delays: Vec<ReportedDelay>,
+}
+
 /// The answer of a shard that arrived after the [`ShardReply`] was sent.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Late {
@@ -238,4 +258,7 @@
     /// Issues permits to send one request to each of these cold searchers, as far as there are any
     /// left, or none if `needed` of them cannot be had. Served from version 1 of the RPCs on.
     async fn permits(searchers: Vec<Incarnation>, needed: u32) -> Vec<bool>;
+    /// Like [`Member::gather`], with a report on slow searchers, for a request that may be processed
+    /// only in these regions, or in all if there are none. Served from version 2 of the RPCs on.
+    async fn gather_reporting(query: ShardQuery, regions: Vec<Name>) -> ReportingReply;
 }
--- a/crates/wire/tests/compatibility.rs
+++ b/crates/wire/tests/compatibility.rs
@@ -1,7 +1,7 @@
 //! Messages between members of two releases.
 //!
 //! `fixtures/protocol-0.txt` holds messages as encoded by the last release whose members announce
-//! no version of their RPCs, in hexadecimal.
+//! no version of their RPCs, in hexadecimal; `fixtures/protocol-1.txt` the RPCs that version 1 adds.
 
 use std::collections::BTreeMap;
 use std::net::{Ipv4Addr, SocketAddr};
@@ -10,13 +10,18 @@
 
 use bergamot_base::Position;
 use bergamot_members::{Datagram, Digest, Endpoint, Kind, Record, Role, Rumour, State, View};
+use bergamot_registry::Incarnation;
 use bergamot_wire::{MEMBER_PROTOCOL, MemberRequest, NewsQuery, ShardQuery, decode, encode};
 use ciborium::Value;
 use tarpc::tokio_serde::Serializer;
 use tarpc::tokio_serde::formats::Bincode;
 
 fn fixtures() -> BTreeMap<&'static str, Vec<u8>> {
-    let lines = include_str!("fixtures/protocol-0.txt").lines();
+    parse(include_str!("fixtures/protocol-0.txt"))
+}
+
+fn parse(text: &'static str) -> BTreeMap<&'static str, Vec<u8>> {
+    let lines = text.lines();
     lines.filter_map(|line| line.split_once(' ')).map(|(name, hex)| (name, bytes(hex))).collect()
 }
 
@@ -80,10 +85,8 @@
     assert_eq!(bytes, fixtures()["datagram"]);
 }
 
-/// RPCs are encoded by position, so one that is inserted or extended would be taken for another.
-#[test]
-fn requests_of_the_former_release_are_encoded_as_before() {
-    let query = ShardQuery {
+fn shard_query() -> ShardQuery {
+    ShardQuery {
         id: b"9c41".to_vec(),
         method: "GET".to_owned(),
         uri: "/q/".to_owned(),
@@ -94,7 +97,12 @@
         enough: 3,
         answer_within: Duration::from_millis(50),
         deadline: Duration::from_secs(1),
-    };
+    }
+}
+
+/// RPCs are encoded by position, so one that is inserted or extended would be taken for another.
+#[test]
+fn requests_of_the_former_release_are_encoded_as_before() {
     let position = |revision| Position { era: 1, revision };
     let news = NewsQuery {
         after: position(5),
@@ -103,7 +111,7 @@
         wait: Duration::from_secs(1),
     };
     let requests = [
-        ("gather", MemberRequest::Gather { query }),
+        ("gather", MemberRequest::Gather { query: shard_query() }),
         ("rest", MemberRequest::Rest { token: 7 }),
         ("records", MemberRequest::Records { token: 8 }),
         ("news", MemberRequest::News { query: news }),
@@ -115,6 +123,18 @@
     }
 }
 
+/// Guards against an RPC of version 2 that is inserted before those of version 1.
+#[test]
+fn requests_of_version_1_are_encoded_as_before() {
+    let fixtures = parse(include_str!("fixtures/protocol-1.txt"));
+    let within = MemberRequest::GatherWithin { query: shard_query(), regions: vec!["yxs".into()] };
+    let searchers = vec![Incarnation { id: "a".into(), start_time_ms: None }];
+    let permits = MemberRequest::Permits { searchers, needed: 1 };
+    for (name, request) in [("gather_within", within), ("permits", permits)] {
+        assert_eq!(encode_request(&request), fixtures[name], "{name}");
+    }
+}
+
 /// A member of the former release passes on records without the version of the RPCs.
 #[test]
 fn the_announced_version_outlasts_a_record_without_it() {
