--- a/crates/wire/src/member.rs
+++ b/crates/wire/src/member.rs
@@ -86,6 +86,26 @@
     pub quiet: Vec<QuietPeriod>,
 }
 
+/// The latency of a searcher that is slow, or was reported as slow a few seconds ago.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ReportedDelay {
+    /// The index of the searcher's shard in the query.
+    pub index: u32,
+    /// The hash of the searcher's incarnation, truncated to 32 bits.
+    pub searcher: u32,
+    /// The latency measured by the member that replies, in milliseconds.
+    pub delay_ms: u16,
+}
+
+/// A [`ShardReply`] with the latencies of slow searchers near the member that replies.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ReportingReply {
+    /// The reply.
+    pub reply: ShardReply,
+    /// The latencies; empty while there are enough searchers.
+    pub delays: Vec<ReportedDelay>,
+}
+
 /// The answer of a shard that arrived after the [`ShardReply`] was sent.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Late {
@@ -284,4 +304,7 @@
     /// Ends a grant: the required coverage was reached this long after it, or there was no answer.
     /// Served from version 2 of the RPCs on.
     async fn complete(grant: u64, covered: Option<Duration>);
+    /// Like [`Member::gather`], with a report on slow searchers, for a request that may be processed
+    /// only in these regions, or in all if there are none. Served from version 2 of the RPCs on.
+    async fn gather_reporting(query: ShardQuery, regions: Vec<Name>) -> ReportingReply;
 }
