The best holding time doesn't adapt to a long shortage, and counts outlast their pools

Cause: in a shortage of two minutes, the best mean holding time rose towards the mean with its queues at the searchers, so the limit rose until little time was left to wait in the order of urgency. The counts by priority, which metrics show, were lost with a pool that was idle for 10 s.

Change: the best mean rises with a time constant of ten minutes instead of one. `Coordinator::counts` returns the counts of all pools, including those that were removed.

--- a/crates/admission/src/controller.rs
+++ b/crates/admission/src/controller.rs
@@ -114,10 +114,15 @@
             limit: self.limit.get(),
             holding: self.holding.mean(),
             bookings: self.bookings.len(),
-            counts: self.counts.iter().map(|(priority, counts)| (*priority, *counts)).collect(),
+            counts: self.counts().collect(),
         }
     }
 
+    /// Returns the requests that were decided about by priority.
+    pub(crate) fn counts(&self) -> impl Iterator<Item = (u32, Counts)> {
+        self.counts.iter().map(|(priority, counts)| (*priority, *counts))
+    }
+
     fn record(&mut self, now: Instant, run: &Run, outcome: Outcome) {
         let elapsed = now.saturating_duration_since(run.since);
         let took = match outcome {
--- a/crates/admission/src/coordinator.rs
+++ b/crates/admission/src/coordinator.rs
@@ -11,7 +11,7 @@
 use crate::controller::Controller;
 use crate::decision::{Changes, Decision, Demand, Grant, Outcome};
 use crate::pool::Pool;
-use crate::status::Status;
+use crate::status::{Counts, Status};
 
 #[derive(Debug)]
 struct Entry {
@@ -33,6 +33,8 @@
     next: u64,
     pools: BTreeMap<Pool, Entry>,
     grants: HashMap<Grant, Pool>,
+    /// The requests of the pools that were removed, by priority.
+    removed: BTreeMap<u32, Counts>,
 }
 
 impl Coordinator {
@@ -105,6 +107,15 @@
         self.pools.iter().map(|(pool, entry)| entry.controller.status(*pool)).collect()
     }
 
+    /// Returns the requests that were decided about by priority, over all pools. The counts never
+    /// decrease.
+    pub fn counts(&self) -> Vec<(u32, Counts)> {
+        let mut counts = self.removed.clone();
+        let pools = self.pools.values().flat_map(|entry| entry.controller.counts());
+        pools.for_each(|(priority, other)| counts.entry(priority).or_default().add(other));
+        counts.into_iter().collect()
+    }
+
     fn forget(&mut self, grants: impl IntoIterator<Item = Grant>) {
         for grant in grants {
             self.grants.remove(&grant);
@@ -114,6 +125,10 @@
     /// Removes the pools that have not been used for some time.
     fn remove_idle(&mut self, now: Instant) {
         let kept = self.policy.kept;
-        self.pools.retain(|_, entry| !entry.is_unused(now, kept));
+        for (_, entry) in self.pools.extract_if(.., |_, entry| entry.is_unused(now, kept)) {
+            for (priority, counts) in entry.controller.counts() {
+                self.removed.entry(priority).or_default().add(counts);
+            }
+        }
     }
 }
--- a/crates/admission/src/holding_time.rs
+++ b/crates/admission/src/holding_time.rs
@@ -17,8 +17,9 @@
 const TIME_CONSTANT: f64 = 1.0;
 
 /// The time within which the best mean rises to the current one but for 1/e of the difference, in
-/// seconds. A shortage is usually shorter.
-const BEST_TIME_CONSTANT: f64 = 60.0;
+/// seconds. It is longer than a shortage, in which it would otherwise adapt to the queues at the
+/// searchers.
+const BEST_TIME_CONSTANT: f64 = 600.0;
 
 /// The number of samples before the mean is taken for the best one.
 const SETTLED: usize = 5;
--- a/crates/admission/src/status.rs
+++ b/crates/admission/src/status.rs
@@ -13,6 +13,14 @@
     pub refused: u64,
 }
 
+impl Counts {
+    /// Adds the requests of another pool.
+    pub(crate) fn add(&mut self, other: Self) {
+        self.granted += other.granted;
+        self.refused += other.refused;
+    }
+}
+
 /// The state of one pool.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Status {
--- a/crates/admission/tests/coordinator.rs
+++ b/crates/admission/tests/coordinator.rs
@@ -2,7 +2,9 @@
 
 use std::time::{Duration, Instant};
 
-use bergamot_admission::{Coordinator, Decision, Demand, Grant, Outcome, Pool, Shortage, Status};
+use bergamot_admission::{
+    Coordinator, Counts, Decision, Demand, Grant, Outcome, Pool, Shortage, Status,
+};
 use bergamot_policy::{ComeBack, Queue};
 
 const MS: Duration = Duration::from_millis(1);
@@ -153,15 +155,19 @@
     assert_eq!(fixture.status().limit, 2);
 }
 
-/// Guards against pools that share a limit, and against idle ones that are kept for ever.
+/// Guards against pools that share a limit, idle ones that are kept for ever, and counts that are
+/// lost with them.
 #[test]
 fn pools_are_independent_and_removed_when_idle() {
     let (mut fixture, _) = Fixture::at_limit();
     let decision = fixture.coordinator.request(fixture.now, Pool::from_id(2), demand(0, "a"));
     assert!(matches!(decision, Decision::Granted(_)), "{decision:?}");
+    let counts = fixture.coordinator.counts();
+    assert_eq!(counts, [(0, Counts { granted: 4, refused: 0 })]);
     fixture.now += 10_000 * MS;
     fixture.coordinator.expire(fixture.now);
     assert_eq!(fixture.coordinator.status(), []);
+    assert_eq!(fixture.coordinator.counts(), counts);
 }
 
 /// Guards against status figures that miss requests.
--- a/crates/admission/tests/scarcity.rs
+++ b/crates/admission/tests/scarcity.rs
@@ -122,6 +122,14 @@
     assert!(most <= least.map(|least| least * 2).as_ref(), "{least:?} to {most:?}");
 }
 
+/// Guards against an estimate of the best holding time that adapts to the queues of a long shortage.
+#[test]
+fn a_long_shortage_is_served_as_a_short_one() {
+    let model = Model::play(Load { seconds: 120.0, ..load(&[2; 90], 86, 2.0) }, SEEDS[0]);
+    let done = in_time(&model, 60.0, 119.0, |_| true) * 2.0;
+    assert!(done >= USED, "{done:.2} of the capacity");
+}
+
 /// Guards against a limit that keeps searchers in a state in which they are slower.
 #[test]
 fn searchers_that_slow_down_when_nearly_full_are_used() {
