A light load doesn't lower the limit of a pool to the number of its requests

Cause: the model of the tests reported a coverage as soon as the searchers had answered, without the round trip, and the coordinator cut the reported time to the time since the grant. With the round trip, the test of the recovery failed: 0.89 of the requests to 2 slots were in time instead of 0.95, at 0.6 of the capacity and more than a second after a shortage. The limit was lowered to the number of recent answers, which at such a load shows how many requests came and not how many the searchers can answer.

Change: the number of answers is taken times the ratio of the limit to the running requests. The model reports a coverage a round trip after the answer.

--- a/crates/admission/src/controller.rs
+++ b/crates/admission/src/controller.rs
@@ -145,10 +145,11 @@
     fn adjust_limit(&mut self, now: Instant, run: &Run, took: Duration) {
         let upper = self.holding.upper(run.target, &self.policy);
         let is_early = upper <= run.target.mul_f64(self.policy.early);
+        let running = self.running.len() + 1;
         if is_early || upper <= run.target && self.holding.is_best(&self.policy) {
-            self.limit.raise(self.running.len() + 1);
+            self.limit.raise(running);
         } else {
-            self.limit.lower(now, took, run.target);
+            self.limit.lower(now, took, run.target, running);
         }
     }
 
@@ -157,7 +158,7 @@
     fn lower_limit_if_overdue(&mut self, now: Instant) {
         if let Some(run) = self.running.overdue(now) {
             let age = now.saturating_duration_since(run.since);
-            self.limit.lower(now, age, run.target);
+            self.limit.lower(now, age, run.target, self.running.len());
         }
     }
 
--- a/crates/admission/src/limit.rs
+++ b/crates/admission/src/limit.rs
@@ -58,14 +58,17 @@
         }
     }
 
-    /// Lowers the limit because of a request that was granted `age` ago and had `target` left.
-    pub(crate) fn lower(&mut self, now: Instant, age: Duration, target: Duration) {
+    /// Lowers the limit because of a request that was granted `age` ago and had `target` left, while
+    /// `running` requests run. If these are fewer than the limit allows, the number of answers shows
+    /// the load and not what the searchers can do, and counts for more accordingly.
+    pub(crate) fn lower(&mut self, now: Instant, age: Duration, target: Duration, running: usize) {
         if self.lowered.is_some_and(|lowered| now.saturating_duration_since(lowered) < age) {
             return;
         }
         self.lowered = Some(now);
         let most = self.exact() * (1.0 - self.policy.least_decrease);
-        self.set(most.min(self.answered(now, target) as f64));
+        let unused = self.exact() / running.max(1) as f64;
+        self.set(most.min(self.answered(now, target) as f64 * unused.max(1.0)));
     }
 
     /// Returns the number of recent answers within the part of a target that searchers may take.
--- a/crates/admission/tests/model/mod.rs
+++ b/crates/admission/tests/model/mod.rs
@@ -1,8 +1,8 @@
 //! A model of the searchers that serve one region, with a coordinator.
 //!
-//! Each request queries all shards and is covered when `fewest` of them have answered. It ends when
-//! all have answered, at its target if it is covered by then, or else at its coverage or deadline;
-//! its unstarted work is then dropped. Requests arrive at random from three zones. Service times
+//! Each request queries all shards and is covered when `fewest` of them have answered. It ends at its
+//! target if it is covered by then, or else at its coverage or deadline; its unstarted work is then
+//! dropped. Requests arrive at random from three zones. Service times
 //! are exponential around their mean, with a constant half. Times are in seconds.
 
 use std::cmp::Reverse;
@@ -48,6 +48,7 @@
     Arrive,
     Tick,
     Done(usize, usize),
+    Covered(usize),
     Timeout(usize),
 }
 
@@ -89,6 +90,7 @@
                 Event::Arrive => model.arrive(),
                 Event::Tick => model.tick(),
                 Event::Done(id, shard) => model.finish_work(id, shard),
+                Event::Covered(id) => model.cover(id),
                 Event::Timeout(id) => model.time_out(id),
             }
         }
@@ -169,37 +171,35 @@
         self.shards[shard].0 -= 1;
         self.start_work(shard);
         self.requests[id].answers += 1;
-        let Request { arrived, granted, answers, ended, .. } = self.requests[id];
-        if !ended && answers == self.load.fewest {
-            self.requests[id].covered = Some(self.now + TRIP);
-            let took = Duration::from_secs_f64(self.now - granted + TRIP);
-            self.complete(id, Outcome::Covered(took));
+        if self.requests[id].answers == self.load.fewest {
+            self.schedule(TRIP, Event::Covered(id));
         }
-        let is_late = self.now > arrived + self.load.target.as_secs_f64();
-        if answers == self.shards.len() || (answers >= self.load.fewest && is_late) {
-            self.end(id);
+    }
+
+    fn cover(&mut self, id: usize) {
+        let Request { arrived, granted, ended, .. } = self.requests[id];
+        if !ended {
+            self.requests[id].covered = Some(self.now);
+            self.requests[id].ended = self.now > arrived + self.load.target.as_secs_f64();
+            let took = Duration::from_secs_f64(self.now - granted);
+            self.complete(id, Outcome::Covered(took));
         }
     }
 
     /// Ends a request at its target if it is covered, and at four times its target in any case.
     fn time_out(&mut self, id: usize) {
-        let (target, Request { arrived, covered, .. }) =
-            (self.load.target.as_secs_f64(), self.requests[id]);
-        if covered.is_some() || self.now > arrived + target * 3.0 {
-            self.end(id);
+        let Request { arrived, covered, ended, .. } = self.requests[id];
+        let target = self.load.target.as_secs_f64();
+        if covered.is_some() || ended {
+            self.requests[id].ended = true;
+        } else if self.now > arrived + target * 3.0 {
+            self.requests[id].ended = true;
+            self.complete(id, Outcome::Ended);
         } else {
             self.schedule(target * 3.0, Event::Timeout(id));
         }
     }
 
-    fn end(&mut self, id: usize) {
-        let Request { ended, covered, .. } = self.requests[id];
-        self.requests[id].ended = true;
-        if !ended && covered.is_none() {
-            self.complete(id, Outcome::Ended);
-        }
-    }
-
     fn complete(&mut self, id: usize, outcome: Outcome) {
         let changes = self.coordinator.complete(self.at(), Grant(id as u64), outcome);
         self.apply(&changes);
