Tests of the queue switched off, and of the hedge of a queued request

Cause: no test held that nothing is sent with the mechanism off, nor that a request which waited in the queue is not hedged at once.

Change: both are tested; the second fails (3 requests at the searcher in place of 2) if the timeouts don't count from the end of the wait.

--- a/crates/relay/tests/admission.rs
+++ b/crates/relay/tests/admission.rs
@@ -9,12 +9,12 @@
 
 use bergamot_admission::{Pool, rank_coordinators};
 use bergamot_declaration::{Idempotency, Target};
-use bergamot_relay::{Cause, DelegateMember, Helping, Relay, Reply};
+use bergamot_policy::Policy;
+use bergamot_relay::{Cause, DelegateMember, Helping, Relay, Reply, Settings};
 use bergamot_standin::{ScriptedServer, Step};
 use bergamot_wire::{Admission, AdmissionRequest};
 use support::{
-    gather, merged, no_members, ok, record, relay, relay_with_members, request, route, script,
-    upstream,
+    gather, merged, no_members, ok, record, relay, relay_with, request, route, script, upstream,
 };
 
 const MEMBERS: [Ipv4Addr; 2] = [Ipv4Addr::new(10, 0, 0, 8), Ipv4Addr::new(10, 0, 0, 9)];
@@ -37,8 +37,8 @@
 
 type Calls = Arc<Mutex<Vec<Call>>>;
 
-/// Calls to coordinators, which answer with `first` and 50 ms later with `decision`; `silent` takes
-/// 200 ms for its first answer.
+/// Calls to coordinators, which answer with `first` and 150 ms later with `decision`; `silent`
+/// takes 400 ms for its first answer.
 fn coordinators(
     silent: Option<Ipv4Addr>,
     first: Admission,
@@ -52,7 +52,7 @@
             let first = first.clone();
             Box::pin(async move {
                 if silent == Some(ip) {
-                    tokio::time::sleep(Duration::from_millis(200)).await;
+                    tokio::time::sleep(Duration::from_millis(400)).await;
                 }
                 Ok(first)
             })
@@ -61,7 +61,7 @@
             for_await.lock().expect("no test panics").push(Call::Await(grant));
             let decision = decision.clone();
             Box::pin(async move {
-                tokio::time::sleep(Duration::from_millis(50)).await;
+                tokio::time::sleep(Duration::from_millis(150)).await;
                 Ok(decision)
             })
         }),
@@ -80,10 +80,10 @@
     std::mem::take(&mut calls.lock().expect("no test panics"))
 }
 
-/// A searcher whose first answer takes more than 0.75 of the target of 400 ms.
+/// A searcher whose first answer takes more than 0.75 of the target of 400 ms, and others 30 ms.
 async fn slow_once() -> ScriptedServer {
     let is_first = AtomicBool::new(true);
-    let wait = move || if is_first.swap(false, Ordering::Relaxed) { 320 } else { 0 };
+    let wait = move || if is_first.swap(false, Ordering::Relaxed) { 320 } else { 30 };
     script(move |seen| {
         let wait = Step::Wait(Duration::from_millis(wait()));
         [vec![wait], ok(seen, "sig", &record(1))].concat()
@@ -98,11 +98,21 @@
     helping: Helping,
     target: Target,
     searcher: &ScriptedServer,
+) -> Arc<Relay> {
+    relay_with_settings(&Settings::default(), protocol, helping, target, searcher)
+}
+
+fn relay_with_settings(
+    settings: &Settings,
+    protocol: u32,
+    helping: Helping,
+    target: Target,
+    searcher: &ScriptedServer,
 ) -> Arc<Relay> {
     let services = target.services().map(ToString::to_string);
     let upstreams = services.map(|name| upstream(&name, &name, searcher)).collect();
     let routes = vec![route("/q/", Idempotency::Idempotent, target)];
-    let relay = relay_with_members(helping, routes, upstreams);
+    let relay = relay_with(settings, helping, routes, upstreams);
     let member = |ip| DelegateMember {
         ip,
         zone: "here".into(),
@@ -123,17 +133,20 @@
 }
 
 /// Guards against messages while there are enough searchers, and against RPCs that an old member
-/// would take for a malformed message.
+/// would take for a malformed message, also where the operator has switched the mechanism off.
 #[tokio::test]
-async fn nothing_is_sent_without_a_shortage_or_to_an_old_member() {
-    for protocol in [1, 2] {
+async fn nothing_is_sent_without_a_shortage_or_to_an_old_member_or_if_switched_off() {
+    let off = Policy::default().without(&["queue"]).expect("it is in the table");
+    let cases = [(1, Policy::default(), false), (2, off, false), (2, Policy::default(), true)];
+    for (protocol, policy, asks) in cases {
         let (helping, calls) = coordinators(None, REFUSED, None);
         let searcher = slow_once().await;
-        let relay = relay_among(protocol, helping, service(), &searcher);
+        let settings = Settings { policy: Arc::new(policy), ..Settings::default() };
+        let relay = relay_with_settings(&settings, protocol, helping, service(), &searcher);
         assert!(is_answered(&relay).await);
         assert_eq!(take(&calls), []);
-        assert_eq!(is_answered(&relay).await, protocol == 1);
-        assert_eq!(take(&calls).is_empty(), protocol == 1);
+        assert_eq!(is_answered(&relay).await, !asks);
+        assert_eq!(take(&calls).is_empty(), !asks);
     }
 }
 
@@ -156,7 +169,7 @@
     assert_eq!(take(&calls), [first, second.clone(), done.clone()]);
     assert!(is_answered(&relay).await);
     assert_eq!(take(&calls), [second, done]);
-    tokio::time::sleep(Duration::from_millis(250)).await;
+    tokio::time::sleep(Duration::from_millis(450)).await;
     assert_eq!(take(&calls), [Call::Complete(5, false)]);
 }
 
@@ -188,13 +201,29 @@
     merged(relay.handle(request("/q/")).await);
     let before = searcher.requests().len();
     let left = tokio::time::timeout(Duration::from_millis(20), relay.handle(request("/q/")));
-    left.await.expect_err("the request is queued for 50 ms");
+    left.await.expect_err("the request is queued for 150 ms");
     assert_eq!(searcher.requests().len(), before);
     assert_eq!(take(&calls)[1..], [Call::Await(7), Call::Complete(7, false)]);
     assert_eq!(merged(relay.handle(request("/q/")).await).missing, 0);
     assert_eq!(take(&calls)[1..], [Call::Await(7), Call::Complete(7, true)]);
 }
 
+/// Guards against a hedge for each queued request, which would double the load: without a wait, the
+/// hedge is due after 132 ms.
+#[tokio::test]
+async fn a_queued_request_is_hedged_no_sooner_than_others() {
+    let granted = Some(Admission::Granted(7));
+    let (helping, _calls) = coordinators(None, Admission::Queued(7), granted);
+    let searcher = slow_once().await;
+    let relay = relay_among(2, helping, service(), &searcher);
+    assert!(is_answered(&relay).await);
+    let other = upstream("other", "s", &searcher);
+    relay.with_registry(|registry| registry.publish(other, Instant::now()));
+    let before = searcher.requests().len();
+    assert!(is_answered(&relay).await);
+    assert_eq!(searcher.requests().len(), before + 1);
+}
+
 /// Guards against requests that are lost with the queue of a process.
 #[tokio::test]
 async fn a_request_runs_if_its_coordinator_has_restarted() {
--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -149,7 +149,8 @@
     relay_with(&Settings::default(), helping, routes, upstreams)
 }
 
-fn relay_with(
+/// A relay among other members, with settings.
+pub fn relay_with(
     settings: &Settings,
     helping: Helping,
     routes: Vec<Route>,
