--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -160,7 +160,8 @@
     Settings { zone: "here".into(), ..Settings::default() }
 }
 
-fn relay_with(
+/// A relay among other members, with settings.
+pub fn relay_with(
     settings: &Settings,
     helping: Helping,
     routes: Vec<Route>,
