Modules of their own: member queries out of gather, store and inspection out of relay

Cause: gather.rs had 522 lines and relay.rs 537, each with more than one job.

Change: pure moves, without a change of behaviour. Out of gather.rs into member_query.rs: MemberQuery, MemberGroup, parse_signature(s), and of GatherState query_member, schedule, fetch_late_shards, handle_overdue, handle_failure, handle_reply, read_outcome, take_steps, handle_late, end_query, add_merged_part. Out of relay.rs into inspection.rs: dump, log_summary; into store.rs: EXPIRY_SLACK, set_store_unavailable, record_restore, set_store_era, count_store_update, count_unreadable, set_update_bytes_sent. The fields of GatherState are pub(crate) now.

The 61 tests of bergamot-relay pass; its clippy has no warnings.

--- a/crates/relay/src/gather.rs
+++ b/crates/relay/src/gather.rs
@@ -7,18 +7,12 @@
 use std::collections::BTreeMap;
 use std::net::Ipv4Addr;
 use std::sync::Arc;
-use std::time::Instant;
 
 use bergamot_base::Name;
 use bergamot_declaration::Gather;
-use bergamot_dispatch::{
-    AttemptPriority, Ending, GatherDecision, RequestTimeouts, Unavailability, admit,
-};
-use bergamot_registry::Incarnation;
-use bergamot_scatter::{
-    Next, Outcome, Progress, Query, ReplyDelay, Schedule, Steps, Worker, capacity, divide,
-};
-use bergamot_wire::{Late, ShardOutcome, ShardReply};
+use bergamot_dispatch::{Ending, GatherDecision, RequestTimeouts, Unavailability, admit};
+use bergamot_scatter::{Progress, Worker, capacity, divide};
+use bergamot_wire::{Late, ShardReply};
 use bytes::Bytes;
 use futures::future::BoxFuture;
 use futures::stream::{FuturesUnordered, StreamExt};
@@ -27,17 +21,18 @@
 use tokio::time::sleep_until;
 
 use crate::choice::Choice;
-use crate::delegate::{self, CallError, RecordLimits};
+use crate::delegate::CallError;
 use crate::delegates::DelegateMember;
 use crate::location::Location;
+use crate::member_query::{MemberGroup, MemberQuery};
 use crate::message::{Cause, Job, MergedResponse, Refusal, Reply, SearcherResponse};
-use crate::partial_results::{MemberPart, PartialResults};
+use crate::partial_results::PartialResults;
 use crate::quarantine::TrialResponse;
-use crate::race::{Race, RaceFailure, RacePlan, TriedSearcher};
+use crate::race::{Race, RaceFailure, RacePlan};
 use crate::relay::Relay;
 
 /// The result of one of the concurrent operations. Shards and queries are given by their index.
-enum WorkResult {
+pub(crate) enum WorkResult {
     /// The result of the attempts for one shard.
     Race(usize, Result<SearcherResponse, RaceFailure>),
     /// The end of a query to a member.
@@ -48,14 +43,6 @@
     LateShards(usize, u64, Vec<Late>),
 }
 
-/// A query to a member.
-struct MemberQuery {
-    ip: Ipv4Addr,
-    query: Query,
-    /// When the reply arrives at the latest if nothing delays it.
-    expected_reply: Instant,
-}
-
 /// The operations in progress.
 type PendingWork<'a> = FuturesUnordered<BoxFuture<'a, WorkResult>>;
 
@@ -127,16 +114,16 @@
 }
 
 /// The parts received so far and the operations in progress.
-struct GatherState<'a> {
-    relay: &'a Arc<Relay>,
-    job: &'a Arc<Job>,
-    gather: &'a Gather,
-    plan: RacePlan,
-    worst_ending: Ending,
-    parts: PartialResults,
-    work: PendingWork<'a>,
-    progress: Progress,
-    queries: Vec<MemberQuery>,
+pub(crate) struct GatherState<'a> {
+    pub(crate) relay: &'a Arc<Relay>,
+    pub(crate) job: &'a Arc<Job>,
+    pub(crate) gather: &'a Gather,
+    pub(crate) plan: RacePlan,
+    pub(crate) worst_ending: Ending,
+    pub(crate) parts: PartialResults,
+    pub(crate) work: PendingWork<'a>,
+    pub(crate) progress: Progress,
+    pub(crate) queries: Vec<MemberQuery>,
 }
 
 impl<'a> GatherState<'a> {
@@ -230,61 +217,16 @@
         workers
     }
 
-    fn name(&self, shard: usize) -> &'a Name {
+    pub(crate) fn name(&self, shard: usize) -> &'a Name {
         &self.gather.shards[shard]
     }
 
-    fn start_race(&mut self, shard: usize, plan: RacePlan) {
+    pub(crate) fn start_race(&mut self, shard: usize, plan: RacePlan) {
         self.progress.add_attempt(shard);
         let race = Race::new(self.relay, self.job, self.name(shard), plan);
         self.work.push(Box::pin(async move { WorkResult::Race(shard, race.run().await) }));
     }
 
-    fn query_member(&mut self, group: MemberGroup) {
-        let MemberGroup { ip, location, shards } = group;
-        let (relay, job, deadline) = (self.relay, self.job, self.plan.deadline);
-        let names = shards.iter().map(|shard| Name::clone(self.name(*shard))).collect();
-        let top_k = self.gather.top_k;
-        let sufficient = relay.initial_record_count(top_k, shards.len(), self.gather.shards.len());
-        let Schedule { answer_within, expected_reply, overdue_at } = self.schedule(&location);
-        let limits = RecordLimits { top_k, sufficient };
-        let request = delegate::build_query(job, names, limits, answer_within, deadline);
-        let number = self.queries.len();
-        let query = Query::send(&shards, &mut self.progress);
-        self.queries.push(MemberQuery { ip, query, expected_reply });
-        self.work.push(Box::pin(async move {
-            let reply = delegate::query_shards(relay, job, ip, request, overdue_at, deadline);
-            WorkResult::Reply(number, reply.await)
-        }));
-        self.work.push(Box::pin(async move {
-            sleep_until(overdue_at.into()).await;
-            WorkResult::Overdue(number)
-        }));
-    }
-
-    /// Returns when a member at a location must reply.
-    fn schedule(&self, location: &Location) -> Schedule {
-        let delay = ReplyDelay {
-            expected: self.relay.expected_delay(location),
-            allowance: self.relay.with_delegates(|delegates| delegates.allowance()),
-        };
-        let least = self.relay.settings.policy.delegate.least;
-        Schedule::new(self.plan.expected_response_by, delay, least, Instant::now())
-    }
-
-    /// Fetches the shards that arrive at a member after its reply.
-    fn fetch_late_shards(&self, query: usize, token: u64) {
-        let (relay, deadline, ip) = (self.relay, self.plan.deadline, self.queries[query].ip);
-        self.work.push(Box::pin(async move {
-            let late = (relay.helping().rest)(ip, token, deadline).await;
-            let late = late.unwrap_or_else(|cause| {
-                log::info!("relay: event=helper_failed member={ip} cause=\"{cause}\"");
-                Vec::new()
-            });
-            WorkResult::LateShards(query, token, late)
-        }));
-    }
-
     fn handle_result(&mut self, result: WorkResult) {
         match result {
             WorkResult::Race(shard, Ok(response)) => {
@@ -302,149 +244,13 @@
         self.job.tally_changed.notify_waiters();
     }
 
-    fn handle_overdue(&mut self, query: usize) {
-        let MemberQuery { ip, query, .. } = &self.queries[query];
-        let steps = query.overdue(&self.progress);
-        if steps.attempts.is_empty() {
-            return;
-        }
-        let (request, shards) = (&self.job.request.id, steps.attempts.len());
-        log::info!("relay: event=helper_late request={request:?} member={ip} shards={shards}");
-        self.relay.with_delegates(|delegates| delegates.record_failure(*ip));
-        let lost = query.owed();
-        self.take_steps(steps, &lost);
-    }
-
-    fn handle_failure(&mut self, query: usize, error: &CallError) {
-        let MemberQuery { ip, query, .. } = &mut self.queries[query];
-        let (request, ip) = (&self.job.request.id, *ip);
-        log::info!("relay: event=helper_failed request={request:?} member={ip} cause=\"{error}\"");
-        self.relay.with_delegates(|delegates| delegates.record_failure(ip));
-        let may_have_run = matches!(error, CallError::NoReply { .. });
-        if may_have_run {
-            self.worst_ending = Ending::Unknown;
-        }
-        let steps = query.fail(may_have_run, &self.progress);
-        let lost = steps.ended.clone();
-        self.take_steps(steps, &lost);
-    }
-
-    fn handle_reply(&mut self, query: usize, reply: ShardReply) {
-        let ShardReply { shards: outcomes, records, left_out, rest, quiet } = reply;
-        let Some(signatures) = parse_signatures(&outcomes) else {
-            let cause = "malformed signature".to_owned();
-            self.handle_failure(query, &CallError::NoReply { cause });
-            return;
-        };
-        let MemberQuery { ip, query: asked, expected_reply } = &self.queries[query];
-        if rest != 0 {
-            // Without a silent searcher, the reply left before the member had to send it.
-            let late = Instant::now().saturating_duration_since(*expected_reply);
-            self.relay.with_delegates(|delegates| delegates.record_lateness(late));
-        }
-        for quiet in quiet {
-            if let Some(shard) = asked.shard(quiet.index as usize) {
-                self.relay.apply_reported_stall(self.name(shard), quiet);
-            }
-        }
-        let arrived = outcomes.iter().enumerate();
-        let arrived = arrived.filter(|(_, outcome)| matches!(outcome, ShardOutcome::In(_)));
-        let arrived = arrived.filter_map(|(position, _)| asked.shard(position));
-        let shards: Vec<usize> = arrived.collect();
-        let part =
-            MemberPart { ip: *ip, shards, signatures, records: Bytes::from(records), left_out };
-        self.add_merged_part(part);
-        let outcomes = outcomes.into_iter().map(|outcome| self.read_outcome(outcome)).collect();
-        let steps = self.queries[query].query.reply(outcomes, &self.progress);
-        let lost = steps.ended.clone();
-        self.take_steps(steps, &lost);
-        if rest != 0 {
-            self.fetch_late_shards(query, rest);
-        } else {
-            self.end_query(query);
-        }
-    }
-
-    /// Applies what the outcome of a shard at a member says of its searcher.
-    fn read_outcome(&mut self, outcome: ShardOutcome) -> Outcome<Incarnation> {
-        if !matches!(outcome, ShardOutcome::In(_) | ShardOutcome::NotAsked) {
-            self.worst_ending = Ending::Unknown;
-        }
-        match outcome {
-            ShardOutcome::In(_) => Outcome::Arrived,
-            ShardOutcome::Silent(searcher) => Outcome::Silent(searcher),
-            ShardOutcome::Failed(searcher) => {
-                self.relay.record_searcher_failure(&searcher);
-                Outcome::Failed(searcher)
-            }
-            ShardOutcome::Ended(searcher) => {
-                self.relay.record_searcher_failure(&searcher);
-                self.job.retry_gate.record_crash();
-                Outcome::Failed(searcher)
-            }
-            ShardOutcome::NotAsked => Outcome::NotAsked,
-        }
-    }
-
-    /// Makes the attempts that follow from an event of a query. `lost` are the shards that the
-    /// member is expected not to deliver.
-    fn take_steps(&mut self, steps: Steps<Incarnation>, lost: &[usize]) {
-        let Steps { attempts, ended } = steps;
-        let (first, additional): (Vec<_>, Vec<_>) =
-            attempts.into_iter().partition(|(_, next)| *next == Next::First);
-        for (shard, _) in first {
-            self.start_race(shard, self.plan.clone());
-        }
-        let possible = self.progress.possible_without(lost);
-        let needed = self.gather.min_shards().saturating_sub(possible);
-        let names: Vec<&Name> = additional.iter().map(|(shard, _)| self.name(*shard)).collect();
-        let is_below_coverage = self.job.tally().is_below_coverage();
-        let priority =
-            if is_below_coverage { AttemptPriority::Required } else { AttemptPriority::Optional };
-        let granted = self.relay.spend_group_budget(&names, needed, priority);
-        let granted = additional.into_iter().zip(granted).filter(|(_, is_granted)| *is_granted);
-        for ((shard, next), _) in granted {
-            let tried = match next {
-                Next::First => Vec::new(),
-                Next::After(searcher) => vec![TriedSearcher::Known(searcher)],
-                Next::AfterUnknown => vec![TriedSearcher::Unidentified],
-            };
-            let plan = self.plan.clone();
-            self.start_race(shard, RacePlan { tried, hedge_at: None, is_funded: true, ..plan });
-        }
-        for shard in ended {
-            self.end_source(shard);
-        }
-    }
-
-    fn handle_late(&mut self, query: usize, token: u64, late: Vec<Late>) {
-        if late.is_empty() {
-            self.end_query(query);
-            return;
-        }
-        for Late { index, signature, records, ended } in late {
-            if ended {
-                self.job.retry_gate.record_crash();
-            }
-            let shard = self.queries[query].query.settle(index as usize);
-            let Some(shard) = shard else { continue };
-            match signature.as_deref().and_then(parse_signature) {
-                Some(signature) => self.add_part(shard, Some(signature), Bytes::from(records)),
-                None => self.end_source(shard),
-            }
-        }
-        self.fetch_late_shards(query, token);
-    }
-
-    /// Handles that a member delivers nothing more.
-    fn end_query(&mut self, query: usize) {
-        for shard in self.queries[query].query.end() {
-            self.end_source(shard);
-        }
-    }
-
     /// Adds the records of a shard, unless the shard is already included.
-    fn add_part(&mut self, shard: usize, signature: Option<HeaderValue>, records: Bytes) {
+    pub(crate) fn add_part(
+        &mut self,
+        shard: usize,
+        signature: Option<HeaderValue>,
+        records: Bytes,
+    ) {
         let Some(signature) = signature else {
             self.end_source(shard);
             return;
@@ -455,19 +261,8 @@
         }
     }
 
-    /// Adds the merged reply of a member. Its shards that are already included are taken from the
-    /// reply, since its records can't be separated.
-    fn add_merged_part(&mut self, part: MemberPart) {
-        for shard in &part.shards {
-            if self.progress.arrive(*shard) {
-                self.job.tally().record_arrived();
-            }
-        }
-        self.parts.add_merged(part);
-    }
-
     /// Records that an attempt or query ended without delivering a shard.
-    fn end_source(&mut self, shard: usize) {
+    pub(crate) fn end_source(&mut self, shard: usize) {
         if self.progress.end_source(shard) {
             self.job.tally().record_missing();
         }
@@ -487,29 +282,6 @@
     }
 }
 
-/// Shards and the member through which they are queried.
-struct MemberGroup {
-    ip: Ipv4Addr,
-    location: Location,
-    shards: Vec<usize>,
-}
-
-/// Parses the signatures of the shards in a member's reply; `None` if any is malformed.
-fn parse_signatures(outcomes: &[ShardOutcome]) -> Option<Vec<HeaderValue>> {
-    let signatures = outcomes.iter().filter_map(|outcome| match outcome {
-        ShardOutcome::In(signature) => Some(parse_signature(signature)),
-        _ => None,
-    });
-    signatures.collect()
-}
-
-/// Parses a signature received from a member.
-fn parse_signature(signature: &[u8]) -> Option<HeaderValue> {
-    HeaderValue::from_bytes(signature)
-        .map_err(|error| log::error!("relay: event=bad_signature cause=\"{error}\""))
-        .ok()
-}
-
 fn refuse(
     relay: &Relay,
     job: &Job,
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -1,11 +1,11 @@
-//! The current state of this member: declaration, registry, members and store.
+//! The current state of this member: declaration, registry and members.
 
 use std::collections::HashSet;
-use std::fmt::{self, Write as _};
+use std::fmt;
 use std::net::Ipv4Addr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use bergamot_base::{Name, PauseGate, Position, Revision};
 use bergamot_config::RevisionStatus;
@@ -26,9 +26,6 @@
 use crate::shard_query::{self, PendingResults};
 use crate::state::State;
 
-/// How long an entry may outlast its searcher's expiry until the store removes it.
-const EXPIRY_SLACK: Duration = Duration::from_secs(1);
-
 /// The current state of this member.
 pub struct Relay {
     pub(crate) settings: Settings,
@@ -150,60 +147,6 @@
         self.meter.registry()
     }
 
-    /// Formats the current state, with one line for each searcher.
-    pub fn dump(&self) -> String {
-        let state = self.lock();
-        let store_unavailable = state.store_unavailable_since.is_some();
-        let version = state.version_tracker.revision();
-        let mut text = format!(
-            "declaration {version} members {} store_away {store_unavailable}\n",
-            state.members
-        );
-        for mechanism in self.settings.policy.mechanisms() {
-            let state = if mechanism.on { "on" } else { "off" };
-            let _ = writeln!(text, "mechanism {} {state}", mechanism.name);
-        }
-        let now = Instant::now();
-        for report in self.quarantine.reports(now) {
-            // Writing to a string can't fail.
-            let _ = writeln!(text, "request {}", self.describe_report(now, &report));
-        }
-        for (zone, evacuation) in state.placement.evacuations.iter() {
-            let (position, age) = (evacuation.position, (now - evacuation.since).as_secs());
-            let _ = writeln!(text, "evacuation {zone} position {position} age_s {age}");
-        }
-        for upstream in state.registry.iter() {
-            let line = state.links.get(&upstream.incarnation).map_or_else(
-                || "not_linked".to_owned(),
-                |link| {
-                    let usage = link.pool.usage();
-                    let estimate = link.estimate(upstream.is_cold(now), now);
-                    let expected = link.candidate(false, estimate.expected).expected;
-                    let (open, share, idle) = (usage.open, usage.share, usage.idle);
-                    format!("connections {open}/{share} idle {idle} expected_ms {expected:.1}")
-                },
-            );
-            let Upstream { incarnation, service, address, zone, state, .. } = &**upstream;
-            // Writing to a string can't fail.
-            let _ = writeln!(
-                text,
-                "searcher {incarnation} {service} {address} {zone} {state:?} {line}"
-            );
-        }
-        text
-    }
-
-    /// Logs a summary of the counters.
-    pub fn log_summary(&self) {
-        let latencies: Vec<String> = self
-            .lock()
-            .latency_percentiles
-            .iter()
-            .map(|(route, percentile)| format!("{route}:{percentile}"))
-            .collect();
-        log::info!("relay: event=summary {} usual={latencies:?}", self.meter.summary());
-    }
-
     /// Applies a checked declaration if it is newer than the current one.
     pub fn apply_declaration(&self, declaration: Declaration) -> RevisionStatus {
         let mut state = self.lock();
@@ -356,51 +299,6 @@
         change(&mut self.lock().registry)
     }
 
-    /// Sets whether the store is unreachable, and the age of the last update from it.
-    ///
-    /// Entries missing after an outage are treated as doubtful only if the outage lasted as long as
-    /// the expiry of entries.
-    pub fn set_store_unavailable(&self, unavailable: bool, age: Duration) {
-        let now = Instant::now();
-        let mut state = self.lock();
-        match (state.store_unavailable_since, unavailable) {
-            (None, true) => state.store_unavailable_since = now.checked_sub(age).or(Some(now)),
-            (Some(since), false) => {
-                state.store_unavailable_since = None;
-                // Without a declaration the length of the outage is unknown.
-                let unknown = state.declaration.is_none();
-                if unknown || now.saturating_duration_since(since) >= self.settings.expiry() {
-                    state.registry.store_recovered(now);
-                    state.store_recovered_at = Some(now);
-                }
-            }
-            (None, false) | (Some(_), true) => {}
-        }
-        self.meter.store.away.set(i64::from(unavailable));
-    }
-
-    /// Handles the restore of the store from a backup. The earlier state is retained for a while:
-    /// searchers rewrite entries that were lost, and the current declaration stays in force if the
-    /// backup has an older one.
-    pub fn record_restore(&self, former: Position, at: Position) {
-        let now = Instant::now();
-        let mut state = self.lock();
-        let hold = self.settings.expiry() + EXPIRY_SLACK;
-        state.registry.store_restored(now, hold);
-        state.placement.evacuations.store_restored(now, hold);
-        state.store_recovered_at = Some(now);
-        let (version, searchers) = (state.version_tracker.revision(), state.registry.len());
-        drop(state);
-        log::warn!(
-            "relay: event=store_restored former={former} at={at} version={version} searchers={searchers}"
-        );
-    }
-
-    /// Sets how often the store has been restored, according to its own counter.
-    pub fn set_store_era(&self, era: u64) {
-        self.meter.store.era.set(era as i64);
-    }
-
     /// Returns whether a request was received before the first declaration.
     pub fn has_early_request(&self) -> bool {
         self.early_request.load(Ordering::Relaxed)
@@ -477,23 +375,6 @@
         }
     }
 
-    /// Counts a request for store updates by origin and result, and the bytes received.
-    pub fn count_store_update(&self, origin: &str, result: &str, bytes: usize) {
-        self.meter.store.updates.with_label_values(&[origin, result]).inc();
-        self.meter.store.update_bytes.with_label_values(&[origin]).inc_by(bytes as u64);
-    }
-
-    /// Counts an unreadable record of the store.
-    pub fn count_unreadable(&self) {
-        self.meter.store.unreadable_records.inc();
-    }
-
-    /// Sets the total number of update bytes that this member has sent to others.
-    pub fn set_update_bytes_sent(&self, bytes: u64) {
-        let sent = self.meter.store.update_bytes.with_label_values(&["sent"]);
-        sent.inc_by(bytes.saturating_sub(sent.get()));
-    }
-
     /// Detects a pause of the process.
     fn detect_pause(&self) {
         let now = Instant::now();
