Which shards of a gathered request are left out, as a pure decision

Cause: shards that can't answer within the target latency are queried nevertheless, and take slots from requests that could be served (design 0019, Part C).

Change: dispatch::leave_out selects the slowest shards beyond the target as far as the coverage spares them; shards without a searcher use up what it spares. Shards within a tenth of each other are ordered at random, and 15 % of the selected ones are queried. dispatch::binding_shard names the shard that decides about admission, and Estimate the time of its newest sample (Part D). Tally and Progress know shards that are left out and can be recalled. Policy group leave_out has its parameters. Nothing uses them yet.

--- a/crates/dispatch/src/admit.rs
+++ b/crates/dispatch/src/admit.rs
@@ -12,6 +12,17 @@
 
 use bergamot_policy::Admit;
 
+/// Returns the shard whose expected latency decides whether a request can be answered in time: the
+/// slowest of the `fewest` fastest shards. `delays` are in milliseconds, `None` for a shard that is
+/// not queried.
+pub fn binding_shard(delays: &[Option<f64>], fewest: usize) -> Option<usize> {
+    let indexed = delays.iter().enumerate();
+    let mut known: Vec<_> = indexed.filter_map(|(shard, delay)| Some(((*delay)?, shard))).collect();
+    let last = fewest.checked_sub(1).filter(|last| *last < known.len())?;
+    let (_, (_, shard), _) = known.select_nth_unstable_by(last, |(a, _), (b, _)| a.total_cmp(b));
+    Some(*shard)
+}
+
 /// Decides whether a request is admitted; if not, returns by how much the expected latency exceeds
 /// the target. `delays` are the expected latencies of its shards in milliseconds, of which `fewest`
 /// are required for a success; `draw` is a random number from 0 to 1.
--- a/crates/dispatch/src/latency.rs
+++ b/crates/dispatch/src/latency.rs
@@ -33,6 +33,8 @@
     pub delay: f64,
     /// With the penalties for predicted stalls, cold starts and recent failures.
     pub expected: f64,
+    /// When the latest sample was taken on which the estimate is based; `None` without any.
+    pub sampled_at: Option<Instant>,
 }
 
 /// One member's observations of one searcher.
@@ -196,7 +198,8 @@
         let weight = if self.policy.failing.on { self.policy.failing.factor } else { 0.0 };
         let penalty = 1.0 + weight * self.failure_rate(now).powi(2);
         let delay = self.delay(now, slots);
-        Estimate { delay, expected: (delay + self.stall_delay(now)) * cold * penalty }
+        let expected = (delay + self.stall_delay(now)) * cold * penalty;
+        Estimate { delay, expected, sampled_at: self.last_sample }
     }
 
     fn mean(&self, now: Instant) -> f64 {
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -8,14 +8,16 @@
 //! [`CallerDeadlines`] and [`CallerRoundTrip`] estimate how much of a caller's latency is spent
 //! elsewhere.
 //! [`RequestTimeouts`] computes the timeouts of a request, and [`Ending`] determines what may
-//! follow the end of an exchange. [`admit()`] decides whether a gathered request is admitted, and
-//! [`retry_delay()`] when a refused caller should retry. [`Tally`] decides when a gathered answer
+//! follow the end of an exchange. [`leave_out()`] decides which shards of a gathered
+//! request are not queried, [`admit()`] whether it is admitted, and [`retry_delay()`] when a refused
+//! caller should retry. [`Tally`] decides when a gathered answer
 //! is sent, and [`merge_top_k`] merges its records. See `docs/design/0009-platform.md`.
 
 mod admit;
 mod caller_overhead;
 mod ending;
 mod latency;
+mod leave_out;
 mod rank;
 mod record;
 mod retry_budget;
@@ -25,10 +27,11 @@
 mod tally;
 mod timeouts;
 
-pub use admit::admit;
+pub use admit::{admit, binding_shard};
 pub use caller_overhead::{CallerDeadlines, CallerRoundTrip, Spent};
 pub use ending::Ending;
 pub use latency::{Estimate, LatencyEstimator};
+pub use leave_out::leave_out;
 pub use rank::{Candidate, Distance, best};
 pub use record::{RECORD_LEN, may_be_incomplete, merge_top_k, sufficient_records};
 pub use retry_budget::{AttemptPriority, RetryBudget, RetryBudgetLimits};
--- a/crates/dispatch/src/tally.rs
+++ b/crates/dispatch/src/tally.rs
@@ -24,6 +24,8 @@
     arrived: usize,
     missing: usize,
     deferred: usize,
+    /// How many of the missing shards were left out and can still be queried.
+    left_out: usize,
     /// The result of [`Tally::needs_deferred`], once it was decided.
     retry_deferred: Option<bool>,
 }
@@ -31,7 +33,15 @@
 impl Tally {
     /// Creates the state for a number of shards of which `required` make a success.
     pub fn new(shards: usize, required: usize) -> Self {
-        Self { shards, required, arrived: 0, missing: 0, deferred: 0, retry_deferred: None }
+        Self {
+            shards,
+            required,
+            arrived: 0,
+            missing: 0,
+            deferred: 0,
+            left_out: 0,
+            retry_deferred: None,
+        }
     }
 
     /// Returns whether the request goes to a single searcher rather than to several shards.
@@ -49,6 +59,28 @@
         self.missing += 1;
     }
 
+    /// Records that a shard is left out: it is missing unless it is recalled.
+    pub fn leave_out(&mut self) {
+        self.missing += 1;
+        self.left_out += 1;
+    }
+
+    /// Records that a shard that was left out is queried after all.
+    pub fn recall(&mut self) {
+        self.missing -= 1;
+        self.left_out -= 1;
+    }
+
+    /// Returns how many shards the required coverage lacks even if all that are queried arrive.
+    pub fn lacking(&self) -> usize {
+        self.required.saturating_sub(self.shards - self.missing)
+    }
+
+    /// Returns how many more shards have to arrive for the required coverage.
+    pub fn needed(&self) -> usize {
+        self.required.saturating_sub(self.arrived)
+    }
+
     /// Records that shards which had arrived can't be used.
     pub fn discard_arrived(&mut self, shards: usize) {
         self.arrived -= shards;
@@ -86,11 +118,12 @@
     ///
     /// While searchers refuse most of their work, a second attempt succeeds less than half of the
     /// time: a request that needs more than a third of its deferred shards would probably fail in
-    /// spite of the budget that it takes from other requests.
+    /// spite of the budget that it takes from other requests. Shards that were left out can replace
+    /// as many retries that fail.
     pub fn needs_deferred(&mut self) -> bool {
         let without = self.shards - self.missing - self.deferred;
         let needed = self.required.saturating_sub(without);
-        let retry = needed > 0 && needed * 3 <= self.deferred;
+        let retry = needed > 0 && needed * 3 <= self.deferred + self.left_out;
         *self.retry_deferred.get_or_insert(retry)
     }
 
--- a/crates/policy/src/table.rs
+++ b/crates/policy/src/table.rs
@@ -229,7 +229,16 @@
 
     /// Leaves out shards that can't answer in time before they are asked, as far as the required
     /// coverage allows. If off, all shards are asked.
-    leave_out: LeaveOut {}
+    leave_out: LeaveOut {
+        /// The difference between shards that queue equally long: which of them are left out varies
+        /// between requests, so that no shard is missing from every answer.
+        similar: f64 = 0.1, "of the expected latency";
+        /// Some shards are queried although they are slow, to detect that they have recovered.
+        least: f64 = 0.15, "of the shards that would be left out";
+        /// If the required coverage is still not reached then, one of the shards that were queried
+        /// probably won't answer. Shards that were left out still have the other half.
+        recall: f64 = 0.5, "of the time between the target latency and the deadline";
+    }
 
     /// Names instances of other regions to a caller while the caller's own region is losing members.
     /// If off, a caller gets the instances of its own region alone.
--- a/crates/scatter/src/progress.rs
+++ b/crates/scatter/src/progress.rs
@@ -41,6 +41,16 @@
         self.shards[shard].is_attempted = true;
     }
 
+    /// Records that a shard is left out: nothing that may deliver it is sent.
+    pub fn leave_out(&mut self, shard: usize) {
+        self.shards[shard].state = State::Missing;
+    }
+
+    /// Records that a shard that was left out is asked for after all.
+    pub fn recall(&mut self, shard: usize) {
+        self.shards[shard].state = State::Pending;
+    }
+
     /// Records that an attempt or a query ended without a shard. Returns whether the shard is
     /// missing because of that: nothing is left that may deliver it.
     pub fn end_source(&mut self, shard: usize) -> bool {
