Slow shards are left out, and a request that reached no searcher is refused as not run

A request that reached no searcher ended as lost or late in these cases: it waited for a connection until its deadline; a gathered request failed while another shard waited for a connection; its group went to a member that could not be reached, whose timer still ran. The other way round, a request that had run in a trial was refused as not run when admission refused it or too few shards had a searcher. A route without a service was refused without Retry-After and without a log line.

Change: Job counts the attempts and member queries after which the request may have run (Job::may_have_run). A request is refused as not run if there is none, whatever timed out; RaceFailure::ending decides about retries only. All refusals pass through Relay::refuse (refusal.rs) with one log line and one counter, by route, priority and cause; refusals by backlog name the binding shard, its expected latency, the target and the age of the estimate. Admission does not refuse a request that has run in a trial. Shards selected by leave_out are neither asked by this member nor by others, are missing in the tally and the answer, and are logged and counted (left_out.rs). They are recalled, the fastest first, as soon as the coverage can't be reached with the others, and for what is missing half-way between target and deadline. Retries that are deferred are funded as if a shard that was left out could replace each one that fails. The retry budgets are credited for the shards that are asked. Routes without a declared target leave out nothing.

No load was run: the effect of leaving out shards on answers in time is not measured.

--- a/crates/relay/src/choice.rs
+++ b/crates/relay/src/choice.rs
@@ -43,6 +43,8 @@
     pub(crate) link: Arc<SearcherLink>,
     /// The response time of the shard's fastest searcher, in milliseconds.
     pub(crate) delay: f64,
+    /// When the latest sample of that searcher was taken, if there is any.
+    pub(crate) sampled_at: Option<Instant>,
 }
 
 impl Relay {
@@ -83,19 +85,21 @@
         self.refresh_usable(state, service);
         let searchers = &state.usable.get(service)?.searchers;
         let placement = &state.placement;
-        let mut delay = f64::INFINITY;
+        let (mut delay, mut sampled_at) = (f64::INFINITY, None);
         let candidates = searchers
             .iter()
             .filter(|searcher| placement.check(&searcher.upstream, constraints, now).is_ok())
             .filter(|searcher| !was_tried(tried, &searcher.upstream))
             .map(|UsableSearcher { upstream, link, missing }| {
                 let estimate = link.estimate(upstream.is_cold(now), now);
-                delay = delay.min(estimate.delay);
+                if estimate.delay < delay {
+                    (delay, sampled_at) = (estimate.delay, estimate.sampled_at);
+                }
                 link.candidate(*missing, estimate.expected)
             });
         let mut rng = rand::rng();
         let link = best(candidates, &self.settings.policy.spread, || rng.random())?;
-        Some(Choice { link: Arc::clone(link), delay })
+        Some(Choice { link: Arc::clone(link), delay, sampled_at })
     }
 
     /// Looks up the usable searchers of a service if they have changed.
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -107,6 +107,7 @@
     }
     let sent = Instant::now();
     let pending = PendingRequest::start(link, sent);
+    job.record_exposure();
     match send(relay, link, job, lease, deadline).await {
         Ok(response) => {
             pending.answered();
@@ -117,6 +118,9 @@
         }
         Err(error) => {
             pending.failed();
+            if error.ending.did_not_run() {
+                job.record_not_run();
+            }
             Err(error)
         }
     }
--- a/crates/relay/src/failure_log.rs
+++ b/crates/relay/src/failure_log.rs
@@ -89,6 +89,12 @@
         lock(&self.left_out).note(format!("withheld: {withheld}"), || service.to_string());
     }
 
+    /// Records a shard that was not queried, since it was expected to answer too late.
+    pub(crate) fn record_too_slow(&self, service: &Name, expected_ms: f64) {
+        let details = || format!("{service} expected_ms {expected_ms:.0}");
+        lock(&self.left_out).note("not queried, too slow".to_owned(), details);
+    }
+
     /// Logs the summary of a request.
     pub(crate) fn log(&self, request: &HeaderValue) {
         for (event, group) in
--- a/crates/relay/src/gather.rs
+++ b/crates/relay/src/gather.rs
@@ -10,7 +10,7 @@
 
 use bergamot_base::Name;
 use bergamot_declaration::Gather;
-use bergamot_dispatch::{Ending, GatherDecision, RequestTimeouts, Unavailability, admit};
+use bergamot_dispatch::{GatherDecision, RequestTimeouts, Unavailability, admit};
 use bergamot_scatter::{Progress, Worker, capacity, divide};
 use bergamot_wire::{Late, ShardReply};
 use bytes::Bytes;
@@ -23,12 +23,14 @@
 use crate::choice::Choice;
 use crate::delegate::CallError;
 use crate::delegates::DelegateMember;
+use crate::left_out::{LeftOut, select_left_out};
 use crate::location::Location;
 use crate::member_query::{MemberGroup, MemberQuery};
-use crate::message::{Cause, Job, MergedResponse, Refusal, Reply, SearcherResponse};
+use crate::message::{Cause, Job, MergedResponse, Reply, SearcherResponse};
 use crate::partial_results::PartialResults;
 use crate::quarantine::TrialResponse;
 use crate::race::{Race, RaceFailure, RacePlan};
+use crate::refusal::{Binding, Reason, Rejection};
 use crate::relay::Relay;
 
 /// The result of one of the concurrent operations. Shards and queries are given by their index.
@@ -56,25 +58,34 @@
 ) -> Reply {
     let fewest = gather.min_shards();
     let choices = relay.choose_searchers(&gather.shards, &job.constraints);
-    let mut delays: Vec<f64> = choices.iter().flatten().map(|choice| choice.delay).collect();
-    if delays.len() < fewest {
-        let served = delays.len();
+    let mut delays: Vec<Option<f64>> =
+        choices.iter().map(|choice| choice.as_ref().map(|choice| choice.delay)).collect();
+    let trial = trial_response.as_ref().map(|trial| &trial.service);
+    if let Some(at) = gather.shards.iter().position(|shard| Some(shard) == trial) {
+        // This shard has been answered.
+        delays[at] = Some(0.0);
+    }
+    let served = delays.iter().flatten().count();
+    if served < fewest {
         let withheld = relay.count_withheld(&gather.shards, &job.constraints);
         let unavailability = relay.searcher_unavailability(&gather.shards, &job.constraints);
         let cause = format!("{served} of {fewest} shards have a searcher, withheld: {withheld}");
-        return refuse(relay, job, (Cause::NotRun, unavailability), &cause);
+        return refuse(relay, job, Reason::NoSearcher, false, unavailability, cause);
     }
-    let policy = &relay.settings.policy.admit;
-    let admitted = admit(&mut delays, fewest, timeouts.target, policy, rand::rng().random());
-    if let Err(excess) = admitted {
-        let cause = "expected delay at the searchers exceeds the target latency";
-        return refuse(relay, job, (Cause::NotRun, Unavailability::Backlog(excess)), cause);
+    let left_out = select_left_out(relay, job, &delays, fewest, timeouts.target);
+    let left_out: Vec<LeftOut> = left_out
+        .into_iter()
+        .filter_map(|shard| Some(LeftOut { shard, expected_ms: delays[shard].take()? }))
+        .collect();
+    if let Some(refusal) = check_admission(relay, job, gather, (&choices, &delays), timeouts) {
+        return refusal;
     }
-    relay.credit_retry_budgets(&gather.shards);
     let mut state = GatherState::new(relay, job, gather, timeouts);
+    state.leave_out(left_out);
     state.start(choices, trial_response);
     let target = job.request.received + timeouts.target;
-    let mut late = false;
+    let recall_at = state.recall_at();
+    let (mut late, mut is_recalled) = (false, false);
     loop {
         // The lock on the tally is released before the decision is handled.
         let decision = job.tally().decide(late);
@@ -84,42 +95,75 @@
             GatherDecision::Fail => {
                 let missing = job.tally().not_arrived();
                 let cause = format!("{missing} shards missing, coverage below the minimum");
-                return refuse(
-                    relay,
-                    job,
-                    (state.failure_cause(late), Unavailability::Transient),
-                    &cause,
-                );
+                let unavailability = Unavailability::Transient;
+                return refuse(relay, job, Reason::Coverage, late, unavailability, cause);
             }
         }
         tokio::select! {
             biased;
             Some(result) = state.work.next() => state.handle_result(result),
             () = sleep_until(target.into()), if !late => late = true,
+            () = sleep_until(recall_at.into()), if !is_recalled => {
+                is_recalled = true;
+                // The lock is released before the shards are recalled, which takes it again.
+                let needed = job.tally().needed();
+                state.recall(needed);
+            }
         }
     }
     let GatherState { parts, plan, .. } = &mut state;
     let records = Bytes::from(parts.merge(relay, job, gather, plan).await);
     if job.tally().arrived() < fewest {
-        let cause = "records left out of a member reply could not be fetched";
-        return refuse(relay, job, (Cause::Lost, Unavailability::Transient), cause);
+        let cause = "records left out of a member reply could not be fetched".to_owned();
+        let unavailability = Unavailability::Transient;
+        return refuse(relay, job, Reason::Records, false, unavailability, cause);
     }
     let missing = job.tally().not_arrived();
     if missing > 0 {
         let left_out = state.progress.pending().map(|shard| Name::clone(state.name(shard)));
         let left_out = left_out.collect();
         job.left_out.get_or_init(|| left_out);
+        state.log_left_out();
     }
     Reply::Merged(MergedResponse { signatures: state.parts.into_signatures(), missing, records })
 }
 
+/// Refuses a request that its searchers can't answer in time. One that has run in a trial is not
+/// refused: its caller couldn't retry it safely.
+fn check_admission(
+    relay: &Relay,
+    job: &Job,
+    gather: &Gather,
+    (choices, delays): (&[Option<Choice>], &[Option<f64>]),
+    timeouts: RequestTimeouts,
+) -> Option<Reply> {
+    if job.may_have_run() {
+        return None;
+    }
+    let (policy, target, fewest) =
+        (&relay.settings.policy.admit, timeouts.target, gather.min_shards());
+    let mut expected: Vec<f64> = delays.iter().flatten().copied().collect();
+    let admitted = admit(&mut expected, fewest, target, policy, rand::rng().random());
+    let excess = admitted.err()?;
+    let binding = Binding::find(&gather.shards, choices, delays, fewest, target);
+    let rejection = Rejection {
+        cause: Cause::NotRun,
+        reason: Reason::Backlog,
+        description: "expected delay at the searchers exceeds the target latency".to_owned(),
+        fields: binding.map(|binding| binding.to_string()).unwrap_or_default(),
+        retry_after: Some(relay.retry_after(Unavailability::Backlog(excess))),
+    };
+    Some(relay.refuse(job, rejection))
+}
+
 /// The parts received so far and the operations in progress.
 pub(crate) struct GatherState<'a> {
     pub(crate) relay: &'a Arc<Relay>,
     pub(crate) job: &'a Arc<Job>,
     pub(crate) gather: &'a Gather,
     pub(crate) plan: RacePlan,
-    pub(crate) worst_ending: Ending,
+    /// The shards that were left out and can still be asked for, the slowest first.
+    pub(crate) left_out: Vec<LeftOut>,
     pub(crate) parts: PartialResults,
     pub(crate) work: PendingWork<'a>,
     pub(crate) progress: Progress,
@@ -138,7 +182,7 @@
             job,
             gather,
             plan: RacePlan::new(job, timeouts, &relay.settings.policy),
-            worst_ending: Ending::NotSent,
+            left_out: Vec::new(),
             parts: PartialResults::default(),
             work: PendingWork::new(),
             progress: Progress::new(gather.shards.len()),
@@ -148,11 +192,9 @@
 
     /// Asks for all shards, given the searcher chosen for each.
     fn start(&mut self, choices: Vec<Option<Choice>>, trial_response: Option<TrialResponse>) {
-        let mut trial = None;
         if let Some(TrialResponse { service, response }) = trial_response
             && let Some(at) = self.gather.shards.iter().position(|shard| *shard == service)
         {
-            trial = Some(at);
             self.add_part(at, response.signature, response.body);
         }
         // With a single attempt allowed, shards that a member misses could not be asked again.
@@ -164,7 +206,7 @@
             let location = link.as_ref().filter(|_| may_delegate);
             let location = location.and_then(|link| self.relay.location(link));
             links.push(link);
-            if trial != Some(shard) {
+            if self.progress.is_pending(shard) {
                 locations.entry(location).or_default().push(shard);
             }
         }
@@ -232,10 +274,7 @@
             WorkResult::Race(shard, Ok(response)) => {
                 self.add_part(shard, response.signature, response.body);
             }
-            WorkResult::Race(shard, Err(failure)) => {
-                self.worst_ending = self.worst_ending.max(failure.ending);
-                self.end_source(shard);
-            }
+            WorkResult::Race(shard, Err(_failure)) => self.end_source(shard),
             WorkResult::Reply(query, Ok(reply)) => self.handle_reply(query, reply),
             WorkResult::Reply(query, Err(error)) => self.handle_failure(query, &error),
             WorkResult::Overdue(query) => self.handle_overdue(query),
@@ -265,19 +304,8 @@
     pub(crate) fn end_source(&mut self, shard: usize) {
         if self.progress.end_source(shard) {
             self.job.tally().record_missing();
-        }
-    }
-
-    fn failure_cause(&self, late: bool) -> Cause {
-        if self.worst_ending.did_not_run()
-            && self.job.tally().arrived() == 0
-            && self.work.is_empty()
-        {
-            Cause::NotRun
-        } else if late {
-            Cause::Late
-        } else {
-            Cause::Lost
+            let lacking = self.job.tally().lacking();
+            self.recall(lacking);
         }
     }
 }
@@ -285,10 +313,13 @@
 fn refuse(
     relay: &Relay,
     job: &Job,
-    (cause, unavailability): (Cause, Unavailability),
-    why: &str,
+    reason: Reason,
+    late: bool,
+    unavailability: Unavailability,
+    description: String,
 ) -> Reply {
-    let request = &job.request.id;
-    log::info!("relay: event=refused request={request:?} outcome={cause:?} cause=\"{why}\"");
-    Reply::Refused(Refusal { cause, retry_after: Some(relay.retry_after(unavailability)) })
+    let retry_after = Some(relay.retry_after(unavailability));
+    let cause = job.failure_cause(late);
+    let rejection = Rejection { cause, reason, description, fields: String::new(), retry_after };
+    relay.refuse(job, rejection)
 }
--- a/crates/relay/src/handler.rs
+++ b/crates/relay/src/handler.rs
@@ -5,18 +5,18 @@
 
 use bergamot_base::{Name, Revision};
 use bergamot_declaration::{Route, Target};
-use bergamot_dispatch::{RequestTimeouts, Tally, Unavailability, retry_delay};
+use bergamot_dispatch::{RequestTimeouts, Tally, Unavailability};
 use bergamot_placement::Constraints;
 use bergamot_quarantine::Standing;
 use bergamot_upstream::LatencyPercentile;
 use hyper::header::HeaderValue;
-use rand::RngExt;
 
 use crate::gather::gather;
-use crate::message::{Cause, Job, Refusal, Reply, Request};
+use crate::message::{Cause, Job, JobRoute, Reply, Request};
 use crate::meter::outcome;
 use crate::quarantine::TrialResponse;
 use crate::race::{Race, RaceFailure, RacePlan};
+use crate::refusal::{Reason, RefusedRequest, Rejection};
 use crate::relay::Relay;
 
 /// The route in metrics and logs of requests that match none.
@@ -38,10 +38,6 @@
     }
 }
 
-pub(crate) fn refusal(cause: Cause, retry_after: Option<Duration>) -> Reply {
-    Reply::Refused(Refusal { cause, retry_after })
-}
-
 impl Relay {
     /// Handles a request.
     pub async fn handle(self: &Arc<Self>, request: Request) -> Reply {
@@ -56,10 +52,13 @@
             .map(|declaration| declaration.find(&request.host, request.uri.path()));
         let (name, target, reply) = match found {
             None => {
-                let after = self.retry_after(self.startup_unavailability());
-                (NO_ROUTE, None, refusal(Cause::NotReady, Some(after)))
+                let refused = RefusedRequest { id: &id, route: NO_ROUTE, priority: 0 };
+                (NO_ROUTE, None, self.refuse(refused, self.reject_early()))
+            }
+            Some(None) => {
+                let refused = RefusedRequest { id: &id, route: NO_ROUTE, priority: 0 };
+                (NO_ROUTE, None, self.refuse(refused, reject_unrouted()))
             }
-            Some(None) => (NO_ROUTE, None, refusal(Cause::NoRoute, None)),
             Some(Some(route)) => {
                 (&*route.name, route.target_latency, self.route(route, request).await)
             }
@@ -123,10 +122,9 @@
             Target::Gather(gather) => Tally::new(gather.shards.len(), gather.min_shards()),
             Target::Service(_) | Target::Split(_) => Tally::new(1, 1),
         };
-        let kind = (Name::clone(&route.name), route.kind);
         let mut constraints = Constraints::new(route.residency.clone());
         constraints.permits = self.obtain_permits(&route.target, &constraints).await;
-        let job = Arc::new(Job::new(request, kind, route.attempts, constraints, tally));
+        let job = Arc::new(Job::new(request, JobRoute::from(route), constraints, tally));
         let standing = self.quarantine().standing(Instant::now(), || job.fingerprint());
         let reply = match standing {
             Standing::Condemned(left) => self.refuse_condemned(&job, left),
@@ -161,7 +159,11 @@
             (_, Some(trial_response)) => Reply::Forwarded(trial_response.response),
             (_, None) => match self.select_service(&job.route, target) {
                 Some(service) => self.send_to_service(job, &service, timeouts).await,
-                None => refusal(Cause::NotRun, None),
+                None => self.refuse_without_searcher(
+                    job,
+                    target,
+                    "no service of the route receives requests",
+                ),
             },
         }
     }
@@ -207,23 +209,60 @@
         if let Some(response) = failure.response {
             return Reply::Forwarded(*response);
         }
-        let cause = match () {
-            () if failure.ending.did_not_run() => Cause::NotRun,
-            () if failure.timed_out => Cause::Late,
-            () => Cause::Lost,
-        };
-        let request = &job.request.id;
-        log::info!("relay: event=refused request={request:?} service={service} outcome={cause:?}");
+        let cause = job.failure_cause(failure.timed_out);
         let unavailability = if cause == Cause::NotRun {
             self.searcher_unavailability(std::slice::from_ref(service), &job.constraints)
         } else {
             Unavailability::Transient
         };
-        refusal(cause, Some(self.retry_after(unavailability)))
+        let rejection = Rejection {
+            cause,
+            reason: Reason::Attempts,
+            description: "no attempt brought a response that can be forwarded".to_owned(),
+            fields: format!("service={service}"),
+            retry_after: Some(self.retry_after(unavailability)),
+        };
+        self.refuse(job, rejection)
     }
 
-    /// Returns a randomised delay after which the caller may retry.
-    pub(crate) fn retry_after(&self, unavailability: Unavailability) -> Duration {
-        retry_delay(unavailability, &self.settings.policy.comeback, rand::rng().random())
+    /// Refuses a request for whose target no searcher can be asked.
+    pub(crate) fn refuse_without_searcher(
+        &self,
+        job: &Job,
+        target: &Target,
+        description: &str,
+    ) -> Reply {
+        let services: Vec<Name> = target.services().cloned().collect();
+        let unavailability = self.searcher_unavailability(&services, &job.constraints);
+        let rejection = Rejection {
+            cause: Cause::NotRun,
+            reason: Reason::NoSearcher,
+            description: description.to_owned(),
+            fields: String::new(),
+            retry_after: Some(self.retry_after(unavailability)),
+        };
+        self.refuse(job, rejection)
+    }
+
+    /// Rejects a request that is received before this member is ready.
+    fn reject_early(&self) -> Rejection {
+        Rejection {
+            cause: Cause::NotReady,
+            reason: Reason::Starting,
+            description: "no declaration, or the quarantine is not synchronised".to_owned(),
+            fields: String::new(),
+            retry_after: Some(self.retry_after(self.startup_unavailability())),
+        }
+    }
+}
+
+/// Rejects a request that matches no route.
+fn reject_unrouted() -> Rejection {
+    Rejection {
+        cause: Cause::NoRoute,
+        reason: Reason::NoRoute,
+        description: "no route matches".to_owned(),
+        fields: String::new(),
+        retry_after: None,
     }
 }
--- a/crates/relay/src/member_query.rs
+++ b/crates/relay/src/member_query.rs
@@ -7,7 +7,7 @@
 use std::time::Instant;
 
 use bergamot_base::Name;
-use bergamot_dispatch::{AttemptPriority, Ending};
+use bergamot_dispatch::AttemptPriority;
 use bergamot_registry::Incarnation;
 use bergamot_scatter::{Next, Outcome, Query, ReplyDelay, Schedule, Steps};
 use bergamot_wire::{Late, ShardOutcome, ShardReply};
@@ -49,6 +49,7 @@
         let number = self.queries.len();
         let query = Query::send(&shards, &mut self.progress);
         self.queries.push(MemberQuery { ip, query, expected_reply });
+        job.record_exposure();
         self.work.push(Box::pin(async move {
             let reply = delegate::query_shards(relay, job, ip, request, overdue_at, deadline);
             WorkResult::Reply(number, reply.await)
@@ -101,8 +102,8 @@
         log::info!("relay: event=helper_failed request={request:?} member={ip} cause=\"{error}\"");
         self.relay.with_delegates(|delegates| delegates.record_failure(ip));
         let may_have_run = matches!(error, CallError::NoReply { .. });
-        if may_have_run {
-            self.worst_ending = Ending::Unknown;
+        if !may_have_run {
+            self.job.record_not_run();
         }
         let steps = query.fail(may_have_run, &self.progress);
         let lost = steps.ended.clone();
@@ -127,6 +128,9 @@
                 self.relay.apply_reported_stall(self.name(shard), quiet);
             }
         }
+        if ran_nowhere(asked, &outcomes) {
+            self.job.record_not_run();
+        }
         let arrived = outcomes.iter().enumerate();
         let arrived = arrived.filter(|(_, outcome)| matches!(outcome, ShardOutcome::In(_)));
         let arrived = arrived.filter_map(|(position, _)| asked.shard(position));
@@ -147,9 +151,6 @@
 
     /// Applies what the outcome of a shard at a member says of its searcher.
     fn read_outcome(&mut self, outcome: ShardOutcome) -> Outcome<Incarnation> {
-        if !matches!(outcome, ShardOutcome::In(_) | ShardOutcome::NotAsked) {
-            self.worst_ending = Ending::Unknown;
-        }
         match outcome {
             ShardOutcome::In(_) => Outcome::Arrived,
             ShardOutcome::Silent(searcher) => Outcome::Silent(searcher),
@@ -175,7 +176,8 @@
         for (shard, _) in first {
             self.start_race(shard, self.plan.clone());
         }
-        let possible = self.progress.possible_without(lost);
+        // Shards that were left out can replace some that fail.
+        let possible = self.progress.possible_without(lost) + self.left_out.len();
         let needed = self.gather.min_shards().saturating_sub(possible);
         let names: Vec<&Name> = additional.iter().map(|(shard, _)| self.name(*shard)).collect();
         let is_below_coverage = self.job.tally().is_below_coverage();
@@ -235,6 +237,12 @@
     }
 }
 
+/// Returns whether a member's reply states of every shard of its query that no searcher was asked.
+fn ran_nowhere(asked: &Query, outcomes: &[ShardOutcome]) -> bool {
+    outcomes.len() == asked.owed().len()
+        && outcomes.iter().all(|outcome| *outcome == ShardOutcome::NotAsked)
+}
+
 /// Parses the signatures of the shards in a member's reply; `None` if any is malformed.
 fn parse_signatures(outcomes: &[ShardOutcome]) -> Option<Vec<HeaderValue>> {
     let signatures = outcomes.iter().filter_map(|outcome| match outcome {
--- a/crates/relay/src/message.rs
+++ b/crates/relay/src/message.rs
@@ -1,11 +1,12 @@
 //! A caller's request and its reply, independent of the wire format.
 
 use std::collections::HashSet;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::{Duration, Instant};
 
 use bergamot_base::Name;
-use bergamot_declaration::Idempotency;
+use bergamot_declaration::{Idempotency, Route};
 use bergamot_dispatch::Tally;
 use bergamot_placement::Constraints;
 use bergamot_quarantine::{Fingerprint, SharedGate};
@@ -103,6 +104,32 @@
     Refused(Refusal),
 }
 
+/// What a request takes over from the declaration of its route.
+#[derive(Clone, Debug)]
+pub(crate) struct JobRoute {
+    /// The name, under which the latency of attempts is recorded; empty to record none.
+    pub name: Name,
+    pub kind: Idempotency,
+    /// How urgent requests are; 0 is the most urgent.
+    pub priority: u32,
+    /// The declared target latency.
+    pub target_latency: Option<Duration>,
+    /// The number of searchers that may run a request, for each shard.
+    pub max_attempts: usize,
+}
+
+impl From<&Route> for JobRoute {
+    fn from(route: &Route) -> Self {
+        Self {
+            name: Name::clone(&route.name),
+            kind: route.kind,
+            priority: route.priority,
+            target_latency: route.target_latency,
+            max_attempts: route.attempts,
+        }
+    }
+}
+
 /// State shared by all attempts for one request.
 #[derive(Debug)]
 pub(crate) struct Job {
@@ -110,6 +137,10 @@
     /// The route, under which the latency of attempts is recorded; empty to record none.
     pub route: Name,
     pub kind: Idempotency,
+    /// How urgent the request is; 0 is the most urgent.
+    pub priority: u32,
+    /// The declared target latency of the route.
+    pub target_latency: Option<Duration>,
     /// The number of searchers that may run the request, for each shard.
     pub max_attempts: usize,
     /// What bounds the choice of searchers.
@@ -126,21 +157,20 @@
     pub retry_gate: SharedGate,
     /// The fingerprint of the request, computed on first use.
     pub fingerprint: OnceLock<Fingerprint>,
+    /// How many attempts and queries to members may have led to the request being run.
+    exposures: AtomicUsize,
 }
 
 impl Job {
     /// Creates the state for a request; the tally counts its shards.
-    pub fn new(
-        request: Request,
-        (route, kind): (Name, Idempotency),
-        max_attempts: usize,
-        constraints: Constraints,
-        tally: Tally,
-    ) -> Self {
+    pub fn new(request: Request, route: JobRoute, constraints: Constraints, tally: Tally) -> Self {
+        let JobRoute { name, kind, priority, target_latency, max_attempts } = route;
         Self {
             request,
-            route,
+            route: name,
             kind,
+            priority,
+            target_latency,
             max_attempts,
             constraints,
             tally: Mutex::new(tally),
@@ -149,6 +179,33 @@
             failure_log: FailureLog::default(),
             retry_gate: SharedGate::default(),
             fingerprint: OnceLock::new(),
+            exposures: AtomicUsize::new(0),
+        }
+    }
+
+    /// Records that the request is about to be sent to a searcher, or to a member that sends it to
+    /// searchers. Unless [`Job::record_not_run`] follows, the request counts as one that may have
+    /// run.
+    pub fn record_exposure(&self) {
+        self.exposures.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Records that the request certainly did not run at a recorded receiver, and never will.
+    pub fn record_not_run(&self) {
+        self.exposures.fetch_sub(1, Ordering::Relaxed);
+    }
+
+    /// Returns whether any searcher may have run the request or may still run it.
+    pub fn may_have_run(&self) -> bool {
+        self.exposures.load(Ordering::Relaxed) > 0
+    }
+
+    /// Returns the cause of the failure of this request; `late` is whether a time limit has passed.
+    pub fn failure_cause(&self, late: bool) -> Cause {
+        match (self.may_have_run(), late) {
+            (false, _) => Cause::NotRun,
+            (true, true) => Cause::Late,
+            (true, false) => Cause::Lost,
         }
     }
 
--- a/crates/relay/src/meter.rs
+++ b/crates/relay/src/meter.rs
@@ -86,6 +86,8 @@
     latency: HistogramVec,
     attempts: IntCounterVec,
     endings: IntCounterVec,
+    refusals: IntCounterVec,
+    left_out: IntCounterVec,
     pub(crate) store: StoreMeter,
     pub(crate) quarantine: IntCounterVec,
     pub(crate) withheld: IntCounterVec,
@@ -128,6 +130,16 @@
                 "Attempts that brought no success, by what their end means.",
                 &["ending"],
             ),
+            refusals: counters(
+                "bergamot_relay_refusals_total",
+                "Refused requests by route, priority and cause.",
+                &["route", "priority", "cause"],
+            ),
+            left_out: counters(
+                "bergamot_relay_left_out_total",
+                "Shards of answers that were not queried since they were expected to be too slow.",
+                &["route", "priority"],
+            ),
             store: StoreMeter::new(&registry),
             quarantine: counters(
                 "bergamot_relay_quarantine_total",
@@ -212,10 +224,22 @@
         }
     }
 
+    /// Counts a refusal by its cause.
+    pub(crate) fn count_refusal(&self, route: &str, priority: u32, cause: &str) {
+        self.refusals.with_label_values(&[route, &priority.to_string(), cause]).inc();
+    }
+
+    /// Counts the shards of an answer that were left out.
+    pub(crate) fn count_left_out(&self, route: &str, priority: u32, shards: usize) {
+        self.left_out.with_label_values(&[route, &priority.to_string()]).inc_by(shards as u64);
+    }
+
     /// Drops the label values of all routes, so that undeclared routes do not accumulate.
     pub(crate) fn forget_routes(&self) {
         self.requests.reset();
         self.latency.reset();
+        self.refusals.reset();
+        self.left_out.reset();
     }
 
     /// Formats the counts of attempts and failures for the summary in the log.
--- a/crates/relay/src/quarantine.rs
+++ b/crates/relay/src/quarantine.rs
@@ -17,10 +17,10 @@
 use bergamot_registry::Upstream;
 use rand::seq::IndexedRandom;
 
-use crate::handler::refusal;
 use crate::link::SearcherLink;
 use crate::message::{Cause, Job, Reply, SearcherResponse};
 use crate::race::{Race, RacePlan};
+use crate::refusal::{Reason, Rejection};
 use crate::relay::Relay;
 
 /// The timeout for a trial grant of another member: some round trips between regions (16 ms) plus
@@ -87,13 +87,15 @@
 
     /// Refuses a request that is known to crash searchers.
     pub(crate) fn refuse_condemned(&self, job: &Job, left: Duration) -> Reply {
-        let (request, fingerprint) = (&job.request.id, job.fingerprint());
         self.meter().quarantine.with_label_values(&["refused"]).inc();
-        log::info!(
-            "relay: event=refused request={request:?} fingerprint={fingerprint} outcome=NotRun \
-             cause=\"it ended the searchers that ran it\""
-        );
-        refusal(Cause::NotRun, Some(left))
+        let rejection = Rejection {
+            cause: Cause::NotRun,
+            reason: Reason::Condemned,
+            description: "it ended the searchers that ran it".to_owned(),
+            fields: format!("fingerprint={}", job.fingerprint()),
+            retry_after: Some(left),
+        };
+        self.refuse(job, rejection)
     }
 
     /// Sends a suspected request to a single searcher, unless another member is running a trial of
@@ -105,22 +107,23 @@
         suspects: &[Name],
         timeouts: RequestTimeouts,
     ) -> Result<TrialResponse, Reply> {
-        let (request, fingerprint) = (&job.request.id, job.fingerprint());
+        let fingerprint = job.fingerprint();
         let service = self.trial_service(job, target, suspects);
         let Some(service) = service
             .filter(|service| self.choose_searcher(service, &job.constraints, &[]).is_some())
         else {
-            let services: Vec<Name> = target.services().cloned().collect();
-            let unavailability = self.searcher_unavailability(&services, &job.constraints);
-            let after = self.retry_after(unavailability);
-            return Err(refusal(Cause::NotRun, Some(after)));
+            let description = "no searcher for the trial of the request";
+            return Err(self.refuse_without_searcher(job, target, description));
         };
         if !self.request_trial_grant(fingerprint).await {
-            log::info!(
-                "relay: event=refused request={request:?} fingerprint={fingerprint} \
-                 outcome=NotRun cause=\"it is tried elsewhere, since searchers ended under it\""
-            );
-            return Err(refusal(Cause::NotRun, Some(self.retry_after(Unavailability::Transient))));
+            let rejection = Rejection {
+                cause: Cause::NotRun,
+                reason: Reason::Trial,
+                description: "it is tried elsewhere, since searchers ended under it".to_owned(),
+                fields: format!("fingerprint={fingerprint}"),
+                retry_after: Some(self.retry_after(Unavailability::Transient)),
+            };
+            return Err(self.refuse(&**job, rejection));
         }
         self.meter().quarantine.with_label_values(&["tried"]).inc();
         if !matches!(target, Target::Gather(_)) {
--- a/crates/relay/src/race.rs
+++ b/crates/relay/src/race.rs
@@ -27,8 +27,8 @@
 /// The failure of all attempts.
 #[derive(Clone, Debug)]
 pub(crate) struct RaceFailure {
-    /// The worst ending of all attempts, which determines what is reported for the request.
-    pub(crate) ending: Ending,
+    /// The worst ending of all attempts that have ended.
+    ending: Ending,
     /// Whether the deadline passed.
     pub(crate) timed_out: bool,
     /// An error response of a searcher that can be forwarded.
@@ -194,7 +194,6 @@
                 () = sleep_until(due.into()) => {
                     if due >= deadline {
                         self.worst.timed_out = true;
-                        self.worst.ending = Ending::Unknown.max(self.worst.ending);
                         return None;
                     }
                     hedge_at = None;
--- a/crates/relay/src/searchers.rs
+++ b/crates/relay/src/searchers.rs
@@ -145,7 +145,7 @@
     }
 
     /// Credits the retry budgets of some services for one request to each.
-    pub(crate) fn credit_retry_budgets(&self, services: &[Name]) {
+    pub(crate) fn credit_retry_budgets<'a>(&self, services: impl IntoIterator<Item = &'a Name>) {
         let now = Instant::now();
         let limits = &self.settings.retry_budget_limits;
         let mut state = self.lock();
--- a/crates/relay/src/shard_query.rs
+++ b/crates/relay/src/shard_query.rs
@@ -25,7 +25,7 @@
 use crate::attempt::{AttemptLimits, attempt};
 use crate::choice::Choice;
 use crate::exchange::AttemptError;
-use crate::message::{Job, Request, SearcherResponse};
+use crate::message::{Job, JobRoute, Request, SearcherResponse};
 use crate::meter::AttemptReason;
 use crate::relay::Relay;
 
@@ -101,8 +101,15 @@
     };
     // Attempts for other members must not affect the latencies that this member learns for its own
     // routes, hence the empty route name. The sender is told of each failure and logs it.
-    let (route, tally) = (Name::from(""), Tally::new(names.len(), names.len()));
-    let job = Job::new(request, (route, Idempotency::Idempotent), 1, constraints, tally);
+    let route = JobRoute {
+        name: Name::from(""),
+        kind: Idempotency::Idempotent,
+        priority: 0,
+        target_latency: None,
+        max_attempts: 1,
+    };
+    let tally = Tally::new(names.len(), names.len());
+    let job = Job::new(request, route, constraints, tally);
     let mut attempts =
         start_attempts(relay, &Arc::new(job), &names, (until, deadline), &mut shards);
     let mut parts = Vec::<Bytes>::new();
--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -146,7 +146,8 @@
     relay_with(&Settings::default(), helping, routes, upstreams)
 }
 
-fn relay_with(
+/// A relay with some settings.
+pub fn relay_with(
     settings: &Settings,
     helping: Helping,
     routes: Vec<Route>,
