--- a/crates/admission/src/controller.rs
+++ b/crates/admission/src/controller.rs
@@ -10,7 +10,8 @@
 use bergamot_policy::{ComeBack, Queue};
 
 use crate::bookings::Bookings;
-use crate::decision::{Changes, Decision, Demand, Grant, Outcome, Shortage};
+use crate::congestion::Congestion;
+use crate::decision::{Changes, Coverage, Decision, Demand, Grant, Outcome, Shortage};
 use crate::holding_time::HoldingTime;
 use crate::limit::Limit;
 use crate::pool::Pool;
@@ -28,6 +29,7 @@
     comeback: ComeBack,
     limit: Limit,
     holding: HoldingTime,
+    congestion: Congestion,
     running: Running,
     queue: WaitQueue,
     bookings: Bookings,
@@ -44,6 +46,7 @@
             comeback,
             limit: Limit::new(policy, slots),
             holding: HoldingTime::default(),
+            congestion: Congestion::default(),
             running: Running::default(),
             queue: WaitQueue::new(policy.starvation),
             bookings: Bookings::default(),
@@ -126,8 +129,9 @@
     fn record(&mut self, now: Instant, run: &Run, outcome: Outcome) {
         let elapsed = now.saturating_duration_since(run.since);
         let took = match outcome {
-            Outcome::Covered(took) => {
+            Outcome::Covered(Coverage { took, queued }) => {
                 self.limit.record_answer(now);
+                self.congestion.record(queued);
                 took.min(elapsed)
             }
             Outcome::Ended => elapsed,
@@ -148,7 +152,7 @@
         let running = self.running.len() + 1;
         if is_early || upper <= run.target && self.holding.is_best(&self.policy) {
             self.limit.raise(running);
-        } else {
+        } else if self.congestion.is_likely() {
             self.limit.lower(now, took, run.target, running);
         }
     }
@@ -156,7 +160,7 @@
     /// Lowers the limit if searchers have become so slow that answers are late before the first one
     /// arrives.
     fn lower_limit_if_overdue(&mut self, now: Instant) {
-        if let Some(run) = self.running.overdue(now) {
+        if let Some(run) = self.running.overdue(now).filter(|_| self.congestion.is_likely()) {
             let age = now.saturating_duration_since(run.since);
             self.limit.lower(now, age, run.target, self.running.len());
         }
--- a/crates/admission/src/decision.rs
+++ b/crates/admission/src/decision.rs
@@ -47,11 +47,22 @@
     Refused(Shortage),
 }
 
+/// How a granted request reached its required coverage.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Coverage {
+    /// The time since the grant.
+    pub took: Duration,
+    /// Whether it found no free slot at more searchers than its coverage can do without. A request
+    /// that is slow without this is not slow because of the others, so running fewer of them would
+    /// not make it faster.
+    pub queued: bool,
+}
+
 /// How a granted request ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Outcome {
-    /// The required coverage was reached this long after the grant.
-    Covered(Duration),
+    /// The required coverage was reached.
+    Covered(Coverage),
     /// It ended without.
     Ended,
 }
--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -12,6 +12,7 @@
 
 mod bookings;
 mod candidates;
+mod congestion;
 mod controller;
 mod coordinator;
 mod decision;
@@ -26,7 +27,7 @@
 
 pub use candidates::{Candidates, answer_timeout};
 pub use coordinator::Coordinator;
-pub use decision::{Changes, Decision, Demand, Grant, Outcome, Shortage};
+pub use decision::{Changes, Coverage, Decision, Demand, Grant, Outcome, Shortage};
 pub use limiter::{Class, ConcurrencyLimiter, Refusal};
 pub use pool::{Pool, rank_coordinators};
 pub use signs::Signs;
--- a/crates/admission/tests/coordinator.rs
+++ b/crates/admission/tests/coordinator.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use bergamot_admission::{
-    Coordinator, Counts, Decision, Demand, Grant, Outcome, Pool, Shortage, Status,
+    Coordinator, Counts, Coverage, Decision, Demand, Grant, Outcome, Pool, Shortage, Status,
 };
 use bergamot_policy::{ComeBack, Queue};
 
@@ -62,7 +62,9 @@
 
     /// Completes a request and returns those that are granted in its place.
     fn complete(&mut self, grant: Grant) -> Vec<Grant> {
-        self.coordinator.complete(self.now, grant, Outcome::Covered(40 * MS)).granted
+        self.coordinator
+            .complete(self.now, grant, Outcome::Covered(Coverage { took: 40 * MS, queued: true }))
+            .granted
     }
 
     fn status(&self) -> Status {
--- a/crates/admission/tests/model/mod.rs
+++ b/crates/admission/tests/model/mod.rs
@@ -9,7 +9,7 @@
 use std::collections::{BinaryHeap, VecDeque};
 use std::time::{Duration, Instant};
 
-use bergamot_admission::{Changes, Coordinator, Decision, Demand, Grant, Outcome, Pool};
+use bergamot_admission::{Changes, Coordinator, Coverage, Decision, Demand, Grant, Outcome, Pool};
 use bergamot_base::Seed;
 use rand::RngExt;
 use rand::rngs::StdRng;
@@ -182,7 +182,7 @@
             self.requests[id].covered = Some(self.now);
             self.requests[id].ended = self.now > arrived + self.load.target.as_secs_f64();
             let took = Duration::from_secs_f64(self.now - granted);
-            self.complete(id, Outcome::Covered(took));
+            self.complete(id, Outcome::Covered(Coverage { took, queued: true }));
         }
     }
 
--- a/crates/admission/tests/properties.rs
+++ b/crates/admission/tests/properties.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
-use bergamot_admission::{Changes, Coordinator, Decision, Demand, Grant, Outcome, Pool};
+use bergamot_admission::{Changes, Coordinator, Coverage, Decision, Demand, Grant, Outcome, Pool};
 use proptest::prelude::*;
 
 const MS: Duration = Duration::from_millis(1);
@@ -54,7 +54,7 @@
             }
             Event::Complete(which, covered) if !self.running.is_empty() => {
                 let (grant, since) = self.running.swap_remove(which % self.running.len());
-                let answer = Outcome::Covered(self.now - since);
+                let answer = Outcome::Covered(Coverage { took: self.now - since, queued: true });
                 let outcome = if covered { answer } else { Outcome::Ended };
                 self.coordinator.complete(self.now, grant, outcome)
             }
--- a/crates/front/src/member.rs
+++ b/crates/front/src/member.rs
@@ -12,8 +12,8 @@
 use bergamot_registry::Incarnation;
 use bergamot_relay::{CallError, Helping, MemberFuture, Relay};
 use bergamot_wire::{
-    Admission, AdmissionRequest, Channels, Item, Late, Member, MemberClient, News, NewsQuery,
-    ReportingReply, ShardQuery, ShardReply, run_requests, serve_requests, transport,
+    Admission, AdmissionRequest, Channels, Coverage, Item, Late, Member, MemberClient, News,
+    NewsQuery, ReportingReply, ShardQuery, ShardReply, run_requests, serve_requests, transport,
 };
 use tarpc::client::RpcError;
 use tarpc::context::Context;
@@ -85,7 +85,7 @@
         self.relay.coordinator().await_grant(grant).await
     }
 
-    async fn complete(self, _context: Context, grant: u64, covered: Option<Duration>) {
+    async fn complete(self, _context: Context, grant: u64, covered: Option<Coverage>) {
         self.relay.coordinator().complete(grant, covered);
     }
 
--- a/crates/relay/src/admission.rs
+++ b/crates/relay/src/admission.rs
@@ -14,14 +14,14 @@
 use bergamot_base::Name;
 use bergamot_dispatch::RequestTimeouts;
 use bergamot_policy::Queue;
-use bergamot_wire::{Admission, AdmissionRequest};
+use bergamot_wire::{Admission, AdmissionRequest, Coverage};
 use tokio::sync::oneshot;
 use tokio::time::timeout_at;
 
 use crate::delegate::CallError;
 use crate::grant::HeldGrant;
-use crate::handler::refusal;
 use crate::message::{Cause, Job, Reply};
+use crate::refusal::{Reason, Rejection};
 use crate::relay::Relay;
 
 /// How long the answer of a coordinator is waited for after its request is decided without it. A
@@ -81,11 +81,12 @@
 }
 
 impl Ticket<'_> {
-    /// Records that the required coverage is reached.
-    pub(crate) fn record_coverage(&mut self) {
+    /// Records that the required coverage is reached; `queued` is whether the request found no free
+    /// slot at more searchers than its coverage can do without.
+    pub(crate) fn record_coverage(&mut self, queued: bool) {
         drop(self.watch.take());
         if let Some(mut grant) = self.grant.take() {
-            grant.end(Some(grant.since.elapsed()));
+            grant.end(Some(Coverage { took: grant.since.elapsed(), queued }));
         }
     }
 
@@ -101,20 +102,20 @@
 /// What follows from asking the coordinators of a pool.
 enum Ruling {
     Granted(HeldGrant),
-    Refused(Ipv4Addr, Rejection),
+    Refused(Ipv4Addr, Grounds),
     /// No coordinator has answered, so this member decides.
     Undecided,
 }
 
-/// The grounds of a refusal.
-struct Rejection {
+/// The grounds on which a coordinator refused a request.
+struct Grounds {
     expected: Duration,
     retry_after: Duration,
     ahead: u32,
     limit: u32,
 }
 
-impl fmt::Display for Rejection {
+impl fmt::Display for Grounds {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let Self { expected, ahead, limit, .. } = self;
         write!(f, "ahead={ahead} limit={limit} expected_ms={}", expected.as_millis())
@@ -126,7 +127,7 @@
     Granted(HeldGrant),
     /// The grant removes the request from the queue if the caller leaves.
     Queued(HeldGrant),
-    Refused(Rejection),
+    Refused(Grounds),
 }
 
 impl Answer {
@@ -135,7 +136,7 @@
             Admission::Granted(grant) => Self::Granted(HeldGrant::new(relay, ip, grant)),
             Admission::Queued(grant) => Self::Queued(HeldGrant::new(relay, ip, grant)),
             Admission::Refused { expected, retry_after, ahead, limit } => {
-                Self::Refused(Rejection { expected, retry_after, ahead, limit })
+                Self::Refused(Grounds { expected, retry_after, ahead, limit })
             }
         }
     }
@@ -153,7 +154,7 @@
         is_expected_late: bool,
     ) -> Result<Ticket<'a>, Reply> {
         let policy = &self.settings.policy.queue;
-        let Some(target) = job.target.filter(|_| policy.on && !need.has_run) else {
+        let Some(target) = job.target_latency.filter(|_| policy.on && !need.has_run) else {
             return Ok(Ticket::default());
         };
         let (began, received) = (Instant::now(), job.request.received);
@@ -168,8 +169,8 @@
         let slots = self.binding_slots(pool, need);
         let grant = match self.ask_coordinators(job, pool, slots, (target, timeouts.end)).await {
             Ruling::Granted(grant) => Some(grant),
-            Ruling::Refused(coordinator, rejection) => {
-                return Err(refuse(job, coordinator, target, &rejection));
+            Ruling::Refused(coordinator, shortage) => {
+                return Err(self.refuse_for_shortage(job, coordinator, target, &shortage));
             }
             Ruling::Undecided => None,
         };
@@ -266,7 +267,7 @@
             }
             Ok(Some(Admission::Refused { expected, retry_after, ahead, limit })) => {
                 queued.forget();
-                Ruling::Refused(ip, Rejection { expected, retry_after, ahead, limit })
+                Ruling::Refused(ip, Grounds { expected, retry_after, ahead, limit })
             }
             Ok(Some(Admission::Queued(_)) | None) => {
                 log::info!("relay: event=grant_unknown member={ip} cause=\"it has restarted\"");
@@ -331,6 +332,26 @@
         self.with_asking(|asking| asking.candidates.select(Instant::now(), pool, &members))
     }
 
+    /// Ends a request that its coordinator has refused.
+    fn refuse_for_shortage(
+        &self,
+        job: &Job,
+        coordinator: Ipv4Addr,
+        target: Duration,
+        grounds: &Grounds,
+    ) -> Reply {
+        let target = target.as_millis();
+        let rejection = Rejection {
+            cause: Cause::NotRun,
+            reason: Reason::Queue,
+            description: "the searchers have no capacity for it within the target latency"
+                .to_owned(),
+            fields: format!("coordinator={coordinator} {grounds} target_ms={target}"),
+            retry_after: Some(grounds.retry_after),
+        };
+        self.refuse(job, rejection)
+    }
+
     fn skip_coordinator(&self, ip: Ipv4Addr, call: &str, cause: &CallError) {
         log::info!("relay: event=coordinator_failed member={ip} call={call} cause=\"{cause}\"");
         let policy: &Queue = &self.settings.policy.queue;
@@ -346,15 +367,3 @@
 fn no_reply<T>(elapsed: impl fmt::Display) -> Result<T, CallError> {
     Err(CallError::NoReply { cause: elapsed.to_string() })
 }
-
-/// Ends a request that its coordinator has refused.
-fn refuse(job: &Job, coordinator: Ipv4Addr, target: Duration, rejection: &Rejection) -> Reply {
-    let Job { request, route, priority, .. } = job;
-    let (id, target_ms) = (&request.id, target.as_millis());
-    log::info!(
-        "relay: event=refused request={id:?} route={route} outcome=NotRun cause=\"the searchers \
-         have no capacity for it within the target latency\" coordinator={coordinator} \
-         {rejection} target_ms={target_ms} priority={priority}"
-    );
-    refusal(Cause::NotRun, Some(rejection.retry_after))
-}
--- a/crates/relay/src/coordinator.rs
+++ b/crates/relay/src/coordinator.rs
@@ -13,7 +13,7 @@
     Changes, Coordinator, Decision, Demand, Grant, Outcome, Pool, Shortage, Status,
 };
 use bergamot_policy::Policy;
-use bergamot_wire::{Admission, AdmissionRequest};
+use bergamot_wire::{Admission, AdmissionRequest, Coverage};
 use tokio::sync::oneshot;
 
 use crate::meter::AdmissionMeter;
@@ -102,10 +102,12 @@
         unclaimed.decision.await.ok()
     }
 
-    /// Ends a grant, with the time to the required coverage if it was reached.
-    pub fn complete(&self, grant: u64, covered: Option<Duration>) {
+    /// Ends a grant, with how the required coverage was reached, if it was.
+    pub fn complete(&self, grant: u64, covered: Option<Coverage>) {
         let grant = Grant(grant);
-        let outcome = covered.map_or(Outcome::Ended, Outcome::Covered);
+        let outcome = covered.map_or(Outcome::Ended, |Coverage { took, queued }| {
+            Outcome::Covered(bergamot_admission::Coverage { took, queued })
+        });
         let mut inner = self.lock();
         inner.waiters.remove(&grant);
         inner.unclaimed.remove(&grant);
--- a/crates/relay/src/delegate.rs
+++ b/crates/relay/src/delegate.rs
@@ -14,7 +14,9 @@
 use bergamot_declaration::Residency;
 use bergamot_quarantine::Fingerprint;
 use bergamot_registry::Incarnation;
-use bergamot_wire::{Admission, AdmissionRequest, Late, ReportingReply, ShardQuery, ShardReply};
+use bergamot_wire::{
+    Admission, AdmissionRequest, Coverage, Late, ReportingReply, ShardQuery, ShardReply,
+};
 use futures::future::BoxFuture;
 use snafu::Snafu;
 
@@ -56,10 +58,9 @@
 pub type AdmitCall =
     Box<dyn Fn(Ipv4Addr, AdmissionRequest, Instant) -> MemberFuture<Admission> + Send + Sync>;
 
-/// Ends a grant of a member, with the time to the required coverage, if it was reached, and a
-/// deadline.
+/// Ends a grant of a member, with how the required coverage was reached, if it was, and a deadline.
 pub type CompleteCall =
-    Box<dyn Fn(Ipv4Addr, u64, Option<Duration>, Instant) -> MemberFuture<()> + Send + Sync>;
+    Box<dyn Fn(Ipv4Addr, u64, Option<Coverage>, Instant) -> MemberFuture<()> + Send + Sync>;
 
 /// Calls to other members.
 pub struct Helping {
@@ -140,8 +141,7 @@
     let sent = Instant::now();
     relay.with_delegates(|delegates| delegates.estimator(ip).record_send(sent));
     let mut pending = PendingQuery { relay, ip, sent, overdue_at, answered: false };
-    let residency = job.constraints.residency.clone();
-    let call = call_member(relay, ip, query, residency, deadline);
+    let call = call_member(relay, job, ip, query, deadline);
     let result = tokio::time::timeout_at(deadline.into(), call).await;
     let result =
         result.unwrap_or_else(|elapsed| Err(CallError::NoReply { cause: elapsed.to_string() }));
@@ -152,17 +152,19 @@
 /// Calls a member for some shards and applies what its reply reports.
 async fn call_member(
     relay: &Relay,
+    job: &Job,
     ip: Ipv4Addr,
     query: ShardQuery,
-    residency: Residency,
     deadline: Instant,
 ) -> Result<ShardReply, CallError> {
+    let residency = job.constraints.residency.clone();
     if !relay.with_delegates(|delegates| delegates.reports(ip)) {
         return (relay.helping().gather)(ip, query, residency, deadline).await;
     }
     let shards = query.shards.clone();
     let call = (relay.helping().gather_reporting)(ip, query, residency, deadline);
-    let ReportingReply { reply, delays } = call.await?;
+    let ReportingReply { reply, delays, queued } = call.await?;
+    job.record_queued(queued as usize);
     relay.apply_reported_delays(&shards, &delays);
     Ok(reply)
 }
--- a/crates/relay/src/grant.rs
+++ b/crates/relay/src/grant.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use bergamot_wire::Coverage;
 use tokio::runtime::Handle;
 
 use crate::relay::Relay;
@@ -36,7 +37,7 @@
     }
 
     /// Reports the end of the grant to its coordinator.
-    pub(crate) fn end(&mut self, covered: Option<Duration>) {
+    pub(crate) fn end(&mut self, covered: Option<Coverage>) {
         if std::mem::replace(&mut self.ended, true) {
             return;
         }
--- a/crates/relay/src/shard_query.rs
+++ b/crates/relay/src/shard_query.rs
@@ -25,7 +25,7 @@
 use crate::attempt::{AttemptLimits, attempt};
 use crate::choice::Choice;
 use crate::exchange::AttemptError;
-use crate::message::{Job, Request, SearcherResponse};
+use crate::message::{Job, JobRoute, Request, SearcherResponse};
 use crate::meter::AttemptReason;
 use crate::relay::Relay;
 
@@ -83,12 +83,20 @@
     }
 }
 
+/// The answer to a query of another member.
+#[derive(Debug)]
+pub(crate) struct Answered {
+    pub(crate) reply: ShardReply,
+    /// The number of shards whose searcher had no free slot when it was asked.
+    pub(crate) queued: u32,
+}
+
 /// Answers a query of another member.
 pub(crate) async fn answer(
     relay: &Arc<Relay>,
     query: ShardQuery,
     constraints: Constraints,
-) -> ShardReply {
+) -> Answered {
     let received = Instant::now();
     let moment = |wait: Duration| received + wait.min(MAX_WAIT);
     let (until, deadline) = (moment(query.answer_within), moment(query.deadline));
@@ -97,14 +105,22 @@
     let mut shards = vec![ShardOutcome::NotAsked; names.len()];
     let Some(request) = parse_request(query, received) else {
         log::error!("relay: event=query_refused cause=\"malformed request in a member query\"");
-        return ShardReply { shards, records: Vec::new(), left_out: 0, rest: 0, quiet: Vec::new() };
+        let reply =
+            ShardReply { shards, records: Vec::new(), left_out: 0, rest: 0, quiet: Vec::new() };
+        return Answered { reply, queued: 0 };
     };
     // Attempts for other members must not affect the latencies that this member learns for its own
     // routes, hence the empty route name. The sender is told of each failure and logs it.
-    let (route, tally) = (Name::from(""), Tally::new(names.len(), names.len()));
-    let job = Job::new(request, (route, Idempotency::Idempotent), 1, constraints, tally);
-    let mut attempts =
-        start_attempts(relay, &Arc::new(job), &names, (until, deadline), &mut shards);
+    let route = JobRoute {
+        name: Name::from(""),
+        kind: Idempotency::Idempotent,
+        priority: 0,
+        target_latency: None,
+        max_attempts: 1,
+    };
+    let tally = Tally::new(names.len(), names.len());
+    let job = Arc::new(Job::new(request, route, constraints, tally));
+    let mut attempts = start_attempts(relay, &job, &names, (until, deadline), &mut shards);
     let mut parts = Vec::<Bytes>::new();
     let mut due = std::pin::pin!(sleep_until(until.into()));
     loop {
@@ -143,7 +159,8 @@
     let others = records.split_off(enough.min(records.len()));
     let left_out = if others.is_empty() { 0 } else { store_left_out(relay, others) };
     let quiet = relay.expected_stalls(&names);
-    ShardReply { shards, records, left_out, rest, quiet }
+    let reply = ShardReply { shards, records, left_out, rest, quiet };
+    Answered { reply, queued: job.queued() as u32 }
 }
 
 /// Starts one attempt for each shard and records the searcher asked.
@@ -157,7 +174,8 @@
     let attempts = RunningAttempts::new();
     let choices = relay.choose_searchers(names, &job.constraints);
     for (index, choice) in choices.into_iter().enumerate() {
-        let Some(Choice { link, .. }) = choice else { continue };
+        let Some(Choice { link, is_busy, .. }) = choice else { continue };
+        job.record_queued(usize::from(is_busy));
         relay.meter().count_attempt(AttemptReason::Delegated, link.distance);
         shards[index] = ShardOutcome::Silent(link.upstream.incarnation.clone());
         let limits = AttemptLimits { connect_by, deadline, trial: false };
--- a/crates/relay/tests/admission.rs
+++ b/crates/relay/tests/admission.rs
@@ -12,7 +12,7 @@
 use bergamot_policy::Policy;
 use bergamot_relay::{Cause, DelegateMember, Helping, Relay, Reply, Settings};
 use bergamot_standin::{ScriptedServer, Step};
-use bergamot_wire::{Admission, AdmissionRequest};
+use bergamot_wire::{Admission, AdmissionRequest, Coverage};
 use support::{
     gather, merged, no_members, ok, record, relay, relay_with, request, route, script, upstream,
 };
@@ -271,7 +271,8 @@
     assert!(!first.0 && !second.0);
     let decision = coordinator.await_grant(second.1).await;
     assert!(matches!(decision, Some(Admission::Refused { .. })), "{decision:?}");
-    coordinator.complete(running[0].1, Some(Duration::from_millis(100)));
+    let covered = Coverage { took: Duration::from_millis(100), queued: true };
+    coordinator.complete(running[0].1, Some(covered));
     assert_eq!(coordinator.await_grant(first.1).await, Some(Admission::Granted(first.1)));
     assert_eq!(coordinator.await_grant(first.1.wrapping_add(1000)).await, None);
 }
--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -160,7 +160,7 @@
     Settings { zone: "here".into(), ..Settings::default() }
 }
 
-/// A relay among other members, with settings.
+/// A relay with some settings.
 pub fn relay_with(
     settings: &Settings,
     helping: Helping,
--- a/crates/wire/src/member.rs
+++ b/crates/wire/src/member.rs
@@ -104,6 +104,9 @@
     pub reply: ShardReply,
     /// The latencies; empty while there are enough searchers.
     pub delays: Vec<ReportedDelay>,
+    /// The number of shards whose searcher had no free slot when it was asked, as far as the member
+    /// knows from its own requests.
+    pub queued: u32,
 }
 
 /// The answer of a shard that arrived after the [`ShardReply`] was sent.
@@ -271,6 +274,15 @@
     pub arriving: bool,
 }
 
+/// How a granted request reached its required coverage.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Coverage {
+    /// The time since the grant.
+    pub took: Duration,
+    /// Whether it found no free slot at more searchers than its coverage can do without.
+    pub queued: bool,
+}
+
 /// The service that members provide for each other.
 #[tarpc::service]
 pub trait Member {
@@ -303,7 +315,7 @@
     async fn await_grant(grant: u64) -> Option<Admission>;
     /// Ends a grant: the required coverage was reached this long after it, or there was no answer.
     /// Served from version 2 of the RPCs on.
-    async fn complete(grant: u64, covered: Option<Duration>);
+    async fn complete(grant: u64, covered: Option<Coverage>);
     /// Like [`Member::gather`], with a report on slow searchers, for a request that may be processed
     /// only in these regions, or in all if there are none. Served from version 2 of the RPCs on.
     async fn gather_reporting(query: ShardQuery, regions: Vec<Name>) -> ReportingReply;
--- a/crates/wire/tests/compatibility.rs
+++ b/crates/wire/tests/compatibility.rs
@@ -12,7 +12,8 @@
 use bergamot_members::{Datagram, Digest, Endpoint, Kind, Record, Role, Rumour, State, View};
 use bergamot_registry::Incarnation;
 use bergamot_wire::{
-    AdmissionRequest, MEMBER_PROTOCOL, MemberRequest, NewsQuery, ShardQuery, decode, encode,
+    AdmissionRequest, Coverage, MEMBER_PROTOCOL, MemberRequest, NewsQuery, ShardQuery, decode,
+    encode,
 };
 use ciborium::Value;
 use tarpc::tokio_serde::Serializer;
@@ -137,7 +138,7 @@
         deadline: Duration::from_secs(1),
         slots: 2,
     };
-    let covered = Some(Duration::from_millis(30));
+    let covered = Some(Coverage { took: Duration::from_millis(30), queued: true });
     let requests = [
         (9, MemberRequest::Admit { request }),
         (10, MemberRequest::AwaitGrant { grant: u64::MAX }),
