--- a/crates/relay/tests/refusals.rs
+++ b/crates/relay/tests/refusals.rs
@@ -95,3 +95,25 @@
     assert_eq!(refused(relay.handle(request("/q/")).await).0, Cause::Lost);
     assert_eq!(a.requests().len(), 1);
 }
+
+/// Guards against refusals that are not counted, or counted more than once, and so don't show in the
+/// metrics which routes and priorities suffer.
+#[tokio::test]
+async fn each_refusal_is_counted_once_by_route_priority_and_cause() {
+    let routes = vec![route("/q/", Idempotency::Idempotent, gather(&["a", "b"], 1.0))];
+    let relay = relay(routes, Vec::new());
+    for path in ["/q/", "/q/", "/other/"] {
+        refused(relay.handle(request(path)).await);
+    }
+    let families = relay.metrics().gather();
+    let refusals = families.iter().find(|family| family.name() == "bergamot_relay_refusals_total");
+    let mut counts = Vec::new();
+    for metric in refusals.expect("it is registered").get_metric() {
+        let labels: Vec<&str> =
+            metric.get_label().iter().map(prometheus::proto::LabelPair::value).collect();
+        counts.push(format!("{} {}", labels.join(" "), metric.get_counter().get_value()));
+    }
+    counts.sort_unstable();
+    // The labels are in alphabetical order: cause, priority, route.
+    assert_eq!(counts, ["no_route 0 none 1", "no_searcher 1 /q/ 2"]);
+}
