--- a/crates/relay/tests/admission.rs
+++ b/crates/relay/tests/admission.rs
@@ -14,7 +14,8 @@
 use bergamot_standin::{ScriptedServer, Step};
 use bergamot_wire::{Admission, AdmissionRequest, Coverage};
 use support::{
-    gather, merged, no_members, ok, record, relay, relay_with, request, route, script, upstream,
+    gather, here, merged, no_members, ok, record, relay, relay_with, request, route, script,
+    upstream,
 };
 
 const MEMBERS: [Ipv4Addr; 2] = [Ipv4Addr::new(10, 0, 0, 8), Ipv4Addr::new(10, 0, 0, 9)];
@@ -99,7 +100,7 @@
     target: Target,
     searcher: &ScriptedServer,
 ) -> Arc<Relay> {
-    relay_with_settings(&Settings::default(), protocol, helping, target, searcher)
+    relay_with_settings(&here(), protocol, helping, target, searcher)
 }
 
 fn relay_with_settings(
@@ -141,7 +142,7 @@
     for (protocol, policy, asks) in cases {
         let (helping, calls) = coordinators(None, REFUSED, None);
         let searcher = slow_once().await;
-        let settings = Settings { policy: Arc::new(policy), ..Settings::default() };
+        let settings = Settings { policy: Arc::new(policy), ..here() };
         let relay = relay_with_settings(&settings, protocol, helping, service(), &searcher);
         assert!(is_answered(&relay).await);
         assert_eq!(take(&calls), []);
--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -156,7 +156,8 @@
     relay_with(&settings, no_members(), routes, upstreams)
 }
 
-fn here() -> Settings {
+/// The settings of a relay in zone `here`.
+pub fn here() -> Settings {
     Settings { zone: "here".into(), ..Settings::default() }
 }
 
