Pools with fewer than two slots in a region are admitted by each member

Cause: on the smallest deployment (6 members, 40 searchers) a region has one slot of each shard.

Change: a coordinator is asked only where the region has two slots of the binding shard (queue.fewest_slots).

--- a/crates/policy/src/table.rs
+++ b/crates/policy/src/table.rs
@@ -239,6 +239,9 @@
         /// Late answers show that fewer callers can be served at once, also where the number of
         /// recent answers varies too much to show it.
         least_decrease: f64 = 0.05, "of the limit";
+        /// With a single slot, one request more or less doubles the load of the region's searchers,
+        /// so no limit suits them, and members decide by their own estimates.
+        fewest_slots: usize = 2, "slots of each shard for the region";
         /// A steady load of urgent requests would otherwise leave the others without any answer.
         starvation: usize = 5, "grants, of which one goes to a less urgent request";
         /// The holding time that is expected before the first observation: callers can then wait
--- a/crates/relay/src/admission.rs
+++ b/crates/relay/src/admission.rs
@@ -167,6 +167,9 @@
             return Ok(Ticket { watch, ..Ticket::default() });
         }
         let slots = self.binding_slots(pool, need);
+        if (slots as usize) < policy.fewest_slots {
+            return Ok(Ticket { watch, ..Ticket::default() });
+        }
         let grant = match self.ask_coordinators(job, pool, slots, (target, timeouts.end)).await {
             Ruling::Granted(grant) => Some(grant),
             Ruling::Refused(coordinator, shortage) => {
