--- a/crates/admission/src/congestion.rs
+++ b/crates/admission/src/congestion.rs
@@ -10,7 +10,7 @@
 const LIKELY: f64 = 0.5;
 
 /// The share of recent requests that found no free slot at too many searchers.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(crate) struct Congestion {
     queued: f64,
 }
--- a/crates/policy/src/table.rs
+++ b/crates/policy/src/table.rs
@@ -295,10 +295,6 @@
         recall: f64 = 0.5, "of the time between the target latency and the deadline";
     }
 
-    /// Names instances of other regions to a caller while the caller's own region is losing members.
-    /// If off, a caller gets the instances of its own region alone.
-    spare: Spare {}
-
     /// Tells a refused caller to retry when the cause of the refusal has probably cleared. If off,
     /// every caller gets the shortest delay.
     comeback: ComeBack {
--- a/crates/relay/src/meter.rs
+++ b/crates/relay/src/meter.rs
@@ -114,6 +114,32 @@
     }
 }
 
+/// The metrics of what is not served: refused requests, and shards that are left out of answers.
+#[derive(Debug)]
+struct UnservedMeter {
+    refusals: IntCounterVec,
+    left_out: IntCounterVec,
+}
+
+impl UnservedMeter {
+    fn new(registry: &Registry) -> Self {
+        Self {
+            refusals: counters(
+                registry,
+                "bergamot_relay_refusals_total",
+                "Refused requests by route, priority and cause.",
+                &["route", "priority", "cause"],
+            ),
+            left_out: counters(
+                registry,
+                "bergamot_relay_left_out_total",
+                "Shards of answers that were not queried since they were expected to be too slow.",
+                &["route", "priority"],
+            ),
+        }
+    }
+}
+
 /// The metrics of a relay.
 #[derive(Debug)]
 pub(crate) struct Meter {
@@ -122,8 +148,7 @@
     latency: HistogramVec,
     attempts: IntCounterVec,
     endings: IntCounterVec,
-    refusals: IntCounterVec,
-    left_out: IntCounterVec,
+    unserved: UnservedMeter,
     pub(crate) store: StoreMeter,
     pub(crate) admission: AdmissionMeter,
     pub(crate) quarantine: IntCounterVec,
@@ -168,16 +193,7 @@
                 "Attempts that brought no success, by what their end means.",
                 &["ending"],
             ),
-            refusals: counters(
-                "bergamot_relay_refusals_total",
-                "Refused requests by route, priority and cause.",
-                &["route", "priority", "cause"],
-            ),
-            left_out: counters(
-                "bergamot_relay_left_out_total",
-                "Shards of answers that were not queried since they were expected to be too slow.",
-                &["route", "priority"],
-            ),
+            unserved: UnservedMeter::new(&registry),
             store: StoreMeter::new(&registry),
             admission: AdmissionMeter::new(&registry),
             quarantine: counters(
@@ -277,20 +293,23 @@
 
     /// Counts a refusal by its cause.
     pub(crate) fn count_refusal(&self, route: &str, priority: u32, cause: &str) {
-        self.refusals.with_label_values(&[route, &priority.to_string(), cause]).inc();
+        self.unserved.refusals.with_label_values(&[route, &priority.to_string(), cause]).inc();
     }
 
     /// Counts the shards of an answer that were left out.
     pub(crate) fn count_left_out(&self, route: &str, priority: u32, shards: usize) {
-        self.left_out.with_label_values(&[route, &priority.to_string()]).inc_by(shards as u64);
+        self.unserved
+            .left_out
+            .with_label_values(&[route, &priority.to_string()])
+            .inc_by(shards as u64);
     }
 
     /// Drops the label values of all routes, so that undeclared routes do not accumulate.
     pub(crate) fn forget_routes(&self) {
         self.requests.reset();
         self.latency.reset();
-        self.refusals.reset();
-        self.left_out.reset();
+        self.unserved.refusals.reset();
+        self.unserved.left_out.reset();
     }
 
     /// Formats the counts of attempts and failures for the summary in the log.
