Read-through: names of busy searchers, what a wait makes outdated, the age of reported estimates; left out from 1.5 times the target on

Cause: a newcomer's reading of the change found one word for two things (queued), a request decided by estimates from before its wait, an age that was not that of the estimate in use, pages that did not match the code. On the smallest deployment, shards that were expected shortly after the target were left out though they were often in time.

--- a/crates/admission/src/controller.rs
+++ b/crates/admission/src/controller.rs
@@ -129,15 +129,15 @@
     fn record(&mut self, now: Instant, run: &Run, outcome: Outcome) {
         let elapsed = now.saturating_duration_since(run.since);
         let took = match outcome {
-            Outcome::Covered(Coverage { took, queued }) => {
+            Outcome::Covered(Coverage { took, is_congested }) => {
                 self.limit.record_answer(now);
-                self.congestion.record(queued);
+                self.congestion.record(is_congested);
                 took.min(elapsed)
             }
             Outcome::Ended => elapsed,
         };
-        let is_early = took < self.holding.expected(run.target, &self.policy);
-        if outcome == Outcome::Ended && is_early {
+        let is_usual = took < self.holding.expected(run.target, &self.policy);
+        if outcome == Outcome::Ended && is_usual {
             // Its caller left or an attempt failed, which says nothing about the searchers.
             return;
         }
--- a/crates/admission/src/decision.rs
+++ b/crates/admission/src/decision.rs
@@ -52,10 +52,10 @@
 pub struct Coverage {
     /// The time since the grant.
     pub took: Duration,
-    /// Whether it found no free slot at more searchers than its coverage can do without. A request
-    /// that is slow without this is not slow because of the others, so running fewer of them would
-    /// not make it faster.
-    pub queued: bool,
+    /// Whether, at more searchers than its coverage can do without, the requests of the member that
+    /// asked them already used all slots. A request that is slow without this is not slow because of
+    /// the others, so running fewer of them would not make it faster.
+    pub is_congested: bool,
 }
 
 /// How a granted request ended.
--- a/crates/admission/src/limit.rs
+++ b/crates/admission/src/limit.rs
@@ -1,9 +1,10 @@
 //! The number of requests of a pool that may run at once.
 //!
-//! While requests are early, each answer raises the limit by one for each `limit` answers. Otherwise
-//! the limit is lowered to the number of answers within a part of the target, which by Little's law
-//! is the number of running requests that the searchers can answer in it. Invariant: the limit stays
-//! between one and `most` times the slots of the searchers, and requests that were granted before a
+//! While requests are early, each answer raises the limit by one for each `limit` answers. Otherwise,
+//! and only while requests meet busy searchers ([`crate::congestion`]), the limit is lowered to the
+//! number of answers within a part of the target, which by Little's law is the number of running
+//! requests that the searchers can answer in it. Invariant: the limit stays between the number of
+//! slots of the searchers and `most` times that number, and requests that were granted before a
 //! decrease don't lower it again.
 
 use std::collections::VecDeque;
--- a/crates/dispatch/src/latency.rs
+++ b/crates/dispatch/src/latency.rs
@@ -247,7 +247,8 @@
         let penalty = 1.0 + weight * self.failure_rate(now).powi(2);
         let delay = self.delay(now, slots);
         let expected = (delay + self.stall_delay(now)) * cold * penalty;
-        Estimate { delay, expected, sampled_at: self.last_sample }
+        let reported_at = self.reported_delay(now).map(|(_, received)| received);
+        Estimate { delay, expected, sampled_at: reported_at.or(self.last_sample) }
     }
 
     fn mean(&self, now: Instant) -> f64 {
--- a/crates/dispatch/src/leave_out.rs
+++ b/crates/dispatch/src/leave_out.rs
@@ -1,7 +1,7 @@
 //! Which shards of a gathered request are left out before any is queried.
 //!
-//! A shard whose expected latency exceeds the target can't be part of an answer in time, and the
-//! work for it takes slots from requests that could be served. If more shards have a searcher than
+//! A shard whose expected latency exceeds the target by far can't be part of an answer in time, and
+//! the work for it takes slots from requests that could be served. If more shards have a searcher than
 //! the answer needs, the slowest of these shards are left out. Invariants: a shard that is expected
 //! to answer in time is never left out; the remaining shards suffice for the required coverage; a
 //! fraction of the shards that would be left out is queried, so that recovery is detected.
@@ -24,10 +24,10 @@
     if !policy.on || spare == 0 {
         return Vec::new();
     }
-    let target_ms = target.as_secs_f64() * 1e3;
+    let limit_ms = target.as_secs_f64() * 1e3 * policy.beyond;
     let mut slow = Vec::new();
     for (shard, delay) in delays.iter().enumerate() {
-        if let Some(delay) = delay.filter(|delay| *delay > target_ms) {
+        if let Some(delay) = delay.filter(|delay| *delay > limit_ms) {
             slow.push((delay * (1.0 + policy.similar * draw()), shard));
         }
     }
--- a/crates/policy/src/table.rs
+++ b/crates/policy/src/table.rs
@@ -285,6 +285,9 @@
     /// Leaves out shards that can't answer in time before they are asked, as far as the required
     /// coverage allows. If off, all shards are asked.
     leave_out: LeaveOut {
+        /// A shard that is expected shortly after the target is often in time nevertheless, and
+        /// without it the caller gets less of the index.
+        beyond: f64 = 1.5, "times the target latency, above which a shard is left out";
         /// The difference between shards that queue equally long: which of them are left out varies
         /// between requests, so that no shard is missing from every answer.
         similar: f64 = 0.1, "of the expected latency";
--- a/crates/relay/src/admission.rs
+++ b/crates/relay/src/admission.rs
@@ -1,7 +1,7 @@
 //! Admission of callers' requests by the coordinator of their pool of searchers.
 //!
-//! While a pool is short at this member, each request to it is decided by the first member in rank
-//! that answers ([`crate::coordinator`]); otherwise, and if none answers, this member decides by its
+//! While a pool is short at this member and the region has enough slots of it, each request to it is
+//! decided by the first member in rank that answers ([`crate::coordinator`]); otherwise, and if none answers, this member decides by its
 //! own estimates. Invariants: a grant is ended exactly once, when the required coverage is reached
 //! or when the request ends without it; a request that is refused has not been sent to a searcher.
 
@@ -78,15 +78,17 @@
     waited: Duration,
     /// Whether a coordinator has granted the request.
     pub(crate) is_granted: bool,
+    /// Whether a coordinator was asked, so that what was known before may be outdated.
+    pub(crate) has_waited: bool,
 }
 
 impl Ticket<'_> {
-    /// Records that the required coverage is reached; `queued` is whether the request found no free
-    /// slot at more searchers than its coverage can do without.
-    pub(crate) fn record_coverage(&mut self, queued: bool) {
+    /// Records that the required coverage is reached; `is_congested` is whether more searchers
+    /// were busy than its coverage can do without.
+    pub(crate) fn record_coverage(&mut self, is_congested: bool) {
         drop(self.watch.take());
         if let Some(mut grant) = self.grant.take() {
-            grant.end(Some(Coverage { took: grant.since.elapsed(), queued }));
+            grant.end(Some(Coverage { took: grant.since.elapsed(), is_congested }));
         }
     }
 
@@ -167,6 +169,7 @@
             return Ok(Ticket { watch, ..Ticket::default() });
         }
         let slots = self.binding_slots(pool, need);
+        // A pool this small has no coordinator.
         if (slots as usize) < policy.fewest_slots {
             return Ok(Ticket { watch, ..Ticket::default() });
         }
@@ -178,7 +181,7 @@
             Ruling::Undecided => None,
         };
         let is_granted = grant.is_some();
-        Ok(Ticket { watch, grant, waited: began.elapsed(), is_granted })
+        Ok(Ticket { watch, grant, waited: began.elapsed(), is_granted, has_waited: true })
     }
 
     /// Records a sign that the searchers of a request are short.
@@ -273,7 +276,9 @@
                 Ruling::Refused(ip, Grounds { expected, retry_after, ahead, limit })
             }
             Ok(Some(Admission::Queued(_)) | None) => {
-                log::info!("relay: event=grant_unknown member={ip} cause=\"it has restarted\"");
+                log::info!(
+                    "relay: event=grant_unknown member={ip} cause=\"the coordinator no longer knows the grant\""
+                );
                 Ruling::Undecided
             }
             Err(cause) => {
@@ -343,13 +348,14 @@
         target: Duration,
         grounds: &Grounds,
     ) -> Reply {
-        let target = target.as_millis();
+        let left = (job.request.received + target).saturating_duration_since(Instant::now());
+        let target_ms = left.as_millis();
         let rejection = Rejection {
             cause: Cause::NotRun,
             reason: Reason::Queue,
             description: "the searchers have no capacity for it within the target latency"
                 .to_owned(),
-            fields: format!("coordinator={coordinator} {grounds} target_ms={target}"),
+            fields: format!("coordinator={coordinator} {grounds} target_ms={target_ms}"),
             retry_after: Some(grounds.retry_after),
         };
         self.refuse(job, rejection)
--- a/crates/relay/src/coordinator.rs
+++ b/crates/relay/src/coordinator.rs
@@ -105,8 +105,8 @@
     /// Ends a grant, with how the required coverage was reached, if it was.
     pub fn complete(&self, grant: u64, covered: Option<Coverage>) {
         let grant = Grant(grant);
-        let outcome = covered.map_or(Outcome::Ended, |Coverage { took, queued }| {
-            Outcome::Covered(bergamot_admission::Coverage { took, queued })
+        let outcome = covered.map_or(Outcome::Ended, |Coverage { took, is_congested }| {
+            Outcome::Covered(bergamot_admission::Coverage { took, is_congested })
         });
         let mut inner = self.lock();
         inner.waiters.remove(&grant);
--- a/crates/relay/src/delegate.rs
+++ b/crates/relay/src/delegate.rs
@@ -163,8 +163,8 @@
     }
     let shards = query.shards.clone();
     let call = (relay.helping().gather_reporting)(ip, query, residency, deadline);
-    let ReportingReply { reply, delays, queued } = call.await?;
-    job.record_queued(queued as usize);
+    let ReportingReply { reply, delays, busy } = call.await?;
+    job.record_busy(busy as usize);
     relay.apply_reported_delays(&shards, &delays);
     Ok(reply)
 }
--- a/crates/relay/src/gather.rs
+++ b/crates/relay/src/gather.rs
@@ -70,16 +70,19 @@
         let cause = format!("{served} of {fewest} shards have a searcher, withheld: {withheld}");
         return refuse(relay, job, Reason::NoSearcher, false, unavailability, cause);
     }
-    let backlog = selection.backlog(relay, job, gather, timeouts);
+    let mut backlog = selection.backlog(relay, job, gather, timeouts);
     let need = Need { services: &gather.shards, fewest, has_run: job.may_have_run() };
     let mut ticket = match relay.request_admission(job, need, timeouts, backlog.is_some()).await {
         Ok(ticket) => ticket,
         Err(refusal) => return refusal,
     };
-    if ticket.is_granted {
-        // The selection is outdated if the request was queued.
+    if ticket.has_waited {
         selection = select();
-    } else if let Some(rejection) = backlog {
+        backlog = selection.backlog(relay, job, gather, timeouts);
+    }
+    if let Some(rejection) = backlog
+        && !ticket.is_granted
+    {
         return relay.refuse(&**job, rejection);
     }
     let timeouts = ticket.delay(timeouts);
@@ -93,7 +96,7 @@
         // The lock on the tally is released before the decision is handled.
         let decision = job.tally().decide(late);
         if !job.tally().is_below_coverage() {
-            ticket.record_coverage(job.queued() > gather.shards.len() - fewest);
+            ticket.record_coverage(job.busy() > gather.shards.len() - fewest);
         }
         match decision {
             GatherDecision::Wait => {}
@@ -207,7 +210,7 @@
         for shard in direct {
             let choice = first[shard].take();
             let is_busy = choice.as_ref().is_some_and(|choice| choice.is_busy);
-            self.job.record_queued(usize::from(is_busy));
+            self.job.record_busy(usize::from(is_busy));
             let first = choice.map(|choice| choice.link);
             self.start_race(shard, RacePlan { first, ..self.plan.clone() });
         }
--- a/crates/relay/src/handler.rs
+++ b/crates/relay/src/handler.rs
@@ -206,12 +206,12 @@
         self.credit_retry_budgets(std::slice::from_ref(service));
         let services = std::slice::from_ref(service);
         let choice = self.choose_searchers(services, &job.constraints).pop().flatten();
-        let queued = choice.as_ref().is_some_and(|choice| choice.is_busy);
+        let is_busy = choice.as_ref().is_some_and(|choice| choice.is_busy);
         let first = choice.map(|choice| choice.link);
         let plan = RacePlan { first, ..RacePlan::new(job, timeouts, &self.settings.policy) };
         match Race::new(self, job, service, plan).run().await {
             Ok(response) => {
-                ticket.record_coverage(queued);
+                ticket.record_coverage(is_busy);
                 Reply::Forwarded(response)
             }
             Err(failure) => self.refuse_failed(job, service, failure),
--- a/crates/relay/src/member_query.rs
+++ b/crates/relay/src/member_query.rs
@@ -128,7 +128,7 @@
                 self.relay.apply_reported_stall(self.name(shard), quiet);
             }
         }
-        if ran_nowhere(asked, &outcomes) {
+        if rest == 0 && ran_nowhere(asked, &outcomes) {
             self.job.record_not_run();
         }
         let arrived = outcomes.iter().enumerate();
--- a/crates/relay/src/message.rs
+++ b/crates/relay/src/message.rs
@@ -162,8 +162,8 @@
     pub fingerprint: OnceLock<Fingerprint>,
     /// How many attempts and queries to members may have led to the request being run.
     exposures: AtomicUsize,
-    /// The number of services whose searcher had no free slot when it was first asked.
-    queued: AtomicUsize,
+    /// The number of services whose searcher was busy when it was first asked.
+    busy: AtomicUsize,
 }
 
 impl Job {
@@ -186,7 +186,7 @@
             retry_gate: SharedGate::default(),
             fingerprint: OnceLock::new(),
             exposures: AtomicUsize::new(0),
-            queued: AtomicUsize::new(0),
+            busy: AtomicUsize::new(0),
         }
     }
 
@@ -207,14 +207,15 @@
         self.exposures.load(Ordering::Relaxed) > 0
     }
 
-    /// Records that some searchers had no free slot when they were first asked.
-    pub fn record_queued(&self, searchers: usize) {
-        self.queued.fetch_add(searchers, Ordering::Relaxed);
+    /// Records that some searchers were busy when they were first asked: the requests of the member
+    /// that asked them used all their slots.
+    pub fn record_busy(&self, searchers: usize) {
+        self.busy.fetch_add(searchers, Ordering::Relaxed);
     }
 
-    /// Returns the number of services whose searcher had no free slot when it was first asked.
-    pub fn queued(&self) -> usize {
-        self.queued.load(Ordering::Relaxed)
+    /// Returns the number of services whose searcher was busy when it was first asked.
+    pub fn busy(&self) -> usize {
+        self.busy.load(Ordering::Relaxed)
     }
 
     /// Returns the cause of the failure of this request; `late` is whether a time limit has passed.
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -142,8 +142,8 @@
     ) -> ReportingReply {
         let shards = query.shards.clone();
         let constraints = Constraints::new(residency);
-        let Answered { reply, queued } = shard_query::answer(self, query, constraints).await;
-        ReportingReply { reply, delays: self.delays_to_report(&shards), queued }
+        let Answered { reply, busy } = shard_query::answer(self, query, constraints).await;
+        ReportingReply { reply, delays: self.delays_to_report(&shards), busy }
     }
 
     /// Returns to a member the next shards of its earlier query.
--- a/crates/relay/src/selection.rs
+++ b/crates/relay/src/selection.rs
@@ -3,6 +3,8 @@
 //! The selection is made before anything is sent, and again after the request has waited for its
 //! admission. Invariant: a shard that is left out doesn't count for the admission of the request.
 
+use std::time::Duration;
+
 use bergamot_declaration::Gather;
 use bergamot_dispatch::{RequestTimeouts, Unavailability, admit};
 use rand::RngExt;
@@ -39,7 +41,7 @@
             delays[answered] = Some(0.0);
         }
         let fewest = gather.min_shards();
-        let left_out = select_left_out(relay, job, &delays, fewest, timeouts.target);
+        let left_out = select_left_out(relay, job, &delays, fewest, time_left(job, timeouts));
         let left_out = left_out
             .into_iter()
             .filter_map(|shard| Some(LeftOut { shard, expected_ms: delays[shard].take()? }))
@@ -65,7 +67,7 @@
             return None;
         }
         let (policy, target, fewest) =
-            (&relay.settings.policy.admit, timeouts.target, gather.min_shards());
+            (&relay.settings.policy.admit, time_left(job, timeouts), gather.min_shards());
         let mut expected: Vec<f64> = self.delays.iter().flatten().copied().collect();
         let admitted = admit(&mut expected, fewest, target, policy, rand::rng().random());
         let excess = admitted.err()?;
@@ -79,3 +81,8 @@
         })
     }
 }
+
+/// Returns the time left until the answer should be sent.
+fn time_left(job: &Job, timeouts: RequestTimeouts) -> Duration {
+    timeouts.target.saturating_sub(job.request.received.elapsed())
+}
--- a/crates/relay/src/shard_query.rs
+++ b/crates/relay/src/shard_query.rs
@@ -87,8 +87,8 @@
 #[derive(Debug)]
 pub(crate) struct Answered {
     pub(crate) reply: ShardReply,
-    /// The number of shards whose searcher had no free slot when it was asked.
-    pub(crate) queued: u32,
+    /// The number of shards whose searcher was busy with requests of this member when it was asked.
+    pub(crate) busy: u32,
 }
 
 /// Answers a query of another member.
@@ -107,7 +107,7 @@
         log::error!("relay: event=query_refused cause=\"malformed request in a member query\"");
         let reply =
             ShardReply { shards, records: Vec::new(), left_out: 0, rest: 0, quiet: Vec::new() };
-        return Answered { reply, queued: 0 };
+        return Answered { reply, busy: 0 };
     };
     // Attempts for other members must not affect the latencies that this member learns for its own
     // routes, hence the empty route name. The sender is told of each failure and logs it.
@@ -160,7 +160,7 @@
     let left_out = if others.is_empty() { 0 } else { store_left_out(relay, others) };
     let quiet = relay.expected_stalls(&names);
     let reply = ShardReply { shards, records, left_out, rest, quiet };
-    Answered { reply, queued: job.queued() as u32 }
+    Answered { reply, busy: job.busy() as u32 }
 }
 
 /// Starts one attempt for each shard and records the searcher asked.
@@ -175,7 +175,7 @@
     let choices = relay.choose_searchers(names, &job.constraints);
     for (index, choice) in choices.into_iter().enumerate() {
         let Some(Choice { link, is_busy, .. }) = choice else { continue };
-        job.record_queued(usize::from(is_busy));
+        job.record_busy(usize::from(is_busy));
         relay.meter().count_attempt(AttemptReason::Delegated, link.distance);
         shards[index] = ShardOutcome::Silent(link.upstream.incarnation.clone());
         let limits = AttemptLimits { connect_by, deadline, trial: false };
--- a/crates/wire/src/member.rs
+++ b/crates/wire/src/member.rs
@@ -104,9 +104,9 @@
     pub reply: ShardReply,
     /// The latencies; empty while there are enough searchers.
     pub delays: Vec<ReportedDelay>,
-    /// The number of shards whose searcher had no free slot when it was asked, as far as the member
-    /// knows from its own requests.
-    pub queued: u32,
+    /// The number of shards whose searcher had all its slots in use by requests of the replying
+    /// member when it was asked.
+    pub busy: u32,
 }
 
 /// The answer of a shard that arrived after the [`ShardReply`] was sent.
@@ -279,8 +279,9 @@
 pub struct Coverage {
     /// The time since the grant.
     pub took: Duration,
-    /// Whether it found no free slot at more searchers than its coverage can do without.
-    pub queued: bool,
+    /// Whether, at more searchers than its coverage can do without, the requests of the member that
+    /// asked them already used all slots.
+    pub is_congested: bool,
 }
 
 /// The service that members provide for each other.
