A refusal logs the short name by which it is counted

Cause: the counter's label 'cause' was a name that no log line had, and the log's 'cause' is a sentence. Change: the label is 'reason', and the line carries it.

--- a/crates/relay/src/meter.rs
+++ b/crates/relay/src/meter.rs
@@ -127,8 +127,8 @@
             refusals: counters(
                 registry,
                 "bergamot_relay_refusals_total",
-                "Refused requests by route, priority and cause.",
-                &["route", "priority", "cause"],
+                "Refused requests by route, priority and reason.",
+                &["route", "priority", "reason"],
             ),
             left_out: counters(
                 registry,
@@ -292,8 +292,8 @@
     }
 
     /// Counts a refusal by its cause.
-    pub(crate) fn count_refusal(&self, route: &str, priority: u32, cause: &str) {
-        self.unserved.refusals.with_label_values(&[route, &priority.to_string(), cause]).inc();
+    pub(crate) fn count_refusal(&self, route: &str, priority: u32, reason: &str) {
+        self.unserved.refusals.with_label_values(&[route, &priority.to_string(), reason]).inc();
     }
 
     /// Counts the shards of an answer that were left out.
--- a/crates/relay/src/refusal.rs
+++ b/crates/relay/src/refusal.rs
@@ -136,7 +136,8 @@
         let separator = if fields.is_empty() { "" } else { " " };
         log::info!(
             "relay: event=refused request={id:?} route={route} priority={priority} \
-             outcome={cause:?} cause=\"{description}\"{separator}{fields}"
+             outcome={cause:?} reason={} cause=\"{description}\"{separator}{fields}",
+            reason.label()
         );
         Reply::Refused(Refusal { cause, retry_after })
     }
