--- a/crates/admission/src/bookings.rs
+++ b/crates/admission/src/bookings.rs
@@ -11,7 +11,7 @@
 use bergamot_policy::ComeBack;
 
 /// The part of its remaining time for which a caller waits before it retries.
-const PATIENCE: u32 = 3;
+const MAX_DELAY_DIVISOR: u32 = 3;
 
 /// The retry times that lie ahead, in ascending order.
 #[derive(Clone, Debug, Default)]
@@ -42,7 +42,7 @@
         policy: &ComeBack,
     ) -> Duration {
         self.expire(now);
-        let longest = deadline / PATIENCE;
+        let longest = deadline / MAX_DELAY_DIVISOR;
         let soonest = now + policy.soonest;
         let next = self.times.back().map_or(soonest, |last| (*last + interval).max(soonest));
         let delay = next.saturating_duration_since(now);
