--- a/crates/admission/src/congestion.rs
+++ b/crates/admission/src/congestion.rs
@@ -3,7 +3,8 @@
 //! Searchers that are slow make requests late however few run at once. A limit helps only while
 //! requests wait for slots. Invariant: a pool whose requests find free slots is not limited further.
 
-/// The weight of a new sample in the share of congested requests.
+/// The weight of a new sample in the share of congested requests: about five of them decide, so that
+/// the limit follows within a fraction of a second.
 const WEIGHT: f64 = 0.2;
 
 /// The share of congested requests from which fewer should run at once.
--- a/crates/admission/tests/coordinator.rs
+++ b/crates/admission/tests/coordinator.rs
@@ -187,3 +187,28 @@
     let counts = status.counts.iter().map(|(priority, one)| (*priority, one.granted, one.refused));
     assert_eq!(counts.collect::<Vec<_>>(), [(0, 3, 0), (2, 0, 1)]);
 }
+
+/// Guards against a limit that falls because searchers are slow though none of their slots are
+/// lacking: fewer requests at once would not be faster, and callers would be refused for nothing.
+#[test]
+fn late_answers_lower_the_limit_only_while_searchers_are_busy() {
+    for is_congested in [false, true] {
+        let mut coordinator = Coordinator::new(&Queue::default(), &ComeBack::default());
+        let (mut now, pool) = (Instant::now(), Pool::from_id(1));
+        let limit = |coordinator: &Coordinator| coordinator.status()[0].limit;
+        let mut limits = Vec::new();
+        for _ in 0..20 {
+            let decision = coordinator.request(now, pool, demand(0, "a"));
+            let Decision::Granted(grant) = decision else { panic!("{decision:?}") };
+            limits.push(limit(&coordinator));
+            // Three times the target latency.
+            let took = 600 * MS;
+            now += took;
+            coordinator.expire(now);
+            let outcome = Outcome::Covered(Coverage { took, is_congested });
+            coordinator.complete(now, grant, outcome);
+        }
+        let has_fallen = limits.last() < limits.first();
+        assert_eq!(has_fallen, is_congested, "{limits:?}");
+    }
+}
--- a/crates/dispatch/src/leave_out.rs
+++ b/crates/dispatch/src/leave_out.rs
@@ -21,7 +21,8 @@
     mut draw: impl FnMut() -> f64,
 ) -> Vec<usize> {
     let spare = delays.iter().flatten().count().saturating_sub(fewest);
-    if !policy.on || spare == 0 {
+    // Once the target has passed, every shard is too late, which says nothing about the slow ones.
+    if !policy.on || spare == 0 || target.is_zero() {
         return Vec::new();
     }
     let limit_ms = target.as_secs_f64() * 1e3 * policy.beyond;
--- a/crates/dispatch/tests/leave_out.rs
+++ b/crates/dispatch/tests/leave_out.rs
@@ -34,6 +34,8 @@
 fn shards_that_can_answer_in_time_are_queried() {
     assert!(select(&delays(&[300.0; 90]), LOOSE, &policy()).is_empty());
     assert_eq!(select(&delays(&[301.0; 90]), LOOSE, &policy()).len(), SHARDS - LOOSE);
+    let late = leave_out(&delays(&[]), LOOSE, Duration::ZERO, &policy(), rand::random);
+    assert!(late.is_empty());
     let off = LeaveOut { on: false, ..policy() };
     assert!(select(&delays(&[900.0; 10]), LOOSE, &off).is_empty());
 }
--- a/crates/relay/src/admission.rs
+++ b/crates/relay/src/admission.rs
@@ -1,9 +1,10 @@
 //! Admission of callers' requests by the coordinator of their pool of searchers.
 //!
 //! While a pool is short at this member and the region has enough slots of it, each request to it is
-//! decided by the first member in rank that answers ([`crate::coordinator`]); otherwise, and if none answers, this member decides by its
-//! own estimates. Invariants: a grant is ended exactly once, when the required coverage is reached
-//! or when the request ends without it; a request that is refused has not been sent to a searcher.
+//! decided by the first member in rank that answers ([`crate::coordinator`]); otherwise, and if none
+//! answers, this member decides by its own estimates. Invariants: a grant is ended exactly once, when
+//! the required coverage is reached or when the request ends without it; a request that is refused
+//! has not been sent to a searcher.
 
 use std::fmt::{self, Write as _};
 use std::net::Ipv4Addr;
--- a/crates/relay/tests/admission.rs
+++ b/crates/relay/tests/admission.rs
@@ -10,6 +10,7 @@
 use bergamot_admission::{Pool, rank_coordinators};
 use bergamot_declaration::{Idempotency, Target};
 use bergamot_policy::Policy;
+use bergamot_registry::Upstream;
 use bergamot_relay::{Cause, DelegateMember, Helping, Relay, Reply, Settings};
 use bergamot_standin::{ScriptedServer, Step};
 use bergamot_wire::{Admission, AdmissionRequest, Coverage};
@@ -151,6 +152,20 @@
     }
 }
 
+/// Guards against a limit for a region that has a single slot of each shard, where one request more
+/// or less is all of its load.
+#[tokio::test]
+async fn a_pool_with_a_single_slot_has_no_coordinator() {
+    let (helping, calls) = coordinators(None, REFUSED, None);
+    let searcher = slow_once().await;
+    let relay = relay_among(2, helping, service(), &searcher);
+    let single = Upstream { slots: 1, ..upstream("s", "s", &searcher) };
+    relay.with_registry(|registry| registry.publish(single, Instant::now()));
+    assert!(is_answered(&relay).await);
+    assert!(is_answered(&relay).await);
+    assert_eq!(take(&calls), []);
+}
+
 /// Guards against a slow coordinator that delays each request, and against its late grants, which
 /// nobody uses.
 #[tokio::test]
