Tokens for other members are drawn at random, so a restarted member hands out nothing of another request

Cause: a member numbered the tokens of what it keeps for other members (records left out of a reply, shards that arrive after it) from 1 in each process, and handed out whatever had the number. After a restart the first token is that of the first request of the process before.

Change: both kinds are kept in a TokenMap, the one place that gives out such tokens. It draws them from 64 random bits, so a token of an earlier run, or of another process that had the address, is unknown; the sender then leaves out the shards concerned. The wire is unchanged.

--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -14,6 +14,7 @@
 mod position;
 mod seed;
 mod tasks;
+mod token_map;
 
 pub use budget::Budget;
 pub use deadline::Deadline;
@@ -25,6 +26,7 @@
 pub use position::Position;
 pub use seed::Seed;
 pub use tasks::{TaskSupervisor, panic_message};
+pub use token_map::TokenMap;
 
 /// A shared immutable string, cheap to clone into messages and logs.
 pub type Name = std::sync::Arc<str>;
--- a/crates/relay/src/shard_query.rs
+++ b/crates/relay/src/shard_query.rs
@@ -4,11 +4,10 @@
 //! the sender; attempts still running then continue, and the sender fetches their results as they
 //! arrive. Invariant: an attempt is aborted once the sender no longer waits for it.
 
-use std::collections::HashMap;
 use std::sync::{Arc, PoisonError};
 use std::time::{Duration, Instant};
 
-use bergamot_base::Name;
+use bergamot_base::{Name, TokenMap};
 use bergamot_declaration::Idempotency;
 use bergamot_dispatch::{Ending, RECORD_LEN, Tally, merge_top_k};
 use bergamot_placement::Constraints;
@@ -32,20 +31,12 @@
 /// Upper bound on the deadline in a query: longer than any caller waits.
 const MAX_WAIT: Duration = Duration::from_hours(1);
 
-/// Results that are not part of the reply to a query, by token.
+/// Results that are not part of the reply to a query, kept for the member that sent the query.
 #[derive(Debug, Default)]
 pub(crate) struct PendingResults {
-    next: u64,
-    late: HashMap<u64, LateAttempts>,
+    late: TokenMap<LateAttempts>,
     /// Records left out of replies.
-    left_out: HashMap<u64, Vec<u8>>,
-}
-
-impl PendingResults {
-    fn token(&mut self) -> u64 {
-        self.next += 1;
-        self.next
-    }
+    left_out: TokenMap<Vec<u8>>,
 }
 
 /// The end of an attempt, with the index of its shard.
@@ -191,26 +182,18 @@
 /// Stores the running attempts until the sender asks for their results.
 fn store_late(relay: &Arc<Relay>, attempts: RunningAttempts) -> u64 {
     let late = LateAttempts::start(attempts);
-    let token = relay.with_pending(|pending| {
-        let token = pending.token();
-        pending.late.insert(token, late);
-        token
-    });
+    let token = relay.with_pending(|pending| pending.late.insert(late));
     // Attempts unclaimed by then are aborted: the sender has responded without them.
     let unclaimed = relay.settings.policy.delegate.unclaimed;
-    remove_after(relay, unclaimed, move |pending| drop(pending.late.remove(&token)));
+    remove_after(relay, unclaimed, move |pending| drop(pending.late.take(token)));
     token
 }
 
 /// Stores the records left out of a reply until the sender asks for them.
 fn store_left_out(relay: &Arc<Relay>, records: Vec<u8>) -> u64 {
-    let token = relay.with_pending(|pending| {
-        let token = pending.token();
-        pending.left_out.insert(token, records);
-        token
-    });
+    let token = relay.with_pending(|pending| pending.left_out.insert(records));
     let kept = relay.settings.policy.brief.kept;
-    remove_after(relay, kept, move |pending| drop(pending.left_out.remove(&token)));
+    remove_after(relay, kept, move |pending| drop(pending.left_out.take(token)));
     token
 }
 
@@ -229,17 +212,17 @@
 
 /// Returns the records left out of an earlier reply.
 pub(crate) fn take_records(relay: &Relay, token: u64) -> Option<Vec<u8>> {
-    relay.with_pending(|pending| pending.left_out.remove(&token))
+    relay.with_pending(|pending| pending.left_out.take(token))
 }
 
 /// Waits for the next shards of an earlier query.
 pub(crate) async fn next_late(relay: &Arc<Relay>, token: u64) -> Vec<Late> {
-    let Some(mut attempts) = relay.with_pending(|pending| pending.late.remove(&token)) else {
+    let Some(mut attempts) = relay.with_pending(|pending| pending.late.take(token)) else {
         return Vec::new();
     };
     let ended = attempts.next().await;
     if !ended.is_empty() {
-        relay.with_pending(|pending| pending.late.insert(token, attempts));
+        relay.with_pending(|pending| pending.late.put_back(token, attempts));
     }
     ended.into_iter().map(|(index, outcome)| late(relay, index, outcome)).collect()
 }
