Numbers of membership probes differ between the runs of a member

What was seen: nothing yet; found while looking for the cause of the records of another request on related paths.

Cause: a run numbered its pings from 1. An acknowledgement of a ping that an earlier run had sent counted for the ping of the same number in the next run, though another member had been pinged, so that member's failure was noticed a round later. A ping on behalf of another member could be reported as answered in the same way.

Change: the numbers start at 32 random bits derived from the incarnation, from a random stream of their own, so no other draw changes. The cost is up to 4 bytes in each ping, acknowledgement and request to ping.

--- a/crates/members/src/membership.rs
+++ b/crates/members/src/membership.rs
@@ -13,6 +13,7 @@
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
+use bergamot_base::Seed;
 use bergamot_quarantine::Report;
 use rand::RngExt;
 use rand::rngs::StdRng;
@@ -123,11 +124,13 @@
         let mut rumours = Rumours::default();
         rumours.add(now, Rumour::Member(me.clone()), Scope::AllZones);
         let next_seed = rng.random_range(0..seeds.len().max(1));
+        // 32 bits tell two runs apart, and take half of the bytes of a full number in each probe.
+        let first_sequence = Seed(me.incarnation).generator("probes").random::<u32>().into();
         Self {
             me,
             rng,
             view,
-            prober: Prober::new(now, timing),
+            prober: Prober::new(now, timing, first_sequence),
             rumours,
             sync: Sync::new(),
             seeds,
--- a/crates/members/src/prober.rs
+++ b/crates/members/src/prober.rs
@@ -91,14 +91,17 @@
 }
 
 impl Prober {
-    pub(crate) fn new(now: Instant, timing: Timing) -> Self {
+    /// Creates the state of a member that starts. Sequence numbers follow `last_sequence`, which
+    /// should differ between runs: an acknowledgement of an earlier run's ping is then not taken
+    /// for one of this run's.
+    pub(crate) fn new(now: Instant, timing: Timing, last_sequence: u64) -> Self {
         Self {
             timing,
             local: Round::default(),
             remote: Round::default(),
             ping_count: 0,
             next_ping: now,
-            last_sequence: 0,
+            last_sequence,
             pending: None,
             relayed: BTreeMap::new(),
             suspects: BTreeMap::new(),
