A planned stop answers each request that it has accepted

Cause: a stop accepted every request for 4.3 s, whatever its length, and dropped what was open at 5.58 s with the runtime.

Change: dispatch::PlannedStop decides whether the time left holds a request (its own time limit, or the usual time of its route for each round of requests ahead of it at its searcher); others are refused at once with 503. 200 ms before its end the stop gives each open request its final answer, 503 if it has certainly not been sent, else 504. Both stand in Relay::handle, which each request of a caller passes. A connection that is being opened counts as a request ahead: six that arrived together over new connections didn't see each other otherwise.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -10,8 +10,8 @@
 //! elsewhere.
 //! [`RequestTimeouts`] computes the timeouts of a request, and [`Ending`] determines what may
 //! follow the end of an exchange. [`leave_out()`] decides which shards of a gathered
-//! request are not queried, [`admit()`] whether it is admitted, and [`retry_delay()`] when a refused
-//! caller should retry. [`Tally`] decides when a gathered answer
+//! request are not queried, [`admit()`] whether it is admitted, [`PlannedStop`] whether it is
+//! accepted during a stop, and [`retry_delay()`] when a refused caller should retry. [`Tally`] decides when a gathered answer
 //! is sent, and [`merge_top_k`] merges its records. See `docs/design/0009-platform.md`.
 
 mod admit;
@@ -20,6 +20,7 @@
 mod latency;
 mod leave_out;
 mod load_report;
+mod planned_stop;
 mod rank;
 mod record;
 mod retry_budget;
@@ -35,6 +36,7 @@
 pub use latency::{Estimate, LatencyEstimator};
 pub use leave_out::leave_out;
 pub use load_report::{LoadReport, Measured};
+pub use planned_stop::{ExpectedDuration, PlannedStop};
 pub use rank::{Candidate, Distance, best};
 pub use record::{RECORD_LEN, may_be_incomplete, merge_top_k, sufficient_records};
 pub use retry_budget::{AttemptPriority, RetryBudget, RetryBudgetLimits};
--- a/crates/front/src/daemon.rs
+++ b/crates/front/src/daemon.rs
@@ -2,8 +2,9 @@
 //!
 //! A planned stop is announced to the other members and the platform at once, so that no further
 //! callers are directed here. Callers that hold this instance's address are served until their
-//! address responses have expired. Then the listener closes, requests in flight are completed, and
-//! the process ends. Invariant: every request that was read is answered before the process ends.
+//! address responses have expired, as far as the time left holds their requests; others are refused
+//! at once. Then the listener closes, requests in flight are completed or get their final answer,
+//! and the process ends. Invariant: every request that was read is answered before the process ends.
 
 use std::cmp::Reverse;
 use std::collections::BTreeSet;
@@ -43,6 +44,10 @@
 /// The number of ticks per summary line in the log: one line every ten seconds.
 const TICKS_PER_SUMMARY: u32 = 100;
 
+/// How long before the end of a planned stop the last answers are given: on a small machine,
+/// hundreds of them take some tenths of a second to reach their callers.
+const LAST_ANSWERS_TIME: Duration = Duration::from_millis(200);
+
 /// The first version of the RPCs between members that serves requests for permits.
 const PERMIT_PROTOCOL: u32 = 1;
 
@@ -176,6 +181,8 @@
         log::info!("front: event=leaving linger_ms={}", settings.drain_period.as_millis());
         self.inner.leaving.store(true, Ordering::Relaxed);
         self.inner.peers.announce_leaving();
+        let answer_by = end.checked_sub(LAST_ANSWERS_TIME).unwrap_or(end);
+        self.inner.relay.begin_stop(answer_by.into());
         sleep_until(close_at).await;
         self.close_listener.cancel();
         if tokio::time::timeout_at(end, self.caller_listener).await.is_err() {
--- a/crates/relay/src/handler.rs
+++ b/crates/relay/src/handler.rs
@@ -1,6 +1,6 @@
 //! Handling of a request, from finding its route to logging its end.
 
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 use std::time::{Duration, Instant};
 
 use bergamot_base::{Name, Revision};
@@ -44,7 +44,11 @@
     pub async fn handle(self: &Arc<Self>, request: Request) -> Reply {
         let (received, id) = (request.received, request.id.clone());
         let mut caller = CallerGuard { id: &id, received, answered: false };
-        self.wait_until_current().await;
+        tokio::select! {
+            biased;
+            () = self.wait_until_current() => {}
+            () = self.stop.answers_due() => {}
+        }
         // Without the verdicts of the other members, a condemned request might be forwarded.
         let declaration = self.declaration().filter(|_| self.quarantine().is_synced());
         let version = declaration.as_ref().map_or(0, |declaration| declaration.version);
@@ -61,7 +65,8 @@
                 (NO_ROUTE, None, self.refuse(refused, reject_unrouted()))
             }
             Some(Some(route)) => {
-                (&*route.name, route.target_latency, self.route(route, request).await)
+                let reply = self.route_until_stopped(route, request).await;
+                (&*route.name, route.target_latency, reply)
             }
         };
         caller.answered = true;
@@ -108,7 +113,27 @@
         );
     }
 
-    async fn route(self: &Arc<Self>, route: &Route, request: Request) -> Reply {
+    /// Routes a request, and ends it if the process stops before it is answered.
+    async fn route_until_stopped(self: &Arc<Self>, route: &Route, request: Request) -> Reply {
+        let (id, job) = (request.id.clone(), OnceLock::new());
+        tokio::select! {
+            biased;
+            reply = self.route(route, request, &job) => reply,
+            () = self.stop.answers_due() => {
+                let refused =
+                    RefusedRequest { id: &id, route: &route.name, priority: route.priority };
+                self.refuse_at_end_of_stop(refused, job.get())
+            }
+        }
+    }
+
+    /// Routes a request. `created` receives its state, for when this is dropped before its end.
+    async fn route(
+        self: &Arc<Self>,
+        route: &Route,
+        request: Request,
+        created: &OnceLock<Arc<Job>>,
+    ) -> Reply {
         let percentile =
             self.lock().latency_percentiles.get(&route.name).and_then(LatencyPercentile::estimate);
         let overhead = self.caller_overhead(route, &request);
@@ -126,20 +151,24 @@
         let mut constraints = Constraints::new(route.residency.clone());
         constraints.permits = self.obtain_permits(&route.target, &constraints).await;
         let job = Arc::new(Job::new(request, JobRoute::from(route), constraints, tally));
+        let job = created.get_or_init(|| job);
+        if let Some(refusal) = self.refuse_during_stop(job, route, timeouts) {
+            return refusal;
+        }
         let standing = self.quarantine().standing(Instant::now(), || job.fingerprint());
         let reply = match standing {
-            Standing::Condemned(left) => self.refuse_condemned(&job, left),
-            Standing::Trusted => self.dispatch(&job, &route.target, timeouts, None).await,
+            Standing::Condemned(left) => self.refuse_condemned(job, left),
+            Standing::Trusted => self.dispatch(job, &route.target, timeouts, None).await,
             Standing::Suspect(suspects) => {
-                match self.run_trial(&job, &route.target, &suspects, timeouts).await {
+                match self.run_trial(job, &route.target, &suspects, timeouts).await {
                     Ok(trial_response) => {
-                        self.dispatch(&job, &route.target, timeouts, Some(trial_response)).await
+                        self.dispatch(job, &route.target, timeouts, Some(trial_response)).await
                     }
                     Err(reply) => reply,
                 }
             }
         };
-        self.clear(&job, &route.target, &reply);
+        self.clear(job, &route.target, &reply);
         job.failure_log.log(&job.request.id);
         reply
     }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -29,6 +29,7 @@
 mod meter;
 mod monitor;
 mod partial_results;
+mod planned_stop;
 mod pool_slots;
 mod prewarm;
 mod quarantine;
--- a/crates/relay/src/link.rs
+++ b/crates/relay/src/link.rs
@@ -114,6 +114,13 @@
         self.last_prewarm.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Returns how many requests of this member are at the searcher or about to be sent there: those
+    /// whose connection is still being opened have not been recorded as sent.
+    pub(crate) fn occupied(&self) -> usize {
+        let usage = self.pool.usage();
+        usage.open.saturating_sub(usage.idle).max(self.estimator().in_flight())
+    }
+
     /// Estimates the latency of one more request.
     pub(crate) fn estimate(&self, cold: bool, now: Instant) -> Estimate {
         self.estimator().estimate(now, self.upstream.slots, cold)
--- a/crates/relay/src/refusal.rs
+++ b/crates/relay/src/refusal.rs
@@ -38,6 +38,8 @@
     Coverage,
     /// Records that a member left out could not be fetched.
     Records,
+    /// This instance stops.
+    Stopping,
 }
 
 impl Reason {
@@ -54,6 +56,7 @@
             Self::Attempts => "attempts",
             Self::Coverage => "coverage",
             Self::Records => "records",
+            Self::Stopping => "stopping",
         }
     }
 }
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -24,6 +24,7 @@
 use crate::dialect::Dialect;
 use crate::meter::Meter;
 use crate::monitor::Monitor;
+use crate::planned_stop::StopState;
 use crate::settings::Settings;
 use crate::shard_query::{self, Answered, PendingResults};
 use crate::state::State;
@@ -55,6 +56,7 @@
     pub(crate) stall_period: StallPeriod,
     /// Requests suspected or known to crash searchers.
     quarantine: Arc<Quarantine>,
+    pub(crate) stop: StopState,
 }
 
 impl fmt::Debug for Relay {
@@ -92,6 +94,7 @@
             monitor: Arc::default(),
             stall_period,
             quarantine: Arc::default(),
+            stop: StopState::default(),
         })
     }
 
