The stop of an entry answers each request that it has accepted

What callers saw (own interface): with a drain time shorter than their deadlines, queries and writes that were still open at its end lost their connections without an answer.

Cause: EntryHandle::stop waited for the requests in flight for the drain time and then closed their connections.

Change: when nine tenths of the drain time have passed, an open query gets 503 with when to retry, and an open write the outcome `unknown`, since it may have been sent.

Evidence: path::requests_that_outlast_the_stop_of_an_entry_get_an_answer failed on the code before ("connection closed before message completed", for the query and the write) and passes now.

--- a/crates/entry/src/http.rs
+++ b/crates/entry/src/http.rs
@@ -9,6 +9,7 @@
 use bergamot_net::{Body, json};
 use bergamot_node::ActiveDocument;
 use bergamot_query::Shape;
+use bergamot_write::Outcome;
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, HeaderValue};
 use hyper::{Method, Request, Response, StatusCode};
@@ -32,6 +33,9 @@
 /// Delay after which to retry a query for which no shard answered.
 const EMPTY_RESULT_RETRY_AFTER: Duration = Duration::from_millis(250);
 
+/// Delay after which to retry, elsewhere, a query that the stop of the entry has ended.
+const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(100);
+
 /// The target of a request, as named by its path.
 #[derive(Clone, Debug, PartialEq, Eq)]
 enum Route {
@@ -77,7 +81,11 @@
         }
         Ok(Route::Query { workspace, services }) => {
             let name = Name::from(format!("{workspace}/{}", services.join(",")));
-            let outcome = answer_query(inner, id, request, &workspace, &services).await;
+            let outcome = tokio::select! {
+                biased;
+                outcome = answer_query(inner, id, request, &workspace, &services) => outcome,
+                () = inner.answers_due() => Err(stopping()),
+            };
             // Names that callers invent must not become metric labels, or the number of labels
             // would be unbounded.
             let unknown = matches!(&outcome, Err(error) if error.status == StatusCode::NOT_FOUND);
@@ -263,7 +271,11 @@
         body,
         deadline: deadline.with_margin(RESPONSE_MARGIN),
     };
-    let outcome = inner.write_executor.run(key.clone(), write).await;
+    let outcome = tokio::select! {
+        biased;
+        outcome = inner.write_executor.run(key.clone(), write) => outcome,
+        () = inner.answers_due() => Outcome::unknown("this entry stops before an outcome has come"),
+    };
     let answer = WriteAnswer::new(Name::clone(id), Name::from(key.to_string()), outcome);
     let label = match answer.outcome {
         bergamot_write::Status::Done => "done",
@@ -273,6 +285,12 @@
     Ok((label, answer.response(current.document.revision)))
 }
 
+/// The answer to a query that is still open when a stop requires its final answer.
+fn stopping() -> RequestError {
+    let cause = "this entry stops before the query is answered";
+    RequestError::unavailable("stop", "here", cause, STOPPING_RETRY_AFTER)
+}
+
 fn current_document(inner: &Inner) -> Result<Arc<ActiveDocument>, RequestError> {
     inner.node.active_document().ok_or_else(|| {
         RequestError::unavailable(
--- a/crates/entry/src/service.rs
+++ b/crates/entry/src/service.rs
@@ -27,6 +27,9 @@
 /// plus the lifetime of address answers.
 const LEAVE_PROPAGATION_TIME: Duration = Duration::from_secs(1);
 
+/// The part of the drain time that is left for the last answers to reach their callers.
+const LAST_ANSWERS_PART: f64 = 0.1;
+
 /// State shared by the request handlers of an entry.
 #[derive(Debug)]
 pub(crate) struct Inner {
@@ -36,6 +39,8 @@
     pub(crate) query_executor: Arc<QueryExecutor>,
     pub(crate) write_executor: Arc<WriteExecutor>,
     draining: AtomicBool,
+    /// Cancelled when a stop requires the final answers to all requests.
+    answers_due: CancellationToken,
     serial: AtomicU64,
 }
 
@@ -44,6 +49,11 @@
         self.draining.load(Ordering::Relaxed)
     }
 
+    /// Waits until a stop requires the final answers to all requests.
+    pub(crate) async fn answers_due(&self) {
+        self.answers_due.cancelled().await;
+    }
+
     pub(crate) fn next_serial(&self) -> u64 {
         self.serial.fetch_add(1, Ordering::Relaxed)
     }
@@ -79,6 +89,7 @@
             query_executor,
             node,
             draining: AtomicBool::new(false),
+            answers_due: CancellationToken::new(),
             serial: AtomicU64::new(0),
         });
         add_dumps(&inner);
@@ -115,7 +126,8 @@
 
     /// Stops gracefully: announces that it is leaving, serves until the last address answer that
     /// named this entry has expired, finishes requests in flight, then closes. The drain time in
-    /// the settings limits the wait for requests in flight.
+    /// the settings limits the wait for requests in flight; those still open towards its end get
+    /// their final answer then.
     pub async fn stop(self) {
         let node = &self.inner.node;
         let settings = &node.settings().entry;
@@ -125,6 +137,12 @@
         let until = start + settings.address_ttl + LEAVE_PROPAGATION_TIME;
         tokio::time::sleep_until(until.into()).await;
         self.stop.cancel();
+        let inner = Arc::clone(&self.inner);
+        let answer_by = Instant::now() + settings.drain.mul_f64(1.0 - LAST_ANSWERS_PART);
+        tokio::spawn(async move {
+            tokio::time::sleep_until(answer_by.into()).await;
+            inner.answers_due.cancel();
+        });
         let drained = async {
             // A panic in a handler has already been reported.
             let _ = self.callers.await;
--- a/daemons/tests/path.rs
+++ b/daemons/tests/path.rs
@@ -2,12 +2,16 @@
 
 mod support;
 
+use std::time::Duration;
+
 use bergamot_base::Seed;
 use bergamot_bench::deployment::Deployment;
+use bergamot_standin::Faults;
 use support::{CTL, Testbed, get, post, run_program, text_and_code, until};
 
 const SCAN: &str = r#"{"shape": "scan"}"#;
 const QUEUE: &str = "/v1/fraser-basin/queue-board/query";
+const LEDGER: &str = "/v1/fraser-basin/glycol-ledger/write";
 
 /// A path, headers and a body, with the expected status and step of the error.
 type InvalidRequest<'a> = (&'a str, &'a [(&'a str, &'a str)], &'a str, u16, &'a str);
@@ -167,6 +171,33 @@
     assert_eq!(instance.gather.wait(), Some(0));
 }
 
+/// Guards against a stop that closes the connections of requests whose deadline is later than its
+/// end: their callers would not learn whether a write was sent.
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_that_outlast_the_stop_of_an_entry_get_an_answer() {
+    let extra = "[entry]\naddress_ttl = 200\ndrain = 500\n";
+    let mut testbed = Testbed::start(Deployment::fraser_basin([50, 7], Seed(1)), 1, extra).await;
+    testbed.add(0).await;
+    wait_until_complete(&testbed).await;
+    let silent = Faults { slow_factor: 100_000.0, ..Faults::default() };
+    for (_, searcher) in &testbed.stand_ins.searchers {
+        searcher.set_faults(silent.clone());
+    }
+    let entry = testbed.entry(0);
+    let query =
+        tokio::spawn(async move { post(entry, QUEUE, &[("x-deadline-ms", "20000")], SCAN).await });
+    let body = r#"{"record": "doc-7", "body": "entry"}"#;
+    let write =
+        tokio::spawn(async move { post(entry, LEDGER, &[("x-deadline-ms", "20000")], body).await });
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    testbed.instances[0].entry.signal("TERM");
+    let (status, answer) = query.await.expect("the query is answered");
+    assert_eq!((status, answer["error"]["step"].as_str()), (503, Some("stop")), "{answer}");
+    let (status, answer) = write.await.expect("the write is answered");
+    assert_eq!((status, answer["outcome"].as_str()), (202, Some("unknown")), "{answer}");
+    assert_eq!(testbed.instances[0].entry.wait(), Some(0));
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn one_instance_serves_if_the_other_listed_ones_never_start() {
     let extra = "[control]\nprobe = 100\nanswer = 40\nsuspicion = 200\n";
