Members that wait for each other's chunks ask the store and whoever has the value

Cause: Origins::choose put the store after all members whose backoff had passed. A member that lacks a chunk answers after 300 ms and is due again 300 to 500 ms later, so with two members or more the store never had its turn. All members that had learnt of the version by its manifest asked each other. The member that had the value was not among those asked, a reader asked others before the store that it reads, and the fetch did not know how many members share the rate of calls to the store.

Change: a member that could not help is asked again only when the store is not due; the fetch has the role and the number of members of its member; a member that has stated the version in force is asked second, after the parent in the tree. A fetch without progress is logged.

--- a/crates/feed/src/fetch.rs
+++ b/crates/feed/src/fetch.rs
@@ -2,8 +2,10 @@
 //!
 //! Fetching runs beside the update loop, so a searcher's entry never waits behind a large
 //! declaration. A newer version of a value waits until the current fetch is complete or no source
-//! can make progress on it. Invariants: chunks that have arrived are kept when a source fails; the
-//! whole value is read from the store only if no member can help.
+//! can make progress on it. Members are asked that may be fetching the value themselves, so they may
+//! all lack the same chunks; a member that has the value in force has them all. Invariants: chunks
+//! that have arrived are kept when a source fails; the whole value is read from the store only if no
+//! member can help, and by members that read the store themselves.
 
 use std::net::Ipv4Addr;
 use std::time::{Duration, Instant};
@@ -15,6 +17,7 @@
 use crate::clock::now;
 use crate::deliver::Delivery;
 use crate::members::Members;
+use crate::members::Topology;
 use crate::origin::{Failure, Origin, Origins, ReadRole};
 use crate::sink::{QueryKind, QueryReport};
 use crate::source::{LookupReply, QueryError};
@@ -27,6 +30,9 @@
 /// eight levels of the tree in 0.2 s.
 const CHUNK_WAIT: Duration = Duration::from_millis(300);
 
+/// How often a fetch without progress is logged.
+const STALL_REPORT_INTERVAL: Duration = Duration::from_secs(1);
+
 /// The background task that fetches chunks.
 pub(crate) struct Fetcher {
     delivery: Delivery,
@@ -43,9 +49,16 @@
         loop {
             let item = self.delivery.shared.start_fetch().await;
             let (start, mut bytes) = (now(), 0);
+            let mut reported = start;
             while self.delivery.shared.is_fetch_in_progress(&item) {
                 let received = self.fetch_step(&item).await;
                 bytes += received;
+                if received > 0 {
+                    reported = now();
+                } else if reported.elapsed() >= STALL_REPORT_INTERVAL {
+                    reported = now();
+                    self.log_stall(&item, start);
+                }
                 if received == 0 && self.newer_pending(&item).is_some() {
                     break;
                 }
@@ -61,6 +74,15 @@
         pending.filter(|other| other.rank() > item.rank()).map(|other| other.position)
     }
 
+    /// Logs that nobody has helped with an item for some time.
+    fn log_stall(&self, item: &Item, start: Instant) {
+        let (key, position, took) = (&item.key, item.position, start.elapsed().as_millis());
+        let missing = self.missing(item).len();
+        log::info!(
+            "feed: event=fetch_stalled key={key} position={position} missing={missing} took_ms={took}"
+        );
+    }
+
     /// Logs whether the fetch of an item was completed or superseded by a newer item.
     fn log_completion(&self, item: &Item, start: Instant, bytes: usize) {
         let (key, position, took) = (&item.key, item.position, start.elapsed().as_millis());
@@ -95,14 +117,14 @@
             self.delivery.deliver_record(&record);
             return 0;
         }
-        let chunk_sources = (self.members.topology)().unwrap_or_default().chunk_sources;
-        let started = now();
+        let topology = (self.members.topology)().unwrap_or_default();
+        self.origins.set_member_count(topology.member_count);
         // With all chunks present the hash of the whole value does not match, so members cannot
         // help; only the store can.
-        let chunk_sources = if missing.is_empty() { Vec::new() } else { chunk_sources };
-        match self.origins.choose(started, ReadRole::Follower, &chunk_sources) {
-            Ok(Origin::Member(ip)) => self.ask_member(ip, missing).await,
-            Ok(Origin::Store) => self.ask_store(item).await,
+        let sources = if missing.is_empty() { Vec::new() } else { self.sources(item, &topology) };
+        match self.origins.choose(now(), topology.role, &sources) {
+            Ok(Origin::Member(ip)) => self.ask_member(ip, missing, topology.role).await,
+            Ok(Origin::Store) => self.ask_store(item, topology.role).await,
             Err(until) => {
                 tokio::time::sleep_until(until.into()).await;
                 0
@@ -110,7 +132,21 @@
         }
     }
 
-    async fn ask_member(&mut self, ip: Ipv4Addr, mut missing: Vec<u64>) -> usize {
+    /// Returns the members to ask for the chunks of an item, in order of preference: the parent,
+    /// from which a value arrives soonest if nothing fails, a member that has the value in force,
+    /// and then the others.
+    fn sources(&self, item: &Item, topology: &Topology) -> Vec<Ipv4Addr> {
+        let mut sources = topology.chunk_sources.clone();
+        let version = item.version.filter(|_| item.key == self.delivery.source.declaration);
+        let earlier = version.and_then(|version| version.checked_sub(1));
+        if let Some(holder) = earlier.and_then(|earlier| (self.members.find_newer)(earlier)) {
+            sources.retain(|ip| *ip != holder);
+            sources.insert(sources.len().min(1), holder);
+        }
+        sources
+    }
+
+    async fn ask_member(&mut self, ip: Ipv4Addr, mut missing: Vec<u64>, role: ReadRole) -> usize {
         missing.truncate(MAX_CHUNKS_PER_QUERY);
         let started = now();
         let answer = (self.members.fetch_chunks)(ip, missing, CHUNK_WAIT).await;
@@ -126,12 +162,12 @@
                 Some(Failure::Silent)
             }
         };
-        self.record_outcome(Origin::Member(ip), started, bytes, failure);
+        self.record_outcome(Origin::Member(ip), started, bytes, (failure, role));
         bytes
     }
 
-    /// Reads the whole value from the store, since no member could help.
-    async fn ask_store(&mut self, item: &Item) -> usize {
+    /// Reads the whole value from the store.
+    async fn ask_store(&mut self, item: &Item, role: ReadRole) -> usize {
         let started = now();
         let (bytes, failure) = match (self.delivery.source.lookup)(&item.key).await {
             Ok(LookupReply { record: Some(record), .. }) if record.rank() >= item.rank() => {
@@ -153,7 +189,7 @@
                 (0, Some(Failure::Silent))
             }
         };
-        self.record_outcome(Origin::Store, started, bytes, failure);
+        self.record_outcome(Origin::Store, started, bytes, (failure, role));
         bytes
     }
 
@@ -163,7 +199,7 @@
         origin: Origin,
         started: Instant,
         bytes: usize,
-        failure: Option<Failure>,
+        (failure, role): (Option<Failure>, ReadRole),
     ) {
         let error = failure.map(|failure| match failure {
             Failure::Silent => QueryError::Silent.label(),
@@ -180,7 +216,7 @@
             None => self.origins.record_success(origin),
             Some(failure) => {
                 let jitter = rand::rng().random();
-                self.origins.record_failure((origin, failure), now(), ReadRole::Follower, jitter);
+                self.origins.record_failure((origin, failure), now(), role, jitter);
             }
         }
     }
--- a/crates/feed/src/origin.rs
+++ b/crates/feed/src/origin.rs
@@ -5,11 +5,13 @@
 //! are rejected. A follower queries readers, its own region's first, then deputies, then members
 //! that report the latest updates, and the store last and rarely: the first follower that the store
 //! serves passes the updates on to the others, which find it by what it reports. An origin that
-//! failed is not retried until its backoff has elapsed. Invariant: while the store is down, it
+//! failed is not retried until its backoff has elapsed. Invariants: no member is queried twice
+//! without an answer that helped in between while the store could be called instead, so members
+//! that all wait for each other do not keep each other from the store; while the store is down, it
 //! receives calls from readers and deputies, and [`FOLLOWER_CALLS_PER_S`] calls a second from all
 //! followers together, however many there are.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::Ipv4Addr;
 use std::time::{Duration, Instant};
 
@@ -83,6 +85,8 @@
 pub struct Origins {
     retry_at: HashMap<Origin, Instant>,
     store_failures: u32,
+    /// The members that could not help since one last did.
+    failed_members: HashSet<Ipv4Addr>,
     /// The number of members.
     member_count: usize,
 }
@@ -103,11 +107,14 @@
         readers: &[Ipv4Addr],
     ) -> Result<Origin, Instant> {
         let store = std::iter::once(Origin::Store);
-        let members = readers.iter().map(|ip| Origin::Member(*ip));
+        let (failed, others): (Vec<Ipv4Addr>, Vec<Ipv4Addr>) =
+            readers.iter().partition(|ip| self.failed_members.contains(ip));
+        let (failed, others) =
+            (failed.into_iter().map(Origin::Member), others.into_iter().map(Origin::Member));
         let order: Vec<Origin> = if role == ReadRole::Reader {
-            store.chain(members).collect()
+            store.chain(others).chain(failed).collect()
         } else {
-            members.chain(store).collect()
+            others.chain(store).chain(failed).collect()
         };
         let until = |origin: &Origin| self.retry_at.get(origin).copied().unwrap_or(now);
         match order.iter().find(|origin| until(origin) <= now) {
@@ -124,6 +131,7 @@
     /// Records a successful query.
     pub fn record_success(&mut self, origin: Origin) {
         self.retry_at.remove(&origin);
+        self.failed_members.clear();
         if origin == Origin::Store {
             self.store_failures = 0;
         } else if self.store_failures == 0 {
@@ -144,6 +152,9 @@
             let retry_at = now + self.follower_interval().mul_f64(jitter);
             self.retry_at.entry(Origin::Store).or_insert(retry_at);
         }
+        if let Origin::Member(ip) = origin {
+            self.failed_members.insert(ip);
+        }
         let backoff = match (origin, failure) {
             (Origin::Member(_), Failure::Stale) => STALE_BACKOFF,
             (Origin::Member(_), Failure::NeverSynced) => NEVER_SYNCED_BACKOFF,
--- a/crates/feed/tests/herd.rs
+++ b/crates/feed/tests/herd.rs
@@ -75,6 +75,36 @@
     }
 }
 
+/// Guards against members that wait for each other for as long as none of them calls the store: by
+/// the time that the last one has answered, the backoff of the first has passed.
+#[test]
+fn members_that_wait_for_each_other_do_not_keep_a_follower_from_the_store() {
+    const WAIT: Duration = Duration::from_millis(300);
+    let members: Vec<Ipv4Addr> = (0..5).map(ip).collect();
+    for role in [ReadRole::Deputy, ReadRole::Follower] {
+        let (mut origins, start) = (Origins::default(), Instant::now());
+        origins.set_member_count(8);
+        let (mut now, mut asked) = (start, Vec::new());
+        while !asked.contains(&Origin::Store) {
+            assert!(now < start + SECOND * 3, "{role:?}: asked {asked:?}");
+            match origins.choose(now, role, &members) {
+                Ok(origin @ Origin::Member(_)) => {
+                    now += WAIT;
+                    origins.record_failure((origin, Failure::Stale), now, role, 0.0);
+                    asked.push(origin);
+                }
+                Ok(Origin::Store) => asked.push(Origin::Store),
+                Err(until) => now = until,
+            }
+        }
+        assert_eq!(
+            asked.len(),
+            members.len() + 1,
+            "{role:?}: each member is asked once: {asked:?}"
+        );
+    }
+}
+
 /// All members lose power at once, and restart together without knowing any others.
 #[test]
 fn only_seeds_read_the_store_when_all_members_start_together() {
--- a/crates/feed/tests/spread/main.rs
+++ b/crates/feed/tests/spread/main.rs
@@ -4,6 +4,7 @@
 //! force: 3 s on the smallest fleets, 5 s and 6 s on the larger ones. Without failures a sixth to a
 //! quarter of that is allowed, which leaves the rest for faults.
 
+mod partition;
 mod store;
 mod world;
 
--- a/crates/feed/tests/spread/world.rs
+++ b/crates/feed/tests/spread/world.rs
@@ -10,7 +10,7 @@
 use std::sync::{Arc, Mutex, PoisonError, atomic};
 use std::time::Duration;
 
-use bergamot_base::Name;
+use bergamot_base::{Name, hash_bytes};
 use bergamot_feed::{
     FeedState, Members, QueryError, QueryFuture, ReadFuture, ReadResult, ReadRole, Record,
     RecordEvent, Settings, Sink, Source, Topology, ancestors, follow,
@@ -33,6 +33,20 @@
 const REPLY_MARGIN: Duration = Duration::from_millis(250);
 const CHUNK_REPLY_MARGIN: Duration = Duration::from_millis(800);
 
+/// How long a call to the store waits for a reply.
+const STORE_TIMEOUT: Duration = Duration::from_millis(600);
+
+/// The period of the probes between members. In each, a member hears from the one that it probes and
+/// from one that probes it.
+const PROBE_PERIOD: Duration = Duration::from_millis(300);
+const HEARD_PER_PERIOD: usize = 2;
+
+/// For how many periods a member relies on what another stated, as in the daemon.
+const STATEMENT_PERIODS: u128 = 3;
+
+/// How many members with the latest updates a member queries, as in the daemon.
+const MAX_UP_TO_DATE: usize = 3;
+
 /// How long the fleet runs before the first change, and after the last one.
 pub const IDLE_PERIOD: Duration = Duration::from_secs(3);
 
@@ -55,6 +69,16 @@
     pub reader_lost_at: Option<Duration>,
     /// A restore of the store from a copy, if there is one.
     pub restore: Option<Restore>,
+    /// What a member is cut off from, by the time since the start of the simulation.
+    pub cut: fn(usize, Duration) -> Cut,
+}
+
+/// What a member is cut off from. Queries that cross a cut get no reply.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Cut {
+    None,
+    Store,
+    Everything,
 }
 
 /// A restore of the store from a copy.
@@ -80,6 +104,7 @@
             store_delay: Duration::ZERO,
             reader_lost_at: None,
             restore: None,
+            cut: |_, _| Cut::None,
         }
     }
 }
@@ -88,8 +113,10 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Results {
     /// The longest time for which a member had an older version in force than the last one
-    /// acknowledged to the operator.
+    /// acknowledged to the operator, among the members that are never cut off.
     pub max_lag: Duration,
+    /// The same among the members that are cut off, not counting the time until the end of the cut.
+    pub max_lag_after_cut: Duration,
     /// How many members do not have the last version in force at the end.
     pub members_behind: usize,
     /// The bytes sent by the member that sent the most.
@@ -138,6 +165,7 @@
 
 struct World {
     load: Load,
+    started: Instant,
     members: Vec<Member>,
     store: Store,
     /// When each member put which version in force.
@@ -167,9 +195,40 @@
             store: Store::new(load.routes, load.store_delay),
             in_force: Mutex::new(vec![Vec::new(); load.members]),
             load,
+            started: Instant::now(),
         }
     }
 
+    fn cut(&self, member: usize) -> Cut {
+        (self.load.cut)(member, self.started.elapsed())
+    }
+
+    /// Returns when the last cut of a member ends, if it is ever cut off.
+    fn healed_at(&self, member: usize) -> Option<Instant> {
+        let steps = (0..).map(|step| PROBE_PERIOD * step);
+        let until = self.started.elapsed();
+        let cut = |at: &Duration| (self.load.cut)(member, *at) != Cut::None;
+        let last = steps.take_while(|at| *at <= until).filter(cut).last();
+        last.map(|last| self.started + last + PROBE_PERIOD)
+    }
+
+    /// Returns the members from which a member has heard recently, by probes to random members.
+    fn heard(&self, own: usize) -> Vec<usize> {
+        let period = self.started.elapsed().as_nanos() / PROBE_PERIOD.as_nanos();
+        let recent = period.saturating_sub(STATEMENT_PERIODS - 1)..=period;
+        let draws = recent.flat_map(|period| (0..HEARD_PER_PERIOD).map(move |draw| (period, draw)));
+        let partner = |(period, draw): (u128, usize)| {
+            let draw = hash_bytes(format!("{own} {period} {draw}").as_bytes());
+            draw as usize % self.load.members
+        };
+        let is_reachable = |member: &usize| {
+            !self.members[*member].is_lost() && self.cut(*member) != Cut::Everything
+        };
+        let is_cut_off = self.cut(own) == Cut::Everything;
+        let partners = draws.map(partner).filter(|member| *member != own && !is_cut_off);
+        partners.filter(is_reachable).collect()
+    }
+
     /// Transmits a message between members, or from the store to a member.
     async fn transmit(&self, from: Option<usize>, to: usize, bytes: usize) {
         let lock = |direction: &Mutex<LinkDirection>| {
@@ -180,6 +239,11 @@
                 rate,
             )
         };
+        let is_cut = from.is_some()
+            && [from, Some(to)]
+                .into_iter()
+                .flatten()
+                .any(|member| self.cut(member) == Cut::Everything);
         let to = &self.members[to];
         if let Some(from) = from.map(|from| &self.members[from]) {
             sleep_until(lock(&from.link.up)).await;
@@ -191,7 +255,7 @@
             .await;
         }
         sleep_until(lock(&to.link.down)).await;
-        if to.is_lost() || from.is_some_and(|from| self.members[from].is_lost()) {
+        if to.is_lost() || from.is_some_and(|from| self.members[from].is_lost()) || is_cut {
             std::future::pending::<()>().await;
         }
     }
@@ -237,16 +301,36 @@
         };
         let ip = |member: usize| self.members[member].ip;
         let others = first.into_iter().chain(second).filter(|member| *member != own);
-        let readers: Vec<Ipv4Addr> = others.map(ip).collect();
+        let mut readers: Vec<Ipv4Addr> = others.map(ip).collect();
         let position = regions[0].iter().position(|member| *member == own).unwrap_or(0);
         let mut chunk_sources: Vec<Ipv4Addr> =
             ancestors(position).map(|position| ip(regions[0][position])).collect();
         let further: Vec<Ipv4Addr> =
             readers.iter().filter(|ip| !chunk_sources.contains(ip)).copied().collect();
         chunk_sources.extend(further);
+        let fresh =
+            self.heard(own).into_iter().filter(|other| self.members[*other].shared.is_fresh());
+        for up_to_date in fresh.map(ip).take(MAX_UP_TO_DATE) {
+            if !readers.contains(&up_to_date) {
+                readers.push(up_to_date);
+            }
+        }
         Topology { role, readers, chunk_sources, member_count: alive.len() }
     }
 
+    /// Calls the store, which doesn't answer a member that is cut off.
+    async fn call_store<T>(
+        &self,
+        own: usize,
+        call: impl Future<Output = Result<T, QueryError>>,
+    ) -> Result<T, QueryError> {
+        if self.cut(own) != Cut::None {
+            sleep(STORE_TIMEOUT).await;
+            return Err(QueryError::Silent);
+        }
+        call.await
+    }
+
     /// Transmits a reply of the store to a member.
     async fn transmit_from_store(&self, own: usize, outcome: ReadResult) -> ReadResult {
         let (records, at) = outcome?;
@@ -254,13 +338,12 @@
         Ok((records, at))
     }
 
-    /// Returns a member that has a later version in force. In the daemon, membership probes spread
-    /// this within a second.
-    fn member_ahead(&self, version: u64) -> Option<Ipv4Addr> {
+    /// Returns a member that has recently stated to have a later version in force.
+    fn member_ahead(&self, own: usize, version: u64) -> Option<Ipv4Addr> {
         let in_force = self.in_force.lock().unwrap_or_else(PoisonError::into_inner);
-        let alive = (0..self.load.members).filter(|member| !self.members[*member].is_lost());
         let known = |member: &usize| in_force[*member].last().map_or(0, |(_, known)| *known);
-        let first = alive.max_by_key(known).filter(|member| known(member) > version);
+        let first =
+            self.heard(own).into_iter().max_by_key(known).filter(|member| known(member) > version);
         first.map(|member| self.members[member].ip)
     }
 
@@ -276,11 +359,13 @@
     /// Returns the longest time for which a member was behind, up to `end`.
     fn lag(&self, own: usize, end: Instant) -> Duration {
         let in_force = self.in_force.lock().unwrap_or_else(PoisonError::into_inner);
-        let steps = &in_force[own];
+        let (steps, healed_at) = (&in_force[own], self.healed_at(own));
         let ends = steps.iter().skip(1).map(|(at, _)| *at).chain([end]);
         let gap = |((_, revision), until): (&(Instant, u64), Instant)| {
             let next = self.store.acknowledged_after(*revision);
-            next.map_or(Duration::ZERO, |acknowledged| until.duration_since(acknowledged))
+            let since =
+                next.map(|acknowledged| healed_at.map_or(acknowledged, |at| at.max(acknowledged)));
+            since.map_or(Duration::ZERO, |since| until.saturating_duration_since(since))
         };
         steps.iter().zip(ends).map(gap).max().unwrap_or_default()
     }
@@ -297,21 +382,24 @@
     Source {
         list: Box::new(move |_scope| {
             let world = Arc::clone(&list_world);
-            Box::pin(async move { world.transmit_from_store(own, world.store.list().await).await })
-                as ReadFuture
+            Box::pin(async move {
+                let listed = world.call_store(own, world.store.list()).await;
+                world.transmit_from_store(own, listed).await
+            }) as ReadFuture
         }),
         watch: Box::new(move |after, scope, wait| {
             let world = Arc::clone(&watch_world);
             Box::pin(async move {
-                let told = world.store.watch(after, scope, wait.max_wait).await;
-                wait.arriving.store(true, atomic::Ordering::Relaxed);
+                let watch = world.store.watch(after, scope, wait.max_wait);
+                let told = world.call_store(own, watch).await;
+                wait.arriving.store(told.is_ok(), atomic::Ordering::Relaxed);
                 world.transmit_from_store(own, told).await
             })
         }),
         lookup: Box::new(move |_key| {
             let world = Arc::clone(&lookup_world);
             Box::pin(async move {
-                let found = world.store.lookup().await?;
+                let found = world.call_store(own, world.store.lookup()).await?;
                 world.transmit(None, own, bytes_of(found.record.as_slice())).await;
                 Ok(found)
             })
@@ -353,7 +441,7 @@
                 world.exchange(peers, wait + CHUNK_REPLY_MARGIN, answer).await
             })
         }),
-        find_newer: Box::new(move |version| ahead_world.member_ahead(version)),
+        find_newer: Box::new(move |version| ahead_world.member_ahead(own, version)),
         fetch_record: Box::new(move |ip, key| {
             let world = Arc::clone(&record_world);
             Box::pin(async move {
@@ -435,8 +523,13 @@
         (0..load.members).map(|own| world.members[own].shared.bytes_sent() - sent_before[own]);
     let in_force = world.in_force.lock().unwrap_or_else(PoisonError::into_inner).clone();
     let has_last = |own: &usize| in_force[*own].last().is_some_and(|(_, known)| *known == last);
+    let max_lag = |is_meant: &dyn Fn(usize) -> bool| {
+        let meant = alive.iter().filter(|own| is_meant(**own));
+        meant.map(|own| world.lag(*own, end)).max().unwrap_or_default()
+    };
     let results = Results {
-        max_lag: alive.iter().map(|own| world.lag(*own, end)).max().unwrap_or_default(),
+        max_lag: max_lag(&|own| world.healed_at(own).is_none()),
+        max_lag_after_cut: max_lag(&|own| world.healed_at(own).is_some()),
         members_behind: alive.iter().filter(|own| !has_last(own)).count(),
         max_bytes_sent: sent.max().unwrap_or(0),
         store_calls: world.store.calls() - calls_before,
