Followers call the store only when their turn was drawn

What was seen: in the model of a partition at 1,168 members, 280 to 513 calls to the store in 22 s, nearly 200 of them in one half second; 10 a second from all followers together are the limit.

Cause: a follower's time for the store is drawn when a member can't help, and forgotten when one does. While none was drawn the store counted as due, so each follower called it whenever its other members were in their backoff, as after the last member that helped is no longer known to be up to date.

Change: a follower that knows members calls the store only at the time that was drawn, or while the store is the origin that helps.

--- a/crates/feed/src/fetch.rs
+++ b/crates/feed/src/fetch.rs
@@ -16,8 +16,7 @@
 
 use crate::clock::now;
 use crate::deliver::Delivery;
-use crate::members::Members;
-use crate::members::Topology;
+use crate::members::{Members, Topology};
 use crate::origin::{Failure, Origin, Origins, ReadRole};
 use crate::sink::{QueryKind, QueryReport};
 use crate::source::{LookupReply, QueryError};
--- a/crates/feed/src/origin.rs
+++ b/crates/feed/src/origin.rs
@@ -85,6 +85,8 @@
 pub struct Origins {
     retry_at: HashMap<Origin, Instant>,
     store_failures: u32,
+    /// Whether the store was the last origin that helped.
+    store_helped_last: bool,
     /// The members that could not help since one last did.
     failed_members: HashSet<Ipv4Addr>,
     /// The number of members.
@@ -106,13 +108,13 @@
         role: ReadRole,
         readers: &[Ipv4Addr],
     ) -> Result<Origin, Instant> {
-        let store = std::iter::once(Origin::Store);
+        let store = self.may_call_store(role, readers).then_some(Origin::Store);
         let (failed, others): (Vec<Ipv4Addr>, Vec<Ipv4Addr>) =
             readers.iter().partition(|ip| self.failed_members.contains(ip));
-        let (failed, others) =
-            (failed.into_iter().map(Origin::Member), others.into_iter().map(Origin::Member));
+        let members = |ips: Vec<Ipv4Addr>| ips.into_iter().map(Origin::Member);
+        let (failed, others) = (members(failed), members(others));
         let order: Vec<Origin> = if role == ReadRole::Reader {
-            store.chain(others).chain(failed).collect()
+            store.into_iter().chain(others).chain(failed).collect()
         } else {
             others.chain(store).chain(failed).collect()
         };
@@ -123,6 +125,15 @@
         }
     }
 
+    /// Returns whether the store is among the origins. A follower calls it only at the time that is
+    /// drawn when a member could not help, and for as long as the store is the origin that helps.
+    fn may_call_store(&self, role: ReadRole, readers: &[Ipv4Addr]) -> bool {
+        role != ReadRole::Follower
+            || readers.is_empty()
+            || self.store_helped_last
+            || self.retry_at.contains_key(&Origin::Store)
+    }
+
     /// Returns whether the last call to the store failed.
     pub fn store_failed_last(&self) -> bool {
         self.store_failures > 0
@@ -132,6 +143,7 @@
     pub fn record_success(&mut self, origin: Origin) {
         self.retry_at.remove(&origin);
         self.failed_members.clear();
+        self.store_helped_last = origin == Origin::Store;
         if origin == Origin::Store {
             self.store_failures = 0;
         } else if self.store_failures == 0 {
--- a/crates/feed/tests/herd.rs
+++ b/crates/feed/tests/herd.rs
@@ -65,6 +65,40 @@
     }
 }
 
+/// Guards against followers that call the store at once whenever nobody else is to be queried at the
+/// moment, as after an answer of a member that is known to have updates only for some time.
+#[test]
+fn store_queries_are_bounded_while_some_members_help_at_times() {
+    const MEMBERS: usize = 1168;
+    let (stale, start) = ((0..6).map(ip).collect::<Vec<_>>(), Instant::now());
+    let mut calls = 0;
+    for member in 6..MEMBERS {
+        let mut rng = Seed(member as u64).generator("helped at times");
+        let (mut origins, mut now) = (Origins::default(), start);
+        origins.set_member_count(MEMBERS);
+        while now < start + SECOND * 6 {
+            // The members that have stated to be up to date in the last moments, one or none.
+            let period = now.saturating_duration_since(start).as_millis() / 300;
+            let helps = (period % 2 == 0).then(|| ip(6 + period as usize));
+            let members: Vec<Ipv4Addr> = stale.iter().copied().chain(helps).collect();
+            match origins.choose(now, ReadRole::Follower, &members) {
+                Ok(Origin::Member(asked)) if Some(asked) == helps => {
+                    now += ROUND_TRIP * 10;
+                    origins.record_success(Origin::Member(asked));
+                }
+                Ok(origin) => {
+                    calls += usize::from(origin == Origin::Store);
+                    now += ROUND_TRIP;
+                    let failure = (origin, Failure::Stale);
+                    origins.record_failure(failure, now, ReadRole::Follower, rng.random());
+                }
+                Err(until) => now = until,
+            }
+        }
+    }
+    assert!(calls <= 100, "{calls} calls");
+}
+
 /// The store rejects all readers, and serves two thirds of the other members. One of those must
 /// call it soon, because the others get their updates from it.
 #[test]
