A member that was cut off from all others reads the store, and starts anew with the others

Cause: such a follower waits for its share of the rate at which all followers together call the store, though nobody else uses it and nobody could pass updates on to it. When it hears from others again, the backoff of members that were silent before, up to 6 s, goes on, and a selection that found all origins in their backoff slept until the first one's end.

Change: the topology says whether a member hears from no other (no datagram for a second). Meanwhile it doesn't share the rate; when that ends, former failures are forgotten. A selection is repeated after 200 ms at the latest.

Costs: a few selections a second more in a member whose origins all back off; one watch a second at the store from a member that hears nobody.

--- a/crates/feed/src/fetch.rs
+++ b/crates/feed/src/fetch.rs
@@ -118,6 +118,7 @@
         }
         let topology = (self.members.topology)().unwrap_or_default();
         self.origins.set_member_count(topology.member_count);
+        self.origins.set_isolated(topology.is_isolated);
         // With all chunks present the hash of the whole value does not match, so members cannot
         // help; only the store can.
         let sources = if missing.is_empty() { Vec::new() } else { self.sources(item, &topology) };
--- a/crates/feed/src/follow.rs
+++ b/crates/feed/src/follow.rs
@@ -130,9 +130,10 @@
     async fn run(&mut self) {
         self.wait_for_topology().await;
         loop {
-            let Topology { role, readers, member_count, .. } =
+            let Topology { role, readers, member_count, is_isolated, .. } =
                 (self.members.topology)().unwrap_or_default();
             self.origins.set_member_count(member_count);
+            self.origins.set_isolated(is_isolated);
             let role = if self.has_waiting_callers() { ReadRole::Reader } else { role };
             match self.origins.choose(now(), role, &readers) {
                 Ok(origin) => self.ask(origin, role).await,
--- a/crates/feed/src/members.rs
+++ b/crates/feed/src/members.rs
@@ -33,6 +33,8 @@
     pub chunk_sources: Vec<Ipv4Addr>,
     /// The number of members.
     pub member_count: usize,
+    /// Whether this member hears from no other at the moment.
+    pub is_isolated: bool,
 }
 
 impl Topology {
@@ -65,6 +67,7 @@
             readers,
             chunk_sources,
             member_count,
+            is_isolated: false,
         })
     }
 }
@@ -77,6 +80,7 @@
             readers: Vec::new(),
             chunk_sources: Vec::new(),
             member_count: 1,
+            is_isolated: false,
         }
     }
 }
--- a/crates/feed/src/origin.rs
+++ b/crates/feed/src/origin.rs
@@ -49,6 +49,10 @@
 /// The number of members up to which followers do not share the call rate.
 const UNTHROTTLED_MEMBERS: usize = 16;
 
+/// After what time the selection is repeated at the latest while all origins back off: others may
+/// help by then, or this member may hear from others again.
+const RECONSIDER_INTERVAL: Duration = Duration::from_millis(200);
+
 /// Where updates can be queried.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Origin {
@@ -84,6 +88,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Origins {
     retry_at: HashMap<Origin, Instant>,
+    /// When a follower's call to the store was drawn, and the fraction of the interval until it.
+    store_turn: Option<(Instant, f64)>,
     store_failures: u32,
     /// Whether the store was the last origin that helped.
     store_helped_last: bool,
@@ -91,6 +97,8 @@
     failed_members: HashSet<Ipv4Addr>,
     /// The number of members.
     member_count: usize,
+    /// Whether this member hears from no other.
+    is_isolated: bool,
 }
 
 impl Origins {
@@ -99,7 +107,20 @@
         self.member_count = members;
     }
 
-    /// Selects the origin of the next query, or returns the time at which the first backoff ends.
+    /// Sets whether this member hears from no other. Nobody could pass updates on to it meanwhile, so
+    /// it does not share the rate of calls to the store. Once it hears from others again, what failed
+    /// before says nothing about who can help.
+    pub fn set_isolated(&mut self, is_isolated: bool) {
+        if self.is_isolated && !is_isolated {
+            self.retry_at.clear();
+            self.failed_members.clear();
+            self.store_turn = None;
+            self.store_failures = 0;
+        }
+        self.is_isolated = is_isolated;
+    }
+
+    /// Selects the origin of the next query, or returns when to select again.
     ///
     /// `readers` are the other members that may have the latest updates, in order of preference.
     pub fn choose(
@@ -118,11 +139,12 @@
         } else {
             others.chain(store).chain(failed).collect()
         };
-        let until = |origin: &Origin| self.retry_at.get(origin).copied().unwrap_or(now);
-        match order.iter().find(|origin| until(origin) <= now) {
-            Some(origin) => Ok(*origin),
-            None => Err(order.iter().map(until).min().unwrap_or(now)),
+        let until = |origin: &Origin| self.due_at(*origin).unwrap_or(now);
+        if let Some(origin) = order.iter().find(|origin| until(origin) <= now) {
+            return Ok(*origin);
         }
+        let first = order.iter().map(until).min().unwrap_or(now);
+        Err(first.min(now + RECONSIDER_INTERVAL))
     }
 
     /// Returns whether the store is among the origins. A follower calls it only at the time that is
@@ -131,7 +153,14 @@
         role != ReadRole::Follower
             || readers.is_empty()
             || self.store_helped_last
-            || self.retry_at.contains_key(&Origin::Store)
+            || self.due_at(Origin::Store).is_some()
+    }
+
+    /// Returns when an origin may be queried, if that is not at any time.
+    fn due_at(&self, origin: Origin) -> Option<Instant> {
+        let turn = self.store_turn.filter(|_| origin == Origin::Store);
+        let turn = turn.map(|(drawn, part)| drawn + self.follower_interval().mul_f64(part));
+        turn.max(self.retry_at.get(&origin).copied())
     }
 
     /// Returns whether the last call to the store failed.
@@ -144,11 +173,10 @@
         self.retry_at.remove(&origin);
         self.failed_members.clear();
         self.store_helped_last = origin == Origin::Store;
+        // Drops the store call that was scheduled while no member could help.
+        self.store_turn = None;
         if origin == Origin::Store {
             self.store_failures = 0;
-        } else if self.store_failures == 0 {
-            // Drops the store call that was scheduled while no member could help.
-            self.retry_at.remove(&Origin::Store);
         }
     }
 
@@ -160,12 +188,13 @@
         role: ReadRole,
         jitter: f64,
     ) {
-        if role == ReadRole::Follower && origin != Origin::Store {
-            let retry_at = now + self.follower_interval().mul_f64(jitter);
-            self.retry_at.entry(Origin::Store).or_insert(retry_at);
-        }
         if let Origin::Member(ip) = origin {
             self.failed_members.insert(ip);
+            if role == ReadRole::Follower && !self.retry_at.contains_key(&Origin::Store) {
+                self.store_turn.get_or_insert((now, jitter));
+            }
+        } else {
+            self.store_turn = None;
         }
         let backoff = match (origin, failure) {
             (Origin::Member(_), Failure::Stale) => STALE_BACKOFF,
@@ -187,7 +216,8 @@
 
     /// Returns the interval in which each follower may call the store once.
     fn follower_interval(&self) -> Duration {
-        let others = self.member_count.saturating_sub(UNTHROTTLED_MEMBERS);
+        let members = if self.is_isolated { 1 } else { self.member_count };
+        let others = members.saturating_sub(UNTHROTTLED_MEMBERS);
         Duration::from_secs_f64(others as f64 / FOLLOWER_CALLS_PER_S)
     }
 }
--- a/crates/feed/tests/fetch.rs
+++ b/crates/feed/tests/fetch.rs
@@ -62,7 +62,13 @@
         let members = Members {
             topology: Box::new(|| {
                 let (readers, chunk_sources) = (vec![READER], vec![PARENT, READER]);
-                Some(Topology { role: ReadRole::Follower, readers, chunk_sources, member_count: 3 })
+                Some(Topology {
+                    role: ReadRole::Follower,
+                    readers,
+                    chunk_sources,
+                    member_count: 3,
+                    is_isolated: false,
+                })
             }),
             query_news: Box::new(move |_ip, query| {
                 let reader = Arc::clone(&reader);
--- a/crates/feed/tests/herd.rs
+++ b/crates/feed/tests/herd.rs
@@ -99,6 +99,39 @@
     assert!(calls <= 100, "{calls} calls");
 }
 
+/// Guards against a member that is cut off from all others and waits for its share of a rate that
+/// nobody else uses.
+#[test]
+fn an_isolated_follower_queries_the_store_soon_in_a_fleet_of_any_size() {
+    let (readers, now) = ((0..6).map(ip).collect::<Vec<_>>(), Instant::now());
+    let mut origins = Origins::default();
+    origins.set_member_count(1168);
+    for reader in &readers {
+        let failure = (Origin::Member(*reader), Failure::Silent);
+        origins.record_failure(failure, now, ReadRole::Follower, 1.0);
+    }
+    assert!(origins.choose(now, ReadRole::Follower, &readers).is_err(), "others may be served");
+    origins.set_isolated(true);
+    assert_eq!(origins.choose(now, ReadRole::Follower, &readers), Ok(Origin::Store));
+}
+
+/// Guards against a member that hears from others again and still waits for as long as they were
+/// silent before.
+#[test]
+fn a_member_that_hears_from_others_again_queries_them_at_once() {
+    let (readers, now) = ([ip(0), ip(1)], Instant::now());
+    let mut origins = Origins::default();
+    origins.set_isolated(true);
+    for origin in [Origin::Member(ip(0)), Origin::Member(ip(1)), Origin::Store] {
+        origins.record_failure((origin, Failure::Silent), now, ReadRole::Follower, 1.0);
+    }
+    let until = origins.choose(now, ReadRole::Follower, &readers);
+    assert!(until.is_err_and(|until| until <= now + SECOND / 4), "{until:?}");
+    origins.set_isolated(false);
+    let asked = origins.choose(now, ReadRole::Follower, &readers);
+    assert_eq!(asked, Ok(Origin::Member(ip(0))));
+}
+
 /// The store rejects all readers, and serves two thirds of the other members. One of those must
 /// call it soon, because the others get their updates from it.
 #[test]
--- a/crates/feed/tests/spread/world.rs
+++ b/crates/feed/tests/spread/world.rs
@@ -308,14 +308,15 @@
         let further: Vec<Ipv4Addr> =
             readers.iter().filter(|ip| !chunk_sources.contains(ip)).copied().collect();
         chunk_sources.extend(further);
-        let fresh =
-            self.heard(own).into_iter().filter(|other| self.members[*other].shared.is_fresh());
+        let heard = self.heard(own);
+        let (member_count, is_isolated) = (alive.len(), heard.is_empty());
+        let fresh = heard.into_iter().filter(|other| self.members[*other].shared.is_fresh());
         for up_to_date in fresh.map(ip).take(MAX_UP_TO_DATE) {
             if !readers.contains(&up_to_date) {
                 readers.push(up_to_date);
             }
         }
-        Topology { role, readers, chunk_sources, member_count: alive.len() }
+        Topology { role, readers, chunk_sources, member_count, is_isolated }
     }
 
     /// Calls the store, which doesn't answer a member that is cut off.
--- a/crates/front/src/daemon.rs
+++ b/crates/front/src/daemon.rs
@@ -269,6 +269,7 @@
         let settings = self.relay.settings();
         let (own, region) = (settings.address, self.region(&settings.zone));
         let (up_to_date, member_count) = (self.peers.up_to_date_members(), self.peers.size());
+        let is_isolated = !self.peers.hears_others();
         self.peers.with_view(|view| {
             let mut regions: Vec<_> =
                 rank_members(view, |record| self.region(&record.zone)).into_iter().collect();
@@ -293,7 +294,7 @@
             let mut chunk_sources = in_region.unwrap_or_default();
             append_missing(&mut chunk_sources, &readers);
             append_missing(&mut readers, &up_to_date);
-            Some(Topology { role, readers, chunk_sources, member_count })
+            Some(Topology { role, readers, chunk_sources, member_count, is_isolated })
         })
     }
 
--- a/crates/peers/src/peers.rs
+++ b/crates/peers/src/peers.rs
@@ -44,6 +44,8 @@
     fresh_members: BTreeMap<Ipv4Addr, Instant>,
     /// The highest revision that a member stated to be in force there, which member, and when.
     highest_revision: Option<(Revision, Ipv4Addr, Instant)>,
+    /// When this member last heard from another.
+    last_heard: Option<Instant>,
     /// State changes of members that are yet to be logged.
     changes: ChangeAggregator,
     /// The exchange of reports about requests that crash searchers.
@@ -54,6 +56,7 @@
     /// Records the revision that a member states in its digest.
     fn record_digest(&mut self, ip: Ipv4Addr, digest: &Digest) {
         let now = Instant::now();
+        self.last_heard = Some(now);
         if digest.fresh {
             self.fresh_members.insert(ip, now);
         }
@@ -118,6 +121,7 @@
             fresh: false,
             fresh_members: BTreeMap::new(),
             highest_revision: None,
+            last_heard: None,
             changes: ChangeAggregator::default(),
             suspicions: Suspicions::new(Arc::clone(&quarantine)),
         });
@@ -161,6 +165,12 @@
         self.lock().membership.size(Instant::now())
     }
 
+    /// Returns whether this member has heard from another recently. Failures are found out one by one,
+    /// so a member that is cut off from all others still counts them for some time.
+    pub fn hears_others(&self) -> bool {
+        self.lock().last_heard.is_some_and(|at| at.elapsed() < STATEMENT_LIFETIME)
+    }
+
     /// Sets the revision in force here and whether it is the latest published one, as stated to the
     /// other members from now on.
     pub fn set_revision(&self, revision: Revision, fresh: bool) {
