A member takes the version that another has in force when a query for chunks fails

Cause: each failed query for chunks cost its wait (0.3 s, or 1.1 s at a silent member) and the version that it was for, while later versions were in force elsewhere. A member kept the chunks of the two newest versions that it knew, and not those of the one that it had in force, and named the newest that it knew as its record, so nobody could take over.

Change: chunks are kept of the newest complete version, `record` answers with it, and a member takes it from whoever has stated to be ahead after each failed query; the sender of the last updates, if it isn't the usual one, is asked before members that may be silent.

--- a/crates/feed/src/chunk.rs
+++ b/crates/feed/src/chunk.rs
@@ -24,8 +24,9 @@
 const AVERAGE_CHUNK_BYTES: usize = 8 << 10;
 const MAX_CHUNK_BYTES: usize = 16 << 10;
 
-/// How many versions of a key keep their chunks: the current one, with which the next shares most
-/// chunks, and the previous one, which other members may still be fetching.
+/// How many versions of a key keep their chunks: the newest one that is known, and the newest other
+/// one that is complete here, which other members may still be fetching. While none is complete, the
+/// newest two.
 const MAX_VERSIONS_PER_KEY: usize = 2;
 
 /// One version of a chunked value.
@@ -33,6 +34,7 @@
 struct Version {
     rank: Rank,
     manifest: Manifest,
+    is_complete: bool,
 }
 
 /// The chunks that this member stores.
@@ -41,8 +43,8 @@
     stored: HashMap<u64, Arc<[u8]>>,
     /// The latest versions of each key, newest first.
     versions: HashMap<Name, VecDeque<Version>>,
-    /// The manifest of the value being fetched, regardless of its age.
-    pinned: Option<Manifest>,
+    /// The manifests of values that are being fetched, regardless of their age.
+    pinned: Vec<Manifest>,
 }
 
 impl Chunks {
@@ -62,18 +64,33 @@
         for (hash, body) in bodies.into_iter().filter(|(hash, _)| referenced.contains(hash)) {
             self.stored.entry(hash).or_insert_with(|| Arc::from(body));
         }
+        self.register(key, rank, &manifest);
         Value::Chunked(manifest)
     }
 
     /// Registers a version of a key by its manifest, unless enough newer versions are known, and
     /// drops chunks that are no longer referenced.
     pub fn register(&mut self, key: &Name, rank: Rank, manifest: &Manifest) {
+        let is_complete = self.missing(manifest).is_empty();
         let versions = self.versions.entry(Name::clone(key)).or_default();
-        if versions.iter().any(|known| known.rank == rank) {
-            return;
+        match versions.iter_mut().find(|known| known.rank == rank) {
+            Some(known) if known.is_complete || !is_complete => return,
+            Some(known) => known.is_complete = true,
+            None => {
+                let place = versions.partition_point(|known| known.rank > rank);
+                versions.insert(place, Version { rank, manifest: manifest.clone(), is_complete });
+            }
+        }
+        self.drop_superseded(key);
+    }
+
+    /// Drops the versions of a key that are no longer kept, and chunks that nothing references.
+    fn drop_superseded(&mut self, key: &Name) {
+        let Some(versions) = self.versions.get_mut(key) else { return };
+        let other_complete = versions.iter().skip(1).position(|known| known.is_complete);
+        if let Some(others) = other_complete {
+            versions.drain(1..=others);
         }
-        let place = versions.partition_point(|known| known.rank > rank);
-        versions.insert(place, Version { rank, manifest: manifest.clone() });
         versions.truncate(MAX_VERSIONS_PER_KEY);
         let referenced = self.referenced_chunks();
         self.stored.retain(|hash, _| referenced.contains(hash));
@@ -81,12 +98,14 @@
 
     /// Keeps the chunks of a manifest until [`Chunks::unpin`], regardless of its age.
     pub fn pin(&mut self, manifest: &Manifest) {
-        self.pinned = Some(manifest.clone());
+        self.pinned.push(manifest.clone());
     }
 
-    /// Releases the pinned manifest.
-    pub fn unpin(&mut self) {
-        self.pinned = None;
+    /// Releases a pinned manifest.
+    pub fn unpin(&mut self, manifest: &Manifest) {
+        if let Some(place) = self.pinned.iter().position(|pinned| pinned == manifest) {
+            self.pinned.swap_remove(place);
+        }
     }
 
     /// Lists the chunks of a manifest that are not stored, in order.
--- a/crates/feed/src/deliver.rs
+++ b/crates/feed/src/deliver.rs
@@ -23,6 +23,7 @@
     /// Delivers an item, or queues it for fetching if chunks are missing.
     pub(crate) fn deliver_item(&self, item: Item) {
         if let Some(record) = self.shared.assemble_record(&item) {
+            self.shared.mark_complete(&item);
             self.deliver_record(&record);
             return;
         }
--- a/crates/feed/src/fetch.rs
+++ b/crates/feed/src/fetch.rs
@@ -14,6 +14,7 @@
 use bergamot_wire::{Item, Value};
 use rand::RngExt;
 
+use crate::catch_up::catch_up;
 use crate::clock::now;
 use crate::deliver::Delivery;
 use crate::members::{Members, Topology};
@@ -23,7 +24,7 @@
 use crate::state::LARGE_TRANSFER_BYTES;
 
 /// How many chunks one query requests: slightly more than fit into one reply.
-const MAX_CHUNKS_PER_QUERY: usize = 8;
+pub(crate) const MAX_CHUNKS_PER_QUERY: usize = 8;
 
 /// How long a member may wait for chunks that it is still fetching itself. The first chunks pass
 /// eight levels of the tree in 0.2 s.
@@ -37,11 +38,13 @@
     delivery: Delivery,
     members: std::sync::Arc<Members>,
     origins: Origins,
+    /// Whether the last query has failed.
+    has_failed: bool,
 }
 
 impl Fetcher {
     pub(crate) fn new(delivery: Delivery, members: std::sync::Arc<Members>) -> Self {
-        Self { delivery, members, origins: Origins::default() }
+        Self { delivery, members, origins: Origins::default(), has_failed: false }
     }
 
     pub(crate) async fn run(&mut self) {
@@ -58,11 +61,14 @@
                     reported = now();
                     self.log_stall(&item, start);
                 }
+                if std::mem::take(&mut self.has_failed) {
+                    catch_up(&self.delivery, &self.members).await;
+                }
                 if received == 0 && self.newer_pending(&item).is_some() {
                     break;
                 }
             }
-            self.delivery.shared.finish_fetch();
+            self.delivery.shared.finish_fetch(&item);
             self.log_completion(&item, start, bytes);
         }
     }
@@ -113,6 +119,7 @@
         if missing.is_empty()
             && let Some(record) = shared.assemble_record(item)
         {
+            shared.mark_complete(item);
             self.delivery.deliver_record(&record);
             return 0;
         }
@@ -133,15 +140,19 @@
     }
 
     /// Returns the members to ask for the chunks of an item, in order of preference: the parent,
-    /// from which a value arrives soonest if nothing fails, a member that has the value in force,
-    /// and then the others.
+    /// from which a value arrives soonest if nothing fails; a member that has the value in force; the
+    /// one that sent the last updates in place of the usual one; and then the others.
     fn sources(&self, item: &Item, topology: &Topology) -> Vec<Ipv4Addr> {
         let mut sources = topology.chunk_sources.clone();
+        let sender = self.delivery.shared.last_sender();
+        // The usual sender is the reader of the region, which serves its children in the tree alone.
+        if let Some(sender) = sender.filter(|sender| topology.readers.first() != Some(sender)) {
+            prefer_after_parent(&mut sources, sender);
+        }
         let version = item.version.filter(|_| item.key == self.delivery.source.declaration);
         let earlier = version.and_then(|version| version.checked_sub(1));
         if let Some(holder) = earlier.and_then(|earlier| (self.members.find_newer)(earlier)) {
-            sources.retain(|ip| *ip != holder);
-            sources.insert(sources.len().min(1), holder);
+            prefer_after_parent(&mut sources, holder);
         }
         sources
     }
@@ -173,7 +184,8 @@
             Ok(LookupReply { record: Some(record), .. }) if record.rank() >= item.rank() => {
                 let bytes = record.value.as_ref().map_or(0, Vec::len);
                 // Stores the chunks for other members. The mirror is updated by its own queries.
-                self.delivery.shared.to_item(record.clone());
+                let complete = self.delivery.shared.to_item(record.clone());
+                self.delivery.shared.mark_complete(&complete);
                 self.delivery.deliver_record(&record);
                 (bytes, None)
             }
@@ -212,6 +224,7 @@
             bytes,
             error,
         });
+        self.has_failed = failure.is_some();
         match failure {
             None => self.origins.record_success(origin),
             Some(failure) => {
@@ -221,3 +234,11 @@
         }
     }
 }
+
+/// Moves a member to the place after the parent, which comes first, unless it is the parent.
+fn prefer_after_parent(sources: &mut Vec<Ipv4Addr>, member: Ipv4Addr) {
+    if sources.first() != Some(&member) {
+        sources.retain(|ip| *ip != member);
+        sources.insert(sources.len().min(1), member);
+    }
+}
--- a/crates/feed/src/follow.rs
+++ b/crates/feed/src/follow.rs
@@ -16,6 +16,7 @@
 use rand::RngExt;
 use tokio_util::sync::CancellationToken;
 
+use crate::catch_up::fetch_later;
 use crate::clock::now;
 use crate::deliver::Delivery;
 use crate::fetch::Fetcher;
@@ -150,29 +151,17 @@
     async fn adopt_later_declaration(&mut self) {
         let key = Name::clone(&self.delivery.source.declaration);
         let version = self.shared().mirror().get(&key).and_then(|item| item.version);
-        let Some(ip) = (self.members.find_newer)(version.unwrap_or(0)) else {
+        if (self.members.find_newer)(version.unwrap_or(0)).is_none() {
             self.behind_since = None;
             return;
-        };
+        }
         let since = *self.behind_since.get_or_insert_with(now);
         if now().duration_since(since) < ADOPTION_DELAY {
             return;
         }
         self.behind_since = Some(now());
-        match (self.members.fetch_record)(ip, key).await {
-            Ok(Some(item)) => {
-                let later = item.version;
-                log::info!(
-                    "feed: event=version_adopted member={ip} known={version:?} later={later:?}"
-                );
-                self.apply(|mirror| mirror.insert_if_newer(item));
-            }
-            Ok(None) => log::info!(
-                "feed: event=adoption_failed member={ip} cause=\"the member has no such record\""
-            ),
-            Err(error) => {
-                log::info!("feed: event=adoption_failed member={ip} cause=\"{error}\"");
-            }
+        if let Some((_, item)) = fetch_later(&self.members, &key, version).await {
+            self.apply(|mirror| mirror.insert_if_newer(item));
         }
     }
 
--- a/crates/feed/src/follow/member.rs
+++ b/crates/feed/src/follow/member.rs
@@ -102,6 +102,9 @@
         }
         self.listing = None;
         let News { items, at, listed, .. } = news;
+        if !items.is_empty() {
+            self.shared().set_last_sender(ip);
+        }
         self.apply(|mirror| {
             apply_current(mirror, complete_as_of, |mirror| {
                 mirror.update_from_member(items, at, listed)
@@ -138,6 +141,7 @@
         if more {
             self.listing = Some(Listing { since, received: at, known, sender, own_order, items });
         } else {
+            self.shared().set_last_sender(ip);
             self.apply(|mirror| {
                 apply_current(mirror, complete_as_of, |mirror| mirror.replace(items, at))
             });
--- a/crates/feed/src/lib.rs
+++ b/crates/feed/src/lib.rs
@@ -7,6 +7,7 @@
 //! store is behind [`Source`], which the caller supplies; [`Origins`] selects whom to query. See
 //! `docs/design/0009-platform.md` and `docs/design/0010-large-records.md`.
 
+mod catch_up;
 mod chunk;
 mod clock;
 mod deliver;
--- a/crates/feed/src/state.rs
+++ b/crates/feed/src/state.rs
@@ -1,5 +1,7 @@
 //! State shared by the feed's tasks and the handlers of other members' queries.
 
+use std::collections::HashMap;
+use std::net::Ipv4Addr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -39,6 +41,10 @@
     mirror: Mutex<Mirror>,
     chunks: Mutex<Chunks>,
     pending: Mutex<PendingFetches>,
+    /// The member that sent the last updates.
+    last_sender: Mutex<Option<Ipv4Addr>>,
+    /// The newest complete item of each key with a large value.
+    complete: Mutex<HashMap<Name, Item>>,
     /// The position up to which the mirror is complete.
     position: watch::Sender<Position>,
     /// Counts arrivals of chunks.
@@ -55,6 +61,8 @@
             mirror: Mutex::default(),
             chunks: Mutex::default(),
             pending: Mutex::default(),
+            last_sender: Mutex::default(),
+            complete: Mutex::default(),
             position: watch::Sender::new(Position::default()),
             chunk_arrivals: watch::Sender::new(0),
             fetch_requested: Notify::new(),
@@ -113,9 +121,13 @@
         first
     }
 
-    /// Returns the item of one key, for another member.
+    /// Returns the item of one key, for another member: of a large value the newest that is complete
+    /// here, if any is, since the other member would ask for its chunks next.
     pub fn item(&self, key: &str) -> Option<Item> {
-        let item = self.mirror().get(key).cloned();
+        let known = self.mirror().get(key).cloned();
+        let is_large = known.as_ref().is_some_and(|item| matches!(item.value, Value::Chunked(_)));
+        let complete = if is_large { self.complete_item(key) } else { None };
+        let item = complete.or(known);
         self.add_bytes_sent(item.as_ref().map_or(0, Item::size));
         item
     }
@@ -181,6 +193,41 @@
         Some(Record { key: Name::clone(&item.key), value, position, version })
     }
 
+    /// Records that all chunks of an item are stored.
+    pub(crate) fn mark_complete(&self, item: &Item) {
+        let Value::Chunked(manifest) = &item.value else { return };
+        self.lock_chunks().register(&item.key, item.rank(), manifest);
+        let mut complete = self.complete.lock().unwrap_or_else(PoisonError::into_inner);
+        if complete.get(&item.key).is_none_or(|known| known.rank() < item.rank()) {
+            complete.insert(Name::clone(&item.key), item.clone());
+        }
+    }
+
+    /// Returns the newest complete item of a key with a large value.
+    pub(crate) fn complete_item(&self, key: &str) -> Option<Item> {
+        self.complete.lock().unwrap_or_else(PoisonError::into_inner).get(key).cloned()
+    }
+
+    /// Records the member that sent the last updates.
+    pub(crate) fn set_last_sender(&self, ip: Ipv4Addr) {
+        *self.last_sender.lock().unwrap_or_else(PoisonError::into_inner) = Some(ip);
+    }
+
+    /// Returns the member that sent the last updates, if any came from a member.
+    pub(crate) fn last_sender(&self) -> Option<Ipv4Addr> {
+        *self.last_sender.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Keeps the chunks of a manifest until [`FeedState::unpin`].
+    pub(crate) fn pin(&self, manifest: &Manifest) {
+        self.lock_chunks().pin(manifest);
+    }
+
+    /// Releases a pinned manifest.
+    pub(crate) fn unpin(&self, manifest: &Manifest) {
+        self.lock_chunks().unpin(manifest);
+    }
+
     /// Queues an item whose chunks are missing, in place of an older one of its key.
     pub(crate) fn add_pending(&self, item: Item) {
         if self.lock_pending().insert(item) {
@@ -195,7 +242,7 @@
             let next = self.lock_pending().start_next();
             if let Some(item) = next {
                 if let Value::Chunked(manifest) = &item.value {
-                    self.lock_chunks().pin(manifest);
+                    self.pin(manifest);
                 }
                 return item;
             }
@@ -203,9 +250,12 @@
         }
     }
 
-    pub(crate) fn finish_fetch(&self) {
+    /// Ends the fetch of an item.
+    pub(crate) fn finish_fetch(&self, item: &Item) {
         self.lock_pending().finish();
-        self.lock_chunks().unpin();
+        if let Value::Chunked(manifest) = &item.value {
+            self.unpin(manifest);
+        }
     }
 
     /// Returns whether the fetch in progress is for this item.
--- a/crates/feed/tests/chunks.rs
+++ b/crates/feed/tests/chunks.rs
@@ -78,6 +78,23 @@
     assert!(chunks.size() <= 200 << 10, "{} bytes are stored", chunks.size());
 }
 
+/// Guards against dropping the only version that is complete here for newer ones that are merely known:
+/// others may be told that it is in force here.
+#[test]
+fn a_complete_version_is_kept_while_newer_ones_are_incomplete() {
+    let (mut reader, mut chunks, key) = (Chunks::default(), Chunks::default(), Name::from("key"));
+    let complete = split(&mut chunks, 1, &vec![1; 100 << 10]);
+    for revision in 2..6 {
+        let newer = split(&mut reader, revision, &vec![revision as u8; 100 << 10]);
+        chunks.register(&key, rank(revision), &newer);
+        assert!(chunks.assemble(&complete).is_some(), "after revision {revision}");
+    }
+    let next = split(&mut chunks, 6, &vec![6; 100 << 10]);
+    let after = split(&mut chunks, 7, &vec![7; 100 << 10]);
+    assert!(chunks.assemble(&next).is_some() && chunks.assemble(&after).is_some());
+    assert!(chunks.assemble(&complete).is_none(), "only the previous complete one is kept");
+}
+
 #[test]
 fn chunks_without_a_manifest_are_not_stored() {
     let mut chunks = Chunks::default();
--- a/crates/feed/tests/spread/partition.rs
+++ b/crates/feed/tests/spread/partition.rs
@@ -49,6 +49,26 @@
     });
 }
 
+/// Guards against members that ask for one version after the other, each of which those that are
+/// asked lack or no longer have, while others have later versions in force.
+///
+/// Versions are published four times a second. The reader of a region loses the store, and the reader
+/// of another is cut off from everything soon after.
+#[test]
+fn members_keep_up_with_a_series_of_versions_while_two_readers_are_cut_off() {
+    let cut = |member, at: Duration| match member {
+        0 if (seconds(4)..seconds(9)).contains(&at) => Cut::Store,
+        1 if (Duration::from_millis(5500)..seconds(9)).contains(&at) => Cut::Everything,
+        _ => Cut::None,
+    };
+    for (members, lag_limit, _) in FLEETS {
+        let (pause, routes) = (Duration::from_millis(250), 300);
+        let results = run(Load { members, routes, pause, cut, ..Load::default() });
+        println!("{members} members: {results:?}");
+        assert!(results.max_lag <= lag_limit, "{members} members: {results:?}");
+    }
+}
+
 /// Guards against members that stay behind after the end of a cut, since all that they ask learnt of
 /// the version in the same way.
 #[test]
