--- a/crates/feed/tests/spread/main.rs
+++ b/crates/feed/tests/spread/main.rs
@@ -4,14 +4,16 @@
 //! force: 3 s on the smallest fleets, 5 s and 6 s on the larger ones. Without failures a sixth to a
 //! quarter of that is allowed, which leaves the rest for faults.
 
+mod load;
 mod partition;
 mod store;
 mod world;
 
 use std::time::Duration;
 
+use load::{Load, Restore, Results};
 use store::declaration_size;
-use world::{IDLE_PERIOD, Load, Restore, Results, run};
+use world::{IDLE_PERIOD, run};
 
 const MS: Duration = Duration::from_millis(1);
 
--- a/crates/feed/tests/spread/partition.rs
+++ b/crates/feed/tests/spread/partition.rs
@@ -6,7 +6,8 @@
 
 use std::time::Duration;
 
-use crate::world::{Cut, IDLE_PERIOD, Load, run};
+use crate::load::{Cut, Load};
+use crate::world::{IDLE_PERIOD, run};
 
 const fn seconds(seconds: u64) -> Duration {
     Duration::from_secs(seconds)
--- a/crates/front/src/daemon.rs
+++ b/crates/front/src/daemon.rs
@@ -6,7 +6,6 @@
 //! at once. Then the listener closes, requests in flight are completed or get their final answer,
 //! and the process ends. Invariant: every request that was read is answered before the process ends.
 
-use std::cmp::Reverse;
 use std::collections::BTreeSet;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -15,10 +14,9 @@
 
 use bergamot_base::{Name, TaskSupervisor};
 use bergamot_feed::{
-    FeedState, Members, Origin, QueryKind, QueryReport, ReadRole, RecordEvent, Sink, Source,
-    Topology, ancestors, follow,
+    FeedState, Members, Origin, QueryKind, QueryReport, ReadRole, RecordEvent, Sink, Source, follow,
 };
-use bergamot_members::{Endpoint, Record, Role, State, View, rank_members};
+use bergamot_members::{Endpoint, Record, Role, State, View};
 use bergamot_net::{Body, NetworkError, listen, serve, text};
 use bergamot_peers::{
     Caller, Candidate, InstanceLocation, Peers, select_instances, select_serving,
@@ -52,11 +50,11 @@
 const PERMIT_PROTOCOL: u32 = 1;
 
 /// State shared by the request handlers and the background tasks.
-struct Inner {
+pub(crate) struct Inner {
     settings: Settings,
     protocol: CallerProtocol,
-    relay: Arc<Relay>,
-    peers: Arc<Peers>,
+    pub(crate) relay: Arc<Relay>,
+    pub(crate) peers: Arc<Peers>,
     feed: Arc<FeedState>,
     tasks: TaskSupervisor,
     leaving: AtomicBool,
@@ -256,59 +254,6 @@
         (self.protocol.encode_addresses)(&addresses, self.settings.ttl)
     }
 
-    /// Returns the roles by which members distribute the store's updates, or `None` while they
-    /// cannot be determined.
-    ///
-    /// The first member of each region reads the store, and the second is its deputy. Members with
-    /// the most processor capacity rank first, because everything that is read passes over their
-    /// links, which have more bandwidth as well.
-    fn topology(&self) -> Option<Topology> {
-        if !self.peers.is_settled() {
-            return self.bootstrap_topology();
-        }
-        let settings = self.relay.settings();
-        let (own, region) = (settings.address, self.region(&settings.zone));
-        let (up_to_date, member_count) = (self.peers.up_to_date_members(), self.peers.size());
-        let is_isolated = !self.peers.hears_others();
-        self.peers.with_view(|view| {
-            let mut regions: Vec<_> =
-                rank_members(view, |record| self.region(&record.zone)).into_iter().collect();
-            for (_, members) in &mut regions {
-                let weight = |endpoint| view.get(endpoint).map_or(0, |record| record.weight);
-                members.sort_by_cached_key(|endpoint| Reverse(weight(*endpoint)));
-            }
-            regions.sort_by_key(|(name, _)| *name != region);
-            let at_rank = |rank: usize| {
-                let members = regions.iter().filter_map(move |(_, members)| members.get(rank));
-                members.map(|endpoint| endpoint.ip).collect::<Vec<_>>()
-            };
-            let (first, second) = (at_rank(0), at_rank(1));
-            let role = match () {
-                () if first.contains(&own) || !settings.policy.readers.on => ReadRole::Reader,
-                () if second.contains(&own) => ReadRole::Deputy,
-                () => ReadRole::Follower,
-            };
-            let others = first.into_iter().chain(second).filter(|ip| *ip != own);
-            let mut readers: Vec<Ipv4Addr> = others.collect();
-            let in_region = regions.first().map(|(_, members)| chunk_tree_ancestors(members, own));
-            let mut chunk_sources = in_region.unwrap_or_default();
-            append_missing(&mut chunk_sources, &readers);
-            append_missing(&mut readers, &up_to_date);
-            Some(Topology { role, readers, chunk_sources, member_count, is_isolated })
-        })
-    }
-
-    /// Returns the roles that apply until this member knows all others.
-    fn bootstrap_topology(&self) -> Option<Topology> {
-        let own = self.relay.settings().address;
-        let is_reachable = |ip| {
-            let endpoint = Endpoint { ip, role: Role::Entry };
-            self.peers.with_view(|view| view.takes_work(endpoint))
-        };
-        let (seeds, up_to_date) = (self.peers.seeds(), self.peers.up_to_date_members());
-        Topology::bootstrap(own, &seeds, is_reachable, up_to_date, self.peers.size())
-    }
-
     /// Logs changes of searchers; a member that reads the store logs the name of every changed
     /// searcher.
     fn log_changes(&self) {
@@ -320,7 +265,7 @@
     }
 
     /// Returns the region of a zone; an unknown zone counts as a region of its own.
-    fn region(&self, zone: &Name) -> Name {
+    pub(crate) fn region(&self, zone: &Name) -> Name {
         Name::clone(self.relay.settings().regions.get(zone).unwrap_or(zone))
     }
 
@@ -471,25 +416,6 @@
     Ok(())
 }
 
-/// Appends the addresses that the list does not contain yet.
-fn append_missing(ips: &mut Vec<Ipv4Addr>, others: &[Ipv4Addr]) {
-    let missing = others.iter().filter(|ip| !ips.contains(ip)).copied();
-    let missing: Vec<Ipv4Addr> = missing.collect();
-    ips.extend(missing);
-}
-
-/// Returns the ancestors of a member in the chunk distribution tree of its region, whose members
-/// are given in rank order.
-fn chunk_tree_ancestors(members: &[Endpoint], own: Ipv4Addr) -> Vec<Ipv4Addr> {
-    let position = members.iter().position(|endpoint| endpoint.ip == own);
-    position
-        .into_iter()
-        .flat_map(ancestors)
-        .filter_map(|position| members.get(position))
-        .map(|endpoint| endpoint.ip)
-        .collect()
-}
-
 /// Runs the periodic work every [`TICK`] until `stop`.
 async fn run_periodic_work(inner: Arc<Inner>, stop: CancellationToken) {
     let mut ticks = 0_u32;
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -10,6 +10,7 @@
 mod member;
 mod protocol;
 mod settings;
+mod topology;
 
 pub use daemon::Daemon;
 pub use protocol::{AddressQuery, CallerProtocol, RequestHead};
