Comments of the feed and of dispatch say what holds, found on the last read of the change

What a reader met: the invariant of feed::catch_up said that one member is queried after a failed query, though it may be two; that of feed::origin had to be read twice; a line of dispatch was longer than the others.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -11,7 +11,8 @@
 //! [`RequestTimeouts`] computes the timeouts of a request, and [`Ending`] determines what may
 //! follow the end of an exchange. [`leave_out()`] decides which shards of a gathered
 //! request are not queried, [`admit()`] whether it is admitted, [`PlannedStop`] whether it is
-//! accepted during a stop, and [`retry_delay()`] when a refused caller should retry. [`Tally`] decides when a gathered answer
+//! accepted during a stop, and [`retry_delay()`] when a refused caller should retry. [`Tally`]
+//! decides when a gathered answer
 //! is sent, and [`merge_top_k`] merges its records. See `docs/design/0009-platform.md`.
 
 mod admit;
--- a/crates/feed/src/catch_up.rs
+++ b/crates/feed/src/catch_up.rs
@@ -3,8 +3,8 @@
 //! The newest version may be out of reach for some time: the members that are asked for updates or
 //! chunks are cut off, or have moved on to versions that are newer still. A version that another
 //! member has in force is complete there, so it can be put in force here within a few round trips.
-//! Invariant: only a member that has stated to be ahead is queried, once for each query of the regular
-//! fetch that has failed.
+//! Invariant: only members that have stated to be ahead are queried, at most [`MAX_ATTEMPTS`] of them
+//! after each failed query of the regular fetch.
 
 use std::net::Ipv4Addr;
 use std::time::Duration;
@@ -21,7 +21,7 @@
 /// by now.
 const MAX_ATTEMPTS: usize = 2;
 
-/// Puts the declaration of a member in force that has a later one than this member.
+/// Puts in force the declaration of another member that is ahead of this one, if there is one.
 pub(crate) async fn catch_up(delivery: &Delivery, members: &Members) {
     let (shared, key) = (&delivery.shared, &delivery.source.declaration);
     let known = shared.complete_item(key).and_then(|item| item.version);
--- a/crates/feed/src/fetch.rs
+++ b/crates/feed/src/fetch.rs
@@ -2,8 +2,8 @@
 //!
 //! Fetching runs beside the update loop, so a searcher's entry never waits behind a large
 //! declaration. A newer version of a value waits until the current fetch is complete or no source
-//! can make progress on it. Members are asked that may be fetching the value themselves, so they may
-//! all lack the same chunks; a member that has the value in force has them all. Invariants: chunks
+//! can make progress on it. The members that are asked may be fetching the value themselves, and all
+//! lack the same chunks; a member that has the value in force has all chunks. Invariants: chunks
 //! that have arrived are kept when a source fails; the whole value is read from the store only if no
 //! member can help, and by members that read the store themselves.
 
@@ -145,7 +145,7 @@
     fn sources(&self, item: &Item, topology: &Topology) -> Vec<Ipv4Addr> {
         let mut sources = topology.chunk_sources.clone();
         let sender = self.delivery.shared.last_sender();
-        // The usual sender is the reader of the region, which serves its children in the tree alone.
+        // The reader of the region, which usually sends them, sends chunks to its children only.
         if let Some(sender) = sender.filter(|sender| topology.readers.first() != Some(sender)) {
             prefer_after_parent(&mut sources, sender);
         }
--- a/crates/feed/src/origin.rs
+++ b/crates/feed/src/origin.rs
@@ -5,9 +5,9 @@
 //! are rejected. A follower queries readers, its own region's first, then deputies, then members
 //! that report the latest updates, and the store last and rarely: the first follower that the store
 //! serves passes the updates on to the others, which find it by what it reports. An origin that
-//! failed is not retried until its backoff has elapsed. Invariants: no member is queried twice
-//! without an answer that helped in between while the store could be called instead, so members
-//! that all wait for each other do not keep each other from the store; while the store is down, it
+//! failed is not retried until its backoff has elapsed. Invariants: a member that could not help is
+//! queried again only while the store is not due, so members that all wait for each other do not
+//! keep each other from the store; while the store is down, it
 //! receives calls from readers and deputies, and [`FOLLOWER_CALLS_PER_S`] calls a second from all
 //! followers together, however many there are.
 
