--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -11,6 +11,7 @@
 mod platform;
 mod script;
 mod searcher;
+mod stray;
 
 pub use behaviour::{Effect, Faults, Limits, Topology};
 pub use corpus::Corpus;
@@ -18,3 +19,4 @@
 pub use platform::{Counts, Instance, Platform};
 pub use script::{RecordedRequest, ScriptedServer, Step};
 pub use searcher::{Searcher, SearcherSettings};
+pub use stray::{Answer, AnswerHeaders, Stray, Stutter};
