Count answers of searchers by whom they name, and log each that isn't the request's own

The relay counts each answer as own, other, nobody or several, and logs the others with request, searcher and status. No decision changes.

--- a/crates/bench/src/capacity/relay.rs
+++ b/crates/bench/src/capacity/relay.rs
@@ -46,7 +46,7 @@
 const REQUEST_ID: &str = "x-id";
 const SIGNATURE: &str = "x-signature";
 
-const DIALECT: Dialect = Dialect { write_request, read_response };
+const DIALECT: Dialect = Dialect { write_request, request_id: REQUEST_ID, read_response };
 
 fn write_request(metadata: &RequestMetadata<'_>, headers: &mut HeaderMap) {
     headers.insert(REQUEST_ID, metadata.id.clone());
--- a/crates/relay/src/dialect.rs
+++ b/crates/relay/src/dialect.rs
@@ -39,6 +39,8 @@
 pub struct Dialect {
     /// Writes request metadata to the headers.
     pub write_request: fn(&RequestMetadata<'_>, &mut HeaderMap),
+    /// The header that names a request, in requests and in responses.
+    pub request_id: &'static str,
     /// Reads response metadata from the head.
     pub read_response: fn(&Parts) -> ResponseMetadata,
 }
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -12,10 +12,12 @@
 use bergamot_base::Deadline;
 use bergamot_dispatch::{Distance, Ending};
 use bergamot_net::strip_hop_by_hop_headers;
-use bergamot_upstream::Lease;
+use bergamot_upstream::{Attribution, Lease};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::Response;
+use hyper::header::HeaderValue;
+use hyper::http::response::Parts;
 
 use crate::dialect::{RequestMetadata, ResponseMetadata};
 use crate::link::SearcherLink;
@@ -147,6 +149,7 @@
         }
     })?;
     let (parts, body) = response.into_parts();
+    record_attribution(relay, link, job, &parts);
     let metadata = (relay.dialect().read_response)(&parts);
     if metadata.id.as_ref().is_some_and(|id| *id != job.request.id) {
         return Err(AttemptError::new(
@@ -164,6 +167,23 @@
     classify_response(relay, link, Response::from_parts(parts, body.to_bytes()), metadata)
 }
 
+/// Counts whose answer a response is, and logs it unless it is the request's.
+fn record_attribution(relay: &Relay, link: &SearcherLink, job: &Job, parts: &Parts) {
+    let request = &job.request.id;
+    let named = parts.headers.get_all(relay.dialect().request_id);
+    let named = named.iter().map(HeaderValue::as_bytes);
+    let attribution = Attribution::of(named, request.as_bytes());
+    relay.meter().count_answer(attribution);
+    if attribution != Attribution::Own {
+        let (searcher, status) = (&link.upstream.incarnation, parts.status.as_u16());
+        let names = attribution.label();
+        log::warn!(
+            "relay: event=answer_not_own request={request:?} searcher={searcher} names={names} \
+             status={status}"
+        );
+    }
+}
+
 /// Formats a connection error with its source.
 fn describe_error(error: &hyper::Error) -> String {
     error.source().map_or_else(|| error.to_string(), |source| format!("{error}: {source}"))
--- a/crates/relay/src/meter.rs
+++ b/crates/relay/src/meter.rs
@@ -4,6 +4,7 @@
 
 use bergamot_dispatch::{Distance, Ending};
 use bergamot_placement::WithheldCounts;
+use bergamot_upstream::Attribution;
 use prometheus::{
     HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
 };
@@ -148,6 +149,7 @@
     latency: HistogramVec,
     attempts: IntCounterVec,
     endings: IntCounterVec,
+    answers: IntCounterVec,
     unserved: UnservedMeter,
     pub(crate) store: StoreMeter,
     pub(crate) admission: AdmissionMeter,
@@ -193,6 +195,11 @@
                 "Attempts that brought no success, by what their end means.",
                 &["ending"],
             ),
+            answers: counters(
+                "bergamot_relay_answers_total",
+                "Answers of searchers by whose they are: own, other, nobody, several.",
+                &["names"],
+            ),
             unserved: UnservedMeter::new(&registry),
             store: StoreMeter::new(&registry),
             admission: AdmissionMeter::new(&registry),
@@ -268,6 +275,11 @@
         self.endings.with_label_values(&[ending]).inc();
     }
 
+    /// Counts an answer of a searcher by whose it is.
+    pub(crate) fn count_answer(&self, attribution: Attribution) {
+        self.answers.with_label_values(&[attribution.label()]).inc();
+    }
+
     /// Counts a request to a service all of whose searchers are withheld.
     pub(crate) fn count_withheld(&self, withheld: &WithheldCounts) {
         for reason in withheld.reasons() {
--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -23,7 +23,7 @@
 use hyper::{Method, StatusCode, Uri};
 
 /// The encoding used in tests.
-pub const DIALECT: Dialect = Dialect { write_request, read_response };
+pub const DIALECT: Dialect = Dialect { write_request, request_id: "x-id", read_response };
 
 fn write_request(metadata: &RequestMetadata<'_>, headers: &mut HeaderMap) {
     headers.insert("x-id", metadata.id.clone());
--- a/crates/upstream/src/lib.rs
+++ b/crates/upstream/src/lib.rs
@@ -9,6 +9,7 @@
 //! deterministic and take the current time as `now`. See
 //! `docs/design/0005-tails-and-scarcity.md`.
 
+mod attribution;
 mod client;
 mod client_set;
 mod health;
@@ -19,6 +20,7 @@
 mod rank;
 mod slots;
 
+pub use attribution::Attribution;
 pub use client::{Client, RequestContext, SearcherError, WriteResult};
 pub use client_set::{ClientSet, PoolTotals};
 pub use health::Health;
