--- /dev/null
+++ b/crates/answer/src/lib.rs
@@ -0,0 +1,24 @@
+//! Whose answer the bytes on a connection to a searcher are, and how much memory answers use.
+//!
+//! A searcher in trouble may answer twice, or send bytes that are no answer. [`Inspector`] follows
+//! the bytes of one connection and passes on only those of the answer that names the waiting
+//! request; it skips an answer that doesn't, so that the true one behind it is read. Invariant: a
+//! byte is passed on only as a part of an answer that names the waiting request and no other, and
+//! nothing is passed on while no request waits.
+//!
+//! [`Limits`] bounds what one answer may hold or cost, and [`Memory`] what all answers in progress
+//! in a process hold together. All types are free of I/O; `bergamot-upstream` connects them to
+//! sockets. See `docs/design/0020-answers-of-searchers.md`.
+
+mod attribution;
+mod fault;
+mod framing;
+mod inspector;
+mod limits;
+mod memory;
+
+pub use attribution::Attribution;
+pub use fault::{Fault, Limit};
+pub use inspector::{Finding, Inspector, Stray};
+pub use limits::{CHUNK_BYTES, Limits};
+pub use memory::{Buffer, Exhausted, Memory, Usage};
--- a/crates/bench/src/capacity/relay.rs
+++ b/crates/bench/src/capacity/relay.rs
@@ -54,11 +54,7 @@
 
 fn read_response(parts: &Parts) -> ResponseMetadata {
     let header = |name| parts.headers.get(name).cloned();
-    ResponseMetadata {
-        id: header(REQUEST_ID),
-        signature: header(SIGNATURE),
-        ..ResponseMetadata::default()
-    }
+    ResponseMetadata { signature: header(SIGNATURE), ..ResponseMetadata::default() }
 }
 
 /// Calls to other members that all fail.
--- a/crates/gather/src/maintenance.rs
+++ b/crates/gather/src/maintenance.rs
@@ -74,6 +74,7 @@
         inner.metrics.connections.set(totals.open as i64);
         inner.metrics.dials.set(totals.dials as i64);
         inner.metrics.refused.set(totals.refused as i64);
+        inner.metrics.findings.set(totals.findings as i64);
     }
 }
 
--- a/crates/gather/src/metrics.rs
+++ b/crates/gather/src/metrics.rs
@@ -17,6 +17,8 @@
     pub(crate) dials: IntGauge,
     /// Connection attempts by the current clients that failed or were refused.
     pub(crate) refused: IntGauge,
+    /// How often searchers of the current clients sent what is not the answer to a request.
+    pub(crate) findings: IntGauge,
 }
 
 impl Metrics {
@@ -45,6 +47,10 @@
             connections: gauge("bergamot_upstream_connections", "Connections open to searchers."),
             dials: gauge("bergamot_upstream_dials", "Dials to searchers held now."),
             refused: gauge("bergamot_upstream_refused_dials", "Dials that searchers refused."),
+            findings: gauge(
+                "bergamot_upstream_findings",
+                "How often searchers held now sent what is not the answer to a request.",
+            ),
         }
     }
 }
--- a/crates/relay/src/dialect.rs
+++ b/crates/relay/src/dialect.rs
@@ -22,8 +22,6 @@
 /// Metadata from the head of a searcher's response.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct ResponseMetadata {
-    /// The identifier of the request that is answered, if present.
-    pub id: Option<HeaderValue>,
     /// The searcher's signature of its response.
     pub signature: Option<HeaderValue>,
     /// Whether the searcher states that it did not run the request.
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -1,23 +1,23 @@
 //! Sending one request to one searcher on one connection.
 //!
-//! Invariants: whether the searcher may be asked is checked immediately before bytes are sent; a response that names
-//! another request is discarded; a connection is reused only after its response was read
-//! completely, and is otherwise closed, which also cancels the work at the searcher.
+//! Invariants: whether the searcher may be asked is checked immediately before bytes are sent; only a
+//! response that names the request is received ([`bergamot_answer::Inspector`]); a connection is reused
+//! only after its response was read completely and nothing else was received, and is otherwise closed,
+//! which also cancels the work at the searcher.
 
-use std::error::Error as _;
 use std::fmt;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use bergamot_answer::Fault;
 use bergamot_base::Deadline;
+use bergamot_declaration::Idempotency;
 use bergamot_dispatch::{Distance, Ending};
 use bergamot_net::strip_hop_by_hop_headers;
-use bergamot_upstream::{Attribution, Lease};
+use bergamot_upstream::{Lease, Reuse};
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::Response;
-use hyper::header::HeaderValue;
-use hyper::http::response::Parts;
 
 use crate::dialect::{RequestMetadata, ResponseMetadata};
 use crate::link::SearcherLink;
@@ -37,6 +37,8 @@
     pub(crate) searcher_ended: bool,
     /// Whether the searcher refused the request, as it does while it is full.
     pub(crate) refused: bool,
+    /// Why the received bytes could not be read as the response, if that is the cause.
+    pub(crate) fault: Option<Fault>,
     /// The searcher's error response, if it can be forwarded.
     pub(crate) response: Option<Box<SearcherResponse>>,
 }
@@ -49,6 +51,7 @@
             connection_lost: false,
             searcher_ended: false,
             refused: false,
+            fault: None,
             response: None,
         }
     }
@@ -99,9 +102,14 @@
     connect_by: Instant,
     deadline: Instant,
 ) -> Result<SearcherResponse, AttemptError> {
-    let lease = match link.pool.lease_idle() {
+    let reuse = match job.kind {
+        _ if job.has_met_fault() => Reuse::Never,
+        Idempotency::Idempotent => Reuse::Usual,
+        Idempotency::NonIdempotent => Reuse::Cautious,
+    };
+    let lease = match link.pool.lease_idle(reuse) {
         Some(lease) => lease,
-        None => link.pool.lease(deadline_at(connect_by)).await.map_err(|fault| {
+        None => link.pool.lease(deadline_at(connect_by), reuse).await.map_err(|fault| {
             link.estimator().record_failure(Instant::now());
             AttemptError::new(Ending::NotSent, fault)
         })?,
@@ -126,6 +134,9 @@
             if error.ending.did_not_run() {
                 job.record_not_run();
             }
+            if error.fault.is_some() {
+                job.record_fault();
+            }
             Err(error)
         }
     }
@@ -139,54 +150,23 @@
     deadline: Instant,
 ) -> Result<SearcherResponse, AttemptError> {
     let request = build_request(relay, link, job, deadline)?;
-    let sent = lease.sender().try_send_request(request).await;
-    let response = sent.map_err(|error| {
-        let unsent = error.message().is_some();
+    let response = lease.send(request).await.map_err(|error| {
+        let unsent = error.is_unsent();
         let ending = if unsent { Ending::NotSent } else { Ending::Unknown };
-        AttemptError {
-            connection_lost: !unsent,
-            ..AttemptError::new(ending, describe_error(error.error()))
-        }
+        // Bytes that are no answer show that the searcher's process runs.
+        let fault = error.fault();
+        let connection_lost = !unsent && fault.is_none();
+        AttemptError { connection_lost, fault, ..AttemptError::new(ending, error) }
     })?;
     let (parts, body) = response.into_parts();
-    record_attribution(relay, link, job, &parts);
     let metadata = (relay.dialect().read_response)(&parts);
-    if metadata.id.as_ref().is_some_and(|id| *id != job.request.id) {
-        return Err(AttemptError::new(
-            Ending::Unknown,
-            "response carries the identifier of another request",
-        ));
-    }
-    let collected = Limited::new(body, relay.settings().max_response_bytes).collect().await;
-    let body = collected.map_err(|error| {
+    let body = link.pool.read_body(body).await.map_err(|error| {
         // The head states whether the request ran, even if the body is truncated.
         let ending = if metadata.not_run { Ending::NotRun } else { Ending::Unknown };
-        AttemptError::new(ending, error)
+        AttemptError { fault: error.fault(), ..AttemptError::new(ending, error) }
     })?;
     lease.release_soon();
-    classify_response(relay, link, Response::from_parts(parts, body.to_bytes()), metadata)
-}
-
-/// Counts whose answer a response is, and logs it unless it is the request's.
-fn record_attribution(relay: &Relay, link: &SearcherLink, job: &Job, parts: &Parts) {
-    let request = &job.request.id;
-    let named = parts.headers.get_all(relay.dialect().request_id);
-    let named = named.iter().map(HeaderValue::as_bytes);
-    let attribution = Attribution::of(named, request.as_bytes());
-    relay.meter().count_answer(attribution);
-    if attribution != Attribution::Own {
-        let (searcher, status) = (&link.upstream.incarnation, parts.status.as_u16());
-        let names = attribution.label();
-        log::warn!(
-            "relay: event=answer_not_own request={request:?} searcher={searcher} names={names} \
-             status={status}"
-        );
-    }
-}
-
-/// Formats a connection error with its source.
-fn describe_error(error: &hyper::Error) -> String {
-    error.source().map_or_else(|| error.to_string(), |source| format!("{error}: {source}"))
+    classify_response(relay, link, Response::from_parts(parts, body), metadata)
 }
 
 fn build_request(
--- a/crates/relay/src/link.rs
+++ b/crates/relay/src/link.rs
@@ -8,7 +8,7 @@
 use bergamot_dispatch::{Candidate, Distance, Estimate, LatencyEstimator, LoadReport, StallPeriod};
 use bergamot_policy::Policy;
 use bergamot_registry::Upstream;
-use bergamot_upstream::Pool;
+use bergamot_upstream::{Pool, PoolSettings};
 
 use crate::monitor::Monitor;
 use crate::settings::Settings;
@@ -38,7 +38,7 @@
     /// Creates a link to a searcher that has not been used yet.
     pub(crate) fn new(
         upstream: Arc<Upstream>,
-        share: usize,
+        pool: PoolSettings,
         monitor: &Arc<Monitor>,
         stall_period: StallPeriod,
         settings: &Settings,
@@ -48,8 +48,7 @@
         let there = (&*upstream.zone, region(&upstream.zone));
         let distance = Distance::between(here, there);
         let observer = monitor.observe(&upstream);
-        let (from, timeout) = (settings.address, settings.connect_timeout);
-        let pool = Pool::new(from, upstream.address, share, timeout, observer);
+        let pool = Pool::new(pool, observer);
         let policy = Arc::clone(&settings.policy);
         let estimator = Mutex::new(LatencyEstimator::new(
             distance.initial_latency(monitor.round_trip(&upstream.zone)),
--- a/crates/relay/src/links.rs
+++ b/crates/relay/src/links.rs
@@ -9,6 +9,7 @@
 
 use bergamot_base::Name;
 use bergamot_registry::{State as UpstreamState, Upstream};
+use bergamot_upstream::PoolSettings;
 use rand::RngExt;
 
 use crate::link::SearcherLink;
@@ -77,7 +78,7 @@
         }
         let link = SearcherLink::new(
             Arc::clone(upstream),
-            share,
+            self.pool_settings(upstream, share),
             &self.monitor,
             self.stall_period.clone(),
             &self.settings,
@@ -86,6 +87,19 @@
         link
     }
 
+    /// Returns how to connect to a searcher, and what to demand of its responses.
+    fn pool_settings(&self, upstream: &Upstream, share: usize) -> PoolSettings {
+        PoolSettings {
+            local: self.settings.address,
+            remote: upstream.address,
+            share,
+            dial_timeout: self.settings.connect_timeout,
+            id_header: self.dialect().request_id,
+            limits: self.settings.response_limits,
+            memory: Arc::clone(&self.response_memory),
+        }
+    }
+
     /// Sets the connection limit of every link to its current share.
     pub(crate) fn resize_pools(state: &State) {
         for (incarnation, link) in &state.links {
--- a/crates/relay/src/meter.rs
+++ b/crates/relay/src/meter.rs
@@ -2,9 +2,9 @@
 
 use std::time::Duration;
 
+use bergamot_answer::Usage;
 use bergamot_dispatch::{Distance, Ending};
 use bergamot_placement::WithheldCounts;
-use bergamot_upstream::Attribution;
 use prometheus::{
     HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
 };
@@ -115,6 +115,43 @@
     }
 }
 
+/// The metrics of the responses of searchers.
+#[derive(Debug)]
+pub(crate) struct ResponseMeter {
+    pub(crate) findings: IntCounterVec,
+    bytes: IntGauge,
+    peak_bytes: IntGauge,
+}
+
+impl ResponseMeter {
+    fn new(registry: &Registry) -> Self {
+        Self {
+            findings: counters(
+                registry,
+                "bergamot_relay_findings_total",
+                "What searchers sent that is not the answer to its request, by kind.",
+                &["kind"],
+            ),
+            bytes: gauge(
+                registry,
+                "bergamot_relay_response_bytes",
+                "Bytes held by responses of searchers, complete or not.",
+            ),
+            peak_bytes: gauge(
+                registry,
+                "bergamot_relay_response_peak_bytes",
+                "The most bytes that responses of searchers have held.",
+            ),
+        }
+    }
+
+    /// Records the memory that responses use.
+    pub(crate) fn record_memory(&self, usage: Usage) {
+        self.bytes.set(usage.held as i64);
+        self.peak_bytes.set(usage.peak as i64);
+    }
+}
+
 /// The metrics of what is not served: refused requests, and shards that are left out of answers.
 #[derive(Debug)]
 struct UnservedMeter {
@@ -149,7 +186,7 @@
     latency: HistogramVec,
     attempts: IntCounterVec,
     endings: IntCounterVec,
-    answers: IntCounterVec,
+    pub(crate) responses: ResponseMeter,
     unserved: UnservedMeter,
     pub(crate) store: StoreMeter,
     pub(crate) admission: AdmissionMeter,
@@ -195,11 +232,7 @@
                 "Attempts that brought no success, by what their end means.",
                 &["ending"],
             ),
-            answers: counters(
-                "bergamot_relay_answers_total",
-                "Answers of searchers by whose they are: own, other, nobody, several.",
-                &["names"],
-            ),
+            responses: ResponseMeter::new(&registry),
             unserved: UnservedMeter::new(&registry),
             store: StoreMeter::new(&registry),
             admission: AdmissionMeter::new(&registry),
@@ -275,11 +308,6 @@
         self.endings.with_label_values(&[ending]).inc();
     }
 
-    /// Counts an answer of a searcher by whose it is.
-    pub(crate) fn count_answer(&self, attribution: Attribution) {
-        self.answers.with_label_values(&[attribution.label()]).inc();
-    }
-
     /// Counts a request to a service all of whose searchers are withheld.
     pub(crate) fn count_withheld(&self, withheld: &WithheldCounts) {
         for reason in withheld.reasons() {
--- a/crates/relay/src/monitor.rs
+++ b/crates/relay/src/monitor.rs
@@ -8,24 +8,45 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
+use bergamot_answer::Finding;
 use bergamot_base::Name;
 use bergamot_dispatch::ZoneRoundTrips;
+use bergamot_logger::Sampler;
 use bergamot_registry::{Incarnation, Upstream};
 use bergamot_upstream::Observer;
+use prometheus::IntCounterVec;
+
+/// How many findings are logged a second; all are counted.
+const MAX_FINDINGS_LOGGED: u32 = 10;
 
 /// The state shared by the connection pools of a relay.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct Monitor {
+    /// What searchers sent that is not the answer to its request, by kind.
+    findings: IntCounterVec,
+    log_sampler: Mutex<Sampler>,
     open: AtomicUsize,
     round_trips: Mutex<ZoneRoundTrips>,
     unconnected: Mutex<Vec<Incarnation>>,
 }
 
 impl Monitor {
+    /// Creates the state without connections; `findings` counts what is not the answer to a request.
+    pub(crate) fn new(findings: IntCounterVec) -> Arc<Self> {
+        Arc::new(Self {
+            findings,
+            log_sampler: Mutex::new(Sampler::new(MAX_FINDINGS_LOGGED)),
+            open: AtomicUsize::new(0),
+            round_trips: Mutex::default(),
+            unconnected: Mutex::default(),
+        })
+    }
+
     /// Creates the observer of the pool of one searcher, which has no connections yet.
     pub(crate) fn observe(self: &Arc<Self>, upstream: &Upstream) -> Observer {
         let (for_dials, for_opened) = (Arc::clone(self), Arc::clone(self));
         let (for_closed, zone) = (Arc::clone(self), Name::clone(&upstream.zone));
+        let (for_found, searcher) = (Arc::clone(self), upstream.incarnation.clone());
         let incarnation = upstream.incarnation.clone();
         self.record_unconnected(upstream.incarnation.clone());
         Observer {
@@ -41,6 +62,20 @@
                     for_closed.record_unconnected(incarnation.clone());
                 }
             }),
+            found: Box::new(move |finding| for_found.record_finding(&searcher, finding)),
+        }
+    }
+
+    /// Counts and logs what a searcher sent that is not the answer to its request.
+    fn record_finding(&self, searcher: &Incarnation, finding: &Finding) {
+        let kind = finding.label();
+        self.findings.with_label_values(&[kind]).inc();
+        let mut sampler = self.log_sampler.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(left_out) = sampler.admit(Instant::now()) {
+            log::warn!(
+                "relay: event=answer_not_own searcher={searcher} kind={kind} {finding} \
+                 left_out={left_out}"
+            );
         }
     }
 
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -7,6 +7,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Instant;
 
+use bergamot_answer::Memory;
 use bergamot_base::{Name, PauseGate, Position, Revision};
 use bergamot_config::RevisionStatus;
 use bergamot_declaration::{Declaration, Residency};
@@ -52,6 +53,8 @@
     changes: Mutex<ChangeAggregator>,
     /// What the connections to searchers report.
     pub(crate) monitor: Arc<Monitor>,
+    /// Bounds the memory of all responses in progress.
+    pub(crate) response_memory: Arc<Memory>,
     /// The period at which searchers stall, shared by all links.
     pub(crate) stall_period: StallPeriod,
     /// Requests suspected or known to crash searchers.
@@ -76,6 +79,8 @@
         let pause_gate = PauseGate::new(settings.pause_threshold);
         let (meter, woke_at) = (Meter::new(), Mutex::default());
         let stall_period = StallPeriod::default();
+        let monitor = Monitor::new(meter.responses.findings.clone());
+        let response_memory = Memory::new(settings.response_memory_bytes);
         let coordinator = PoolCoordinator::new(&settings.policy, meter.admission.clone());
         Arc::new(Self {
             settings,
@@ -91,7 +96,8 @@
             pending,
             early_request: AtomicBool::new(false),
             changes,
-            monitor: Arc::default(),
+            monitor,
+            response_memory,
             stall_period,
             quarantine: Arc::default(),
             stop: StopState::default(),
@@ -444,6 +450,7 @@
             self.monitor.take_unconnected();
         }
         self.meter.connections.set(self.monitor.open() as i64);
+        self.meter.responses.record_memory(self.response_memory.usage());
         self.meter.searchers.set(state.registry.len() as i64);
         self.meter.members.set(members as i64);
     }
--- a/crates/relay/src/settings.rs
+++ b/crates/relay/src/settings.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use bergamot_answer::Limits;
 use bergamot_base::Name;
 use bergamot_dispatch::RetryBudgetLimits;
 use bergamot_placement::ColdBound;
@@ -35,8 +36,10 @@
     /// The longest gap between two ticks that is not treated as a pause of the process: seven
     /// ticks, because a machine with an eighth of a core may miss some when it is slow.
     pub pause_threshold: Duration,
-    /// The maximum size of a searcher's response, in bytes.
-    pub max_response_bytes: usize,
+    /// The bounds of one response of a searcher.
+    pub response_limits: Limits,
+    /// The bound of all responses in progress, in bytes.
+    pub response_memory_bytes: usize,
     /// The mechanisms of the decisions and their parameters.
     pub policy: Arc<Policy>,
 }
@@ -53,7 +56,8 @@
             cold_bound: ColdBound::default(),
             connect_timeout: Duration::from_millis(300),
             pause_threshold: Duration::from_millis(700),
-            max_response_bytes: 16 << 20,
+            response_limits: Limits::default(),
+            response_memory_bytes: 64 << 20,
             policy: Arc::default(),
         }
     }
--- a/crates/relay/tests/left_out.rs
+++ b/crates/relay/tests/left_out.rs
@@ -18,7 +18,7 @@
 /// Shard `b` refuses requests to `/q/refuse` and never answers those to `/q/hang`.
 async fn relay_with_slow_shard() -> (Arc<Relay>, [ScriptedServer; 3]) {
     let b = script(|seen| match () {
-        () if seen.head.contains("/refuse") => not_run("503 Service Unavailable"),
+        () if seen.head.contains("/refuse") => not_run(seen, "503 Service Unavailable"),
         () if seen.head.contains("/hang") => vec![Step::Hang],
         () => ok(seen, "sig2", &record(2)),
     });
--- a/crates/relay/tests/many.rs
+++ b/crates/relay/tests/many.rs
@@ -44,7 +44,7 @@
 #[tokio::test]
 async fn a_request_fails_as_soon_as_its_coverage_is_unreachable() {
     let a = part(1).await;
-    let refusing = script(|_| not_run("503 Service Unavailable")).await;
+    let refusing = script(|seen| not_run(seen, "503 Service Unavailable")).await;
     let upstreams = vec![
         upstream("i1", "a", &a),
         upstream("i2", "b", &refusing),
--- a/crates/relay/tests/one.rs
+++ b/crates/relay/tests/one.rs
@@ -56,7 +56,7 @@
 
 #[tokio::test]
 async fn a_non_idempotent_request_is_retried_if_it_has_not_run() {
-    let refusing = script(|_| not_run("503 Service Unavailable")).await;
+    let refusing = script(|seen| not_run(seen, "503 Service Unavailable")).await;
     let good = script(|seen| ok(seen, "sig", b"done")).await;
     let upstreams = vec![upstream("i1", "s", &refusing), upstream("i2", "s", &good)];
     let relay = relay(vec![route("/a/", Idempotency::NonIdempotent, service())], upstreams);
@@ -143,7 +143,7 @@
 
 #[tokio::test]
 async fn an_address_reassigned_to_another_searcher_is_not_retried() {
-    let other = script(|_| not_run("421 Misdirected Request")).await;
+    let other = script(|seen| not_run(seen, "421 Misdirected Request")).await;
     let good = script(|seen| ok(seen, "sig", b"mine")).await;
     let upstreams = vec![upstream("old", "s", &other), upstream("i2", "s", &good)];
     let relay = relay(vec![route("/a/", Idempotency::NonIdempotent, service())], upstreams);
--- a/crates/relay/tests/reborn.rs
+++ b/crates/relay/tests/reborn.rs
@@ -9,7 +9,7 @@
 use bergamot_registry::{Incarnation, Upstream};
 use bergamot_relay::{Cause, Relay, Reply};
 use bergamot_standin::{RecordedRequest, ScriptedServer, Step};
-use support::{gather, merged, ok, record, relay, request, route, script, upstream};
+use support::{gather, merged, not_run, ok, record, relay, request, route, script, upstream};
 
 /// Searcher `i1` of service `s`, started at the given time in milliseconds.
 fn started_at(born: u64, at: &ScriptedServer) -> Upstream {
@@ -105,10 +105,7 @@
 /// Another searcher has the address of the previous incarnation, which ends only that incarnation.
 #[tokio::test]
 async fn the_end_of_one_incarnation_does_not_end_the_next() {
-    let moved = |_: &RecordedRequest| {
-        let text = "HTTP/1.1 421 Misdirected Request\r\ncontent-length: 0\r\n\r\n";
-        vec![Step::Send(text.as_bytes().to_vec())]
-    };
+    let moved = |seen: &RecordedRequest| not_run(seen, "421 Misdirected Request");
     let (previous, next) = (script(moved).await, answering(b"next").await);
     let relay = relay_with_service(Idempotency::NonIdempotent, vec![started_at(1, &previous)]);
     match relay.handle(request("/a/")).await {
--- a/crates/relay/tests/refusals.rs
+++ b/crates/relay/tests/refusals.rs
@@ -53,7 +53,7 @@
 /// the wait is given up before anything is sent.
 #[tokio::test]
 async fn a_refused_shard_beside_one_without_a_connection_has_not_run() {
-    let a = script(|_| not_run("503 Service Unavailable")).await;
+    let a = script(|seen| not_run(seen, "503 Service Unavailable")).await;
     let b = script(|_| vec![Step::Hang]).await;
     let relay = relay_with_busy_searchers(&a, &b).await;
     assert_eq!(refused(relay.handle(request("/q/")).await), (Cause::NotRun, true));
@@ -64,7 +64,7 @@
 /// whose shards were then all refused by their searchers.
 #[tokio::test]
 async fn a_request_refused_after_an_unreachable_member_has_not_run() {
-    let west = script(|_| not_run("503 Service Unavailable")).await;
+    let west = script(|seen| not_run(seen, "503 Service Unavailable")).await;
     let upstreams = vec![
         at("west", upstream("a-west", "a", &west)),
         at("west", upstream("b-west", "b", &west)),
--- a/crates/relay/tests/residency.rs
+++ b/crates/relay/tests/residency.rs
@@ -54,7 +54,7 @@
     .await;
     let relay = bounded_relay(Idempotency::Idempotent, &here, &slow);
     assert!(matches!(relay.handle(request("/s/")).await, Reply::Forwarded(_)));
-    let busy = script(|_| not_run("503 Service Unavailable")).await;
+    let busy = script(|seen| not_run(seen, "503 Service Unavailable")).await;
     let relay = bounded_relay(Idempotency::NonIdempotent, &here, &busy);
     assert_eq!(refused(relay.handle(request("/s/")).await), (Cause::NotRun, true));
     assert_eq!(here.requests().len(), 0);
--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -35,7 +35,6 @@
     let header = |name| parts.headers.get(name).cloned();
     let misdirected = parts.status == StatusCode::MISDIRECTED_REQUEST;
     ResponseMetadata {
-        id: header("x-id"),
         signature: header("x-signature"),
         not_run: misdirected || parts.headers.contains_key("x-not-run"),
         misdirected,
@@ -59,8 +58,10 @@
 }
 
 /// A response stating that the request was not run.
-pub fn not_run(status: &str) -> Vec<Step> {
-    let text = format!("HTTP/1.1 {status}\r\nx-not-run: 1\r\ncontent-length: 0\r\n\r\n");
+pub fn not_run(seen: &RecordedRequest, status: &str) -> Vec<Step> {
+    let id = seen.header("x-id").unwrap_or_default();
+    let text =
+        format!("HTTP/1.1 {status}\r\nx-id: {id}\r\nx-not-run: 1\r\ncontent-length: 0\r\n\r\n");
     vec![Step::Send(text.into_bytes())]
 }
 
--- a/crates/standin/src/searcher.rs
+++ b/crates/standin/src/searcher.rs
@@ -252,6 +252,7 @@
     /// Handles a request. Returns `None` if the connection is to be closed without a response.
     async fn handle(&self, request: Request<Incoming>) -> Option<Response<Body>> {
         let path = request.uri().path().to_owned();
+        let id = request.headers().get(protocol::REQUEST).cloned();
         let mut response = match (request.method(), path.as_str()) {
             (&Method::POST, protocol::SEARCH) => self.search(request).await?,
             (&Method::POST, protocol::WRITE) => self.write(request).await?,
@@ -266,6 +267,9 @@
             _ => text(StatusCode::NOT_FOUND, "unknown path"),
         };
         self.add_headers(&mut response, path == protocol::STATUS);
+        if let Some(id) = id {
+            response.headers_mut().insert(HeaderName::from_static(protocol::REQUEST), id);
+        }
         Some(response)
     }
 
--- a/crates/upstream/src/client.rs
+++ b/crates/upstream/src/client.rs
@@ -8,13 +8,14 @@
 //! uncertain, the outcome is [`WriteResult::Unknown`].
 
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
 use bergamot_base::{Deadline, Name, Peer, Step};
 use bergamot_query::Reason;
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::{Method, Request, Response, StatusCode};
 use serde::Serialize;
 use snafu::Snafu;
@@ -22,12 +23,10 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::health::Health;
-use crate::pool::{Lease, Pool};
+use crate::pool::{Lease, Pool, SendError};
 use crate::protocol::{self, Receipt, Search, SearchReply, Write};
 use crate::slots::{Admission, Slots};
-
-/// Maximum size of a response body, in bytes.
-const MAX_RESPONSE_LEN: usize = 16 << 20;
+use crate::trust::Reuse;
 
 /// How long to wait for the response to a cancelled request before closing its connection.
 const DRAIN_TIMEOUT: Duration = Duration::from_millis(250);
@@ -91,6 +90,8 @@
 pub struct Client {
     address: SocketAddr,
     pool: Arc<Pool>,
+    /// The number of status requests so far, each of which has an identifier of its own.
+    status_requests: AtomicU64,
     slots: Mutex<Slots<oneshot::Sender<()>>>,
     health: Mutex<Health>,
 }
@@ -107,6 +108,7 @@
         Arc::new(Self {
             address,
             pool,
+            status_requests: AtomicU64::new(0),
             slots: Mutex::new(Slots::new(slots, queue)),
             health: Mutex::new(Health::new(initial_latency)),
         })
@@ -143,7 +145,7 @@
         let lease = tokio::select! {
             biased;
             () = call.cancel.cancelled() => return Err(self.fault("take a connection", "cancelled")),
-            lease = self.pool.lease(call.deadline) => lease.inspect_err(|_| self.record_failure())?,
+            lease = self.pool.lease(call.deadline, Reuse::Usual) => lease.inspect_err(|_| self.record_failure())?,
         };
         if !self.may_send_now(call, &may_send) {
             lease.release().await;
@@ -179,7 +181,7 @@
             Ok(slot) => slot,
             Err(fault) => return WriteResult::NotRun(fault.to_string()),
         };
-        let mut lease = match self.pool.lease(call.deadline).await {
+        let mut lease = match self.pool.lease(call.deadline, Reuse::Cautious).await {
             Ok(lease) => lease,
             Err(fault) => return WriteResult::NotRun(fault.to_string()),
         };
@@ -193,20 +195,18 @@
                 "no longer allowed at the last moment before sending".to_owned(),
             );
         }
-        let sent = lease.sender().try_send_request(request);
+        let sent = lease.send(request);
         let result = tokio::time::timeout_at(call.deadline.instant().into(), sent).await;
         let effect = match result {
             Err(_elapsed) => {
                 WriteResult::Unknown("the deadline passed after the write was sent".to_owned())
             }
-            Ok(Err(error)) if error.message().is_some() => WriteResult::NotRun(format!(
-                "the connection closed before sending: {}",
-                error.error()
-            )),
-            Ok(Err(error)) => WriteResult::Unknown(format!(
-                "the connection failed after sending: {}",
-                error.error()
-            )),
+            Ok(Err(error)) if error.is_unsent() => {
+                WriteResult::NotRun(format!("the connection closed before sending: {error}"))
+            }
+            Ok(Err(error)) => {
+                WriteResult::Unknown(format!("the connection failed after sending: {error}"))
+            }
             Ok(Ok(response)) => self.write_effect(lease, response, call).await,
         };
         drop(slot);
@@ -215,9 +215,11 @@
 
     /// Requests the searcher's status to update its run, its versions and whether it is leaving.
     pub async fn status(self: &Arc<Self>, deadline: Deadline) -> Result<(), SearcherError> {
-        let call =
-            RequestContext { id: Name::from("status"), deadline, cancel: CancellationToken::new() };
-        let lease = self.pool.lease(deadline).await.inspect_err(|_| self.record_failure())?;
+        let number = self.status_requests.fetch_add(1, Ordering::Relaxed);
+        let id = Name::from(format!("status-{number}"));
+        let call = RequestContext { id, deadline, cancel: CancellationToken::new() };
+        let lease =
+            self.pool.lease(deadline, Reuse::Usual).await.inspect_err(|_| self.record_failure())?;
         let request = self.request(Method::GET, protocol::STATUS, &call, &());
         self.exchange(lease, request, &call).await.map(|_reply| ())
     }
@@ -280,9 +282,9 @@
         request: Request<Full<Bytes>>,
         call: &RequestContext,
     ) -> Result<Response<Bytes>, SearcherError> {
-        let sent = lease.sender().send_request(request);
-        let mut reply = Box::pin(async move {
-            let response = sent.await.map_err(|error| self.connection_fault("send", &error))?;
+        let mut reply = Box::pin(async {
+            let sent = lease.send(request).await;
+            let response = sent.map_err(|error| self.connection_fault("send", &error))?;
             self.record_headers(&response);
             self.read_body(response).await
         });
@@ -318,14 +320,17 @@
 
     /// Sends the searcher a cancellation of the request, if a connection is idle.
     fn cancel(self: &Arc<Self>, call: &RequestContext) {
-        let Some(mut lease) = self.pool.lease_idle() else {
+        let Some(mut lease) = self.pool.lease_idle(Reuse::Usual) else {
             return;
         };
         let path = format!("{}{}", protocol::REQUESTS, call.id);
-        let request = self.request(Method::DELETE, &path, call, &());
+        let id = Name::from(format!("{}-cancel", call.id));
+        let request =
+            self.request(Method::DELETE, &path, &RequestContext { id, ..call.clone() }, &());
+        let pool = Arc::clone(&self.pool);
         tokio::spawn(tokio::time::timeout(DRAIN_TIMEOUT, async move {
-            if let Ok(response) = lease.sender().send_request(request).await
-                && response.into_body().collect().await.is_ok()
+            if let Ok(response) = lease.send(request).await
+                && pool.read_body(response.into_body()).await.is_ok()
             {
                 lease.release().await;
             }
@@ -337,11 +342,11 @@
         response: Response<hyper::body::Incoming>,
     ) -> Result<Response<Bytes>, SearcherError> {
         let (parts, body) = response.into_parts();
-        let collected = Limited::new(body, MAX_RESPONSE_LEN).collect().await.map_err(|error| {
+        let body = self.pool.read_body(body).await.map_err(|error| {
             self.record_failure();
             self.fault("read reply", &error.to_string()).with_reason(Reason::BadReply)
         })?;
-        Ok(Response::from_parts(parts, collected.to_bytes()))
+        Ok(Response::from_parts(parts, body))
     }
 
     /// Updates the health of the searcher from the headers of a response.
@@ -420,8 +425,14 @@
         WriteResult::Unknown(format!("the searcher answered {status}"))
     }
 
-    fn connection_fault(&self, step: &'static str, error: &hyper::Error) -> SearcherError {
+    fn connection_fault(&self, step: &'static str, error: &SendError) -> SearcherError {
         self.record_failure();
+        if let Some(fault) = error.fault() {
+            return self.fault(step, &fault.to_string()).with_reason(Reason::BadReply);
+        }
+        let SendError::Connection { error, .. } = error else {
+            return self.fault(step, &error.to_string());
+        };
         // A searcher that is at its connection limit accepts a connection and closes it
         // immediately, before any response.
         if error.is_incomplete_message() || error.is_canceled() || error.is_closed() {
--- a/crates/upstream/src/client_set.rs
+++ b/crates/upstream/src/client_set.rs
@@ -7,14 +7,20 @@
 use std::collections::{BTreeMap, HashMap};
 use std::fmt::Write as _;
 use std::net::SocketAddr;
-use std::sync::Arc;
-use std::time::Duration;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant};
 
+use bergamot_answer::{Finding, Limits, Memory};
 use bergamot_base::Searcher;
 use bergamot_config::{Document, Settings};
+use bergamot_logger::Sampler;
 
 use crate::client::Client;
-use crate::pool::{Observer, Pool};
+use crate::pool::{Observer, Pool, PoolSettings};
+use crate::protocol;
+
+/// How many findings about one searcher are logged a second; all are counted.
+const MAX_FINDINGS_LOGGED: u32 = 2;
 
 /// Initial latency estimate for a searcher in the same zone.
 const SAME_ZONE_LATENCY: Duration = Duration::from_millis(4);
@@ -34,6 +40,8 @@
     pub dials: u64,
     /// Number of connection attempts that failed or that searchers refused.
     pub refused: u64,
+    /// Number of times that searchers sent what is not the answer to a request.
+    pub findings: u64,
 }
 
 /// The clients of all searchers that a gather connects to.
@@ -41,6 +49,8 @@
 pub struct ClientSet {
     clients: BTreeMap<SocketAddr, Arc<Client>>,
     index: HashMap<Searcher, Arc<Client>>,
+    /// The bound of all answers in progress.
+    memory: Arc<Memory>,
 }
 
 impl ClientSet {
@@ -55,7 +65,7 @@
         settings: &Settings,
         held: &[Searcher],
     ) -> Self {
-        let mut next = Self::default();
+        let mut next = Self { memory: Arc::clone(&self.memory), ..Self::default() };
         for searcher in held {
             let row = &document.searchers[*searcher];
             let service = document.shards[row.shard].service;
@@ -64,7 +74,7 @@
             let client = self.clients.get(&row.address).map_or_else(
                 || {
                     let latency = estimate_latency(document, settings, &row.zone);
-                    new_client(settings, row.address, share, slots, latency)
+                    new_client(settings, row.address, (share, slots), latency, &self.memory)
                 },
                 Arc::clone,
             );
@@ -104,6 +114,7 @@
             sum.open += usage.open;
             sum.dials += usage.dials;
             sum.refused += usage.refused;
+            sum.findings += usage.findings;
             sum
         };
         self.clients.values().fold(PoolTotals::default(), add)
@@ -117,13 +128,14 @@
             let (health, slots) = (client.health().to_string(), client.slots().to_string());
             let _ = writeln!(
                 text,
-                "searcher {} connections {}/{} idle {} dials {} refused {} {slots} {health}",
+                "searcher {} connections {}/{} idle {} dials {} refused {} findings {} {slots} {health}",
                 client.address(),
                 usage.open,
                 usage.share,
                 usage.idle,
                 usage.dials,
-                usage.refused
+                usage.refused,
+                usage.findings
             );
         }
         text
@@ -133,16 +145,39 @@
 fn new_client(
     settings: &Settings,
     remote: SocketAddr,
-    share: usize,
-    slots: usize,
+    (share, slots): (usize, usize),
     initial_latency: Duration,
+    memory: &Arc<Memory>,
 ) -> Arc<Client> {
     let dial_timeout = settings.gather.dial;
-    let pool =
-        Pool::new(settings.instance.address, remote, share, dial_timeout, Observer::default());
+    let pool_settings = PoolSettings {
+        local: settings.instance.address,
+        remote,
+        share,
+        dial_timeout,
+        id_header: protocol::REQUEST,
+        limits: Limits::default(),
+        memory: Arc::clone(memory),
+    };
+    let pool = Pool::new(pool_settings, observe(remote));
     Client::new(remote, pool, slots, settings.gather.queue as usize, initial_latency)
 }
 
+/// Creates the observer of the pool of one searcher.
+fn observe(remote: SocketAddr) -> Observer {
+    let sampler = Mutex::new(Sampler::new(MAX_FINDINGS_LOGGED));
+    let found = move |finding: &Finding| {
+        let admitted = sampler.lock().unwrap_or_else(PoisonError::into_inner).admit(Instant::now());
+        if let Some(left_out) = admitted {
+            log::warn!(
+                "searcher {remote} sent what is not the answer to its request: {finding} \
+                 ({left_out} lines left out before)"
+            );
+        }
+    };
+    Observer { found: Box::new(found), ..Observer::default() }
+}
+
 fn estimate_latency(document: &Document, settings: &Settings, zone: &str) -> Duration {
     let here = &*settings.instance.zone;
     if here == zone {
--- a/crates/upstream/src/lib.rs
+++ b/crates/upstream/src/lib.rs
@@ -9,23 +9,26 @@
 //! deterministic and take the current time as `now`. See
 //! `docs/design/0005-tails-and-scarcity.md`.
 
-mod attribution;
+mod body;
 mod client;
 mod client_set;
 mod health;
 mod hedged_request;
+mod inspected;
 mod latency;
 mod pool;
 pub mod protocol;
 mod rank;
 mod slots;
+mod trust;
 
-pub use attribution::Attribution;
+pub use body::BodyError;
 pub use client::{Client, RequestContext, SearcherError, WriteResult};
 pub use client_set::{ClientSet, PoolTotals};
 pub use health::Health;
 pub use hedged_request::{HedgedRequest, NextAction};
 pub use latency::LatencyPercentile;
-pub use pool::{Lease, Observer, Pool, Usage};
+pub use pool::{Lease, Observer, Pool, PoolSettings, SendError, Usage};
 pub use rank::{Candidate, rank};
 pub use slots::{Admission, Slots};
+pub use trust::Reuse;
--- a/crates/upstream/src/pool.rs
+++ b/crates/upstream/src/pool.rs
@@ -5,34 +5,121 @@
 //! shares of all gathers together are meant to stay below the searcher's connection
 //! limit, so the limit is only a safeguard, and a refused connection reduces the share
 //! temporarily. See `docs/design/0002-homes-and-cells.md`.
+//!
+//! Each connection passes on only bytes that answer its request ([`bergamot_answer::Inspector`]),
+//! and is used again only if it has carried nothing else. See
+//! `docs/design/0020-answers-of-searchers.md`.
 
+use std::error::Error;
 use std::fmt;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
+use bergamot_answer::{Fault, Finding, Inspector, Limits, Memory};
 use bergamot_base::{Deadline, Peer, Step};
+use bergamot_net::NetworkError;
 use bytes::Bytes;
 use http_body_util::Full;
+use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
+use hyper::header::HeaderValue;
+use hyper::{Method, Request, Response};
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
 use tokio::sync::{Notify, oneshot};
 use tokio::task::AbortHandle;
 
+use crate::body::{BodyError, read_body};
 use crate::client::SearcherError;
+use crate::inspected::{Inspected, SharedInspector, fault_of};
+use crate::trust::{Reuse, Trust};
 
 /// How long the share stays reduced after a refused connection.
 const REDUCED_FOR: Duration = Duration::from_secs(2);
 
+/// The largest read buffer of a connection, in bytes: twice the largest head.
+const MAX_READ_BUFFER: usize = 64 << 10;
+
+/// How a pool connects, and what it demands of answers.
+#[derive(Clone, Debug)]
+pub struct PoolSettings {
+    /// The local address of connections.
+    pub local: Ipv4Addr,
+    /// The address of the searcher.
+    pub remote: SocketAddr,
+    /// The maximum number of connections.
+    pub share: usize,
+    /// The timeout for opening a connection.
+    pub dial_timeout: Duration,
+    /// The header that names a request, in requests and in answers.
+    pub id_header: &'static str,
+    /// The bounds of one answer.
+    pub limits: Limits,
+    /// The bound of all answers.
+    pub memory: Arc<Memory>,
+}
+
+/// Why a request has no answer.
+#[derive(Debug)]
+pub enum SendError {
+    /// The connection can't carry the request, which was not sent.
+    Unusable(Fault),
+    /// The connection failed.
+    Connection {
+        /// The cause.
+        error: hyper::Error,
+        /// Whether the request was certainly not sent.
+        is_unsent: bool,
+    },
+}
+
+impl SendError {
+    /// Returns whether the request was certainly not sent.
+    pub fn is_unsent(&self) -> bool {
+        match self {
+            Self::Unusable(_) => true,
+            Self::Connection { is_unsent, .. } => *is_unsent,
+        }
+    }
+
+    /// Returns the fault in the received bytes that caused the error, if one did.
+    pub fn fault(&self) -> Option<Fault> {
+        match self {
+            Self::Unusable(fault) => Some(*fault),
+            Self::Connection { error, .. } => fault_of(error),
+        }
+    }
+}
+
+impl fmt::Display for SendError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Unusable(fault) => fault.fmt(f),
+            Self::Connection { error, .. } => match error.source() {
+                Some(source) => write!(f, "{error}: {source}"),
+                None => error.fmt(f),
+            },
+        }
+    }
+}
+
+impl Error for SendError {}
+
 /// An open connection: its request sender and the task that drives the socket.
 #[derive(Debug)]
 struct Connection {
     sender: SendRequest<Full<Bytes>>,
     driver: AbortHandle,
+    inspector: SharedInspector,
 }
 
 impl Connection {
+    /// Returns whether another request may be sent on it.
+    fn is_reusable(&self) -> bool {
+        !self.sender.is_closed() && self.inspector.lock().is_clean()
+    }
+
     /// Closes the socket immediately. Dropping the sender alone would close it only when the
     /// driver task is next polled.
     fn close(self) {
@@ -53,6 +140,8 @@
     pub dials: u64,
     /// Number of connection attempts that failed or that the searcher refused.
     pub refused: u64,
+    /// Number of times that the searcher sent what is not the answer to a request.
+    pub findings: u64,
 }
 
 /// What a pool reports to its owner, which would otherwise have to ask each of many pools again
@@ -64,12 +153,19 @@
     pub opened: Box<dyn Fn() + Send + Sync>,
     /// Called with the number of connections that are left when one is closed.
     pub closed: Box<dyn Fn(usize) + Send + Sync>,
+    /// Called when the searcher sent what is not the answer to its request.
+    pub found: Box<dyn Fn(&Finding) + Send + Sync>,
 }
 
 impl Default for Observer {
     /// Returns an observer that ignores everything.
     fn default() -> Self {
-        Self { dialled: Box::new(|_| ()), opened: Box::new(|| ()), closed: Box::new(|_| ()) }
+        Self {
+            dialled: Box::new(|_| ()),
+            opened: Box::new(|| ()),
+            closed: Box::new(|_| ()),
+            found: Box::new(|_| ()),
+        }
     }
 }
 
@@ -86,6 +182,7 @@
     /// The limit after a refused connection, and when it ends.
     reduced: Option<(usize, Instant)>,
     closing: bool,
+    trust: Trust,
     observer: Observer,
 }
 
@@ -116,9 +213,7 @@
 /// A pool of connections to one searcher.
 #[derive(Debug)]
 pub struct Pool {
-    local: Ipv4Addr,
-    remote: SocketAddr,
-    dial_timeout: Duration,
+    settings: PoolSettings,
     state: Mutex<State>,
     /// Notified when a connection becomes available or the limit may have room.
     available: Notify,
@@ -126,22 +221,20 @@
 
 impl Pool {
     /// Creates an empty pool.
-    pub fn new(
-        local: Ipv4Addr,
-        remote: SocketAddr,
-        share: usize,
-        dial_timeout: Duration,
-        observer: Observer,
-    ) -> Arc<Self> {
-        let usage = Usage { share, ..Usage::default() };
-        let state = State { usage, idle: Vec::new(), reduced: None, closing: false, observer };
-        Arc::new(Self {
-            local,
-            remote,
-            dial_timeout,
-            state: Mutex::new(state),
-            available: Notify::new(),
-        })
+    pub fn new(settings: PoolSettings, observer: Observer) -> Arc<Self> {
+        let usage = Usage { share: settings.share, ..Usage::default() };
+        let (idle, trust) = (Vec::new(), Trust::default());
+        let state = State { usage, idle, reduced: None, closing: false, trust, observer };
+        Arc::new(Self { settings, state: Mutex::new(state), available: Notify::new() })
+    }
+
+    /// Reads the body of an answer completely.
+    pub async fn read_body(&self, body: Incoming) -> Result<Bytes, BodyError> {
+        let result = read_body(body, &self.settings.memory).await;
+        if let Err(BodyError::Exhausted(fault)) = &result {
+            self.record(&Finding::Fault(*fault));
+        }
+        result
     }
 
     /// Changes the share. Excess connections in use are closed when they are returned.
@@ -189,7 +282,7 @@
     /// connection, it is kept in the pool if the share allows it.
     pub async fn searcher_exited(self: &Arc<Self>) -> bool {
         let mut reservation = self.reserve().then(|| Reservation { pool: self, used: false });
-        let stream = match bergamot_net::dial(self.local, self.remote, self.dial_timeout).await {
+        let stream = match self.connect_socket().await {
             Ok(stream) => stream,
             Err(fault) => return fault.refused,
         };
@@ -204,20 +297,25 @@
 
     /// Leases an idle connection, or opens one if the share allows it. Waits for a connection
     /// until the deadline.
-    pub async fn lease(self: &Arc<Self>, deadline: Deadline) -> Result<Lease, SearcherError> {
-        let result = tokio::time::timeout_at(deadline.instant().into(), self.acquire()).await;
+    pub async fn lease(
+        self: &Arc<Self>,
+        deadline: Deadline,
+        reuse: Reuse,
+    ) -> Result<Lease, SearcherError> {
+        let acquired = self.acquire(reuse);
+        let result = tokio::time::timeout_at(deadline.instant().into(), acquired).await;
         result.unwrap_or_else(|_elapsed| Err(self.fault("wait for a connection", "deadline")))
     }
 
-    /// Leases a connection if one is idle.
-    pub fn lease_idle(self: &Arc<Self>) -> Option<Lease> {
-        self.pop_idle().map(|connection| self.new_lease(connection))
+    /// Leases a connection if one is idle and may carry the request.
+    pub fn lease_idle(self: &Arc<Self>, reuse: Reuse) -> Option<Lease> {
+        self.pop_idle(reuse).map(|connection| self.new_lease(connection))
     }
 
-    async fn acquire(self: &Arc<Self>) -> Result<Lease, SearcherError> {
+    async fn acquire(self: &Arc<Self>, reuse: Reuse) -> Result<Lease, SearcherError> {
         loop {
             let available = self.available.notified();
-            if let Some(connection) = self.pop_idle() {
+            if let Some(connection) = self.pop_idle(reuse) {
                 return Ok(self.new_lease(connection));
             }
             if self.reserve() {
@@ -237,10 +335,22 @@
         Lease { pool: Arc::clone(self), connection: Some(connection) }
     }
 
-    fn pop_idle(&self) -> Option<Connection> {
+    /// Takes an idle connection. Those that may not carry the request are closed if there is no
+    /// room for a new one beside them.
+    fn pop_idle(&self, reuse: Reuse) -> Option<Connection> {
         let mut state = self.lock();
+        let now = Instant::now();
+        if !state.trust.may_reuse(reuse, now) {
+            while state.usage.open >= state.limit(now)
+                && let Some(connection) = state.idle.pop()
+            {
+                connection.close();
+                state.count_closed();
+            }
+            return None;
+        }
         while let Some(connection) = state.idle.pop() {
-            if connection.sender.is_ready() {
+            if connection.sender.is_ready() && connection.is_reusable() {
                 return Some(connection);
             }
             state.count_closed();
@@ -277,7 +387,7 @@
     /// released on failure or cancellation.
     async fn dial(self: &Arc<Self>) -> Result<Connection, SearcherError> {
         let mut reservation = Reservation { pool: self, used: false };
-        let result = tokio::time::timeout(self.dial_timeout, self.connect()).await;
+        let result = tokio::time::timeout(self.settings.dial_timeout, self.connect()).await;
         let connection = result
             .unwrap_or_else(|_elapsed| Err(self.fault("dial", "timeout")))
             .inspect_err(|_| self.record_refusal())?;
@@ -285,23 +395,49 @@
         Ok(connection)
     }
 
-    async fn connect(&self) -> Result<Connection, SearcherError> {
+    async fn connect(self: &Arc<Self>) -> Result<Connection, SearcherError> {
         let started = Instant::now();
-        let stream = bergamot_net::dial(self.local, self.remote, self.dial_timeout)
-            .await
-            .map_err(|error| self.fault("dial", &error.cause))?;
+        let stream =
+            self.connect_socket().await.map_err(|error| self.fault("dial", &error.cause))?;
         self.record_dial(started.elapsed());
         self.handshake(stream).await
     }
 
+    async fn connect_socket(&self) -> Result<TcpStream, NetworkError> {
+        let PoolSettings { local, remote, dial_timeout, .. } = self.settings;
+        bergamot_net::dial(local, remote, dial_timeout).await
+    }
+
     /// Performs the HTTP/1 handshake on a new connection.
-    async fn handshake(&self, stream: TcpStream) -> Result<Connection, SearcherError> {
+    async fn handshake(self: &Arc<Self>, stream: TcpStream) -> Result<Connection, SearcherError> {
         let fault = |error: &dyn fmt::Display| self.fault("handshake", &error.to_string());
+        let PoolSettings { id_header, limits, memory, .. } = &self.settings;
+        let inspector =
+            SharedInspector::new(Inspector::new(id_header, *limits, Arc::clone(memory)));
+        let pool = Arc::downgrade(self);
+        let on_finding = move |finding: &Finding| {
+            if let Some(pool) = pool.upgrade() {
+                pool.record(finding);
+            }
+        };
+        let stream = Inspected::new(stream, inspector.clone(), Box::new(on_finding));
+        let mut builder = http1::Builder::new();
+        builder.max_buf_size(MAX_READ_BUFFER);
         let (mut sender, connection) =
-            http1::handshake(TokioIo::new(stream)).await.map_err(|error| fault(&error))?;
+            builder.handshake(TokioIo::new(stream)).await.map_err(|error| fault(&error))?;
         let driver = tokio::spawn(connection).abort_handle();
         sender.ready().await.map_err(|error| fault(&error))?;
-        Ok(Connection { sender, driver })
+        Ok(Connection { sender, driver, inspector })
+    }
+
+    fn record(&self, finding: &Finding) {
+        let (mut state, now) = (self.lock(), Instant::now());
+        state.usage.findings += 1;
+        match finding {
+            Finding::Fault(fault) if !fault.is_behind_answer() => state.trust.record_fault(now),
+            Finding::Fault(_) | Finding::Skipped(_) => state.trust.record_skipped(now),
+        }
+        (state.observer.found)(finding);
     }
 
     fn record_dial(&self, took: Duration) {
@@ -320,7 +456,7 @@
     fn put(&self, connection: Connection) {
         let mut state = self.lock();
         let limit = state.limit(Instant::now());
-        if connection.sender.is_closed() || state.usage.open > limit {
+        if !connection.is_reusable() || state.usage.open > limit {
             state.count_closed();
         } else {
             state.idle.push(connection);
@@ -345,7 +481,7 @@
     }
 
     fn fault(&self, step: &'static str, cause: &str) -> SearcherError {
-        SearcherError::new(Step(step), Peer::Address(self.remote), cause)
+        SearcherError::new(Step(step), Peer::Address(self.settings.remote), cause)
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
@@ -378,13 +514,23 @@
 }
 
 impl Lease {
-    /// Returns the request sender of the connection.
-    pub fn sender(&mut self) -> &mut SendRequest<Full<Bytes>> {
-        &mut self
-            .connection
-            .as_mut()
-            .expect("a lease holds its connection until it is given back")
-            .sender
+    /// Sends a request and returns the head of the answer that names it, and no other. The
+    /// identifier is that in the request's headers.
+    pub async fn send(
+        &mut self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, SendError> {
+        let id_header = self.pool.settings.id_header;
+        let connection =
+            self.connection.as_mut().expect("a lease holds its connection until it is given back");
+        let id = request.headers().get(id_header).map_or(&b""[..], HeaderValue::as_bytes);
+        let begun = connection.inspector.lock().begin(id, request.method() == Method::HEAD);
+        begun.map_err(SendError::Unusable)?;
+        let sent = connection.sender.try_send_request(request).await;
+        sent.map_err(|error| {
+            let is_unsent = error.message().is_some();
+            SendError::Connection { error: error.into_error(), is_unsent }
+        })
     }
 
     /// Returns the connection to the pool at once if it is ready for another request, and otherwise
--- a/crates/upstream/src/protocol.rs
+++ b/crates/upstream/src/protocol.rs
@@ -2,7 +2,7 @@
 //!
 //! `POST /search` and `POST /write` carry JSON. A deadline is sent as the remaining
 //! time, and a request is cancelled with `DELETE /requests/ID`. Every response
-//! identifies the run of the searcher, lists the index versions that it holds, and
+//! names the request that it answers, identifies the run of the searcher, lists the index versions that it holds, and
 //! tells whether it is shutting down.
 
 use bergamot_base::{Epoch, Name, Version};
@@ -20,7 +20,8 @@
 
 /// Request header: remaining time until the deadline, in microseconds.
 pub const DEADLINE: &str = "x-deadline-us";
-/// Request header: identifier of the request, used for cancellation.
+/// Request and response header: identifier of the request. Every response repeats it; one that
+/// does not is not an answer to the request. Also used for cancellation.
 pub const REQUEST: &str = "x-request-id";
 /// Request header: idempotency key of a write.
 pub const KEY: &str = "idempotency-key";
--- a/crates/upstream/tests/pool.rs
+++ b/crates/upstream/tests/pool.rs
@@ -4,8 +4,9 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use bergamot_answer::Limits;
 use bergamot_base::Deadline;
-use bergamot_upstream::{Observer, Pool};
+use bergamot_upstream::{Observer, Pool, PoolSettings, Reuse};
 use tokio::net::{TcpSocket, TcpStream};
 use tokio::time::{sleep, timeout};
 
@@ -25,7 +26,16 @@
 }
 
 fn pool(remote: SocketAddr) -> Arc<Pool> {
-    Pool::new(Ipv4Addr::LOCALHOST, remote, 2, Duration::from_secs(20), Observer::default())
+    let settings = PoolSettings {
+        local: Ipv4Addr::LOCALHOST,
+        remote,
+        share: 2,
+        dial_timeout: Duration::from_secs(20),
+        id_header: "x-id",
+        limits: Limits::default(),
+        memory: Arc::default(),
+    };
+    Pool::new(settings, Observer::default())
 }
 
 /// After a start, no request has as much time as it takes to connect to a searcher to which many
@@ -35,7 +45,7 @@
     let (listener, _queued) = busy_listener().await;
     let pool = pool(listener.local_addr().expect("it is bound"));
     let deadline = Deadline::after(Instant::now(), Duration::from_millis(50));
-    pool.lease(deadline).await.expect_err("there is no connection");
+    pool.lease(deadline, Reuse::Usual).await.expect_err("there is no connection");
     assert_eq!(pool.usage().open, 1);
     let accepting = tokio::spawn(async move {
         let mut accepted = Vec::new();
@@ -62,7 +72,7 @@
     let pool = pool(address);
     let start = Instant::now();
     let deadline = Deadline::after(start, Duration::from_secs(20));
-    pool.lease(deadline).await.expect_err("there is no connection");
+    pool.lease(deadline, Reuse::Usual).await.expect_err("there is no connection");
     assert!(start.elapsed() < Duration::from_secs(10), "{:?}", start.elapsed());
     assert_eq!((pool.usage().open, pool.usage().refused), (0, 1));
 }
