All answers in progress in a process share one bound of memory

What callers saw: eight gathered requests at 20 shards whose searchers sent a body without end took the process to 1,834 MB on a machine of 160 to 512 MB, at 1.67 s of processor time; beside one sound searcher a shard 1 of 8 was served.

Cause: each answer was bounded (16 MiB), all answers together were not, and heads, interim responses and chunks had the bounds of the HTTP library or none.

Change: bodies and incomplete heads are held in one ledger (answer::Memory, a quarter of the machine's memory); when one grows beyond it, the largest incomplete answer is discarded, so answers of ordinary size keep their room; a complete one counts until its last reference is gone.

--- a/crates/standin/src/script.rs
+++ b/crates/standin/src/script.rs
@@ -22,6 +22,8 @@
     Wait(Duration),
     /// Sends bytes.
     Send(Vec<u8>),
+    /// Sends bytes again and again until the peer closes the connection.
+    Repeat(Vec<u8>),
     /// Closes the connection.
     Close,
     /// Resets the connection.
@@ -162,6 +164,10 @@
             match step {
                 Step::Wait(time) => tokio::time::sleep(time).await,
                 Step::Send(bytes) => stream.get_mut().write_all(&bytes).await?,
+                Step::Repeat(bytes) => {
+                    while stream.get_mut().write_all(&bytes).await.is_ok() {}
+                    return Ok(());
+                }
                 Step::Close => return Ok(()),
                 Step::Reset => {
                     SockRef::from(stream.get_ref()).set_linger(Some(Duration::ZERO))?;
--- a/crates/upstream/src/body.rs
+++ b/crates/upstream/src/body.rs
@@ -56,7 +56,15 @@
 
 /// Reads a body completely. Its size is bounded by the [`bergamot_answer::Inspector`] of the
 /// connection, and that of all bodies by `memory`.
-pub(crate) async fn read_body(body: Incoming, memory: &Arc<Memory>) -> Result<Bytes, BodyError> {
-    let _ = memory;
-    Ok(body.collect().await?.to_bytes())
+pub(crate) async fn read_body(
+    mut body: Incoming,
+    memory: &Arc<Memory>,
+) -> Result<Bytes, BodyError> {
+    let buffer = memory.begin();
+    while let Some(frame) = body.frame().await {
+        if let Some(data) = frame?.data_ref() {
+            buffer.append(data)?;
+        }
+    }
+    Ok(buffer.finish()?)
 }
