--- a/crates/answer/src/inspector.rs
+++ b/crates/answer/src/inspector.rs
@@ -71,7 +71,7 @@
     /// A head.
     Head,
     /// The body of the answer.
-    Own(Body),
+    Own(Body, StatusLine),
     /// The body of an answer to another request; the flag is whether any of it was received.
     Stray(Body, bool),
 }
@@ -149,25 +149,22 @@
         std::mem::take(&mut self.findings)
     }
 
-    /// Records that `count` bytes arrived, if all of them belong to the body of the answer whatever
-    /// they are; returns whether they do, so that they need no further inspection.
-    pub fn pass(&mut self, count: usize) -> bool {
-        let (count, limit) = (count as u64, self.limits.body_bytes as u64);
-        match &mut self.phase {
-            _ if self.fault.is_some() => false,
-            Phase::Own(Body::Length(left)) if *left >= count => {
-                *left -= count;
-                if *left == 0 {
-                    self.phase = Phase::Idle;
-                }
-                true
-            }
-            Phase::Own(Body::UntilClose(received)) if *received + count <= limit => {
-                *received += count;
-                true
-            }
-            _ => false,
+    /// Records bytes that arrived, if all of them belong to the body of the answer; returns whether
+    /// they do, so that they need not be copied.
+    pub fn pass(&mut self, bytes: &[u8]) -> bool {
+        let (count, limit) = (bytes.len() as u64, self.limits.body_bytes as u64);
+        let Phase::Own(body, status_line) = &mut self.phase else { return false };
+        match body {
+            _ if self.fault.is_some() => return false,
+            Body::Length(left) if *left >= count => *left -= count,
+            Body::UntilClose(received) if *received + count <= limit => *received += count,
+            _ => return false,
         }
+        status_line.search(bytes);
+        if body.is_complete() {
+            self.phase = Phase::Idle;
+        }
+        true
     }
 
     /// Inspects bytes and appends those that answer the waiting request to `own`. Everything
@@ -178,7 +175,7 @@
             let result = match self.phase {
                 Phase::Idle => Err(Fault::Unsolicited),
                 Phase::Head => self.read_head(rest, own),
-                Phase::Own(_) => self.read_body(rest, own),
+                Phase::Own(..) => self.read_body(rest, own),
                 Phase::Stray(..) => self.skip_body(rest),
             };
             match result {
@@ -272,8 +269,11 @@
             _ if head.attribution == Attribution::Own => {
                 head.body.check(&self.limits)?;
                 own.extend_from_slice(bytes);
-                self.phase =
-                    if head.body.is_complete() { Phase::Idle } else { Phase::Own(head.body) };
+                self.phase = if head.body.is_complete() {
+                    Phase::Idle
+                } else {
+                    Phase::Own(head.body, StatusLine::default())
+                };
                 Ok(())
             }
             _ => self.begin_stray(bytes.len(), head),
@@ -328,12 +328,12 @@
 
     /// Passes on bytes of the body of the answer.
     fn read_body(&mut self, input: &[u8], own: &mut Vec<u8>) -> Result<usize, Fault> {
-        let Phase::Own(body) = &mut self.phase else { return Ok(0) };
-        let has_length = matches!(body, Body::Length(_));
+        let Phase::Own(body, status_line) = &mut self.phase else { return Ok(0) };
         let used = body.advance(input, &self.limits)?;
         let (part, behind) = input.split_at(used);
+        status_line.search(part);
         if body.is_complete() {
-            if has_length && !behind.is_empty() && is_filled(part, behind) {
+            if status_line.is_within(behind) {
                 return Err(Fault::Filled);
             }
             self.phase = Phase::Idle;
@@ -348,12 +348,37 @@
     bytes.iter().zip(expected).all(|(byte, expected)| byte == expected)
 }
 
-/// Returns whether a body seems to have been truncated and filled with the beginning of another
-/// answer, given the last part of the body and the bytes behind it.
-fn is_filled(part: &[u8], behind: &[u8]) -> bool {
-    let holds_status_line = part.windows(STATUS_LINE.len()).any(|bytes| bytes == STATUS_LINE);
-    let ends_within_one = (1..STATUS_LINE.len()).any(|length| {
-        part.ends_with(&STATUS_LINE[..length]) && agrees(behind, &STATUS_LINE[length..])
-    });
-    holds_status_line || ends_within_one
+/// Searches a body for the beginning of another answer.
+///
+/// A body that was cut is filled with the answer behind it. Then it holds the beginning of a status
+/// line, and the rest of that answer follows it. A whole body that holds one is not followed by
+/// anything, unless the searcher answers twice; it is then refused without need.
+#[derive(Clone, Copy, Debug, Default)]
+struct StatusLine {
+    found: bool,
+    /// How much of it the last bytes agree with.
+    matched: usize,
+}
+
+impl StatusLine {
+    fn search(&mut self, bytes: &[u8]) {
+        for byte in bytes {
+            // Only the first byte of a status line is an `H`, so a mismatch never ends within one.
+            self.matched = match (*byte == STATUS_LINE[self.matched], *byte == STATUS_LINE[0]) {
+                (true, _) => self.matched + 1,
+                (false, true) => 1,
+                (false, false) => 0,
+            };
+            if self.matched == STATUS_LINE.len() {
+                self.found = true;
+                self.matched = 0;
+            }
+        }
+    }
+
+    /// Returns whether a body seems to be filled by another answer, given the bytes behind it.
+    fn is_within(self, behind: &[u8]) -> bool {
+        let continues = self.matched > 0 && agrees(behind, &STATUS_LINE[self.matched..]);
+        !behind.is_empty() && (self.found || continues)
+    }
 }
--- a/crates/answer/tests/properties.rs
+++ b/crates/answer/tests/properties.rs
@@ -98,7 +98,7 @@
         let (mut own, mut rest, mut cuts) = (Vec::new(), &*bytes, cuts.iter().cycle());
         while !rest.is_empty() {
             let cut = cuts.next().map_or(1, |cut| *cut).min(rest.len());
-            if inspector.pass(cut) {
+            if inspector.pass(&rest[..cut]) {
                 own.extend_from_slice(&rest[..cut]);
             } else {
                 inspector.inspect(&rest[..cut], &mut own);
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -7,7 +7,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Instant;
 
-use bergamot_answer::Memory;
+use bergamot_answer::{Memory, Usage};
 use bergamot_base::{Name, PauseGate, Position, Revision};
 use bergamot_config::RevisionStatus;
 use bergamot_declaration::{Declaration, Residency};
@@ -114,6 +114,11 @@
         &self.quarantine
     }
 
+    /// Returns the memory that responses of searchers use and have used.
+    pub fn response_memory(&self) -> Usage {
+        self.response_memory.usage()
+    }
+
     pub(crate) fn dialect(&self) -> &Dialect {
         &self.dialect
     }
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -19,4 +19,4 @@
 pub use platform::{Counts, Instance, Platform};
 pub use script::{RecordedRequest, ScriptedServer, Step};
 pub use searcher::{Searcher, SearcherSettings};
-pub use stray::{Answer, AnswerHeaders, Stray, Stutter};
+pub use stray::{Answer, AnswerHeaders, Framing, Named, Part, Stray, Stutter};
--- a/crates/standin/src/stray.rs
+++ b/crates/standin/src/stray.rs
@@ -217,3 +217,92 @@
         steps
     }
 }
+
+/// Whom an answer names.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Named {
+    /// The request that waits.
+    Own,
+    /// The request before on the connection.
+    Previous,
+    /// Nobody.
+    Nobody,
+    /// Both requests.
+    Both,
+}
+
+/// How the body of an answer is sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Framing {
+    /// With its length.
+    Length,
+    /// In chunks.
+    Chunked,
+    /// With its length, and only the first half of it.
+    Cut,
+    /// With its length, and none of it.
+    Head,
+}
+
+/// A part of what a searcher sends after a request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Part {
+    /// An answer; one that names the waiting request alone is the answer to it, any other the answer
+    /// to the request before.
+    Answer(Named, Framing),
+    /// A failure with a signature.
+    Failure(Named),
+    /// A refusal that states that the request was not run.
+    Refusal(Named),
+    /// An interim response.
+    Interim,
+    /// Any bytes.
+    Bytes(Vec<u8>),
+    /// A short pause.
+    Pause,
+    /// Bytes without end.
+    Endless(Vec<u8>),
+    /// The end of the connection.
+    Close,
+}
+
+impl Part {
+    /// Returns the step that sends this part.
+    pub fn step(
+        &self,
+        headers: &AnswerHeaders,
+        (previous, id): (&str, &str),
+        answer: impl Fn(&str) -> Answer,
+    ) -> Step {
+        let names = |named: Named| match named {
+            Named::Own => vec![id],
+            Named::Previous => vec![previous],
+            Named::Nobody => Vec::new(),
+            Named::Both => vec![id, previous],
+        };
+        let content = |named: Named| answer(if named == Named::Own { id } else { previous });
+        match self {
+            Self::Answer(named, framing) => {
+                let (answer, names) = (content(*named), names(*named));
+                let whole = headers.encode(&answer, &names);
+                let head = whole.len() - answer.body.len();
+                Step::Send(match framing {
+                    Framing::Length => whole,
+                    Framing::Chunked => headers.encode_chunked(&answer, &names),
+                    Framing::Cut => whole[..head + answer.body.len() / 2].to_vec(),
+                    Framing::Head => whole[..head].to_vec(),
+                })
+            }
+            Self::Failure(named) => {
+                let failure = Answer { status: "500 Internal Server Error", ..content(*named) };
+                Step::Send(headers.encode(&failure, &names(*named)))
+            }
+            Self::Refusal(named) => Step::Send(headers.refusal(&names(*named))),
+            Self::Interim => Step::Send(b"HTTP/1.1 103 Early Hints\r\n\r\n".to_vec()),
+            Self::Bytes(bytes) => Step::Send(bytes.clone()),
+            Self::Pause => Step::Wait(COPY_DELAY),
+            Self::Endless(bytes) => Step::Repeat(bytes.clone()),
+            Self::Close => Step::Close,
+        }
+    }
+}
--- a/crates/upstream/src/inspected.rs
+++ b/crates/upstream/src/inspected.rs
@@ -64,7 +64,7 @@
     /// the answer and can stay there.
     fn inspect(&mut self, buffer: &mut ReadBuf<'_>, before: usize) -> bool {
         let mut inspector = self.inspector.lock();
-        if inspector.pass(buffer.filled().len() - before) {
+        if inspector.pass(&buffer.filled()[before..]) {
             return true;
         }
         inspector.inspect(&buffer.filled()[before..], &mut self.own);
