The own interface as processes before searchers whose responses are distorted

The distortions of the soak's links move to the stand-ins, whose searchers of the own interface use them too, so that both interfaces meet the same bytes.

--- a/crates/standin/src/behaviour.rs
+++ b/crates/standin/src/behaviour.rs
@@ -8,6 +8,8 @@
 use bergamot_query::Shape;
 use serde::{Deserialize, Serialize};
 
+use crate::distortion::Distortion;
+
 /// The locations of instances and zones, from which the latency between them follows.
 #[derive(Clone, Debug, Default)]
 pub struct Topology {
@@ -90,6 +92,8 @@
     pub claimed: Option<Vec<Version>>,
     /// The query on which the searcher crashes.
     pub fatal: Option<Shape>,
+    /// How responses are distorted.
+    pub distortion: Option<Distortion>,
 }
 
 /// An effect of a request on a searcher, recorded for checks of the history.
--- a/platform/tests/support/distortion.rs
+++ b/crates/standin/src/distortion.rs
@@ -1,12 +1,21 @@
 //! Distortions of a searcher's responses: bytes that aren't the answer, truncated answers, and bytes
 //! without end.
 
-/// The header that names the request.
-const ID_HEADER: &str = "x-bergamotstand-request-id:";
+use std::io;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+use tokio::io::{AsyncWrite, AsyncWriteExt};
+
+/// The headers that name the request, in both interfaces.
+const ID_HEADERS: [&str; 2] = ["x-bergamotstand-request-id:", "x-request-id:"];
+
+/// How long after a response a copy of it is sent, if it is late.
+const COPY_DELAY: Duration = Duration::from_millis(4);
 
 /// Whom a copy of a response names.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Named {
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum CopyName {
     /// Its own request.
     Own,
     /// Nobody.
@@ -16,20 +25,20 @@
 }
 
 /// How responses are distorted.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Distortion {
     /// The response before is sent again ahead of each.
-    Early(Named),
+    Early(CopyName),
     /// Each response is sent again at once.
-    Behind(Named),
+    Behind(CopyName),
     /// Each response is sent again a little later.
-    Late(Named),
+    Late(CopyName),
     /// Half of each response is sent again, and the other half ahead of the next.
-    Halves(Named),
+    Halves(CopyName),
     /// A refusal that names nobody is sent ahead of each.
     Refusal,
     /// The head is sent ahead of each without its body.
-    Head(Named),
+    Head(CopyName),
     /// The second half of each is left out.
     Truncated,
     /// Bytes that are no answer are sent ahead of each.
@@ -43,18 +52,18 @@
 impl Distortion {
     /// All distortions.
     pub const ALL: [Self; 16] = [
-        Self::Early(Named::Own),
-        Self::Early(Named::Nobody),
-        Self::Early(Named::Both),
-        Self::Behind(Named::Own),
-        Self::Behind(Named::Nobody),
-        Self::Late(Named::Own),
-        Self::Late(Named::Nobody),
-        Self::Halves(Named::Own),
-        Self::Halves(Named::Nobody),
+        Self::Early(CopyName::Own),
+        Self::Early(CopyName::Nobody),
+        Self::Early(CopyName::Both),
+        Self::Behind(CopyName::Own),
+        Self::Behind(CopyName::Nobody),
+        Self::Late(CopyName::Own),
+        Self::Late(CopyName::Nobody),
+        Self::Halves(CopyName::Own),
+        Self::Halves(CopyName::Nobody),
         Self::Refusal,
-        Self::Head(Named::Own),
-        Self::Head(Named::Nobody),
+        Self::Head(CopyName::Own),
+        Self::Head(CopyName::Nobody),
         Self::Truncated,
         Self::Garbage,
         Self::EndlessHead,
@@ -78,7 +87,7 @@
                 Distorted { now, later: first[..first.len() / 2].to_vec(), repeated: Vec::new() }
             }
             Self::Refusal => ahead(
-                b"HTTP/1.1 503 Service Unavailable\r\nx-bergamotstand-not-executed: 1\r\n\
+                b"HTTP/1.1 503 Service Unavailable\r\nx-bergamotstand-not-executed: 1\r\nx-not-run: 1\r\n\
                   content-length: 0\r\n\r\n"
                     .to_vec(),
             ),
@@ -94,7 +103,7 @@
             }
             Self::EndlessBody => {
                 let text = String::from_utf8_lossy(&response[..head_length(response)]).into_owned();
-                let text = without_line(&text, "content-length:");
+                let text = without_lines(&text, &["content-length:"]);
                 Distorted { now: text.into_bytes(), repeated: vec![0; 16 << 10], ..plain }
             }
         }
@@ -112,29 +121,49 @@
     pub repeated: Vec<u8>,
 }
 
+impl Distorted {
+    /// Sends it.
+    pub async fn send(&self, to: &mut (impl AsyncWrite + Unpin)) -> io::Result<()> {
+        to.write_all(&self.now).await?;
+        if !self.later.is_empty() {
+            tokio::time::sleep(COPY_DELAY).await;
+            to.write_all(&self.later).await?;
+        }
+        while !self.repeated.is_empty() {
+            to.write_all(&self.repeated).await?;
+        }
+        Ok(())
+    }
+}
+
 /// Returns the length of the head of a response.
 fn head_length(response: &[u8]) -> usize {
     response.windows(4).position(|bytes| bytes == b"\r\n\r\n").map_or(0, |at| at + 4)
 }
 
-/// Returns the lines of a head that don't begin with a name in lower case.
-fn without_line(head: &str, name: &str) -> String {
-    let kept = |line: &&str| !line.to_ascii_lowercase().starts_with(name);
-    head.split_inclusive("\r\n").filter(kept).collect()
+/// Returns whether a line of a head begins with one of some names in lower case.
+fn is_header(line: &str, names: &[&str]) -> bool {
+    let line = line.to_ascii_lowercase();
+    names.iter().any(|name| line.starts_with(name))
+}
+
+/// Returns the lines of a head that don't begin with one of some names.
+fn without_lines(head: &str, names: &[&str]) -> String {
+    head.split_inclusive("\r\n").filter(|line| !is_header(line, names)).collect()
 }
 
 /// Returns a copy of a response that names other requests; `waiting` is the response to the request
 /// that waits.
-fn rename(response: &[u8], named: Named, waiting: &[u8]) -> Vec<u8> {
+fn rename(response: &[u8], named: CopyName, waiting: &[u8]) -> Vec<u8> {
     let (head, body) = response.split_at(head_length(response));
     let head = String::from_utf8_lossy(head);
     let head = match named {
-        Named::Own => head.into_owned(),
-        Named::Nobody => without_line(&head, ID_HEADER),
-        Named::Both => {
+        CopyName::Own => head.into_owned(),
+        CopyName::Nobody => without_lines(&head, &ID_HEADERS),
+        CopyName::Both => {
             let waiting = String::from_utf8_lossy(&waiting[..head_length(waiting)]).into_owned();
-            let is_name = |line: &&str| line.to_ascii_lowercase().starts_with(ID_HEADER);
-            let names: String = waiting.split_inclusive("\r\n").filter(is_name).collect();
+            let lines = waiting.split_inclusive("\r\n");
+            let names: String = lines.filter(|line| is_header(line, &ID_HEADERS)).collect();
             head.replacen("\r\n", &format!("\r\n{names}"), 1)
         }
     };
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod behaviour;
 mod corpus;
+mod distortion;
 mod partition_proxy;
 mod platform;
 mod script;
@@ -15,6 +16,7 @@
 
 pub use behaviour::{Effect, Faults, Limits, Topology};
 pub use corpus::Corpus;
+pub use distortion::{CopyName, Distorted, Distortion};
 pub use partition_proxy::{ForwardedPort, PartitionProxy};
 pub use platform::{Counts, Instance, Platform};
 pub use script::{RecordedRequest, ScriptedServer, Step};
--- a/crates/standin/src/searcher.rs
+++ b/crates/standin/src/searcher.rs
@@ -17,6 +17,7 @@
 use hyper_util::rt::TokioIo;
 use rand::RngExt;
 use rand::rngs::StdRng;
+use tokio::io::{AsyncReadExt, AsyncWriteExt, DuplexStream};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Semaphore;
 use tokio_util::sync::CancellationToken;
@@ -27,6 +28,10 @@
 /// The maximum size of a request body.
 const MAX_BODY_LEN: usize = 1 << 20;
 
+/// The size of the buffer between a connection and the service, in bytes: a response is at most as
+/// large, so that it can be distorted as a whole.
+const RESPONSE_BUFFER: usize = 1 << 20;
+
 /// The shape of the tail of service times: the largest one without injected faults, as a multiple
 /// of the mean.
 const MAX_SERVICE_TIME_FACTOR: f64 = 2.0;
@@ -244,8 +249,37 @@
             reply.ok_or_else(|| std::io::Error::other("connection closed by an injected fault"))
         }
     });
+    let (near, far) = tokio::io::duplex(RESPONSE_BUFFER);
+    let serve = http1::Builder::new().serve_connection(TokioIo::new(near), service);
     // The client sees a closed connection, and the stand-in has nothing to report.
-    let _ = http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
+    let _ = tokio::join!(serve, forward(inner, stream, far));
+}
+
+/// Forwards the bytes of a connection, and distorts responses if the injected faults demand it.
+async fn forward(inner: &Arc<Inner>, stream: TcpStream, far: DuplexStream) {
+    let (mut requests, mut client) = stream.into_split();
+    let (mut responses, mut service) = tokio::io::split(far);
+    let responses = async {
+        let (mut bytes, mut previous) = (vec![0; RESPONSE_BUFFER], Vec::new());
+        while let Ok(length @ 1..) = responses.read(&mut bytes).await {
+            let response = &bytes[..length];
+            let distortion = inner.lock().faults.distortion;
+            let sent = match distortion {
+                Some(distortion) => {
+                    distortion.apply(Some(&previous), response).send(&mut client).await
+                }
+                None => client.write_all(response).await,
+            };
+            if sent.is_err() {
+                return;
+            }
+            previous = response.to_vec();
+        }
+    };
+    tokio::select! {
+        () = responses => {}
+        _ = tokio::io::copy(&mut requests, &mut service) => {}
+    }
 }
 
 impl Inner {
