An answer without a length that holds another answer is refused

What callers saw: beside a searcher that sends its answer without a length, a second answer behind it, and closes, the caller got both as one body, a merged answer records made of the second one's head (MIXED).

Cause: such a body ends with its connection, so everything up to there was believed to be its own.

Change: the inspector looks for a status line (HTTP/1.# ###) in the body, as it does for bodies that were cut, and refuses the answer at its end if there is one. A true body without a length that holds a status line is refused too. A connection that is not used again is closed at once.

--- a/crates/answer/src/inspector.rs
+++ b/crates/answer/src/inspector.rs
@@ -187,6 +187,17 @@
         }
     }
 
+    /// Records the end of the connection. Returns the fault if it ends an answer that seems to hold
+    /// another.
+    pub fn end(&mut self) -> Option<Fault> {
+        match self.phase {
+            Phase::Own(Body::UntilClose(_), StatusLine { found: true, .. }) => {
+                Some(self.fail(Fault::Filled))
+            }
+            _ => None,
+        }
+    }
+
     fn fail(&mut self, fault: Fault) -> Fault {
         self.is_clean = false;
         self.head = None;
@@ -348,11 +359,23 @@
     bytes.iter().zip(expected).all(|(byte, expected)| byte == expected)
 }
 
+/// A status line up to its status code; `#` stands for a digit.
+const STATUS_LINE_PATTERN: &[u8] = b"HTTP/1.# ###";
+
+/// Returns whether bytes agree with a part of [`STATUS_LINE_PATTERN`] as far as both go.
+fn fits(bytes: &[u8], pattern: &[u8]) -> bool {
+    let fits = |(byte, expected): (&u8, &u8)| match expected {
+        b'#' => byte.is_ascii_digit(),
+        _ => byte == expected,
+    };
+    bytes.iter().zip(pattern).all(fits)
+}
+
 /// Searches a body for the beginning of another answer.
 ///
-/// A body that was cut is filled with the answer behind it. Then it holds the beginning of a status
-/// line, and the rest of that answer follows it. A whole body that holds one is not followed by
-/// anything, unless the searcher answers twice; it is then refused without need.
+/// A body that was cut is filled with the answer behind it: it holds the beginning of a status line,
+/// and the rest of that answer follows it. A body without a length holds whatever follows it. A true
+/// body that holds a status line is refused only if it has no length or the searcher answers twice.
 #[derive(Clone, Copy, Debug, Default)]
 struct StatusLine {
     found: bool,
@@ -366,18 +389,18 @@
         while let Some((byte, behind)) = rest.split_first() {
             if self.matched == 0 {
                 // Only the first byte of a status line is an `H`, so a match begins at the next one.
-                let Some(at) = memchr::memchr(STATUS_LINE[0], rest) else { return };
+                let Some(at) = memchr::memchr(STATUS_LINE_PATTERN[0], rest) else { return };
                 self.matched = 1;
                 rest = &rest[at + 1..];
                 continue;
             }
-            if *byte != STATUS_LINE[self.matched] {
+            if !fits(&[*byte], &STATUS_LINE_PATTERN[self.matched..]) {
                 self.matched = 0;
                 continue;
             }
             rest = behind;
             self.matched += 1;
-            if self.matched == STATUS_LINE.len() {
+            if self.matched == STATUS_LINE_PATTERN.len() {
                 self.found = true;
                 self.matched = 0;
             }
@@ -386,7 +409,7 @@
 
     /// Returns whether a body seems to be filled by another answer, given the bytes behind it.
     fn is_within(self, behind: &[u8]) -> bool {
-        let continues = self.matched > 0 && agrees(behind, &STATUS_LINE[self.matched..]);
+        let continues = self.matched > 0 && fits(behind, &STATUS_LINE_PATTERN[self.matched..]);
         !behind.is_empty() && (self.found || continues)
     }
 }
--- a/crates/answer/tests/inspector.rs
+++ b/crates/answer/tests/inspector.rs
@@ -82,6 +82,14 @@
     }
 }
 
+#[test]
+fn an_answer_without_a_length_that_holds_another_is_not_completed() {
+    let end = |bytes: &[u8]| inspect(bytes).2.end();
+    let head = &b"HTTP/1.1 200 OK\r\nx-id: r2\r\n\r\n"[..];
+    assert_eq!(end(&[head, b"an HTTP/1.x body"].concat()), None);
+    assert_eq!(end(&[head, b"body", &answer(None, "late")].concat()), Some(Fault::Filled));
+}
+
 #[test]
 fn bytes_behind_which_nothing_can_be_attributed_are_faults() {
     for (bytes, kind) in [
--- a/crates/standin/src/stray.rs
+++ b/crates/standin/src/stray.rs
@@ -50,6 +50,11 @@
         [head.as_bytes(), size.as_bytes(), &answer.body, b"\r\n0\r\n\r\n"].concat()
     }
 
+    /// Encodes an answer that ends with the connection.
+    fn encode_unframed(&self, answer: &Answer, ids: &[&str]) -> Vec<u8> {
+        [format!("{}\r\n", self.head(answer, ids)).as_bytes(), &answer.body].concat()
+    }
+
     /// Encodes a refusal that states that a request was not run.
     pub fn refusal(&self, ids: &[&str]) -> Vec<u8> {
         let (names, not_run) = (self.names(ids), self.not_run);
@@ -100,13 +105,15 @@
     Between,
     /// The head of the answer to this request twice, the first time without its body.
     OwnHead,
+    /// The answer to this request without a length, and the answer to the request before behind it.
+    OwnUnframed,
     /// Bytes that are no answer.
     Garbage,
 }
 
 impl Stray {
     /// All forms.
-    pub const ALL: [Self; 14] = [
+    pub const ALL: [Self; 15] = [
         Self::Foreign,
         Self::Unnamed,
         Self::UnnamedChunked,
@@ -120,6 +127,7 @@
         Self::SameSegment,
         Self::Between,
         Self::OwnHead,
+        Self::OwnUnframed,
         Self::Garbage,
     ];
 }
@@ -187,10 +195,7 @@
             Stray::Foreign => headers.encode(&stale, &[previous]),
             Stray::Unnamed => headers.encode(&stale, &[]),
             Stray::UnnamedChunked => headers.encode_chunked(&stale, &[]),
-            Stray::UnnamedUnframed => {
-                let head = format!("{}\r\n", headers.head(&stale, &[]));
-                [head.as_bytes(), &stale.body].concat()
-            }
+            Stray::UnnamedUnframed => headers.encode_unframed(&stale, &[]),
             Stray::UnnamedFailure => {
                 headers.encode(&Answer { status: "404 Not Found", ..stale }, &[])
             }
@@ -208,10 +213,16 @@
             }
             Stray::OwnHead => own[..head_len(&own, &answer(id))].to_vec(),
             Stray::Garbage => b"\x00\xffgarbage\r\n\r\n".to_vec(),
+            Stray::OwnUnframed => headers.encode_unframed(&answer(id), &[id]),
             Stray::SameSegment | Stray::Between => Vec::new(),
         };
+        let own = if self.stray == Stray::OwnUnframed {
+            headers.encode(&answer(previous), &[previous])
+        } else {
+            own
+        };
         let mut steps = vec![Step::Send([stray, own].concat())];
-        if self.stray == Stray::UnnamedUnframed {
+        if matches!(self.stray, Stray::UnnamedUnframed | Stray::OwnUnframed) {
             steps.push(Step::Close);
         }
         steps
--- a/crates/upstream/src/inspected.rs
+++ b/crates/upstream/src/inspected.rs
@@ -69,12 +69,24 @@
         }
         inspector.inspect(&buffer.filled()[before..], &mut self.own);
         buffer.set_filled(before);
-        let findings = inspector.take_findings();
         drop(inspector);
+        self.report();
+        false
+    }
+
+    /// Handles the end of the connection.
+    fn end(&mut self) -> io::Result<()> {
+        let fault = self.inspector.lock().end();
+        self.report();
+        fault.map_or(Ok(()), |fault| Err(as_io_error(fault)))
+    }
+
+    /// Reports what the inspector has found.
+    fn report(&self) {
+        let findings = self.inspector.lock().take_findings();
         for finding in &findings {
             (self.on_finding)(finding);
         }
-        false
     }
 }
 
@@ -90,12 +102,14 @@
                 return Poll::Ready(Ok(()));
             }
             if let Some(fault) = this.inspector.lock().fault() {
-                return Poll::Ready(Err(io::Error::new(io::ErrorKind::InvalidData, fault)));
+                return Poll::Ready(Err(as_io_error(fault)));
             }
             let before = buf.filled().len();
             ready!(Pin::new(&mut this.stream).poll_read(cx, buf))?;
-            let is_end = buf.filled().len() == before;
-            if is_end || this.inspect(buf, before) {
+            if buf.filled().len() == before {
+                return Poll::Ready(this.end());
+            }
+            if this.inspect(buf, before) {
                 return Poll::Ready(Ok(()));
             }
         }
@@ -132,6 +146,10 @@
     }
 }
 
+fn as_io_error(fault: Fault) -> io::Error {
+    io::Error::new(io::ErrorKind::InvalidData, fault)
+}
+
 /// Returns the fault of an inspector that caused an error, if one did.
 pub(crate) fn fault_of(error: &(dyn Error + 'static)) -> Option<Fault> {
     let mut cause = Some(error);
--- a/crates/upstream/src/pool.rs
+++ b/crates/upstream/src/pool.rs
@@ -359,6 +359,7 @@
             if connection.sender.is_ready() && connection.is_reusable() {
                 return Some(connection);
             }
+            connection.close();
             state.count_closed();
         }
         None
@@ -464,6 +465,7 @@
         let mut state = self.lock();
         let limit = state.limit(Instant::now());
         if !connection.is_reusable() || state.usage.open > limit {
+            connection.close();
             state.count_closed();
         } else {
             state.idle.push(connection);
