Only further attempts for the same shard avoid kept connections after an unreadable answer

Cause: the flag was one of the whole request, so one searcher of 180 shards that sends bytes which are no answer made all later hedges of the request open connections, which callers would wait for. Change: the race of a shard holds it.

--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -26,6 +26,9 @@
     pub(crate) connect_by: Instant,
     /// The time after which the response is no longer useful.
     pub(crate) deadline: Instant,
+    /// Whether an earlier attempt got bytes that could not be read as the response. All searchers of
+    /// a service may be in the same trouble, so this one is made on a new connection.
+    pub(crate) is_after_fault: bool,
     /// Whether no other searcher is running the request, so that a crash of this one can only be
     /// caused by it.
     pub(crate) trial: bool,
@@ -38,7 +41,7 @@
     job: &Arc<Job>,
     limits: AttemptLimits,
 ) -> AttemptResult {
-    let mut outcome = exchange(relay, &link, job, limits.connect_by, limits.deadline).await;
+    let mut outcome = exchange(relay, &link, job, limits).await;
     if let Err(error) = &mut outcome
         && error.connection_lost
     {
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -19,6 +19,7 @@
 use http_body_util::Full;
 use hyper::Response;
 
+use crate::attempt::AttemptLimits;
 use crate::dialect::{RequestMetadata, ResponseMetadata};
 use crate::link::SearcherLink;
 use crate::message::{Job, SearcherResponse};
@@ -92,24 +93,20 @@
 }
 
 /// Sends a request over a link and reads the complete response.
-///
-/// A connection must be available by `connect_by`; after `deadline` the response is no longer
-/// useful.
 pub(crate) async fn exchange(
     relay: &Relay,
     link: &Arc<SearcherLink>,
     job: &Job,
-    connect_by: Instant,
-    deadline: Instant,
+    limits: AttemptLimits,
 ) -> Result<SearcherResponse, AttemptError> {
     let reuse = match job.kind {
-        _ if job.has_met_fault() => Reuse::Never,
+        _ if limits.is_after_fault => Reuse::Never,
         Idempotency::Idempotent => Reuse::Usual,
         Idempotency::NonIdempotent => Reuse::Cautious,
     };
     let lease = match link.pool.lease_idle(reuse) {
         Some(lease) => lease,
-        None => link.pool.lease(deadline_at(connect_by), reuse).await.map_err(|fault| {
+        None => link.pool.lease(deadline_at(limits.connect_by), reuse).await.map_err(|fault| {
             link.estimator().record_failure(Instant::now());
             AttemptError::new(Ending::NotSent, fault)
         })?,
@@ -121,7 +118,7 @@
     let sent = Instant::now();
     let pending = PendingRequest::start(link, sent);
     job.record_exposure();
-    match send(relay, link, job, lease, deadline).await {
+    match send(relay, link, job, lease, limits.deadline).await {
         Ok(response) => {
             pending.answered();
             if !job.route.is_empty() && link.distance != Distance::Far {
@@ -134,9 +131,6 @@
             if error.ending.did_not_run() {
                 job.record_not_run();
             }
-            if error.fault.is_some() {
-                job.record_fault();
-            }
             Err(error)
         }
     }
--- a/crates/relay/src/message.rs
+++ b/crates/relay/src/message.rs
@@ -1,7 +1,7 @@
 //! A caller's request and its reply, independent of the wire format.
 
 use std::collections::HashSet;
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -164,8 +164,6 @@
     exposures: AtomicUsize,
     /// The number of services whose searcher was busy when it was first asked.
     busy: AtomicUsize,
-    /// Whether a searcher sent bytes that could not be read as the response.
-    met_fault: AtomicBool,
 }
 
 impl Job {
@@ -189,7 +187,6 @@
             fingerprint: OnceLock::new(),
             exposures: AtomicUsize::new(0),
             busy: AtomicUsize::new(0),
-            met_fault: AtomicBool::new(false),
         }
     }
 
@@ -210,17 +207,6 @@
         self.exposures.load(Ordering::Relaxed) > 0
     }
 
-    /// Records that a searcher sent bytes that could not be read as the response.
-    pub fn record_fault(&self) {
-        self.met_fault.store(true, Ordering::Relaxed);
-    }
-
-    /// Returns whether a searcher sent bytes that could not be read as the response. The searchers
-    /// of a service may all be in the same trouble, so further attempts avoid kept connections.
-    pub fn has_met_fault(&self) -> bool {
-        self.met_fault.load(Ordering::Relaxed)
-    }
-
     /// Records that some searchers were busy when they were first asked: the requests of the member
     /// that asked them used all their slots.
     pub fn record_busy(&self, searchers: usize) {
--- a/crates/relay/src/race.rs
+++ b/crates/relay/src/race.rs
@@ -31,6 +31,8 @@
     ending: Ending,
     /// Whether the deadline passed.
     pub(crate) timed_out: bool,
+    /// Whether an attempt got bytes that could not be read as the response.
+    met_fault: bool,
     /// An error response of a searcher that can be forwarded.
     pub(crate) response: Option<Box<SearcherResponse>>,
 }
@@ -151,7 +153,12 @@
             budget_denied: false,
             finished: false,
             trial: false,
-            worst: RaceFailure { ending: Ending::NotSent, timed_out: false, response: None },
+            worst: RaceFailure {
+                ending: Ending::NotSent,
+                timed_out: false,
+                met_fault: false,
+                response: None,
+            },
         }
     }
 
@@ -281,6 +288,7 @@
         let ending = error.ending;
         self.job.failure_log.record_attempt(self.service, searcher, ending, &error.cause);
         self.relay.meter().count_ending(ending);
+        self.worst.met_fault |= error.fault.is_some();
         if error.refused {
             self.relay.record_shortage(self.job);
         }
@@ -361,7 +369,8 @@
         let connect_by =
             self.plan.connect_by.max(Instant::now() + connect_timeout).min(self.plan.deadline);
         let trial = self.plan.single_attempt || self.trial;
-        let limits = AttemptLimits { connect_by, deadline: self.plan.deadline, trial };
+        let (deadline, is_after_fault) = (self.plan.deadline, self.worst.met_fault);
+        let limits = AttemptLimits { connect_by, deadline, is_after_fault, trial };
         self.running.start(self.relay, link, self.job, limits);
         StartResult::Started
     }
--- a/crates/relay/src/shard_query.rs
+++ b/crates/relay/src/shard_query.rs
@@ -169,7 +169,7 @@
         job.record_busy(usize::from(is_busy));
         relay.meter().count_attempt(AttemptReason::Delegated, link.distance);
         shards[index] = ShardOutcome::Silent(link.upstream.incarnation.clone());
-        let limits = AttemptLimits { connect_by, deadline, trial: false };
+        let limits = AttemptLimits { connect_by, deadline, is_after_fault: false, trial: false };
         let (relay, job) = (Arc::clone(relay), Arc::clone(job));
         attempts.push(Box::pin(async move {
             let (_link, outcome) = attempt(&relay, link, &job, limits).await;
