--- a/crates/bench/tests/stream/own_interface.rs
+++ b/crates/bench/tests/stream/own_interface.rs
@@ -1,6 +1,6 @@
 //! Searchers of the own interface, through its client.
 
-use std::net::{Ipv4Addr, SocketAddr};
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -33,13 +33,11 @@
 
 fn start_client(remote: SocketAddr, memory: &Arc<Memory>) -> Arc<Client> {
     let settings = PoolSettings {
-        local: Ipv4Addr::LOCALHOST,
         remote,
         share: 3,
-        dial_timeout: Duration::from_secs(1),
-        id_header: protocol::REQUEST,
         limits: limits(),
         memory: Arc::clone(memory),
+        ..PoolSettings::default()
     };
     let pool = Pool::new(settings, Observer::default());
     Client::new(remote, pool, 2, 8, Duration::from_millis(5))
--- a/crates/upstream/src/client.rs
+++ b/crates/upstream/src/client.rs
@@ -22,9 +22,12 @@
 use tokio::sync::oneshot;
 use tokio_util::sync::CancellationToken;
 
+use crate::connection::SendError;
 use crate::health::Health;
-use crate::pool::{Lease, Pool, SendError};
+use crate::lease::Lease;
+use crate::pool::Pool;
 use crate::protocol::{self, Receipt, Search, SearchReply, Write};
+use crate::queue::{QueuedRequest, Slot};
 use crate::slots::{Admission, Slots};
 use crate::trust::{AVOIDANCE_PERIOD, Reuse};
 
@@ -58,7 +61,7 @@
         }
     }
 
-    fn with_reason(self, reason: Reason) -> Self {
+    pub(crate) fn with_reason(self, reason: Reason) -> Self {
         Self { reason, ..self }
     }
 }
@@ -452,63 +455,7 @@
         }
     }
 
-    fn fault(&self, step: &'static str, cause: &str) -> SearcherError {
+    pub(crate) fn fault(&self, step: &'static str, cause: &str) -> SearcherError {
         SearcherError::new(Step(step), Peer::Address(self.address), cause)
     }
 }
-
-/// A slot that is in use until this is dropped.
-struct Slot {
-    client: Arc<Client>,
-    took: Option<Duration>,
-}
-
-impl Drop for Slot {
-    fn drop(&mut self) {
-        release_slot(&self.client, self.took);
-    }
-}
-
-/// Releases a slot and passes it to the first waiter whose request still exists.
-fn release_slot(client: &Client, mut took: Option<Duration>) {
-    loop {
-        let next = client.slots().release(Instant::now(), took.take());
-        let Some(waiter) = next else { return };
-        if waiter.send(()).is_ok() {
-            return;
-        }
-    }
-}
-
-/// A queued request. If it is dropped after a slot was granted to it, the slot passes to the
-/// next waiter.
-struct QueuedRequest<'a> {
-    client: &'a Arc<Client>,
-    receiver: Option<oneshot::Receiver<()>>,
-}
-
-impl QueuedRequest<'_> {
-    async fn slot(mut self) -> Result<Slot, SearcherError> {
-        let receiver = self.receiver.as_mut().expect("a waiter holds its receiver");
-        let granted = receiver.await;
-        self.receiver = None;
-        match granted {
-            Ok(()) => Ok(Slot { client: Arc::clone(self.client), took: None }),
-            Err(_closed) => {
-                Err(self.client.fault("wait for a slot", "deadline").with_reason(Reason::Deadline))
-            }
-        }
-    }
-}
-
-impl Drop for QueuedRequest<'_> {
-    fn drop(&mut self) {
-        let Some(mut receiver) = self.receiver.take() else {
-            return;
-        };
-        receiver.close();
-        if receiver.try_recv().is_ok() {
-            release_slot(self.client, None);
-        }
-    }
-}
--- a/crates/upstream/src/client_set.rs
+++ b/crates/upstream/src/client_set.rs
@@ -10,14 +10,13 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
-use bergamot_answer::{Finding, Limits, Memory};
+use bergamot_answer::{Finding, Memory};
 use bergamot_base::Searcher;
 use bergamot_config::{Document, Settings};
 use bergamot_logger::Sampler;
 
 use crate::client::Client;
 use crate::pool::{Observer, Pool, PoolSettings};
-use crate::protocol;
 
 /// How many findings about one searcher are logged a second; all are counted.
 const MAX_FINDINGS_LOGGED: u32 = 2;
@@ -155,9 +154,8 @@
         remote,
         share,
         dial_timeout,
-        id_header: protocol::REQUEST,
-        limits: Limits::default(),
         memory: Arc::clone(memory),
+        ..PoolSettings::default()
     };
     let pool = Pool::new(pool_settings, observe(remote));
     Client::new(remote, pool, slots, settings.gather.queue as usize, initial_latency)
--- a/crates/upstream/src/pool.rs
+++ b/crates/upstream/src/pool.rs
@@ -10,7 +10,6 @@
 //! and is used again only if it has carried nothing else. See
 //! `docs/design/0020-answers-of-searchers.md`.
 
-use std::error::Error;
 use std::fmt;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -20,27 +19,20 @@
 use bergamot_base::{Deadline, Peer, Step};
 use bergamot_net::NetworkError;
 use bytes::Bytes;
-use http_body_util::Full;
 use hyper::body::Incoming;
-use hyper::client::conn::http1::{self, SendRequest};
-use hyper::header::HeaderValue;
-use hyper::{Method, Request, Response};
-use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
 use tokio::sync::{Notify, oneshot};
-use tokio::task::AbortHandle;
 
 use crate::body::{BodyError, read_body};
 use crate::client::SearcherError;
-use crate::inspected::{Inspected, SharedInspector, fault_of};
+use crate::connection::Connection;
+use crate::lease::Lease;
+use crate::protocol;
 use crate::trust::{Reuse, Trust};
 
 /// How long the share stays reduced after a refused connection.
 const REDUCED_FOR: Duration = Duration::from_secs(2);
 
-/// The largest read buffer of a connection, in bytes: twice the largest head.
-const MAX_READ_BUFFER: usize = 64 << 10;
-
 /// How a pool connects, and what it demands of answers.
 #[derive(Clone, Debug)]
 pub struct PoolSettings {
@@ -60,73 +52,21 @@
     pub memory: Arc<Memory>,
 }
 
-/// Why a request has no answer.
-#[derive(Debug)]
-pub enum SendError {
-    /// The connection can't carry the request, which was not sent.
-    Unusable(Fault),
-    /// The connection failed.
-    Connection {
-        /// The cause.
-        error: hyper::Error,
-        /// Whether the request was certainly not sent.
-        is_unsent: bool,
-    },
-}
-
-impl SendError {
-    /// Returns whether the request was certainly not sent.
-    pub fn is_unsent(&self) -> bool {
-        match self {
-            Self::Unusable(_) => true,
-            Self::Connection { is_unsent, .. } => *is_unsent,
-        }
-    }
-
-    /// Returns the fault in the received bytes that caused the error, if one did.
-    pub fn fault(&self) -> Option<Fault> {
-        match self {
-            Self::Unusable(fault) => Some(*fault),
-            Self::Connection { error, .. } => fault_of(error),
-        }
-    }
-}
-
-impl fmt::Display for SendError {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            Self::Unusable(fault) => fault.fmt(f),
-            Self::Connection { error, .. } => match error.source() {
-                Some(source) => write!(f, "{error}: {source}"),
-                None => error.fmt(f),
-            },
+impl Default for PoolSettings {
+    /// Returns settings without a searcher, for the header of the own interface.
+    fn default() -> Self {
+        Self {
+            local: Ipv4Addr::LOCALHOST,
+            remote: SocketAddr::from((Ipv4Addr::LOCALHOST, 0)),
+            share: 2,
+            dial_timeout: Duration::from_secs(1),
+            id_header: protocol::REQUEST,
+            limits: Limits::default(),
+            memory: Arc::default(),
         }
     }
 }
 
-impl Error for SendError {}
-
-/// An open connection: its request sender and the task that drives the socket.
-#[derive(Debug)]
-struct Connection {
-    sender: SendRequest<Full<Bytes>>,
-    driver: AbortHandle,
-    inspector: SharedInspector,
-}
-
-impl Connection {
-    /// Returns whether another request may be sent on it.
-    fn is_reusable(&self) -> bool {
-        !self.sender.is_closed() && self.inspector.lock().is_clean()
-    }
-
-    /// Closes the socket immediately. Dropping the sender alone would close it only when the
-    /// driver task is next polled.
-    fn close(self) {
-        self.driver.abort();
-    }
-}
-
 /// The counters of a pool.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Usage {
@@ -338,7 +278,7 @@
     }
 
     fn new_lease(self: &Arc<Self>, connection: Connection) -> Lease {
-        Lease { pool: Arc::clone(self), connection: Some(connection) }
+        Lease::new(Arc::clone(self), connection)
     }
 
     /// Takes an idle connection. Those that may not carry the request are closed if there is no
@@ -356,7 +296,7 @@
             return None;
         }
         while let Some(connection) = state.idle.pop() {
-            if connection.sender.is_ready() && connection.is_reusable() {
+            if connection.is_ready() && connection.is_reusable() {
                 return Some(connection);
             }
             connection.close();
@@ -417,24 +357,16 @@
 
     /// Performs the HTTP/1 handshake on a new connection.
     async fn handshake(self: &Arc<Self>, stream: TcpStream) -> Result<Connection, SearcherError> {
-        let fault = |error: &dyn fmt::Display| self.fault("handshake", &error.to_string());
         let PoolSettings { id_header, limits, memory, .. } = &self.settings;
-        let inspector =
-            SharedInspector::new(Inspector::new(id_header, *limits, Arc::clone(memory)));
+        let inspector = Inspector::new(id_header, *limits, Arc::clone(memory));
         let pool = Arc::downgrade(self);
         let on_finding = move |finding: &Finding| {
             if let Some(pool) = pool.upgrade() {
                 pool.record(finding);
             }
         };
-        let stream = Inspected::new(stream, inspector.clone(), Box::new(on_finding));
-        let mut builder = http1::Builder::new();
-        builder.max_buf_size(MAX_READ_BUFFER);
-        let (mut sender, connection) =
-            builder.handshake(TokioIo::new(stream)).await.map_err(|error| fault(&error))?;
-        let driver = tokio::spawn(connection).abort_handle();
-        sender.ready().await.map_err(|error| fault(&error))?;
-        Ok(Connection { sender, driver, inspector })
+        let opened = Connection::open(stream, id_header, inspector, Box::new(on_finding)).await;
+        opened.map_err(|error| self.fault("handshake", &error.to_string()))
     }
 
     fn record(&self, finding: &Finding) {
@@ -461,7 +393,7 @@
         state.reduced = Some((limit, Instant::now() + REDUCED_FOR));
     }
 
-    fn put(&self, connection: Connection) {
+    pub(crate) fn put(&self, connection: Connection) {
         let mut state = self.lock();
         let limit = state.limit(Instant::now());
         if !connection.is_reusable() || state.usage.open > limit {
@@ -474,7 +406,7 @@
         self.available.notify_one();
     }
 
-    fn release_place(&self) {
+    pub(crate) fn release_place(&self) {
         self.lock().count_closed();
         self.available.notify_one();
     }
@@ -499,9 +431,9 @@
 }
 
 /// A reserved place in the share. It is released on drop unless a connection uses it.
-struct Reservation<'a> {
-    pool: &'a Pool,
-    used: bool,
+pub(crate) struct Reservation<'a> {
+    pub(crate) pool: &'a Pool,
+    pub(crate) used: bool,
 }
 
 impl Drop for Reservation<'_> {
@@ -511,67 +443,3 @@
         }
     }
 }
-
-/// A leased connection.
-///
-/// It returns to the pool only through [`Lease::release`]. Dropping the lease closes the
-/// connection, because a response may still be in transit on it.
-#[derive(Debug)]
-pub struct Lease {
-    pool: Arc<Pool>,
-    connection: Option<Connection>,
-}
-
-impl Lease {
-    /// Sends a request and returns the head of the answer that names it, and no other. The
-    /// identifier is that in the request's headers.
-    pub async fn send(
-        &mut self,
-        request: Request<Full<Bytes>>,
-    ) -> Result<Response<Incoming>, SendError> {
-        let id_header = self.pool.settings.id_header;
-        let connection =
-            self.connection.as_mut().expect("a lease holds its connection until it is given back");
-        let id = request.headers().get(id_header).map_or(&b""[..], HeaderValue::as_bytes);
-        let begun = connection.inspector.lock().begin(id, request.method() == Method::HEAD);
-        begun.map_err(SendError::Unusable)?;
-        let sent = connection.sender.try_send_request(request).await;
-        sent.map_err(|error| {
-            let is_unsent = error.message().is_some();
-            SendError::Connection { error: error.into_error(), is_unsent }
-        })
-    }
-
-    /// Returns the connection to the pool at once if it is ready for another request, and otherwise
-    /// in the background as soon as it is.
-    pub fn release_soon(mut self) {
-        let is_ready = self.connection.as_ref().is_some_and(|known| known.sender.is_ready());
-        if !is_ready {
-            tokio::spawn(self.release());
-        } else if let Some(connection) = self.connection.take() {
-            self.pool.put(connection);
-        }
-    }
-
-    /// Returns the connection to the pool as soon as it is ready for another request.
-    pub async fn release(mut self) {
-        let Some(mut connection) = self.connection.take() else {
-            return;
-        };
-        let pool = Arc::clone(&self.pool);
-        let mut reservation = Reservation { pool: &pool, used: false };
-        if connection.sender.ready().await.is_ok() {
-            reservation.used = true;
-            pool.put(connection);
-        }
-    }
-}
-
-impl Drop for Lease {
-    fn drop(&mut self) {
-        if let Some(connection) = self.connection.take() {
-            connection.close();
-            self.pool.release_place();
-        }
-    }
-}
--- a/crates/upstream/tests/pool.rs
+++ b/crates/upstream/tests/pool.rs
@@ -4,7 +4,6 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use bergamot_answer::Limits;
 use bergamot_base::Deadline;
 use bergamot_upstream::{Observer, Pool, PoolSettings, Reuse};
 use tokio::net::{TcpSocket, TcpStream};
@@ -26,15 +25,8 @@
 }
 
 fn pool(remote: SocketAddr) -> Arc<Pool> {
-    let settings = PoolSettings {
-        local: Ipv4Addr::LOCALHOST,
-        remote,
-        share: 2,
-        dial_timeout: Duration::from_secs(20),
-        id_header: "x-id",
-        limits: Limits::default(),
-        memory: Arc::default(),
-    };
+    let settings =
+        PoolSettings { remote, dial_timeout: Duration::from_secs(20), ..PoolSettings::default() };
     Pool::new(settings, Observer::default())
 }
 
--- a/crates/upstream/tests/stray.rs
+++ b/crates/upstream/tests/stray.rs
@@ -1,10 +1,9 @@
 //! Searchers of the own interface that answer twice, or send bytes that belong to no request.
 
-use std::net::{Ipv4Addr, SocketAddr};
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use bergamot_answer::Limits;
 use bergamot_base::{Deadline, Name};
 use bergamot_query::Shape;
 use bergamot_standin::{Answer, AnswerHeaders, RecordedRequest, ScriptedServer, Stray, Stutter};
@@ -42,15 +41,7 @@
 }
 
 fn client(remote: SocketAddr) -> Arc<Client> {
-    let settings = PoolSettings {
-        local: Ipv4Addr::LOCALHOST,
-        remote,
-        share: 2,
-        dial_timeout: Duration::from_secs(1),
-        id_header: protocol::REQUEST,
-        limits: Limits::default(),
-        memory: Arc::default(),
-    };
+    let settings = PoolSettings { remote, ..PoolSettings::default() };
     let pool = Pool::new(settings, Observer::default());
     Client::new(remote, pool, 2, 8, Duration::from_millis(5))
 }
