--- a/review/standin-2/cases.rs
+++ b/review/standin-2/cases.rs
@@ -24,6 +24,7 @@
     match case {
         "failed-part" => failed_part(trouble, record),
         "false-promise" => false_promise(trouble, record),
+        "filled-answer" => filled_answer(trouble, record),
         _ => Err(io::Error::other(format!("no case {case}"))),
     }
 }
@@ -93,6 +94,7 @@
                 status: 200,
                 body: records(&service, request.header(ID), 12),
                 work: work(),
+                ..Verdict::default()
             };
             searchers.push(Searcher::start((&id, shard, place), &store, record, found)?);
         }
@@ -107,9 +109,14 @@
                 let request = request.header(ID);
                 if draw(&format!("{id} {request}")) < 0.4 {
                     let body = b"the shard is not loaded on this searcher".to_vec();
-                    return Verdict { status: 404, body, work: work() };
+                    return Verdict { status: 404, body, work: work(), ..Verdict::default() };
+                }
+                Verdict {
+                    status: 200,
+                    body: records(&service, request, 12),
+                    work: work(),
+                    ..Verdict::default()
                 }
-                Verdict { status: 200, body: records(&service, request, 12), work: work() }
             });
         }
     }
@@ -170,6 +177,7 @@
         status: 200,
         body: [b"done ", &*request.body].concat(),
         work: Duration::from_millis(30),
+        ..Verdict::default()
     };
     let mut searchers = Vec::new();
     for number in 0..8 {
@@ -185,7 +193,12 @@
         searcher.set_behaviour(move |request| {
             if draw(request.header(ID)) < 0.4 {
                 let body = b"the write is made, its replication timed out".to_vec();
-                return Verdict { status: 503, body, work: Duration::from_millis(30) };
+                return Verdict {
+                    status: 503,
+                    body,
+                    work: Duration::from_millis(30),
+                    ..Verdict::default()
+                };
             }
             done(request)
         });
@@ -227,3 +240,71 @@
     let (status, searcher) = (response.status, run?.searcher);
     Some(format!("{id}: answered {status}, and {searcher} has run it"))
 }
+
+/// Searchers cut some of their answers, and the answer before on the connection comes again, late and
+/// in pieces.
+fn filled_answer(trouble: bool, record: &Arc<Record>) -> io::Result<Vec<String>> {
+    let store = Store::start()?;
+    let service = "tablet".to_owned();
+    let route = format!(
+        r#"{{"name":"record","host":"{HOST}","prefix":"/record/","type":"idempotent","timeout_ms":4000,"target_latency_ms":400,"priority":2,"max_attempts":2,"service":"{service}"}}"#
+    );
+    declare(&store, &route, std::slice::from_ref(&service));
+    let whole = |request: &http::Request| Verdict {
+        status: 200,
+        body: format!("record for {} ", request.header(ID)).repeat(40).into_bytes(),
+        work: work(),
+        ..Verdict::default()
+    };
+    let mut searchers = Vec::new();
+    for number in 0..8 {
+        let id = format!("i{number}");
+        let line = (&*id, &*service, ZONES[number % ZONES.len()]);
+        searchers.push(Searcher::start(line, &store, record, whole)?);
+    }
+    let fleet = Fleet::start(&ZONES, store.address)?;
+    if trouble {
+        // Four of eight searchers, one of 25 answers: share 0.5, x 0.04.
+        for searcher in &searchers[..4] {
+            record.note(format_args!("{} begins to stutter", searcher.id));
+            searcher.set_behaviour(move |request| {
+                let cut = if draw(request.header(ID)) < 0.04 { 40 } else { 0 };
+                Verdict { cut, ..whole(request) }
+            });
+        }
+    }
+    let breaks = Mutex::new(Vec::new());
+    std::thread::scope(|scope| {
+        for client in 0..CLIENTS {
+            let (fleet, breaks) = (&fleet, &breaks);
+            scope.spawn(move || {
+                for number in 0..300 {
+                    let id = format!("c{client}n{number:03}");
+                    let line = ("GET", "/record/aircraft", &*id);
+                    let daemon = (client + number) % fleet.len();
+                    if let Ok(response) = send(fleet, record, daemon, line, b"", 4000) {
+                        breaks.lock().unwrap().extend(wrong_body(&id, &response, &record.runs()));
+                    }
+                    std::thread::sleep(Duration::from_millis(30));
+                }
+            });
+        }
+    });
+    Ok(breaks.into_inner().unwrap())
+}
+
+/// Returns how a success of one searcher is wrong.
+fn wrong_body(id: &str, response: &Response, runs: &[Run]) -> Option<String> {
+    if response.status / 100 != 2 {
+        return None;
+    }
+    let stamp = response.header(STAMP);
+    let run = runs.iter().find(|run| run.stamp == stamp && run.request == id);
+    let Some(run) = run else {
+        return Some(format!("{id}: {stamp:?} is no signature of an answer to it"));
+    };
+    let end = &response.body[response.body.len().saturating_sub(60)..];
+    let end = String::from_utf8_lossy(end);
+    (response.body != run.answer)
+        .then(|| format!("{id}: the body isn't that of {}, it ends with {end:?}", run.searcher))
+}
--- a/review/standin-2/http.rs
+++ b/review/standin-2/http.rs
@@ -8,7 +8,6 @@
 /// A request as a server reads it.
 #[derive(Clone, Debug, Default)]
 pub struct Request {
-    pub method: String,
     pub target: String,
     pub headers: Vec<(String, String)>,
     pub body: Vec<u8>,
@@ -111,8 +110,7 @@
 pub fn read_request(reader: &mut impl BufRead) -> io::Result<Option<Request>> {
     let Some(line) = read_line(reader)? else { return Ok(None) };
     let mut words = line.split(' ');
-    let (method, target) = (words.next().unwrap_or_default(), words.next().unwrap_or_default());
-    let (method, target) = (method.to_owned(), target.to_owned());
+    let target = words.nth(1).unwrap_or_default().to_owned();
     let headers = read_headers(reader)?;
     let body = if header(&headers, "transfer-encoding").is_some() {
         read_chunks(reader)?
@@ -122,7 +120,7 @@
         reader.read_exact(&mut body)?;
         body
     };
-    Ok(Some(Request { method, target, headers, body }))
+    Ok(Some(Request { target, headers, body }))
 }
 
 /// Reads a response, without interim ones.
--- a/review/standin-2/platform.rs
+++ b/review/standin-2/platform.rs
@@ -12,8 +12,8 @@
 
 #[derive(Default)]
 struct Items {
-    /// The revision and the value of each key; the value of a deleted one is `None`.
-    items: BTreeMap<String, (u64, Option<String>)>,
+    /// The revision and the value of each key.
+    items: BTreeMap<String, (u64, String)>,
     revision: u64,
 }
 
@@ -39,18 +39,10 @@
     }
 
     pub fn put(&self, key: &str, value: &str) {
-        self.write(key, Some(value.to_owned()));
-    }
-
-    pub fn delete(&self, key: &str) {
-        self.write(key, None);
-    }
-
-    fn write(&self, key: &str, value: Option<String>) {
         let mut items = self.items.lock().unwrap();
         items.revision += 1;
         let revision = items.revision;
-        items.items.insert(key.to_owned(), (revision, value));
+        items.items.insert(key.to_owned(), (revision, value.to_owned()));
         self.changed.notify_all();
     }
 
@@ -61,9 +53,8 @@
             "/-/kv-range" => {
                 let after = request.parameter("after").unwrap_or_default();
                 let items = self.items.lock().unwrap();
-                let found = items.items.iter().filter(|(key, (_, value))| {
-                    key.starts_with(&prefix) && **key > after && value.is_some()
-                });
+                let found =
+                    items.items.iter().filter(|(key, _)| key.starts_with(&prefix) && **key > after);
                 let found: Vec<String> =
                     found.map(|(key, (revision, value))| event(key, *revision, value)).collect();
                 let (revision, found) = (items.revision, found.join(","));
@@ -75,7 +66,7 @@
             "/-/kv-key" => {
                 let key = request.parameter("key").unwrap_or_default();
                 match self.items.lock().unwrap().items.get(&key) {
-                    Some((revision, value @ Some(_))) => (200, event(&key, *revision, value)),
+                    Some((revision, value)) => (200, event(&key, *revision, value)),
                     _ => (404, "{}".to_owned()),
                 }
             }
@@ -115,16 +106,11 @@
     }
 }
 
-fn event(key: &str, revision: u64, value: &Option<String>) -> String {
-    match value {
-        Some(value) => {
-            let value = base64(value.as_bytes());
-            format!(
-                r#"{{"key":"{key}","value":"{value}","revision":{revision},"created":{revision},"lease":0}}"#
-            )
-        }
-        None => format!(r#"{{"key":"{key}","revision":{revision},"deleted":true}}"#),
-    }
+fn event(key: &str, revision: u64, value: &str) -> String {
+    let value = base64(value.as_bytes());
+    format!(
+        r#"{{"key":"{key}","value":"{value}","revision":{revision},"created":{revision},"lease":0}}"#
+    )
 }
 
 fn base64(bytes: &[u8]) -> String {
@@ -202,22 +188,6 @@
         self.zones.len()
     }
 
-    pub fn pid(&self, number: usize) -> u32 {
-        self.daemons[number].id()
-    }
-
-    /// Sends a signal, such as `-STOP`, to a daemon.
-    pub fn signal(&self, number: usize, signal: &str) -> io::Result<()> {
-        let id = self.daemons[number].id().to_string();
-        Command::new("kill").args([signal, &id]).status().map(drop)
-    }
-
-    /// Returns the status of a daemon that has ended by itself.
-    pub fn ended(&mut self) -> Option<String> {
-        let ended = |child: &mut Child| child.try_wait().ok().flatten();
-        self.daemons.iter_mut().find_map(ended).map(|status| status.to_string())
-    }
-
     fn spawn(&self, number: usize) -> io::Result<Child> {
         let path = self.dir.join(format!("boot-{number}.json"));
         std::fs::write(&path, self.settings(number))?;
--- a/review/standin-2/searcher.rs
+++ b/review/standin-2/searcher.rs
@@ -1,5 +1,6 @@
 //! Stand-ins for searchers, and the record of what happens in a run.
 
+use std::collections::HashMap;
 use std::collections::hash_map::DefaultHasher;
 use std::fmt::Display;
 use std::hash::{Hash, Hasher};
@@ -32,10 +33,7 @@
     pub searcher: String,
     pub stamp: String,
     pub status: u16,
-    pub sent: Vec<u8>,
     pub answer: Vec<u8>,
-    pub line: String,
-    pub at: Duration,
 }
 
 /// What was sent, run and answered, with the time since the start.
@@ -75,8 +73,16 @@
     pub status: u16,
     pub body: Vec<u8>,
     pub work: Duration,
+    /// How many bytes of the answer are left out. The answer before on the same connection comes
+    /// again behind it, late and piece by piece.
+    pub cut: usize,
 }
 
+/// How late a second answer is, and the pieces in which it is sent.
+const LATE: Duration = Duration::from_millis(15);
+const PIECE: usize = 8;
+const PIECE_INTERVAL: Duration = Duration::from_millis(3);
+
 type Behaviour = dyn Fn(&Request) -> Verdict + Send + Sync;
 
 /// A searcher.
@@ -88,6 +94,8 @@
     behaviour: Mutex<Arc<Behaviour>>,
     busy: Mutex<usize>,
     freed: Condvar,
+    /// The last answer on each connection.
+    last: Mutex<HashMap<SocketAddr, Vec<u8>>>,
     record: Arc<Record>,
 }
 
@@ -108,6 +116,7 @@
             behaviour: Mutex::new(Arc::new(behaviour)),
             busy: Mutex::default(),
             freed: Condvar::new(),
+            last: Mutex::default(),
             record: Arc::clone(record),
         });
         let shared = Arc::clone(&searcher);
@@ -152,18 +161,32 @@
             return Ok(true);
         }
         let behaviour = Arc::clone(&self.behaviour.lock().unwrap());
-        let Verdict { status, body, work } = behaviour(request);
-        let stamp = self.begin(request, &id, status, &body);
+        let Verdict { status, body, work, cut } = behaviour(request);
+        let stamp = self.begin(&id, status, &body);
         std::thread::sleep(work);
         let headers = [echo, (STAMP, stamp)];
-        let sent = stream.write_all(&encode_response(status, &headers, &body));
+        let answer = encode_response(status, &headers, &body);
+        let before = self.last.lock().unwrap().insert(stream.peer_addr()?, answer.clone());
+        let cut = if before.is_some() { cut } else { 0 };
+        let sent = stream.write_all(&answer[..answer.len() - cut]);
         self.leave();
+        if let (Some(before), 1..) = (before, cut) {
+            self.record.note(format_args!(
+                "{} leaves out {cut} bytes of its answer to {id} and sends the one before again",
+                self.id
+            ));
+            std::thread::sleep(LATE);
+            for piece in before.chunks(PIECE) {
+                stream.write_all(piece)?;
+                std::thread::sleep(PIECE_INTERVAL);
+            }
+        }
         self.record.note(format_args!("{} answers {id} with {status}", self.id));
         sent.map(|()| true)
     }
 
     /// Records that a request begins to run, and returns the signature of its answer.
-    fn begin(&self, request: &Request, id: &str, status: u16, body: &[u8]) -> String {
+    fn begin(&self, id: &str, status: u16, body: &[u8]) -> String {
         let mut runs = self.record.runs.lock().unwrap();
         let stamp = format!("{}.{id}.{}", self.id, runs.len());
         runs.push(Run {
@@ -172,10 +195,7 @@
             searcher: self.id.clone(),
             stamp: stamp.clone(),
             status,
-            sent: request.body.clone(),
             answer: body.to_vec(),
-            line: format!("{} {}", request.method, request.target),
-            at: self.record.now(),
         });
         drop(runs);
         self.record.note(format_args!("{} of {} runs {id}", self.id, self.service));
