--- a/review/standin-2/searcher.rs
+++ b/review/standin-2/searcher.rs
@@ -83,6 +83,13 @@
 const PIECE: usize = 8;
 const PIECE_INTERVAL: Duration = Duration::from_millis(3);
 
+/// The requests at a searcher.
+#[derive(Default)]
+struct Load {
+    running: usize,
+    waiting: usize,
+}
+
 type Behaviour = dyn Fn(&Request) -> Verdict + Send + Sync;
 
 /// A searcher.
@@ -92,7 +99,7 @@
     pub zone: String,
     pub address: SocketAddr,
     behaviour: Mutex<Arc<Behaviour>>,
-    busy: Mutex<usize>,
+    load: Mutex<Load>,
     freed: Condvar,
     /// The last answer on each connection.
     last: Mutex<HashMap<SocketAddr, Vec<u8>>>,
@@ -114,7 +121,7 @@
             zone: zone.to_owned(),
             address: listener.local_addr()?,
             behaviour: Mutex::new(Arc::new(behaviour)),
-            busy: Mutex::default(),
+            load: Mutex::default(),
             freed: Condvar::new(),
             last: Mutex::default(),
             record: Arc::clone(record),
@@ -166,7 +173,8 @@
         std::thread::sleep(work);
         let headers = [echo, (STAMP, stamp)];
         let answer = encode_response(status, &headers, &body);
-        let before = self.last.lock().unwrap().insert(stream.peer_addr()?, answer.clone());
+        let peer = stream.peer_addr().ok();
+        let before = peer.and_then(|peer| self.last.lock().unwrap().insert(peer, answer.clone()));
         let cut = if before.is_some() { cut } else { 0 };
         let sent = stream.write_all(&answer[..answer.len() - cut]);
         self.leave();
@@ -204,24 +212,21 @@
 
     /// Waits for a slot; returns whether there is one or room to wait.
     fn enter(&self) -> bool {
-        let mut busy = self.busy.lock().unwrap();
-        if *busy >= SLOTS + QUEUE {
+        let mut load = self.load.lock().unwrap();
+        if load.running >= SLOTS && load.waiting >= QUEUE {
             return false;
         }
-        *busy += 1;
-        while *busy > SLOTS {
-            let (guard, waited) =
-                self.freed.wait_timeout(busy, Duration::from_millis(500)).unwrap();
-            busy = guard;
-            if waited.timed_out() {
-                break;
-            }
+        load.waiting += 1;
+        while load.running >= SLOTS {
+            load = self.freed.wait(load).unwrap();
         }
+        load.waiting -= 1;
+        load.running += 1;
         true
     }
 
     fn leave(&self) {
-        *self.busy.lock().unwrap() -= 1;
+        self.load.lock().unwrap().running -= 1;
         self.freed.notify_one();
     }
 }
