Count and log answers of searchers other than a signed 200, also those of delegated shards

The logs of a fleet whose answers named failures as parts had no line of these failures: an answer that was taken for a success left none, and a member that asks searchers for another logged nothing of their failures, nor did the member that asked it. Each such answer is now counted by status and verdict, and a request's summary names its searchers; a member logs the failed attempts of a query under the caller's identifier once the last of them has ended. What is taken for a success is as before.

--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -17,7 +17,7 @@
 use bergamot_upstream::{Lease, Reuse};
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::Response;
+use hyper::{Response, StatusCode};
 
 use crate::attempt::AttemptLimits;
 use crate::dialect::{RequestMetadata, ResponseMetadata};
@@ -160,7 +160,7 @@
         AttemptError { fault: error.fault(), ..AttemptError::new(ending, error) }
     })?;
     lease.release_soon();
-    classify_response(relay, link, Response::from_parts(parts, body), metadata)
+    classify_response(relay, link, job, Response::from_parts(parts, body), metadata)
 }
 
 fn build_request(
@@ -190,19 +190,30 @@
 fn classify_response(
     relay: &Relay,
     link: &SearcherLink,
+    job: &Job,
     response: Response<Bytes>,
     metadata: ResponseMetadata,
 ) -> Result<SearcherResponse, AttemptError> {
     let status = response.status();
+    let count = |verdict| {
+        if status != StatusCode::OK || verdict != "success" {
+            relay.meter().responses.count_not_ok(status, verdict);
+            job.failure_log.record_response(&link.upstream, status, verdict);
+        }
+    };
     if metadata.misdirected {
+        count("misdirected");
         relay.mark_ended(&link.upstream.incarnation, metadata.searcher.as_deref());
         return Err(AttemptError::new(Ending::NotRun, "another searcher answered at this address"));
     }
     if metadata.not_run {
+        count("not_run");
         let cause = format!("not executed, status {}", status.as_u16());
         return Err(AttemptError { refused: true, ..AttemptError::new(Ending::NotRun, cause) });
     }
     let signed = metadata.signature.is_some();
+    let failed = status.is_server_error() || !signed;
+    count(if failed { "failed" } else { "success" });
     if !signed && status.is_success() {
         return Err(AttemptError::new(Ending::Unknown, "successful response without a signature"));
     }
@@ -210,7 +221,7 @@
     let mut headers = parts.headers;
     strip_hop_by_hop_headers(&mut headers);
     let response = SearcherResponse { status, headers, body, signature: metadata.signature };
-    if status.is_server_error() || !signed {
+    if failed {
         let error =
             AttemptError::new(Ending::Failed, format!("failed, status {}", status.as_u16()));
         return Err(AttemptError { response: signed.then(|| Box::new(response)), ..error });
--- a/crates/relay/src/failure_log.rs
+++ b/crates/relay/src/failure_log.rs
@@ -2,8 +2,8 @@
 //!
 //! A gathered request asks hundreds of searchers. With one line for each failed attempt and each
 //! shard left out, a single member wrote 130 lines a second while searchers crashed. Invariant: a
-//! request adds at most two lines regardless of its number of shards; each gives the counts by type
-//! and the first few cases in detail.
+//! request adds at most three lines regardless of its number of shards; each gives the counts by
+//! type and the first few cases in detail.
 
 use std::collections::BTreeMap;
 use std::fmt::Write as _;
@@ -12,7 +12,8 @@
 use bergamot_base::Name;
 use bergamot_dispatch::Ending;
 use bergamot_placement::WithheldCounts;
-use bergamot_registry::Incarnation;
+use bergamot_registry::{Incarnation, Upstream};
+use hyper::StatusCode;
 use hyper::header::HeaderValue;
 
 use crate::race::TriedSearcher;
@@ -53,11 +54,21 @@
 /// The failures of one request.
 #[derive(Debug, Default)]
 pub(crate) struct FailureLog {
+    responses: Mutex<FailureGroup>,
     failed: Mutex<FailureGroup>,
     left_out: Mutex<FailureGroup>,
 }
 
 impl FailureLog {
+    /// Records a complete response other than a signed 200, and what it was taken for.
+    pub(crate) fn record_response(&self, upstream: &Upstream, status: StatusCode, verdict: &str) {
+        let (searcher, mut responses) = (&upstream.incarnation, lock(&self.responses));
+        let variant = format!("{} {verdict}", status.as_u16());
+        if responses.note(variant, || format!("{} {searcher}", upstream.service)) {
+            responses.searchers.push(searcher.to_string());
+        }
+    }
+
     /// Records a failed attempt.
     pub(crate) fn record_attempt(
         &self,
@@ -97,9 +108,11 @@
 
     /// Logs the summary of a request.
     pub(crate) fn log(&self, request: &HeaderValue) {
-        for (event, group) in
-            [("attempts_failed", &self.failed), ("shards_left_out", &self.left_out)]
-        {
+        for (event, group) in [
+            ("responses_not_ok", &self.responses),
+            ("attempts_failed", &self.failed),
+            ("shards_left_out", &self.left_out),
+        ] {
             if let Some(line) = lock(group).line() {
                 log::info!("relay: event={event} request={request:?} {line}");
             }
--- a/crates/relay/src/meter.rs
+++ b/crates/relay/src/meter.rs
@@ -5,6 +5,7 @@
 use bergamot_answer::Usage;
 use bergamot_dispatch::{Distance, Ending};
 use bergamot_placement::WithheldCounts;
+use hyper::StatusCode;
 use prometheus::{
     HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
 };
@@ -118,6 +119,7 @@
 /// The metrics of the responses of searchers.
 #[derive(Debug)]
 pub(crate) struct ResponseMeter {
+    not_ok: IntCounterVec,
     pub(crate) findings: IntCounterVec,
     bytes: IntGauge,
     peak_bytes: IntGauge,
@@ -126,6 +128,12 @@
 impl ResponseMeter {
     fn new(registry: &Registry) -> Self {
         Self {
+            not_ok: counters(
+                registry,
+                "bergamot_relay_responses_not_ok_total",
+                "Complete responses of searchers other than a signed 200, by status and verdict.",
+                &["status", "verdict"],
+            ),
             findings: counters(
                 registry,
                 "bergamot_relay_findings_total",
@@ -145,6 +153,11 @@
         }
     }
 
+    /// Counts a complete response that is not a signed 200.
+    pub(crate) fn count_not_ok(&self, status: StatusCode, verdict: &str) {
+        self.not_ok.with_label_values(&[status.as_str(), verdict]).inc();
+    }
+
     /// Records the memory that responses use.
     pub(crate) fn record_memory(&self, usage: Usage) {
         self.bytes.set(usage.held as i64);
--- a/crates/relay/src/shard_query.rs
+++ b/crates/relay/src/shard_query.rs
@@ -11,6 +11,7 @@
 use bergamot_declaration::Idempotency;
 use bergamot_dispatch::{Ending, RECORD_LEN, Tally, merge_top_k};
 use bergamot_placement::Constraints;
+use bergamot_registry::Upstream;
 use bergamot_wire::{Late, ShardOutcome, ShardQuery, ShardReply};
 use bytes::Bytes;
 use futures::future::BoxFuture;
@@ -48,12 +49,13 @@
 /// The attempts that continue after the reply to a query, in a task that is aborted with this value.
 #[derive(Debug)]
 struct LateAttempts {
+    job: Arc<Job>,
     results: mpsc::UnboundedReceiver<ShardResult>,
     _task: AbortOnDropHandle<()>,
 }
 
 impl LateAttempts {
-    fn start(mut attempts: RunningAttempts) -> Self {
+    fn start(job: Arc<Job>, mut attempts: RunningAttempts) -> Self {
         let (sender, results) = mpsc::unbounded_channel();
         let task = tokio::spawn(async move {
             while let Some(result) = attempts.next().await {
@@ -61,7 +63,7 @@
                 let _closed = sender.send(result);
             }
         });
-        Self { results, _task: AbortOnDropHandle::new(task) }
+        Self { job, results, _task: AbortOnDropHandle::new(task) }
     }
 
     /// Waits for the next attempts to end; returns none if all have.
@@ -74,6 +76,13 @@
     }
 }
 
+impl Drop for LateAttempts {
+    /// Logs the failures of the query once no attempt is left.
+    fn drop(&mut self) {
+        self.job.failure_log.log(&self.job.request.id);
+    }
+}
+
 /// The answer to a query of another member.
 #[derive(Debug)]
 pub(crate) struct Answered {
@@ -101,7 +110,7 @@
         return Answered { reply, busy: 0 };
     };
     // Attempts for other members must not affect the latencies that this member learns for its own
-    // routes, hence the empty route name. The sender is told of each failure and logs it.
+    // routes, hence the empty route name.
     let route = JobRoute {
         name: Name::from(""),
         kind: Idempotency::Idempotent,
@@ -133,7 +142,6 @@
                 shards[index] = ShardOutcome::NotAsked;
             }
             Err(error) => {
-                relay.meter().count_ending(error.ending);
                 if let ShardOutcome::Silent(searcher) = &shards[index] {
                     let failed_outcome = if error.searcher_ended {
                         ShardOutcome::Ended
@@ -145,7 +153,12 @@
             }
         }
     }
-    let rest = if attempts.is_empty() { 0 } else { store_late(relay, attempts) };
+    let rest = if attempts.is_empty() {
+        job.failure_log.log(&job.request.id);
+        0
+    } else {
+        store_late(relay, &job, attempts)
+    };
     let mut records = merge_top_k(&parts, top_k);
     let others = records.split_off(enough.min(records.len()));
     let left_out = if others.is_empty() { 0 } else { store_left_out(relay, others) };
@@ -172,7 +185,12 @@
         let limits = AttemptLimits { connect_by, deadline, is_after_fault: false, trial: false };
         let (relay, job) = (Arc::clone(relay), Arc::clone(job));
         attempts.push(Box::pin(async move {
-            let (_link, outcome) = attempt(&relay, link, &job, limits).await;
+            let (link, outcome) = attempt(&relay, link, &job, limits).await;
+            if let Err(error) = &outcome {
+                let Upstream { service, incarnation, .. } = &*link.upstream;
+                job.failure_log.record_attempt(service, incarnation, error.ending, &error.cause);
+                relay.meter().count_ending(error.ending);
+            }
             (index, outcome)
         }));
     }
@@ -180,8 +198,8 @@
 }
 
 /// Stores the running attempts until the sender asks for their results.
-fn store_late(relay: &Arc<Relay>, attempts: RunningAttempts) -> u64 {
-    let late = LateAttempts::start(attempts);
+fn store_late(relay: &Arc<Relay>, job: &Arc<Job>, attempts: RunningAttempts) -> u64 {
+    let late = LateAttempts::start(Arc::clone(job), attempts);
     let token = relay.with_pending(|pending| pending.late.insert(late));
     // Attempts unclaimed by then are aborted: the sender has responded without them.
     let unclaimed = relay.settings.policy.delegate.unclaimed;
@@ -224,11 +242,11 @@
     if !ended.is_empty() {
         relay.with_pending(|pending| pending.late.put_back(token, attempts));
     }
-    ended.into_iter().map(|(index, outcome)| late(relay, index, outcome)).collect()
+    ended.into_iter().map(|(index, outcome)| late(index, outcome)).collect()
 }
 
 /// Describes the end of an attempt after the reply.
-fn late(relay: &Relay, index: usize, outcome: Result<SearcherResponse, AttemptError>) -> Late {
+fn late(index: usize, outcome: Result<SearcherResponse, AttemptError>) -> Late {
     let index = index as u32;
     match outcome {
         Ok(response) => {
@@ -236,7 +254,6 @@
             Late { index, signature, records: response.body.to_vec(), ended: false }
         }
         Err(error) => {
-            relay.meter().count_ending(error.ending);
             Late { index, signature: None, records: Vec::new(), ended: error.searcher_ended }
         }
     }
