A test of searchers that fail with any status, red on the code as it stands

Two shards, each searcher fails two of five requests: with 18 statuses under 500 16 or 32 of 40 answers name a failure as a part, a member's reply holds it as the part, and if every searcher fails the caller gets a success of failures alone. With 421 2 of 40 are whole, since the searchers count as ended. None is wrong with 500, 502, 503, 504 and 599.

--- /dev/null
+++ b/crates/relay/tests/statuses.rs
@@ -0,0 +1,128 @@
+//! Searchers that fail requests with any status.
+//!
+//! Guards against a status that is taken for what it means elsewhere: a searcher's failure became a
+//! part of a merged answer because its status was under 500.
+
+mod support;
+
+use std::sync::Arc;
+
+use bergamot_declaration::{Idempotency, Residency};
+use bergamot_relay::{Relay, Reply, Request};
+use bergamot_standin::{RecordedRequest, ScriptedServer, Step};
+use bergamot_wire::ShardOutcome;
+use hyper::header::HeaderValue;
+use support::{gather, relay, request, route, script, shard_query, upstream};
+
+/// Statuses that are no success with complete content.
+const FAILURES: [u16; 24] = [
+    206, 300, 302, 304, 400, 401, 403, 404, 405, 408, 409, 410, 413, 421, 422, 429, 431, 451, 499,
+    500, 502, 503, 504, 599,
+];
+
+/// How many requests are sent one after the other for each status.
+const REQUESTS: usize = 40;
+
+/// The signature of a failure.
+const FAILURE: &str = "failure";
+
+/// A signed answer with a status.
+fn answer(seen: &RecordedRequest, status: u16) -> Vec<Step> {
+    let id = seen.header("x-id").unwrap_or_default();
+    let signature = if status == 200 { "good" } else { FAILURE };
+    let body = if status == 304 { "" } else { "sixteen bytes of" };
+    let length = body.len();
+    let text = format!(
+        "HTTP/1.1 {status} Status\r\nx-id: {id}\r\nx-signature: {signature}\r\n\
+         content-length: {length}\r\n\r\n{body}"
+    );
+    vec![Step::Send(text.into_bytes())]
+}
+
+/// A searcher that fails two of five requests with a status; `first` is the remainder of the first.
+async fn failing(status: u16, first: usize) -> ScriptedServer {
+    script(move |seen| {
+        let number: usize = seen.header("x-id").and_then(|id| id[1..].parse().ok()).unwrap_or(0);
+        answer(seen, if (first..first + 2).contains(&(number % 5)) { status } else { 200 })
+    })
+    .await
+}
+
+fn numbered(path: &'static str, number: usize) -> Request {
+    let id = HeaderValue::from_str(&format!("r{number}")).expect("valid header value");
+    Request { id, ..request(path) }
+}
+
+/// A relay with one route to two shards. Each of the two searchers of a shard fails two of five
+/// requests, none of which the other fails.
+async fn relay_of_two_shards(status: u16) -> (Arc<Relay>, Vec<ScriptedServer>) {
+    let (mut searchers, mut upstreams) = (Vec::new(), Vec::new());
+    for service in ["p", "q"] {
+        for first in [0, 2] {
+            let searcher = failing(status, first).await;
+            upstreams.push(upstream(&format!("{service}{first}"), service, &searcher));
+            searchers.push(searcher);
+        }
+    }
+    let target = gather(&["p", "q"], 0.5);
+    (relay(vec![route("/q/", Idempotency::Idempotent, target)], upstreams), searchers)
+}
+
+/// Guards against a failure among the parts of a merged answer, and against shards that are missing
+/// although another searcher has them.
+#[tokio::test]
+async fn a_failure_of_any_status_is_no_part_and_its_shard_comes_from_another_searcher() {
+    let mut faults = Vec::new();
+    for status in FAILURES {
+        let (relay, _searchers) = relay_of_two_shards(status).await;
+        let (mut wrong, mut whole) = (0, 0);
+        for number in 0..REQUESTS {
+            let Reply::Merged(merged) = relay.handle(numbered("/q/", number)).await else {
+                continue;
+            };
+            wrong += usize::from(merged.signatures.iter().any(|signature| signature == FAILURE));
+            whole += usize::from(merged.missing == 0);
+        }
+        println!("gathered, status {status}: {wrong} wrong, {whole} whole of {REQUESTS}");
+        if wrong > 0 || whole < REQUESTS {
+            faults.push(format!("status {status}: {wrong} wrong, {whole} whole"));
+        }
+    }
+    assert!(faults.is_empty(), "{faults:#?}");
+}
+
+/// Guards against a failure in the merged records of a member that was asked for shards.
+#[tokio::test]
+async fn a_failure_of_any_status_is_no_part_of_a_members_reply() {
+    let mut taken = Vec::new();
+    for status in FAILURES {
+        let searcher = script(move |seen| answer(seen, status)).await;
+        let target = gather(&["p"], 1.0);
+        let routes = vec![route("/q/", Idempotency::Idempotent, target)];
+        let relay = relay(routes, vec![upstream("p1", "p", &searcher)]);
+        let query = shard_query(&["p"]);
+        let reply = relay.answer_shard_query(query, Residency::default()).await;
+        if matches!(reply.shards[0], ShardOutcome::In(_)) || !reply.records.is_empty() {
+            taken.push(status);
+        }
+    }
+    assert!(taken.is_empty(), "taken for parts: {taken:?}");
+}
+
+/// Guards against a success made of failures alone, and against a shard's failure as the answer to
+/// the whole request.
+#[tokio::test]
+async fn a_failure_of_any_status_by_every_searcher_is_no_success() {
+    let mut faults = Vec::new();
+    for status in FAILURES {
+        let searcher = script(move |seen| answer(seen, status)).await;
+        let upstreams = vec![upstream("p1", "p", &searcher), upstream("q1", "q", &searcher)];
+        let target = gather(&["p", "q"], 0.5);
+        let relay = relay(vec![route("/q/", Idempotency::Idempotent, target)], upstreams);
+        let reply = relay.handle(numbered("/q/", 0)).await;
+        if !matches!(reply, Reply::Refused(_)) {
+            faults.push(format!("status {status}: {reply:?}"));
+        }
+    }
+    assert!(faults.is_empty(), "{faults:#?}");
+}
