One verdict of a searcher's answer: from its status, its signature and what it states

The module holds what an answer says of its request as one value, for the readers of both interfaces: 'under 500' was taken for a result in one place, 'not a server error' in two others, and a status that promises 'not run' was passed on by a third. Nothing uses it yet.

--- a/crates/answer/src/lib.rs
+++ b/crates/answer/src/lib.rs
@@ -7,8 +7,9 @@
 //! nothing is passed on while no request waits.
 //!
 //! [`Limits`] bounds what one answer may hold or cost, and [`Memory`] what all answers in progress
-//! in a process hold together. All types are free of I/O; `bergamot-upstream` connects them to
-//! sockets. See `docs/design/0020-answers-of-searchers.md`.
+//! in a process hold together. [`Verdict`] is what a complete answer says of its request. All types
+//! are free of I/O; `bergamot-upstream` connects them to sockets. See
+//! `docs/design/0020-answers-of-searchers.md`.
 
 mod attribution;
 mod fault;
@@ -16,9 +17,11 @@
 mod inspector;
 mod limits;
 mod memory;
+mod verdict;
 
 pub use attribution::Attribution;
 pub use fault::{Fault, Limit};
 pub use inspector::{Finding, Inspector, Stray};
 pub use limits::{CHUNK_BYTES, Limits};
 pub use memory::{Buffer, Exhausted, Memory, Usage};
+pub use verdict::{Statement, Verdict, promises_not_run};
