Only a signed success with complete content is a part of a gathered answer

Callers of gathered routes got successes that named, among their parts, a searcher's failure, and records cut from its text.

Cause: classify_response took each signed answer with a status under 500 for a success, as a route to a single searcher needs it to pass an answer on; the gather, a member asked for shards and a trial added it without a look at the status. 'Complete' was read as 'no server error' in two other places.

Change: the verdict of an answer (answer::Verdict) is taken once from its head; an attempt succeeds only with Verdict::Success. A failed shard is asked for at its other searcher as after a 500. A request that no shard has accepted may itself be at fault: one attempt tests that before others follow, so that a caller's mistake doesn't double the load. The failure of a shard is never forwarded as the answer to the whole.

--- a/crates/dispatch/src/tally.rs
+++ b/crates/dispatch/src/tally.rs
@@ -16,6 +16,30 @@
     Fail,
 }
 
+/// Whether another searcher may be asked for a shard whose searcher rejected the request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RejectedRetry {
+    /// One may be asked: another shard has accepted the request.
+    Now,
+    /// One may be asked, to test whether the request is at fault.
+    Test,
+    /// It is not known yet whether the request is at fault.
+    Wait,
+    /// The request is at fault.
+    Never,
+}
+
+/// What is known of a request that searchers rejected, while no shard has arrived.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Doubt {
+    /// No second searcher of any shard was asked.
+    Untested,
+    /// The second searcher of one shard was asked.
+    Tested,
+    /// All attempts have ended without a success.
+    Confirmed,
+}
+
 /// The state of the shards of one request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Tally {
@@ -28,6 +52,7 @@
     left_out: usize,
     /// The result of [`Tally::needs_deferred`], once it was decided.
     retry_deferred: Option<bool>,
+    doubt: Doubt,
 }
 
 impl Tally {
@@ -41,6 +66,7 @@
             deferred: 0,
             left_out: 0,
             retry_deferred: None,
+            doubt: Doubt::Untested,
         }
     }
 
@@ -127,6 +153,33 @@
         *self.retry_deferred.get_or_insert(retry)
     }
 
+    /// Decides whether a shard whose searcher rejected the request is asked for again, while that is
+    /// deferred.
+    ///
+    /// A mistake of the caller is rejected by every searcher of every shard. Asking all shards twice
+    /// would double the load of the fleet, so that one attempt tests it while no shard has arrived.
+    pub fn retry_rejected(&mut self) -> RejectedRetry {
+        if self.arrived > 0 {
+            return RejectedRetry::Now;
+        }
+        if self.doubt == Doubt::Tested && self.first_attempts_ended() {
+            self.doubt = Doubt::Confirmed;
+        }
+        match self.doubt {
+            Doubt::Untested => {
+                self.doubt = Doubt::Tested;
+                RejectedRetry::Test
+            }
+            Doubt::Tested => RejectedRetry::Wait,
+            Doubt::Confirmed => RejectedRetry::Never,
+        }
+    }
+
+    /// Records that the attempt of [`RejectedRetry::Test`] could not be made.
+    pub fn withdraw_test(&mut self) {
+        self.doubt = Doubt::Untested;
+    }
+
     /// Returns whether fewer shards have arrived than the coverage requires.
     pub fn is_below_coverage(&self) -> bool {
         self.arrived < self.required
--- a/crates/relay/src/dialect.rs
+++ b/crates/relay/src/dialect.rs
@@ -2,10 +2,11 @@
 
 use std::time::Duration;
 
+use bergamot_answer::{Statement, Verdict};
 use bergamot_base::Name;
-use hyper::HeaderMap;
 use hyper::header::HeaderValue;
 use hyper::http::response::Parts;
+use hyper::{HeaderMap, StatusCode};
 
 /// Metadata sent with each request to a searcher.
 #[derive(Clone, Copy, Debug)]
@@ -26,12 +27,24 @@
     pub signature: Option<HeaderValue>,
     /// Whether the searcher states that it did not run the request.
     pub not_run: bool,
-    /// Whether a searcher other than the intended one answered.
+    /// Whether the status says that a searcher other than the intended one answered.
     pub misdirected: bool,
     /// The identifier of the searcher that answered, if present.
     pub searcher: Option<Name>,
 }
 
+impl ResponseMetadata {
+    /// Judges the response with this metadata and a status.
+    pub(crate) fn verdict(&self, status: StatusCode) -> Verdict {
+        Verdict::of(Statement {
+            status: status.as_u16(),
+            is_signed: self.signature.is_some(),
+            denies_run: self.not_run,
+            is_misdirected: self.misdirected,
+        })
+    }
+}
+
 /// The encoding used with the searchers of one platform.
 #[derive(Clone, Copy, Debug)]
 pub struct Dialect {
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -9,7 +9,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use bergamot_answer::Fault;
+use bergamot_answer::{Fault, Verdict};
 use bergamot_base::Deadline;
 use bergamot_declaration::Idempotency;
 use bergamot_dispatch::{Distance, Ending};
@@ -36,8 +36,8 @@
     pub(crate) connection_lost: bool,
     /// Whether the searcher process has ended.
     pub(crate) searcher_ended: bool,
-    /// Whether the searcher refused the request, as it does while it is full.
-    pub(crate) refused: bool,
+    /// What the searcher's complete response says of the request, if there was one.
+    pub(crate) verdict: Option<Verdict>,
     /// Why the received bytes could not be read as the response, if that is the cause.
     pub(crate) fault: Option<Fault>,
     /// The searcher's error response, if it can be forwarded.
@@ -51,7 +51,7 @@
             cause: cause.to_string(),
             connection_lost: false,
             searcher_ended: false,
-            refused: false,
+            verdict: None,
             fault: None,
             response: None,
         }
@@ -76,6 +76,12 @@
         self.link.estimator().record_answer(self.sent, Instant::now());
     }
 
+    /// Records that the searcher rejected the request.
+    fn rejected(mut self) {
+        self.resolved = true;
+        self.link.estimator().record_end(self.sent);
+    }
+
     fn failed(mut self) {
         self.resolved = true;
         let mut estimator = self.link.estimator();
@@ -127,7 +133,10 @@
             Ok(response)
         }
         Err(error) => {
-            pending.failed();
+            match error.verdict {
+                Some(Verdict::Rejected) => pending.rejected(),
+                _ => pending.failed(),
+            }
             if error.ending.did_not_run() {
                 job.record_not_run();
             }
@@ -154,13 +163,14 @@
     })?;
     let (parts, body) = response.into_parts();
     let metadata = (relay.dialect().read_response)(&parts);
+    let verdict = metadata.verdict(parts.status);
     let body = link.pool.read_body(body).await.map_err(|error| {
         // The head states whether the request ran, even if the body is truncated.
-        let ending = if metadata.not_run { Ending::NotRun } else { Ending::Unknown };
+        let ending = if verdict.did_not_run() { Ending::NotRun } else { Ending::Unknown };
         AttemptError { fault: error.fault(), ..AttemptError::new(ending, error) }
     })?;
     lease.release_soon();
-    classify_response(relay, link, job, Response::from_parts(parts, body), metadata)
+    classify_response(relay, link, job, Response::from_parts(parts, body), (metadata, verdict))
 }
 
 fn build_request(
@@ -186,47 +196,40 @@
     Ok(request)
 }
 
-/// Classifies a complete response.
+/// Returns a complete response if it is a success, and otherwise what it implies.
 fn classify_response(
     relay: &Relay,
     link: &SearcherLink,
     job: &Job,
     response: Response<Bytes>,
-    metadata: ResponseMetadata,
+    (metadata, verdict): (ResponseMetadata, Verdict),
 ) -> Result<SearcherResponse, AttemptError> {
+    let ResponseMetadata { signature, searcher, .. } = metadata;
     let status = response.status();
-    let count = |verdict| {
-        if status != StatusCode::OK || verdict != "success" {
-            relay.meter().responses.count_not_ok(status, verdict);
-            job.failure_log.record_response(&link.upstream, status, verdict);
-        }
-    };
-    if metadata.misdirected {
-        count("misdirected");
-        relay.mark_ended(&link.upstream.incarnation, metadata.searcher.as_deref());
-        return Err(AttemptError::new(Ending::NotRun, "another searcher answered at this address"));
-    }
-    if metadata.not_run {
-        count("not_run");
-        let cause = format!("not executed, status {}", status.as_u16());
-        return Err(AttemptError { refused: true, ..AttemptError::new(Ending::NotRun, cause) });
+    if status != StatusCode::OK || verdict != Verdict::Success {
+        relay.meter().responses.count_not_ok(status, verdict.label());
+        job.failure_log.record_response(&link.upstream, status, verdict.label());
     }
-    let signed = metadata.signature.is_some();
-    let failed = status.is_server_error() || !signed;
-    count(if failed { "failed" } else { "success" });
-    if !signed && status.is_success() {
-        return Err(AttemptError::new(Ending::Unknown, "successful response without a signature"));
+    if verdict == Verdict::Misdirected {
+        relay.mark_ended(&link.upstream.incarnation, searcher.as_deref());
     }
     let (parts, body) = response.into_parts();
     let mut headers = parts.headers;
     strip_hop_by_hop_headers(&mut headers);
-    let response = SearcherResponse { status, headers, body, signature: metadata.signature };
-    if failed {
-        let error =
-            AttemptError::new(Ending::Failed, format!("failed, status {}", status.as_u16()));
-        return Err(AttemptError { response: signed.then(|| Box::new(response)), ..error });
-    }
-    Ok(response)
+    let response = SearcherResponse { status, headers, body, signature, verdict };
+    let ending = match verdict {
+        Verdict::Success => return Ok(response),
+        Verdict::Rejected | Verdict::Failed => Ending::Failed,
+        Verdict::NotRun | Verdict::Misdirected => Ending::NotRun,
+        Verdict::Unsigned => Ending::Unknown,
+    };
+    let cause = format!("{}, status {}", verdict.label(), status.as_u16());
+    let may_forward = ending == Ending::Failed;
+    Err(AttemptError {
+        verdict: Some(verdict),
+        response: may_forward.then(|| Box::new(response)),
+        ..AttemptError::new(ending, cause)
+    })
 }
 
 fn deadline_at(at: Instant) -> Deadline {
--- a/crates/relay/src/handler.rs
+++ b/crates/relay/src/handler.rs
@@ -85,12 +85,7 @@
         reply: &Reply,
         (took, target): (Duration, Option<Duration>),
     ) {
-        let complete = match reply {
-            Reply::Forwarded(response) => !response.status.is_server_error(),
-            Reply::Merged(merged) => merged.missing == 0,
-            Reply::Refused(_) => false,
-        };
-        let ordinary = complete && target.is_none_or(|target| took <= target);
+        let ordinary = reply.is_complete() && target.is_none_or(|target| took <= target);
         let left_out =
             if ordinary { self.lock().log_sampler.admit(Instant::now()) } else { Some(0) };
         let Some(left_out) = left_out else { return };
--- a/crates/relay/src/member_query.rs
+++ b/crates/relay/src/member_query.rs
@@ -138,9 +138,15 @@
         let part =
             MemberPart { ip: *ip, shards, signatures, records: Bytes::from(records), left_out };
         self.add_merged_part(part);
-        let outcomes = outcomes.into_iter().map(|outcome| self.read_outcome(outcome)).collect();
-        let steps = self.queries[query].query.reply(outcomes, &self.progress);
+        // A member doesn't say whether a searcher failed or rejected the request.
+        let is_doubtful = self.job.tally().arrived() == 0;
+        let read = |outcome| self.read_outcome(outcome, is_doubtful);
+        let outcomes = outcomes.into_iter().map(read).collect();
+        let mut steps = self.queries[query].query.reply(outcomes, &self.progress);
         let lost = steps.ended.clone();
+        if is_doubtful {
+            self.retry_doubtful(&mut steps);
+        }
         self.take_steps(steps, &lost);
         if rest != 0 {
             self.fetch_late_shards(query, rest);
@@ -149,13 +155,16 @@
         }
     }
 
-    /// Applies what the outcome of a shard at a member says of its searcher.
-    fn read_outcome(&mut self, outcome: ShardOutcome) -> Outcome<Incarnation> {
+    /// Applies what the outcome of a shard at a member says of its searcher. A failure says nothing
+    /// while the request itself may be at fault.
+    fn read_outcome(&self, outcome: ShardOutcome, is_doubtful: bool) -> Outcome<Incarnation> {
         match outcome {
             ShardOutcome::In(_) => Outcome::Arrived,
             ShardOutcome::Silent(searcher) => Outcome::Silent(searcher),
             ShardOutcome::Failed(searcher) => {
-                self.relay.record_searcher_failure(&searcher);
+                if !is_doubtful {
+                    self.relay.record_searcher_failure(&searcher);
+                }
                 Outcome::Failed(searcher)
             }
             ShardOutcome::Ended(searcher) => {
@@ -167,6 +176,25 @@
         }
     }
 
+    /// Takes the additional attempts for shards that failed out of `steps`, and makes each once it is
+    /// known that the request is not at fault.
+    fn retry_doubtful(&mut self, steps: &mut Steps<Incarnation>) {
+        let Steps { attempts, ended } = steps;
+        let doubtful = attempts.extract_if(.., |(shard, next)| {
+            ended.contains(shard) && matches!(next, Next::After(_))
+        });
+        for (shard, next) in doubtful.collect::<Vec<_>>() {
+            let Next::After(searcher) = next else { continue };
+            let plan = RacePlan {
+                tried: vec![TriedSearcher::Known(searcher)],
+                hedge_at: None,
+                is_doubtful: true,
+                ..self.plan.clone()
+            };
+            self.start_race(shard, plan);
+        }
+    }
+
     /// Makes the attempts that follow from an event of a query. `lost` are the shards that the
     /// member is expected not to deliver.
     fn take_steps(&mut self, steps: Steps<Incarnation>, lost: &[usize]) {
--- a/crates/relay/src/message.rs
+++ b/crates/relay/src/message.rs
@@ -6,6 +6,7 @@
 use std::time::{Duration, Instant};
 
 use bergamot_admission::Pool;
+use bergamot_answer::Verdict;
 use bergamot_base::Name;
 use bergamot_declaration::{Idempotency, Route};
 use bergamot_dispatch::Tally;
@@ -57,6 +58,8 @@
     pub body: Bytes,
     /// The searcher's signature of its response.
     pub signature: Option<HeaderValue>,
+    /// What it says of the request.
+    pub verdict: Verdict,
 }
 
 /// A response merged from several shards.
@@ -105,6 +108,17 @@
     Refused(Refusal),
 }
 
+impl Reply {
+    /// Returns whether the caller gets all of the result.
+    pub(crate) fn is_complete(&self) -> bool {
+        match self {
+            Self::Forwarded(response) => response.verdict == Verdict::Success,
+            Self::Merged(merged) => merged.missing == 0,
+            Self::Refused(_) => false,
+        }
+    }
+}
+
 /// What a request takes over from the declaration of its route.
 #[derive(Clone, Debug)]
 pub(crate) struct JobRoute {
--- a/crates/relay/src/quarantine.rs
+++ b/crates/relay/src/quarantine.rs
@@ -135,7 +135,13 @@
                 self.clear_suspicion(job, std::slice::from_ref(&service));
                 Ok(TrialResponse { service, response })
             }
-            Err(failure) => Err(self.refuse_failed(job, &service, failure)),
+            Err(mut failure) => {
+                if matches!(target, Target::Gather(_)) {
+                    // The failure of one shard is no answer to the whole request.
+                    failure.response = None;
+                }
+                Err(self.refuse_failed(job, &service, failure))
+            }
         }
     }
 
@@ -195,12 +201,7 @@
         if !self.quarantine().has_records() {
             return;
         }
-        let complete = match reply {
-            Reply::Forwarded(response) => !response.status.is_server_error(),
-            Reply::Merged(merged) => merged.missing == 0,
-            Reply::Refused(_) => false,
-        };
-        if complete {
+        if reply.is_complete() {
             let services: Vec<Name> = target.services().cloned().collect();
             self.clear_suspicion(job, &services);
         }
--- a/crates/relay/src/race.rs
+++ b/crates/relay/src/race.rs
@@ -3,15 +3,17 @@
 //! Invariants: at most as many searchers may run the request as the route allows; each delivery
 //! beyond the first is charged to the service's retry budget; a non-idempotent request has one
 //! attempt at a time, and another only if the request is known not to have run; once a searcher has
-//! ended while running the request, further attempts must pass a gate shared by all its shards.
+//! ended while running the request, further attempts must pass a gate shared by all its shards; a
+//! request that searchers reject is tried elsewhere only as far as they may be at fault.
 
 use std::fmt;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use bergamot_answer::Verdict;
 use bergamot_base::Name;
 use bergamot_declaration::Idempotency;
-use bergamot_dispatch::{AttemptPriority, Ending, RequestTimeouts};
+use bergamot_dispatch::{AttemptPriority, Ending, RejectedRetry, RequestTimeouts};
 use bergamot_policy::Policy;
 use bergamot_quarantine::{Permit, TrialOutcome};
 use bergamot_registry::Incarnation;
@@ -33,6 +35,8 @@
     pub(crate) timed_out: bool,
     /// Whether an attempt got bytes that could not be read as the response.
     met_fault: bool,
+    /// Whether the last searcher that answered rejected the request.
+    is_rejected: bool,
     /// An error response of a searcher that can be forwarded.
     pub(crate) response: Option<Box<SearcherResponse>>,
 }
@@ -74,6 +78,8 @@
     pub(crate) tried: Vec<TriedSearcher>,
     /// Whether the retry budget was already charged for the next attempt.
     pub(crate) is_funded: bool,
+    /// Whether a searcher failed that may have rejected the request, and no shard has arrived.
+    pub(crate) is_doubtful: bool,
     /// Whether only one searcher is asked, to test whether the request crashes it.
     pub(crate) single_attempt: bool,
 }
@@ -94,6 +100,7 @@
             first: None,
             tried: Vec::new(),
             is_funded: false,
+            is_doubtful: false,
             single_attempt: false,
         }
     }
@@ -157,6 +164,7 @@
                 ending: Ending::NotSent,
                 timed_out: false,
                 met_fault: false,
+                is_rejected: false,
                 response: None,
             },
         }
@@ -176,8 +184,13 @@
         if reason != AttemptReason::First && !self.pass_retry_gate().await {
             return None;
         }
+        let permission =
+            if self.plan.is_doubtful { self.await_permission().await } else { RejectedRetry::Now };
+        let is_permitted = permission != RejectedRetry::Never;
         let priority = self.hedge_priority();
-        if self.start_next(reason, priority) != StartResult::Started {
+        let is_started = is_permitted && self.start_next(reason, priority) == StartResult::Started;
+        self.settle_test(permission, is_started);
+        if !is_started {
             self.log_withheld();
             return None;
         }
@@ -191,7 +204,7 @@
                             self.settle_trial(TrialOutcome::Answered);
                             return Some(response);
                         }
-                        Err(error) => self.record_error(&link.upstream.incarnation, error),
+                        Err(error) => self.record_error(&link, error),
                     }
                     let over = self.running.is_empty();
                     if over && !(self.may_retry() && self.retry().await) {
@@ -219,6 +232,14 @@
         if !self.pass_retry_gate().await {
             return false;
         }
+        let permission =
+            if self.worst.is_rejected { self.permit_rejected().await } else { RejectedRetry::Now };
+        let is_started = permission != RejectedRetry::Never && self.start_retry().await;
+        self.settle_test(permission, is_started);
+        is_started
+    }
+
+    async fn start_retry(&mut self) -> bool {
         let priority = if self.job.tally().is_single_searcher() {
             AttemptPriority::Required
         } else {
@@ -235,6 +256,42 @@
         }
     }
 
+    /// Decides whether another searcher is asked after one rejected the request.
+    async fn permit_rejected(&mut self) -> RejectedRetry {
+        if !self.job.tally().is_single_searcher() {
+            return self.await_permission().await;
+        }
+        RejectedRetry::Never
+    }
+
+    /// Waits until the other shards show whether the request is at fault.
+    async fn await_permission(&mut self) -> RejectedRetry {
+        let decision = async {
+            loop {
+                let mut changed = std::pin::pin!(self.job.tally_changed.notified());
+                changed.as_mut().enable();
+                let permission = self.job.tally().retry_rejected();
+                if permission != RejectedRetry::Wait {
+                    return permission;
+                }
+                changed.await;
+            }
+        };
+        self.job.tally().defer();
+        self.job.tally_changed.notify_waiters();
+        let decision = tokio::time::timeout_at(self.plan.deadline.into(), decision).await;
+        self.job.tally().resume();
+        decision.unwrap_or(RejectedRetry::Never)
+    }
+
+    /// Lets another shard test the request if the attempt to do so was not started.
+    fn settle_test(&self, permission: RejectedRetry, is_started: bool) {
+        if permission == RejectedRetry::Test && !is_started {
+            self.job.tally().withdraw_test();
+            self.job.tally_changed.notify_waiters();
+        }
+    }
+
     /// Waits until a further attempt is permitted after a searcher has ended while running the
     /// request. Returns whether it is.
     async fn pass_retry_gate(&mut self) -> bool {
@@ -284,12 +341,13 @@
     }
 
     /// Records the failure of an attempt.
-    fn record_error(&mut self, searcher: &Incarnation, error: AttemptError) {
-        let ending = error.ending;
+    fn record_error(&mut self, link: &Arc<SearcherLink>, error: AttemptError) {
+        let (ending, searcher) = (error.ending, &link.upstream.incarnation);
         self.job.failure_log.record_attempt(self.service, searcher, ending, &error.cause);
         self.relay.meter().count_ending(ending);
         self.worst.met_fault |= error.fault.is_some();
-        if error.refused {
+        self.worst.is_rejected = error.verdict == Some(Verdict::Rejected);
+        if error.verdict == Some(Verdict::NotRun) {
             self.relay.record_shortage(self.job);
         }
         if error.searcher_ended {
--- a/crates/relay/tests/statuses.rs
+++ b/crates/relay/tests/statuses.rs
@@ -8,7 +8,7 @@
 use std::sync::Arc;
 
 use bergamot_declaration::{Idempotency, Residency};
-use bergamot_relay::{Relay, Reply, Request};
+use bergamot_relay::{Cause, Relay, Reply, Request};
 use bergamot_standin::{RecordedRequest, ScriptedServer, Step};
 use bergamot_wire::ShardOutcome;
 use hyper::header::HeaderValue;
@@ -126,3 +126,21 @@
     }
     assert!(faults.is_empty(), "{faults:#?}");
 }
+
+/// Guards against twice the load for requests that every searcher rejects, since the caller made a
+/// mistake.
+#[tokio::test]
+async fn a_mistake_of_the_caller_is_not_sent_to_every_searcher() {
+    let rejecting = script(|seen| answer(seen, 404)).await;
+    let shards: Vec<String> = (0..20).map(|shard| format!("s{shard}")).collect();
+    let shards: Vec<&str> = shards.iter().map(String::as_str).collect();
+    let upstreams = shards.iter().flat_map(|shard| {
+        ["a", "b"].map(|replica| upstream(&format!("{shard}{replica}"), shard, &rejecting))
+    });
+    let routes = vec![route("/q/", Idempotency::Idempotent, gather(&shards, 0.5))];
+    let gathered = relay(routes, upstreams.collect());
+    let reply = gathered.handle(numbered("/q/", 0)).await;
+    assert!(matches!(&reply, Reply::Refused(refusal) if refusal.cause == Cause::Lost), "{reply:?}");
+    let arrived = rejecting.requests().len();
+    assert!((20..=21).contains(&arrived), "{arrived} arrivals of a request to 20 shards");
+}
--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -36,7 +36,7 @@
     let misdirected = parts.status == StatusCode::MISDIRECTED_REQUEST;
     ResponseMetadata {
         signature: header("x-signature"),
-        not_run: misdirected || parts.headers.contains_key("x-not-run"),
+        not_run: parts.headers.contains_key("x-not-run"),
         misdirected,
         searcher: None,
     }
