A searcher that rejects requests at once doesn't draw the work of its service

Callers of a route to one service got failures from a searcher that failed each request at once with 404, though its fellow was sound: it got 197 of 200 requests, and 3 were served; with 500 it got 62, and 200 were served by a second attempt.

Cause: an answer with a status under 500 taught the latency of a very fast searcher, was no failure, and ended the request. A 404 may as well be the truth about a caller's mistake, so that its status alone must not condemn a searcher.

A searcher is blamed for one only if its rate of rejections exceeds that of another of its service.

--- a/crates/dispatch/src/latency.rs
+++ b/crates/dispatch/src/latency.rs
@@ -18,6 +18,7 @@
 use bergamot_policy::Policy;
 
 use crate::load_report::{Measured, Slowness};
+use crate::rejections::RejectionHistory;
 use crate::stalls::{StallHistory, StallPeriod};
 
 /// The minimum weight of a new sample.
@@ -52,6 +53,7 @@
     last_sample: Option<Instant>,
     failure_rate: f64,
     failure_rate_updated: Option<Instant>,
+    rejections: RejectionHistory,
     /// When each unanswered request was sent.
     in_flight: Vec<Instant>,
     last_answer: Option<Instant>,
@@ -76,6 +78,7 @@
             last_sample: None,
             failure_rate: 0.0,
             failure_rate_updated: None,
+            rejections: RejectionHistory::default(),
             in_flight: Vec::new(),
             last_answer: None,
             stall_period,
@@ -108,6 +111,21 @@
         self.update_mean(took, now);
         self.update_slowness(sent, took, now);
         self.update_failure_rate(0.0, now);
+        self.rejections.record_success();
+    }
+
+    /// Records that a request sent at `sent` was rejected, given the lowest rate of rejections of the
+    /// other searchers of the service. A rejection may cost no work, so its latency says nothing.
+    pub fn record_rejection(&mut self, sent: Instant, now: Instant, lowest_other: Option<f64>) {
+        self.record_end(sent);
+        if self.rejections.record_rejection(lowest_other) {
+            self.record_failure(now);
+        }
+    }
+
+    /// Returns the rejections of the searcher.
+    pub fn rejections(&mut self) -> &mut RejectionHistory {
+        &mut self.rejections
     }
 
     /// Records that a request sent at `sent` was abandoned: its latency would have been at least
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -8,6 +8,7 @@
 //! messages between its members. [`ZoneRoundTrips`] tracks the round-trip times to other zones, and
 //! [`CallerDeadlines`] and [`CallerRoundTrip`] estimate how much of a caller's latency is spent
 //! elsewhere.
+//! [`RejectionHistory`] tells a searcher that rejects requests from callers that make mistakes.
 //! [`RequestTimeouts`] computes the timeouts of a request, and [`Ending`] determines what may
 //! follow the end of an exchange. [`leave_out()`] decides which shards of a gathered
 //! request are not queried, [`admit()`] whether it is admitted, [`PlannedStop`] whether it is
@@ -24,6 +25,7 @@
 mod planned_stop;
 mod rank;
 mod record;
+mod rejections;
 mod retry_budget;
 mod retry_delay;
 mod round_trips;
@@ -40,6 +42,7 @@
 pub use planned_stop::{ExpectedDuration, PlannedStop};
 pub use rank::{Candidate, Distance, best};
 pub use record::{RECORD_LEN, may_be_incomplete, merge_top_k, sufficient_records};
+pub use rejections::RejectionHistory;
 pub use retry_budget::{AttemptPriority, RetryBudget, RetryBudgetLimits};
 pub use retry_delay::{Unavailability, retry_delay};
 pub use round_trips::ZoneRoundTrips;
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -77,9 +77,10 @@
     }
 
     /// Records that the searcher rejected the request.
-    fn rejected(mut self) {
+    fn rejected(mut self, relay: &Relay) {
         self.resolved = true;
-        self.link.estimator().record_end(self.sent);
+        let lowest_other = relay.lowest_rejection_rate(self.link);
+        self.link.estimator().record_rejection(self.sent, Instant::now(), lowest_other);
     }
 
     fn failed(mut self) {
@@ -134,7 +135,7 @@
         }
         Err(error) => {
             match error.verdict {
-                Some(Verdict::Rejected) => pending.rejected(),
+                Some(Verdict::Rejected) => pending.rejected(relay),
                 _ => pending.failed(),
             }
             if error.ending.did_not_run() {
--- a/crates/relay/src/race.rs
+++ b/crates/relay/src/race.rs
@@ -17,6 +17,7 @@
 use bergamot_policy::Policy;
 use bergamot_quarantine::{Permit, TrialOutcome};
 use bergamot_registry::Incarnation;
+use rand::RngExt;
 use tokio::time::sleep_until;
 
 use crate::attempt::{AttemptLimits, Attempts};
@@ -137,6 +138,8 @@
     /// Whether the current attempt is the trial that decides for all shards whether the request
     /// crashes searchers.
     trial: bool,
+    /// The searchers that rejected the request.
+    rejected_by: Vec<Arc<SearcherLink>>,
     worst: RaceFailure,
 }
 
@@ -160,6 +163,7 @@
             budget_denied: false,
             finished: false,
             trial: false,
+            rejected_by: Vec::new(),
             worst: RaceFailure {
                 ending: Ending::NotSent,
                 timed_out: false,
@@ -195,6 +199,7 @@
             return None;
         }
         loop {
+            let deadline = self.response_due().min(deadline);
             let due = hedge_at.unwrap_or(deadline).min(deadline);
             tokio::select! {
                 biased;
@@ -202,6 +207,7 @@
                     match outcome {
                         Ok(response) => {
                             self.settle_trial(TrialOutcome::Answered);
+                            self.record_opinions(false);
                             return Some(response);
                         }
                         Err(error) => self.record_error(&link, error),
@@ -261,7 +267,15 @@
         if !self.job.tally().is_single_searcher() {
             return self.await_permission().await;
         }
-        RejectedRetry::Never
+        let mut rng = rand::rng();
+        let mut is_doubted = |link: &Arc<SearcherLink>| {
+            link.estimator().rejections().needs_second_opinion(rng.random())
+        };
+        let has_time = Instant::now() < self.plan.target;
+        match &*self.rejected_by {
+            [link] if has_time && is_doubted(link) => RejectedRetry::Now,
+            _ => RejectedRetry::Never,
+        }
     }
 
     /// Waits until the other shards show whether the request is at fault.
@@ -292,6 +306,24 @@
         }
     }
 
+    /// Returns by when a response is returned. A rejection at hand is probably true, so that a second
+    /// searcher delays it until the target at most.
+    fn response_due(&self) -> Instant {
+        let is_at_hand = self.worst.is_rejected && self.worst.response.is_some();
+        if is_at_hand && self.job.tally().is_single_searcher() {
+            self.plan.target
+        } else {
+            self.plan.deadline
+        }
+    }
+
+    /// Records for the searchers that rejected the request whether another one did so too.
+    fn record_opinions(&self, is_confirmed: bool) {
+        for link in &self.rejected_by {
+            link.estimator().rejections().record_opinion(is_confirmed);
+        }
+    }
+
     /// Waits until a further attempt is permitted after a searcher has ended while running the
     /// request. Returns whether it is.
     async fn pass_retry_gate(&mut self) -> bool {
@@ -347,8 +379,16 @@
         self.relay.meter().count_ending(ending);
         self.worst.met_fault |= error.fault.is_some();
         self.worst.is_rejected = error.verdict == Some(Verdict::Rejected);
-        if error.verdict == Some(Verdict::NotRun) {
-            self.relay.record_shortage(self.job);
+        match error.verdict {
+            Some(Verdict::NotRun) => self.relay.record_shortage(self.job),
+            Some(Verdict::Rejected) => {
+                let is_confirmed = !self.rejected_by.is_empty();
+                self.rejected_by.push(Arc::clone(link));
+                if is_confirmed {
+                    self.record_opinions(true);
+                }
+            }
+            _ => {}
         }
         if error.searcher_ended {
             self.job.retry_gate.record_crash();
--- a/crates/relay/src/searchers.rs
+++ b/crates/relay/src/searchers.rs
@@ -42,6 +42,16 @@
         }
     }
 
+    /// Returns the lowest rate of rejections of the other searchers of a searcher's service.
+    pub(crate) fn lowest_rejection_rate(&self, searcher: &SearcherLink) -> Option<f64> {
+        let upstream = &searcher.upstream;
+        let state = self.lock();
+        let others = state
+            .usable_links(&upstream.service)
+            .filter(|link| link.upstream.incarnation != upstream.incarnation);
+        others.map(|link| link.estimator().rejections().rate()).min_by(f64::total_cmp)
+    }
+
     /// Returns the expected stalls of the searchers near this member.
     pub(crate) fn expected_stalls(&self, shards: &[Name]) -> Vec<QuietPeriod> {
         let now = Instant::now();
--- a/crates/relay/tests/statuses.rs
+++ b/crates/relay/tests/statuses.rs
@@ -6,11 +6,13 @@
 mod support;
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use bergamot_declaration::{Idempotency, Residency, Target};
 use bergamot_relay::{Cause, Relay, Reply, Request};
 use bergamot_standin::{RecordedRequest, ScriptedServer, Step};
 use bergamot_wire::ShardOutcome;
+use futures::future::join_all;
 use hyper::header::HeaderValue;
 use support::{gather, relay, request, route, script, shard_query, upstream};
 
@@ -149,11 +151,67 @@
     }
 }
 
+/// How many requests four callers send together.
+const BURST: usize = 200;
+
+/// Sends requests of four callers beside a searcher that fails each at once and one that answers
+/// after 20 ms. Returns how many are served, and how many arrive at the failing searcher.
+async fn send_beside_failing(kind: Idempotency, status: u16) -> (usize, usize) {
+    let failing = script(move |seen| answer(seen, status)).await;
+    let work = Duration::from_millis(20);
+    let sound = script(move |seen| [vec![Step::Wait(work)], answer(seen, 200)].concat()).await;
+    let upstreams = vec![upstream("i1", "s", &failing), upstream("i2", "s", &sound)];
+    let relay = relay(vec![route("/a/", kind, Target::Service("s".into()))], upstreams);
+    let callers = (0..4).map(|_| {
+        let relay = Arc::clone(&relay);
+        tokio::spawn(async move {
+            let mut served = 0;
+            for number in 0..BURST / 4 {
+                let reply = relay.handle(numbered("/a/", number)).await;
+                served += usize::from(matches!(reply, Reply::Forwarded(r) if r.status == 200));
+            }
+            served
+        })
+    });
+    let mut served = 0;
+    for caller in callers.collect::<Vec<_>>() {
+        served += caller.await.expect("callers don't panic");
+    }
+    (served, failing.requests().len())
+}
+
+/// Guards against a searcher that draws the work of its service by failing it at once, since a
+/// failure looked like a fast answer.
+#[tokio::test]
+async fn a_searcher_that_fails_at_once_does_not_draw_the_work_of_its_service() {
+    let idempotent = [500, 404, 302, 429].map(|status| (Idempotency::Idempotent, status));
+    let others = [500, 404].map(|status| (Idempotency::NonIdempotent, status));
+    let cases = idempotent.into_iter().chain(others);
+    let results = cases.map(|(kind, status)| async move {
+        (kind, status, send_beside_failing(kind, status).await)
+    });
+    for (kind, status, (served, failed)) in join_all(results).await {
+        println!("{kind:?}, status {status}: {served} of {BURST} served, {failed} failed");
+        let all_served = kind == Idempotency::NonIdempotent || served == BURST;
+        assert!(all_served && failed < BURST / 2, "{kind:?}, {status}: {served}, {failed}");
+    }
+}
+
 /// Guards against twice the load for requests that every searcher rejects, since the caller made a
 /// mistake.
 #[tokio::test]
 async fn a_mistake_of_the_caller_is_not_sent_to_every_searcher() {
     let rejecting = script(|seen| answer(seen, 404)).await;
+    let upstreams = ["i1", "i2"].map(|id| upstream(id, "s", &rejecting)).to_vec();
+    let routes = vec![route("/a/", Idempotency::Idempotent, Target::Service("s".into()))];
+    let plain = relay(routes, upstreams);
+    for number in 0..100 {
+        let reply = plain.handle(numbered("/a/", number)).await;
+        assert!(matches!(&reply, Reply::Forwarded(r) if r.status == 404), "{reply:?}");
+    }
+    let arrived = rejecting.requests().len();
+    assert!((100..=130).contains(&arrived), "{arrived} arrivals of 100 requests");
+
     let shards: Vec<String> = (0..20).map(|shard| format!("s{shard}")).collect();
     let shards: Vec<&str> = shards.iter().map(String::as_str).collect();
     let upstreams = shards.iter().flat_map(|shard| {
@@ -163,6 +221,6 @@
     let gathered = relay(routes, upstreams.collect());
     let reply = gathered.handle(numbered("/q/", 0)).await;
     assert!(matches!(&reply, Reply::Refused(refusal) if refusal.cause == Cause::Lost), "{reply:?}");
-    let arrived = rejecting.requests().len();
+    let arrived = rejecting.requests().len() - arrived;
     assert!((20..=21).contains(&arrived), "{arrived} arrivals of a request to 20 shards");
 }
