A searcher is to blame for rejecting what another one accepts

It is now blamed at once if another shard has accepted the request or another searcher accepts it.

What follows a rejection stands in a module of its own, and the two waits for the count of the shards are one function.

--- a/crates/relay/src/message.rs
+++ b/crates/relay/src/message.rs
@@ -245,6 +245,32 @@
         *self.fingerprint.get_or_init(|| self.request.fingerprint())
     }
 
+    /// Defers an attempt for a shard until `decide` returns a decision on it. It is called at each
+    /// change of the count of the shards, and at `until` for the last time, with `true`.
+    pub async fn decide_deferred<T>(
+        &self,
+        until: Instant,
+        decide: impl Fn(&mut Tally, bool) -> Option<T>,
+    ) -> Option<T> {
+        let decision = async {
+            loop {
+                let mut changed = std::pin::pin!(self.tally_changed.notified());
+                changed.as_mut().enable();
+                if let Some(decision) = decide(&mut self.tally(), false) {
+                    return decision;
+                }
+                changed.await;
+            }
+        };
+        self.tally().defer();
+        self.tally_changed.notify_waiters();
+        let decided = tokio::time::timeout_at(until.into(), decision).await;
+        let mut tally = self.tally();
+        let decision = decided.ok().or_else(|| decide(&mut tally, true));
+        tally.resume();
+        decision
+    }
+
     /// Locks the count of the shards.
     pub fn tally(&self) -> MutexGuard<'_, Tally> {
         self.tally.lock().unwrap_or_else(PoisonError::into_inner)
--- a/crates/relay/src/race.rs
+++ b/crates/relay/src/race.rs
@@ -6,6 +6,8 @@
 //! ended while running the request, further attempts must pass a gate shared by all its shards; a
 //! request that searchers reject is tried elsewhere only as far as they may be at fault.
 
+mod rejection;
+
 use std::fmt;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -17,7 +19,6 @@
 use bergamot_policy::Policy;
 use bergamot_quarantine::{Permit, TrialOutcome};
 use bergamot_registry::Incarnation;
-use rand::RngExt;
 use tokio::time::sleep_until;
 
 use crate::attempt::{AttemptLimits, Attempts};
@@ -262,68 +263,6 @@
         }
     }
 
-    /// Decides whether another searcher is asked after one rejected the request.
-    async fn permit_rejected(&mut self) -> RejectedRetry {
-        if !self.job.tally().is_single_searcher() {
-            return self.await_permission().await;
-        }
-        let mut rng = rand::rng();
-        let mut is_doubted = |link: &Arc<SearcherLink>| {
-            link.estimator().rejections().needs_second_opinion(rng.random())
-        };
-        let has_time = Instant::now() < self.plan.target;
-        match &*self.rejected_by {
-            [link] if has_time && is_doubted(link) => RejectedRetry::Now,
-            _ => RejectedRetry::Never,
-        }
-    }
-
-    /// Waits until the other shards show whether the request is at fault.
-    async fn await_permission(&mut self) -> RejectedRetry {
-        let decision = async {
-            loop {
-                let mut changed = std::pin::pin!(self.job.tally_changed.notified());
-                changed.as_mut().enable();
-                let permission = self.job.tally().retry_rejected();
-                if permission != RejectedRetry::Wait {
-                    return permission;
-                }
-                changed.await;
-            }
-        };
-        self.job.tally().defer();
-        self.job.tally_changed.notify_waiters();
-        let decision = tokio::time::timeout_at(self.plan.deadline.into(), decision).await;
-        self.job.tally().resume();
-        decision.unwrap_or(RejectedRetry::Never)
-    }
-
-    /// Lets another shard test the request if the attempt to do so was not started.
-    fn settle_test(&self, permission: RejectedRetry, is_started: bool) {
-        if permission == RejectedRetry::Test && !is_started {
-            self.job.tally().withdraw_test();
-            self.job.tally_changed.notify_waiters();
-        }
-    }
-
-    /// Returns by when a response is returned. A rejection at hand is probably true, so that a second
-    /// searcher delays it until the target at most.
-    fn response_due(&self) -> Instant {
-        let is_at_hand = self.worst.is_rejected && self.worst.response.is_some();
-        if is_at_hand && self.job.tally().is_single_searcher() {
-            self.plan.target
-        } else {
-            self.plan.deadline
-        }
-    }
-
-    /// Records for the searchers that rejected the request whether another one did so too.
-    fn record_opinions(&self, is_confirmed: bool) {
-        for link in &self.rejected_by {
-            link.estimator().rejections().record_opinion(is_confirmed);
-        }
-    }
-
     /// Waits until a further attempt is permitted after a searcher has ended while running the
     /// request. Returns whether it is.
     async fn pass_retry_gate(&mut self) -> bool {
@@ -351,25 +290,14 @@
     /// Waits until the first attempts for all shards have ended or the hedging time has passed.
     /// Returns whether the request needs this shard.
     async fn wait_until_needed(&mut self) -> bool {
-        self.job.tally().defer();
-        let wait = async {
-            loop {
-                let mut changed = std::pin::pin!(self.job.tally_changed.notified());
-                changed.as_mut().enable();
-                if self.job.tally().first_attempts_ended() {
-                    return;
-                }
-                changed.await;
-            }
-        };
-        self.job.tally_changed.notify_waiters();
         let until =
             (self.plan.expected_response_by + self.relay.max_member_delay()).max(Instant::now());
-        let _elapsed = tokio::time::timeout_at(until.into(), wait).await;
-        let mut tally = self.job.tally();
-        let needed = tally.needs_deferred();
-        tally.resume();
-        needed
+        self.job
+            .decide_deferred(until, |tally, is_over| {
+                (is_over || tally.first_attempts_ended()).then(|| tally.needs_deferred())
+            })
+            .await
+            .unwrap_or(false)
     }
 
     /// Records the failure of an attempt.
@@ -381,13 +309,7 @@
         self.worst.is_rejected = error.verdict == Some(Verdict::Rejected);
         match error.verdict {
             Some(Verdict::NotRun) => self.relay.record_shortage(self.job),
-            Some(Verdict::Rejected) => {
-                let is_confirmed = !self.rejected_by.is_empty();
-                self.rejected_by.push(Arc::clone(link));
-                if is_confirmed {
-                    self.record_opinions(true);
-                }
-            }
+            Some(Verdict::Rejected) => self.record_rejection(link),
             _ => {}
         }
         if error.searcher_ended {
--- a/crates/relay/src/shard_query.rs
+++ b/crates/relay/src/shard_query.rs
@@ -7,6 +7,7 @@
 use std::sync::{Arc, PoisonError};
 use std::time::{Duration, Instant};
 
+use bergamot_answer::Verdict;
 use bergamot_base::{Name, TokenMap};
 use bergamot_declaration::Idempotency;
 use bergamot_dispatch::{Ending, RECORD_LEN, Tally, merge_top_k};
@@ -121,7 +122,7 @@
     let tally = Tally::new(names.len(), names.len());
     let job = Arc::new(Job::new(request, route, constraints, tally));
     let mut attempts = start_attempts(relay, &job, &names, (until, deadline), &mut shards);
-    let mut parts = Vec::<Bytes>::new();
+    let (mut parts, mut rejected_by) = (Vec::<Bytes>::new(), Vec::new());
     let mut due = std::pin::pin!(sleep_until(until.into()));
     loop {
         let (index, outcome) = tokio::select! {
@@ -143,6 +144,9 @@
             }
             Err(error) => {
                 if let ShardOutcome::Silent(searcher) = &shards[index] {
+                    if error.verdict == Some(Verdict::Rejected) {
+                        rejected_by.push(searcher.clone());
+                    }
                     let failed_outcome = if error.searcher_ended {
                         ShardOutcome::Ended
                     } else {
@@ -153,6 +157,12 @@
             }
         }
     }
+    if !parts.is_empty() {
+        // Other shards have accepted the request, so the searchers are at fault.
+        for searcher in &rejected_by {
+            relay.record_searcher_failure(searcher);
+        }
+    }
     let rest = if attempts.is_empty() {
         job.failure_log.log(&job.request.id);
         0
