A request that searchers reject ends no worse than one that they fail

Cause: the doubt about a request knew that a test had begun, not how it ended, and a member's report didn't tell a rejection from a failure. Change: only a second rejection confirms that the request is at fault; any other end lets another shard test, as does a test that is overdue. The permission is asked for before the gate. A member leaves rejected shards 'silent' in a reply that nothing follows, which earlier members read as 'ask another'. Second opinions spend optional budget, and count once a race has ended. A rate of rejections is a measure from eight answers on. A rejection shows that the searcher is still there.

Evidence: relay/tests/rejections (each held against 500 on the same searchers).

--- a/crates/dispatch/src/rejections.rs
+++ b/crates/dispatch/src/rejections.rs
@@ -12,6 +12,9 @@
 /// of the difference between two searchers that reject half of their requests.
 const MAX_EXCESS: f64 = 0.3;
 
+/// The number of answers from which on the rate is a measure.
+const MIN_ANSWERS: u32 = 8;
+
 /// The weight of a second answer to a rejected request.
 const OPINION_WEIGHT: f64 = 0.25;
 
@@ -25,6 +28,7 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct RejectionHistory {
     rate: f64,
+    answers: u32,
     /// The share of rejections that another searcher refuted; `None` if none was asked.
     refuted: Option<f64>,
 }
@@ -33,18 +37,22 @@
     /// Records a success.
     pub fn record_success(&mut self) {
         self.rate -= self.rate * RATE_WEIGHT;
+        self.answers = self.answers.saturating_add(1);
     }
 
-    /// Records a rejection, given the lowest rate of the other searchers of the service. Returns
-    /// whether the searcher is to blame.
+    /// Records a rejection, given the lowest rate of the other searchers of the service, `None` if it
+    /// has no other. Returns whether the searcher is to blame.
     pub fn record_rejection(&mut self, lowest_other: Option<f64>) -> bool {
         self.rate += (1.0 - self.rate) * RATE_WEIGHT;
-        lowest_other.is_some_and(|lowest| self.rate - lowest > MAX_EXCESS)
+        self.answers = self.answers.saturating_add(1);
+        self.rate().zip(lowest_other).is_some_and(|(rate, lowest)| rate - lowest > MAX_EXCESS)
     }
 
-    /// Returns the rate of rejections among recent answers.
-    pub fn rate(&self) -> f64 {
-        self.rate
+    /// Returns the rate of rejections among recent answers; `None` after too few of them.
+    pub fn rate(&self) -> Option<f64> {
+        // The initial zero still has this weight.
+        let initial = (1.0 - RATE_WEIGHT).powi(self.answers.min(i32::MAX as u32) as i32);
+        (self.answers >= MIN_ANSWERS).then(|| self.rate / (1.0 - initial))
     }
 
     /// Returns whether another searcher should be asked for a request that this one rejected; `draw`
--- a/crates/dispatch/src/tally.rs
+++ b/crates/dispatch/src/tally.rs
@@ -32,11 +32,11 @@
 /// What is known of a request that searchers rejected, while no shard has arrived.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Doubt {
-    /// No second searcher of any shard was asked.
+    /// No attempt tests the request.
     Untested,
-    /// The second searcher of one shard was asked.
-    Tested,
-    /// All attempts have ended without a success.
+    /// An attempt at the second searcher of one shard tests it.
+    Testing,
+    /// Two searchers of a shard have rejected it.
     Confirmed,
 }
 
@@ -53,6 +53,10 @@
     /// The result of [`Tally::needs_deferred`], once it was decided.
     retry_deferred: Option<bool>,
     doubt: Doubt,
+    /// How many attempts were begun to test the request.
+    tests: usize,
+    /// Whether all shards have ended without a success, after the request was tested.
+    is_at_fault: bool,
 }
 
 impl Tally {
@@ -67,6 +71,8 @@
             left_out: 0,
             retry_deferred: None,
             doubt: Doubt::Untested,
+            tests: 0,
+            is_at_fault: false,
         }
     }
 
@@ -159,25 +165,33 @@
     /// A mistake of the caller is rejected by every searcher of every shard. Asking all shards twice
     /// would double the load of the fleet, so that one attempt tests it while no shard has arrived.
     pub fn retry_rejected(&mut self) -> RejectedRetry {
-        if self.arrived > 0 {
-            return RejectedRetry::Now;
-        }
-        if self.doubt == Doubt::Tested && self.first_attempts_ended() {
-            self.doubt = Doubt::Confirmed;
-        }
         match self.doubt {
-            Doubt::Untested => {
-                self.doubt = Doubt::Tested;
-                RejectedRetry::Test
+            _ if self.arrived > 0 => RejectedRetry::Now,
+            Doubt::Untested => self.test_again(),
+            Doubt::Confirmed if self.first_attempts_ended() => {
+                self.is_at_fault = true;
+                RejectedRetry::Never
             }
-            Doubt::Tested => RejectedRetry::Wait,
-            Doubt::Confirmed => RejectedRetry::Never,
+            Doubt::Confirmed if self.is_at_fault => RejectedRetry::Never,
+            Doubt::Testing | Doubt::Confirmed => RejectedRetry::Wait,
         }
     }
 
-    /// Records that the attempt of [`RejectedRetry::Test`] could not be made.
-    pub fn withdraw_test(&mut self) {
-        self.doubt = Doubt::Untested;
+    /// Begins a test of the request, although one in progress may still end.
+    pub fn test_again(&mut self) -> RejectedRetry {
+        self.doubt = Doubt::Testing;
+        self.tests += 1;
+        RejectedRetry::Test
+    }
+
+    /// Returns how many tests have begun.
+    pub fn tests(&self) -> usize {
+        self.tests
+    }
+
+    /// Ends the test of the request; `is_rejected` is whether the searcher rejected it too.
+    pub fn end_test(&mut self, is_rejected: bool) {
+        self.doubt = if is_rejected { Doubt::Confirmed } else { Doubt::Untested };
     }
 
     /// Returns whether fewer shards have arrived than the coverage requires.
--- a/crates/dispatch/tests/rejections.rs
+++ b/crates/dispatch/tests/rejections.rs
@@ -16,7 +16,7 @@
         for at in [0, 1] {
             if rng.random_bool(shares[at]) {
                 let other = histories[1 - at].rate();
-                blamed[at] += usize::from(histories[at].record_rejection(Some(other)));
+                blamed[at] += usize::from(histories[at].record_rejection(other));
             } else {
                 histories[at].record_success();
             }
@@ -33,7 +33,14 @@
     }
     let [failing, sound] = blame([1.0, 0.1]);
     assert!(failing > 950 && sound == 0, "{failing}, {sound}");
-    assert!(!RejectionHistory::default().record_rejection(None), "it has no other to compare with");
+    let (mut busy, mut idle) = (RejectionHistory::default(), RejectionHistory::default());
+    for _ in 0..200 {
+        busy.record_rejection(Some(0.0));
+    }
+    for _ in 0..8 {
+        idle.record_rejection(busy.rate());
+    }
+    assert!(!busy.record_rejection(idle.rate()), "the other one has rejected a few requests alike");
 }
 
 #[test]
@@ -54,11 +61,15 @@
     (0..2).for_each(|_| tally.defer());
     assert_eq!(tally.retry_rejected(), RejectedRetry::Test);
     assert_eq!(tally.retry_rejected(), RejectedRetry::Wait);
-    tally.withdraw_test();
-    assert_eq!(tally.retry_rejected(), RejectedRetry::Test);
+    tally.end_test(false);
+    assert_eq!(tally.retry_rejected(), RejectedRetry::Test, "the first test has shown nothing");
     let mut accepted = tally;
     accepted.record_arrived();
     assert_eq!(accepted.retry_rejected(), RejectedRetry::Now);
+    tally.end_test(true);
+    assert_eq!(tally.retry_rejected(), RejectedRetry::Wait, "the third shard may still arrive");
     tally.defer();
-    assert_eq!(tally.retry_rejected(), RejectedRetry::Never, "the third shard has rejected it too");
+    assert_eq!(tally.retry_rejected(), RejectedRetry::Never, "it has rejected the request too");
+    tally.resume();
+    assert_eq!(tally.retry_rejected(), RejectedRetry::Never);
 }
--- a/crates/relay/src/member_query.rs
+++ b/crates/relay/src/member_query.rs
@@ -138,14 +138,13 @@
         let part =
             MemberPart { ip: *ip, shards, signatures, records: Bytes::from(records), left_out };
         self.add_merged_part(part);
-        // A member doesn't say whether a searcher failed or rejected the request.
-        let is_doubtful = self.job.tally().arrived() == 0;
-        let read = |outcome| self.read_outcome(outcome, is_doubtful);
+        let is_accepted = self.job.tally().arrived() > 0;
+        let read = |outcome| self.read_outcome(outcome, is_accepted, rest == 0);
         let outcomes = outcomes.into_iter().map(read).collect();
         let mut steps = self.queries[query].query.reply(outcomes, &self.progress);
         let lost = steps.ended.clone();
-        if is_doubtful {
-            self.retry_doubtful(&mut steps);
+        if rest == 0 && !is_accepted {
+            self.retry_rejected(&mut steps);
         }
         self.take_steps(steps, &lost);
         if rest != 0 {
@@ -155,16 +154,24 @@
         }
     }
 
-    /// Applies what the outcome of a shard at a member says of its searcher. A failure says nothing
-    /// while the request itself may be at fault.
-    fn read_outcome(&self, outcome: ShardOutcome, is_doubtful: bool) -> Outcome<Incarnation> {
+    /// Applies what the outcome of a shard at a member says of its searcher. `is_final` is whether the
+    /// member delivers nothing more, so that a silent searcher has rejected the request.
+    fn read_outcome(
+        &self,
+        outcome: ShardOutcome,
+        is_accepted: bool,
+        is_final: bool,
+    ) -> Outcome<Incarnation> {
         match outcome {
             ShardOutcome::In(_) => Outcome::Arrived,
-            ShardOutcome::Silent(searcher) => Outcome::Silent(searcher),
-            ShardOutcome::Failed(searcher) => {
-                if !is_doubtful {
+            ShardOutcome::Silent(searcher) => {
+                if is_accepted && is_final {
                     self.relay.record_searcher_failure(&searcher);
                 }
+                Outcome::Silent(searcher)
+            }
+            ShardOutcome::Failed(searcher) => {
+                self.relay.record_searcher_failure(&searcher);
                 Outcome::Failed(searcher)
             }
             ShardOutcome::Ended(searcher) => {
@@ -176,12 +183,12 @@
         }
     }
 
-    /// Takes the additional attempts for shards that failed out of `steps`, and makes each once it is
-    /// known that the request is not at fault.
-    fn retry_doubtful(&mut self, steps: &mut Steps<Incarnation>) {
+    /// Takes the additional attempts for shards whose searchers rejected the request out of `steps`,
+    /// and makes each once it is known that the request is not at fault.
+    fn retry_rejected(&mut self, steps: &mut Steps<Incarnation>) {
         let Steps { attempts, ended } = steps;
         let doubtful = attempts.extract_if(.., |(shard, next)| {
-            ended.contains(shard) && matches!(next, Next::After(_))
+            !ended.contains(shard) && matches!(next, Next::After(_))
         });
         for (shard, next) in doubtful.collect::<Vec<_>>() {
             let Next::After(searcher) = next else { continue };
--- a/crates/relay/src/message.rs
+++ b/crates/relay/src/message.rs
@@ -8,7 +8,7 @@
 use bergamot_admission::Pool;
 use bergamot_answer::Verdict;
 use bergamot_base::Name;
-use bergamot_declaration::{Idempotency, Route};
+use bergamot_declaration::{Idempotency, Route, Target};
 use bergamot_dispatch::Tally;
 use bergamot_placement::Constraints;
 use bergamot_quarantine::{Fingerprint, SharedGate};
@@ -131,6 +131,8 @@
     pub target_latency: Option<Duration>,
     /// The number of searchers that may run a request, for each shard.
     pub max_attempts: usize,
+    /// Whether requests are gathered from shards, none of whose responses is the caller's.
+    pub is_gathered: bool,
 }
 
 impl From<&Route> for JobRoute {
@@ -141,6 +143,7 @@
             priority: route.priority,
             target_latency: route.target_latency,
             max_attempts: route.attempts,
+            is_gathered: matches!(route.target, Target::Gather(_)),
         }
     }
 }
@@ -160,6 +163,8 @@
     pub pool: OnceLock<Pool>,
     /// The number of searchers that may run the request, for each shard.
     pub max_attempts: usize,
+    /// Whether the request is gathered from shards, none of whose responses is the caller's.
+    pub is_gathered: bool,
     /// What bounds the choice of searchers.
     pub constraints: Constraints,
     /// The count of the shards; a request to a single searcher has one.
@@ -183,7 +188,7 @@
 impl Job {
     /// Creates the state for a request; the tally counts its shards.
     pub fn new(request: Request, route: JobRoute, constraints: Constraints, tally: Tally) -> Self {
-        let JobRoute { name, kind, priority, target_latency, max_attempts } = route;
+        let JobRoute { name, kind, priority, target_latency, max_attempts, is_gathered } = route;
         Self {
             request,
             route: name,
@@ -192,6 +197,7 @@
             target_latency,
             pool: OnceLock::new(),
             max_attempts,
+            is_gathered,
             constraints,
             tally: Mutex::new(tally),
             tally_changed: Notify::new(),
--- a/crates/relay/src/quarantine.rs
+++ b/crates/relay/src/quarantine.rs
@@ -136,7 +136,11 @@
                 Ok(TrialResponse { service, response })
             }
             Err(mut failure) => {
-                if matches!(target, Target::Gather(_)) {
+                if failure.is_rejected {
+                    // The searcher that rejected it is still there.
+                    self.clear_suspicion(job, std::slice::from_ref(&service));
+                }
+                if job.is_gathered {
                     // The failure of one shard is no answer to the whole request.
                     failure.response = None;
                 }
--- a/crates/relay/src/race.rs
+++ b/crates/relay/src/race.rs
@@ -15,7 +15,7 @@
 use bergamot_answer::Verdict;
 use bergamot_base::Name;
 use bergamot_declaration::Idempotency;
-use bergamot_dispatch::{AttemptPriority, Ending, RejectedRetry, RequestTimeouts};
+use bergamot_dispatch::{AttemptPriority, Ending, RequestTimeouts};
 use bergamot_policy::Policy;
 use bergamot_quarantine::{Permit, TrialOutcome};
 use bergamot_registry::Incarnation;
@@ -27,6 +27,7 @@
 use crate::message::{Job, SearcherResponse};
 use crate::meter::AttemptReason;
 use crate::relay::Relay;
+use rejection::Rejection;
 
 /// The failure of all attempts.
 #[derive(Clone, Debug)]
@@ -38,7 +39,7 @@
     /// Whether an attempt got bytes that could not be read as the response.
     met_fault: bool,
     /// Whether the last searcher that answered rejected the request.
-    is_rejected: bool,
+    pub(crate) is_rejected: bool,
     /// An error response of a searcher that can be forwarded.
     pub(crate) response: Option<Box<SearcherResponse>>,
 }
@@ -80,7 +81,7 @@
     pub(crate) tried: Vec<TriedSearcher>,
     /// Whether the retry budget was already charged for the next attempt.
     pub(crate) is_funded: bool,
-    /// Whether a searcher failed that may have rejected the request, and no shard has arrived.
+    /// Whether searchers at a member rejected the request, and no shard had arrived.
     pub(crate) is_doubtful: bool,
     /// Whether only one searcher is asked, to test whether the request crashes it.
     pub(crate) single_attempt: bool,
@@ -139,8 +140,8 @@
     /// Whether the current attempt is the trial that decides for all shards whether the request
     /// crashes searchers.
     trial: bool,
-    /// The searchers that rejected the request.
-    rejected_by: Vec<Arc<SearcherLink>>,
+    /// What is known of searchers that rejected the request.
+    rejection: Rejection,
     worst: RaceFailure,
 }
 
@@ -153,6 +154,7 @@
         plan: RacePlan,
     ) -> Self {
         let delivered = plan.tried.len();
+        let rejection = Rejection::before(&plan);
         Self {
             relay,
             job,
@@ -164,7 +166,7 @@
             budget_denied: false,
             finished: false,
             trial: false,
-            rejected_by: Vec::new(),
+            rejection,
             worst: RaceFailure {
                 ending: Ending::NotSent,
                 timed_out: false,
@@ -179,6 +181,9 @@
     pub(crate) async fn run(mut self) -> Result<SearcherResponse, RaceFailure> {
         let response = self.run_attempts().await;
         self.finished = true;
+        if response.is_none() {
+            self.record_refusal();
+        }
         response.ok_or_else(|| self.worst.clone())
     }
 
@@ -186,16 +191,13 @@
         let deadline = self.plan.deadline;
         let mut hedge_at = self.plan.hedge_at;
         let reason = if self.delivered > 0 { AttemptReason::Hedge } else { AttemptReason::First };
-        if reason != AttemptReason::First && !self.pass_retry_gate().await {
+        // A race that passed the gate must not wait for others, which may wait for its end.
+        let is_permitted = !self.plan.is_doubtful || self.await_permission().await;
+        if !is_permitted || reason != AttemptReason::First && !self.pass_retry_gate().await {
             return None;
         }
-        let permission =
-            if self.plan.is_doubtful { self.await_permission().await } else { RejectedRetry::Now };
-        let is_permitted = permission != RejectedRetry::Never;
         let priority = self.hedge_priority();
-        let is_started = is_permitted && self.start_next(reason, priority) == StartResult::Started;
-        self.settle_test(permission, is_started);
-        if !is_started {
+        if self.start_next(reason, priority) != StartResult::Started {
             self.log_withheld();
             return None;
         }
@@ -208,7 +210,7 @@
                     match outcome {
                         Ok(response) => {
                             self.settle_trial(TrialOutcome::Answered);
-                            self.record_opinions(false);
+                            self.record_acceptance();
                             return Some(response);
                         }
                         Err(error) => self.record_error(&link, error),
@@ -236,18 +238,14 @@
     /// Makes the next attempt now if the retry budget grants it, otherwise once it is known that
     /// the request fails without it.
     async fn retry(&mut self) -> bool {
-        if !self.pass_retry_gate().await {
-            return false;
-        }
-        let permission =
-            if self.worst.is_rejected { self.permit_rejected().await } else { RejectedRetry::Now };
-        let is_started = permission != RejectedRetry::Never && self.start_retry().await;
-        self.settle_test(permission, is_started);
-        is_started
+        let is_permitted = !self.worst.is_rejected || self.permit_rejected().await;
+        is_permitted && self.pass_retry_gate().await && self.start_retry().await
     }
 
     async fn start_retry(&mut self) -> bool {
-        let priority = if self.job.tally().is_single_searcher() {
+        // A second opinion must not use what failed requests need.
+        let is_opinion = self.worst.is_rejected && !self.job.is_gathered;
+        let priority = if self.job.tally().is_single_searcher() && !is_opinion {
             AttemptPriority::Required
         } else {
             AttemptPriority::Optional
@@ -307,6 +305,7 @@
         self.relay.meter().count_ending(ending);
         self.worst.met_fault |= error.fault.is_some();
         self.worst.is_rejected = error.verdict == Some(Verdict::Rejected);
+        self.end_test(self.worst.is_rejected);
         match error.verdict {
             Some(Verdict::NotRun) => self.relay.record_shortage(self.job),
             Some(Verdict::Rejected) => self.record_rejection(link),
@@ -317,6 +316,8 @@
         }
         self.settle_trial(if error.searcher_ended {
             TrialOutcome::Crashed
+        } else if self.worst.is_rejected {
+            TrialOutcome::Answered
         } else {
             TrialOutcome::Inconclusive
         });
@@ -400,6 +401,7 @@
     /// Records the searchers asked for a shard that was still pending when the response was sent.
     fn drop(&mut self) {
         self.settle_trial(TrialOutcome::Inconclusive);
+        self.end_test(false);
         let left_out = self.job.left_out.get().is_some_and(|out| out.contains(self.service));
         if self.finished || !left_out {
             return;
--- a/crates/relay/src/race/rejection.rs
+++ b/crates/relay/src/race/rejection.rs
@@ -3,74 +3,130 @@
 //! `bergamot-dispatch` decides; see `docs/design/0021-verdicts.md`.
 
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use bergamot_dispatch::RejectedRetry;
+use bergamot_registry::Incarnation;
 use rand::RngExt;
 
-use super::Race;
+use super::{Race, RacePlan, TriedSearcher};
 use crate::link::SearcherLink;
 
+/// The least time for a test of the request to end before another one begins.
+const MIN_TEST_TIME: Duration = Duration::from_millis(20);
+
+/// What one race knows of searchers that rejected its request.
+#[derive(Debug, Default)]
+pub(super) struct Rejection {
+    /// The searchers that rejected it here.
+    searchers: Vec<Arc<SearcherLink>>,
+    /// The searchers that rejected it at a member.
+    reported: Vec<Incarnation>,
+    /// Whether the next or current attempt tests the request for all shards.
+    is_test: bool,
+}
+
+impl Rejection {
+    /// Returns what is known before a race.
+    pub(super) fn before(plan: &RacePlan) -> Self {
+        let known = plan.tried.iter().filter_map(|tried| match tried {
+            TriedSearcher::Known(searcher) => Some(searcher.clone()),
+            TriedSearcher::Unidentified => None,
+        });
+        let reported = if plan.is_doubtful { known.collect() } else { Vec::new() };
+        Self { reported, ..Self::default() }
+    }
+}
+
 impl Race<'_> {
     /// Records that a searcher rejected the request.
     pub(super) fn record_rejection(&mut self, link: &Arc<SearcherLink>) {
-        let is_confirmed = !self.rejected_by.is_empty();
-        self.rejected_by.push(Arc::clone(link));
-        if is_confirmed {
+        self.rejection.searchers.push(Arc::clone(link));
+    }
+
+    /// Records that no searcher accepted the request. If several rejected it, they agree.
+    pub(super) fn record_refusal(&self) {
+        if self.rejection.searchers.len() > 1 {
             self.record_opinions(true);
         }
     }
 
-    /// Records for the searchers that rejected the request whether another one did so too. If not,
-    /// they have failed.
-    pub(super) fn record_opinions(&self, is_confirmed: bool) {
-        for link in &self.rejected_by {
-            let mut estimator = link.estimator();
-            estimator.rejections().record_opinion(is_confirmed);
-            if !is_confirmed {
-                estimator.record_failure(Instant::now());
-            }
+    /// Records that a searcher accepted the request, so that those that rejected it have failed.
+    pub(super) fn record_acceptance(&mut self) {
+        self.end_test(false);
+        self.record_opinions(false);
+        self.blame_searchers();
+    }
+
+    /// Records for the searchers that rejected the request whether another one did so too.
+    fn record_opinions(&self, is_confirmed: bool) {
+        for link in &self.rejection.searchers {
+            link.estimator().rejections().record_opinion(is_confirmed);
         }
     }
 
-    /// Decides whether another searcher is asked after one rejected the request.
-    pub(super) async fn permit_rejected(&mut self) -> RejectedRetry {
-        if !self.job.tally().is_single_searcher() {
-            let permission = self.await_permission().await;
-            if permission == RejectedRetry::Now {
-                // Another shard has accepted the request, so its searchers are at fault.
-                for link in self.rejected_by.drain(..) {
-                    link.estimator().record_failure(Instant::now());
-                }
-            }
-            return permission;
+    /// Records that the searchers that rejected the request have failed.
+    fn blame_searchers(&mut self) {
+        let Rejection { searchers, reported, .. } = &mut self.rejection;
+        for link in searchers.drain(..) {
+            link.estimator().record_failure(Instant::now());
         }
-        let mut rng = rand::rng();
-        let mut is_doubted = |link: &Arc<SearcherLink>| {
-            link.estimator().rejections().needs_second_opinion(rng.random())
-        };
-        let has_time = Instant::now() < self.plan.target;
-        match &*self.rejected_by {
-            [link] if has_time && is_doubted(link) => RejectedRetry::Now,
-            _ => RejectedRetry::Never,
+        for searcher in reported.drain(..) {
+            self.relay.record_searcher_failure(&searcher);
         }
     }
 
-    /// Waits until the other shards show whether the request is at fault.
-    pub(super) async fn await_permission(&mut self) -> RejectedRetry {
-        self.job
-            .decide_deferred(self.plan.deadline, |tally, is_over| match tally.retry_rejected() {
-                RejectedRetry::Wait => is_over.then_some(RejectedRetry::Never),
-                permission => Some(permission),
-            })
-            .await
-            .unwrap_or(RejectedRetry::Never)
+    /// Returns whether another searcher is asked after one rejected the request.
+    pub(super) async fn permit_rejected(&mut self) -> bool {
+        if self.job.is_gathered {
+            return self.await_permission().await;
+        }
+        let draw = rand::rng().random();
+        let is_doubted =
+            |link: &Arc<SearcherLink>| link.estimator().rejections().needs_second_opinion(draw);
+        Instant::now() < self.plan.target && self.rejection.searchers.iter().all(is_doubted)
     }
 
-    /// Lets another shard test the request if the attempt to do so was not started.
-    pub(super) fn settle_test(&self, permission: RejectedRetry, is_started: bool) {
-        if permission == RejectedRetry::Test && !is_started {
-            self.job.tally().withdraw_test();
+    /// Waits until another shard has accepted the request, this one may test it, or it is known to be
+    /// at fault. Returns whether another searcher may be asked.
+    pub(super) async fn await_permission(&mut self) -> bool {
+        // By then nearly all searchers have answered, so that a test in progress is overdue.
+        let usual =
+            self.plan.expected_response_by.saturating_duration_since(self.job.request.received);
+        let interval = usual.max(MIN_TEST_TIME);
+        loop {
+            let begun = self.job.tally().tests();
+            let until = (Instant::now() + interval).min(self.plan.deadline);
+            let decision =
+                self.job.decide_deferred(until, |tally, is_over| match tally.retry_rejected() {
+                    RejectedRetry::Wait if is_over && tally.tests() == begun => {
+                        Some(tally.test_again())
+                    }
+                    RejectedRetry::Wait => None,
+                    decision => Some(decision),
+                });
+            match decision.await {
+                Some(RejectedRetry::Now) => {
+                    self.blame_searchers();
+                    return true;
+                }
+                Some(RejectedRetry::Test) => {
+                    self.rejection.is_test = true;
+                    return true;
+                }
+                Some(RejectedRetry::Never) => return false,
+                Some(RejectedRetry::Wait) | None if Instant::now() >= self.plan.deadline => {
+                    return false;
+                }
+                Some(RejectedRetry::Wait) | None => {}
+            }
+        }
+    }
+
+    /// Ends the test of the request, if it was made here, and lets the other shards know.
+    pub(super) fn end_test(&mut self, is_rejected: bool) {
+        if std::mem::take(&mut self.rejection.is_test) {
+            self.job.tally().end_test(is_rejected);
             self.job.tally_changed.notify_waiters();
         }
     }
@@ -79,10 +135,6 @@
     /// searcher delays it until the target at most.
     pub(super) fn response_due(&self) -> Instant {
         let is_at_hand = self.worst.is_rejected && self.worst.response.is_some();
-        if is_at_hand && self.job.tally().is_single_searcher() {
-            self.plan.target
-        } else {
-            self.plan.deadline
-        }
+        if is_at_hand && !self.job.is_gathered { self.plan.target } else { self.plan.deadline }
     }
 }
--- a/crates/relay/src/searchers.rs
+++ b/crates/relay/src/searchers.rs
@@ -16,6 +16,10 @@
 use crate::relay::Relay;
 use crate::settings::Settings;
 
+/// The rate of rejections assumed of a searcher that has hardly answered. One beside it that rejects
+/// nearly everything is then blamed, so that this one is tried and measured.
+const ASSUMED_REJECTION_RATE: f64 = 0.6;
+
 /// Why a request must not be sent to a searcher.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Unusable {
@@ -49,7 +53,10 @@
         let others = state
             .usable_links(&upstream.service)
             .filter(|link| link.upstream.incarnation != upstream.incarnation);
-        others.map(|link| link.estimator().rejections().rate()).min_by(f64::total_cmp)
+        let rate = |link: &Arc<SearcherLink>| {
+            link.estimator().rejections().rate().unwrap_or(ASSUMED_REJECTION_RATE)
+        };
+        others.map(rate).min_by(f64::total_cmp)
     }
 
     /// Returns the expected stalls of the searchers near this member.
--- a/crates/relay/src/shard_query.rs
+++ b/crates/relay/src/shard_query.rs
@@ -118,11 +118,12 @@
         priority: 0,
         target_latency: None,
         max_attempts: 1,
+        is_gathered: true,
     };
     let tally = Tally::new(names.len(), names.len());
     let job = Arc::new(Job::new(request, route, constraints, tally));
     let mut attempts = start_attempts(relay, &job, &names, (until, deadline), &mut shards);
-    let (mut parts, mut rejected_by) = (Vec::<Bytes>::new(), Vec::new());
+    let (mut parts, mut rejected) = (Vec::<Bytes>::new(), Vec::new());
     let mut due = std::pin::pin!(sleep_until(until.into()));
     loop {
         let (index, outcome) = tokio::select! {
@@ -142,11 +143,9 @@
             Err(error) if error.ending == Ending::NotSent => {
                 shards[index] = ShardOutcome::NotAsked;
             }
+            Err(error) if error.verdict == Some(Verdict::Rejected) => rejected.push(index),
             Err(error) => {
                 if let ShardOutcome::Silent(searcher) = &shards[index] {
-                    if error.verdict == Some(Verdict::Rejected) {
-                        rejected_by.push(searcher.clone());
-                    }
                     let failed_outcome = if error.searcher_ended {
                         ShardOutcome::Ended
                     } else {
@@ -157,10 +156,14 @@
             }
         }
     }
-    if !parts.is_empty() {
-        // Other shards have accepted the request, so the searchers are at fault.
-        for searcher in &rejected_by {
-            relay.record_searcher_failure(searcher);
+    // Without a part the request itself may be at fault, which the sender finds out.
+    if !parts.is_empty() || !attempts.is_empty() {
+        for index in rejected {
+            let ShardOutcome::Silent(searcher) = &shards[index] else { continue };
+            if !parts.is_empty() {
+                relay.record_searcher_failure(searcher);
+            }
+            shards[index] = ShardOutcome::Failed(searcher.clone());
         }
     }
     let rest = if attempts.is_empty() {
--- /dev/null
+++ b/crates/relay/tests/rejections/delegate.rs
@@ -0,0 +1,69 @@
+//! A zone whose searchers all fail at once, asked through a member.
+//!
+//! Guards against a sender that never learns of these failures, since they are all that it has of the
+//! request, and sends each request there first.
+
+use std::net::Ipv4Addr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+
+use crate::support::{
+    at, gather, incarnation, no_members, ok, record, relay_with_members, request, route, script,
+    upstream,
+};
+use bergamot_declaration::Idempotency;
+use bergamot_relay::{DelegateMember, Helping, Reply};
+use bergamot_standin::Step;
+use bergamot_wire::{ShardOutcome, ShardReply};
+
+const SHARDS: [&str; 3] = ["a", "b", "c"];
+
+#[tokio::test]
+async fn a_member_whose_searchers_all_fail_is_not_asked_for_each_request() {
+    let calls = Arc::new(AtomicUsize::new(0));
+    let counted = Arc::clone(&calls);
+    let helping = Helping {
+        gather: Box::new(move |_, _, _, _| {
+            counted.fetch_add(1, Ordering::SeqCst);
+            let failed = |shard: &str| ShardOutcome::Failed(incarnation(&format!("{shard}-west")));
+            let shards = SHARDS.map(failed).to_vec();
+            let reply =
+                ShardReply { shards, records: Vec::new(), left_out: 0, rest: 0, quiet: Vec::new() };
+            Box::pin(async move { Ok(reply) })
+        }),
+        grant: Box::new(|_, _, _| Box::pin(async { Ok(true) })),
+        ..no_members()
+    };
+    // Slower than a searcher near the member is assumed to be, but in time.
+    let work = Duration::from_millis(60);
+    let play = move |seen: &_| [vec![Step::Wait(work)], ok(seen, "s", &record(1))].concat();
+    let searcher = script(play).await;
+    let mut upstreams = Vec::new();
+    for shard in SHARDS {
+        for zone in ["west", "east"] {
+            upstreams.push(at(zone, upstream(&format!("{shard}-{zone}"), shard, &searcher)));
+        }
+    }
+    let routes = vec![route("/q/", Idempotency::Idempotent, gather(&SHARDS, 0.5))];
+    let relay = relay_with_members(helping, routes, upstreams);
+    let west = Ipv4Addr::new(10, 0, 0, 9);
+    relay.set_delegate_members(vec![DelegateMember {
+        ip: west,
+        zone: "west".into(),
+        region: "west".into(),
+        weight: 1000,
+        protocol: 0,
+    }]);
+    let (mut whole, mut partial) = (0, 0);
+    for _ in 0..20 {
+        match relay.handle(request("/q/")).await {
+            Reply::Merged(merged) if merged.missing == 0 => whole += 1,
+            Reply::Merged(_) => partial += 1,
+            _ => {}
+        }
+    }
+    let calls = calls.load(Ordering::SeqCst);
+    println!("20 requests: {calls} queries to the member, {whole} whole, {partial} partial");
+    assert!(calls < 10 && whole == 20, "{calls} queries, {whole} whole, {partial} partial");
+}
--- /dev/null
+++ b/crates/relay/tests/rejections/main.rs
@@ -0,0 +1,14 @@
+//! Requests that searchers reject: whether the request is at fault, or the searchers.
+//!
+//! Guards against requests that end worse beside searchers that reject them than beside searchers that
+//! fail with status 500.
+
+#[path = "../support/mod.rs"]
+mod support;
+
+mod budget;
+mod delegate;
+mod doubt;
+mod fellows;
+mod gate;
+mod single_shard;
--- a/crates/wire/src/member.rs
+++ b/crates/wire/src/member.rs
@@ -48,7 +48,8 @@
 pub enum ShardOutcome {
     /// The shard answered, with this signature of the searcher.
     In(Vec<u8>),
-    /// The shard is missing; this searcher was queried and has not answered yet.
+    /// The shard is missing; this searcher was queried and has not answered yet. In a reply without
+    /// [`ShardReply::rest`] it has rejected the request, which no shard of the query has accepted.
     Silent(Incarnation),
     /// The shard is missing because this searcher failed or refused the request.
     Failed(Incarnation),
