An encoded body is no content, and only one signature signs an answer

Found by the same review: a 200 with a Content-Encoding was merged as records and passed on, though for callers it is not the searcher's body; an answer with an empty signature was a part named by nothing, one with 'one, two' named two. The verdict now looks at these statements too.

--- a/crates/answer/src/verdict.rs
+++ b/crates/answer/src/verdict.rs
@@ -15,15 +15,18 @@
 
 /// What the head of an answer states.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[expect(clippy::struct_excessive_bools, reason = "each is a statement of its own")]
 pub struct Statement {
     /// The status code.
     pub status: u16,
-    /// Whether the searcher signed the answer, as it does after it ran the request.
+    /// Whether the searcher signed the answer ([`is_signature`]), as it does after it ran the request.
     pub is_signed: bool,
     /// Whether the searcher states that it did not run the request.
     pub denies_run: bool,
     /// Whether the status says that another searcher was meant.
     pub is_misdirected: bool,
+    /// Whether the body is encoded, and so is not the content itself.
+    pub is_encoded: bool,
 }
 
 /// What a complete answer says of its request.
@@ -46,12 +49,13 @@
 impl Verdict {
     /// Judges an answer.
     pub fn of(statement: Statement) -> Self {
-        let Statement { status, is_signed, denies_run, is_misdirected } = statement;
+        let Statement { status, is_signed, denies_run, is_misdirected, is_encoded } = statement;
         match status {
             // A signature shows that the searcher that was meant has answered.
             _ if is_misdirected && !is_signed => Self::Misdirected,
             _ if denies_run => Self::NotRun,
             _ if !is_signed => Self::Unsigned,
+            _ if is_encoded => Self::Failed,
             PARTIAL_CONTENT => Self::Rejected,
             200..=299 => Self::Success,
             300..=499 if !promises_not_run(status) => Self::Rejected,
@@ -77,6 +81,12 @@
     }
 }
 
+/// Returns whether the value of a header is one signature: an empty one signs nothing, and a comma
+/// separates signatures where several are listed.
+pub fn is_signature(value: &[u8]) -> bool {
+    !value.is_empty() && !value.contains(&b',')
+}
+
 /// Returns whether callers take a status for the promise that their request did not run.
 pub fn promises_not_run(status: u16) -> bool {
     PROMISES_NOT_RUN.contains(&status)
--- a/crates/answer/tests/verdict.rs
+++ b/crates/answer/tests/verdict.rs
@@ -17,7 +17,13 @@
 ];
 
 fn statement(status: u16) -> Statement {
-    Statement { status, is_signed: true, denies_run: false, is_misdirected: status == 421 }
+    Statement {
+        status,
+        is_signed: true,
+        denies_run: false,
+        is_misdirected: status == 421,
+        is_encoded: false,
+    }
 }
 
 #[test]
@@ -32,14 +38,15 @@
 proptest! {
     #[test]
     fn only_what_the_head_states_counts(
-        status in 200..1000_u16, is_signed: bool, denies_run: bool,
+        status in 200..1000_u16, is_signed: bool, denies_run: bool, is_encoded: bool,
     ) {
-        let verdict = Verdict::of(Statement { is_signed, denies_run, ..statement(status) });
+        let head = Statement { is_signed, denies_run, is_encoded, ..statement(status) };
+        let verdict = Verdict::of(head);
         let is_misdirected = status == 421 && !is_signed;
         prop_assert_eq!(verdict.did_not_run(), denies_run || is_misdirected);
         prop_assert_eq!(verdict == Verdict::Misdirected, is_misdirected);
         if verdict == Verdict::Success {
-            prop_assert!(is_signed && !denies_run && status < 300 && status != 206);
+            prop_assert!(is_signed && !denies_run && !is_encoded && status < 300 && status != 206);
         }
         if verdict == Verdict::Rejected {
             prop_assert!(is_signed && status < 500 && !promises_not_run(status));
--- a/crates/relay/src/dialect.rs
+++ b/crates/relay/src/dialect.rs
@@ -2,11 +2,11 @@
 
 use std::time::Duration;
 
-use bergamot_answer::{Statement, Verdict};
+use bergamot_answer::{Statement, Verdict, is_signature};
 use bergamot_base::Name;
-use hyper::header::HeaderValue;
+use hyper::HeaderMap;
+use hyper::header::{CONTENT_ENCODING, HeaderValue};
 use hyper::http::response::Parts;
-use hyper::{HeaderMap, StatusCode};
 
 /// Metadata sent with each request to a searcher.
 #[derive(Clone, Copy, Debug)]
@@ -34,17 +34,24 @@
 }
 
 impl ResponseMetadata {
-    /// Judges the response with this metadata and a status.
-    pub(crate) fn verdict(&self, status: StatusCode) -> Verdict {
+    /// Judges the response with this metadata.
+    pub(crate) fn verdict(&self, head: &Parts) -> Verdict {
+        let is_signature = |value: &HeaderValue| is_signature(value.as_bytes());
         Verdict::of(Statement {
-            status: status.as_u16(),
-            is_signed: self.signature.is_some(),
+            status: head.status.as_u16(),
+            is_signed: self.signature.as_ref().is_some_and(is_signature),
+            is_encoded: is_encoded(head),
             denies_run: self.not_run,
             is_misdirected: self.misdirected,
         })
     }
 }
 
+/// Returns whether the body of a response is encoded.
+pub(crate) fn is_encoded(head: &Parts) -> bool {
+    head.headers.get(CONTENT_ENCODING).is_some_and(|encoding| encoding != "identity")
+}
+
 /// The encoding used with the searchers of one platform.
 #[derive(Clone, Copy, Debug)]
 pub struct Dialect {
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -20,7 +20,7 @@
 use hyper::{Response, StatusCode};
 
 use crate::attempt::AttemptLimits;
-use crate::dialect::{RequestMetadata, ResponseMetadata};
+use crate::dialect::{RequestMetadata, ResponseMetadata, is_encoded};
 use crate::link::SearcherLink;
 use crate::message::{Job, SearcherResponse};
 use crate::relay::Relay;
@@ -164,7 +164,7 @@
     })?;
     let (parts, body) = response.into_parts();
     let metadata = (relay.dialect().read_response)(&parts);
-    let verdict = metadata.verdict(parts.status);
+    let verdict = metadata.verdict(&parts);
     let body = link.pool.read_body(body).await.map_err(|error| {
         // The head states whether the request ran, even if the body is truncated.
         let ending = if verdict.did_not_run() { Ending::NotRun } else { Ending::Unknown };
@@ -215,6 +215,7 @@
         relay.mark_ended(&link.upstream.incarnation, searcher.as_deref());
     }
     let (parts, body) = response.into_parts();
+    let may_forward = !promises_not_run(status.as_u16()) && !is_encoded(&parts);
     let mut headers = parts.headers;
     strip_hop_by_hop_headers(&mut headers);
     let response = SearcherResponse { status, headers, body, signature, verdict };
@@ -225,10 +226,9 @@
         Verdict::Unsigned => Ending::Unknown,
     };
     let cause = format!("{}, status {}", verdict.label(), status.as_u16());
-    let may_forward = ending == Ending::Failed && !promises_not_run(status.as_u16());
     Err(AttemptError {
         verdict: Some(verdict),
-        response: may_forward.then(|| Box::new(response)),
+        response: (ending == Ending::Failed && may_forward).then(|| Box::new(response)),
         ..AttemptError::new(ending, cause)
     })
 }
--- a/crates/relay/tests/rejections/main.rs
+++ b/crates/relay/tests/rejections/main.rs
@@ -9,6 +9,7 @@
 mod budget;
 mod delegate;
 mod doubt;
+mod encoded;
 mod fellows;
 mod gate;
 mod single_shard;
