--- a/crates/standin/src/behaviour.rs
+++ b/crates/standin/src/behaviour.rs
@@ -94,6 +94,23 @@
     pub fatal: Option<Shape>,
     /// How responses are distorted.
     pub distortion: Option<Distortion>,
+    /// The status with which searches and writes fail.
+    pub status: Option<StatusFault>,
+}
+
+/// Searches and writes that are answered at once and with a status of failure.
+///
+/// The body is that of a success, so that a client that overlooks the status takes it for one.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct StatusFault {
+    /// The fraction of requests that fail.
+    pub share: f64,
+    /// The status.
+    pub status: u16,
+    /// Whether the response says that the request did not run. A write takes effect unless it
+    /// does.
+    pub not_run: bool,
 }
 
 /// An effect of a request on a searcher, recorded for checks of the history.
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -14,7 +14,7 @@
 mod searcher;
 mod stray;
 
-pub use behaviour::{Effect, Faults, Limits, Topology};
+pub use behaviour::{Effect, Faults, Limits, StatusFault, Topology};
 pub use corpus::Corpus;
 pub use distortion::{CopyName, Distorted, Distortion};
 pub use partition_proxy::{ForwardedPort, PartitionProxy};
--- a/crates/standin/src/searcher.rs
+++ b/crates/standin/src/searcher.rs
@@ -22,7 +22,7 @@
 use tokio::sync::Semaphore;
 use tokio_util::sync::CancellationToken;
 
-use crate::behaviour::{Effect, Faults, Limits, Topology};
+use crate::behaviour::{Effect, Faults, Limits, StatusFault, Topology};
 use crate::corpus::Corpus;
 
 /// The maximum size of a request body.
@@ -87,10 +87,13 @@
 pub struct Searcher(Arc<Inner>);
 
 impl Searcher {
-    /// Starts a searcher.
-    pub async fn start(settings: SearcherSettings) -> Result<Self, NetworkError> {
+    /// Starts a searcher, on a free port if the address has port 0.
+    pub async fn start(mut settings: SearcherSettings) -> Result<Self, NetworkError> {
         let listener = listen(settings.address).await?;
         let mut rng = settings.seed.generator(&format!("searcher {}", settings.address));
+        let bound = listener.local_addr();
+        settings.address =
+            bound.map_err(|error| NetworkError::new("listen", settings.address, error))?;
         let run = Name::from(format!("{:016x}", rand::rng().random::<u64>()));
         let state = State {
             versions: settings.versions.iter().copied().collect(),
@@ -336,6 +339,10 @@
         if let Some(refusal) = self.refusal() {
             return Some(refusal);
         }
+        let fault = self.lock().draw_status();
+        if let Some(fault) = fault {
+            return Some(fault.apply(self.search_reply(&search)?));
+        }
         let cancel = CancellationToken::new();
         self.lock().running.insert(Name::clone(&id), cancel.clone());
         let completed = tokio::select! {
@@ -386,19 +393,26 @@
             let status = refusal.status();
             return Some(not_run(status, "refused"));
         }
-        if tokio::time::timeout(left, self.work()).await.is_err() {
+        let fault = self.lock().draw_status();
+        if fault.is_none() && tokio::time::timeout(left, self.work()).await.is_err() {
             return Some(not_run(StatusCode::GATEWAY_TIMEOUT, "late"));
         }
         let mut state = self.lock();
         state.write_count += 1;
         let receipt = Name::from(format!("{}-{}", self.run, state.write_count));
-        state.effects.push(Effect::Write { key, record: write.record, body: write.body });
+        if fault.is_none_or(|fault| !fault.not_run) {
+            state.effects.push(Effect::Write { key, record: write.record, body: write.body });
+        }
         let cut = state.draw(|faults| faults.cut_writes);
         drop(state);
         if cut {
             return None;
         }
-        Some(json(StatusCode::OK, serde_json::to_vec(&Receipt { receipt }).ok()?))
+        let response = json(StatusCode::OK, serde_json::to_vec(&Receipt { receipt }).ok()?);
+        Some(match fault {
+            Some(fault) => fault.apply(response),
+            None => response,
+        })
     }
 
     /// Waits for a slot and occupies it for the service time of a request.
@@ -441,7 +455,24 @@
     }
 }
 
+impl StatusFault {
+    /// Makes a failure of the response to a request that is served.
+    fn apply(self, mut response: Response<Body>) -> Response<Body> {
+        *response.status_mut() = StatusCode::from_u16(self.status).unwrap_or_default();
+        if self.not_run {
+            mark_not_run(&mut response);
+        }
+        response
+    }
+}
+
 impl State {
+    /// Returns the failure of a request, if the injected faults demand it.
+    fn draw_status(&mut self) -> Option<StatusFault> {
+        let fault = self.faults.status?;
+        self.draw(|_| fault.share).then_some(fault)
+    }
+
     /// Returns whether a fault occurs, given the probability that `probability` reads.
     fn draw(&mut self, probability: impl Fn(&Faults) -> f64) -> bool {
         let probability = probability(&self.faults);
@@ -481,8 +512,12 @@
 /// Returns an error response to a write that was not executed.
 fn not_run(status: StatusCode, message: &'static str) -> Response<Body> {
     let mut response = text(status, message);
+    mark_not_run(&mut response);
     response
-        .headers_mut()
-        .insert(HeaderName::from_static(protocol::NOT_RUN), HeaderValue::from_static("1"));
-    response
+}
+
+/// Makes a response say that the request was not executed.
+fn mark_not_run(response: &mut Response<Body>) {
+    let name = HeaderName::from_static(protocol::NOT_RUN);
+    response.headers_mut().insert(name, HeaderValue::from_static("1"));
 }
