A search that a searcher rejects at once with 409, 410 or 504 is a failure unless something bears it out

Beside a searcher that fails each search at once with 409, 410 or 504, callers of the own interface lost two of three answers: of 100 searches by four callers, all 100 went to it first and 29 were answered; with 500 it gets 9, and all 100 are answered by the other replica.

Cause: the three statuses were believed as the searcher's statement (version not held, leaving, deadline passed) and taught nothing, so the searcher was never ejected. Its latency estimate stayed at the initial one, below that of a sound replica, and its load near 0, so it was ranked first for each search, until the service's budget of second attempts was spent.

The gather now judges the response by the one verdict (bergamot_answer::Verdict), and takes such a rejection for what it says only where something else agrees: the versions in the response lack the one asked for, the run is known to be leaving, the deadline has passed or the attempt was cancelled. Otherwise it counts as any failure does. The reasons in the coverage stay, so an entry plans again as before. By the verdict, a 2xx other than 200 and 206 with hits or a receipt is a success too (it was a bad reply), and a response that denies the run is none with any status. The protocol page names the statuses.

--- a/crates/upstream/src/client.rs
+++ b/crates/upstream/src/client.rs
@@ -12,7 +12,8 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
-use bergamot_base::{Deadline, Name, Peer, Step};
+use bergamot_answer::{Statement, Verdict};
+use bergamot_base::{Deadline, Name, Peer, Step, Version};
 use bergamot_query::Reason;
 use bytes::Bytes;
 use http_body_util::Full;
@@ -158,18 +159,18 @@
         }
         let request = self.request(Method::POST, protocol::SEARCH, call, search);
         let started = Instant::now();
-        let (client, call) = (Arc::clone(self), call.clone());
+        let (client, exchanged) = (Arc::clone(self), call.clone());
         // The exchange runs in its own task, so that it continues if the caller drops this
         // future. The response is then still drained, and the slot stays in use until the
         // searcher has finished.
         let exchange = tokio::spawn(async move {
-            let reply = client.exchange(lease, request, &call).await;
+            let reply = client.exchange(lease, request, &exchanged).await;
             slot.took = reply.is_ok().then(|| started.elapsed());
             drop(slot);
             reply
         });
         let reply = exchange.await.map_err(|error| self.fault("send", &error.to_string()))??;
-        self.decode_search(&reply, started.elapsed())
+        self.decode_search(call, search.version, &reply, started.elapsed())
     }
 
     /// Sends a write at most once.
@@ -354,50 +355,64 @@
 
     /// Updates the health of the searcher from the headers of a response.
     fn record_headers<T>(&self, response: &Response<T>) {
-        let header = |name| response.headers().get(name).and_then(|value| value.to_str().ok());
-        let Some(run) = header(protocol::RUN) else {
+        let Some(run) = header(response, protocol::RUN) else {
             return;
         };
+        let is_leaving = header(response, protocol::LEAVING).is_some();
         let mut health = self.health();
-        health.record_run(Instant::now(), &Name::from(run), header(protocol::LEAVING).is_some());
-        if let Some(versions) = header(protocol::VERSIONS) {
-            health.set_versions(versions.split(',').filter_map(|version| version.parse().ok()));
+        health.record_run(Instant::now(), &Name::from(run), is_leaving);
+        if let Some(versions) = held_versions(response) {
+            health.set_versions(versions);
         }
     }
 
     fn decode_search(
         &self,
+        call: &RequestContext,
+        version: Version,
         reply: &Response<Bytes>,
         took: Duration,
     ) -> Result<SearchReply, SearcherError> {
+        if verdict(reply) == Verdict::Success {
+            let found = serde_json::from_slice(reply.body()).map_err(|error| {
+                self.record_failure();
+                self.fault("decode reply", &error.to_string()).with_reason(Reason::BadReply)
+            })?;
+            self.health().record_success(took);
+            return Ok(found);
+        }
+        let lacks_version =
+            held_versions(reply).is_some_and(|held| !held.is_empty() && !held.contains(&version));
+        if !self.is_borne_out(call, reply.status(), lacks_version) {
+            self.record_failure();
+        }
+        let fault = |cause, reason| Err(self.fault("search", cause).with_reason(reason));
         match reply.status() {
-            StatusCode::OK => {
-                let found = serde_json::from_slice(reply.body()).map_err(|error| {
-                    self.record_failure();
-                    self.fault("decode reply", &error.to_string()).with_reason(Reason::BadReply)
-                })?;
-                self.health().record_success(took);
-                Ok(found)
-            }
-            StatusCode::CONFLICT => {
-                Err(self.fault("search", "version not held").with_reason(Reason::VersionGone))
-            }
+            StatusCode::CONFLICT => fault("version not held", Reason::VersionGone),
             StatusCode::SERVICE_UNAVAILABLE => {
-                self.record_failure();
-                Err(self
-                    .fault("search", "rejected: searcher at capacity")
-                    .with_reason(Reason::Busy))
+                fault("rejected: searcher at capacity", Reason::Busy)
             }
-            StatusCode::GONE => {
-                Err(self.fault("search", "searcher is leaving").with_reason(Reason::Leaving))
+            StatusCode::GONE => fault("searcher is leaving", Reason::Leaving),
+            StatusCode::GATEWAY_TIMEOUT => {
+                fault("deadline passed at the searcher", Reason::Deadline)
             }
-            StatusCode::GATEWAY_TIMEOUT => Err(self
-                .fault("search", "deadline passed at the searcher")
-                .with_reason(Reason::Deadline)),
-            status => {
-                self.record_failure();
-                Err(self.fault("search", status.as_str()).with_reason(Reason::BadReply))
+            status => fault(&format!("{} {status}", verdict(reply).label()), Reason::BadReply),
+        }
+    }
+
+    /// Returns whether a rejection is no failure of the searcher, because what is known besides its
+    /// status agrees.
+    ///
+    /// Otherwise a searcher that fails every request at once with one of these statuses would
+    /// never be ejected, and would draw the requests of its service.
+    fn is_borne_out(&self, call: &RequestContext, status: StatusCode, lacks_version: bool) -> bool {
+        match status {
+            StatusCode::CONFLICT => lacks_version,
+            StatusCode::GONE => self.health().is_leaving(),
+            StatusCode::GATEWAY_TIMEOUT => {
+                call.cancel.is_cancelled() || call.deadline.has_passed(Instant::now())
             }
+            _ => false,
         }
     }
 
@@ -408,24 +423,26 @@
         call: &RequestContext,
     ) -> WriteResult {
         self.record_headers(&response);
-        let not_run = response.headers().contains_key(protocol::NOT_RUN);
-        let status = response.status();
+        let (verdict, status) = (verdict(&response), response.status());
         let body =
             tokio::time::timeout_at(call.deadline.instant().into(), self.read_body(response));
         let Ok(Ok(reply)) = body.await else {
             return WriteResult::Unknown("the reply to the write was cut".to_owned());
         };
         tokio::spawn(lease.release());
-        if status == StatusCode::OK {
-            return match serde_json::from_slice::<Receipt>(reply.body()) {
+        match verdict {
+            Verdict::Success => match serde_json::from_slice::<Receipt>(reply.body()) {
                 Ok(receipt) => WriteResult::Done(receipt.receipt),
                 Err(error) => WriteResult::Unknown(format!("the receipt can't be read: {error}")),
-            };
-        }
-        if not_run {
-            return WriteResult::NotRun(format!("the searcher refused the write: {status}"));
+            },
+            verdict if verdict.did_not_run() => {
+                WriteResult::NotRun(format!("the searcher refused the write: {status}"))
+            }
+            verdict => WriteResult::Unknown(format!(
+                "the searcher answered {status} ({})",
+                verdict.label()
+            )),
         }
-        WriteResult::Unknown(format!("the searcher answered {status}"))
     }
 
     fn connection_fault(&self, step: &'static str, error: &SendError) -> SearcherError {
@@ -459,3 +476,25 @@
         SearcherError::new(Step(step), Peer::Address(self.address), cause)
     }
 }
+
+fn header<'a, T>(response: &'a Response<T>, name: &str) -> Option<&'a str> {
+    response.headers().get(name).and_then(|value| value.to_str().ok())
+}
+
+/// Returns the index versions that a response says its searcher holds.
+fn held_versions<T>(response: &Response<T>) -> Option<Vec<Version>> {
+    let versions = header(response, protocol::VERSIONS)?.split(',');
+    Some(versions.filter_map(|version| version.parse().ok()).collect())
+}
+
+/// Returns what a response says of its request.
+///
+/// The protocol has no signature: a response is its searcher's because it names the request.
+fn verdict<T>(response: &Response<T>) -> Verdict {
+    Verdict::of(Statement {
+        status: response.status().as_u16(),
+        is_signed: true,
+        denies_run: response.headers().contains_key(protocol::NOT_RUN),
+        is_misdirected: false,
+    })
+}
--- a/crates/upstream/src/protocol.rs
+++ b/crates/upstream/src/protocol.rs
@@ -4,6 +4,11 @@
 //! time, and a request is cancelled with `DELETE /requests/ID`. Every response
 //! names the request that it answers, identifies the run of the searcher, lists the index versions that it holds, and
 //! tells whether it is shutting down.
+//!
+//! What a response says of its request follows from [`bergamot_answer::Verdict`]. A search that fails
+//! with 409 asks for a version that the searcher does not hold, with 410 a searcher that is shutting
+//! down; 503 means that it is at capacity, and 504 that the deadline has passed. No status says that
+//! a write did not run; only [`NOT_RUN`] does.
 
 use bergamot_base::{Epoch, Name, Version};
 use bergamot_query::{Hit, Shape};
--- a/crates/upstream/tests/statuses.rs
+++ b/crates/upstream/tests/statuses.rs
@@ -4,18 +4,26 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
-use bergamot_base::{Deadline, Name, Seed};
+use bergamot_base::{Budget, Deadline, Entity, Name, Searcher as SearcherId, Seed};
 use bergamot_query::{Reason, Shape};
 use bergamot_standin::{Corpus, Faults, Limits, Searcher, SearcherSettings, StatusFault};
 use bergamot_upstream::protocol::{Search, SearchReply, Write};
 use bergamot_upstream::{
-    Client, Observer, Pool, PoolSettings, RequestContext, SearcherError, WriteResult,
+    Candidate, Client, HedgedRequest, NextAction, Observer, Pool, PoolSettings, RequestContext,
+    SearcherError, WriteResult, rank,
 };
 use tokio_util::sync::CancellationToken;
 
+/// How many failures in a row eject a searcher.
+const EJECTING: usize = 3;
+
 /// The version that searchers hold.
 const VERSION: u64 = 1;
 
+/// How many callers send requests at the same time, and how many each of them sends.
+const CALLERS: usize = 4;
+const REQUESTS: usize = 25;
+
 /// The statuses of a failure.
 fn statuses() -> impl Iterator<Item = u16> {
     std::iter::once(206).chain(300..=599)
@@ -30,7 +38,12 @@
     let settings = SearcherSettings {
         address: ([127, 0, 0, 1], 0).into(),
         zone: "zone".into(),
-        limits: Limits { slots: 2, connect_cost: Duration::ZERO, service_time, connections: 64 },
+        limits: Limits {
+            slots: CALLERS,
+            connect_cost: Duration::ZERO,
+            service_time,
+            connections: 64,
+        },
         corpus: Corpus { position: 0, shards: 1, epoch: 1, documents: 3 },
         versions: vec![VERSION],
         seed: Seed(1),
@@ -67,6 +80,10 @@
     client.write(&call, &call.id, &write, || true).await
 }
 
+fn is_ejected(client: &Client) -> bool {
+    client.health().is_ejected(Instant::now())
+}
+
 /// Guards against a failure that is taken for hits, for a receipt, or for a write that didn't run.
 #[tokio::test]
 async fn no_status_makes_hits_or_a_receipt_of_a_failure() {
@@ -97,3 +114,109 @@
     }
     assert!(wrong.is_empty(), "{wrong:#?}");
 }
+
+/// Guards against searchers that fail at once and keep drawing requests: searches failing with 409,
+/// 410 or 504 never counted as failures.
+#[tokio::test]
+async fn every_status_of_failure_ejects_a_searcher() {
+    let searcher = searcher(Duration::from_millis(1)).await;
+    let mut kept = Vec::new();
+    for status in statuses() {
+        searcher.set_faults(failing(status, false));
+        let client = client(&searcher, 2);
+        for _ in 0..EJECTING {
+            search(&client, VERSION, 1000).await.expect_err("it fails");
+        }
+        if !is_ejected(&client) {
+            kept.push(status);
+        }
+    }
+    assert!(kept.is_empty(), "{kept:?}");
+}
+
+/// Guards against ejecting a searcher for what is no fault of its own: a version that it doesn't
+/// hold, a stop that it has announced, and a deadline that passed.
+#[tokio::test]
+async fn a_rejection_that_is_borne_out_is_no_failure() {
+    let searcher = searcher(Duration::from_millis(40)).await;
+    for (faults, version, left, reason) in [
+        (Faults::default(), VERSION + 1, 1000, Reason::VersionGone),
+        (Faults { gone: true, ..Faults::default() }, VERSION, 1000, Reason::Leaving),
+        (Faults::default(), VERSION, 10, Reason::Deadline),
+    ] {
+        searcher.set_faults(faults);
+        for _ in 0..2 {
+            let client = client(&searcher, 2);
+            // The searcher is not asked again after it has announced its stop.
+            let attempts = if reason == Reason::Leaving { 1 } else { EJECTING };
+            for _ in 0..attempts {
+                let error = search(&client, version, left).await.expect_err("it fails");
+                assert_eq!(error.reason, reason, "{error}");
+            }
+            assert!(!is_ejected(&client), "{reason}");
+            assert!(client.health().to_string().contains("failures 0"), "{reason}");
+        }
+    }
+}
+
+/// Sends the requests of all callers to two searchers, of which one fails each at once with a
+/// status; returns how many reached that one and how many were answered.
+async fn beside_a_failing_searcher(status: u16) -> (usize, usize) {
+    let searchers =
+        [searcher(Duration::from_millis(20)).await, searcher(Duration::from_millis(20)).await];
+    searchers[0].set_faults(failing(status, false));
+    let clients = [client(&searchers[0], CALLERS), client(&searchers[1], CALLERS)];
+    // As in a gather, a second attempt takes a token of the service.
+    let retries = std::sync::Mutex::new(Budget::new(0.1, 20.0));
+    let ask = || async {
+        let health: Vec<_> = clients.iter().map(|client| client.health().clone()).collect();
+        let loads: Vec<_> = clients.iter().map(|client| client.slots().load()).collect();
+        let candidate = |at: usize| Candidate {
+            searcher: SearcherId::from_index(at),
+            health: &health[at],
+            load: loads[at],
+            slots: CALLERS,
+        };
+        let order = rank(Instant::now(), Some(VERSION), &[candidate(0), candidate(1)]);
+        let mut request = HedgedRequest::new(order);
+        retries.lock().expect("no panic").earn();
+        let mut next = request.start();
+        while let NextAction::Send(id) = next {
+            match search(&clients[id.index()], VERSION, 1000).await {
+                Ok(_reply) => return true,
+                Err(error) => {
+                    let mut retries = retries.lock().expect("no panic");
+                    next = request.fail(id, error.reason, &mut retries);
+                }
+            }
+        }
+        false
+    };
+    let caller = || async {
+        let mut answered = 0;
+        for _ in 0..REQUESTS {
+            answered += usize::from(ask().await);
+        }
+        answered
+    };
+    let (a, b, c, d) = tokio::join!(caller(), caller(), caller(), caller());
+    (searchers[0].searches(), a + b + c + d)
+}
+
+/// Guards against a searcher that fails at once and draws the work of its service.
+#[tokio::test]
+async fn a_searcher_that_fails_at_once_draws_no_more_work_with_any_status() {
+    let (sent, answered) = beside_a_failing_searcher(500).await;
+    println!("500: {sent} sent, {answered} answered");
+    let mut wrong = Vec::new();
+    for status in [206, 404, 409, 410, 504] {
+        let (sent_here, answered_here) = beside_a_failing_searcher(status).await;
+        println!("{status}: {sent_here} sent, {answered_here} answered");
+        // The callers ask at the same moment when an ejection ends.
+        if sent_here > sent + CALLERS || answered_here < answered {
+            wrong.push((status, sent_here, answered_here));
+        }
+    }
+    assert_eq!(answered, CALLERS * REQUESTS);
+    assert!(wrong.is_empty(), "500: {sent} sent, {answered} answered; {wrong:?}");
+}
