A failed search is no completed service time in the queue of a searcher's slots

Callers waited until their deadline for a slot that could not become free in time, instead of being rejected at once with the time to come back, at a searcher that had failed some searches quickly.

Cause: the time of every complete response counted as a service time of the slot, also that of a failure. After 24 searches of 20 ms and 24 that failed at once with 404, the mean was 2.3 ms, so a search with 8 ms left was queued behind one of 20 ms and ended with its deadline.

A response to a search that was not served (by the one verdict) is now only a lower bound: it raises the mean, as a late 504 of a slow searcher did and still does, and never lowers it. `failures_do_not_shorten_the_expected_wait` failed before with these figures (deadline instead of busy).

--- a/crates/upstream/src/client.rs
+++ b/crates/upstream/src/client.rs
@@ -165,7 +165,9 @@
         // searcher has finished.
         let exchange = tokio::spawn(async move {
             let reply = client.exchange(lease, request, &exchanged).await;
-            slot.took = reply.is_ok().then(|| started.elapsed());
+            slot.took = reply.as_ref().ok().and_then(|reply| {
+                client.slots().sample(started.elapsed(), verdict(reply) == Verdict::Success)
+            });
             drop(slot);
             reply
         });
--- a/crates/upstream/src/queue.rs
+++ b/crates/upstream/src/queue.rs
@@ -11,7 +11,7 @@
 /// A slot that is in use until this is dropped.
 pub(crate) struct Slot {
     pub(crate) client: Arc<Client>,
-    /// How long the request took, if it was answered.
+    /// The service time that the response shows, if any.
     pub(crate) took: Option<Duration>,
 }
 
--- a/crates/upstream/src/slots.rs
+++ b/crates/upstream/src/slots.rs
@@ -62,6 +62,14 @@
         self.in_use + self.queue.len()
     }
 
+    /// Returns the service time that a response shows, if it shows any.
+    ///
+    /// A request that failed or was cancelled may have ended at once, so the time that it took is
+    /// only a lower bound: it raises the mean and never lowers it.
+    pub fn sample(&self, took: Duration, is_served: bool) -> Option<Duration> {
+        (is_served || took > self.mean).then_some(took)
+    }
+
     /// Admits, queues or rejects a request.
     pub fn acquire(&mut self, now: Instant, deadline: Deadline, waiter: T) -> Admission {
         if self.in_use < self.capacity {
--- a/crates/upstream/tests/statuses.rs
+++ b/crates/upstream/tests/statuses.rs
@@ -159,6 +159,26 @@
     }
 }
 
+/// Guards against a failure that counts as a completed service time: requests were queued that
+/// could not finish by their deadlines, instead of being rejected at once.
+#[tokio::test]
+async fn failures_do_not_shorten_the_expected_wait() {
+    let searcher = searcher(Duration::from_millis(20)).await;
+    let client = client(&searcher, 1);
+    for _ in 0..24 {
+        search(&client, VERSION, 1000).await.expect("it answers");
+    }
+    searcher.set_faults(failing(404, false));
+    for _ in 0..24 {
+        search(&client, VERSION, 1000).await.expect_err("it fails");
+    }
+    searcher.set_faults(Faults::default());
+    let (running, late) = tokio::join!(search(&client, VERSION, 1000), search(&client, VERSION, 8));
+    running.expect("a slot is free");
+    let late = late.expect_err("there is one slot");
+    assert_eq!(late.reason, Reason::Busy, "{late}; {}", client.slots());
+}
+
 /// Sends the requests of all callers to two searchers, of which one fails each at once with a
 /// status; returns how many reached that one and how many were answered.
 async fn beside_a_failing_searcher(status: u16) -> (usize, usize) {
