A searcher that fails writes is ejected for writes

Callers got "unknown" or "not run" for every write to a shard whose first replica failed each write, for as long as it did so, though another replica was there.

Cause: a write taught nothing of its searcher, with any status (a search did), so the gather sent each write to the first replica that is not ejected by failures of searches or connections.

Writes that a searcher fails, with any status, an unreadable receipt or the end of the connection, now count on their own: three in a row eject it for writes, as three failed searches do for searches, with the same times. Only a confirmed write ends the count. Searches don't touch it, nor it them: a searcher may fail writes and serve searches, for example without space for the ledger. A write is sent once, as before; only the choice of the next one's replica changes. A rejection that is borne out (leaving, deadline) counts for nothing.

Each gather counts by itself, and tries such a replica again after each ejection.

--- a/crates/bench/tests/answers.rs
+++ b/crates/bench/tests/answers.rs
@@ -7,7 +7,7 @@
 
 use bergamot_bench::history::{Ending, History};
 use bergamot_net::Client;
-use bergamot_standin::{Corpus, Faults};
+use bergamot_standin::{Corpus, Faults, StatusFault};
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::Request;
@@ -152,6 +152,22 @@
     }
 }
 
+/// Guards against writes that all go to a replica that fails each of them, while another serves.
+#[tokio::test(flavor = "multi_thread")]
+async fn writes_move_to_a_replica_that_serves_them() {
+    let cluster = start([63, 4]).await;
+    let status = Some(StatusFault { share: 1.0, status: 500, not_run: false });
+    for first_of_shard in cluster.searchers_of("glycol-ledger").into_iter().step_by(2) {
+        first_of_shard.set_faults(Faults { status, ..Faults::default() });
+    }
+    let history = under_load(&cluster, 4 * SECOND, async {}).await;
+    assert_invariants(&history);
+    let writes = || history.requests.iter().filter(|request| request.key.is_some());
+    let done = writes().filter(|request| request.ending == Ending::Complete).count();
+    let sent = writes().count();
+    assert!(3 * done > sent, "{done} of {sent} writes are done");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_caller_disconnect_cancels_the_requests_to_searchers() {
     let cluster = start([60, 8]).await;
--- a/crates/gather/src/service.rs
+++ b/crates/gather/src/service.rs
@@ -360,7 +360,7 @@
         .filter_map(|searcher| assignment.clients.client(*searcher))
         .filter(|client| !client.health().is_leaving())
         .collect();
-    let healthy = candidates.iter().find(|client| !client.health().is_ejected(now));
+    let healthy = candidates.iter().find(|client| !client.health().is_ejected_for_writes(now));
     healthy.or(candidates.first()).copied()
 }
 
--- a/crates/upstream/src/client.rs
+++ b/crates/upstream/src/client.rs
@@ -211,6 +211,7 @@
                 WriteResult::NotRun(format!("the connection closed before sending: {error}"))
             }
             Ok(Err(error)) => {
+                self.health().record_write(Instant::now(), false);
                 WriteResult::Unknown(format!("the connection failed after sending: {error}"))
             }
             Ok(Ok(response)) => self.write_effect(lease, response, call).await,
@@ -432,7 +433,7 @@
             return WriteResult::Unknown("the reply to the write was cut".to_owned());
         };
         tokio::spawn(lease.release());
-        match verdict {
+        let effect = match verdict {
             Verdict::Success => match serde_json::from_slice::<Receipt>(reply.body()) {
                 Ok(receipt) => WriteResult::Done(receipt.receipt),
                 Err(error) => WriteResult::Unknown(format!("the receipt can't be read: {error}")),
@@ -444,7 +445,12 @@
                 "the searcher answered {status} ({})",
                 verdict.label()
             )),
+        };
+        let is_served = matches!(effect, WriteResult::Done(_));
+        if is_served || !self.is_borne_out(call, status, false) {
+            self.health().record_write(Instant::now(), is_served);
         }
+        effect
     }
 
     fn connection_fault(&self, step: &'static str, error: &SendError) -> SearcherError {
--- a/crates/upstream/src/health.rs
+++ b/crates/upstream/src/health.rs
@@ -29,13 +29,37 @@
 /// Divisor of the moving average of the latency: a new sample has weight 1 / `SMOOTHING`.
 const SMOOTHING: u32 = 8;
 
+/// Failures in a row of requests of one kind, and the ejection that follows from them.
+#[derive(Clone, Debug, Default)]
+struct Streak {
+    failures: u32,
+    ejections: u32,
+    ejected_until: Option<Instant>,
+}
+
+impl Streak {
+    fn record_failure(&mut self, now: Instant) {
+        self.failures += 1;
+        if self.failures >= EJECTION_THRESHOLD {
+            let doublings = self.ejections.min(MAX_DOUBLINGS);
+            self.ejected_until = Some(now + FIRST_EJECTION * 2_u32.pow(doublings));
+            self.ejections += 1;
+            self.failures = 0;
+        }
+    }
+
+    fn is_ejected(&self, now: Instant) -> bool {
+        self.ejected_until.is_some_and(|until| now < until)
+    }
+}
+
 /// The observed health of one searcher.
 #[derive(Clone, Debug)]
 pub struct Health {
     mean: Duration,
-    failures: u32,
-    ejections: u32,
-    ejected_until: Option<Instant>,
+    streak: Streak,
+    /// Of writes, which may fail while searches are served, for example without space for them.
+    write_streak: Streak,
     run: Option<Name>,
     first_seen: Option<Instant>,
     restarted: bool,
@@ -48,9 +72,8 @@
     pub fn new(initial_latency: Duration) -> Self {
         Self {
             mean: initial_latency,
-            failures: 0,
-            ejections: 0,
-            ejected_until: None,
+            streak: Streak::default(),
+            write_streak: Streak::default(),
             run: None,
             first_seen: None,
             restarted: false,
@@ -61,27 +84,30 @@
 
     /// Records a successful request.
     pub fn record_success(&mut self, took: Duration) {
-        self.failures = 0;
-        self.ejections = 0;
-        self.ejected_until = None;
+        self.streak = Streak::default();
         self.mean = (self.mean * (SMOOTHING - 1) + took) / SMOOTHING;
     }
 
     /// Records a failed request and ejects the searcher after several consecutive failures.
     pub fn record_failure(&mut self, now: Instant) {
-        self.failures += 1;
-        if self.failures >= EJECTION_THRESHOLD {
-            let doublings = self.ejections.min(MAX_DOUBLINGS);
-            self.ejected_until = Some(now + FIRST_EJECTION * 2_u32.pow(doublings));
-            self.ejections += 1;
-            self.failures = 0;
+        self.streak.record_failure(now);
+    }
+
+    /// Records whether a write was served, and ejects the searcher for writes after several
+    /// consecutive failures.
+    pub fn record_write(&mut self, now: Instant, is_served: bool) {
+        if is_served {
+            self.write_streak = Streak::default();
+        } else {
+            self.write_streak.record_failure(now);
         }
     }
 
     /// Ejects the searcher for at least `pause`, for example after a failed connection attempt.
     pub fn eject_for(&mut self, now: Instant, pause: Duration) {
         let until = now + pause;
-        self.ejected_until = Some(self.ejected_until.map_or(until, |known| known.max(until)));
+        let known = self.streak.ejected_until;
+        self.streak.ejected_until = Some(known.map_or(until, |known| known.max(until)));
     }
 
     /// Records the run that sent a response and whether it reported that it is leaving.
@@ -130,7 +156,12 @@
 
     /// Returns whether the searcher is ejected at `now`.
     pub fn is_ejected(&self, now: Instant) -> bool {
-        self.ejected_until.is_some_and(|until| now < until)
+        self.streak.is_ejected(now)
+    }
+
+    /// Returns whether the searcher is ejected for writes at `now`, alone or for all requests.
+    pub fn is_ejected_for_writes(&self, now: Instant) -> bool {
+        self.streak.is_ejected(now) || self.write_streak.is_ejected(now)
     }
 
     /// Returns whether the searcher restarted within the warm-up period.
@@ -154,13 +185,16 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let run = self.run.as_deref().unwrap_or("unseen");
         let mean = self.mean.as_secs_f64() * 1e3;
-        write!(f, "run {run} mean {mean:.1} ms failures {}", self.failures)?;
+        write!(f, "run {run} mean {mean:.1} ms failures {}", self.streak.failures)?;
         if self.leaving {
             f.write_str(" leaving")?;
         }
-        if self.ejected_until.is_some() {
+        if self.streak.ejected_until.is_some() {
             f.write_str(" ejected")?;
         }
+        if self.write_streak.ejected_until.is_some() {
+            f.write_str(" ejected for writes")?;
+        }
         write!(f, " versions {:?}", self.versions)
     }
 }
--- a/crates/upstream/tests/statuses.rs
+++ b/crates/upstream/tests/statuses.rs
@@ -134,6 +134,39 @@
     assert!(kept.is_empty(), "{kept:?}");
 }
 
+/// Guards against writes that keep going to a searcher that fails each of them, and against taking a
+/// searcher that fails writes from searches.
+#[tokio::test]
+async fn every_status_of_a_failed_write_ejects_a_searcher_for_writes() {
+    let searcher = searcher(Duration::from_millis(1)).await;
+    let mut kept = Vec::new();
+    for (status, not_run) in statuses().flat_map(|status| [(status, false), (status, true)]) {
+        searcher.set_faults(failing(status, not_run));
+        let client = client(&searcher, 2);
+        for _ in 0..EJECTING {
+            write(&client).await;
+        }
+        if !client.health().is_ejected_for_writes(Instant::now()) || is_ejected(&client) {
+            kept.push((status, not_run));
+        }
+    }
+    assert!(kept.is_empty(), "{} of {}: {kept:?}", kept.len(), 2 * statuses().count());
+    searcher.set_faults(Faults::default());
+    let client = client(&searcher, 2);
+    for turn in 0..3 * EJECTING {
+        let status = StatusFault { share: 1.0, status: 500, not_run: false };
+        searcher.set_faults(Faults {
+            status: (turn % EJECTING != 0).then_some(status),
+            ..Faults::default()
+        });
+        write(&client).await;
+    }
+    assert!(
+        !client.health().is_ejected_for_writes(Instant::now()),
+        "a served write ends the count"
+    );
+}
+
 /// Guards against ejecting a searcher for what is no fault of its own: a version that it doesn't
 /// hold, a stop that it has announced, and a deadline that passed.
 #[tokio::test]
