--- a/crates/upstream/src/client.rs
+++ b/crates/upstream/src/client.rs
@@ -172,7 +172,7 @@
             reply
         });
         let reply = exchange.await.map_err(|error| self.fault("send", &error.to_string()))??;
-        self.decode_search(call, search.version, &reply, started.elapsed())
+        self.decode_search(call, search, &reply, started.elapsed())
     }
 
     /// Sends a write at most once.
@@ -372,20 +372,31 @@
     fn decode_search(
         &self,
         call: &RequestContext,
-        version: Version,
+        search: &Search,
         reply: &Response<Bytes>,
         took: Duration,
     ) -> Result<SearchReply, SearcherError> {
         if verdict(reply) == Verdict::Success {
-            let found = serde_json::from_slice(reply.body()).map_err(|error| {
+            let found: SearchReply = serde_json::from_slice(reply.body()).map_err(|error| {
                 self.record_failure();
                 self.fault("decode reply", &error.to_string()).with_reason(Reason::BadReply)
             })?;
+            let other = match &found {
+                found if found.shard != search.shard => Some(Reason::BadReply),
+                found if (found.epoch, found.version) != (search.epoch, search.version) => {
+                    Some(Reason::WrongSnapshot)
+                }
+                _ => None,
+            };
+            if let Some(reason) = other {
+                self.record_failure();
+                return Err(self.fault("search", "reply to another search").with_reason(reason));
+            }
             self.health().record_success(took);
             return Ok(found);
         }
-        let lacks_version =
-            held_versions(reply).is_some_and(|held| !held.is_empty() && !held.contains(&version));
+        let lacks_version = held_versions(reply)
+            .is_some_and(|held| !held.is_empty() && !held.contains(&search.version));
         if !self.is_borne_out(call, reply.status(), lacks_version) {
             self.record_failure();
         }
--- a/crates/upstream/tests/statuses.rs
+++ b/crates/upstream/tests/statuses.rs
@@ -212,12 +212,11 @@
     assert_eq!(late.reason, Reason::Busy, "{late}; {}", client.slots());
 }
 
-/// Sends the requests of all callers to two searchers, of which one fails each at once with a
-/// status; returns how many reached that one and how many were answered.
-async fn beside_a_failing_searcher(status: u16) -> (usize, usize) {
+/// Sends the requests of all callers to two searchers, of which one has faults and is fast; returns how many reached that one and how many were answered.
+async fn beside_a_failing_searcher(faults: Faults) -> (usize, usize) {
     let searchers =
-        [searcher(Duration::from_millis(20)).await, searcher(Duration::from_millis(20)).await];
-    searchers[0].set_faults(failing(status, false));
+        [searcher(Duration::from_millis(1)).await, searcher(Duration::from_millis(20)).await];
+    searchers[0].set_faults(faults);
     let clients = [client(&searchers[0], CALLERS), client(&searchers[1], CALLERS)];
     // As in a gather, a second attempt takes a token of the service.
     let retries = std::sync::Mutex::new(Budget::new(0.1, 20.0));
@@ -236,7 +235,11 @@
         let mut next = request.start();
         while let NextAction::Send(id) = next {
             match search(&clients[id.index()], VERSION, 1000).await {
-                Ok(_reply) => return true,
+                Ok(reply) if reply.version == VERSION => return true,
+                Ok(_other) => {
+                    let mut retries = retries.lock().expect("no panic");
+                    next = request.fail(id, Reason::WrongSnapshot, &mut retries);
+                }
                 Err(error) => {
                     let mut retries = retries.lock().expect("no panic");
                     next = request.fail(id, error.reason, &mut retries);
@@ -258,16 +261,16 @@
 
 /// Guards against a searcher that fails at once and draws the work of its service.
 #[tokio::test]
-async fn a_searcher_that_fails_at_once_draws_no_more_work_with_any_status() {
-    let (sent, answered) = beside_a_failing_searcher(500).await;
-    println!("500: {sent} sent, {answered} answered");
+async fn a_searcher_that_fails_at_once_draws_no_more_work_in_any_way() {
+    let (sent, answered) = beside_a_failing_searcher(failing(500, false)).await;
     let mut wrong = Vec::new();
-    for status in [206, 404, 409, 410, 504] {
-        let (sent_here, answered_here) = beside_a_failing_searcher(status).await;
-        println!("{status}: {sent_here} sent, {answered_here} answered");
+    let wrong_version = Faults { wrong_version: true, ..Faults::default() };
+    let ways = [206, 404, 409, 410, 504].map(|status| failing(status, false));
+    for faults in ways.into_iter().chain([wrong_version]) {
+        let (sent_here, answered_here) = beside_a_failing_searcher(faults.clone()).await;
         // The callers ask at the same moment when an ejection ends.
         if sent_here > sent + CALLERS || answered_here < answered {
-            wrong.push((status, sent_here, answered_here));
+            wrong.push((faults.status, sent_here, answered_here));
         }
     }
     assert_eq!(answered, CALLERS * REQUESTS);
