Gather: don't take an accepted or reset dial for a running searcher

Cause: a searcher counted as crashed only if the dial after the lost connection was refused. A process that ends closes its connections before its listener, and until then the kernel accepts dials, or resets those in the queue. A missed crash leaves no strike, opens the gate for another trial or, before the first crash is found, for any retry.

Change: a dial that isn't refused is followed by a status request on a new connection, and if that isn't answered, by a second dial. The decision is `CrashCheck`. A connection that the kernel accepted for an ended process is reset when the listener closes, so the second dial is refused.

Evidence: the rule of one dial fails `an_accepted_dial_without_an_answer_is_followed_by_another_dial`. The old test alone can't show the difference at its rate; the new one does.

Cost: when a connection to a running searcher is lost under a query, its retry waits for one more connection and a status exchange, for a third of the time left at most. Nothing changes without a lost connection.

Left: the relay takes one dial for the answer as before.

--- a/crates/bench/tests/fatal.rs
+++ b/crates/bench/tests/fatal.rs
@@ -8,13 +8,14 @@
 
 use std::time::Duration;
 
+use bergamot_bench::cluster::Cluster;
 use bergamot_net::Client;
 use bergamot_query::Shape;
 use bergamot_standin::Faults;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::Request;
-use support::{start, until};
+use support::{settings, start, start_with, until};
 
 /// How often the query is sent.
 const REPEATS: usize = 12;
@@ -22,6 +23,10 @@
 /// How many searchers may crash in addition to one per shard.
 const EXTRA_CRASHES: usize = 3;
 
+/// How long a listener stays open after the connections of a crashed searcher. Dials from the same
+/// host take a fraction of that.
+const LISTENER_LAG: Duration = Duration::from_millis(5);
+
 /// Sends a query to the entry of an instance; returns the status and the body.
 async fn query(instance: std::net::Ipv4Addr, body: &'static str) -> (u16, String) {
     let (local, entry) = (std::net::Ipv4Addr::UNSPECIFIED, (instance, 7400).into());
@@ -36,10 +41,27 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn a_fatal_query_crashes_at_most_one_searcher_per_shard_plus_three() {
-    let cluster = start([60, 9]).await;
+    assert_crashes_are_bounded(start([60, 9]).await, Faults::default()).await;
+}
+
+/// Guards against crashes that are missed because a dial is still accepted or reset, after which
+/// retries and further trials crash more searchers.
+#[tokio::test(flavor = "multi_thread")]
+async fn crashes_are_bounded_while_listeners_close_after_the_connections() {
+    let mut settings = settings();
+    // The entry would otherwise query a second gather while the first one is still finding out
+    // about the crashes, and that one doesn't know of them.
+    settings.entry.failover = Duration::from_secs(1);
+    let cluster = start_with([60, 10], settings).await;
+    let faults = Faults { listener_lag: LISTENER_LAG, ..Faults::default() };
+    assert_crashes_are_bounded(cluster, faults).await;
+}
+
+/// Sends a fatal query several times to searchers with the given faults, and checks how many crash.
+async fn assert_crashes_are_bounded(cluster: Cluster, faults: Faults) {
     let board = cluster.searchers_of("queue-board");
     for searcher in &board {
-        searcher.set_faults(Faults { fatal: Some(Shape::Top { k: 7 }), ..Faults::default() });
+        searcher.set_faults(Faults { fatal: Some(Shape::Top { k: 7 }), ..faults.clone() });
     }
     let instance = |turn: usize| cluster.deployment.instance(turn % 3);
     for turn in 0..REPEATS {
--- a/crates/gather/src/quarantine.rs
+++ b/crates/gather/src/quarantine.rs
@@ -4,16 +4,21 @@
 //! (`docs/design/0014-fatal-requests.md`). Each gather grants trials on its own: a searcher has few
 //! homes, which bounds the number of concurrent trials.
 
+use std::sync::Arc;
 use std::time::Instant;
 
-use bergamot_base::{Name, Shard};
-use bergamot_quarantine::{Fingerprint, Standing, Strike};
+use bergamot_base::{Deadline, Name, Shard};
+use bergamot_quarantine::{CheckStep, CrashCheck, Fingerprint, Standing, Strike};
 use bergamot_query::{Reason, Shape};
-use bergamot_upstream::Client;
+use bergamot_upstream::{Client, Reuse};
 
 use crate::service::Inner;
 use crate::shard::{self, ShardResult, SubQueryContext};
 
+/// The part of the remaining time that a searcher has to answer the check for a crash, so that the
+/// retry still has time if it runs but doesn't answer.
+const CHECK_TIME_DIVISOR: u32 = 3;
+
 /// Returns the fingerprint of a query to a service.
 pub(crate) fn fingerprint(service: &str, shape: &Shape) -> Fingerprint {
     Fingerprint::of("search", service, shape.to_string().as_bytes())
@@ -32,10 +37,10 @@
         &self,
         context: &SubQueryContext,
         shard: Shard,
-        client: &Client,
+        client: &Arc<Client>,
         trial: bool,
     ) -> bool {
-        if !client.pool().searcher_exited().await {
+        if !has_crashed(client, context.deadline).await {
             return false;
         }
         let (address, run) = (client.address().to_string(), client.health().run().cloned());
@@ -114,6 +119,34 @@
     }
 }
 
+/// Checks whether a searcher has crashed by dialling it and, if that is not conclusive, by
+/// requesting its status.
+async fn has_crashed(client: &Arc<Client>, deadline: Deadline) -> bool {
+    let now = Instant::now();
+    let answer_by = Deadline::after(now, deadline.remaining(now) / CHECK_TIME_DIVISOR);
+    let mut check = CrashCheck::default();
+    loop {
+        match check.next_step() {
+            CheckStep::Dial => check.record_dial(client.pool().searcher_exited().await),
+            CheckStep::RequestStatus => {
+                check.record_status(is_status_answered(client, answer_by).await);
+            }
+            CheckStep::Complete { crashed } => return crashed,
+        }
+    }
+}
+
+/// Requests a searcher's status on a new connection: a kept one may have ended with the process
+/// although the listener is still open.
+async fn is_status_answered(client: &Arc<Client>, deadline: Deadline) -> bool {
+    let Ok(lease) = client.pool().lease(deadline, Reuse::Never).await else {
+        return false;
+    };
+    // The connection that was returned last is leased first.
+    lease.release().await;
+    client.status(deadline).await.is_ok()
+}
+
 /// The result of a shard that is not queried because of the quarantine.
 fn withheld_result() -> ShardResult {
     ShardResult { result: Err(Reason::Withheld), attempts: 0 }
--- a/crates/quarantine/src/lib.rs
+++ b/crates/quarantine/src/lib.rs
@@ -12,6 +12,7 @@
 //! together, however many there were; only crashes during trials add further strikes; and an
 //! answer clears all strikes before it. See `docs/design/0014-fatal-requests.md`.
 
+mod crash_check;
 mod fingerprint;
 mod gate;
 mod quarantine;
@@ -19,6 +20,7 @@
 mod shared_gate;
 mod table;
 
+pub use crash_check::{CheckStep, CrashCheck};
 pub use fingerprint::Fingerprint;
 pub use gate::{Gate, Permit, TrialOutcome};
 pub use quarantine::Quarantine;
--- a/crates/standin/src/behaviour.rs
+++ b/crates/standin/src/behaviour.rs
@@ -92,6 +92,9 @@
     pub claimed: Option<Vec<Version>>,
     /// The query on which the searcher crashes.
     pub fatal: Option<Shape>,
+    /// How long the listener stays open after the connections when the searcher stops, as when the
+    /// kernel closes the descriptors of a process that has many.
+    pub listener_lag: Duration,
     /// How responses are distorted.
     pub distortion: Option<Distortion>,
     /// The status with which searches and writes fail.
--- a/crates/standin/src/searcher.rs
+++ b/crates/standin/src/searcher.rs
@@ -213,7 +213,10 @@
 async fn accept(inner: Arc<Inner>, listener: TcpListener) {
     loop {
         let accepted = tokio::select! {
-            () = inner.stop.cancelled() => return,
+            () = inner.stop.cancelled() => {
+                let lag = inner.lock().faults.listener_lag;
+                return sleep(lag).await;
+            }
             accepted = listener.accept() => accepted,
         };
         let Ok((stream, peer)) = accepted else {
