--- a/crates/upstream/src/client.rs
+++ b/crates/upstream/src/client.rs
@@ -515,5 +515,6 @@
         is_signed: true,
         denies_run: response.headers().contains_key(protocol::NOT_RUN),
         is_misdirected: false,
+        is_encoded: response.headers().contains_key(hyper::header::CONTENT_ENCODING),
     })
 }
