A rejection doesn't clear a request that crashes searchers

A rejection may be a failure that comes before the request is run. Change: it is inconclusive, as a 500 is.

--- a/crates/relay/src/quarantine.rs
+++ b/crates/relay/src/quarantine.rs
@@ -136,10 +136,6 @@
                 Ok(TrialResponse { service, response })
             }
             Err(mut failure) => {
-                if failure.is_rejected {
-                    // The searcher that rejected it is still there.
-                    self.clear_suspicion(job, std::slice::from_ref(&service));
-                }
                 if job.is_gathered {
                     // The failure of one shard is no answer to the whole request.
                     failure.response = None;
--- a/crates/relay/src/race.rs
+++ b/crates/relay/src/race.rs
@@ -39,7 +39,7 @@
     /// Whether an attempt got bytes that could not be read as the response.
     met_fault: bool,
     /// Whether the last searcher that answered rejected the request.
-    pub(crate) is_rejected: bool,
+    is_rejected: bool,
     /// An error response of a searcher that can be forwarded.
     pub(crate) response: Option<Box<SearcherResponse>>,
 }
@@ -316,8 +316,6 @@
         }
         self.settle_trial(if error.searcher_ended {
             TrialOutcome::Crashed
-        } else if self.worst.is_rejected {
-            TrialOutcome::Answered
         } else {
             TrialOutcome::Inconclusive
         });
--- a/crates/relay/tests/fatal.rs
+++ b/crates/relay/tests/fatal.rs
@@ -12,11 +12,11 @@
 
 use bergamot_declaration::{Idempotency, Target};
 use bergamot_relay::{Cause, Relay, Reply, Request};
-use bergamot_standin::{ScriptedServer, Step};
+use bergamot_standin::{RecordedRequest, ScriptedServer, Step};
 use bytes::Bytes;
 use hyper::header::HeaderValue;
 use std::sync::Arc;
-use support::{gather, merged, ok, record, relay, request, route, script, upstream};
+use support::{gather, merged, ok, record, relay, reply, request, route, script, upstream};
 
 /// The body of the fatal request.
 const FATAL: &[u8] = b"fatal";
@@ -120,6 +120,22 @@
     assert_eq!((answer.signatures.len(), answer.missing), (4, 0));
 }
 
+/// Guards against a rejection, which may be a failure that comes before the request is run, as the proof
+/// that the request is harmless: it then crashed a searcher after each trial.
+#[tokio::test]
+async fn a_rejection_does_not_clear_a_request_that_crashes_searchers() {
+    let mut all = searchers(&["a"], 8).await;
+    for _ in 0..8 {
+        let reject = |seen: &RecordedRequest| vec![Step::Send(reply(seen, "404 No", "s", b""))];
+        all.push(("a", script(reject).await));
+    }
+    let relay = relay_for(&all, Target::Service("a".into()));
+    for time in 0..3 * REPEATS {
+        relay.handle(fatal_request(time)).await;
+    }
+    assert!(count_ended(&all) <= 5, "{} searchers ended", count_ended(&all));
+}
+
 /// A searcher that resets connections but is still listening has not ended.
 #[tokio::test]
 async fn a_request_whose_connections_are_reset_is_not_quarantined() {
