What may be passed on is decided with the verdict, and the adapter uses its word for a signature

On re-reading: exchange.rs looked at the status and the encoding again to decide what is passed on, both interfaces had an encoding of their own, and the adapter took an empty signature of a 421 for one, which the verdict doesn't: such an answer was neither another searcher's nor signed. Change: Statement::may_forward, is_encoding and is_signature stand in answer::verdict alone.

Evidence: the property test of the verdict covers may_forward over all statements; relay, answer, upstream, malformed (with its kept cases) and wire pass.

--- a/crates/answer/src/lib.rs
+++ b/crates/answer/src/lib.rs
@@ -24,4 +24,4 @@
 pub use inspector::{Finding, Inspector, Stray};
 pub use limits::{CHUNK_BYTES, Limits};
 pub use memory::{Buffer, Exhausted, Memory, Usage};
-pub use verdict::{Statement, Verdict, is_signature, promises_not_run};
+pub use verdict::{Statement, Verdict, is_encoding, is_signature};
--- a/crates/answer/src/verdict.rs
+++ b/crates/answer/src/verdict.rs
@@ -25,10 +25,23 @@
     pub denies_run: bool,
     /// Whether the status says that another searcher was meant.
     pub is_misdirected: bool,
-    /// Whether the body is encoded, and so is not the content itself.
+    /// Whether the body is encoded ([`is_encoding`]), and so is not the content itself.
     pub is_encoded: bool,
 }
 
+impl Statement {
+    /// Returns whether the answer to a request of one searcher may be passed on unchanged.
+    pub fn may_forward(self) -> bool {
+        match Verdict::of(self) {
+            Verdict::Success => true,
+            Verdict::Rejected | Verdict::Failed => {
+                !self.is_encoded && !PROMISES_NOT_RUN.contains(&self.status)
+            }
+            Verdict::NotRun | Verdict::Misdirected | Verdict::Unsigned => false,
+        }
+    }
+}
+
 /// What a complete answer says of its request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Verdict {
@@ -58,7 +71,7 @@
             _ if is_encoded => Self::Failed,
             PARTIAL_CONTENT => Self::Rejected,
             200..=299 => Self::Success,
-            300..=499 if !promises_not_run(status) => Self::Rejected,
+            300..=499 if !PROMISES_NOT_RUN.contains(&status) => Self::Rejected,
             _ => Self::Failed,
         }
     }
@@ -87,7 +100,7 @@
     !value.is_empty() && !value.contains(&b',')
 }
 
-/// Returns whether callers take a status for the promise that their request did not run.
-pub fn promises_not_run(status: u16) -> bool {
-    PROMISES_NOT_RUN.contains(&status)
+/// Returns whether a `Content-Encoding` changes the content.
+pub fn is_encoding(value: &[u8]) -> bool {
+    !value.eq_ignore_ascii_case(b"identity")
 }
--- a/crates/answer/tests/verdict.rs
+++ b/crates/answer/tests/verdict.rs
@@ -3,7 +3,7 @@
 //! Guards against a status that is taken for what it means elsewhere: "under 500" for a result, 503
 //! for "did not run".
 
-use bergamot_answer::{Statement, Verdict, promises_not_run};
+use bergamot_answer::{Statement, Verdict};
 use proptest::prelude::*;
 
 /// Statuses, and the verdict of a signed answer with them that doesn't deny that the request ran.
@@ -49,7 +49,11 @@
             prop_assert!(is_signed && !denies_run && !is_encoded && status < 300 && status != 206);
         }
         if verdict == Verdict::Rejected {
-            prop_assert!(is_signed && status < 500 && !promises_not_run(status));
+            prop_assert!(is_signed && status < 500);
+        }
+        if head.may_forward() {
+            prop_assert!(is_signed && !denies_run && !is_encoded);
+            prop_assert!(![408, 421, 429, 503].contains(&status), "a promise for what ran");
         }
         if !is_signed && !verdict.did_not_run() {
             prop_assert_eq!(verdict, Verdict::Unsigned);
--- a/crates/relay/src/dialect.rs
+++ b/crates/relay/src/dialect.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use bergamot_answer::{Statement, Verdict, is_signature};
+use bergamot_answer::{Statement, is_encoding, is_signature};
 use bergamot_base::Name;
 use hyper::HeaderMap;
 use hyper::header::{CONTENT_ENCODING, HeaderValue};
@@ -34,24 +34,19 @@
 }
 
 impl ResponseMetadata {
-    /// Judges the response with this metadata.
-    pub(crate) fn verdict(&self, head: &Parts) -> Verdict {
-        let is_signature = |value: &HeaderValue| is_signature(value.as_bytes());
-        Verdict::of(Statement {
+    /// Returns what the head with this metadata states.
+    pub(crate) fn statement(&self, head: &Parts) -> Statement {
+        let encoding = head.headers.get(CONTENT_ENCODING);
+        Statement {
             status: head.status.as_u16(),
-            is_signed: self.signature.as_ref().is_some_and(is_signature),
-            is_encoded: is_encoded(head),
+            is_signed: self.signature.as_ref().is_some_and(|value| is_signature(value.as_bytes())),
             denies_run: self.not_run,
             is_misdirected: self.misdirected,
-        })
+            is_encoded: encoding.is_some_and(|value| is_encoding(value.as_bytes())),
+        }
     }
 }
 
-/// Returns whether the body of a response is encoded.
-pub(crate) fn is_encoded(head: &Parts) -> bool {
-    head.headers.get(CONTENT_ENCODING).is_some_and(|encoding| encoding != "identity")
-}
-
 /// The encoding used with the searchers of one platform.
 #[derive(Clone, Copy, Debug)]
 pub struct Dialect {
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -9,7 +9,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use bergamot_answer::{Fault, Verdict, promises_not_run};
+use bergamot_answer::{Fault, Statement, Verdict};
 use bergamot_base::Deadline;
 use bergamot_declaration::Idempotency;
 use bergamot_dispatch::{Distance, Ending};
@@ -20,7 +20,7 @@
 use hyper::{Response, StatusCode};
 
 use crate::attempt::AttemptLimits;
-use crate::dialect::{RequestMetadata, ResponseMetadata, is_encoded};
+use crate::dialect::{RequestMetadata, ResponseMetadata};
 use crate::link::SearcherLink;
 use crate::message::{Job, SearcherResponse};
 use crate::relay::Relay;
@@ -164,14 +164,15 @@
     })?;
     let (parts, body) = response.into_parts();
     let metadata = (relay.dialect().read_response)(&parts);
-    let verdict = metadata.verdict(&parts);
+    let statement = metadata.statement(&parts);
     let body = link.pool.read_body(body).await.map_err(|error| {
         // The head states whether the request ran, even if the body is truncated.
-        let ending = if verdict.did_not_run() { Ending::NotRun } else { Ending::Unknown };
+        let did_not_run = Verdict::of(statement).did_not_run();
+        let ending = if did_not_run { Ending::NotRun } else { Ending::Unknown };
         AttemptError { fault: error.fault(), ..AttemptError::new(ending, error) }
     })?;
     lease.release_soon();
-    classify_response(relay, link, job, Response::from_parts(parts, body), (metadata, verdict))
+    classify_response(relay, link, job, Response::from_parts(parts, body), (metadata, statement))
 }
 
 fn build_request(
@@ -203,10 +204,10 @@
     link: &SearcherLink,
     job: &Job,
     response: Response<Bytes>,
-    (metadata, verdict): (ResponseMetadata, Verdict),
+    (metadata, statement): (ResponseMetadata, Statement),
 ) -> Result<SearcherResponse, AttemptError> {
     let ResponseMetadata { signature, searcher, .. } = metadata;
-    let status = response.status();
+    let (status, verdict) = (response.status(), Verdict::of(statement));
     if status != StatusCode::OK || verdict != Verdict::Success {
         relay.meter().responses.count_not_ok(status, verdict.label());
         job.failure_log.record_response(&link.upstream, status, verdict.label());
@@ -215,7 +216,6 @@
         relay.mark_ended(&link.upstream.incarnation, searcher.as_deref());
     }
     let (parts, body) = response.into_parts();
-    let may_forward = !promises_not_run(status.as_u16()) && !is_encoded(&parts);
     let mut headers = parts.headers;
     strip_hop_by_hop_headers(&mut headers);
     let response = SearcherResponse { status, headers, body, signature, verdict };
@@ -228,7 +228,7 @@
     let cause = format!("{}, status {}", verdict.label(), status.as_u16());
     Err(AttemptError {
         verdict: Some(verdict),
-        response: (ending == Ending::Failed && may_forward).then(|| Box::new(response)),
+        response: statement.may_forward().then(|| Box::new(response)),
         ..AttemptError::new(ending, cause)
     })
 }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -44,6 +44,7 @@
 mod store;
 mod warmup;
 
+pub use bergamot_answer::is_signature;
 pub use bergamot_placement::ColdBound;
 pub use coordinator::PoolCoordinator;
 pub use coverage::Coverage;
--- a/crates/upstream/src/client.rs
+++ b/crates/upstream/src/client.rs
@@ -12,7 +12,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
-use bergamot_answer::{Statement, Verdict};
+use bergamot_answer::{Statement, Verdict, is_encoding};
 use bergamot_base::{Deadline, Name, Peer, Step, Version};
 use bergamot_query::Reason;
 use bytes::Bytes;
@@ -515,6 +515,7 @@
         is_signed: true,
         denies_run: response.headers().contains_key(protocol::NOT_RUN),
         is_misdirected: false,
-        is_encoded: response.headers().contains_key(hyper::header::CONTENT_ENCODING),
+        is_encoded: header(response, "content-encoding")
+            .is_some_and(|value| is_encoding(value.as_bytes())),
     })
 }
