A reply of failures alone is no fast answer of a member

A member whose searchers all fail at once got each of 40 queries to its location, another one there, which had the shards, got none: callers were kept waiting for second attempts or got partial answers though a member was free.

Change: a reply in which no shard has arrived only ends the query; its latency says nothing.

--- a/crates/relay/src/delegate.rs
+++ b/crates/relay/src/delegate.rs
@@ -15,7 +15,8 @@
 use bergamot_quarantine::Fingerprint;
 use bergamot_registry::Incarnation;
 use bergamot_wire::{
-    Admission, AdmissionRequest, Coverage, Late, ReportingReply, ShardQuery, ShardReply,
+    Admission, AdmissionRequest, Coverage, Late, ReportingReply, ShardOutcome, ShardQuery,
+    ShardReply,
 };
 use futures::future::BoxFuture;
 use snafu::Snafu;
@@ -99,7 +100,18 @@
     ip: Ipv4Addr,
     sent: Instant,
     overdue_at: Instant,
-    answered: bool,
+    end: QueryEnd,
+}
+
+/// How a query ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum QueryEnd {
+    /// Without a reply.
+    Silent,
+    /// With a reply in which no shard has arrived; it may have cost no work, so its latency says nothing.
+    Empty,
+    /// With a reply in which a shard has arrived.
+    Answered,
 }
 
 impl Drop for PendingQuery<'_> {
@@ -107,13 +119,13 @@
         let now = Instant::now();
         self.relay.with_delegates(|delegates| {
             let estimator = delegates.estimator(self.ip);
-            if self.answered {
-                estimator.record_answer(self.sent, now);
-            } else {
-                estimator.record_abandon(self.sent, now);
+            match self.end {
+                QueryEnd::Silent => estimator.record_abandon(self.sent, now),
+                QueryEnd::Empty => estimator.record_end(self.sent),
+                QueryEnd::Answered => estimator.record_answer(self.sent, now),
             }
         });
-        if !self.answered && now >= self.overdue_at {
+        if self.end == QueryEnd::Silent && now >= self.overdue_at {
             // Only the missing reply shows that a connection is dead.
             (self.relay.helping().disconnect)(self.ip);
         }
@@ -140,12 +152,15 @@
 ) -> Result<ShardReply, CallError> {
     let sent = Instant::now();
     relay.with_delegates(|delegates| delegates.estimator(ip).record_send(sent));
-    let mut pending = PendingQuery { relay, ip, sent, overdue_at, answered: false };
+    let mut pending = PendingQuery { relay, ip, sent, overdue_at, end: QueryEnd::Silent };
     let call = call_member(relay, job, ip, query, deadline);
     let result = tokio::time::timeout_at(deadline.into(), call).await;
     let result =
         result.unwrap_or_else(|elapsed| Err(CallError::NoReply { cause: elapsed.to_string() }));
-    pending.answered = result.is_ok();
+    if let Ok(reply) = &result {
+        let has_arrived = reply.shards.iter().any(|shard| matches!(shard, ShardOutcome::In(_)));
+        pending.end = if has_arrived { QueryEnd::Answered } else { QueryEnd::Empty };
+    }
     result
 }
 
--- a/crates/relay/tests/rejections/delegate.rs
+++ b/crates/relay/tests/rejections/delegate.rs
@@ -9,8 +9,8 @@
 use std::time::Duration;
 
 use crate::support::{
-    at, gather, incarnation, no_members, ok, record, relay_with_members, request, route, script,
-    upstream,
+    at, gather, incarnation, no_members, ok, part, record, relay, relay_with_members, reply,
+    request, route, script, shard_query, upstream,
 };
 use bergamot_declaration::Idempotency;
 use bergamot_relay::{DelegateMember, Helping, Reply};
@@ -19,6 +19,11 @@
 
 const SHARDS: [&str; 3] = ["a", "b", "c"];
 
+/// A member in the west.
+fn delegate(ip: Ipv4Addr) -> DelegateMember {
+    DelegateMember { ip, zone: "west".into(), region: "west".into(), weight: 1000, protocol: 0 }
+}
+
 #[tokio::test]
 async fn a_member_whose_searchers_all_fail_is_not_asked_for_each_request() {
     let calls = Arc::new(AtomicUsize::new(0));
@@ -47,14 +52,7 @@
     }
     let routes = vec![route("/q/", Idempotency::Idempotent, gather(&SHARDS, 0.5))];
     let relay = relay_with_members(helping, routes, upstreams);
-    let west = Ipv4Addr::new(10, 0, 0, 9);
-    relay.set_delegate_members(vec![DelegateMember {
-        ip: west,
-        zone: "west".into(),
-        region: "west".into(),
-        weight: 1000,
-        protocol: 0,
-    }]);
+    relay.set_delegate_members(vec![delegate(Ipv4Addr::new(10, 0, 0, 9))]);
     let (mut whole, mut partial) = (0, 0);
     for _ in 0..20 {
         // Otherwise the relay takes itself for a process that was paused, and requests wait.
@@ -69,3 +67,43 @@
     println!("20 requests: {calls} queries to the member, {whole} whole, {partial} partial");
     assert!(calls < 10 && whole == 20, "{calls} queries, {whole} whole, {partial} partial");
 }
+
+/// Guards against a member that draws the queries of its location since its replies, all of them
+/// failures, are fast.
+#[tokio::test]
+async fn a_reply_of_failures_is_no_fast_answer_of_a_member() {
+    let members = [Ipv4Addr::new(10, 0, 0, 8), Ipv4Addr::new(10, 0, 0, 9)];
+    let calls = Arc::new([AtomicUsize::new(0), AtomicUsize::new(0)]);
+    let counted = Arc::clone(&calls);
+    let helping = Helping {
+        gather: Box::new(move |ip, _, _, _| {
+            let fails = ip == members[0];
+            counted[usize::from(!fails)].fetch_add(1, Ordering::SeqCst);
+            let outcome = |shard: &str| {
+                if fails {
+                    ShardOutcome::Failed(incarnation(&format!("{shard}-unknown")))
+                } else {
+                    ShardOutcome::In(shard.as_bytes().to_vec())
+                }
+            };
+            let shards = SHARDS.map(outcome).to_vec();
+            Box::pin(async move {
+                tokio::time::sleep(Duration::from_millis(if fails { 0 } else { 5 })).await;
+                let (records, quiet) = (record(1), Vec::new());
+                Ok(ShardReply { shards, records, left_out: 0, rest: 0, quiet })
+            })
+        }),
+        ..no_members()
+    };
+    let searcher = part(1).await;
+    let upstreams = SHARDS.map(|shard| at("west", upstream(shard, shard, &searcher))).to_vec();
+    let routes = vec![route("/q/", Idempotency::Idempotent, gather(&SHARDS, 0.5))];
+    let relay = relay_with_members(helping, routes, upstreams);
+    relay.set_delegate_members(members.map(delegate).to_vec());
+    for _ in 0..40 {
+        relay.tick(3, true);
+        relay.handle(request("/q/")).await;
+    }
+    let [failing, sound] = [0, 1].map(|at| calls[at].load(Ordering::SeqCst));
+    assert!(failing < sound, "{failing} queries to the failing member, {sound} to the other");
+}
