A rejection that comes after a member's reply counts as a failure too

A searcher that rejects requests later than its member must reply got 9 of 12 queries of members, its sound fellow 3: what it rejected was held against it only by its rate.

Cause: only rejections before the reply were compared with the shards that had arrived. Change: later ones are too; the query's own count says whether a shard has accepted the request.

--- a/crates/relay/src/shard_query.rs
+++ b/crates/relay/src/shard_query.rs
@@ -23,9 +23,9 @@
 use tokio::time::sleep_until;
 use tokio_util::task::AbortOnDropHandle;
 
-use crate::attempt::{AttemptLimits, attempt};
+use crate::attempt::{AttemptLimits, AttemptResult, attempt};
 use crate::choice::Choice;
-use crate::exchange::AttemptError;
+use crate::link::SearcherLink;
 use crate::message::{Job, JobRoute, Request, SearcherResponse};
 use crate::meter::AttemptReason;
 use crate::relay::Relay;
@@ -41,8 +41,8 @@
     left_out: TokenMap<Vec<u8>>,
 }
 
-/// The end of an attempt, with the index of its shard.
-type ShardResult = (usize, Result<SearcherResponse, AttemptError>);
+/// The index of a shard, and how the attempt for it ended.
+type ShardResult = (usize, AttemptResult);
 
 /// The attempts for one query that are still running.
 type RunningAttempts = FuturesUnordered<BoxFuture<'static, ShardResult>>;
@@ -126,7 +126,7 @@
     let (mut parts, mut rejected) = (Vec::<Bytes>::new(), Vec::new());
     let mut due = std::pin::pin!(sleep_until(until.into()));
     loop {
-        let (index, outcome) = tokio::select! {
+        let (index, (link, outcome)) = tokio::select! {
             biased;
             ended = attempts.next() => match ended {
                 Some(ended) => ended,
@@ -136,6 +136,7 @@
         };
         match outcome {
             Ok(response) => {
+                job.tally().record_arrived();
                 shards[index] = ShardOutcome::In(signature(&response));
                 parts.push(response.body);
             }
@@ -143,7 +144,7 @@
             Err(error) if error.ending == Ending::NotSent => {
                 shards[index] = ShardOutcome::NotAsked;
             }
-            Err(error) if error.verdict == Some(Verdict::Rejected) => rejected.push(index),
+            Err(error) if error.verdict == Some(Verdict::Rejected) => rejected.push((index, link)),
             Err(error) => {
                 if let ShardOutcome::Silent(searcher) = &shards[index] {
                     let failed_outcome = if error.searcher_ended {
@@ -158,12 +159,9 @@
     }
     // Without a part the request itself may be at fault, which the sender finds out.
     if !parts.is_empty() || !attempts.is_empty() {
-        for index in rejected {
-            let ShardOutcome::Silent(searcher) = &shards[index] else { continue };
-            if !parts.is_empty() {
-                relay.record_searcher_failure(searcher);
-            }
-            shards[index] = ShardOutcome::Failed(searcher.clone());
+        for (index, link) in rejected {
+            record_if_accepted(&job, &link);
+            shards[index] = ShardOutcome::Failed(link.upstream.incarnation.clone());
         }
     }
     let rest = if attempts.is_empty() {
@@ -180,6 +178,13 @@
     Answered { reply, busy: job.busy() as u32 }
 }
 
+/// Records that a searcher which rejected the request has failed, if another shard has accepted it.
+fn record_if_accepted(job: &Job, link: &SearcherLink) {
+    if job.tally().arrived() > 0 {
+        link.estimator().record_failure(Instant::now());
+    }
+}
+
 /// Starts one attempt for each shard and records the searcher asked.
 fn start_attempts(
     relay: &Arc<Relay>,
@@ -204,7 +209,7 @@
                 job.failure_log.record_attempt(service, incarnation, error.ending, &error.cause);
                 relay.meter().count_ending(error.ending);
             }
-            (index, outcome)
+            (index, (link, outcome))
         }));
     }
     attempts
@@ -252,21 +257,27 @@
         return Vec::new();
     };
     let ended = attempts.next().await;
-    if !ended.is_empty() {
+    let late = ended.into_iter().map(|(index, result)| late(&attempts.job, index, result));
+    let late: Vec<Late> = late.collect();
+    if !late.is_empty() {
         relay.with_pending(|pending| pending.late.put_back(token, attempts));
     }
-    ended.into_iter().map(|(index, outcome)| late(index, outcome)).collect()
+    late
 }
 
 /// Describes the end of an attempt after the reply.
-fn late(index: usize, outcome: Result<SearcherResponse, AttemptError>) -> Late {
+fn late(job: &Job, index: usize, (link, outcome): AttemptResult) -> Late {
     let index = index as u32;
     match outcome {
         Ok(response) => {
+            job.tally().record_arrived();
             let signature = Some(signature(&response));
             Late { index, signature, records: response.body.to_vec(), ended: false }
         }
         Err(error) => {
+            if error.verdict == Some(Verdict::Rejected) {
+                record_if_accepted(job, &link);
+            }
             Late { index, signature: None, records: Vec::new(), ended: error.searcher_ended }
         }
     }
--- a/crates/relay/tests/rejections/delegate.rs
+++ b/crates/relay/tests/rejections/delegate.rs
@@ -12,10 +12,10 @@
     at, gather, incarnation, no_members, ok, part, record, relay, relay_with_members, reply,
     request, route, script, shard_query, upstream,
 };
-use bergamot_declaration::Idempotency;
+use bergamot_declaration::{Idempotency, Residency};
 use bergamot_relay::{DelegateMember, Helping, Reply};
 use bergamot_standin::Step;
-use bergamot_wire::{ShardOutcome, ShardReply};
+use bergamot_wire::{ShardOutcome, ShardQuery, ShardReply};
 
 const SHARDS: [&str; 3] = ["a", "b", "c"];
 
@@ -107,3 +107,30 @@
     let [failing, sound] = [0, 1].map(|at| calls[at].load(Ordering::SeqCst));
     assert!(failing < sound, "{failing} queries to the failing member, {sound} to the other");
 }
+
+/// Guards against a searcher that draws the queries of members since its rejections come after the
+/// replies, and aren't held against it.
+#[tokio::test]
+async fn a_rejection_after_the_reply_counts_beside_shards_that_have_arrived() {
+    let late = Duration::from_millis(30);
+    let answer = move |status: &'static str| {
+        script(move |seen| vec![Step::Wait(late), Step::Send(reply(seen, status, "s", &record(1)))])
+    };
+    let (prompt, rejecting, sound) =
+        (part(1).await, answer("404 No").await, answer("200 OK").await);
+    let upstreams = vec![
+        upstream("p1", "p", &prompt),
+        upstream("q1", "q", &rejecting),
+        upstream("q2", "q", &sound),
+    ];
+    let routes = vec![route("/q/", Idempotency::Idempotent, gather(&["p", "q"], 0.5))];
+    let relay = relay(routes, upstreams);
+    for _ in 0..12 {
+        let answer_within = Duration::from_millis(10);
+        let query = ShardQuery { answer_within, ..shard_query(&["p", "q"]) };
+        let reply = relay.answer_shard_query(query, Residency::default()).await;
+        while !relay.next_late_shards(reply.rest).await.is_empty() {}
+    }
+    let [rejected, served] = [&rejecting, &sound].map(|searcher| searcher.requests().len());
+    assert!(rejected < served, "{rejected} rejected, {served} served");
+}
