Writes beside a failing replica: half of them at least must be done

The target is that the failing one of two replicas draws no more than its share, so half is the bound now; the check is stricter than before.

--- a/crates/bench/tests/answers.rs
+++ b/crates/bench/tests/answers.rs
@@ -165,7 +165,8 @@
     let writes = || history.requests.iter().filter(|request| request.key.is_some());
     let done = writes().filter(|request| request.ending == Ending::Complete).count();
     let sent = writes().count();
-    assert!(3 * done > sent, "{done} of {sent} writes are done");
+    // The failing replica must not draw more than its share of the writes.
+    assert!(2 * done > sent, "{done} of {sent} writes are done");
 }
 
 #[tokio::test(flavor = "multi_thread")]
