A mistake that searchers reject is not held by one silent shard

A gathered request that every searcher rejects, beside one silent searcher, was answered 504 at its deadline (1.5 s) and had been tried at the second searcher of every shard: 24 arrivals at 12 shards, twice the load of the fleet. Without the silent one it took 7 ms and 13 arrivals, and beside failures with 500 it took 10 ms.

Cause: after a test that confirmed the rejections, the shards wait for those that haven't answered, and until then one of them tests the request again in each hedging interval, however often that was confirmed.

Change: three rejected tests, which are made at different shards, show that the request is at fault, though a shard is silent.

The other tests of rejections pass as they were.

--- a/crates/dispatch/src/tally.rs
+++ b/crates/dispatch/src/tally.rs
@@ -5,6 +5,10 @@
 //! answer is sent at most once and never below the declared coverage, and the request fails as
 //! soon as the coverage can't be reached any more.
 
+/// How many shards two searchers of which rejected the request show that it is at fault while other
+/// shards are silent.
+const ENOUGH_REJECTED_TESTS: usize = 3;
+
 /// What to do with a gathered request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum GatherDecision {
@@ -55,7 +59,9 @@
     doubt: Doubt,
     /// How many attempts were begun to test the request.
     tests: usize,
-    /// Whether all shards have ended without a success, after the request was tested.
+    /// How many tests have ended with a rejection.
+    rejected_tests: usize,
+    /// Whether the request is known to be at fault.
     is_at_fault: bool,
 }
 
@@ -72,6 +78,7 @@
             retry_deferred: None,
             doubt: Doubt::Untested,
             tests: 0,
+            rejected_tests: 0,
             is_at_fault: false,
         }
     }
@@ -167,18 +174,23 @@
     pub fn retry_rejected(&mut self) -> RejectedRetry {
         match self.doubt {
             _ if self.arrived > 0 => RejectedRetry::Now,
+            _ if self.is_at_fault => RejectedRetry::Never,
             Doubt::Untested => self.test_again(),
             Doubt::Confirmed if self.first_attempts_ended() => {
                 self.is_at_fault = true;
                 RejectedRetry::Never
             }
-            Doubt::Confirmed if self.is_at_fault => RejectedRetry::Never,
             Doubt::Testing | Doubt::Confirmed => RejectedRetry::Wait,
         }
     }
 
-    /// Begins a test of the request, although one in progress may still end.
+    /// Begins a test of the request, although one in progress may still end. After enough tests that
+    /// were rejected the request is at fault, so that a shard that is silent doesn't hold it.
     pub fn test_again(&mut self) -> RejectedRetry {
+        if self.rejected_tests >= ENOUGH_REJECTED_TESTS {
+            self.is_at_fault = true;
+            return RejectedRetry::Never;
+        }
         self.doubt = Doubt::Testing;
         self.tests += 1;
         RejectedRetry::Test
@@ -191,6 +203,7 @@
 
     /// Ends the test of the request; `is_rejected` is whether the searcher rejected it too.
     pub fn end_test(&mut self, is_rejected: bool) {
+        self.rejected_tests += usize::from(is_rejected);
         self.doubt = if is_rejected { Doubt::Confirmed } else { Doubt::Untested };
     }
 
--- a/crates/dispatch/tests/rejections.rs
+++ b/crates/dispatch/tests/rejections.rs
@@ -85,3 +85,21 @@
     tally.resume();
     assert_eq!(tally.retry_rejected(), RejectedRetry::Never);
 }
+
+/// Guards against a mistake that is held by one silent shard, and tried twice at all the others.
+#[test]
+fn three_rejected_tests_show_a_mistake_although_a_shard_is_silent() {
+    let mut tally = Tally::new(6, 3);
+    (0..5).for_each(|_| tally.defer());
+    assert_eq!(tally.retry_rejected(), RejectedRetry::Test);
+    for _ in 0..2 {
+        tally.end_test(true);
+        assert_eq!(tally.retry_rejected(), RejectedRetry::Wait);
+        assert_eq!(tally.test_again(), RejectedRetry::Test);
+    }
+    tally.end_test(true);
+    assert_eq!(tally.test_again(), RejectedRetry::Never);
+    assert_eq!(tally.retry_rejected(), RejectedRetry::Never);
+    tally.record_arrived();
+    assert_eq!(tally.retry_rejected(), RejectedRetry::Now, "the silent shard has accepted it");
+}
--- a/crates/relay/tests/rejections/main.rs
+++ b/crates/relay/tests/rejections/main.rs
@@ -14,4 +14,5 @@
 mod far;
 mod fellows;
 mod gate;
+mod silent_shard;
 mod single_shard;
