Rejections at a member that must reply early are no failures yet

A mistake that 11 of 12 searchers near a member rejected, while the twelfth was silent, was tried at the second searcher of each shard at once (24 arrivals in 136 ms, as beside 500), and the sender counted all 11 sound searchers as failed (329 ms expected instead of 39 after three requests).

Cause: a member that replies while attempts run reports rejections as failures, since it doesn't know yet whether a shard accepts the request; the sender took them for failures in any case.

Change: while nothing has arrived at the sender, failures in a reply that more may follow are doubtful, as silent shards of a final reply are: one further attempt tests the request, and they count against their searchers once a shard has accepted it. Nothing changes on the wire.

Evidence: the new test fails on the code before (24 arrivals) and holds after it, with 16 arrivals and 0 of 22 searchers counted as failed. The other tests of rejections and of statuses pass as they were. A true failure with 500 in such a reply now waits for one test when no shard at all has arrived.

--- a/crates/relay/src/member_query.rs
+++ b/crates/relay/src/member_query.rs
@@ -143,8 +143,8 @@
         let outcomes = outcomes.into_iter().map(read).collect();
         let mut steps = self.queries[query].query.reply(outcomes, &self.progress);
         let lost = steps.ended.clone();
-        if rest == 0 && !is_accepted {
-            self.retry_rejected(&mut steps);
+        if !is_accepted {
+            self.retry_rejected(&mut steps, rest == 0);
         }
         self.take_steps(steps, &lost);
         if rest != 0 {
@@ -155,7 +155,8 @@
     }
 
     /// Applies what the outcome of a shard at a member says of its searcher. `is_final` is whether the
-    /// member delivers nothing more, so that a silent searcher has rejected the request.
+    /// member delivers nothing more: a silent searcher has rejected the request then, and otherwise one
+    /// that failed may have, since the member doesn't know yet whether another shard accepts it.
     fn read_outcome(
         &self,
         outcome: ShardOutcome,
@@ -171,7 +172,9 @@
                 Outcome::Silent(searcher)
             }
             ShardOutcome::Failed(searcher) => {
-                self.relay.record_searcher_failure(&searcher);
+                if is_accepted || is_final {
+                    self.relay.record_searcher_failure(&searcher);
+                }
                 Outcome::Failed(searcher)
             }
             ShardOutcome::Ended(searcher) => {
@@ -183,12 +186,13 @@
         }
     }
 
-    /// Takes the additional attempts for shards whose searchers rejected the request out of `steps`,
-    /// and makes each once it is known that the request is not at fault.
-    fn retry_rejected(&mut self, steps: &mut Steps<Incarnation>) {
+    /// Takes the additional attempts for shards whose searchers may have rejected the request out of
+    /// `steps`, and makes each once it is known that the request is not at fault.
+    fn retry_rejected(&mut self, steps: &mut Steps<Incarnation>, is_final: bool) {
         let Steps { attempts, ended } = steps;
         let doubtful = attempts.extract_if(.., |(shard, next)| {
-            !ended.contains(shard) && matches!(next, Next::After(_))
+            let has_failed = ended.contains(shard);
+            has_failed != is_final && matches!(next, Next::After(_))
         });
         for (shard, next) in doubtful.collect::<Vec<_>>() {
             let Next::After(searcher) = next else { continue };
