A second signature or encoding in a header of its own counts too

An answer with two signature headers passed as a success signed by the first of them, and one whose second Content-Encoding header encodes its body passed as a success; the same values in one header didn't.

The dialect of the relay's tests uses `read_signature` too, and is thereby stricter than it was.

--- a/crates/relay/src/dialect.rs
+++ b/crates/relay/src/dialect.rs
@@ -5,7 +5,7 @@
 use bergamot_answer::{Statement, is_encoding, is_signature};
 use bergamot_base::Name;
 use hyper::HeaderMap;
-use hyper::header::{CONTENT_ENCODING, HeaderValue};
+use hyper::header::{CONTENT_ENCODING, HeaderName, HeaderValue};
 use hyper::http::response::Parts;
 
 /// Metadata sent with each request to a searcher.
@@ -33,16 +33,24 @@
     pub searcher: Option<Name>,
 }
 
+/// Returns the signature of a response that has exactly one. Several sign nothing, whether they stand
+/// in one header or in more.
+pub fn read_signature(headers: &HeaderMap, name: &HeaderName) -> Option<HeaderValue> {
+    let mut values = headers.get_all(name).iter();
+    let only = values.next().filter(|_| values.next().is_none())?;
+    is_signature(only.as_bytes()).then(|| only.clone())
+}
+
 impl ResponseMetadata {
     /// Returns what the head with this metadata states.
     pub(crate) fn statement(&self, head: &Parts) -> Statement {
-        let encoding = head.headers.get(CONTENT_ENCODING);
+        let mut encodings = head.headers.get_all(CONTENT_ENCODING).iter();
         Statement {
             status: head.status.as_u16(),
             is_signed: self.signature.as_ref().is_some_and(|value| is_signature(value.as_bytes())),
             denies_run: self.not_run,
             is_misdirected: self.misdirected,
-            is_encoded: encoding.is_some_and(|value| is_encoding(value.as_bytes())),
+            is_encoded: encodings.any(|value| is_encoding(value.as_bytes())),
         }
     }
 }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -44,7 +44,6 @@
 mod store;
 mod warmup;
 
-pub use bergamot_answer::is_signature;
 pub use bergamot_placement::ColdBound;
 pub use coordinator::PoolCoordinator;
 pub use coverage::Coverage;
@@ -52,7 +51,7 @@
     AdmitCall, CallError, CompleteCall, GatherCall, Helping, MemberFuture, PermitCall, TokenCall,
 };
 pub use delegates::DelegateMember;
-pub use dialect::{Dialect, RequestMetadata, ResponseMetadata};
+pub use dialect::{Dialect, RequestMetadata, ResponseMetadata, read_signature};
 pub use message::{Cause, MergedResponse, Refusal, Reply, Request, SearcherResponse};
 pub use relay::Relay;
 pub use settings::Settings;
--- a/crates/relay/tests/rejections/encoded.rs
+++ b/crates/relay/tests/rejections/encoded.rs
@@ -50,3 +50,13 @@
     let reply = gather_from(" one, two", "").await;
     assert!(matches!(reply, Reply::Refused(_)), "{reply:?}");
 }
+
+#[tokio::test]
+async fn a_second_header_of_the_same_name_counts_too() {
+    for header in
+        ["x-signature: other\r\n", "content-encoding: identity\r\ncontent-encoding: gzip\r\n"]
+    {
+        let reply = gather_from(" one", header).await;
+        assert!(matches!(reply, Reply::Refused(_)), "{header:?}: {reply:?}");
+    }
+}
--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -13,12 +13,12 @@
 use bergamot_registry::{Incarnation, State, Upstream};
 use bergamot_relay::{
     CallError, Cause, Dialect, Helping, MergedResponse, Relay, Reply, Request, RequestMetadata,
-    ResponseMetadata, Settings,
+    ResponseMetadata, Settings, read_signature,
 };
 use bergamot_standin::{RecordedRequest, ScriptedServer, Step};
 use bergamot_wire::ShardQuery;
 use bytes::Bytes;
-use hyper::header::{HeaderMap, HeaderValue};
+use hyper::header::{HeaderMap, HeaderName, HeaderValue};
 use hyper::http::response::Parts;
 use hyper::{Method, StatusCode, Uri};
 
@@ -32,10 +32,9 @@
 }
 
 fn read_response(parts: &Parts) -> ResponseMetadata {
-    let header = |name| parts.headers.get(name).cloned();
     let misdirected = parts.status == StatusCode::MISDIRECTED_REQUEST;
     ResponseMetadata {
-        signature: header("x-signature"),
+        signature: read_signature(&parts.headers, &HeaderName::from_static("x-signature")),
         not_run: parts.headers.contains_key("x-not-run"),
         misdirected,
         searcher: None,
