Relay: don't take an accepted or reset dial for a running searcher

A request that crashes searchers whose listeners close 5 ms after their connections crashed all 18 searchers of six shards, where 9 are allowed (one for each shard and three), in three of three runs.

Change: `CrashCheck` decides for the relay too. Its searchers have no status request, so a connection to one that runs must last for 10 ms, and is otherwise followed by a second dial. `Pool::searcher_exited` is unchanged.

Cost: a retry after a connection that a running searcher has lost begins 10 ms later; nothing changes without a lost connection. A listener that closes later than that is still taken for a running searcher's.

--- a/crates/quarantine/src/crash_check.rs
+++ b/crates/quarantine/src/crash_check.rs
@@ -2,8 +2,8 @@
 //!
 //! A refused dial shows that its process has ended. A dial that is accepted or reset shows nothing:
 //! the kernel closes the connections of a process that ends before its listener, and accepts
-//! connections on the listener until then. Only an answer shows that the process runs, so a dial
-//! without an answer is repeated.
+//! connections on the listener until then. Only an answer, or a connection that lasts, shows that
+//! the process runs, so a dial without either is repeated.
 
 /// How often a searcher is dialled. A connection that the kernel accepted for a process that ends is
 /// reset once the listener has closed, so the dial after that is refused.
@@ -14,7 +14,8 @@
 pub enum CheckStep {
     /// Dial the searcher's address and record whether the dial was refused.
     Dial,
-    /// Request the searcher's status on a new connection and record whether it answered.
+    /// Request the searcher's status on a new connection and record whether it answered; where the
+    /// protocol has no status request, record whether a new connection lasts.
     RequestStatus,
     /// The check is complete.
     Complete {
--- a/crates/relay/src/link.rs
+++ b/crates/relay/src/link.rs
@@ -2,13 +2,14 @@
 
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use bergamot_base::{Name, hash_bytes};
 use bergamot_dispatch::{Candidate, Distance, Estimate, LatencyEstimator, LoadReport, StallPeriod};
 use bergamot_policy::Policy;
+use bergamot_quarantine::{CheckStep, CrashCheck};
 use bergamot_registry::Upstream;
-use bergamot_upstream::{Pool, PoolSettings};
+use bergamot_upstream::{Pool, PoolSettings, Reuse};
 
 use crate::monitor::Monitor;
 use crate::settings::Settings;
@@ -17,6 +18,9 @@
 /// beyond a bound, or that is avoided once, in milliseconds: more than any request takes, so that it is chosen last.
 const LAST_CHOICE_PENALTY_MS: f64 = 10_000.0;
 
+/// How long the listener of an ended process may remain open after its connections.
+const LISTENER_CLOSE_TIME: Duration = Duration::from_millis(10);
+
 /// The link to one incarnation of a searcher.
 #[derive(Debug)]
 pub(crate) struct SearcherLink {
@@ -89,13 +93,30 @@
         self.ended.load(Ordering::Relaxed)
     }
 
-    /// Checks whether the searcher has ended by connecting to its address.
+    /// Checks whether the searcher has ended by connecting to its address, again if the connection
+    /// doesn't last.
     pub(crate) async fn probe_ended(&self) -> bool {
-        let ended = self.pool.searcher_exited().await;
+        let mut check = CrashCheck::default();
+        let ended = loop {
+            match check.next_step() {
+                CheckStep::Dial => check.record_dial(self.pool.searcher_exited().await),
+                CheckStep::RequestStatus => check.record_status(self.keeps_connections().await),
+                CheckStep::Complete { crashed } => break crashed,
+            }
+        };
         self.ended.fetch_or(ended, Ordering::Relaxed);
         ended
     }
 
+    /// Returns whether an idle connection lasts for longer than an ended process takes to close its
+    /// listener, which also ends the connections that the kernel accepted for it.
+    async fn keeps_connections(&self) -> bool {
+        tokio::time::sleep(LISTENER_CLOSE_TIME).await;
+        let Some(lease) = self.pool.lease_idle(Reuse::Usual) else { return false };
+        lease.release().await;
+        true
+    }
+
     /// Returns whether the address and service of a searcher are unchanged.
     pub(crate) fn is_same_endpoint(&self, upstream: &Upstream) -> bool {
         let endpoint = |upstream: &Upstream| (upstream.address, Name::clone(&upstream.service));
--- a/crates/relay/tests/fatal.rs
+++ b/crates/relay/tests/fatal.rs
@@ -28,10 +28,10 @@
 const TRIALS: usize = 3;
 
 /// A searcher that closes all its connections and stops listening when it runs the fatal request.
-async fn crashing_searcher(byte: u8) -> ScriptedServer {
+async fn crashing_searcher(byte: u8, crash: fn() -> Step) -> ScriptedServer {
     script(move |seen| {
         if seen.body == FATAL {
-            return vec![Step::Wait(Duration::from_millis(2)), Step::Crash];
+            return vec![Step::Wait(Duration::from_millis(2)), crash()];
         }
         ok(seen, &format!("sig{byte}"), &record(byte))
     })
@@ -40,10 +40,18 @@
 
 /// Starts searchers for each service.
 async fn searchers(services: &[&'static str], replicas: u8) -> Vec<(&'static str, ScriptedServer)> {
+    searchers_with(services, replicas, || Step::Crash).await
+}
+
+async fn searchers_with(
+    services: &[&'static str],
+    replicas: u8,
+    crash: fn() -> Step,
+) -> Vec<(&'static str, ScriptedServer)> {
     let mut all = Vec::new();
     for (shard, service) in (1..).zip(services) {
         for replica in 0..replicas {
-            all.push((*service, crashing_searcher(shard * 10 + replica).await));
+            all.push((*service, crashing_searcher(shard * 10 + replica, crash).await));
         }
     }
     all
@@ -105,6 +113,22 @@
     assert_eq!((answer.signatures.len(), answer.missing), (shards.len(), 0));
 }
 
+/// Guards against crashes that are missed because the listener closes after the connections: each was
+/// followed by an attempt at one more searcher.
+#[tokio::test]
+async fn a_fatal_request_is_recognised_although_listeners_close_late() {
+    let shards = ["a", "b", "c", "d", "e", "f"];
+    let all = searchers_with(&shards, 3, || Step::CrashLate(Duration::from_millis(5))).await;
+    let relay = relay_for(&all, gather(&shards, 0.8));
+    let last = repeat_fatal_request(&relay).await;
+    assert!(count_ended(&all) <= shards.len() + TRIALS, "{} searchers ended", count_ended(&all));
+    assert_eq!(last, Cause::NotRun);
+    let one = searchers_with(&["a"], 8, || Step::CrashLate(Duration::from_millis(5))).await;
+    let relay = relay_for(&one, Target::Service("a".into()));
+    repeat_fatal_request(&relay).await;
+    assert!(count_ended(&one) <= 5, "{} of one service ended", count_ended(&one));
+}
+
 /// Only one shard is affected, so responses of the others must not clear the request.
 #[tokio::test]
 async fn a_gather_that_is_fatal_to_one_shard_crashes_at_most_five_searchers() {
--- a/crates/standin/src/script.rs
+++ b/crates/standin/src/script.rs
@@ -32,6 +32,9 @@
     Hang,
     /// Stops the server and closes all its connections, as a crash of its process does.
     Crash,
+    /// The same, with a listener that closes this long after the connections, as when the kernel closes
+    /// the descriptors of a process that has many.
+    CrashLate(Duration),
 }
 
 /// A recorded request.
@@ -107,10 +110,12 @@
                     (Arc::clone(&handler), Arc::clone(&requests), Arc::clone(&closed_count));
                 let (stop, closed) = (stop.clone(), closed.clone());
                 tokio::spawn(async move {
+                    let ends = (&stop, &closed);
+                    let served = serve_connection(stream, connection, &handler, &requests, ends);
                     tokio::select! {
                         () = closed.cancelled() => {}
                         // The connection is closed, no matter with which result.
-                        _ = serve_connection(stream, connection, &handler, (&requests, &stop)) => {}
+                        _ = served => {}
                     }
                     *closed_count.lock().unwrap_or_else(PoisonError::into_inner) += 1;
                 });
@@ -151,7 +156,8 @@
     stream: TcpStream,
     connection: usize,
     handler: &Arc<Handler>,
-    (requests, stop): (&Arc<Mutex<Vec<RecordedRequest>>>, &CancellationToken),
+    requests: &Arc<Mutex<Vec<RecordedRequest>>>,
+    (stop, closed): (&CancellationToken, &CancellationToken),
 ) -> io::Result<()> {
     let mut stream = BufReader::new(stream);
     for index in 0.. {
@@ -183,6 +189,15 @@
                     // The connection is closed with all others after the listener.
                     std::future::pending::<()>().await;
                 }
+                Step::CrashLate(lag) => {
+                    let stop = stop.clone();
+                    tokio::spawn(async move {
+                        tokio::time::sleep(lag).await;
+                        stop.cancel();
+                    });
+                    closed.cancel();
+                    std::future::pending::<()>().await;
+                }
             }
         }
     }
