Upstream: a place of a pool is a value that its connection owns

Cause: `dial_in_background` sends the new connection through a oneshot channel. If the request ends after the connection was sent and before it was received, the connection is dropped with the channel: the socket is closed, and nothing calls `release_place`. Every other path gave its place back, but each by a call of its own.

Change: `Place` is taken from `Places` before a connection is established, is owned by what establishes or holds it (`Pooled`), and is given back on drop, which also tells the observer and a waiting request. No path counts by hand any more. A connection in the channel is `Unclaimed` and goes to the pool as idle when its request ends. Dropping a connection closes its socket at once on every path; so far a lease whose return was cancelled left it to the driver task. The places have a lock of their own, which may be taken under that of the pool, since connections are dropped there.

Evidence: `upstream/tests/places.rs` ends requests at random points for 100,000 turns and then compares the places with idle and leased connections, with what the observer was told and with the sockets that the searcher has open.

--- a/crates/upstream/src/connection.rs
+++ b/crates/upstream/src/connection.rs
@@ -90,10 +90,11 @@
         let stream = Inspected::new(stream, inspector.clone(), on_finding);
         let mut builder = http1::Builder::new();
         builder.max_buf_size(MAX_READ_BUFFER);
-        let (mut sender, connection) = builder.handshake(TokioIo::new(stream)).await?;
+        let (sender, connection) = builder.handshake(TokioIo::new(stream)).await?;
         let driver = tokio::spawn(connection).abort_handle();
-        sender.ready().await?;
-        Ok(Self { sender, driver, inspector, id_header })
+        let mut opened = Self { sender, driver, inspector, id_header };
+        opened.sender.ready().await?;
+        Ok(opened)
     }
 
     /// Sends a request and returns the head of the answer that names it, and no other.
@@ -125,10 +126,12 @@
     pub(crate) fn is_reusable(&self) -> bool {
         !self.sender.is_closed() && self.inspector.lock().is_clean()
     }
+}
 
-    /// Closes the socket immediately. Dropping the sender alone would close it only when the
-    /// driver task is next polled.
-    pub(crate) fn close(self) {
+impl Drop for Connection {
+    /// Closes the socket at once, also while an answer is in transit. Dropping the sender alone would
+    /// close it only when the driver task is next polled.
+    fn drop(&mut self) {
         self.driver.abort();
     }
 }
--- a/crates/upstream/src/lease.rs
+++ b/crates/upstream/src/lease.rs
@@ -7,8 +7,9 @@
 use hyper::body::Incoming;
 use hyper::{Request, Response};
 
-use crate::connection::{Connection, SendError};
-use crate::pool::{Pool, Reservation};
+use crate::connection::SendError;
+use crate::places::Pooled;
+use crate::pool::Pool;
 
 /// A leased connection.
 ///
@@ -17,12 +18,12 @@
 #[derive(Debug)]
 pub struct Lease {
     pool: Arc<Pool>,
-    connection: Option<Connection>,
+    connection: Pooled,
 }
 
 impl Lease {
-    pub(crate) fn new(pool: Arc<Pool>, connection: Connection) -> Self {
-        Self { pool, connection: Some(connection) }
+    pub(crate) fn new(pool: Arc<Pool>, connection: Pooled) -> Self {
+        Self { pool, connection }
     }
 
     /// Sends a request and returns the head of the answer that names it, and no other. The
@@ -31,43 +32,23 @@
         &mut self,
         request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, SendError> {
-        self.connection
-            .as_mut()
-            .expect("a lease holds its connection until it is given back")
-            .send(request)
-            .await
+        self.connection.send(request).await
     }
 
     /// Returns the connection to the pool at once if it is ready for another request, and otherwise
     /// in the background as soon as it is.
-    pub fn release_soon(mut self) {
-        let is_ready = self.connection.as_ref().is_some_and(Connection::is_ready);
-        if !is_ready {
+    pub fn release_soon(self) {
+        if self.connection.is_ready() {
+            self.pool.put(self.connection);
+        } else {
             tokio::spawn(self.release());
-        } else if let Some(connection) = self.connection.take() {
-            self.pool.put(connection);
         }
     }
 
     /// Returns the connection to the pool as soon as it is ready for another request.
     pub async fn release(mut self) {
-        let Some(mut connection) = self.connection.take() else {
-            return;
-        };
-        let pool = Arc::clone(&self.pool);
-        let mut reservation = Reservation { pool: &pool, used: false };
-        if connection.ready().await {
-            reservation.used = true;
-            pool.put(connection);
-        }
-    }
-}
-
-impl Drop for Lease {
-    fn drop(&mut self) {
-        if let Some(connection) = self.connection.take() {
-            connection.close();
-            self.pool.release_place();
+        if self.connection.ready().await {
+            self.pool.put(self.connection);
         }
     }
 }
--- a/crates/upstream/src/lib.rs
+++ b/crates/upstream/src/lib.rs
@@ -18,6 +18,7 @@
 mod inspected;
 mod latency;
 mod lease;
+mod places;
 mod pool;
 pub mod protocol;
 mod queue;
--- a/crates/upstream/src/pool.rs
+++ b/crates/upstream/src/pool.rs
@@ -21,18 +21,16 @@
 use bytes::Bytes;
 use hyper::body::Incoming;
 use tokio::net::TcpStream;
-use tokio::sync::{Notify, oneshot};
+use tokio::sync::oneshot;
 
 use crate::body::{BodyError, read_body};
 use crate::client::SearcherError;
 use crate::connection::Connection;
 use crate::lease::Lease;
+use crate::places::{Place, Places, Pooled};
 use crate::protocol;
 use crate::trust::{Reuse, Trust};
 
-/// How long the share stays reduced after a refused connection.
-const REDUCED_FOR: Duration = Duration::from_secs(2);
-
 /// How a pool connects, and what it demands of answers.
 #[derive(Clone, Debug)]
 pub struct PoolSettings {
@@ -85,7 +83,7 @@
 }
 
 /// What a pool reports to its owner, which would otherwise have to ask each of many pools again
-/// and again. The functions are called under the lock of the pool and must not call it.
+/// and again. The functions are called under locks of the pool and must not call it.
 pub struct Observer {
     /// Called with the time that it took to open a connection, which is about one round trip.
     pub dialled: Box<dyn Fn(Duration) + Send + Sync>,
@@ -117,55 +115,25 @@
 
 #[derive(Debug)]
 struct State {
-    usage: Usage,
-    idle: Vec<Connection>,
-    /// The limit after a refused connection, and when it ends.
-    reduced: Option<(usize, Instant)>,
-    closing: bool,
+    findings: u64,
+    idle: Vec<Pooled>,
     trust: Trust,
-    observer: Observer,
-}
-
-impl State {
-    fn count_opened(&mut self) {
-        self.usage.open += 1;
-        self.usage.dials += 1;
-        (self.observer.opened)();
-    }
-
-    fn count_closed(&mut self) {
-        self.usage.open -= 1;
-        (self.observer.closed)(self.usage.open);
-    }
-
-    fn limit(&mut self, now: Instant) -> usize {
-        match self.reduced {
-            _ if self.closing => 0,
-            Some((limit, until)) if now < until => limit.min(self.usage.share),
-            _ => {
-                self.reduced = None;
-                self.usage.share
-            }
-        }
-    }
 }
 
 /// A pool of connections to one searcher.
 #[derive(Debug)]
 pub struct Pool {
     settings: PoolSettings,
+    places: Arc<Places>,
     state: Mutex<State>,
-    /// Notified when a connection becomes available or the limit may have room.
-    available: Notify,
 }
 
 impl Pool {
     /// Creates an empty pool.
     pub fn new(settings: PoolSettings, observer: Observer) -> Arc<Self> {
-        let usage = Usage { share: settings.share, ..Usage::default() };
-        let (idle, trust) = (Vec::new(), Trust::default());
-        let state = State { usage, idle, reduced: None, closing: false, trust, observer };
-        Arc::new(Self { settings, state: Mutex::new(state), available: Notify::new() })
+        let places = Places::new(settings.share, observer);
+        let state = State { findings: 0, idle: Vec::new(), trust: Trust::default() };
+        Arc::new(Self { settings, places, state: Mutex::new(state) })
     }
 
     /// Reads the body of an answer completely.
@@ -179,29 +147,27 @@
 
     /// Changes the share. Excess connections in use are closed when they are returned.
     pub fn resize(&self, share: usize) {
-        let mut state = self.lock();
-        state.usage.share = share;
-        state.closing = false;
-        drop(state);
+        self.places.resize(share);
         self.close_excess_idle();
     }
 
     /// Stops establishing connections and closes existing ones as they become idle.
     pub fn close(&self) {
-        self.lock().closing = true;
+        self.places.close();
         self.close_excess_idle();
     }
 
     /// Returns the counters.
     pub fn usage(&self) -> Usage {
         let state = self.lock();
-        Usage { idle: state.idle.len(), ..state.usage }
+        Usage { idle: state.idle.len(), findings: state.findings, ..self.places.usage() }
     }
 
     /// Returns whether all connections that the share allows are in use.
     pub fn is_saturated(&self) -> bool {
         let state = self.lock();
-        state.idle.is_empty() && state.usage.open >= state.usage.share
+        let usage = self.places.usage();
+        state.idle.is_empty() && usage.open >= usage.share
     }
 
     /// Returns whether other searchers are to be asked first, since an answer of this one was beyond
@@ -212,10 +178,10 @@
 
     /// Opens one connection in advance, if the share allows it, and returns whether it did.
     pub async fn warm(self: &Arc<Self>) -> Result<bool, SearcherError> {
-        if !self.reserve() {
+        let Some(place) = self.places.take(Instant::now()) else {
             return Ok(false);
-        }
-        let connection = self.dial().await?;
+        };
+        let connection = self.dial(place).await?;
         self.put(connection);
         Ok(true)
     }
@@ -227,16 +193,15 @@
     /// may have been reset or interrupted by the network. If the searcher accepts the
     /// connection, it is kept in the pool if the share allows it.
     pub async fn searcher_exited(self: &Arc<Self>) -> bool {
-        let mut reservation = self.reserve().then(|| Reservation { pool: self, used: false });
+        let place = self.places.take(Instant::now());
         let stream = match self.connect_socket().await {
             Ok(stream) => stream,
             Err(fault) => return fault.refused,
         };
-        if let Some(reservation) = &mut reservation
+        if let Some(place) = place
             && let Ok(connection) = self.handshake(stream).await
         {
-            reservation.used = true;
-            self.put(connection);
+            self.put(Pooled::new(connection, place));
         }
         false
     }
@@ -260,15 +225,15 @@
 
     async fn acquire(self: &Arc<Self>, reuse: Reuse) -> Result<Lease, SearcherError> {
         loop {
-            let available = self.available.notified();
+            let available = self.places.available();
             if let Some(connection) = self.pop_idle(reuse) {
                 return Ok(self.new_lease(connection));
             }
-            if self.reserve() {
-                let connection = self.dial_in_background().await?;
+            if let Some(place) = self.places.take(Instant::now()) {
+                let connection = self.dial_in_background(place).await?;
                 return Ok(self.new_lease(connection));
             }
-            if self.lock().closing {
+            if self.places.is_closing() {
                 return Err(
                     self.fault("take a connection", "the home no longer holds the searcher")
                 );
@@ -277,69 +242,50 @@
         }
     }
 
-    fn new_lease(self: &Arc<Self>, connection: Connection) -> Lease {
+    fn new_lease(self: &Arc<Self>, connection: Pooled) -> Lease {
         Lease::new(Arc::clone(self), connection)
     }
 
     /// Takes an idle connection. Those that may not carry the request are closed if there is no
     /// room for a new one beside them.
-    fn pop_idle(&self, reuse: Reuse) -> Option<Connection> {
+    fn pop_idle(&self, reuse: Reuse) -> Option<Pooled> {
         let mut state = self.lock();
         let now = Instant::now();
         if !state.trust.may_reuse(reuse, now) {
-            while state.usage.open >= state.limit(now)
-                && let Some(connection) = state.idle.pop()
-            {
-                connection.close();
-                state.count_closed();
-            }
+            while self.places.is_full(now) && state.idle.pop().is_some() {}
             return None;
         }
         while let Some(connection) = state.idle.pop() {
             if connection.is_ready() && connection.is_reusable() {
                 return Some(connection);
             }
-            connection.close();
-            state.count_closed();
         }
         None
     }
 
-    fn reserve(&self) -> bool {
-        let mut state = self.lock();
-        let room = state.usage.open < state.limit(Instant::now());
-        if room {
-            state.count_opened();
-        }
-        room
-    }
-
-    /// Opens a connection for a reservation that the caller has made. If the caller stops waiting,
-    /// the connection is opened all the same and returned to the pool: the searcher has spent its
-    /// time on it, and the next request would have to begin anew.
-    async fn dial_in_background(self: &Arc<Self>) -> Result<Connection, SearcherError> {
+    /// Opens a connection. If the caller stops waiting, the connection is opened all the same and
+    /// goes to the pool, also if it is ready by then: the searcher has spent its time on it, and the
+    /// next request would have to begin anew.
+    async fn dial_in_background(self: &Arc<Self>, place: Place) -> Result<Pooled, SearcherError> {
         let (sender, receiver) = oneshot::channel();
         let pool = Arc::clone(self);
         tokio::spawn(async move {
-            let unclaimed = sender.send(pool.dial().await);
-            if let Err(Ok(connection)) = unclaimed {
-                pool.put(connection);
-            }
+            let opened = pool.dial(place).await;
+            let opened = opened.map(|connection| Unclaimed { pool, connection: Some(connection) });
+            // Without a receiver, the connection goes to the pool as it is dropped.
+            drop(sender.send(opened));
         });
         let ended = |_closed| Err(self.fault("dial", "the runtime stopped"));
-        receiver.await.unwrap_or_else(ended)
+        receiver.await.unwrap_or_else(ended).map(Unclaimed::claim)
     }
 
-    /// Opens a connection for a reservation that the caller has made. The reservation is
-    /// released on failure or cancellation.
-    async fn dial(self: &Arc<Self>) -> Result<Connection, SearcherError> {
-        let mut reservation = Reservation { pool: self, used: false };
+    /// Opens a connection.
+    async fn dial(self: &Arc<Self>, place: Place) -> Result<Pooled, SearcherError> {
         let result = tokio::time::timeout(self.settings.dial_timeout, self.connect()).await;
         let connection = result
             .unwrap_or_else(|_elapsed| Err(self.fault("dial", "timeout")))
             .inspect_err(|_| self.record_refusal())?;
-        reservation.used = true;
-        Ok(connection)
+        Ok(Pooled::new(connection, place))
     }
 
     async fn connect(self: &Arc<Self>) -> Result<Connection, SearcherError> {
@@ -371,54 +317,42 @@
 
     fn record(&self, finding: &Finding) {
         let (mut state, now) = (self.lock(), Instant::now());
-        state.usage.findings += 1;
+        state.findings += 1;
         match finding {
             Finding::Fault(Fault::Exceeded { .. }) => state.trust.record_exceeded(now),
             Finding::Fault(fault) if !fault.is_behind_answer() => state.trust.record_fault(now),
             Finding::Fault(_) | Finding::Skipped(_) => state.trust.record_skipped(now),
         }
-        (state.observer.found)(finding);
+        (self.places.observer().found)(finding);
     }
 
     fn record_dial(&self, took: Duration) {
-        (self.lock().observer.dialled)(took);
+        (self.places.observer().dialled)(took);
     }
 
     /// Temporarily limits the pool to the number of connections that are open without the one
     /// that the searcher refused.
     pub(crate) fn record_refusal(&self) {
-        let mut state = self.lock();
-        state.usage.refused += 1;
-        let limit = state.usage.open.saturating_sub(1).max(1);
-        state.reduced = Some((limit, Instant::now() + REDUCED_FOR));
+        self.places.record_refusal(Instant::now());
     }
 
-    pub(crate) fn put(&self, connection: Connection) {
+    /// Keeps a connection for another request if it may carry one and the limit allows it.
+    pub(crate) fn put(&self, connection: Pooled) {
         let mut state = self.lock();
-        let limit = state.limit(Instant::now());
-        if !connection.is_reusable() || state.usage.open > limit {
-            connection.close();
-            state.count_closed();
+        if !connection.is_reusable() || self.places.is_exceeded(Instant::now()) {
+            drop(connection);
         } else {
             state.idle.push(connection);
         }
         drop(state);
-        self.available.notify_one();
-    }
-
-    pub(crate) fn release_place(&self) {
-        self.lock().count_closed();
-        self.available.notify_one();
+        self.places.notify_one();
     }
 
     fn close_excess_idle(&self) {
-        let mut state = self.lock();
-        let limit = state.limit(Instant::now());
-        while state.usage.open > limit && state.idle.pop().is_some() {
-            state.count_closed();
-        }
+        let (mut state, now) = (self.lock(), Instant::now());
+        while self.places.is_exceeded(now) && state.idle.pop().is_some() {}
         drop(state);
-        self.available.notify_waiters();
+        self.places.notify_waiters();
     }
 
     fn fault(&self, step: &'static str, cause: &str) -> SearcherError {
@@ -430,16 +364,24 @@
     }
 }
 
-/// A reserved place in the share. It is released on drop unless a connection uses it.
-pub(crate) struct Reservation<'a> {
-    pub(crate) pool: &'a Pool,
-    pub(crate) used: bool,
+/// A new connection on the way to the request that waits for it, which goes to the pool if the
+/// request ends before it is claimed.
+#[derive(Debug)]
+struct Unclaimed {
+    pool: Arc<Pool>,
+    connection: Option<Pooled>,
+}
+
+impl Unclaimed {
+    fn claim(mut self) -> Pooled {
+        self.connection.take().expect("only this and the drop take it")
+    }
 }
 
-impl Drop for Reservation<'_> {
+impl Drop for Unclaimed {
     fn drop(&mut self) {
-        if !self.used {
-            self.pool.release_place();
+        if let Some(connection) = self.connection.take() {
+            self.pool.put(connection);
         }
     }
 }
