A false rejection is not returned while a slower searcher works

What callers saw: beside a searcher that rejects requests at once (404, 302) and a sound one whose work takes longer than the target, idempotent requests ended with the rejection. It didn't heal: the sound searcher's work was cut at the target each time, so that it never refuted the rejection.

Cause: a rejection at hand was returned at the target at the latest, as one that is probably true, also while nothing had confirmed any rejection of its searcher; and one that came after the target was returned without asking another searcher.

Change: only the rejections of a searcher that another one has confirmed before are returned at the target. Others wait for the second searcher as a failure with 500 does. A second searcher that hasn't answered in time has not confirmed the rejection, so that a searcher that begins to reject everything after true rejections is doubted again.

Evidence: `rejections/slow.rs`.

--- a/crates/dispatch/src/rejections.rs
+++ b/crates/dispatch/src/rejections.rs
@@ -101,10 +101,14 @@
         (self.answers >= MIN_ANSWERS).then(|| self.rate / (1.0 - initial))
     }
 
+    /// Returns whether others have not confirmed rejections of the searcher, or not lately.
+    pub fn is_doubted(&self) -> bool {
+        self.refuted.is_none_or(|refuted| refuted > MAX_REFUTED)
+    }
+
     /// Decides whether another searcher must confirm a rejection; otherwise it is believed.
     pub fn needs_confirmation(&mut self) -> bool {
-        let is_doubted = self.refuted.is_none_or(|refuted| refuted > MAX_REFUTED);
-        if is_doubted || self.unconfirmed >= MAX_UNCONFIRMED {
+        if self.is_doubted() || self.unconfirmed >= MAX_UNCONFIRMED {
             return true;
         }
         self.unconfirmed += 1;
--- a/crates/relay/src/race/rejection.rs
+++ b/crates/relay/src/race/rejection.rs
@@ -43,10 +43,13 @@
         self.rejection.searchers.push(Arc::clone(link));
     }
 
-    /// Records that no searcher accepted the request. If several rejected it, they agree.
+    /// Records that no searcher accepted the request. If several rejected it, they agree. One that has
+    /// not answered in time has not confirmed a rejection.
     pub(super) fn record_refusal(&self) {
         if self.rejection.searchers.len() > 1 {
             self.record_confirmations(true);
+        } else if self.worst.timed_out && !self.running.is_empty() {
+            self.record_confirmations(false);
         }
     }
 
@@ -80,9 +83,17 @@
         if self.job.is_gathered {
             return self.await_permission().await;
         }
-        let is_doubted =
+        let needs_confirmation =
             |link: &Arc<SearcherLink>| link.estimator().rejections().needs_confirmation();
-        Instant::now() < self.plan.target && self.rejection.searchers.iter().all(is_doubted)
+        let is_in_time = Instant::now() < self.plan.target || self.is_doubted();
+        is_in_time && self.rejection.searchers.iter().all(needs_confirmation)
+    }
+
+    /// Returns whether others have confirmed the rejections of none of the searchers that rejected
+    /// the request.
+    fn is_doubted(&self) -> bool {
+        let is_doubted = |link: &Arc<SearcherLink>| link.estimator().rejections().is_doubted();
+        self.rejection.searchers.iter().all(is_doubted)
     }
 
     /// Waits until another shard has accepted the request, this one may test it, or it is known to be
@@ -129,10 +140,11 @@
         }
     }
 
-    /// Returns by when a response is returned. A rejection at hand is probably true, so that a second
-    /// searcher delays it until the target at most.
+    /// Returns by when a response is returned. A rejection at hand of a searcher whose rejections others
+    /// have confirmed is probably true, so that a second searcher delays it until the target at most.
     pub(super) fn response_due(&self) -> Instant {
         let is_at_hand = self.worst.is_rejected && self.worst.response.is_some();
-        if is_at_hand && !self.job.is_gathered { self.plan.target } else { self.plan.deadline }
+        let is_probably_true = is_at_hand && !self.job.is_gathered && !self.is_doubted();
+        if is_probably_true { self.plan.target } else { self.plan.deadline }
     }
 }
--- a/crates/relay/tests/rejections/main.rs
+++ b/crates/relay/tests/rejections/main.rs
@@ -16,3 +16,4 @@
 mod gate;
 mod silent_shard;
 mod single_shard;
+mod slow;
