A searcher that answers 421 in its own name has not ended

What callers saw: a searcher that fails one request with an unsigned 421 and names itself in that answer is never asked again, also if it is the only one of its service: of the ten requests of the test none was served.

Cause: status 421 was taken for the proof that another searcher is at the address, whatever the name beside it says. The incarnation counted as ended, and reading its entry again doesn't restore it.

Change: an incarnation ends only if the answer doesn't name it. The request did not run in either case, and the answer stays a failure of the searcher.

--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -216,7 +216,9 @@
         relay.meter().responses.count_not_ok(status, verdict.label());
         job.failure_log.record_response(&link.upstream, status, verdict.label());
     }
-    if verdict == Verdict::Misdirected {
+    // A searcher that names itself is there, whatever its status says.
+    let is_other = searcher.as_deref() != Some(&*link.upstream.incarnation.id);
+    if verdict == Verdict::Misdirected && is_other {
         relay.mark_ended(&link.upstream.incarnation, searcher.as_deref());
     }
     let (parts, body) = response.into_parts();
--- a/crates/relay/tests/rejections/main.rs
+++ b/crates/relay/tests/rejections/main.rs
@@ -14,6 +14,7 @@
 mod far;
 mod fellows;
 mod gate;
+mod misdirected;
 mod silent_shard;
 mod single_shard;
 mod slow;
--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -33,11 +33,13 @@
 
 fn read_response(parts: &Parts) -> ResponseMetadata {
     let misdirected = parts.status == StatusCode::MISDIRECTED_REQUEST;
+    let header =
+        |name| parts.headers.get(name).and_then(|value| value.to_str().ok()).map(Name::from);
     ResponseMetadata {
         signature: read_signature(&parts.headers, &HeaderName::from_static("x-signature")),
         not_run: parts.headers.contains_key("x-not-run"),
         misdirected,
-        searcher: None,
+        searcher: header("x-searcher"),
     }
 }
 
