A member's part without one signature is no part

What callers saw: while versions mix, a success could name an empty part, or two for one shard, which makes the whole answer wrong: a member of an earlier version takes an empty or listed signature of its searcher for a signature, and reports the shard as one that has arrived.

Cause: the sender believed the report without looking at the signature, which it reads by the same rule only from answers that it received itself.

Change: the signatures in a member's reply, and those of late shards, are read by `answer::is_signature`. A reply with another is malformed, as one that can't be a header value was already, and its shards are asked for elsewhere.

Evidence: `a_part_of_a_member_that_has_not_one_signature_is_no_part` got an answer with the parts "", "", "" before, and the three of the other searchers after.

--- a/crates/relay/src/member_query.rs
+++ b/crates/relay/src/member_query.rs
@@ -6,6 +6,7 @@
 use std::net::Ipv4Addr;
 use std::time::Instant;
 
+use bergamot_answer::is_signature;
 use bergamot_base::Name;
 use bergamot_dispatch::AttemptPriority;
 use bergamot_registry::Incarnation;
@@ -291,8 +292,12 @@
     signatures.collect()
 }
 
-/// Parses a signature received from a member.
+/// Parses a signature received from a member, whose version may take others for signatures.
 fn parse_signature(signature: &[u8]) -> Option<HeaderValue> {
+    if !is_signature(signature) {
+        log::error!("relay: event=bad_signature cause=\"none or several\"");
+        return None;
+    }
     HeaderValue::from_bytes(signature)
         .map_err(|error| log::error!("relay: event=bad_signature cause=\"{error}\""))
         .ok()
--- a/crates/relay/tests/rejections/delegate.rs
+++ b/crates/relay/tests/rejections/delegate.rs
@@ -134,3 +134,30 @@
     let [rejected, served] = [&rejecting, &sound].map(|searcher| searcher.requests().len());
     assert!(rejected < served, "{rejected} rejected, {served} served");
 }
+
+/// Guards against a part without a signature, or with several, in the reply of a member of an earlier
+/// version, which took them for signatures. One such part makes the whole answer wrong.
+#[tokio::test]
+async fn a_part_of_a_member_that_has_not_one_signature_is_no_part() {
+    for signature in [&b""[..], b"one, two"] {
+        let helping = Helping {
+            gather: Box::new(move |_, _, _, _| {
+                let shards = SHARDS.map(|_| ShardOutcome::In(signature.to_vec())).to_vec();
+                let (records, quiet) = (record(9), Vec::new());
+                let reply = ShardReply { shards, records, left_out: 0, rest: 0, quiet };
+                Box::pin(async move { Ok(reply) })
+            }),
+            ..no_members()
+        };
+        let searcher = part(1).await;
+        let upstreams = SHARDS.map(|shard| at("west", upstream(shard, shard, &searcher)));
+        let others = SHARDS.map(|shard| upstream(&format!("{shard}-2"), shard, &searcher));
+        let upstreams = upstreams.into_iter().chain(others.map(|other| at("east", other)));
+        let routes = vec![route("/q/", Idempotency::Idempotent, gather(&SHARDS, 0.5))];
+        let relay = relay_with_members(helping, routes, upstreams.collect());
+        relay.set_delegate_members(vec![delegate(Ipv4Addr::new(10, 0, 0, 9))]);
+        let reply = relay.handle(request("/q/")).await;
+        let Reply::Merged(merged) = reply else { panic!("expected a merged response: {reply:?}") };
+        assert_eq!(merged.signatures, ["sig1"; 3], "{signature:?}");
+    }
+}
