A searcher that rejects a part of its requests is compared with one as near

What callers saw: a searcher rejects two of five requests that may run once, at once and with 404, and a sound one starts beside it in the same zone: all requests stay at the first (60 of 100 served; with 500 all 100).

Cause: a rejection teaches neither latency nor failure until another searcher of the service is measured. Nothing made a request go there unless nine of ten were rejected, which bounds the work that callers' mistakes send far away.

Change: where the other searcher is as near, a rate of rejections above the excess that would make it a failure (0.3) is enough to compare.

The test of mistakes beside a searcher far away holds as before. The existing test of `dispatch` stated no distance; its pair is now far apart, for which the limit is unchanged, and the new one beside it states both.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -42,7 +42,7 @@
 pub use planned_stop::{ExpectedDuration, PlannedStop};
 pub use rank::{Candidate, Distance, best};
 pub use record::{RECORD_LEN, may_be_incomplete, merge_top_k, sufficient_records};
-pub use rejections::{Conclusion, Others, RejectionHistory};
+pub use rejections::{Conclusion, Other, Others, RejectionHistory};
 pub use retry_budget::{AttemptPriority, RetryBudget, RetryBudgetLimits};
 pub use retry_delay::{Unavailability, retry_delay};
 pub use round_trips::ZoneRoundTrips;
--- a/crates/dispatch/src/rejections.rs
+++ b/crates/dispatch/src/rejections.rs
@@ -27,25 +27,40 @@
 /// How many rejections in a row are believed without asking another searcher.
 const MAX_UNCONFIRMED: u32 = 4;
 
+/// What is known of another searcher of a service.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Other {
+    /// Its rate of rejections; `None` if it is not measured.
+    pub rate: Option<f64>,
+    /// Whether it is as near as the searcher that it is compared with.
+    pub is_near: bool,
+}
+
 /// What is known of the other searchers of a service.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Others {
     /// There is no other.
     None,
     /// None of them has answered enough to be a measure.
-    Unmeasured,
+    Unmeasured {
+        /// Whether one of them is as near as the searcher, so that asking it costs little.
+        is_near: bool,
+    },
     /// The lowest rate of rejections among those that have.
     Lowest(f64),
 }
 
 impl Others {
-    /// Summarises the rates of the other searchers, `None` for one that is not measured.
-    pub fn of(rates: impl IntoIterator<Item = Option<f64>>) -> Self {
-        rates.into_iter().fold(Self::None, |others, rate| match (others, rate) {
-            (Self::Lowest(lowest), Some(rate)) => Self::Lowest(lowest.min(rate)),
-            (Self::Lowest(lowest), None) => Self::Lowest(lowest),
-            (_, Some(rate)) => Self::Lowest(rate),
-            (_, None) => Self::Unmeasured,
+    /// Summarises the others.
+    pub fn of(others: impl IntoIterator<Item = Other>) -> Self {
+        others.into_iter().fold(Self::None, |others, Other { rate, is_near }| {
+            match (others, rate) {
+                (Self::Lowest(lowest), Some(rate)) => Self::Lowest(lowest.min(rate)),
+                (Self::Lowest(lowest), None) => Self::Lowest(lowest),
+                (_, Some(rate)) => Self::Lowest(rate),
+                (Self::Unmeasured { is_near: true }, None) => Self::Unmeasured { is_near: true },
+                (_, None) => Self::Unmeasured { is_near },
+            }
         })
     }
 }
@@ -57,7 +72,8 @@
     Plausible,
     /// The searcher has failed.
     Failed,
-    /// The searcher rejects everything, and another one must be measured to tell why.
+    /// The searcher rejects everything, or much beside one that is as near, and another one must be
+    /// measured to tell why.
     CompareNext,
 }
 
@@ -87,8 +103,9 @@
             (Some(rate), Others::Lowest(lowest)) if rate - lowest > MAX_EXCESS => {
                 Conclusion::Failed
             }
-            (Some(rate), Others::Unmeasured) if rate > REJECTS_EVERYTHING => {
-                Conclusion::CompareNext
+            (Some(rate), Others::Unmeasured { is_near }) => {
+                let limit = if is_near { MAX_EXCESS } else { REJECTS_EVERYTHING };
+                if rate > limit { Conclusion::CompareNext } else { Conclusion::Plausible }
             }
             _ => Conclusion::Plausible,
         }
--- a/crates/dispatch/tests/rejections.rs
+++ b/crates/dispatch/tests/rejections.rs
@@ -3,10 +3,15 @@
 //! Guards against a searcher that is condemned by a status alone, and against twice the load for
 //! requests that all searchers reject.
 
-use bergamot_dispatch::{Conclusion, Others, RejectedRetry, RejectionHistory, Tally};
+use bergamot_dispatch::{Conclusion, Other, Others, RejectedRetry, RejectionHistory, Tally};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 
+/// The other searchers of a service of two.
+fn others(other: &RejectionHistory, is_near: bool) -> Others {
+    Others::of([Other { rate: other.rate(), is_near }])
+}
+
 /// Two searchers answer in turn, and reject these shares of their requests. Returns how often each
 /// counts as failed in a thousand answers.
 fn failures(shares: [f64; 2]) -> [usize; 2] {
@@ -15,7 +20,7 @@
     for _ in 0..1000 {
         for at in [0, 1] {
             if rng.random_bool(shares[at]) {
-                let others = Others::of([histories[1 - at].rate()]);
+                let others = others(&histories[1 - at], true);
                 let conclusion = histories[at].record_rejection(others);
                 failed[at] += usize::from(conclusion == Conclusion::Failed);
             } else {
@@ -43,15 +48,34 @@
 fn a_searcher_that_rejects_everything_is_compared_until_another_one_is_measured() {
     let (mut busy, mut idle) = (RejectionHistory::default(), RejectionHistory::default());
     for answers in 1..100 {
-        let conclusion = busy.record_rejection(Others::of([idle.rate()]));
+        let conclusion = busy.record_rejection(others(&idle, false));
         let expected = match answers {
             8..16 => Conclusion::CompareNext,
             _ => Conclusion::Plausible,
         };
         assert_eq!(conclusion, expected, "after {answers} answers");
         if conclusion == Conclusion::CompareNext {
-            idle.record_rejection(Others::of([busy.rate()]));
+            idle.record_rejection(others(&busy, true));
+        }
+    }
+}
+
+/// Guards against a searcher that rejects a part of its requests and keeps all of them, since no other
+/// one is measured.
+#[test]
+fn a_searcher_that_rejects_a_part_is_compared_only_with_one_as_near() {
+    for (share, is_near, is_compared) in [(2, true, true), (1, true, false), (4, false, false)] {
+        let (mut busy, idle) = (RejectionHistory::default(), RejectionHistory::default());
+        let mut compared = false;
+        for answer in 0..100 {
+            if answer % 5 < share {
+                let conclusion = busy.record_rejection(others(&idle, is_near));
+                compared |= conclusion == Conclusion::CompareNext && answer > 50;
+            } else {
+                busy.record_success();
+            }
         }
+        assert_eq!(compared, is_compared, "{share} of five, near: {is_near}");
     }
 }
 
--- a/crates/relay/src/searchers.rs
+++ b/crates/relay/src/searchers.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use bergamot_base::Name;
-use bergamot_dispatch::{AttemptPriority, Distance, Others, sufficient_records};
+use bergamot_dispatch::{AttemptPriority, Distance, Other, Others, sufficient_records};
 use bergamot_placement::{Constraints, Withheld, WithheldCounts};
 use bergamot_registry::{Incarnation, Upstream};
 use bergamot_scatter::fund_attempts;
@@ -49,7 +49,10 @@
         let others = state
             .usable_links(&upstream.service)
             .filter(|link| link.upstream.incarnation != upstream.incarnation);
-        Others::of(others.map(|link| link.estimator().rejections().rate()))
+        Others::of(others.map(|link| Other {
+            rate: link.estimator().rejections().rate(),
+            is_near: link.distance <= searcher.distance,
+        }))
     }
 
     /// Returns the expected stalls of the searchers near this member.
--- a/crates/relay/tests/rejections/main.rs
+++ b/crates/relay/tests/rejections/main.rs
@@ -15,6 +15,7 @@
 mod fellows;
 mod gate;
 mod misdirected;
+mod nearby;
 mod silent_shard;
 mod single_shard;
 mod slow;
