--- a/crates/relay/tests/rejections/main.rs
+++ b/crates/relay/tests/rejections/main.rs
@@ -14,5 +14,8 @@
 mod far;
 mod fellows;
 mod gate;
+mod misdirected;
+mod nearby;
 mod silent_shard;
 mod single_shard;
+mod slow;
