Shards that rejected a request don't wait for one slow test of it

Cause: while no shard has arrived, one attempt at a second searcher tests whether the request is at fault, and all other shards wait for its end, though a searcher that takes much longer than the rejections took is probably at work on the request.

Change: a test that takes twice as long as the rejection did, and 20 ms at least, is overdue; while it is, the tests may grow to four times as many in each such interval. A rejected test ends this, so that a true mistake costs as many attempts as before, and it counts as at fault by the same rule as before. `Tally` decides; its one doubt is now the number of tests in progress and the last result.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -47,5 +47,5 @@
 pub use retry_delay::{Unavailability, retry_delay};
 pub use round_trips::ZoneRoundTrips;
 pub use stalls::{StallHistory, StallPeriod};
-pub use tally::{GatherDecision, RejectedRetry, Tally};
+pub use tally::{GatherDecision, Overdue, RejectedRetry, Tally};
 pub use timeouts::RequestTimeouts;
--- a/crates/dispatch/src/tally.rs
+++ b/crates/dispatch/src/tally.rs
@@ -9,6 +9,9 @@
 /// shards are silent.
 const ENOUGH_REJECTED_TESTS: usize = 3;
 
+/// The factor by which the tests of a request may grow while those in progress are overdue.
+const TEST_GROWTH: usize = 4;
+
 /// What to do with a gathered request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum GatherDecision {
@@ -33,15 +36,14 @@
     Never,
 }
 
-/// What is known of a request that searchers rejected, while no shard has arrived.
+/// What has taken too long for a shard that waits for the test of its request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Doubt {
-    /// No attempt tests the request.
-    Untested,
-    /// An attempt at the second searcher of one shard tests it.
-    Testing,
-    /// Two searchers of a shard have rejected it.
-    Confirmed,
+pub enum Overdue {
+    /// The test in progress. A searcher that rejects the request does so about as fast as the first
+    /// ones; one that takes longer is probably at work on it.
+    Test,
+    /// The answers of the shards: nearly all searchers have answered by now.
+    Answer,
 }
 
 /// The state of the shards of one request.
@@ -56,7 +58,10 @@
     left_out: usize,
     /// The result of [`Tally::needs_deferred`], once it was decided.
     retry_deferred: Option<bool>,
-    doubt: Doubt,
+    /// How many attempts test now whether the request is at fault.
+    testing: usize,
+    /// Whether two searchers of a shard have rejected it, by the last test that ended.
+    is_confirmed: bool,
     /// How many attempts were begun to test the request.
     tests: usize,
     /// How many tests have ended with a rejection.
@@ -76,7 +81,8 @@
             deferred: 0,
             left_out: 0,
             retry_deferred: None,
-            doubt: Doubt::Untested,
+            testing: 0,
+            is_confirmed: false,
             tests: 0,
             rejected_tests: 0,
             is_at_fault: false,
@@ -172,18 +178,40 @@
     /// A mistake of the caller is rejected by every searcher of every shard. Asking all shards twice
     /// would double the load of the fleet, so that one attempt tests it while no shard has arrived.
     pub fn retry_rejected(&mut self) -> RejectedRetry {
-        match self.doubt {
-            _ if self.arrived > 0 => RejectedRetry::Now,
-            _ if self.is_at_fault => RejectedRetry::Never,
-            Doubt::Untested => self.test_again(),
-            Doubt::Confirmed if self.first_attempts_ended() => {
+        match () {
+            () if self.arrived > 0 => RejectedRetry::Now,
+            () if self.is_at_fault => RejectedRetry::Never,
+            () if self.is_confirmed && self.first_attempts_ended() => {
                 self.is_at_fault = true;
                 RejectedRetry::Never
             }
-            Doubt::Testing | Doubt::Confirmed => RejectedRetry::Wait,
+            () if self.is_confirmed || self.is_testing() => RejectedRetry::Wait,
+            () => self.test_again(),
+        }
+    }
+
+    /// Decides, as [`Self::retry_rejected`], for a shard that has waited since `begun` tests had begun.
+    pub fn retry_overdue(&mut self, begun: usize, overdue: Overdue) -> RejectedRetry {
+        match self.retry_rejected() {
+            RejectedRetry::Wait if self.may_test_again(begun, overdue) => self.test_again(),
+            decision => decision,
+        }
+    }
+
+    fn may_test_again(&self, begun: usize, overdue: Overdue) -> bool {
+        match overdue {
+            Overdue::Test => {
+                self.is_testing() && !self.is_confirmed && self.tests < begun * TEST_GROWTH
+            }
+            Overdue::Answer => self.tests == begun,
         }
     }
 
+    /// Returns whether an attempt tests the request now.
+    pub fn is_testing(&self) -> bool {
+        self.testing > 0
+    }
+
     /// Begins a test of the request, although one in progress may still end. After enough tests that
     /// were rejected the request is at fault, so that a shard that is silent doesn't hold it.
     pub fn test_again(&mut self) -> RejectedRetry {
@@ -191,7 +219,8 @@
             self.is_at_fault = true;
             return RejectedRetry::Never;
         }
-        self.doubt = Doubt::Testing;
+        self.is_confirmed = false;
+        self.testing += 1;
         self.tests += 1;
         RejectedRetry::Test
     }
@@ -201,10 +230,11 @@
         self.tests
     }
 
-    /// Ends the test of the request; `is_rejected` is whether the searcher rejected it too.
+    /// Ends a test of the request; `is_rejected` is whether the searcher rejected it too.
     pub fn end_test(&mut self, is_rejected: bool) {
+        self.testing -= 1;
         self.rejected_tests += usize::from(is_rejected);
-        self.doubt = if is_rejected { Doubt::Confirmed } else { Doubt::Untested };
+        self.is_confirmed = is_rejected;
     }
 
     /// Returns whether fewer shards have arrived than the coverage requires.
--- a/crates/dispatch/tests/rejections.rs
+++ b/crates/dispatch/tests/rejections.rs
@@ -3,7 +3,9 @@
 //! Guards against a searcher that is condemned by a status alone, and against twice the load for
 //! requests that all searchers reject.
 
-use bergamot_dispatch::{Conclusion, Other, Others, RejectedRetry, RejectionHistory, Tally};
+use bergamot_dispatch::{
+    Conclusion, Other, Others, Overdue, RejectedRetry, RejectionHistory, Tally,
+};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 
@@ -91,6 +93,29 @@
     assert!(!history.needs_confirmation());
 }
 
+/// Guards against shards that wait for a single test, whose searcher works on the request, until they
+/// are too late.
+#[test]
+fn tests_multiply_while_those_in_progress_are_overdue() {
+    let mut tally = Tally::new(40, 20);
+    (0..40).for_each(|_| tally.defer());
+    assert_eq!(tally.retry_rejected(), RejectedRetry::Test);
+    for allowed in [3, 12] {
+        let begun = tally.tests();
+        for _ in 0..allowed {
+            assert_eq!(tally.retry_overdue(begun, Overdue::Test), RejectedRetry::Test);
+            tally.resume();
+        }
+        assert_eq!(tally.retry_overdue(begun, Overdue::Test), RejectedRetry::Wait);
+    }
+    tally.end_test(true);
+    let begun = tally.tests();
+    assert_eq!(tally.retry_overdue(begun, Overdue::Test), RejectedRetry::Wait, "it is confirmed");
+    assert_eq!(tally.retry_overdue(begun, Overdue::Answer), RejectedRetry::Test);
+    tally.record_arrived();
+    assert_eq!(tally.retry_overdue(begun, Overdue::Test), RejectedRetry::Now);
+}
+
 #[test]
 fn one_attempt_tests_a_request_that_no_shard_has_accepted() {
     let mut tally = Tally::new(3, 2);
--- a/crates/relay/src/race/rejection.rs
+++ b/crates/relay/src/race/rejection.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use bergamot_dispatch::RejectedRetry;
+use bergamot_dispatch::{Overdue, RejectedRetry};
 use bergamot_registry::Incarnation;
 
 use super::{Race, RacePlan, TriedSearcher};
@@ -14,6 +14,9 @@
 /// The least time for a test of the request to end before another one begins.
 const MIN_TEST_TIME: Duration = Duration::from_millis(20);
 
+/// How many times as long as the rejection a test may take before others begin beside it.
+const SLOW_TEST_FACTOR: u32 = 2;
+
 /// What one race knows of searchers that rejected its request.
 #[derive(Debug, Default)]
 pub(super) struct Rejection {
@@ -99,21 +102,31 @@
     /// Waits until another shard has accepted the request, this one may test it, or it is known to be
     /// at fault. Returns whether another searcher may be asked.
     pub(super) async fn await_permission(&mut self) -> bool {
-        // By then nearly all searchers have answered, so that a test in progress is overdue.
-        let usual =
-            self.plan.expected_response_by.saturating_duration_since(self.job.request.received);
-        let interval = usual.max(MIN_TEST_TIME);
+        let received = self.job.request.received;
+        let usual = self.plan.expected_response_by.saturating_duration_since(received);
+        let usual = usual.max(MIN_TEST_TIME);
+        let test_time = (received.elapsed() * SLOW_TEST_FACTOR).max(MIN_TEST_TIME);
+        let (mut begun, mut usual_over) = (0, Instant::now());
         loop {
-            let begun = self.job.tally().tests();
-            let until = (Instant::now() + interval).min(self.plan.deadline);
-            let decision =
-                self.job.decide_deferred(until, |tally, is_over| match tally.retry_rejected() {
-                    RejectedRetry::Wait if is_over && tally.tests() == begun => {
-                        Some(tally.test_again())
-                    }
-                    RejectedRetry::Wait => None,
-                    decision => Some(decision),
-                });
+            let (now, tests) = (Instant::now(), self.job.tally().tests());
+            if tests != begun || now >= usual_over {
+                (begun, usual_over) = (tests, now + usual);
+            }
+            let (until, overdue) = match now + test_time {
+                test_over if self.job.tally().is_testing() && test_over < usual_over => {
+                    (test_over, Overdue::Test)
+                }
+                _ => (usual_over, Overdue::Answer),
+            };
+            let until = until.min(self.plan.deadline);
+            let decision = self.job.decide_deferred(until, |tally, is_over| {
+                let decision = if is_over {
+                    tally.retry_overdue(begun, overdue)
+                } else {
+                    tally.retry_rejected()
+                };
+                (decision != RejectedRetry::Wait).then_some(decision)
+            });
             match decision.await {
                 Some(RejectedRetry::Now) => {
                     self.record_failures();
--- a/crates/relay/tests/rejections/main.rs
+++ b/crates/relay/tests/rejections/main.rs
@@ -19,3 +19,4 @@
 mod silent_shard;
 mod single_shard;
 mod slow;
+mod slow_gather;
