Answer: hold back a body that may be filled until the connection is quiet

Callers got a success with a true signature whose body ended with the beginning of another answer. A searcher left out the end of an answer, kept the connection and sent the answer to the request before again, late and in pieces: its first bytes completed the body, which was judged by what stood behind it in the same read. If a piece ended where the body did, nothing stood there.

Framing by length can't tell these bytes from the body, so the inspector says "hold" if a complete body holds a status line or ends with the beginning of one and nothing stands behind it. The reader then withholds the last byte alone until the connection has been quiet: 100 ms, or 10 ms if the only sign is an `H` at the end behind other bytes of the same read, as one of 256 random bodies has. Bytes that continue the other answer refuse it (`filled`); any others, the quiet and the end of the connection deliver it. A reset fails it. A body that ends with a whole answer that names a request is refused at once, since nothing needs to follow it. The deadline of the request and the drop of the connection end the wait as before; all bytes but the last are accounted as before.

Other ways: a second searcher for each suspicious answer costs an attempt for one of 256 answers and helps no request that may run once; the boundary of a read and a head in the body alone refuse sound bodies or miss filling in one segment. Answers without a length are judged as before.

--- a/crates/answer/src/inspector.rs
+++ b/crates/answer/src/inspector.rs
@@ -2,9 +2,11 @@
 
 use std::fmt;
 use std::sync::Arc;
+use std::time::Duration;
 
 use crate::attribution::Attribution;
 use crate::fault::{Fault, Limit};
+use crate::filling::{Context, Filling};
 use crate::framing::{Body, Head, STATUS_LINE};
 use crate::limits::Limits;
 use crate::memory::{Buffer, Memory};
@@ -71,7 +73,9 @@
     /// A head.
     Head,
     /// The body of the answer.
-    Own(Body, StatusLine),
+    Own(Body, Filling),
+    /// Nothing, if the complete body of the answer is not filled by another one.
+    Held(Filling),
     /// The body of an answer to another request; the flag is whether any of it was received.
     Stray(Body, bool),
 }
@@ -153,27 +157,54 @@
     /// they do, so that they need not be copied.
     pub fn pass(&mut self, bytes: &[u8]) -> bool {
         let (count, limit) = (bytes.len() as u64, self.limits.body_bytes as u64);
-        let Phase::Own(body, status_line) = &mut self.phase else { return false };
+        let Phase::Own(body, filling) = &mut self.phase else { return false };
         match body {
             _ if self.fault.is_some() => return false,
             Body::Length(left) if *left >= count => *left -= count,
             Body::UntilClose(received) if *received + count <= limit => *received += count,
             _ => return false,
         }
-        status_line.search(bytes);
-        if body.is_complete() {
-            self.phase = Phase::Idle;
+        let context =
+            Context { id_header: self.id_header, request: &self.request.id, limits: &self.limits };
+        filling.search(bytes, context);
+        if body.is_complete()
+            && let Err(fault) = self.end_body(&[])
+        {
+            self.fail(fault);
+            return false;
         }
         true
     }
 
+    /// Returns for how long no further byte may arrive until the last byte of the answer, which was
+    /// passed on, may be delivered; `None` if it may be delivered now.
+    ///
+    /// The answer is complete by its length and may be filled by another one, the rest of which then
+    /// follows. Without it, or at the end of the connection, the answer is taken as sound
+    /// ([`Self::release`], [`Self::end`]). If bytes follow that don't continue an answer, the fault
+    /// is behind the answer, which is sound as well.
+    pub fn hold(&self) -> Option<Duration> {
+        match &self.phase {
+            Phase::Held(filling) if self.fault.is_none() => filling.quiet_period(),
+            _ => None,
+        }
+    }
+
+    /// Records that nothing arrived for the time of [`Self::hold`].
+    pub fn release(&mut self) {
+        if matches!(self.phase, Phase::Held(_)) {
+            self.phase = Phase::Idle;
+        }
+    }
+
     /// Inspects bytes and appends those that answer the waiting request to `own`. Everything
     /// behind a fault is dropped.
     pub fn inspect(&mut self, input: &[u8], own: &mut Vec<u8>) {
         let mut rest = input;
         while !rest.is_empty() && self.fault.is_none() {
-            let result = match self.phase {
-                Phase::Idle => Err(Fault::Unsolicited),
+            let result = match &self.phase {
+                Phase::Held(filling) if filling.continues(rest) => Err(Fault::Filled),
+                Phase::Idle | Phase::Held(_) => Err(Fault::Unsolicited),
                 Phase::Head => self.read_head(rest, own),
                 Phase::Own(..) => self.read_body(rest, own),
                 Phase::Stray(..) => self.skip_body(rest),
@@ -190,8 +221,9 @@
     /// Records the end of the connection. Returns the fault if it ends an answer that seems to hold
     /// another.
     pub fn end(&mut self) -> Option<Fault> {
-        match self.phase {
-            Phase::Own(Body::UntilClose(_), StatusLine { found: true, .. }) => {
+        self.release();
+        match &self.phase {
+            Phase::Own(Body::UntilClose(_), filling) if filling.is_found() => {
                 Some(self.fail(Fault::Filled))
             }
             _ => None,
@@ -283,7 +315,7 @@
                 self.phase = if head.body.is_complete() {
                     Phase::Idle
                 } else {
-                    Phase::Own(head.body, StatusLine::default())
+                    Phase::Own(head.body, Filling::default())
                 };
                 Ok(())
             }
@@ -339,77 +371,42 @@
 
     /// Passes on bytes of the body of the answer.
     fn read_body(&mut self, input: &[u8], own: &mut Vec<u8>) -> Result<usize, Fault> {
-        let Phase::Own(body, status_line) = &mut self.phase else { return Ok(0) };
-        let used = body.advance(input, &self.limits)?;
+        let Self { phase: Phase::Own(body, filling), id_header, request, limits, .. } = self else {
+            return Ok(0);
+        };
+        let used = body.advance(input, limits)?;
         let (part, behind) = input.split_at(used);
-        status_line.search(part);
+        filling.search(part, Context { id_header, request: &request.id, limits });
         if body.is_complete() {
-            if status_line.is_within(behind) {
-                return Err(Fault::Filled);
-            }
-            self.phase = Phase::Idle;
+            self.end_body(behind)?;
         }
         own.extend_from_slice(part);
         Ok(used)
     }
+
+    /// Decides whether the complete body is the answer's own, given what was received behind it.
+    fn end_body(&mut self, behind: &[u8]) -> Result<(), Fault> {
+        let Phase::Own(body, filling) = &mut self.phase else { return Ok(()) };
+        if filling.is_without_sign() {
+            self.phase = Phase::Idle;
+            return Ok(());
+        }
+        // Text in the chunks of a sound body never reaches to the end of the last chunk's line.
+        let is_chunked = matches!(body, Body::Chunked(_));
+        let holds_whole = match filling.whole_answer() {
+            Some(named) => named != Attribution::Nobody || is_chunked,
+            None => false,
+        };
+        if holds_whole || filling.continues(behind) {
+            return Err(Fault::Filled);
+        }
+        let is_held = behind.is_empty() && filling.quiet_period().is_some();
+        self.phase = if is_held { Phase::Held(std::mem::take(filling)) } else { Phase::Idle };
+        Ok(())
+    }
 }
 
 /// Returns whether two byte strings are equal as far as both go.
 fn agrees(bytes: &[u8], expected: &[u8]) -> bool {
     bytes.iter().zip(expected).all(|(byte, expected)| byte == expected)
 }
-
-/// A status line up to its status code; `#` stands for a digit.
-const STATUS_LINE_PATTERN: &[u8] = b"HTTP/1.# ###";
-
-/// Returns whether bytes agree with a part of [`STATUS_LINE_PATTERN`] as far as both go.
-fn fits(bytes: &[u8], pattern: &[u8]) -> bool {
-    let fits = |(byte, expected): (&u8, &u8)| match expected {
-        b'#' => byte.is_ascii_digit(),
-        _ => byte == expected,
-    };
-    bytes.iter().zip(pattern).all(fits)
-}
-
-/// Searches a body for the beginning of another answer.
-///
-/// A body that was cut is filled with the answer behind it: it holds the beginning of a status line,
-/// and the rest of that answer follows it. A body without a length holds whatever follows it. A true
-/// body that holds a status line is refused only if it has no length or the searcher answers twice.
-#[derive(Clone, Copy, Debug, Default)]
-struct StatusLine {
-    found: bool,
-    /// How much of it the last bytes agree with.
-    matched: usize,
-}
-
-impl StatusLine {
-    fn search(&mut self, bytes: &[u8]) {
-        let mut rest = bytes;
-        while let Some((byte, behind)) = rest.split_first() {
-            if self.matched == 0 {
-                // Only the first byte of a status line is an `H`, so a match begins at the next one.
-                let Some(at) = memchr::memchr(STATUS_LINE_PATTERN[0], rest) else { return };
-                self.matched = 1;
-                rest = &rest[at + 1..];
-                continue;
-            }
-            if !fits(&[*byte], &STATUS_LINE_PATTERN[self.matched..]) {
-                self.matched = 0;
-                continue;
-            }
-            rest = behind;
-            self.matched += 1;
-            if self.matched == STATUS_LINE_PATTERN.len() {
-                self.found = true;
-                self.matched = 0;
-            }
-        }
-    }
-
-    /// Returns whether a body seems to be filled by another answer, given the bytes behind it.
-    fn is_within(self, behind: &[u8]) -> bool {
-        let continues = self.matched > 0 && fits(behind, &STATUS_LINE_PATTERN[self.matched..]);
-        !behind.is_empty() && (self.found || continues)
-    }
-}
--- a/crates/answer/src/lib.rs
+++ b/crates/answer/src/lib.rs
@@ -13,6 +13,7 @@
 
 mod attribution;
 mod fault;
+mod filling;
 mod framing;
 mod inspector;
 mod limits;
--- a/crates/upstream/src/inspected.rs
+++ b/crates/upstream/src/inspected.rs
@@ -5,10 +5,12 @@
 use std::pin::Pin;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::task::{Context, Poll, ready};
+use std::time::Duration;
 
 use bergamot_answer::{Fault, Finding, Inspector};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
+use tokio::time::{Instant, Sleep};
 
 /// The inspector of a connection, shared by the owner of the connection and its socket.
 #[derive(Clone, Debug)]
@@ -27,6 +29,18 @@
 /// Called with what an inspector has found, without its lock.
 pub(crate) type OnFinding = Box<dyn Fn(&Finding) + Send + Sync>;
 
+/// The time between two looks at a quiet connection. Quiet time is counted in these steps, each of
+/// which begins when the one before is seen to end: while the process doesn't run, it sees no bytes.
+const QUIET_STEP: Duration = Duration::from_millis(5);
+
+/// The last byte of an answer that may be filled by another one, until the connection has been quiet.
+struct HeldByte {
+    byte: u8,
+    /// The steps that are left, with the current one.
+    steps: u128,
+    step: Pin<Box<Sleep>>,
+}
+
 /// The inspected socket.
 pub(crate) struct Inspected {
     stream: TcpStream,
@@ -35,6 +49,7 @@
     /// Bytes of the answer that are not delivered yet, from `delivered` on.
     own: Vec<u8>,
     delivered: usize,
+    held: Option<HeldByte>,
 }
 
 impl Inspected {
@@ -43,7 +58,7 @@
         inspector: SharedInspector,
         on_finding: OnFinding,
     ) -> Self {
-        Self { stream, inspector, on_finding, own: Vec::new(), delivered: 0 }
+        Self { stream, inspector, on_finding, own: Vec::new(), delivered: 0, held: None }
     }
 
     /// Moves inspected bytes to `buffer`; returns whether there were any.
@@ -60,20 +75,60 @@
         count > 0
     }
 
-    /// Inspects what was just read into `buffer` behind `before`; returns whether it belongs to
-    /// the answer and can stay there.
+    /// Inspects what was just read into `buffer` behind `before`; returns whether any of it belongs
+    /// to the answer and can stay there.
     fn inspect(&mut self, buffer: &mut ReadBuf<'_>, before: usize) -> bool {
         let mut inspector = self.inspector.lock();
         if inspector.pass(&buffer.filled()[before..]) {
-            return true;
+            let hold = inspector.hold();
+            drop(inspector);
+            if let Some(period) = hold {
+                let last = buffer.filled().len() - 1;
+                self.hold(buffer.filled()[last], period);
+                buffer.set_filled(last);
+            }
+            return buffer.filled().len() > before;
         }
         inspector.inspect(&buffer.filled()[before..], &mut self.own);
         buffer.set_filled(before);
+        let (hold, fault) = (inspector.hold(), inspector.fault());
         drop(inspector);
+        match hold {
+            Some(period) => {
+                if let Some(byte) = self.own.pop() {
+                    self.hold(byte, period);
+                }
+            }
+            None if fault.is_none_or(Fault::is_behind_answer) => self.deliver_held(),
+            None => self.held = None,
+        }
         self.report();
         false
     }
 
+    fn hold(&mut self, byte: u8, period: Duration) {
+        let steps = period.as_millis().div_ceil(QUIET_STEP.as_millis());
+        self.held = Some(HeldByte { byte, steps, step: Box::pin(tokio::time::sleep(QUIET_STEP)) });
+    }
+
+    /// Delivers the byte that is held back, if there is one.
+    fn deliver_held(&mut self) {
+        self.own.extend(self.held.take().map(|held| held.byte));
+    }
+
+    /// Waits until the connection has been quiet for long enough behind an answer that may be filled.
+    fn poll_quiet(&mut self, cx: &mut Context<'_>) -> Poll<()> {
+        let Some(held) = &mut self.held else { return Poll::Pending };
+        while held.steps > 0 {
+            ready!(held.step.as_mut().poll(cx));
+            held.steps -= 1;
+            held.step.as_mut().reset(Instant::now() + QUIET_STEP);
+        }
+        self.inspector.lock().release();
+        self.deliver_held();
+        Poll::Ready(())
+    }
+
     /// Handles the end of the connection.
     fn end(&mut self) -> io::Result<()> {
         let fault = self.inspector.lock().end();
@@ -105,9 +160,18 @@
                 return Poll::Ready(Err(as_io_error(fault)));
             }
             let before = buf.filled().len();
-            ready!(Pin::new(&mut this.stream).poll_read(cx, buf))?;
+            // Bytes go before the timer, so that a process that was late doesn't overlook them.
+            if Pin::new(&mut this.stream).poll_read(cx, buf)?.is_pending() {
+                ready!(this.poll_quiet(cx));
+                continue;
+            }
             if buf.filled().len() == before {
-                return Poll::Ready(this.end());
+                this.end()?;
+                if this.held.is_none() {
+                    return Poll::Ready(Ok(()));
+                }
+                this.deliver_held();
+                continue;
             }
             if this.inspect(buf, before) {
                 return Poll::Ready(Ok(()));
