Upstream: the reads of large answers take turns

Callers beside searchers that send a body without end were not served on a busy machine: attempts at the sound searchers got no connection in time.

Cause: a socket to such a searcher is always readable. With 80 of them on the one thread of the daemon, each step of any other task waited for a read of 64 KiB from each, and a new connection takes about six steps.

Change: beyond the first 16 KiB of each answer, the reads of a process take turns (ReadTurns). A turn is one read, and the next one begins after the tasks that are ready have run. A turn that finds no bytes, or whose request ends, passes on. Both interfaces use it, below the HTTP library. An answer of ordinary size takes no turn: one comparison for each read, no lock and no task. A connection's socket is now composed by the pool, since Connection::open would take one argument more.

--- a/crates/relay/src/links.rs
+++ b/crates/relay/src/links.rs
@@ -97,6 +97,7 @@
             id_header: self.dialect().request_id,
             limits: self.settings.response_limits,
             memory: Arc::clone(&self.response_memory),
+            read_turns: self.read_turns.clone(),
         }
     }
 
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -16,6 +16,7 @@
 use bergamot_placement::{Constraints, WithheldCounts};
 use bergamot_quarantine::Quarantine;
 use bergamot_registry::{Registry, Upstream};
+use bergamot_upstream::ReadTurns;
 use bergamot_wire::{Late, ReportingReply, ShardQuery, ShardReply};
 
 use crate::admission::Asking;
@@ -55,6 +56,8 @@
     pub(crate) monitor: Arc<Monitor>,
     /// Bounds the memory of all responses in progress.
     pub(crate) response_memory: Arc<Memory>,
+    /// The turns in which large responses are read.
+    pub(crate) read_turns: ReadTurns,
     /// The period at which searchers stall, shared by all links.
     pub(crate) stall_period: StallPeriod,
     /// Requests suspected or known to crash searchers.
@@ -98,6 +101,7 @@
             changes,
             monitor,
             response_memory,
+            read_turns: ReadTurns::default(),
             stall_period,
             quarantine: Arc::default(),
             stop: StopState::default(),
--- a/crates/upstream/src/client_set.rs
+++ b/crates/upstream/src/client_set.rs
@@ -17,6 +17,7 @@
 
 use crate::client::Client;
 use crate::pool::{Observer, Pool, PoolSettings};
+use crate::read_turns::ReadTurns;
 
 /// How many findings about one searcher are logged a second; all are counted.
 const MAX_FINDINGS_LOGGED: u32 = 2;
@@ -50,6 +51,7 @@
     index: HashMap<Searcher, Arc<Client>>,
     /// The bound of all answers in progress.
     memory: Arc<Memory>,
+    read_turns: ReadTurns,
 }
 
 impl ClientSet {
@@ -64,7 +66,11 @@
         settings: &Settings,
         held: &[Searcher],
     ) -> Self {
-        let mut next = Self { memory: Arc::clone(&self.memory), ..Self::default() };
+        let mut next = Self {
+            memory: Arc::clone(&self.memory),
+            read_turns: self.read_turns.clone(),
+            ..Self::default()
+        };
         for searcher in held {
             let row = &document.searchers[*searcher];
             let service = document.shards[row.shard].service;
@@ -73,7 +79,8 @@
             let client = self.clients.get(&row.address).map_or_else(
                 || {
                     let latency = estimate_latency(document, settings, &row.zone);
-                    new_client(settings, row.address, (share, slots), latency, &self.memory)
+                    let pool = self.pool_settings(settings, row.address, share);
+                    new_client(settings, pool, slots, latency)
                 },
                 Arc::clone,
             );
@@ -90,6 +97,19 @@
         next
     }
 
+    /// Returns how to connect to the searcher at an address.
+    fn pool_settings(&self, settings: &Settings, remote: SocketAddr, share: usize) -> PoolSettings {
+        PoolSettings {
+            local: settings.instance.address,
+            remote,
+            share,
+            dial_timeout: settings.gather.dial,
+            memory: Arc::clone(&self.memory),
+            read_turns: self.read_turns.clone(),
+            ..PoolSettings::default()
+        }
+    }
+
     /// Returns the client of a searcher, if there is one.
     pub fn client(&self, searcher: Searcher) -> Option<&Arc<Client>> {
         self.index.get(&searcher)
@@ -143,21 +163,12 @@
 
 fn new_client(
     settings: &Settings,
-    remote: SocketAddr,
-    (share, slots): (usize, usize),
+    pool: PoolSettings,
+    slots: usize,
     initial_latency: Duration,
-    memory: &Arc<Memory>,
 ) -> Arc<Client> {
-    let dial_timeout = settings.gather.dial;
-    let pool_settings = PoolSettings {
-        local: settings.instance.address,
-        remote,
-        share,
-        dial_timeout,
-        memory: Arc::clone(memory),
-        ..PoolSettings::default()
-    };
-    let pool = Pool::new(pool_settings, observe(remote));
+    let remote = pool.remote;
+    let pool = Pool::new(pool, observe(remote));
     Client::new(remote, pool, slots, settings.gather.queue as usize, initial_latency)
 }
 
--- a/crates/upstream/src/connection.rs
+++ b/crates/upstream/src/connection.rs
@@ -6,7 +6,7 @@
 use std::error::Error;
 use std::fmt;
 
-use bergamot_answer::{Fault, Inspector};
+use bergamot_answer::Fault;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -14,10 +14,9 @@
 use hyper::header::HeaderValue;
 use hyper::{Method, Request, Response};
 use hyper_util::rt::TokioIo;
-use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 
-use crate::inspected::{Inspected, OnFinding, SharedInspector, fault_of};
+use crate::inspected::{Inspected, SharedInspector, fault_of};
 
 /// The largest read buffer of a connection, in bytes: twice the largest head.
 const MAX_READ_BUFFER: usize = 64 << 10;
@@ -78,16 +77,13 @@
 }
 
 impl Connection {
-    /// Opens the HTTP connection over a socket. `id_header` names a request, in requests and in
-    /// answers; `on_finding` is called with what isn't the answer to a request.
+    /// Opens the HTTP connection over a socket that `inspector` inspects. `id_header` names a
+    /// request, in requests and in answers.
     pub(crate) async fn open(
-        stream: TcpStream,
+        stream: Inspected,
         id_header: &'static str,
-        inspector: Inspector,
-        on_finding: OnFinding,
+        inspector: SharedInspector,
     ) -> Result<Self, hyper::Error> {
-        let inspector = SharedInspector::new(inspector);
-        let stream = Inspected::new(stream, inspector.clone(), on_finding);
         let mut builder = http1::Builder::new();
         builder.max_buf_size(MAX_READ_BUFFER);
         let (sender, connection) = builder.handshake(TokioIo::new(stream)).await?;
--- a/crates/upstream/src/inspected.rs
+++ b/crates/upstream/src/inspected.rs
@@ -10,6 +10,8 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
+use crate::read_turns::Reader;
+
 /// The inspector of a connection, shared by the owner of the connection and its socket.
 #[derive(Clone, Debug)]
 pub(crate) struct SharedInspector(Arc<Mutex<Inspector>>);
@@ -30,6 +32,7 @@
 /// The inspected socket.
 pub(crate) struct Inspected {
     stream: TcpStream,
+    reader: Reader,
     inspector: SharedInspector,
     on_finding: OnFinding,
     /// Bytes of the answer that are not delivered yet, from `delivered` on.
@@ -40,10 +43,11 @@
 impl Inspected {
     pub(crate) fn new(
         stream: TcpStream,
+        reader: Reader,
         inspector: SharedInspector,
         on_finding: OnFinding,
     ) -> Self {
-        Self { stream, inspector, on_finding, own: Vec::new(), delivered: 0 }
+        Self { stream, reader, inspector, on_finding, own: Vec::new(), delivered: 0 }
     }
 
     /// Moves inspected bytes to `buffer`; returns whether there were any.
@@ -104,11 +108,16 @@
             if let Some(fault) = this.inspector.lock().fault() {
                 return Poll::Ready(Err(as_io_error(fault)));
             }
+            let turn = ready!(this.reader.poll_turn(cx));
             let before = buf.filled().len();
             ready!(Pin::new(&mut this.stream).poll_read(cx, buf))?;
             if buf.filled().len() == before {
                 return Poll::Ready(this.end());
             }
+            this.reader.record(buf.filled().len() - before);
+            if let Some(turn) = turn {
+                turn.end_after_ready_tasks();
+            }
             if this.inspect(buf, before) {
                 return Poll::Ready(Ok(()));
             }
@@ -122,6 +131,7 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
+        self.reader.begin_answer(cx);
         Pin::new(&mut self.stream).poll_write(cx, buf)
     }
 
@@ -138,6 +148,7 @@
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
+        self.reader.begin_answer(cx);
         Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
     }
 
--- a/crates/upstream/src/lib.rs
+++ b/crates/upstream/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod protocol;
 mod queue;
 mod rank;
+mod read_turns;
 mod slots;
 mod trust;
 
@@ -36,5 +37,6 @@
 pub use lease::Lease;
 pub use pool::{Observer, Pool, PoolSettings, Usage};
 pub use rank::{Candidate, rank};
+pub use read_turns::ReadTurns;
 pub use slots::{Admission, Slots};
 pub use trust::Reuse;
--- a/crates/upstream/src/pool.rs
+++ b/crates/upstream/src/pool.rs
@@ -26,9 +26,11 @@
 use crate::body::{BodyError, read_body};
 use crate::client::SearcherError;
 use crate::connection::Connection;
+use crate::inspected::{Inspected, SharedInspector};
 use crate::lease::Lease;
 use crate::places::{Place, Places, Pooled};
 use crate::protocol;
+use crate::read_turns::{ReadTurns, Reader};
 use crate::trust::{Reuse, Trust};
 
 /// How a pool connects, and what it demands of answers.
@@ -48,6 +50,8 @@
     pub limits: Limits,
     /// The bound of all answers.
     pub memory: Arc<Memory>,
+    /// The turns in which large answers are read, shared by all pools of a process.
+    pub read_turns: ReadTurns,
 }
 
 impl Default for PoolSettings {
@@ -61,6 +65,7 @@
             id_header: protocol::REQUEST,
             limits: Limits::default(),
             memory: Arc::default(),
+            read_turns: ReadTurns::default(),
         }
     }
 }
@@ -303,15 +308,18 @@
 
     /// Performs the HTTP/1 handshake on a new connection.
     async fn handshake(self: &Arc<Self>, stream: TcpStream) -> Result<Connection, SearcherError> {
-        let PoolSettings { id_header, limits, memory, .. } = &self.settings;
+        let PoolSettings { id_header, limits, memory, read_turns, .. } = &self.settings;
         let inspector = Inspector::new(id_header, *limits, Arc::clone(memory));
+        let inspector = SharedInspector::new(inspector);
         let pool = Arc::downgrade(self);
         let on_finding = move |finding: &Finding| {
             if let Some(pool) = pool.upgrade() {
                 pool.record(finding);
             }
         };
-        let opened = Connection::open(stream, id_header, inspector, Box::new(on_finding)).await;
+        let reader = Reader::new(read_turns.clone());
+        let stream = Inspected::new(stream, reader, inspector.clone(), Box::new(on_finding));
+        let opened = Connection::open(stream, id_header, inspector).await;
         opened.map_err(|error| self.fault("handshake", &error.to_string()))
     }
 
