Relay: the last searcher of a race is waited for

Callers got a refusal with over a second left though a sound searcher of each shard ran: its attempt had no connection within a quarter of the target latency, and no other searcher was left.

Cause: that bound lets a caller or an attempt go elsewhere in time. It also held for the last searcher, where there is no elsewhere. On a busy machine the daemon got 4 ms in each 20 to 28 ms (schedstat), and opening a hundred connections took longer than the bound of 125 ms.

Change: a hedge or retry after which no other searcher is left may wait for its connection until the deadline. First attempts keep their bound, and cost no more; a hedge or retry asks once more whether a searcher is left.

--- a/crates/relay/src/race.rs
+++ b/crates/relay/src/race.rs
@@ -382,11 +382,7 @@
         self.relay.meter().count_attempt(reason, link.distance);
         self.delivered += 1;
         self.plan.tried.push(TriedSearcher::Known(link.upstream.incarnation.clone()));
-        // Later attempts have as much time to find a connection as the first.
-        let connect_timeout =
-            self.plan.connect_by.saturating_duration_since(self.job.request.received);
-        let connect_by =
-            self.plan.connect_by.max(Instant::now() + connect_timeout).min(self.plan.deadline);
+        let connect_by = self.connect_by(reason);
         let trial = self.plan.single_attempt || self.trial;
         let (deadline, is_after_fault) = (self.plan.deadline, self.worst.met_fault);
         let limits = AttemptLimits { connect_by, deadline, is_after_fault, trial };
@@ -395,6 +391,21 @@
     }
 }
 
+impl Race<'_> {
+    /// Returns the time by which the next attempt must have a connection.
+    ///
+    /// A later attempt has as much time as the first, and until the deadline if no other searcher is
+    /// left: its failure would end the race, while the time to open a connection is bounded itself.
+    fn connect_by(&self, reason: AttemptReason) -> Instant {
+        let RacePlan { connect_by, deadline, .. } = self.plan;
+        if reason != AttemptReason::First && self.choose_searcher().is_none() {
+            return deadline;
+        }
+        let timeout = connect_by.saturating_duration_since(self.job.request.received);
+        connect_by.max(Instant::now() + timeout).min(deadline)
+    }
+}
+
 impl Drop for Race<'_> {
     /// Records the searchers asked for a shard that was still pending when the response was sent.
     fn drop(&mut self) {
