--- a/crates/upstream/src/inspected.rs
+++ b/crates/upstream/src/inspected.rs
@@ -12,6 +12,8 @@
 use tokio::net::TcpStream;
 use tokio::time::{Instant, Sleep};
 
+use crate::read_turns::Reader;
+
 /// The inspector of a connection, shared by the owner of the connection and its socket.
 #[derive(Clone, Debug)]
 pub(crate) struct SharedInspector(Arc<Mutex<Inspector>>);
@@ -44,6 +46,7 @@
 /// The inspected socket.
 pub(crate) struct Inspected {
     stream: TcpStream,
+    reader: Reader,
     inspector: SharedInspector,
     on_finding: OnFinding,
     /// Bytes of the answer that are not delivered yet, from `delivered` on.
@@ -55,10 +58,11 @@
 impl Inspected {
     pub(crate) fn new(
         stream: TcpStream,
+        reader: Reader,
         inspector: SharedInspector,
         on_finding: OnFinding,
     ) -> Self {
-        Self { stream, inspector, on_finding, own: Vec::new(), delivered: 0, held: None }
+        Self { stream, reader, inspector, on_finding, own: Vec::new(), delivered: 0, held: None }
     }
 
     /// Moves inspected bytes to `buffer`; returns whether there were any.
@@ -159,6 +163,8 @@
             if let Some(fault) = this.inspector.lock().fault() {
                 return Poll::Ready(Err(as_io_error(fault)));
             }
+            // An answer that is complete waits for its quiet period alone.
+            let turn = if this.held.is_some() { None } else { ready!(this.reader.poll_turn(cx)) };
             let before = buf.filled().len();
             // Bytes go before the timer, so that a process that was late doesn't overlook them.
             if Pin::new(&mut this.stream).poll_read(cx, buf)?.is_pending() {
@@ -173,6 +179,10 @@
                 this.deliver_held();
                 continue;
             }
+            this.reader.record(buf.filled().len() - before);
+            if let Some(turn) = turn {
+                turn.end_after_ready_tasks();
+            }
             if this.inspect(buf, before) {
                 return Poll::Ready(Ok(()));
             }
@@ -186,6 +196,7 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
+        self.reader.begin_answer(cx);
         Pin::new(&mut self.stream).poll_write(cx, buf)
     }
 
@@ -202,6 +213,7 @@
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
+        self.reader.begin_answer(cx);
         Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
     }
 
