Members that are out of touch keep their shares of the fleet's bounds

Cause: the slack and the connections were divided by the members that are heard, so each member that heard nobody took the whole of both.

Change: `dispatch::Spenders` decides from what members last knew. One that is heard counts at once; one that falls silent counts for 15 minutes, one that announced its stop until its spending has left the window; one that starts again under its address is the same one. A process has no slack and one connection to each searcher until it is settled and hears another, unless its settings name no other seed. Serving members that fell silent keep their shares, and those selected in their place divide the rest. The retry budget and the pools take the same `dispatch::Share`. Where members are silent, the digest states the number that counts (`spenders`), since a process that starts is told only of available members.

The fixtures of `wire/tests` and `bench/src/capacity` name the new field; the largest datagram of the test has it at its largest.

--- a/crates/bench/src/capacity/state.rs
+++ b/crates/bench/src/capacity/state.rs
@@ -176,6 +176,7 @@
             members: 1800,
             fresh: true,
             suspicions: u64::MAX,
+            spenders: 0,
         },
         rumours,
     };
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -5,7 +5,8 @@
 //! tests need no sockets. [`LatencyEstimator`] estimates the latency of a searcher, [`LoadReport`]
 //! decides when to report it to other members, and [`best()`] chooses among the searchers.
 //! [`RetryBudget`] bounds the additional attempts of the whole fleet without
-//! messages between its members. [`ZoneRoundTrips`] tracks the round-trip times to other zones, and
+//! messages between its members, and [`Spenders`] decides which [`Share`] of it one member has.
+//! [`ZoneRoundTrips`] tracks the round-trip times to other zones, and
 //! [`CallerDeadlines`] and [`CallerRoundTrip`] estimate how much of a caller's latency is spent
 //! elsewhere.
 //! [`RejectionHistory`] tells a searcher that rejects requests from callers that make mistakes.
@@ -29,6 +30,8 @@
 mod retry_budget;
 mod retry_delay;
 mod round_trips;
+mod share;
+mod spenders;
 mod stalls;
 mod tally;
 mod timeouts;
@@ -46,6 +49,8 @@
 pub use retry_budget::{AttemptPriority, RetryBudget, RetryBudgetLimits};
 pub use retry_delay::{Unavailability, retry_delay};
 pub use round_trips::ZoneRoundTrips;
+pub use share::Share;
+pub use spenders::{Presence, Serving, Spenders, SpendingTimes, Statement};
 pub use stalls::{StallHistory, StallPeriod};
 pub use tally::{GatherDecision, RejectedRetry, Tally};
 pub use timeouts::RequestTimeouts;
--- a/crates/dispatch/src/retry_budget.rs
+++ b/crates/dispatch/src/retry_budget.rs
@@ -3,14 +3,15 @@
 //! The attempts beyond the first of each request are bounded over the whole fleet and any
 //! window of a few seconds. Members enforce the bound without exchanging messages on the
 //! request path: each earns budget from the requests that it has handled in the window itself,
-//! and takes its share of the slack according to the number of members. Invariant: the attempts
-//! of all members add up to at most `ratio * requests + slack`, as long as each counts every
-//! member that makes additional attempts.
+//! and takes its [`Share`] of the slack. Invariant: the attempts of all members add up to at most
+//! `ratio * requests + slack`, as long as their shares add up to at most one.
 
 use std::time::{Duration, Instant};
 
 use bergamot_policy::Policy;
 
+use crate::share::Share;
+
 /// The number of buckets that a window is divided into.
 const BUCKETS: usize = 20;
 
@@ -73,10 +74,10 @@
         now: Instant,
         limits: &RetryBudgetLimits,
         policy: &Policy,
-        members: usize,
+        share: impl Into<Share>,
         priority: AttemptPriority,
     ) -> bool {
-        let granted = self.can_spend(now, limits, policy, members, priority);
+        let granted = self.can_spend(now, limits, policy, share, priority);
         if granted {
             self.bucket(now, limits).extra += 1;
         }
@@ -89,7 +90,7 @@
         now: Instant,
         limits: &RetryBudgetLimits,
         policy: &Policy,
-        members: usize,
+        share: impl Into<Share>,
         priority: AttemptPriority,
     ) -> bool {
         let newest = self.bucket_index(now, limits);
@@ -102,7 +103,7 @@
         let margin = policy.margin;
         let (earned, slack) = if margin.on { (margin.earned, margin.slack) } else { (1.0, 1.0) };
         let earned = limits.ratio * earned * f64::from(requests);
-        let slack = limits.slack * slack / members.max(1) as f64;
+        let slack = share.into().slack(limits.slack * slack);
         let reserved = policy.reserve.on && priority == AttemptPriority::Optional;
         let usable = if reserved { 1.0 - policy.reserve.part } else { 1.0 };
         f64::from(extra) + 1.0 <= (earned + slack) * usable
--- a/crates/front/src/daemon.rs
+++ b/crates/front/src/daemon.rs
@@ -13,6 +13,7 @@
 use std::time::Duration;
 
 use bergamot_base::{Name, TaskSupervisor};
+use bergamot_dispatch::{Presence, Serving, Share, Spenders, SpendingTimes};
 use bergamot_feed::{
     FeedState, Members, Origin, QueryKind, QueryReport, ReadRole, RecordEvent, Sink, Source, follow,
 };
@@ -62,6 +63,15 @@
     serving: Mutex<BTreeSet<Ipv4Addr>>,
     /// What they were selected from.
     selection_basis: Mutex<Option<SelectionBasis>>,
+    shares: Mutex<Shares>,
+}
+
+/// What this member's share of the fleet's bounds is determined from.
+#[derive(Debug)]
+struct Shares {
+    spenders: Spenders,
+    /// The members that would serve callers if all were heard that count.
+    serving: BTreeSet<Ipv4Addr>,
 }
 
 /// What the members that serve callers, and those that this one may call, are selected from.
@@ -109,6 +119,11 @@
         tasks.spawn("members", server);
         let quarantine = Arc::clone(relay.quarantine());
         let peers = Peers::start(peers, quarantine, &tasks, stop.clone()).await?;
+        let times = SpendingTimes {
+            window: relay.settings().retry_budget_limits.window,
+            stop: settings.stop_timeout,
+        };
+        let spenders = Spenders::new(Instant::now().into(), relay.settings().address, times);
         let inner = Arc::new(Inner {
             settings,
             protocol,
@@ -119,7 +134,10 @@
             leaving: AtomicBool::new(false),
             serving: Mutex::default(),
             selection_basis: Mutex::default(),
+            shares: Mutex::new(Shares { spenders, serving: BTreeSet::new() }),
         });
+        // Requests are served only with a known share.
+        inner.update_serving();
         let sink = feed_sink(&inner);
         let (for_topology, for_versions) = (Arc::clone(&inner), Arc::clone(&inner));
         let members = Members {
@@ -277,8 +295,7 @@
     /// Selects the members that serve callers, and applies the result to this member.
     ///
     /// A member that does not know all others yet does not count as serving: it would take itself
-    /// for one of few members. It answers the requests that reach it with the number of
-    /// connections that one of [`Peers::size`] members may hold.
+    /// for one of few members. See [`Spenders`] for its share.
     fn update_serving(&self) {
         let basis = SelectionBasis {
             view: self.peers.with_view(View::changes),
@@ -287,16 +304,37 @@
             coverage: self.relay.coverage(),
         };
         let mut known = self.selection_basis.lock().unwrap_or_else(PoisonError::into_inner);
-        if known.as_ref() != Some(&basis) {
+        let is_changed = known.as_ref() != Some(&basis);
+        if is_changed {
             self.apply_view(&basis);
             *known = Some(basis.clone());
         }
         drop(known);
-        let serving = self.serving.lock().unwrap_or_else(PoisonError::into_inner);
-        let serves = basis.is_settled && serving.contains(&self.relay.settings().address);
-        let members = if serves { serving.len() } else { self.peers.size() };
-        drop(serving);
-        self.relay.tick(members, serves);
+        let share = self.update_share(&basis, is_changed);
+        let serves = basis.is_settled && self.serving().contains(&self.relay.settings().address);
+        self.relay.tick(share, serves);
+    }
+
+    /// Returns this member's share of the fleet's bounds.
+    fn update_share(&self, basis: &SelectionBasis, is_changed: bool) -> Share {
+        let now = Instant::now().into();
+        let own = self.relay.settings().address;
+        let mut shares = self.shares.lock().unwrap_or_else(PoisonError::into_inner);
+        let Shares { spenders, serving } = &mut *shares;
+        if is_changed {
+            self.peers.with_view(|view| spenders.update(now, view.iter().map(presence)));
+        }
+        if spenders.expire(now) || is_changed {
+            *serving =
+                self.select_serving(&basis.coverage, |record| spenders.counts(record.endpoint.ip));
+        }
+        if let Some(statement) = self.peers.take_stated_spenders() {
+            spenders.record_statement(now, statement);
+        }
+        self.peers.set_spenders(spenders.statement(now));
+        let serving = Serving { heard: &self.serving(), counted: serving };
+        let has_seeds = basis.seeds.iter().any(|seed| *seed != own);
+        spenders.share(now, serving, basis.is_settled, has_seeds)
     }
 
     /// Applies a changed view of the members to the relay.
@@ -307,14 +345,18 @@
         );
         self.update_permit_issuers();
         if basis.is_settled {
-            let selected = self.select_serving(&basis.coverage);
+            let selected = self.select_serving(&basis.coverage, |record| record.state.takes_work());
             *self.serving.lock().unwrap_or_else(PoisonError::into_inner) = selected;
             self.relay.set_delegate_members(self.delegate_members());
         }
     }
 
-    /// Selects the members that serve callers from the members that accept work.
-    fn select_serving(&self, coverage: &Coverage) -> BTreeSet<Ipv4Addr> {
+    /// Selects the members that serve callers from those for which `is_candidate` holds.
+    fn select_serving(
+        &self,
+        coverage: &Coverage,
+        is_candidate: impl Fn(&Record) -> bool,
+    ) -> BTreeSet<Ipv4Addr> {
         let count = |zone: &Name| coverage.zones.get(zone).copied().unwrap_or(0);
         let best = coverage.zones.values().copied().max().unwrap_or(0);
         // A zone counts only if it has searchers of more than half as many services as the zone
@@ -326,8 +368,9 @@
             in_searcher_zone: has_searchers(&record.zone),
             weight: record.weight,
         };
-        let candidates: Vec<Candidate> =
-            self.peers.with_view(|view| view.available().map(candidate).collect());
+        let candidates: Vec<Candidate> = self.peers.with_view(|view| {
+            view.iter().filter(|record| is_candidate(record)).map(candidate).collect()
+        });
         let connections = coverage.fewest_connections.unwrap_or(usize::MAX);
         select_serving(&candidates, connections, &self.relay.settings().policy.seats)
     }
@@ -400,6 +443,16 @@
     }
 }
 
+/// Returns what a record says of its member's presence.
+fn presence(record: &Record) -> (Ipv4Addr, Presence) {
+    let presence = match record.state {
+        State::Alive | State::Suspect => Presence::Heard,
+        State::Unreachable => Presence::Silent,
+        State::Leaving | State::Left => Presence::Leaving,
+    };
+    (record.endpoint.ip, presence)
+}
+
 /// Serves pages that depend only on the path and query of a request, until `stop`.
 async fn serve_pages(
     address: SocketAddr,
--- a/crates/members/src/message.rs
+++ b/crates/members/src/message.rs
@@ -29,6 +29,10 @@
     /// The hash of the sender's reports on requests that crash searchers; zero if it has none.
     #[serde(rename = "q", default, skip_serializing_if = "is_zero")]
     pub suspicions: u64,
+    /// The number of members by which the sender divides the fleet's bounds, silent ones among
+    /// them; zero if these are the available ones.
+    #[serde(rename = "b", default, skip_serializing_if = "is_none")]
+    pub spenders: u32,
 }
 
 #[expect(clippy::trivially_copy_pass_by_ref, reason = "serde passes fields by reference")]
@@ -36,6 +40,11 @@
     *number == 0
 }
 
+#[expect(clippy::trivially_copy_pass_by_ref, reason = "serde passes fields by reference")]
+fn is_none(number: &u32) -> bool {
+    *number == 0
+}
+
 /// The type of a datagram.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Kind {
--- a/crates/peers/src/peers.rs
+++ b/crates/peers/src/peers.rs
@@ -10,6 +10,7 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use bergamot_base::{Incarnation, Name, Revision, Seed, TaskSupervisor};
+use bergamot_dispatch::Statement;
 use bergamot_logger::ChangeAggregator;
 use bergamot_members::{
     Datagram, Digest, Endpoint, Membership, Outgoing, Record, Role, State, Suspicions, View,
@@ -44,6 +45,10 @@
     fresh_members: BTreeMap<Ipv4Addr, Instant>,
     /// The highest revision that a member stated to be in force there, which member, and when.
     highest_revision: Option<(Revision, Ipv4Addr, Instant)>,
+    /// The number of members that count here, silent ones among them.
+    spenders: u32,
+    /// The largest number of members that another one has stated to count, until it is taken.
+    stated_spenders: Option<(u32, Ipv4Addr, Incarnation)>,
     /// When this member last heard from another.
     last_heard: Option<Instant>,
     /// State changes of members that are yet to be logged.
@@ -54,9 +59,12 @@
 
 impl Control {
     /// Records the revision that a member states in its digest.
-    fn record_digest(&mut self, ip: Ipv4Addr, digest: &Digest) {
+    fn record_digest(&mut self, from: &Record, digest: &Digest) {
+        let ip = from.endpoint.ip;
         let now = Instant::now();
         self.last_heard = Some(now);
+        let stated = (digest.members.max(digest.spenders), ip, from.incarnation);
+        self.stated_spenders = self.stated_spenders.max(Some(stated));
         if digest.fresh {
             self.fresh_members.insert(ip, now);
         }
@@ -69,7 +77,15 @@
 
     fn digest(&self) -> Digest {
         let (revision, fresh) = (self.revision, self.fresh);
-        Digest { revision, fresh, suspicions: self.suspicions.hash(), ..Digest::default() }
+        let are_all_available = self.spenders as usize <= self.membership.view().available_count();
+        let spenders = if are_all_available { 0 } else { self.spenders };
+        Digest {
+            revision,
+            fresh,
+            spenders,
+            suspicions: self.suspicions.hash(),
+            ..Digest::default()
+        }
     }
 }
 
@@ -121,6 +137,8 @@
             fresh: false,
             fresh_members: BTreeMap::new(),
             highest_revision: None,
+            spenders: 0,
+            stated_spenders: None,
             last_heard: None,
             changes: ChangeAggregator::default(),
             suspicions: Suspicions::new(Arc::clone(&quarantine)),
@@ -179,6 +197,19 @@
         control.fresh = fresh;
     }
 
+    /// Sets the number of members by which this one divides the fleet's bounds, as stated to the
+    /// other members from now on.
+    pub fn set_spenders(&self, members: usize) {
+        self.lock().spenders = u32::try_from(members).unwrap_or(u32::MAX);
+    }
+
+    /// Returns the largest number of members that another one has stated to count since the last
+    /// call, if any did.
+    pub fn take_stated_spenders(&self) -> Option<Statement> {
+        let (members, by, incarnation) = self.lock().stated_spenders.take()?;
+        Some(Statement { by, incarnation, members: members as usize })
+    }
+
     /// Returns members that recently stated to have the latest published revision, the most recent
     /// first.
     pub fn up_to_date_members(&self) -> Vec<Ipv4Addr> {
@@ -235,7 +266,7 @@
                 return;
             }
         };
-        self.lock().record_digest(datagram.from.endpoint.ip, &datagram.digest);
+        self.lock().record_digest(&datagram.from, &datagram.digest);
         self.drive(|membership, digest| membership.receive(Instant::now(), &datagram, digest));
         self.send_missing_suspicions(&datagram);
     }
--- a/crates/relay/src/inspection.rs
+++ b/crates/relay/src/inspection.rs
@@ -16,7 +16,7 @@
         let version = state.version_tracker.revision();
         let mut text = format!(
             "declaration {version} members {} store_away {store_unavailable}\n",
-            state.members
+            state.share.members()
         );
         for mechanism in self.settings.policy.mechanisms() {
             let state = if mechanism.on { "on" } else { "off" };
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -11,7 +11,7 @@
 use bergamot_base::{Name, PauseGate, Position, Revision};
 use bergamot_config::RevisionStatus;
 use bergamot_declaration::{Declaration, Residency};
-use bergamot_dispatch::{StallPeriod, Unavailability};
+use bergamot_dispatch::{Share, StallPeriod, Unavailability};
 use bergamot_logger::ChangeAggregator;
 use bergamot_placement::{Constraints, WithheldCounts};
 use bergamot_quarantine::Quarantine;
@@ -429,10 +429,11 @@
         }
     }
 
-    /// Sets the number of members that share the searchers, and runs periodic tasks.
+    /// Sets this member's share of the searchers, and runs periodic tasks.
     ///
     /// A member that does not serve requests opens no connections in advance.
-    pub fn tick(&self, members: usize, serves: bool) {
+    pub fn tick(&self, share: impl Into<Share>, serves: bool) {
+        let share = share.into();
         self.detect_pause();
         self.quarantine.expire(Instant::now());
         self.expire_admission(Instant::now());
@@ -443,8 +444,8 @@
         }
         self.expire_evacuations(&mut state);
         state.serves = serves;
-        if state.members != members {
-            state.members = members;
+        if state.share != share {
+            state.share = share;
             Self::resize_pools(&state);
         }
         self.update_links(&mut state, serves);
@@ -457,7 +458,7 @@
         self.meter.connections.set(self.monitor.open() as i64);
         self.meter.responses.record_memory(self.response_memory.usage());
         self.meter.searchers.set(state.registry.len() as i64);
-        self.meter.members.set(members as i64);
+        self.meter.members.set(share.members() as i64);
     }
 
     pub(crate) fn lock(&self) -> MutexGuard<'_, State> {
--- a/crates/relay/src/searchers.rs
+++ b/crates/relay/src/searchers.rs
@@ -204,10 +204,10 @@
     pub(crate) fn spend_retry_budget(&self, service: &Name, priority: AttemptPriority) -> bool {
         let now = Instant::now();
         let mut state = self.lock();
-        let members = state.members;
+        let share = state.share;
         let Settings { retry_budget_limits: limits, policy, .. } = &self.settings;
         let granted =
-            state.retry_budget(service, now).try_spend(now, limits, policy, members, priority);
+            state.retry_budget(service, now).try_spend(now, limits, policy, share, priority);
         if !granted {
             self.meter.denied_attempts.inc();
         }
@@ -224,18 +224,18 @@
     ) -> Vec<bool> {
         let now = Instant::now();
         let mut state = self.lock();
-        let members = state.members;
+        let share = state.share;
         let Settings { retry_budget_limits: limits, policy, .. } = &self.settings;
         let allowed: Vec<bool> = shards
             .iter()
             .map(|shard| {
-                state.retry_budget(shard, now).can_spend(now, limits, policy, members, priority)
+                state.retry_budget(shard, now).can_spend(now, limits, policy, share, priority)
             })
             .collect();
         let granted = fund_attempts(&allowed, needed);
         for (shard, granted) in shards.iter().zip(&granted) {
             if *granted {
-                state.retry_budget(shard, now).try_spend(now, limits, policy, members, priority);
+                state.retry_budget(shard, now).try_spend(now, limits, policy, share, priority);
             } else {
                 self.meter.denied_attempts.inc();
             }
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -8,7 +8,7 @@
 use bergamot_base::Name;
 use bergamot_config::RevisionTracker;
 use bergamot_declaration::{Declaration, WeightedRoundRobin};
-use bergamot_dispatch::{CallerDeadlines, CallerRoundTrip, RetryBudget};
+use bergamot_dispatch::{CallerDeadlines, CallerRoundTrip, RetryBudget, Share};
 use bergamot_logger::Sampler;
 use bergamot_placement::{Constraints, Issuer, Placement, Withheld};
 use bergamot_registry::{Incarnation, Registry};
@@ -58,7 +58,8 @@
     pub(crate) caller_deadlines: HashMap<Name, CallerDeadlines>,
     pub(crate) caller_round_trip: CallerRoundTrip,
     pub(crate) log_sampler: Sampler,
-    pub(crate) members: usize,
+    /// The share of this member of the bounds that all members keep together.
+    pub(crate) share: Share,
     /// Whether this member serves callers, as it does once it knows the other members.
     pub(crate) serves: bool,
     /// The slots that bind the requests to each pool of searchers.
@@ -94,7 +95,7 @@
             caller_deadlines: HashMap::new(),
             caller_round_trip: CallerRoundTrip::default(),
             log_sampler: Sampler::new(MAX_ORDINARY_LOG_LINES),
-            members: 1,
+            share: Share::OneOf(1),
             serves: false,
             pool_slots: PoolSlots::default(),
             serving_members: Vec::new(),
@@ -141,5 +142,5 @@
 pub(crate) fn connection_share(state: &State, service: &str) -> usize {
     let declared = state.declaration.as_ref().and_then(|declared| declared.connections(service));
     let all = declared.unwrap_or(DEFAULT_CONNECTIONS).saturating_sub(RESERVED_CONNECTIONS);
-    (all / state.members.max(1)).max(1)
+    state.share.connections(all)
 }
--- a/crates/wire/tests/compatibility.rs
+++ b/crates/wire/tests/compatibility.rs
@@ -47,7 +47,8 @@
 }
 
 fn datagram(protocol: u32) -> Datagram {
-    let digest = Digest { revision: 7, hash: 0, view: 9, members: 3, fresh: true, suspicions: 0 };
+    let digest =
+        Digest { revision: 7, hash: 0, view: 9, members: 3, fresh: true, ..Digest::default() };
     let endpoint = Endpoint { ip: Ipv4Addr::new(10, 1, 0, 10), role: Role::Entry };
     let rumours = vec![Rumour::Member(Record { endpoint, ..record(protocol) })];
     Datagram { kind: Kind::Records, from: record(protocol), digest, rumours }
--- a/crates/wire/tests/datagram.rs
+++ b/crates/wire/tests/datagram.rs
@@ -35,6 +35,7 @@
         members: 1800,
         fresh: true,
         suspicions: u64::MAX,
+        spenders: u32::MAX,
     };
     let rumours = (0..records).map(|number| Rumour::Member(record(number))).collect();
     Datagram { kind, from: record(1), digest, rumours }
