Test the shares of standbys that take over from silent members

What it guards against: serving members that are selected in place of silent ones and take the shares that those may still spend. Drawn cuts of up to 15 members, four of which serve: with shares by the serving members that are heard it fails (two parts of one member each take the whole bound); with `dispatch::Spenders` it passes, and a calm fleet divides by the four.

--- a/crates/dispatch/tests/shares/main.rs
+++ b/crates/dispatch/tests/shares/main.rs
@@ -1,6 +1,7 @@
 //! Shares of the fleet's bounds while members are cut off, end, start and stop.
 
 mod fleet;
+mod standbys;
 
 use std::time::Duration;
 
