Upstream: a cancelled request leaves the queue for slots at once

What callers saw: nothing that was reported; found by reading. While all slots of a searcher are in use, requests are rejected with "the queue is full" although nobody waits.

Cause: a waiter that was cancelled, as the loser of each hedge is, left the queue only when a later release reached it. Until then it counted among `max_queued` and in the load of the searcher.

Change: dropping a queued request removes it.

--- a/crates/upstream/src/queue.rs
+++ b/crates/upstream/src/queue.rs
@@ -32,8 +32,8 @@
     }
 }
 
-/// A queued request. If it is dropped after a slot was granted to it, the slot passes to the
-/// next waiter.
+/// A queued request. If it is dropped, it leaves the queue; if a slot was granted to it before, the
+/// slot passes to the next waiter.
 pub(crate) struct QueuedRequest<'a> {
     pub(crate) client: &'a Arc<Client>,
     pub(crate) receiver: Option<oneshot::Receiver<()>>,
@@ -61,6 +61,8 @@
         receiver.close();
         if receiver.try_recv().is_ok() {
             release_slot(self.client, None);
+        } else {
+            self.client.slots().retain(|waiter| !waiter.is_closed());
         }
     }
 }
--- a/crates/upstream/src/slots.rs
+++ b/crates/upstream/src/slots.rs
@@ -107,6 +107,11 @@
         None
     }
 
+    /// Removes the waiters that don't wait any more, so that they take no room in the queue.
+    pub fn retain(&mut self, is_waiting: impl Fn(&T) -> bool) {
+        self.queue.retain(|_, waiter| is_waiting(waiter));
+    }
+
     fn expected_wait(&self, ahead: usize) -> Duration {
         self.mean * (ahead + 1) as u32 / self.capacity.max(1) as u32
     }
