Upstream: an idle connection that its searcher closes gives its place back

What callers saw: nothing that was reported; found by the soak's new check of places. `/state` shows connections that don't exist, as idle ones, and the sum of open connections is too high.

Cause: the pool learned that an idle connection was closed only when it took it for a request. It takes the last one that was put back, so those below stay for as long as that one serves.

Change: the task that drives a connection tells the pool when it has ended, and the pool drops the idle connections that are closed.

Evidence: `upstream/tests/places.rs`, four idle connections, three closed by the searcher. Before: 4 places, 4 idle after 5 s; after: 1 and 1.

--- a/crates/upstream/src/connection.rs
+++ b/crates/upstream/src/connection.rs
@@ -79,19 +79,26 @@
 
 impl Connection {
     /// Opens the HTTP connection over a socket. `id_header` names a request, in requests and in
-    /// answers; `on_finding` is called with what isn't the answer to a request.
+    /// answers; `on_finding` is called with what isn't the answer to a request, and `on_end` when the
+    /// searcher has closed the connection or it has failed.
     pub(crate) async fn open(
         stream: TcpStream,
         id_header: &'static str,
         inspector: Inspector,
         on_finding: OnFinding,
+        on_end: impl FnOnce() + Send + 'static,
     ) -> Result<Self, hyper::Error> {
         let inspector = SharedInspector::new(inspector);
         let stream = Inspected::new(stream, inspector.clone(), on_finding);
         let mut builder = http1::Builder::new();
         builder.max_buf_size(MAX_READ_BUFFER);
         let (sender, connection) = builder.handshake(TokioIo::new(stream)).await?;
-        let driver = tokio::spawn(connection).abort_handle();
+        let driver = tokio::spawn(async move {
+            // A request on the connection gets the error.
+            let _ended = connection.await;
+            on_end();
+        });
+        let driver = driver.abort_handle();
         let mut opened = Self { sender, driver, inspector, id_header };
         opened.sender.ready().await?;
         Ok(opened)
@@ -122,9 +129,14 @@
         self.sender.ready().await.is_ok()
     }
 
+    /// Returns whether the socket is closed.
+    pub(crate) fn is_closed(&self) -> bool {
+        self.sender.is_closed()
+    }
+
     /// Returns whether another request may be sent on it.
     pub(crate) fn is_reusable(&self) -> bool {
-        !self.sender.is_closed() && self.inspector.lock().is_clean()
+        !self.is_closed() && self.inspector.lock().is_clean()
     }
 }
 
--- a/crates/upstream/src/pool.rs
+++ b/crates/upstream/src/pool.rs
@@ -311,7 +311,14 @@
                 pool.record(finding);
             }
         };
-        let opened = Connection::open(stream, id_header, inspector, Box::new(on_finding)).await;
+        let pool = Arc::downgrade(self);
+        let on_end = move || {
+            if let Some(pool) = pool.upgrade() {
+                pool.drop_closed_idle();
+            }
+        };
+        let opened =
+            Connection::open(stream, id_header, inspector, Box::new(on_finding), on_end).await;
         opened.map_err(|error| self.fault("handshake", &error.to_string()))
     }
 
@@ -348,6 +355,12 @@
         self.places.notify_one();
     }
 
+    /// Gives back the places of idle connections that their searcher has closed. Otherwise those below
+    /// the last used one would keep them, and the pool would show connections that don't exist.
+    fn drop_closed_idle(&self) {
+        self.lock().idle.retain(|connection| !connection.is_closed());
+    }
+
     fn close_excess_idle(&self) {
         let (mut state, now) = (self.lock(), Instant::now());
         while self.places.is_exceeded(now) && state.idle.pop().is_some() {}
--- a/crates/upstream/tests/places.rs
+++ b/crates/upstream/tests/places.rs
@@ -187,3 +187,27 @@
     let Usage { open, idle, dials, .. } = pool.usage();
     assert_eq!((open, idle, dials), (1, 1, 1));
 }
+
+/// Guards against places of connections that their searcher has closed while they were idle: they stayed
+/// taken until the connection was tried, which the ones below the last used one never are.
+#[tokio::test]
+async fn places_of_idle_connections_that_the_searcher_closes_are_given_back() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let remote = listener.local_addr().expect("it is bound");
+    let settings = PoolSettings { remote, share: MAX_SHARE, ..PoolSettings::default() };
+    let pool = Pool::new(settings, Observer::default());
+    let mut sockets = Vec::new();
+    for _ in 0..MAX_SHARE {
+        assert!(pool.warm().await.expect("the searcher accepts"));
+        sockets.push(listener.accept().await.expect("a connection"));
+    }
+    assert_eq!((pool.usage().open, pool.usage().idle), (MAX_SHARE, MAX_SHARE));
+    sockets.truncate(1);
+    let closed = async {
+        while pool.usage().open > 1 {
+            sleep(Duration::from_millis(10)).await;
+        }
+    };
+    let _elapsed = timeout(REST, closed).await;
+    assert_eq!((pool.usage().open, pool.usage().idle), (1, 1), "one socket is open");
+}
