Answers: the number of headers is a named bound with a finding of its own

What callers saw: an answer with more than 100 headers is lost, and the line says `malformed answer: head`, as for bytes that are no answer.

Cause: the bound was the HTTP library's default, repeated without a name that an operator could find.

Change: `MAX_HEADERS` stands among the bounds of answers; beyond it the finding is `headers`, and the searcher is treated as after any answer beyond a bound. The number stays 100.

Evidence: `answer/tests/inspector.rs`: an answer with 100 headers passes, one with 101 is `Exceeded { Headers }`. What the code before does with 101 is known by reading alone; the test names a variant that it lacks.

--- a/crates/answer/src/fault.rs
+++ b/crates/answer/src/fault.rs
@@ -7,6 +7,8 @@
 pub enum Limit {
     /// The size of a head.
     Head,
+    /// The number of headers.
+    Headers,
     /// The size of a body.
     Body,
     /// The number of chunks of a body.
@@ -24,6 +26,7 @@
     pub fn label(self) -> &'static str {
         match self {
             Self::Head => "head",
+            Self::Headers => "headers",
             Self::Body => "body",
             Self::Chunks => "chunks",
             Self::Interim => "interim",
--- a/crates/answer/src/framing.rs
+++ b/crates/answer/src/framing.rs
@@ -4,14 +4,11 @@
 
 use crate::attribution::Attribution;
 use crate::fault::{Fault, Limit};
-use crate::limits::{CHUNK_BYTES, Limits};
+use crate::limits::{CHUNK_BYTES, Limits, MAX_HEADERS};
 
 /// What every status line begins with.
 pub(crate) const STATUS_LINE: &[u8] = b"HTTP/1.";
 
-/// The maximum number of headers, that of the HTTP library.
-const MAX_HEADERS: usize = 100;
-
 /// The maximum length of a line between chunks, in bytes.
 const MAX_CHUNK_LINE: usize = 256;
 
@@ -38,6 +35,9 @@
         let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
         let mut response = Response::new(&mut headers);
         let parsed = response.parse(bytes);
+        if parsed == Err(httparse::Error::TooManyHeaders) {
+            return Err(Fault::Exceeded { limit: Limit::Headers });
+        }
         let complete = matches!(parsed, Ok(Status::Complete(length)) if length == bytes.len());
         let (true, Some(status)) = (complete, response.code) else {
             return Err(Fault::Malformed { cause: "head" });
--- a/crates/answer/src/lib.rs
+++ b/crates/answer/src/lib.rs
@@ -22,6 +22,6 @@
 pub use attribution::Attribution;
 pub use fault::{Fault, Limit};
 pub use inspector::{Finding, Inspector, Stray};
-pub use limits::{CHUNK_BYTES, Limits};
+pub use limits::{CHUNK_BYTES, Limits, MAX_HEADERS};
 pub use memory::{Buffer, Exhausted, Memory, Usage};
 pub use verdict::{Statement, Verdict, is_encoding, is_signature};
--- a/crates/answer/src/limits.rs
+++ b/crates/answer/src/limits.rs
@@ -4,6 +4,11 @@
 /// nanoseconds, about as much as receiving 64 bytes.
 pub const CHUNK_BYTES: u64 = 64;
 
+/// The maximum number of headers of an answer, interim responses included. Up to as many, the HTTP
+/// library parses a head without memory from the heap, which would cost each answer about a
+/// microsecond.
+pub const MAX_HEADERS: usize = 100;
+
 /// The bounds of one answer, with everything that comes on its connection before it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Limits {
--- a/crates/answer/tests/inspector.rs
+++ b/crates/answer/tests/inspector.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use bergamot_answer::{Fault, Finding, Inspector, Limit, Limits, Memory};
+use bergamot_answer::{Fault, Finding, Inspector, Limit, Limits, MAX_HEADERS, Memory};
 
 const ID: &[u8] = b"r2";
 
@@ -169,3 +169,19 @@
         assert_eq!(exceeded(limits, &bytes), Some(limit), "byte by byte");
     }
 }
+
+/// Guards against an answer that is reported as malformed, or that the HTTP library rejects without a
+/// finding, because it has many headers.
+#[test]
+fn an_answer_may_have_as_many_headers_as_the_limit_and_no_more() {
+    let answer = |headers: usize| {
+        let named = "x-id: r2\r\ncontent-length: 1\r\n";
+        let more = "a: b\r\n".repeat(headers - 2);
+        format!("HTTP/1.1 200 OK\r\n{named}{more}\r\n1").into_bytes()
+    };
+    let at_limit = answer(MAX_HEADERS);
+    let (own, findings, _) = inspect(&at_limit);
+    assert_eq!((own, findings), (at_limit, Vec::new()));
+    let beyond = answer(MAX_HEADERS + 1);
+    assert_eq!(exceeded(Limits::default(), &[&beyond]), Some(Limit::Headers));
+}
