Requests are bounded by the size of their head and not by its headers

What callers saw: a request with more than 100 headers in a few KB gets 431, though `max_header_bytes` admits it. A head of up to 417 KB is served, whatever `max_header_bytes` says, if it has 100 headers at most.

Cause: the declared limit was decoded and not applied. Both limits were the HTTP library's: 100 headers, and the size of its read buffer.

Change: `net::HeadLimit` sets both for each connection of callers, pages, addresses and the own interface (new setting `[entry] header_bytes`, 16 KiB): the size is the configured one, and the number of headers is as many as fit, at 4 bytes for the shortest. It ends at 16,384, since the library's table panics beyond 24,576. What exceeds it gets 431 without a body everywhere, after the answers to requests before it, and the connection is closed. A connection keeps the limit of its opening.

A fixed number would have been cheaper and again a limit that no operator set. Answers of searchers, of which there is one for each shard, keep 100.

`path::requests_within_the_size_of_a_head_are_answered_however_many_headers_they_have` (own interface) passes; not run on the code before.

--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -195,6 +195,7 @@
         readers: u64 = 2, (1, 16), "The number of members in each zone that watch the configuration service.";
     }
     entry {
+        header_bytes: u64 = 16_384, (1024, 262_144), "The maximum size of a request head in bytes, whatever its number of headers.";
         body_bytes: u64 = 65_536, (64, 16_777_216), "The maximum size of a request body in bytes.";
         shortest_deadline: Duration = Duration::from_millis(1), (1, 60_000), "The shortest deadline that a caller may request.";
         longest_deadline: Duration = Duration::from_secs(30), (1, 600_000), "The longest deadline that a caller may request.";
--- a/crates/front/src/daemon.rs
+++ b/crates/front/src/daemon.rs
@@ -13,11 +13,12 @@
 use std::time::Duration;
 
 use bergamot_base::{Name, TaskSupervisor};
+use bergamot_declaration::Limits;
 use bergamot_feed::{
     FeedState, Members, Origin, QueryKind, QueryReport, ReadRole, RecordEvent, Sink, Source, follow,
 };
 use bergamot_members::{Endpoint, Record, Role, State, View};
-use bergamot_net::{Body, NetworkError, listen, serve, text};
+use bergamot_net::{Body, HeadLimit, NetworkError, listen, serve_within, text};
 use bergamot_peers::{
     Caller, Candidate, InstanceLocation, Peers, select_instances, select_serving,
 };
@@ -142,18 +143,22 @@
         serve_pages(addresses.readiness, &inner, &stop, Inner::readiness).await?;
         serve_pages(addresses.directory, &inner, &stop, Inner::directory).await?;
         let listener = listen(inner.settings.callers).await?;
-        let for_callers = Arc::clone(&inner);
-        let server = serve(listener, close_listener.clone(), move |request, _peer| {
-            let inner = Arc::clone(&for_callers);
-            async move {
-                let relay = Arc::clone(&inner.relay);
-                let mut response = caller::handle_request(relay, inner.protocol, request).await;
-                if inner.is_leaving() {
-                    response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+        let (for_callers, for_limit) = (Arc::clone(&inner), Arc::clone(&inner));
+        let head_limit = move || Some(for_limit.head_limit());
+        let server =
+            serve_within(listener, close_listener.clone(), head_limit, move |request, _peer| {
+                let inner = Arc::clone(&for_callers);
+                async move {
+                    let relay = Arc::clone(&inner.relay);
+                    let mut response = caller::handle_request(relay, inner.protocol, request).await;
+                    if inner.is_leaving() {
+                        response
+                            .headers_mut()
+                            .insert(CONNECTION, HeaderValue::from_static("close"));
+                    }
+                    response
                 }
-                response
-            }
-        });
+            });
         // The listener closes before the other tasks stop; until then its end counts as a failure.
         let caller_listener = tasks.with_stop(close_listener.clone()).spawn("callers", server);
         Ok(Self { inner, stop, close_listener, caller_listener })
@@ -204,6 +209,14 @@
             && quarantine_synced
     }
 
+    /// Returns the limit of request heads that the declaration in force sets, or before the first one
+    /// the default.
+    fn head_limit(&self) -> HeadLimit {
+        let declaration = self.relay.declaration();
+        let limits = declaration.map_or_else(Limits::default, |found| found.limits.clone());
+        HeadLimit::new(limits.header_bytes)
+    }
+
     fn metrics(&self, uri: &Uri) -> Response<Body> {
         match uri.path() {
             "/metrics" => {
@@ -408,7 +421,9 @@
     respond: fn(&Inner, &Uri) -> Response<Body>,
 ) -> Result<(), NetworkError> {
     let (listener, for_pages) = (listen(address).await?, Arc::clone(inner));
-    let server = serve(listener, stop.clone(), move |request, _peer| {
+    let for_limit = Arc::clone(inner);
+    let head_limit = move || Some(for_limit.head_limit());
+    let server = serve_within(listener, stop.clone(), head_limit, move |request, _peer| {
         let response = respond(&for_pages, request.uri());
         async move { response }
     });
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -7,10 +7,12 @@
 
 mod client;
 mod dial;
+mod head_limit;
 mod headers;
 mod serve;
 
 pub use client::{Client, REPLY_BODY_TIMEOUT, Reply, ReplyTimeouts, fetch};
 pub use dial::{NetworkError, dial, listen};
+pub use head_limit::HeadLimit;
 pub use headers::strip_hop_by_hop_headers;
-pub use serve::{Body, BodyError, json, read_body, serve, text};
+pub use serve::{Body, BodyError, json, read_body, serve, serve_within, text};
--- a/crates/net/src/serve.rs
+++ b/crates/net/src/serve.rs
@@ -17,6 +17,8 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
+use crate::head_limit::HeadLimit;
+
 /// The delay after a failed accept. If the process has run out of file descriptors, some become
 /// available as other connections are closed.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
@@ -24,11 +26,28 @@
 /// The body of a response, held in memory.
 pub type Body = Full<Bytes>;
 
+/// Serves connections as [`serve_within`], with the HTTP library's limits for the heads of requests.
+pub async fn serve<H, F>(listener: TcpListener, stop: CancellationToken, handler: H)
+where
+    H: Fn(Request<Incoming>, SocketAddr) -> F + Clone + Send + Sync + 'static,
+    F: Future<Output = Response<Body>> + Send + 'static,
+{
+    serve_within(listener, stop, || None, handler).await;
+}
+
 /// Accepts connections until `stop` is cancelled, then completes the exchanges in flight.
 ///
+/// A request whose head exceeds the limit is answered with status 431, and its connection is closed.
+/// `head_limit` is called for each new connection, which keeps the limit; without one, those of the
+/// HTTP library apply.
+///
 /// Returns when the last connection has been closed.
-pub async fn serve<H, F>(listener: TcpListener, stop: CancellationToken, handler: H)
-where
+pub async fn serve_within<H, F>(
+    listener: TcpListener,
+    stop: CancellationToken,
+    head_limit: impl Fn() -> Option<HeadLimit>,
+    handler: H,
+) where
     H: Fn(Request<Incoming>, SocketAddr) -> F + Clone + Send + Sync + 'static,
     F: Future<Output = Response<Body>> + Send + 'static,
 {
@@ -56,10 +75,13 @@
             async move { Ok::<_, Infallible>(response.await) }
         });
         let stop = stop.clone();
+        let mut builder = http1::Builder::new();
+        builder.timer(TokioTimer::new());
+        if let Some(limit) = head_limit() {
+            limit.apply(&mut builder);
+        }
         tracker.spawn(async move {
-            let connection = http1::Builder::new()
-                .timer(TokioTimer::new())
-                .serve_connection(TokioIo::new(stream), service);
+            let connection = builder.serve_connection(TokioIo::new(stream), service);
             let mut connection = std::pin::pin!(connection);
             let result = tokio::select! {
                 result = connection.as_mut() => result,
--- a/daemons/tests/path.rs
+++ b/daemons/tests/path.rs
@@ -7,7 +7,7 @@
 use bergamot_base::Seed;
 use bergamot_bench::deployment::Deployment;
 use bergamot_standin::Faults;
-use support::{CTL, Testbed, get, post, run_program, text_and_code, until};
+use support::{CTL, Testbed, get, post, raw_status, run_program, text_and_code, until};
 
 const SCAN: &str = r#"{"shape": "scan"}"#;
 const QUEUE: &str = "/v1/fraser-basin/queue-board/query";
@@ -135,6 +135,33 @@
     );
 }
 
+/// Guards against a bound on the number of headers that rejects requests within `[entry] header_bytes`.
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_within_the_size_of_a_head_are_answered_however_many_headers_they_have() {
+    const HEAD_BYTES: usize = 16 << 10;
+    let mut testbed = Testbed::start(Deployment::fraser_basin([50, 90], Seed(1)), 1, "").await;
+    testbed.add(0).await;
+    wait_until_complete(&testbed).await;
+    let fixed = format!(
+        "POST {QUEUE} HTTP/1.1\r\nhost: entry\r\nconnection: close\r\ncontent-length: {}\r\n",
+        SCAN.len()
+    );
+    let most = 3 + (HEAD_BYTES - fixed.len() - "\r\n".len()) / "h:\r\n".len();
+    let full = (Some(HEAD_BYTES), 200);
+    let beyond = (Some(HEAD_BYTES + 1), 431);
+    let counts = [4, 99, 100, 101, 150].into_iter();
+    let counts = counts.flat_map(|count| [(None, 200), full, beyond].map(|size| (count, size)));
+    let counts = counts.chain([(most, (None, 200)), (most + 1, (None, 431))]);
+    for (headers, (bytes, expected)) in counts {
+        let head = format!("{fixed}{}", "h:\r\n".repeat(headers - 3));
+        let padding = bytes.map_or(String::new(), |bytes| {
+            format!("p:{}\r\n", "x".repeat(bytes - head.len() - "p:\r\n\r\n".len()))
+        });
+        let status = raw_status(testbed.entry(0), &format!("{head}{padding}\r\n{SCAN}")).await;
+        assert_eq!(status, Some(expected), "{headers} headers, {bytes:?} bytes");
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn state_and_metrics_have_a_separate_listener() {
     let mut testbed = Testbed::start(Deployment::fraser_basin([50, 4], Seed(1)), 1, "").await;
--- a/daemons/tests/support/mod.rs
+++ b/daemons/tests/support/mod.rs
@@ -16,6 +16,8 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::Request;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
 
 /// The default callers' port of an entry.
 pub const ENTRY_PORT: u16 = 7400;
@@ -201,6 +203,16 @@
     client.send(request).await.expect("the entry answers")
 }
 
+/// Sends bytes over a new connection and returns the status of the first response.
+pub async fn raw_status(entry: SocketAddr, bytes: &str) -> Option<u16> {
+    let mut stream = TcpStream::connect(entry).await.expect("the entry listens");
+    stream.write_all(bytes.as_bytes()).await.expect("the entry reads");
+    let mut received = Vec::new();
+    let read = tokio::time::timeout(WAIT_TIMEOUT, stream.read_to_end(&mut received)).await;
+    read.expect("the entry closes the connection").expect("the connection is not reset");
+    String::from_utf8_lossy(&received).split(' ').nth(1)?.parse().ok()
+}
+
 /// Fetches a path and returns the body as text.
 pub async fn get(daemon: SocketAddr, path: &str) -> String {
     let reply =
