--- a/crates/upstream/src/connection.rs
+++ b/crates/upstream/src/connection.rs
@@ -78,16 +78,23 @@
 
 impl Connection {
     /// Opens the HTTP connection over a socket that `inspector` inspects. `id_header` names a
-    /// request, in requests and in answers.
+    /// request, in requests and in answers; `on_end` is called when the searcher has closed the
+    /// connection or it has failed.
     pub(crate) async fn open(
         stream: Inspected,
         id_header: &'static str,
         inspector: SharedInspector,
+        on_end: impl FnOnce() + Send + 'static,
     ) -> Result<Self, hyper::Error> {
         let mut builder = http1::Builder::new();
         builder.max_buf_size(MAX_READ_BUFFER);
         let (sender, connection) = builder.handshake(TokioIo::new(stream)).await?;
-        let driver = tokio::spawn(connection).abort_handle();
+        let driver = tokio::spawn(async move {
+            // A request on the connection gets the error.
+            let _ended = connection.await;
+            on_end();
+        });
+        let driver = driver.abort_handle();
         let mut opened = Self { sender, driver, inspector, id_header };
         opened.sender.ready().await?;
         Ok(opened)
@@ -118,9 +125,14 @@
         self.sender.ready().await.is_ok()
     }
 
+    /// Returns whether the socket is closed.
+    pub(crate) fn is_closed(&self) -> bool {
+        self.sender.is_closed()
+    }
+
     /// Returns whether another request may be sent on it.
     pub(crate) fn is_reusable(&self) -> bool {
-        !self.sender.is_closed() && self.inspector.lock().is_clean()
+        !self.is_closed() && self.inspector.lock().is_clean()
     }
 }
 
--- a/crates/upstream/src/pool.rs
+++ b/crates/upstream/src/pool.rs
@@ -317,9 +317,15 @@
                 pool.record(finding);
             }
         };
+        let pool = Arc::downgrade(self);
+        let on_end = move || {
+            if let Some(pool) = pool.upgrade() {
+                pool.drop_closed_idle();
+            }
+        };
         let reader = Reader::new(read_turns.clone());
         let stream = Inspected::new(stream, reader, inspector.clone(), Box::new(on_finding));
-        let opened = Connection::open(stream, id_header, inspector).await;
+        let opened = Connection::open(stream, id_header, inspector, on_end).await;
         opened.map_err(|error| self.fault("handshake", &error.to_string()))
     }
 
@@ -356,6 +362,12 @@
         self.places.notify_one();
     }
 
+    /// Gives back the places of idle connections that their searcher has closed. Otherwise those below
+    /// the last used one would keep them, and the pool would show connections that don't exist.
+    fn drop_closed_idle(&self) {
+        self.lock().idle.retain(|connection| !connection.is_closed());
+    }
+
     fn close_excess_idle(&self) {
         let (mut state, now) = (self.lock(), Instant::now());
         while self.places.is_exceeded(now) && state.idle.pop().is_some() {}
