--- a/crates/dispatch/src/spenders.rs
+++ b/crates/dispatch/src/spenders.rs
@@ -7,7 +7,8 @@
 //! A member that is heard counts at once. A process that starts has no share until it knows the
 //! others; that there are members which it has never heard it learns from the number that others
 //! state. Invariant: the shares of a fleet that doesn't grow while it is cut add up to at most one
-//! bound, however its members are cut off from each other for less than [`SILENT_RETENTION`]. See `docs/design/0022-shares-of-the-fleets-bounds.md`.
+//! bound, however its members are cut off from each other for less than [`SILENT_RETENTION`]. See
+//! `docs/design/0022-shares-of-the-fleets-bounds.md`.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::Ipv4Addr;
