Own interface: every header of an encoding counts

What callers saw: a searcher's answer whose second Content-Encoding header encodes its body passed as hits, and as the receipt of a write that was done.

Change: all headers are read, as in the relay.

--- a/crates/upstream/src/client/answer.rs
+++ b/crates/upstream/src/client/answer.rs
@@ -10,6 +10,7 @@
 use bergamot_base::{Name, Version};
 use bergamot_query::Reason;
 use bytes::Bytes;
+use hyper::header::CONTENT_ENCODING;
 use hyper::{Response, StatusCode};
 
 use super::{Client, RequestContext, SearcherError, WriteResult};
@@ -140,12 +141,12 @@
 ///
 /// The protocol has no signature: a response is its searcher's because it names the request.
 pub(super) fn verdict<T>(response: &Response<T>) -> Verdict {
+    let mut encodings = response.headers().get_all(CONTENT_ENCODING).iter();
     Verdict::of(Statement {
         status: response.status().as_u16(),
         is_signed: true,
         denies_run: response.headers().contains_key(protocol::NOT_RUN),
         is_misdirected: false,
-        is_encoded: header(response, "content-encoding")
-            .is_some_and(|value| is_encoding(value.as_bytes())),
+        is_encoded: encodings.any(|value| is_encoding(value.as_bytes())),
     })
 }
--- a/crates/upstream/tests/statuses.rs
+++ b/crates/upstream/tests/statuses.rs
@@ -1,13 +1,17 @@
 //! Searchers of the own interface that answer with any status of failure.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
 use bergamot_base::{Budget, Deadline, Entity, Name, Searcher as SearcherId, Seed};
 use bergamot_query::{Reason, Shape};
-use bergamot_standin::{Corpus, Faults, Limits, Searcher, SearcherSettings, StatusFault};
-use bergamot_upstream::protocol::{Search, SearchReply, Write};
+use bergamot_standin::{
+    Corpus, Faults, Limits, RecordedRequest, ScriptedServer, Searcher, SearcherSettings,
+    StatusFault, Step,
+};
+use bergamot_upstream::protocol::{self, Receipt, Search, SearchReply, Write};
 use bergamot_upstream::{
     Candidate, Client, HedgedRequest, NextAction, Observer, Pool, PoolSettings, RequestContext,
     SearcherError, WriteResult, rank,
@@ -53,7 +57,10 @@
 }
 
 fn client(searcher: &Searcher, slots: usize) -> Arc<Client> {
-    let remote = searcher.address();
+    client_of(searcher.address(), slots)
+}
+
+fn client_of(remote: SocketAddr, slots: usize) -> Arc<Client> {
     let pool = Pool::new(PoolSettings { remote, ..PoolSettings::default() }, Observer::default());
     Client::new(remote, pool, slots, 8, Duration::from_millis(4))
 }
@@ -84,6 +91,41 @@
     client.health().is_ejected(Instant::now())
 }
 
+/// Returns a response with content that would be a success, and these encodings in a header each.
+fn encoded(seen: &RecordedRequest, encodings: &[&str]) -> Vec<Step> {
+    let body = if seen.head.starts_with("POST /search") {
+        let (shard, epoch, version) = (0, 1, VERSION);
+        serde_json::to_string(&SearchReply { shard, epoch, version, documents: 0, hits: vec![] })
+    } else {
+        serde_json::to_string(&Receipt { receipt: "1".into() })
+    };
+    let body = body.expect("a serializable body");
+    let id = seen.header(protocol::REQUEST).unwrap_or_default();
+    let headers: String =
+        encodings.iter().map(|encoding| format!("content-encoding: {encoding}\r\n")).collect();
+    let (name, length) = (protocol::REQUEST, body.len());
+    let head = format!("HTTP/1.1 200 OK\r\n{name}: {id}\r\ncontent-length: {length}\r\n{headers}");
+    vec![Step::Send(format!("{head}\r\n{body}").into_bytes())]
+}
+
+/// Guards against an encoded body that is taken for content because only the first of several headers
+/// is read.
+#[tokio::test]
+async fn no_encoding_makes_hits_or_a_receipt_of_a_body() {
+    let forms: [&[&str]; 5] =
+        [&[], &["identity"], &["gzip"], &["gzip", "identity"], &["identity", "gzip"]];
+    for encodings in forms {
+        let respond = move |seen: &RecordedRequest| encoded(seen, encodings);
+        let searcher = ScriptedServer::start(respond).await.expect("a free port");
+        let client = client_of(searcher.address(), 2);
+        let is_plain = !encodings.contains(&"gzip");
+        let found = search(&client, VERSION, 1000).await;
+        assert_eq!(found.is_ok(), is_plain, "{encodings:?}: {found:?}");
+        let effect = write(&client).await;
+        assert_eq!(matches!(effect, WriteResult::Done(_)), is_plain, "{encodings:?}: {effect:?}");
+    }
+}
+
 /// Guards against a failure that is taken for hits, for a receipt, or for a write that didn't run.
 #[tokio::test]
 async fn no_status_makes_hits_or_a_receipt_of_a_failure() {
