--- a/crates/relay/src/link.rs
+++ b/crates/relay/src/link.rs
@@ -15,7 +15,8 @@
 use crate::settings::Settings;
 
 /// Added to the expected latency of a searcher with no free connection, that has just sent an answer
-/// beyond a bound, or that is avoided once, in milliseconds: more than any request takes, so that it is chosen last.
+/// beyond a bound, or that is avoided once, in milliseconds: more than any request takes, so that it is
+/// chosen last.
 const LAST_CHOICE_PENALTY_MS: f64 = 10_000.0;
 
 /// How long the listener of an ended process may remain open after its connections.
