--- a/crates/upstream/tests/statuses.rs
+++ b/crates/upstream/tests/statuses.rs
@@ -101,8 +101,8 @@
     };
     let body = body.expect("a serializable body");
     let id = seen.header(protocol::REQUEST).unwrap_or_default();
-    let headers: String =
-        encodings.iter().map(|encoding| format!("content-encoding: {encoding}\r\n")).collect();
+    let header = |encoding: &&str| format!("content-encoding: {encoding}\r\n");
+    let headers = encodings.iter().map(header).collect::<Vec<_>>().concat();
     let (name, length) = (protocol::REQUEST, body.len());
     let head = format!("HTTP/1.1 200 OK\r\n{name}: {id}\r\ncontent-length: {length}\r\n{headers}");
     vec![Step::Send(format!("{head}\r\n{body}").into_bytes())]
