--- a/crates/relay/tests/rejections/confirmed.rs
+++ b/crates/relay/tests/rejections/confirmed.rs
@@ -7,9 +7,9 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 
+use crate::count_served;
 use crate::support::{relay, reply, request, route, script, upstream};
 use bergamot_declaration::{Idempotency, Target};
-use bergamot_relay::Reply;
 use bergamot_standin::Step;
 
 async fn served_after_mistakes() -> usize {
@@ -30,12 +30,7 @@
         relay.handle(request("/a/")).await;
     }
     mistakes.store(false, Ordering::SeqCst);
-    let mut served = 0;
-    for _ in 0..100 {
-        let reply = relay.handle(request("/a/")).await;
-        served += usize::from(matches!(reply, Reply::Forwarded(r) if r.status == 200));
-    }
-    served
+    count_served(&relay, 100).await
 }
 
 #[tokio::test]
--- a/crates/relay/tests/rejections/fellows.rs
+++ b/crates/relay/tests/rejections/fellows.rs
@@ -5,9 +5,9 @@
 
 use std::time::Duration;
 
-use crate::support::{ok, relay, reply, request, route, script, upstream};
+use crate::count_served;
+use crate::support::{ok, relay, reply, route, script, upstream};
 use bergamot_declaration::{Idempotency, Route, Target};
-use bergamot_relay::Reply;
 use bergamot_standin::Step;
 
 async fn served(failure: &'static str) -> usize {
@@ -19,12 +19,7 @@
     let target = Target::Service("s".into());
     let routes = vec![Route { attempts: 3, ..route("/a/", Idempotency::Idempotent, target) }];
     let relay = relay(routes, upstreams);
-    let mut served = 0;
-    for _ in 0..100 {
-        let reply = relay.handle(request("/a/")).await;
-        served += usize::from(matches!(reply, Reply::Forwarded(r) if r.status == 200));
-    }
-    served
+    count_served(&relay, 100).await
 }
 
 #[tokio::test]
--- a/crates/relay/tests/rejections/slow.rs
+++ b/crates/relay/tests/rejections/slow.rs
@@ -7,9 +7,9 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
+use crate::count_served;
 use crate::support::{relay, reply, request, route, script, upstream};
 use bergamot_declaration::{Idempotency, Target};
-use bergamot_relay::Reply;
 use bergamot_standin::Step;
 use futures::future::join_all;
 
@@ -40,12 +40,7 @@
         relay.handle(request("/a/")).await;
     }
     is_mistake.store(false, Ordering::SeqCst);
-    let mut served = 0;
-    for _ in 0..REQUESTS {
-        let reply = relay.handle(request("/a/")).await;
-        served += usize::from(matches!(reply, Reply::Forwarded(r) if r.status == 200));
-    }
-    served
+    count_served(&relay, REQUESTS).await
 }
 
 #[tokio::test]
