Members of an earlier version aren't asked for shards

Cause: members up to reply to a query for shards with each signed answer under 500 as a part. The fix of that class changed what a reply means and not its bytes, and the version that members announce stayed 2, so that a reader believed of an earlier member what its own version would have meant.

Change: `wire::Capability` says in one place what follows from the version in a member's record. Version 3 announces `Parts`; a member without it isn't asked for shards, and they are asked for directly. The new RPC `gather_parts` can't be read by earlier programs, so that a record that is still believed after a rollback brings no part either. Earlier members pass the version on and ask by the RPCs that they know. The client's two earlier RPCs for shards are gone.

--- a/crates/front/src/daemon/roles.rs
+++ b/crates/front/src/daemon/roles.rs
@@ -12,13 +12,11 @@
 use bergamot_members::{Endpoint, Record, Role, State, View};
 use bergamot_peers::{Candidate, select_serving};
 use bergamot_relay::{Coverage, DelegateMember};
+use bergamot_wire::Capability;
 use tokio::time::Instant;
 
 use super::Inner;
 
-/// The first version of the RPCs between members that serves requests for permits.
-const PERMIT_PROTOCOL: u32 = 1;
-
 /// What this member's share of the fleet's bounds is determined from.
 #[derive(Debug)]
 pub(super) struct Shares {
@@ -134,7 +132,9 @@
             let endpoint = Endpoint { ip: *ip, role: Role::Entry };
             self.peers.with_view(|view| {
                 view.takes_work(endpoint)
-                    && view.get(endpoint).is_some_and(|record| record.protocol >= PERMIT_PROTOCOL)
+                    && view
+                        .get(endpoint)
+                        .is_some_and(|record| Capability::Permits.is_given_by(record.protocol))
             })
         };
         let others = seeds.iter().copied().filter(|ip| *ip != own).filter(is_usable).collect();
--- a/crates/front/src/member.rs
+++ b/crates/front/src/member.rs
@@ -68,6 +68,15 @@
         self.relay.answer_reporting_query(query, Residency::within(regions)).await
     }
 
+    async fn gather_parts(
+        self,
+        context: Context,
+        query: ShardQuery,
+        regions: Vec<Name>,
+    ) -> ReportingReply {
+        self.gather_reporting(context, query, regions).await
+    }
+
     async fn permits(
         self,
         _context: Context,
@@ -136,20 +145,10 @@
     let (for_permits, for_disconnect) = (Arc::clone(channels), Arc::clone(channels));
     let (for_admit, for_await) = (Arc::clone(channels), Arc::clone(channels));
     let for_complete = Arc::clone(channels);
-    let for_reports = Arc::clone(channels);
     Helping {
         gather: Box::new(move |ip, query, residency, deadline| {
             call(&for_gather, (ip, port), deadline, |client, context| async move {
-                if residency.is_bounded() {
-                    client.gather_within(context, query, residency.regions().to_vec()).await
-                } else {
-                    client.gather(context, query).await
-                }
-            })
-        }),
-        gather_reporting: Box::new(move |ip, query, residency, deadline| {
-            call(&for_reports, (ip, port), deadline, |client, context| async move {
-                client.gather_reporting(context, query, residency.regions().to_vec()).await
+                client.gather_parts(context, query, residency.regions().to_vec()).await
             })
         }),
         rest: Box::new(move |ip, token, deadline| {
--- a/crates/relay/src/delegate.rs
+++ b/crates/relay/src/delegate.rs
@@ -48,8 +48,9 @@
 pub type TokenCall<T> = Box<dyn Fn(Ipv4Addr, u64, Instant) -> MemberFuture<T> + Send + Sync>;
 
 /// Queries a member for shards of a request that may be processed in some regions, with a deadline.
-pub type GatherCall<T = ShardReply> =
-    Box<dyn Fn(Ipv4Addr, ShardQuery, Residency, Instant) -> MemberFuture<T> + Send + Sync>;
+pub type GatherCall = Box<
+    dyn Fn(Ipv4Addr, ShardQuery, Residency, Instant) -> MemberFuture<ReportingReply> + Send + Sync,
+>;
 
 /// Requests permits for cold searchers from a member, with a deadline.
 pub type PermitCall =
@@ -65,10 +66,9 @@
 
 /// Calls to other members.
 pub struct Helping {
-    /// Queries a member for shards.
+    /// Queries a member that guarantees [`Capability::Parts`](bergamot_wire::Capability::Parts) for
+    /// shards.
     pub gather: GatherCall,
-    /// Queries a member for shards, if it reports on slow searchers with its replies.
-    pub gather_reporting: GatherCall<ReportingReply>,
     /// Fetches shards that arrived at a member after its reply, with a deadline.
     pub rest: TokenCall<Vec<Late>>,
     /// Fetches the records that a member left out of its reply, with a deadline.
@@ -173,14 +173,13 @@
     deadline: Instant,
 ) -> Result<ShardReply, CallError> {
     let residency = job.constraints.residency.clone();
-    if !relay.with_delegates(|delegates| delegates.reports(ip)) {
-        return (relay.helping().gather)(ip, query, residency, deadline).await;
-    }
     let shards = query.shards.clone();
-    let call = (relay.helping().gather_reporting)(ip, query, residency, deadline);
+    let call = (relay.helping().gather)(ip, query, residency, deadline);
     let ReportingReply { reply, delays, busy } = call.await?;
-    job.record_busy(busy as usize);
-    relay.apply_reported_delays(&shards, &delays);
+    if relay.settings.policy.report.on {
+        job.record_busy(busy as usize);
+        relay.apply_reported_delays(&shards, &delays);
+    }
     Ok(reply)
 }
 
--- a/crates/relay/src/delegates.rs
+++ b/crates/relay/src/delegates.rs
@@ -10,6 +10,7 @@
 use bergamot_dispatch::{LatencyEstimator, StallPeriod};
 use bergamot_policy::Policy;
 use bergamot_scatter::Lateness;
+use bergamot_wire::Capability;
 
 use crate::location::Location;
 
@@ -32,20 +33,12 @@
     pub protocol: u32,
 }
 
-/// The first version of the RPCs between members that carries the regions of a request.
-const RESIDENCY_PROTOCOL: u32 = 1;
-
-/// The first version of the RPCs between members that admits requests to pools of searchers.
-const ADMISSION_PROTOCOL: u32 = 2;
-
-/// The first version of the RPCs between members whose replies report on slow searchers.
-const REPORT_PROTOCOL: u32 = 2;
-
 impl DelegateMember {
-    /// Returns whether the member may make attempts for a request on these terms.
+    /// Returns whether the member may make attempts for a request on these terms, and its replies
+    /// hold parts.
     fn accepts(&self, residency: &Residency) -> bool {
-        !residency.is_bounded()
-            || (residency.permits(Some(&self.region)) && self.protocol >= RESIDENCY_PROTOCOL)
+        Capability::Parts.is_given_by(self.protocol)
+            && (!residency.is_bounded() || residency.permits(Some(&self.region)))
     }
 }
 
@@ -71,6 +64,13 @@
 
     /// Replaces the set of available members.
     pub(crate) fn set(&mut self, known: Vec<DelegateMember>) {
+        let earlier = |known: &[DelegateMember]| {
+            known.iter().filter(|member| !Capability::Parts.is_given_by(member.protocol)).count()
+        };
+        let (members, count) = (known.len(), earlier(&known));
+        if count != earlier(&self.known) {
+            log::info!("relay: event=members_of_earlier_version count={count} members={members}");
+        }
         self.estimators.retain(|ip, _| known.iter().any(|member| member.ip == *ip));
         self.known = known;
     }
@@ -106,7 +106,7 @@
     /// Returns the members of a region that can coordinate pools of searchers.
     pub(crate) fn coordinators(&self, region: &Name) -> Vec<Ipv4Addr> {
         let can_coordinate = |member: &&DelegateMember| {
-            member.region == *region && member.protocol >= ADMISSION_PROTOCOL
+            member.region == *region && Capability::Admission.is_given_by(member.protocol)
         };
         self.known.iter().filter(can_coordinate).map(|member| member.ip).collect()
     }
@@ -117,13 +117,6 @@
         regions.chain([own]).collect::<BTreeSet<_>>().len()
     }
 
-    /// Returns whether a member reports on slow searchers with its replies.
-    pub(crate) fn reports(&self, ip: Ipv4Addr) -> bool {
-        let serves =
-            |member: &DelegateMember| member.ip == ip && member.protocol >= REPORT_PROTOCOL;
-        self.policy.report.on && self.known.iter().any(serves)
-    }
-
     /// Records by how much a reply was late that had to be sent.
     pub(crate) fn record_lateness(&mut self, late: Duration) {
         self.lateness.record(late);
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -5,12 +5,14 @@
 //! UDP ([`encode`], [`decode`]). Documents and views may exceed the size of a datagram and are
 //! transferred over a WebSocket ([`pull`], [`serve_pulls`]). See `docs/design/0001-two-tiers.md`.
 
+mod capability;
 mod channel;
 mod datagram;
 mod member;
 mod rpc;
 mod stream;
 
+pub use capability::Capability;
 pub use channel::{Channels, Connect, Connection, run_requests, serve_requests, transport};
 pub use datagram::{DecodeError, MAX_DATAGRAM_LEN, decode, encode};
 pub use member::{
--- a/crates/wire/src/member.rs
+++ b/crates/wire/src/member.rs
@@ -12,8 +12,9 @@
 /// The version of the RPCs of [`Member`], which members announce.
 ///
 /// RPCs are encoded by their order, so new ones are appended, and are sent only to members that
-/// announce a version that serves them.
-pub const MEMBER_PROTOCOL: u32 = 2;
+/// announce a version that serves them. [`Capability`](crate::Capability) says what follows from a
+/// version.
+pub const MEMBER_PROTOCOL: u32 = 3;
 
 /// A caller's request to some shards, delegated to another member.
 ///
@@ -110,6 +111,13 @@
     pub busy: u32,
 }
 
+impl From<ShardReply> for ReportingReply {
+    /// Returns a reply that reports nothing.
+    fn from(reply: ShardReply) -> Self {
+        Self { reply, delays: Vec::new(), busy: 0 }
+    }
+}
+
 /// The answer of a shard that arrived after the [`ShardReply`] was sent.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Late {
@@ -321,4 +329,9 @@
     /// Like [`Member::gather`], with a report on slow searchers, for a request that may be processed
     /// only in these regions, or in all if there are none. Served from version 2 of the RPCs on.
     async fn gather_reporting(query: ShardQuery, regions: Vec<Name>) -> ReportingReply;
+    /// Like [`Member::gather_reporting`], by a member that guarantees
+    /// [`Capability::Parts`](crate::Capability::Parts). Members of earlier versions replied to the
+    /// other RPCs with failures as parts, and can't reply to this one. Served from version 3 of the
+    /// RPCs on.
+    async fn gather_parts(query: ShardQuery, regions: Vec<Name>) -> ReportingReply;
 }
