Relay: a connection carries no two requests of one identifier in a row

Cause: an answer is attributed by the identifier that it names. If a searcher sends its answer once more, late, the next request on that connection may be one for which its caller has used the identifier again, and the second answer can't be told from its own.

Change: such a request goes out on a new connection; the kept one stays in the pool. Callers that never use an identifier again cost nothing more than a comparison.

--- a/crates/answer/src/inspector.rs
+++ b/crates/answer/src/inspector.rs
@@ -138,6 +138,12 @@
         Ok(())
     }
 
+    /// Returns whether the last request had this identifier. A second answer to it could not be told
+    /// from that of another request with the same one.
+    pub fn has_last_answered(&self, id: &[u8]) -> bool {
+        self.request.id == id
+    }
+
     /// Returns whether the connection has only carried answers to its requests.
     pub fn is_clean(&self) -> bool {
         self.is_clean
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -14,7 +14,7 @@
 use bergamot_declaration::Idempotency;
 use bergamot_dispatch::{Conclusion, Distance, Ending};
 use bergamot_net::strip_hop_by_hop_headers;
-use bergamot_upstream::{Lease, Reuse};
+use bergamot_upstream::{Lease, Reuse, SearcherError};
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{Response, StatusCode};
@@ -110,18 +110,10 @@
     job: &Job,
     limits: AttemptLimits,
 ) -> Result<SearcherResponse, AttemptError> {
-    let reuse = match job.kind {
-        _ if limits.is_after_fault => Reuse::Never,
-        Idempotency::Idempotent => Reuse::Usual,
-        Idempotency::NonIdempotent => Reuse::Cautious,
-    };
-    let lease = match link.pool.lease_idle(reuse) {
-        Some(lease) => lease,
-        None => link.pool.lease(deadline_at(limits.connect_by), reuse).await.map_err(|fault| {
-            link.estimator().record_failure(Instant::now());
-            AttemptError::new(Ending::NotSent, fault)
-        })?,
-    };
+    let lease = lease(link, job, limits).await.map_err(|fault| {
+        link.estimator().record_failure(Instant::now());
+        AttemptError::new(Ending::NotSent, fault)
+    })?;
     if let Err(unusable) = relay.check_searcher(&link.upstream, &job.constraints) {
         lease.release().await;
         return Err(AttemptError::new(Ending::NotSent, unusable));
@@ -150,6 +142,30 @@
     }
 }
 
+/// Leases a connection on which only an answer to this request can arrive.
+async fn lease(
+    link: &SearcherLink,
+    job: &Job,
+    limits: AttemptLimits,
+) -> Result<Lease, SearcherError> {
+    let reuse = match job.kind {
+        _ if limits.is_after_fault => Reuse::Never,
+        Idempotency::Idempotent => Reuse::Usual,
+        Idempotency::NonIdempotent => Reuse::Cautious,
+    };
+    let connect_by = deadline_at(limits.connect_by);
+    let lease = match link.pool.lease_idle(reuse) {
+        Some(lease) => lease,
+        None => link.pool.lease(connect_by, reuse).await?,
+    };
+    if !lease.has_last_carried(job.request.id.as_bytes()) {
+        return Ok(lease);
+    }
+    // A caller has used an identifier again.
+    lease.release_soon();
+    link.pool.lease(connect_by, Reuse::Never).await
+}
+
 async fn send(
     relay: &Relay,
     link: &Arc<SearcherLink>,
--- a/crates/relay/tests/attribution.rs
+++ b/crates/relay/tests/attribution.rs
@@ -6,14 +6,17 @@
 mod support;
 
 use std::collections::BTreeMap;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 use bergamot_declaration::{Idempotency, Target};
 use bergamot_relay::{Relay, Reply, Request};
-use bergamot_standin::{Answer, AnswerHeaders, RecordedRequest, ScriptedServer, Stray, Stutter};
+use bergamot_standin::{
+    Answer, AnswerHeaders, RecordedRequest, ScriptedServer, Step, Stray, Stutter,
+};
+use bytes::Bytes;
 use hyper::header::HeaderValue;
-use support::{gather, relay, request, route, script, upstream};
+use support::{gather, relay, reply, request, route, script, upstream};
 
 const HEADERS: AnswerHeaders =
     AnswerHeaders { id: "x-id", signature: "x-signature", not_run: "x-not-run" };
@@ -164,3 +167,41 @@
     }
     assert!(wrong.is_empty(), "{} wrong: {wrong:#?}", wrong.len());
 }
+
+/// A searcher that answers with the request's body, and sends its answer once more before the next one
+/// on the connection.
+async fn repeating() -> ScriptedServer {
+    let former = Mutex::<BTreeMap<usize, Vec<u8>>>::default();
+    script(move |seen| {
+        let own = reply(seen, "200 OK", "signature", &seen.body);
+        let former = former.lock().expect("no test panics").insert(seen.connection, own.clone());
+        former.into_iter().chain([own]).map(Step::Send).collect()
+    })
+    .await
+}
+
+/// Guards against the second answer to a request as that of a later one, for which its caller has
+/// used the same identifier.
+#[tokio::test]
+async fn a_second_answer_is_not_that_of_a_later_request_with_the_same_identifier() {
+    let target = || Target::Service("s".into());
+    let cases = [
+        (Idempotency::Idempotent, target()),
+        (Idempotency::NonIdempotent, target()),
+        (Idempotency::Idempotent, gather(&["s"], 1.0)),
+    ];
+    for (kind, target) in cases {
+        let searcher = repeating().await;
+        let relay = relay(vec![route("/a/", kind, target)], vec![upstream("i1", "s", &searcher)]);
+        for number in 0..REQUESTS {
+            let body = Bytes::from(format!("{number:016}"));
+            let request = Request { body: body.clone(), ..request("/a/") };
+            let records = match relay.handle(request).await {
+                Reply::Forwarded(response) => response.body,
+                Reply::Merged(merged) => merged.records,
+                Reply::Refused(refusal) => panic!("{kind:?}: {number} ended with {refusal:?}"),
+            };
+            assert_eq!(records, body, "{kind:?}");
+        }
+    }
+}
--- a/crates/upstream/src/connection.rs
+++ b/crates/upstream/src/connection.rs
@@ -115,6 +115,11 @@
         })
     }
 
+    /// Returns whether the last request on it had this identifier.
+    pub(crate) fn has_last_carried(&self, id: &[u8]) -> bool {
+        self.inspector.lock().has_last_answered(id)
+    }
+
     /// Returns whether it can carry a request now.
     pub(crate) fn is_ready(&self) -> bool {
         self.sender.is_ready()
--- a/crates/upstream/src/lease.rs
+++ b/crates/upstream/src/lease.rs
@@ -35,6 +35,12 @@
         self.connection.send(request).await
     }
 
+    /// Returns whether the last request on the connection had this identifier, so that a second answer
+    /// to it would be taken for the answer to another request with the same one.
+    pub fn has_last_carried(&self, id: &[u8]) -> bool {
+        self.connection.has_last_carried(id)
+    }
+
     /// Returns the connection to the pool at once if it is ready for another request, and otherwise
     /// in the background as soon as it is.
     pub fn release_soon(self) {
