Answers: 226 is no part, and a table of what content makes one

What callers could see: the difference from an earlier content (226, IM Used) cut into records, under a signature among the parts.

Cause: of the successes whose body isn't the content, the verdict named 206 alone.

Change: 226 is judged as 206: rejected, sent elsewhere, and passed on to a request of one searcher.

Measured: `relay/tests/statuses.rs::a_part_is_a_success_with_complete_content`, a row for each form of content: 226 was a part before, all 14 rows hold now. The other 13 held before: bodies cut short with and without records are no part; a remainder is no record; 204, 205 and an empty 200 are parts without records, as successes; 203 and a 200 with `Content-Range` are whole.

--- a/crates/answer/src/verdict.rs
+++ b/crates/answer/src/verdict.rs
@@ -6,8 +6,9 @@
 //! own statement shows that a request did not run; no answer is passed on whose status promises that
 //! its request did not run. The table is in `docs/design/0021-verdicts.md`.
 
-/// Partial Content: the body is not all of what was asked for.
-const PARTIAL_CONTENT: u16 = 206;
+/// The successes whose body is not the content, but a part of it or its difference from an earlier one:
+/// Partial Content, IM Used.
+const INCOMPLETE_CONTENT: [u16; 2] = [206, 226];
 
 /// The statuses that callers take for the promise that their request did not run and never will:
 /// Request Timeout, Misdirected Request, Too Many Requests, Service Unavailable.
@@ -69,8 +70,8 @@
             _ if denies_run => Self::NotRun,
             _ if !is_signed => Self::Unsigned,
             _ if is_encoded => Self::Failed,
-            PARTIAL_CONTENT => Self::Rejected,
-            200..=299 => Self::Success,
+            200..=299 if !INCOMPLETE_CONTENT.contains(&status) => Self::Success,
+            200..=299 => Self::Rejected,
             300..=499 if !PROMISES_NOT_RUN.contains(&status) => Self::Rejected,
             _ => Self::Failed,
         }
--- a/crates/relay/tests/statuses.rs
+++ b/crates/relay/tests/statuses.rs
@@ -8,13 +8,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bergamot_declaration::{Idempotency, Residency, Target};
+use bergamot_declaration::{Gather, Idempotency, Residency, Target};
 use bergamot_relay::{Cause, Relay, Reply, Request};
 use bergamot_standin::{RecordedRequest, ScriptedServer, Step};
 use bergamot_wire::ShardOutcome;
 use futures::future::join_all;
 use hyper::header::HeaderValue;
-use support::{gather, relay, request, route, script, shard_query, upstream};
+use support::{gather, merged, part, record, relay, request, route, script, shard_query, upstream};
 
 /// Statuses that are no success with complete content.
 const FAILURES: [u16; 24] = [
@@ -111,6 +111,67 @@
     assert!(taken.is_empty(), "taken for parts: {taken:?}");
 }
 
+/// Heads and bodies of signed answers, and how many of their records count; `None` if an answer is no
+/// part.
+const CONTENTS: [(&str, &str, Option<usize>); 14] = [
+    ("200 OK\r\ncontent-length: 32", TWO_RECORDS, Some(2)),
+    ("200 OK\r\ncontent-length: 0", "", Some(0)),
+    // What is left behind the last whole record is none.
+    ("200 OK\r\ncontent-length: 15", "less than one ..", Some(0)),
+    ("200 OK\r\ncontent-length: 20", "z record of 16 b and", Some(1)),
+    (
+        "200 OK\r\ntransfer-encoding: chunked",
+        "5\r\nz rec\r\nb\r\nord of 16 b\r\n0\r\n\r\n",
+        Some(1),
+    ),
+    // A 200 has the whole content whatever this header says.
+    ("200 OK\r\ncontent-range: bytes 0-31/64\r\ncontent-length: 32", TWO_RECORDS, Some(2)),
+    ("203 Non-Authoritative\r\ncontent-length: 32", TWO_RECORDS, Some(2)),
+    // A success without content has no records.
+    ("204 No Content", "", Some(0)),
+    ("205 Reset Content\r\ncontent-length: 0", "", Some(0)),
+    // A part of the content, and its difference from an earlier one.
+    (
+        "206 Partial Content\r\ncontent-range: bytes 0-31/64\r\ncontent-length: 32",
+        TWO_RECORDS,
+        None,
+    ),
+    ("226 IM Used\r\ncontent-length: 32", TWO_RECORDS, None),
+    // Cut short, with and without records.
+    ("200 OK\r\ncontent-length: 48", TWO_RECORDS, None),
+    ("200 OK\r\ncontent-length: 32", "", None),
+    ("200 OK\r\ntransfer-encoding: chunked", "10\r\nz record of 16 b\r\n", None),
+];
+
+const TWO_RECORDS: &str = "z record of 16 bz record of 16 b";
+
+/// Guards against a part that is not a success with complete content, and against one that is and is
+/// left out.
+#[tokio::test]
+async fn a_part_is_a_success_with_complete_content() {
+    for (head, body, counted) in CONTENTS {
+        let searcher = script(move |seen| {
+            let id = seen.header("x-id").unwrap_or_default();
+            let text = format!("HTTP/1.1 {head}\r\nx-id: {id}\r\nx-signature: p\r\n\r\n{body}");
+            vec![Step::Send(text.into_bytes()), Step::Close]
+        })
+        .await;
+        let sound = part(1).await;
+        let upstreams = vec![upstream("p1", "p", &searcher), upstream("q1", "q", &sound)];
+        let target = Target::Gather(Gather {
+            shards: vec!["p".into(), "q".into()],
+            top_k: 4,
+            min_coverage: 0.5,
+        });
+        let relay = relay(vec![route("/q/", Idempotency::Idempotent, target)], upstreams);
+        let merged = merged(relay.handle(numbered("/q/", 0)).await);
+        let is_part = merged.signatures.iter().any(|signature| signature == "p");
+        assert_eq!((is_part, merged.missing), (counted.is_some(), usize::from(!is_part)), "{head}");
+        let records = [&TWO_RECORDS.as_bytes()[..counted.unwrap_or(0) * 16], &record(1)].concat();
+        assert_eq!(merged.records, records, "{head}");
+    }
+}
+
 /// Guards against a success made of failures alone, and against a shard's failure as the answer to
 /// the whole request.
 #[tokio::test]
