Relay: a response that has begun is no backlog of its searcher

What callers saw: sound requests refused with 503 and reason=backlog right after responses of the same searchers that were given up before their end.

Cause: a request that is given up taught its searcher's latency with all of its time, as if it had waited there, also when the head of its response had arrived at once and the rest was being read. Two such searchers of one shard put the expected delay (472 to 520 ms) above the target (486 ms).

Change: the time to the head counts, and a failure of the searcher. A request without a head counts as before.

Measured: `relay/tests/endless.rs::an_answer_that_has_begun_and_is_given_up_is_no_backlog_of_its_searcher` failed before (refused, 443 ms to come back) and holds.

--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -62,13 +62,19 @@
 struct PendingRequest<'a> {
     link: &'a SearcherLink,
     sent: Instant,
+    /// When the head of the response was received.
+    begun: Option<Instant>,
     resolved: bool,
 }
 
 impl<'a> PendingRequest<'a> {
     fn start(link: &'a SearcherLink, now: Instant) -> Self {
         link.estimator().record_send(now);
-        Self { link, sent: now, resolved: false }
+        Self { link, sent: now, begun: None, resolved: false }
+    }
+
+    fn record_head(&mut self) {
+        self.begun = Some(Instant::now());
     }
 
     fn answered(mut self) {
@@ -97,8 +103,14 @@
 
 impl Drop for PendingRequest<'_> {
     fn drop(&mut self) {
-        if !self.resolved {
-            self.link.estimator().record_abandon(self.sent, Instant::now());
+        if self.resolved {
+            return;
+        }
+        let (mut estimator, now) = (self.link.estimator(), Instant::now());
+        // Once its response has begun, a request doesn't wait for others at the searcher.
+        estimator.record_abandon(self.sent, self.begun.unwrap_or(now));
+        if self.begun.is_some() {
+            estimator.record_failure(now);
         }
     }
 }
@@ -119,9 +131,9 @@
         return Err(AttemptError::new(Ending::NotSent, unusable));
     }
     let sent = Instant::now();
-    let pending = PendingRequest::start(link, sent);
+    let mut pending = PendingRequest::start(link, sent);
     job.record_exposure();
-    match send(relay, link, job, lease, limits.deadline).await {
+    match send(relay, job, lease, limits.deadline, &mut pending).await {
         Ok(response) => {
             pending.answered();
             if !job.route.is_empty() && link.distance != Distance::Far {
@@ -168,11 +180,12 @@
 
 async fn send(
     relay: &Relay,
-    link: &Arc<SearcherLink>,
     job: &Job,
     mut lease: Lease,
     deadline: Instant,
+    pending: &mut PendingRequest<'_>,
 ) -> Result<SearcherResponse, AttemptError> {
+    let link = pending.link;
     let request = build_request(relay, link, job, deadline)?;
     let response = lease.send(request).await.map_err(|error| {
         let unsent = error.is_unsent();
@@ -182,6 +195,7 @@
         let connection_lost = !unsent && fault.is_none();
         AttemptError { connection_lost, fault, ..AttemptError::new(ending, error) }
     })?;
+    pending.record_head();
     let (parts, body) = response.into_parts();
     let metadata = (relay.dialect().read_response)(&parts);
     let statement = metadata.statement(&parts);
--- a/crates/relay/tests/endless.rs
+++ b/crates/relay/tests/endless.rs
@@ -5,9 +5,10 @@
 use std::time::{Duration, Instant};
 
 use bergamot_declaration::{Idempotency, Target};
-use bergamot_relay::{Reply, Request};
+use bergamot_relay::{Cause, Reply, Request};
 use bergamot_standin::{RecordedRequest, ScriptedServer, Step};
-use support::{ok, relay, request, route, script, upstream};
+use futures::future::join_all;
+use support::{gather, merged, ok, record, refused, relay, request, route, script, upstream};
 
 /// How many requests are sent one after the other.
 const REQUESTS: usize = 30;
@@ -40,3 +41,31 @@
     }
     assert_eq!(bad.requests().len(), 1, "it is not asked again within seconds");
 }
+
+/// Guards against sound requests that are refused as backlog because answers to others began at once
+/// and had not ended when these were given up.
+#[tokio::test]
+async fn an_answer_that_has_begun_and_is_given_up_is_no_backlog_of_its_searcher() {
+    let searcher = script(|seen: &RecordedRequest| {
+        let mut answer = ok(seen, "sig", &record(1));
+        if seen.head.contains("/bad") {
+            let Step::Send(bytes) = &mut answer[0] else { unreachable!("it sends its answer") };
+            bytes.truncate(bytes.len() - 1);
+            answer.push(Step::Hang);
+        }
+        answer
+    })
+    .await;
+    let upstreams = ["i1", "i2"].map(|id| upstream(id, "s", &searcher)).to_vec();
+    let routes = vec![route("/q/", Idempotency::Idempotent, gather(&["s"], 1.0))];
+    let relay = relay(routes, upstreams);
+    let send = |path| {
+        let deadline = Some(Duration::from_millis(600));
+        relay.handle(Request { received: Instant::now(), deadline, ..request(path) })
+    };
+    merged(send("/q/good").await);
+    for reply in join_all((0..8).map(|_| send("/q/bad"))).await {
+        assert_eq!(refused(reply).0, Cause::Late);
+    }
+    merged(send("/q/good").await);
+}
