Relay: late shards are kept for their sender from one claim to the next

What callers saw: a late shard was missing or asked for twice; what it cost: attempts, and their state in memory, that a member kept after the sender had responded.

Cause: the time in which a sender must claim late shards ran once, from the member's reply. Attempts that were claimed just then were later stored without a limit; others that had just been stored again were aborted.

Change: the time begins anew whenever attempts are stored, and ends only those stored at its beginning.

--- a/crates/base/src/token_map.rs
+++ b/crates/base/src/token_map.rs
@@ -34,6 +34,11 @@
         self.values.remove(&token)
     }
 
+    /// Removes the value of a token if it fulfils a condition.
+    pub fn take_if(&mut self, token: u64, condition: impl FnOnce(&T) -> bool) -> Option<T> {
+        if self.values.get(&token).is_some_and(condition) { self.take(token) } else { None }
+    }
+
     /// Stores a value again that was taken and is not used up yet.
     pub fn put_back(&mut self, token: u64, value: T) {
         self.values.insert(token, value);
--- a/crates/relay/src/shard_query.rs
+++ b/crates/relay/src/shard_query.rs
@@ -52,6 +52,8 @@
 struct LateAttempts {
     job: Arc<Job>,
     results: mpsc::UnboundedReceiver<ShardResult>,
+    /// When they were stored for the sender to claim.
+    stored: Instant,
     _task: AbortOnDropHandle<()>,
 }
 
@@ -64,7 +66,7 @@
                 let _closed = sender.send(result);
             }
         });
-        Self { job, results, _task: AbortOnDropHandle::new(task) }
+        Self { job, results, stored: Instant::now(), _task: AbortOnDropHandle::new(task) }
     }
 
     /// Waits for the next attempts to end; returns none if all have.
@@ -218,13 +220,29 @@
 /// Stores the running attempts until the sender asks for their results.
 fn store_late(relay: &Arc<Relay>, job: &Arc<Job>, attempts: RunningAttempts) -> u64 {
     let late = LateAttempts::start(Arc::clone(job), attempts);
+    let stored = late.stored;
     let token = relay.with_pending(|pending| pending.late.insert(late));
-    // Attempts unclaimed by then are aborted: the sender has responded without them.
-    let unclaimed = relay.settings.policy.delegate.unclaimed;
-    remove_after(relay, unclaimed, move |pending| drop(pending.late.take(token)));
+    remove_unclaimed(relay, token, stored);
     token
 }
 
+/// Stores attempts again that the sender may claim once more.
+fn restore_late(relay: &Arc<Relay>, token: u64, mut late: LateAttempts) {
+    let stored = Instant::now();
+    late.stored = stored;
+    relay.with_pending(|pending| pending.late.put_back(token, late));
+    remove_unclaimed(relay, token, stored);
+}
+
+/// Aborts attempts that the sender doesn't claim in time after they were stored: it has responded
+/// without them.
+fn remove_unclaimed(relay: &Arc<Relay>, token: u64, stored: Instant) {
+    let unclaimed = relay.settings.policy.delegate.unclaimed;
+    remove_after(relay, unclaimed, move |pending| {
+        drop(pending.late.take_if(token, |late| late.stored == stored));
+    });
+}
+
 /// Stores the records left out of a reply until the sender asks for them.
 fn store_left_out(relay: &Arc<Relay>, records: Vec<u8>) -> u64 {
     let token = relay.with_pending(|pending| pending.left_out.insert(records));
@@ -260,7 +278,7 @@
     let late = ended.into_iter().map(|(index, result)| late(&attempts.job, index, result));
     let late: Vec<Late> = late.collect();
     if !late.is_empty() {
-        relay.with_pending(|pending| pending.late.put_back(token, attempts));
+        restore_late(relay, token, attempts);
     }
     late
 }
--- a/crates/relay/tests/helped.rs
+++ b/crates/relay/tests/helped.rs
@@ -7,15 +7,15 @@
 use std::time::{Duration, Instant};
 
 use bergamot_base::hash_bytes;
-use bergamot_declaration::Idempotency;
+use bergamot_declaration::{Idempotency, Residency};
 use bergamot_registry::Upstream;
 use bergamot_relay::{DelegateMember, Helping, MergedResponse, Relay};
 use bergamot_standin::{ScriptedServer, Step};
-use bergamot_wire::{Late, QuietPeriod, ShardOutcome, ShardReply};
+use bergamot_wire::{Late, QuietPeriod, ShardOutcome, ShardQuery, ShardReply};
 use hyper::header::HeaderValue;
 use support::{
     at, delegate, gather, incarnation, merged, no_members, ok, part, record, relay_with_members,
-    request, route, script, upstream,
+    request, route, script, shard_query, upstream,
 };
 
 const MEMBER: Ipv4Addr = Ipv4Addr::new(10, 0, 0, 9);
@@ -249,3 +249,50 @@
     merged(relay.handle(request("/q/")).await);
     assert!(east.requests().iter().any(|seen| seen.header("x-meant") == Some("a-east")));
 }
+
+/// A member that was asked for the shards `a` and `b`, whose searchers answer after some time or not at
+/// all, and the token of the late ones.
+async fn member_with_late_shards(
+    a: Option<Duration>,
+    b: Option<Duration>,
+) -> (Arc<Relay>, [ScriptedServer; 2], u64) {
+    let after = |time: Option<Duration>| {
+        script(move |seen| {
+            let wait = time.map_or(Step::Hang, Step::Wait);
+            [vec![wait], ok(seen, "s", &record(1))].concat()
+        })
+    };
+    let searchers = [after(a).await, after(b).await];
+    let routes = vec![route("/q/", Idempotency::Idempotent, gather(&["a", "b"], 0.5))];
+    let upstreams = vec![upstream("a1", "a", &searchers[0]), upstream("b1", "b", &searchers[1])];
+    let relay = support::relay(routes, upstreams);
+    let (answer_within, deadline) = (Duration::from_millis(20), HOUR);
+    let query = ShardQuery { answer_within, deadline, ..shard_query(&["a", "b"]) };
+    let rest = relay.answer_shard_query(query, Residency::default()).await.rest;
+    (relay, searchers, rest)
+}
+
+/// Guards against attempts and their state that a member keeps after the sender has responded, which
+/// needs no more once some late shards have arrived.
+#[tokio::test]
+async fn late_attempts_end_if_their_sender_does_not_claim_the_next_ones() {
+    let (relay, [_a, b], rest) =
+        member_with_late_shards(Some(Duration::from_millis(250)), None).await;
+    assert_eq!(relay.next_late_shards(rest).await.len(), 1);
+    let started = Instant::now();
+    while b.closed_connections() == 0 {
+        assert!(started.elapsed() < Duration::from_secs(2), "the searcher is still at work");
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    assert_eq!(relay.next_late_shards(rest).await, Vec::new());
+}
+
+/// Guards against a late shard that is lost since its sender claimed it a moment after another one.
+#[tokio::test]
+async fn late_attempts_go_on_while_their_sender_claims_one_after_the_other() {
+    let [a, b] = [120, 300].map(Duration::from_millis).map(Some);
+    let (relay, _searchers, rest) = member_with_late_shards(a, b).await;
+    assert_eq!(relay.next_late_shards(rest).await.len(), 1);
+    tokio::time::sleep(Duration::from_millis(60)).await;
+    assert_eq!(relay.next_late_shards(rest).await.len(), 1);
+}
