Dispatch: an answer that is cancelled early is no failure of its searcher

Change: only one that took longer than the searcher usually does; the rule stands with the other statistics of a searcher.

Measured: the tests of relay and dispatch pass; `relay/tests/endless.rs` as before.

--- a/crates/dispatch/src/latency.rs
+++ b/crates/dispatch/src/latency.rs
@@ -142,6 +142,18 @@
         }
     }
 
+    /// Records that nobody waits any more for the rest of an answer that has begun.
+    ///
+    /// The request doesn't wait for others at the searcher, so the time of its answer isn't part of the
+    /// delay. If it took longer than usual, the searcher has failed to end it.
+    pub fn record_unfinished(&mut self, sent: Instant, begun: Instant, now: Instant) {
+        let is_late = millis(now.saturating_duration_since(sent)) > self.mean(now);
+        self.record_abandon(sent, begun);
+        if is_late {
+            self.record_failure(now);
+        }
+    }
+
     /// Records that a request failed.
     pub fn record_failure(&mut self, now: Instant) {
         self.update_failure_rate(1.0, now);
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -107,10 +107,9 @@
             return;
         }
         let (mut estimator, now) = (self.link.estimator(), Instant::now());
-        // Once its response has begun, a request doesn't wait for others at the searcher.
-        estimator.record_abandon(self.sent, self.begun.unwrap_or(now));
-        if self.begun.is_some() {
-            estimator.record_failure(now);
+        match self.begun {
+            Some(begun) => estimator.record_unfinished(self.sent, begun, now),
+            None => estimator.record_abandon(self.sent, now),
         }
     }
 }
