Upstream: an ejected searcher that fails again is ejected at once

What callers saw, in the own interface: writes ended as unknown at a replica that fails all, though it had been ejected for it.

Cause: three failures in a row eject a searcher, also when it comes back from an ejection; the longer answers take, the more requests go to it until the third failure is known.

Change: after an ejection the first failure ejects again, with the times as before. Failures during an ejection no longer count: they were sent before it.

--- a/crates/upstream/src/health.rs
+++ b/crates/upstream/src/health.rs
@@ -14,7 +14,7 @@
 
 use bergamot_base::{Name, Version};
 
-/// Number of consecutive failures after which a searcher is ejected.
+/// Number of consecutive failures after which a searcher is ejected for the first time.
 const EJECTION_THRESHOLD: u32 = 3;
 
 /// Duration of the first ejection. Each further one without a success in between doubles it.
@@ -39,8 +39,13 @@
 
 impl Streak {
     fn record_failure(&mut self, now: Instant) {
+        // Requests that fail now were sent before the ejection, or for want of another searcher.
+        if self.is_ejected(now) {
+            return;
+        }
         self.failures += 1;
-        if self.failures >= EJECTION_THRESHOLD {
+        // After an ejection, the first failure shows that the searcher hasn't recovered.
+        if self.ejections > 0 || self.failures >= EJECTION_THRESHOLD {
             let doublings = self.ejections.min(MAX_DOUBLINGS);
             self.ejected_until = Some(now + FIRST_EJECTION * 2_u32.pow(doublings));
             self.ejections += 1;
