Dispatch: an unfinished answer is a sample of the moment at which it ends

What callers could see: a searcher taken for faster or slower than it is, since what was known of it was dated back by up to a deadline and faded sooner.

Cause: the time to the begin of an unfinished answer was recorded as if it had ended then, also behind later answers.

Change: what a request has waited, and when that is known, are two times. The rule that an answer whose caller leaves early is no failure of its searcher had no test; it stands in the same one.

Measured: `an_answer_that_is_not_finished_counts_by_the_time_to_its_begin` fails with the sample dated to its begin (0.47 s early) and with every unfinished answer as a failure (expected 32.8 in place of 11 ms), and holds.

--- a/crates/dispatch/src/latency.rs
+++ b/crates/dispatch/src/latency.rs
@@ -133,9 +133,14 @@
     /// Records that a request sent at `sent` was abandoned: its latency would have been at least
     /// the time until now.
     pub fn record_abandon(&mut self, sent: Instant, now: Instant) {
+        self.record_wait(sent, now, now);
+    }
+
+    /// Records that a request has waited until a time for its answer, and that it ended now.
+    fn record_wait(&mut self, sent: Instant, until: Instant, now: Instant) {
         self.record_end(sent);
-        self.update_stalls_on_abandon(sent, now);
-        let took = millis(now.saturating_duration_since(sent));
+        self.update_stalls_on_abandon(sent, until);
+        let took = millis(until.saturating_duration_since(sent));
         if took > self.mean(now) {
             self.update_mean(took, now);
             self.update_slowness(sent, took, now + self.policy.report.pause);
@@ -148,7 +153,7 @@
     /// delay. If it took longer than usual, the searcher has failed to end it.
     pub fn record_unfinished(&mut self, sent: Instant, begun: Instant, now: Instant) {
         let is_late = millis(now.saturating_duration_since(sent)) > self.mean(now);
-        self.record_abandon(sent, begun);
+        self.record_wait(sent, begun, now);
         if is_late {
             self.record_failure(now);
         }
--- a/crates/dispatch/tests/dispatch.rs
+++ b/crates/dispatch/tests/dispatch.rs
@@ -202,6 +202,30 @@
     assert!(near.expected(now + Duration::from_secs(8), 2, false) < 27.0);
 }
 
+/// Guards against a failure for an answer that its caller left early, and against a delay that holds the
+/// time of the answer, or is dated back to its begin.
+#[test]
+fn an_answer_that_is_not_finished_counts_by_the_time_to_its_begin() {
+    let start = Instant::now();
+    let answered = || {
+        let mut searcher = LatencyEstimator::new(MS * 10, Arc::default(), StallPeriod::default());
+        searcher.record_send(start);
+        searcher.record_answer(start, start + MS * 11);
+        searcher
+    };
+    let (mut early, mut late, sent) = (answered(), answered(), start + MS * 100);
+    for searcher in [&mut early, &mut late] {
+        searcher.record_send(sent);
+    }
+    let now = sent + MS * 500;
+    early.record_unfinished(sent, sent + MS, sent + MS * 2);
+    late.record_unfinished(sent, sent + MS * 30, now);
+    let [early, late, usual] = [early, late, answered()].map(|known| known.estimate(now, 2, false));
+    assert!((early.expected - usual.expected).abs() < 1e-6, "{early:?} {usual:?}");
+    assert!(late.expected > late.delay && late.delay < 30.0, "{late:?}");
+    assert_eq!(late.sampled_at, Some(now));
+}
+
 #[test]
 fn a_searcher_that_fails_fast_is_not_preferred() {
     let mut now = Instant::now();
