Stand-in: a sub-query ends with its connection

What was seen: `a_caller_disconnect_cancels_the_requests_to_searchers` waited 20 s for sub-queries that no searcher ran any more; it failed in 2 of 15 runs of its file beside 8 to 24 busy processes and in 1 of 25 alone beside 16.

Cause: the stand-in counted a sub-query from its begin to its end, but a search whose connection closes is dropped before its end. The client closes a connection if no other one is idle to carry the cancellation.

Change: the count belongs to a value that ends with the search, however that ends. The check is unchanged.

--- a/crates/standin/src/searcher.rs
+++ b/crates/standin/src/searcher.rs
@@ -203,6 +203,28 @@
     }
 }
 
+/// A sub-query that is queued or in progress. Ends when dropped, also with its connection.
+#[derive(Debug)]
+struct Running<'a> {
+    searcher: &'a Inner,
+    id: &'a Name,
+    cancel: CancellationToken,
+}
+
+impl<'a> Running<'a> {
+    fn begin(searcher: &'a Inner, id: &'a Name) -> Self {
+        let cancel = CancellationToken::new();
+        searcher.lock().running.insert(Name::clone(id), cancel.clone());
+        Self { searcher, id, cancel }
+    }
+}
+
+impl Drop for Running<'_> {
+    fn drop(&mut self) {
+        self.searcher.lock().running.remove(self.id);
+    }
+}
+
 impl Inner {
     /// Handles a request. Returns `None` if the connection is to be closed without a response.
     async fn handle(&self, request: Request<Incoming>) -> Option<Response<Body>> {
@@ -261,13 +283,12 @@
         if let Some(fault) = fault {
             return Some(fault.apply(self.search_reply(&search)?));
         }
-        let cancel = CancellationToken::new();
-        self.lock().running.insert(Name::clone(&id), cancel.clone());
+        let running = Running::begin(self, &id);
         let completed = tokio::select! {
-            () = cancel.cancelled() => None,
+            () = running.cancel.cancelled() => None,
             completed = tokio::time::timeout(left, self.work()) => completed.ok(),
         };
-        self.lock().running.remove(&id);
+        drop(running);
         if self.lock().faults.fatal.as_ref() == Some(&search.query) {
             self.stop.cancel();
             return None;
