Upstream: only failed writes eject a searcher again at once

What callers saw, in the own interface beside load: searches with shards missing, or late to recover, more often than before.

A search that fails is repeated elsewhere, so trying a searcher again costs its caller little, and leaving it out costs capacity. A write is sent once.

Change: the rule holds for writes alone; searches keep three failures in a row, and `health/ejection.txt` is as before.

--- a/crates/upstream/src/health.rs
+++ b/crates/upstream/src/health.rs
@@ -14,9 +14,13 @@
 
 use bergamot_base::{Name, Version};
 
-/// Number of consecutive failures after which a searcher is ejected for the first time.
+/// Number of consecutive failures after which a searcher is ejected.
 const EJECTION_THRESHOLD: u32 = 3;
 
+/// Number of failed writes after which a searcher is ejected for writes again. A search that fails
+/// is repeated elsewhere, but a write is sent only once.
+const REPEATED_WRITE_EJECTION_THRESHOLD: u32 = 1;
+
 /// Duration of the first ejection. Each further one without a success in between doubles it.
 const FIRST_EJECTION: Duration = Duration::from_millis(250);
 
@@ -38,14 +42,9 @@
 }
 
 impl Streak {
-    fn record_failure(&mut self, now: Instant) {
-        // Requests that fail now were sent before the ejection, or for want of another searcher.
-        if self.is_ejected(now) {
-            return;
-        }
+    fn record_failure(&mut self, now: Instant, threshold: u32) {
         self.failures += 1;
-        // After an ejection, the first failure shows that the searcher hasn't recovered.
-        if self.ejections > 0 || self.failures >= EJECTION_THRESHOLD {
+        if self.failures >= threshold {
             let doublings = self.ejections.min(MAX_DOUBLINGS);
             self.ejected_until = Some(now + FIRST_EJECTION * 2_u32.pow(doublings));
             self.ejections += 1;
@@ -95,16 +94,22 @@
 
     /// Records a failed request and ejects the searcher after several consecutive failures.
     pub fn record_failure(&mut self, now: Instant) {
-        self.streak.record_failure(now);
+        self.streak.record_failure(now, EJECTION_THRESHOLD);
     }
 
-    /// Records whether a write was served, and ejects the searcher for writes after several
-    /// consecutive failures.
+    /// Records whether a write was served. Ejects the searcher for writes after several consecutive
+    /// failures, and after each one that follows such an ejection.
     pub fn record_write(&mut self, now: Instant, is_served: bool) {
+        let streak = &mut self.write_streak;
         if is_served {
-            self.write_streak = Streak::default();
-        } else {
-            self.write_streak.record_failure(now);
+            *streak = Streak::default();
+        } else if !streak.is_ejected(now) {
+            // Writes that fail during an ejection were sent before it, or for want of another
+            // searcher.
+            let was_ejected = streak.ejections > 0;
+            let threshold =
+                if was_ejected { REPEATED_WRITE_EJECTION_THRESHOLD } else { EJECTION_THRESHOLD };
+            streak.record_failure(now, threshold);
         }
     }
 
--- a/crates/upstream/tests/filetests.rs
+++ b/crates/upstream/tests/filetests.rs
@@ -95,6 +95,8 @@
         match command {
             ["success", ms] => health.record_success(Duration::from_millis(number(ms))),
             ["failure"] => health.record_failure(now),
+            ["write", outcome] => health.record_write(now, *outcome == "served"),
+            ["writes"] => return format!("ejected {}", health.is_ejected_for_writes(now)),
             ["run", run] => health.record_run(now, &Name::from(*run), false),
             ["run_leaving", run] => health.record_run(now, &Name::from(*run), true),
             ["notice_leaving"] => return format!("new {}", health.record_leaving_notice(None)),
