The declared times of callers' connections are applied

What callers saw: a connection was closed after 30 s without a request although `idle_timeout_ms` allowed more, so that a request on its way was lost; with less than 30 s declared, idle connections and heads that never end were kept for 30 s.

Cause: neither `idle_timeout_ms` nor `header_timeout_ms` was applied. The HTTP library has one timer for both, 30 s by default, from the end of a request to the end of the next one's head.

Change: a caller's connection knows whether it is idle, gets a head or handles a request, and is given up by the time declared for that (`net::Timeouts`). Bytes that have come are read before the time is looked at. Pages, addresses and the own interface keep the 30 s.

--- a/crates/entry/src/service.rs
+++ b/crates/entry/src/service.rs
@@ -7,7 +7,7 @@
 use bergamot_base::{Deadline, Name};
 use bergamot_config::Settings;
 use bergamot_members::{Role, State};
-use bergamot_net::{HeadLimit, NetworkError, listen, serve_within};
+use bergamot_net::{ConnectionLimits, HeadLimit, NetworkError, listen, serve_within};
 use bergamot_node::Node;
 use bergamot_wire::{Entry as EntryRpc, run_requests, serve_requests, transport};
 use bergamot_write::{Key, Outcome};
@@ -164,9 +164,11 @@
 ) -> JoinHandle<()> {
     let tasks = inner.node.tasks().with_stop(stop.clone());
     let (inner, for_limit) = (Arc::clone(inner), Arc::clone(inner));
-    let head_limit =
-        move || Some(HeadLimit::new(for_limit.node.settings().entry.header_bytes as usize));
-    let serving = serve_within(listener, stop, head_limit, move |request, _peer| {
+    let limits = move || {
+        let bytes = for_limit.node.settings().entry.header_bytes as usize;
+        ConnectionLimits { head: Some(HeadLimit::new(bytes)), ..Default::default() }
+    };
+    let serving = serve_within(listener, stop, limits, move |request, _peer| {
         http::handle(Arc::clone(&inner), request)
     });
     tasks.spawn("callers", serving)
--- a/crates/front/src/daemon.rs
+++ b/crates/front/src/daemon.rs
@@ -21,7 +21,9 @@
     FeedState, Members, Origin, QueryKind, QueryReport, ReadRole, RecordEvent, Sink, Source, follow,
 };
 use bergamot_members::{Record, Role, State};
-use bergamot_net::{Body, HeadLimit, NetworkError, listen, serve_within, text};
+use bergamot_net::{
+    Body, ConnectionLimits, HeadLimit, NetworkError, Timeouts, listen, serve_within, text,
+};
 use bergamot_peers::{Caller, InstanceLocation, Peers, select_instances};
 use bergamot_relay::{Dialect, Relay};
 use bergamot_wire::Channels;
@@ -142,9 +144,9 @@
         serve_pages(addresses.directory, &inner, &stop, Inner::directory).await?;
         let listener = listen(inner.settings.callers).await?;
         let (for_callers, for_limit) = (Arc::clone(&inner), Arc::clone(&inner));
-        let head_limit = move || Some(for_limit.head_limit());
+        let limits = move || for_limit.connection_limits();
         let server =
-            serve_within(listener, close_listener.clone(), head_limit, move |request, _peer| {
+            serve_within(listener, close_listener.clone(), limits, move |request, _peer| {
                 let inner = Arc::clone(&for_callers);
                 async move {
                     let relay = Arc::clone(&inner.relay);
@@ -207,12 +209,14 @@
             && quarantine_synced
     }
 
-    /// Returns the limit of request heads that the declaration in force sets, or before the first one
-    /// the default.
-    fn head_limit(&self) -> HeadLimit {
+    /// Returns the limits that the declaration in force sets, or before the first one the defaults.
+    fn connection_limits(&self) -> ConnectionLimits {
         let declaration = self.relay.declaration();
         let limits = declaration.map_or_else(Limits::default, |found| found.limits.clone());
-        HeadLimit::new(limits.header_bytes)
+        ConnectionLimits {
+            head: Some(HeadLimit::new(limits.header_bytes)),
+            timeouts: Some(Timeouts { head: limits.header_timeout, idle: limits.idle_timeout }),
+        }
     }
 
     fn metrics(&self, uri: &Uri) -> Response<Body> {
@@ -324,8 +328,9 @@
 ) -> Result<(), NetworkError> {
     let (listener, for_pages) = (listen(address).await?, Arc::clone(inner));
     let for_limit = Arc::clone(inner);
-    let head_limit = move || Some(for_limit.head_limit());
-    let server = serve_within(listener, stop.clone(), head_limit, move |request, _peer| {
+    // The platform may poll these pages less often than callers send requests.
+    let limits = move || ConnectionLimits { timeouts: None, ..for_limit.connection_limits() };
+    let server = serve_within(listener, stop.clone(), limits, move |request, _peer| {
         let response = respond(&for_pages, request.uri());
         async move { response }
     });
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -10,9 +10,11 @@
 mod head_limit;
 mod headers;
 mod serve;
+mod timeouts;
 
 pub use client::{Client, REPLY_BODY_TIMEOUT, Reply, ReplyTimeouts, fetch};
 pub use dial::{NetworkError, dial, listen};
 pub use head_limit::HeadLimit;
 pub use headers::strip_hop_by_hop_headers;
-pub use serve::{Body, BodyError, json, read_body, serve, serve_within, text};
+pub use serve::{Body, BodyError, ConnectionLimits, json, read_body, serve, serve_within, text};
+pub use timeouts::Timeouts;
--- a/crates/net/src/serve.rs
+++ b/crates/net/src/serve.rs
@@ -13,11 +13,13 @@
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::time::{Instant, sleep_until};
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
 use crate::head_limit::HeadLimit;
+use crate::timeouts::{Activity, Expired, Observed, Timeouts};
 
 /// The delay after a failed accept. If the process has run out of file descriptors, some become
 /// available as other connections are closed.
@@ -26,26 +28,36 @@
 /// The body of a response, held in memory.
 pub type Body = Full<Bytes>;
 
-/// Serves connections as [`serve_within`], with the HTTP library's limits for the heads of requests.
+/// What clients may send and how long they may take. Without a limit, that of the HTTP library
+/// applies.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ConnectionLimits {
+    /// The size of the head of a request.
+    pub head: Option<HeadLimit>,
+    /// The times for a head and between two requests.
+    pub timeouts: Option<Timeouts>,
+}
+
+/// Serves connections as [`serve_within`], with the HTTP library's limits.
 pub async fn serve<H, F>(listener: TcpListener, stop: CancellationToken, handler: H)
 where
     H: Fn(Request<Incoming>, SocketAddr) -> F + Clone + Send + Sync + 'static,
     F: Future<Output = Response<Body>> + Send + 'static,
 {
-    serve_within(listener, stop, || None, handler).await;
+    serve_within(listener, stop, ConnectionLimits::default, handler).await;
 }
 
 /// Accepts connections until `stop` is cancelled, then completes the exchanges in flight.
 ///
 /// A request whose head exceeds the limit is answered with status 431, and its connection is closed.
-/// `head_limit` is called for each new connection, which keeps the limit; without one, those of the
-/// HTTP library apply.
+/// A connection is closed when it has been idle for too long, or a head has taken too long.
+/// `limits` is called for each new connection, which keeps what it returns.
 ///
 /// Returns when the last connection has been closed.
 pub async fn serve_within<H, F>(
     listener: TcpListener,
     stop: CancellationToken,
-    head_limit: impl Fn() -> Option<HeadLimit>,
+    limits: impl Fn() -> ConnectionLimits,
     handler: H,
 ) where
     H: Fn(Request<Incoming>, SocketAddr) -> F + Clone + Send + Sync + 'static,
@@ -69,28 +81,9 @@
         // Without this, small responses are delayed until earlier data is acknowledged. A failure
         // costs only latency.
         let _ = stream.set_nodelay(true);
-        let handler = handler.clone();
-        let service = service_fn(move |request| {
-            let response = handler(request, peer);
-            async move { Ok::<_, Infallible>(response.await) }
-        });
-        let stop = stop.clone();
-        let mut builder = http1::Builder::new();
-        builder.timer(TokioTimer::new());
-        if let Some(limit) = head_limit() {
-            limit.apply(&mut builder);
-        }
+        let serving = serve_connection(stream, peer, limits(), stop.clone(), handler.clone());
         tracker.spawn(async move {
-            let connection = builder.serve_connection(TokioIo::new(stream), service);
-            let mut connection = std::pin::pin!(connection);
-            let result = tokio::select! {
-                result = connection.as_mut() => result,
-                () = stop.cancelled() => {
-                    connection.as_mut().graceful_shutdown();
-                    connection.await
-                }
-            };
-            if let Err(error) = result {
+            if let Err(error) = serving.await {
                 log::debug!("net: connection from {peer} failed: {error}");
             }
         });
@@ -100,6 +93,73 @@
     tracker.wait().await;
 }
 
+/// Serves one connection until it ends.
+async fn serve_connection<H, F>(
+    stream: TcpStream,
+    peer: SocketAddr,
+    limits: ConnectionLimits,
+    stop: CancellationToken,
+    handler: H,
+) -> hyper::Result<()>
+where
+    H: Fn(Request<Incoming>, SocketAddr) -> F,
+    F: Future<Output = Response<Body>>,
+{
+    let activity = Activity::new();
+    let exchanges = activity.clone();
+    let service = service_fn(move |request| {
+        let activity = exchanges.clone();
+        activity.begin_exchange();
+        let response = handler(request, peer);
+        async move {
+            let response = response.await;
+            activity.end_exchange();
+            Ok::<_, Infallible>(response)
+        }
+    });
+    let mut builder = http1::Builder::new();
+    builder.timer(TokioTimer::new());
+    if let Some(limit) = limits.head {
+        limit.apply(&mut builder);
+    }
+    if limits.timeouts.is_some() {
+        builder.header_read_timeout(None);
+    }
+    let stream = TokioIo::new(Observed::new(stream, activity.clone()));
+    let mut connection = std::pin::pin!(builder.serve_connection(stream, service));
+    let mut is_closing = false;
+    loop {
+        let next_check =
+            limits.timeouts.map(|timeouts| activity.next_check(Instant::now(), timeouts));
+        // Bytes that have come are read before the time is looked at: a process that didn't run for
+        // a while finds both.
+        tokio::select! {
+            biased;
+            result = connection.as_mut() => return result,
+            () = stop.cancelled(), if !is_closing => {
+                is_closing = true;
+                connection.as_mut().graceful_shutdown();
+            }
+            () = sleep_until(next_check.unwrap_or_else(Instant::now)), if next_check.is_some() => {
+                let expired = limits
+                    .timeouts
+                    .and_then(|timeouts| activity.expired(Instant::now(), timeouts));
+                match expired {
+                    Some(Expired::Head) => {
+                        log::debug!("net: event=head_timed_out peer={peer}");
+                        return Ok(());
+                    }
+                    Some(Expired::Idle) if !is_closing => {
+                        is_closing = true;
+                        connection.as_mut().graceful_shutdown();
+                    }
+                    Some(Expired::Idle) | None => {}
+                }
+            }
+        }
+    }
+}
+
 /// The reason why a request body could not be read.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum BodyError {
--- a/crates/net/tests/heads.rs
+++ b/crates/net/tests/heads.rs
@@ -3,7 +3,7 @@
 use std::net::Ipv4Addr;
 use std::time::Duration;
 
-use bergamot_net::{HeadLimit, serve_within, text};
+use bergamot_net::{ConnectionLimits, HeadLimit, serve_within, text};
 use hyper::StatusCode;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -51,7 +51,8 @@
     let respond = |request: hyper::Request<hyper::body::Incoming>, _peer| async move {
         text(StatusCode::OK, request.headers().len().to_string())
     };
-    tokio::spawn(serve_within(listener, CancellationToken::new(), || Some(LIMIT), respond));
+    let limits = || ConnectionLimits { head: Some(LIMIT), ..Default::default() };
+    tokio::spawn(serve_within(listener, CancellationToken::new(), limits, respond));
     TcpListener::from_std(handle).expect("an open socket")
 }
 
