Net: a caller's socket is observed by the library's adapters

What callers saw: nothing; two of the traits' methods stood as in another file, and `Timeouts` was one of three types of that name.

Cause: the socket that reports the bytes that pass it was written by hand, though tokio-util has `InspectReader` and `InspectWriter`.

Change: those are used, 55 lines fewer; the type is `ConnectionTimeouts`, beside `RequestTimeouts` and `ReplyTimeouts`.

--- a/crates/front/src/daemon.rs
+++ b/crates/front/src/daemon.rs
@@ -22,7 +22,7 @@
 };
 use bergamot_members::{Record, Role, State};
 use bergamot_net::{
-    Body, ConnectionLimits, HeadLimit, NetworkError, Timeouts, listen, serve_within, text,
+    Body, ConnectionLimits, ConnectionTimeouts, HeadLimit, NetworkError, listen, serve_within, text,
 };
 use bergamot_peers::{Caller, InstanceLocation, Peers, select_instances};
 use bergamot_relay::{Dialect, Relay};
@@ -215,7 +215,10 @@
         let limits = declaration.map_or_else(Limits::default, |found| found.limits.clone());
         ConnectionLimits {
             head: Some(HeadLimit::new(limits.header_bytes)),
-            timeouts: Some(Timeouts { head: limits.header_timeout, idle: limits.idle_timeout }),
+            timeouts: Some(ConnectionTimeouts {
+                head: limits.header_timeout,
+                idle: limits.idle_timeout,
+            }),
         }
     }
 
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -17,4 +17,4 @@
 pub use head_limit::HeadLimit;
 pub use headers::strip_hop_by_hop_headers;
 pub use serve::{Body, BodyError, ConnectionLimits, json, read_body, serve, serve_within, text};
-pub use timeouts::Timeouts;
+pub use timeouts::ConnectionTimeouts;
--- a/crates/net/src/serve.rs
+++ b/crates/net/src/serve.rs
@@ -19,7 +19,7 @@
 use tokio_util::task::TaskTracker;
 
 use crate::head_limit::HeadLimit;
-use crate::timeouts::{Activity, Expired, Observed, Timeouts};
+use crate::timeouts::{Activity, ConnectionTimeouts, Expired, observe};
 
 /// The delay after a failed accept. If the process has run out of file descriptors, some become
 /// available as other connections are closed.
@@ -35,7 +35,7 @@
     /// The size of the head of a request.
     pub head: Option<HeadLimit>,
     /// The times for a head and between two requests.
-    pub timeouts: Option<Timeouts>,
+    pub timeouts: Option<ConnectionTimeouts>,
 }
 
 /// Serves connections as [`serve_within`], with the HTTP library's limits.
@@ -125,14 +125,12 @@
     if limits.timeouts.is_some() {
         builder.header_read_timeout(None);
     }
-    let stream = TokioIo::new(Observed::new(stream, activity.clone()));
+    let stream = TokioIo::new(observe(stream, &activity));
     let mut connection = std::pin::pin!(builder.serve_connection(stream, service));
     let mut is_closing = false;
     loop {
         let next_check =
             limits.timeouts.map(|timeouts| activity.next_check(Instant::now(), timeouts));
-        // Bytes that have come are read before the time is looked at: a process that didn't run for
-        // a while finds both.
         tokio::select! {
             biased;
             result = connection.as_mut() => return result,
--- a/crates/net/src/timeouts.rs
+++ b/crates/net/src/timeouts.rs
@@ -5,22 +5,20 @@
 //!
 //! Invariant: a connection doesn't expire while a request is in progress on it.
 
-use std::io;
-use std::pin::Pin;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::task::{Context, Poll};
 use std::time::Duration;
 
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::TcpStream;
 use tokio::time::Instant;
+use tokio_util::io::{InspectReader, InspectWriter};
 
-/// The minimum time between two looks at a connection.
+/// The minimum time between two looks at a connection, in which bytes that have come are read.
 const MIN_CHECK_INTERVAL: Duration = Duration::from_millis(10);
 
 /// How long clients may take.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Timeouts {
+pub struct ConnectionTimeouts {
     /// The time for the head of a request, from its first byte. A head may get up to twice as long,
     /// because a connection is looked at once in this time.
     pub head: Duration,
@@ -82,7 +80,7 @@
     }
 
     /// Returns what has taken too long at `now`.
-    pub(crate) fn expired(&self, now: Instant, timeouts: Timeouts) -> Option<Expired> {
+    pub(crate) fn expired(&self, now: Instant, timeouts: ConnectionTimeouts) -> Option<Expired> {
         let (since, timeout, expired) = match *self.phase() {
             Phase::Idle(since) => (since, timeouts.idle, Expired::Idle),
             Phase::Head(since) => (since, timeouts.head, Expired::Head),
@@ -92,7 +90,7 @@
     }
 
     /// Returns when to look for what has expired, given that this was done at `now`.
-    pub(crate) fn next_check(&self, now: Instant, timeouts: Timeouts) -> Instant {
+    pub(crate) fn next_check(&self, now: Instant, timeouts: ConnectionTimeouts) -> Instant {
         let interval = match *self.phase() {
             // A head may begin at any time.
             Phase::Idle(since) => timeouts.idle.saturating_sub(now - since).min(timeouts.head),
@@ -103,68 +101,16 @@
     }
 }
 
-/// A socket that reports the bytes that pass it.
-pub(crate) struct Observed {
+/// Returns a socket that reports the bytes that pass it.
+pub(crate) fn observe(
     stream: TcpStream,
-    activity: Activity,
-}
-
-impl Observed {
-    pub(crate) fn new(stream: TcpStream, activity: Activity) -> Self {
-        Self { stream, activity }
-    }
-
-    fn record_write(&self, result: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
-        if matches!(result, Poll::Ready(Ok(count)) if count > 0) {
-            self.activity.record_write();
-        }
-        result
-    }
-}
-
-impl AsyncRead for Observed {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buf: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
-        let before = buf.filled().len();
-        let result = Pin::new(&mut self.stream).poll_read(cx, buf);
-        if buf.filled().len() > before {
-            self.activity.record_read();
+    activity: &Activity,
+) -> impl AsyncRead + AsyncWrite + Unpin + use<> {
+    let (for_reads, for_writes) = (activity.clone(), activity.clone());
+    let stream = InspectWriter::new(stream, move |_| for_writes.record_write());
+    InspectReader::new(stream, move |bytes| {
+        if !bytes.is_empty() {
+            for_reads.record_read();
         }
-        result
-    }
-}
-
-impl AsyncWrite for Observed {
-    fn poll_write(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buf: &[u8],
-    ) -> Poll<io::Result<usize>> {
-        let result = Pin::new(&mut self.stream).poll_write(cx, buf);
-        self.record_write(result)
-    }
-
-    fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        bufs: &[io::IoSlice<'_>],
-    ) -> Poll<io::Result<usize>> {
-        let result = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
-        self.record_write(result)
-    }
-
-    fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
-    }
-
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(cx)
-    }
-
-    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(cx)
-    }
+    })
 }
