--- a/daemons/tests/support/mod.rs
+++ b/daemons/tests/support/mod.rs
@@ -13,6 +13,7 @@
 pub use bergamot_bench::wait::{WAIT_TIMEOUT, until};
 use bergamot_config::Settings;
 use bergamot_net::{Client, Reply, fetch};
+use bergamot_standin::Process;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::Request;
@@ -42,6 +43,24 @@
         Self(child)
     }
 
+    /// The same with a limit on its descriptors, which a shell sets before it becomes the program.
+    pub fn start_within(program: &str, settings: &Path, descriptors: u64) -> Self {
+        let child = Command::new("sh")
+            .args(["-c", &format!("ulimit -n {descriptors} && exec \"$0\" --settings \"$1\"")])
+            .arg(program)
+            .arg(settings)
+            .env("RUST_LOG", "warn,tarpc=off")
+            .stdout(Stdio::null())
+            .spawn()
+            .expect("a shell is available");
+        Self(child)
+    }
+
+    /// Returns what the operating system says of the process.
+    pub fn process(&self) -> Process {
+        Process::new(self.0.id())
+    }
+
     /// Sends a signal, given by name without `SIG`, to this process only.
     pub fn signal(&self, name: &str) {
         let status = Command::new("kill")
@@ -129,6 +148,16 @@
         wait_until_serving(address).await;
     }
 
+    /// Like [`Self::add`], with a limit on the descriptors of each daemon.
+    pub async fn add_within(&mut self, number: usize, descriptors: Option<u64>) {
+        let Some(descriptors) = descriptors else { return self.add(number).await };
+        let settings = self.settings(number);
+        let gather = DaemonProcess::start_within(GATHER, &settings, descriptors);
+        let entry = DaemonProcess::start_within(ENTRY, &settings, descriptors);
+        self.instances.push(Instance { entry, gather });
+        wait_until_serving(self.entry(number)).await;
+    }
+
     /// Writes the settings file of an instance.
     pub fn settings(&self, number: usize) -> PathBuf {
         self.settings_with(number, self.stand_ins.deployment.platform(), "")
@@ -195,6 +224,25 @@
     (reply.status().as_u16(), value)
 }
 
+/// Like [`post`], or `None` without an answer.
+pub async fn try_post(
+    entry: SocketAddr,
+    path: &str,
+    headers: &[(&str, &str)],
+    body: &str,
+) -> Option<(u16, serde_json::Value)> {
+    let mut request = Request::post(path);
+    for (name, value) in headers {
+        request = request.header(*name, *value);
+    }
+    let request = request.body(Full::new(Bytes::from(body.to_owned()))).expect("a valid request");
+    let mut client =
+        Client::connect(Ipv4Addr::UNSPECIFIED, entry, Duration::from_secs(1)).await.ok()?;
+    let reply = tokio::time::timeout(WAIT_TIMEOUT, client.send(request)).await.ok()?.ok()?;
+    let value = serde_json::from_slice(reply.body()).unwrap_or_default();
+    Some((reply.status().as_u16(), value))
+}
+
 /// Sends a request over a new connection.
 pub async fn send(entry: SocketAddr, request: Request<Full<Bytes>>) -> Reply {
     let mut client = Client::connect(Ipv4Addr::UNSPECIFIED, entry, WAIT_TIMEOUT)
