Resources: one rule for what a process holds for others

Answers of searchers had one bound for all of them (answer::Memory); requests and connections had none, and each reader would have needed a rule of its own.

--- a/crates/answer/src/inspector.rs
+++ b/crates/answer/src/inspector.rs
@@ -4,12 +4,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use bergamot_resources::{Buffer, Memory};
+
 use crate::attribution::Attribution;
 use crate::fault::{Fault, Limit};
 use crate::filling::{Context, Filling};
 use crate::framing::{Body, Head, STATUS_LINE};
 use crate::limits::Limits;
-use crate::memory::{Buffer, Memory};
 
 /// The maximum size of line breaks before an answer, in bytes.
 const MAX_LINE_BREAKS: usize = 64;
--- a/crates/answer/tests/filled.rs
+++ b/crates/answer/tests/filled.rs
@@ -6,7 +6,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bergamot_answer::{Fault, Inspector, Limits, Memory};
+use bergamot_answer::{Fault, Inspector, Limits};
+use bergamot_resources::Memory;
 use proptest::prelude::*;
 use proptest::test_runner::{Config, TestRng, TestRunner};
 
--- a/crates/answer/tests/inspector.rs
+++ b/crates/answer/tests/inspector.rs
@@ -2,7 +2,8 @@
 
 use std::sync::Arc;
 
-use bergamot_answer::{Fault, Finding, Inspector, Limit, Limits, MAX_HEADERS, Memory};
+use bergamot_answer::{Fault, Finding, Inspector, Limit, Limits, MAX_HEADERS};
+use bergamot_resources::Memory;
 
 const ID: &[u8] = b"r2";
 
--- a/crates/answer/tests/properties.rs
+++ b/crates/answer/tests/properties.rs
@@ -2,7 +2,8 @@
 
 use std::sync::Arc;
 
-use bergamot_answer::{Inspector, Limits, Memory};
+use bergamot_answer::{Inspector, Limits};
+use bergamot_resources::Memory;
 use proptest::prelude::*;
 
 /// What a searcher sends on one connection.
--- a/crates/bench/tests/stream/own_interface.rs
+++ b/crates/bench/tests/stream/own_interface.rs
@@ -4,9 +4,9 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use bergamot_answer::Memory;
 use bergamot_base::{Deadline, Name};
 use bergamot_query::Shape;
+use bergamot_resources::Memory;
 use bergamot_standin::{Answer, AnswerHeaders, Part};
 use bergamot_upstream::protocol::{self, Receipt, Search, SearchReply, Write};
 use bergamot_upstream::{Client, Observer, Pool, PoolSettings, RequestContext, WriteResult};
--- a/crates/relay/src/meter.rs
+++ b/crates/relay/src/meter.rs
@@ -2,9 +2,9 @@
 
 use std::time::Duration;
 
-use bergamot_answer::Usage;
 use bergamot_dispatch::{Distance, Ending};
 use bergamot_placement::WithheldCounts;
+use bergamot_resources::Usage;
 use hyper::StatusCode;
 use prometheus::{
     HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -7,7 +7,6 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Instant;
 
-use bergamot_answer::{Memory, Usage};
 use bergamot_base::{Name, PauseGate, Position, Revision};
 use bergamot_config::RevisionStatus;
 use bergamot_declaration::{Declaration, Residency};
@@ -16,6 +15,7 @@
 use bergamot_placement::{Constraints, WithheldCounts};
 use bergamot_quarantine::Quarantine;
 use bergamot_registry::{Registry, Upstream};
+use bergamot_resources::{Memory, Usage};
 use bergamot_upstream::ReadTurns;
 use bergamot_wire::{Late, ReportingReply, ShardQuery, ShardReply};
 
--- a/crates/answer/tests/memory.rs
+++ b/crates/resources/tests/memory.rs
@@ -1,6 +1,6 @@
 //! The memory of all answers in progress.
 
-use bergamot_answer::{Buffer, Memory};
+use bergamot_resources::{Buffer, Memory};
 
 /// Guards against a searcher that sends without end and takes the memory of all others.
 #[test]
--- a/crates/upstream/src/body.rs
+++ b/crates/upstream/src/body.rs
@@ -3,7 +3,8 @@
 use std::fmt;
 use std::sync::Arc;
 
-use bergamot_answer::{Exhausted, Fault, Limit, Memory};
+use bergamot_answer::{Fault, Limit};
+use bergamot_resources::{Exhausted, Memory};
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
@@ -43,7 +44,7 @@
 impl std::error::Error for BodyError {}
 
 impl From<Exhausted> for BodyError {
-    fn from(Exhausted: Exhausted) -> Self {
+    fn from(_: Exhausted) -> Self {
         Self::Exhausted(Fault::Exceeded { limit: Limit::Memory })
     }
 }
@@ -61,7 +62,13 @@
     memory: &Arc<Memory>,
 ) -> Result<Bytes, BodyError> {
     let buffer = memory.begin();
-    while let Some(frame) = body.frame().await {
+    loop {
+        let frame = tokio::select! {
+            biased;
+            frame = body.frame() => frame,
+            exhausted = buffer.discarded() => return Err(exhausted.into()),
+        };
+        let Some(frame) = frame else { break };
         if let Some(data) = frame?.data_ref() {
             buffer.append(data)?;
         }
--- a/crates/upstream/src/client_set.rs
+++ b/crates/upstream/src/client_set.rs
@@ -10,10 +10,11 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
-use bergamot_answer::{Finding, Memory};
+use bergamot_answer::Finding;
 use bergamot_base::Searcher;
 use bergamot_config::{Document, Settings};
 use bergamot_logger::Sampler;
+use bergamot_resources::Memory;
 
 use crate::client::Client;
 use crate::pool::{Observer, Pool, PoolSettings};
@@ -55,6 +56,11 @@
 }
 
 impl ClientSet {
+    /// Creates a set without clients, whose answers in progress have this bound.
+    pub fn new(memory: Arc<Memory>) -> Self {
+        Self { memory, ..Self::default() }
+    }
+
     /// Returns the clients of the searchers in `held`, as configured by `document`.
     ///
     /// Existing clients are reused. Clients that are no longer needed close their connections
--- a/crates/upstream/src/pool.rs
+++ b/crates/upstream/src/pool.rs
@@ -15,9 +15,10 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
-use bergamot_answer::{Fault, Finding, Inspector, Limits, Memory};
+use bergamot_answer::{Fault, Finding, Inspector, Limits};
 use bergamot_base::{Deadline, Peer, Step};
 use bergamot_net::NetworkError;
+use bergamot_resources::Memory;
 use bytes::Bytes;
 use hyper::body::Incoming;
 use tokio::net::TcpStream;
