Connections, heads and messages of members have bounds for all of them

What callers saw: silent connections took every descriptor, and no ordinary caller got one while they stayed; heads of legal size and messages to members that stop short filled the memory.

Cause: no listener bounded its connections; the HTTP library's read buffer grows up to 408 KiB for each connection and keeps its size; a message between daemons reserves as declared and reads what comes. Two accept loops (members, pulls) also span without a pause while no descriptor was free.

Change: every listener of both interfaces accepts through net::Intake, which gives out places (resources::Table). A full one closes a connection that never carried a request and stands still, then the one that has waited longest for its client, never one in use; a failed accept does the same. Reads take at most 8,000 bytes, so that the library's buffer grows for heads alone, and heads beyond 4 KiB, tables of many headers and messages count in resources::Memory. A client that reads no further is closed after the idle time; before, such a connection stayed for good. /state, metrics and log lines name listener and counts.

Why it works: room is found before a byte or a connection is kept, and what is closed counts until it is freed.

--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -194,6 +194,10 @@
         pause: Duration = Duration::from_millis(400), (50, 60_000), "The clock gap above which the process is considered to have been paused.";
         readers: u64 = 2, (1, 16), "The number of members in each zone that watch the configuration service.";
     }
+    limits {
+        memory_mb: u64 = 260, (32, 1_048_576), "The memory of the process in megabytes; a quarter each is for requests and for answers in progress.";
+        descriptors: u64 = 0, (0, 1_048_576), "The descriptors of the process, 200 of which are not for sockets; 0 for the limit of the operating system.";
+    }
     entry {
         header_bytes: u64 = 16_384, (1024, 262_144), "The maximum size of a request head in bytes, whatever its number of headers.";
         body_bytes: u64 = 65_536, (64, 16_777_216), "The maximum size of a request body in bytes.";
--- a/crates/entry/src/service.rs
+++ b/crates/entry/src/service.rs
@@ -7,7 +7,7 @@
 use bergamot_base::{Deadline, Name};
 use bergamot_config::Settings;
 use bergamot_members::{Role, State};
-use bergamot_net::{ConnectionLimits, HeadLimit, NetworkError, listen, serve_within};
+use bergamot_net::{ConnectionLimits, HeadLimit, NetworkError, listen, serve_bounded};
 use bergamot_node::Node;
 use bergamot_wire::{Entry as EntryRpc, run_requests, serve_requests, transport};
 use bergamot_write::{Key, Outcome};
@@ -168,7 +168,8 @@
         let bytes = for_limit.node.settings().entry.header_bytes as usize;
         ConnectionLimits { head: Some(HeadLimit::new(bytes)), ..Default::default() }
     };
-    let serving = serve_within(listener, stop, limits, move |request, _peer| {
+    let intake = inner.node.intakes().for_callers();
+    let serving = serve_bounded(listener, stop, intake, limits, move |request, _peer| {
         http::handle(Arc::clone(&inner), request)
     });
     tasks.spawn("callers", serving)
@@ -181,9 +182,10 @@
 ) -> JoinHandle<()> {
     let tasks = inner.node.tasks().with_stop(stop.clone());
     let server = Server(Arc::clone(&inner.write_executor));
-    let serving = serve_requests(listener, stop, move |stream, open| {
-        let requests = transport(stream).execute(EntryRpc::serve(server.clone()));
-        tokio::spawn(run_requests(requests, open));
+    let intake = inner.node.intakes().for_members("entries");
+    let serving = serve_requests(listener, intake, stop, move |stream, connection| {
+        let requests = transport(stream, &connection).execute(EntryRpc::serve(server.clone()));
+        tokio::spawn(run_requests(requests, connection));
     });
     tasks.spawn("peers", serving)
 }
--- a/crates/front/src/daemon.rs
+++ b/crates/front/src/daemon.rs
@@ -22,7 +22,8 @@
 };
 use bergamot_members::{Record, Role, State};
 use bergamot_net::{
-    Body, ConnectionLimits, ConnectionTimeouts, HeadLimit, NetworkError, listen, serve_within, text,
+    Body, ConnectionLimits, ConnectionTimeouts, HeadLimit, Intake, Intakes, NetworkError, listen,
+    serve_bounded, text,
 };
 use bergamot_peers::{Caller, InstanceLocation, Peers, select_instances};
 use bergamot_relay::{Dialect, Relay};
@@ -59,6 +60,7 @@
     pub(crate) peers: Arc<Peers>,
     feed: Arc<FeedState>,
     tasks: TaskSupervisor,
+    intakes: Arc<Intakes>,
     leaving: AtomicBool,
     /// The members that serve callers, as of the last tick.
     serving: Mutex<BTreeSet<Ipv4Addr>>,
@@ -97,8 +99,12 @@
         let relay = Relay::new(relay, dialect, member::relay_calls(&channels, port));
         let feed = Arc::new(FeedState::default());
         let tasks = TaskSupervisor::new(stop.clone());
+        let memory = Arc::clone(relay.request_memory());
+        let intakes = Intakes::new(settings.shares, memory, relay.metrics());
         let listener = listen(settings.members).await?;
-        let server = member::serve(listener, Arc::clone(&relay), Arc::clone(&feed), stop.clone());
+        let intake = intakes.for_members("members");
+        let (for_members, for_feed) = (Arc::clone(&relay), Arc::clone(&feed));
+        let server = member::serve(listener, intake, for_members, for_feed, stop.clone());
         tasks.spawn("members", server);
         let quarantine = Arc::clone(relay.quarantine());
         let peers = Peers::start(peers, quarantine, &tasks, stop.clone()).await?;
@@ -114,6 +120,7 @@
             peers,
             feed: Arc::clone(&feed),
             tasks: tasks.clone(),
+            intakes,
             leaving: AtomicBool::new(false),
             serving: Mutex::default(),
             selection_basis: Mutex::default(),
@@ -139,26 +146,28 @@
         tasks.spawn("follower", follow(source, members, sink, feed, feed_settings, stop.clone()));
         tasks.spawn("tick", run_periodic_work(Arc::clone(&inner), stop.clone()));
         let addresses = &inner.settings;
-        serve_pages(addresses.metrics, &inner, &stop, Inner::metrics).await?;
-        serve_pages(addresses.readiness, &inner, &stop, Inner::readiness).await?;
-        serve_pages(addresses.directory, &inner, &stop, Inner::directory).await?;
+        let pages = |name| inner.intakes.for_pages(name);
+        let (metrics, readiness) = (pages("metrics"), pages("readiness"));
+        serve_pages(addresses.metrics, metrics, &inner, &stop, Inner::metrics).await?;
+        serve_pages(addresses.readiness, readiness, &inner, &stop, Inner::readiness).await?;
+        serve_pages(addresses.directory, pages("directory"), &inner, &stop, Inner::directory)
+            .await?;
         let listener = listen(inner.settings.callers).await?;
         let (for_callers, for_limit) = (Arc::clone(&inner), Arc::clone(&inner));
         let limits = move || for_limit.connection_limits();
-        let server =
-            serve_within(listener, close_listener.clone(), limits, move |request, _peer| {
-                let inner = Arc::clone(&for_callers);
-                async move {
-                    let relay = Arc::clone(&inner.relay);
-                    let mut response = caller::handle_request(relay, inner.protocol, request).await;
-                    if inner.is_leaving() {
-                        response
-                            .headers_mut()
-                            .insert(CONNECTION, HeaderValue::from_static("close"));
-                    }
-                    response
+        let respond = move |request, _peer| {
+            let inner = Arc::clone(&for_callers);
+            async move {
+                let mut response =
+                    caller::handle_request(Arc::clone(&inner.relay), inner.protocol, request).await;
+                if inner.is_leaving() {
+                    response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
                 }
-            });
+                response
+            }
+        };
+        let intake = inner.intakes.for_callers();
+        let server = serve_bounded(listener, close_listener.clone(), intake, limits, respond);
         // The listener closes before the other tasks stop; until then its end counts as a failure.
         let caller_listener = tasks.with_stop(close_listener.clone()).spawn("callers", server);
         Ok(Self { inner, stop, close_listener, caller_listener })
@@ -243,8 +252,9 @@
         let (ready, leaving) = (self.is_ready(), self.is_leaving());
         let role = self.topology().unwrap_or_default().role;
         format!(
-            "ready {ready} leaving {leaving} duty {role:?}\nserving {}\n{members}{}",
+            "ready {ready} leaving {leaving} duty {role:?}\nserving {}\n{members}{}{}",
             serving.join(" "),
+            self.intakes.dump(),
             self.relay.dump()
         )
     }
@@ -325,6 +335,7 @@
 /// Serves pages that depend only on the path and query of a request, until `stop`.
 async fn serve_pages(
     address: SocketAddr,
+    intake: Arc<Intake>,
     inner: &Arc<Inner>,
     stop: &CancellationToken,
     respond: fn(&Inner, &Uri) -> Response<Body>,
@@ -333,7 +344,7 @@
     let for_limit = Arc::clone(inner);
     // The platform may poll these pages less often than callers send requests.
     let limits = move || ConnectionLimits { timeouts: None, ..for_limit.connection_limits() };
-    let server = serve_within(listener, stop.clone(), limits, move |request, _peer| {
+    let server = serve_bounded(listener, stop.clone(), intake, limits, move |request, _peer| {
         let response = respond(&for_pages, request.uri());
         async move { response }
     });
--- a/crates/front/src/member.rs
+++ b/crates/front/src/member.rs
@@ -7,7 +7,7 @@
 use bergamot_base::Name;
 use bergamot_declaration::Residency;
 use bergamot_feed::{ChunkQueryFn, FeedState, NewsQueryFn, QueryError, QueryFuture};
-use bergamot_net::NetworkError;
+use bergamot_net::{Intake, NetworkError};
 use bergamot_quarantine::Fingerprint;
 use bergamot_registry::Incarnation;
 use bergamot_relay::{CallError, Helping, MemberFuture, Relay};
@@ -127,14 +127,15 @@
 /// Serves the RPCs of other members until `stop`.
 pub(crate) fn serve(
     listener: TcpListener,
+    intake: Arc<Intake>,
     relay: Arc<Relay>,
     feed: Arc<FeedState>,
     stop: CancellationToken,
 ) -> impl Future<Output = ()> + Send {
     let server = Server { relay, feed };
-    serve_requests(listener, stop, move |stream, open| {
-        let requests = transport(stream).execute(Member::serve(server.clone()));
-        tokio::spawn(run_requests(requests, open));
+    serve_requests(listener, intake, stop, move |stream, connection| {
+        let requests = transport(stream, &connection).execute(Member::serve(server.clone()));
+        tokio::spawn(run_requests(requests, connection));
     })
 }
 
--- a/crates/front/src/settings.rs
+++ b/crates/front/src/settings.rs
@@ -3,6 +3,8 @@
 use std::net::{Ipv4Addr, SocketAddr};
 use std::time::Duration;
 
+use bergamot_resources::{Machine, Shares};
+
 /// The settings of the daemon.
 #[derive(Clone, Debug)]
 pub struct Settings {
@@ -33,6 +35,8 @@
     /// The time from the stop signal after which a planned stop ends, even if requests are still
     /// in flight.
     pub stop_timeout: Duration,
+    /// How many connections may be open at each listener.
+    pub shares: Shares,
 }
 
 impl Default for Settings {
@@ -52,6 +56,7 @@
             ttl: Duration::from_secs(4),
             drain_period: Duration::from_millis(4300),
             stop_timeout: Duration::from_millis(5600),
+            shares: Machine::default().into(),
         }
     }
 }
--- a/crates/gather/src/assignment.rs
+++ b/crates/gather/src/assignment.rs
@@ -6,7 +6,8 @@
 use bergamot_base::{Cell, Searcher, Shard, Version};
 use bergamot_config::Settings;
 use bergamot_members::{Endpoint, Homes};
-use bergamot_node::ActiveDocument;
+use bergamot_node::{ActiveDocument, machine};
+use bergamot_resources::{Memory, Shares};
 use bergamot_upstream::{Client, ClientSet};
 
 /// The cells that a gather is a home of under one document, and the clients of their searchers.
@@ -33,7 +34,7 @@
             .flat_map(|cell| &document.layout.cells[*cell].shards)
             .flat_map(|shard| document.shards[*shard].replicas.iter().copied())
             .collect();
-        let empty = ClientSet::default();
+        let empty = ClientSet::new(Memory::new(Shares::from(machine(settings)).answer_bytes));
         let clients = previous
             .map_or(&empty, |previous| &previous.clients)
             .reconfigured(document, settings, &searchers);
--- a/crates/gather/src/service.rs
+++ b/crates/gather/src/service.rs
@@ -147,9 +147,10 @@
         tasks.spawn("follow", maintenance::follow_assignment(Arc::clone(&inner), stop.clone()));
         tasks.spawn("keep", maintenance::maintain_clients(Arc::clone(&inner), stop.clone()));
         let server = Server(Arc::clone(&inner));
-        let serving = serve_requests(listener, stop.clone(), move |stream, open| {
-            let requests = transport(stream).execute(GatherRpc::serve(server.clone()));
-            tokio::spawn(run_requests(requests, open));
+        let intake = inner.node.intakes().for_members("entries");
+        let serving = serve_requests(listener, intake, stop.clone(), move |stream, connection| {
+            let requests = transport(stream, &connection).execute(GatherRpc::serve(server.clone()));
+            tokio::spawn(run_requests(requests, connection));
         });
         let serve_task = tasks.spawn("serve", serving);
         log::info!("gather: Serving at {address}.");
--- a/crates/net/src/serve.rs
+++ b/crates/net/src/serve.rs
@@ -3,27 +3,34 @@
 use std::convert::Infallible;
 use std::fmt;
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::sync::Arc;
 
+use bergamot_resources::{Activity, ConnectionTimeouts, Exhausted, Expired, Hold};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::Incoming;
-use hyper::header::{CONTENT_TYPE, HeaderValue};
+use hyper::body::{Body as _, Incoming};
+use hyper::header::{CONNECTION, CONTENT_TYPE, HeaderValue, RETRY_AFTER};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpListener;
 use tokio::time::{Instant, sleep_until};
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
 use crate::head_limit::HeadLimit;
-use crate::timeouts::{Activity, ConnectionTimeouts, Expired, observe};
+use crate::intake::{Accepted, Intake};
+use crate::observed::{HEAD_MEMORY_FACTOR, HeadMemory, Observed};
 
-/// The delay after a failed accept. If the process has run out of file descriptors, some become
-/// available as other connections are closed.
-const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
+/// The memory of a header beside its bytes, in bytes.
+const HEADER_MEMORY_BYTES: usize = 128;
+
+/// The memory of a head up to which it counts as that of its connection, in bytes.
+const SMALL_HEAD_MEMORY_BYTES: usize = 16 << 10;
+
+/// When a caller may come back whose head found no memory, in seconds.
+const EXHAUSTED_RETRY_AFTER: HeaderValue = HeaderValue::from_static("1");
 
 /// The body of a response, held in memory.
 pub type Body = Full<Bytes>;
@@ -47,16 +54,30 @@
     serve_within(listener, stop, ConnectionLimits::default, handler).await;
 }
 
+/// Serves connections as [`serve_bounded`], without bounds on all of them.
+pub async fn serve_within<H, F>(
+    listener: TcpListener,
+    stop: CancellationToken,
+    limits: impl Fn() -> ConnectionLimits,
+    handler: H,
+) where
+    H: Fn(Request<Incoming>, SocketAddr) -> F + Clone + Send + Sync + 'static,
+    F: Future<Output = Response<Body>> + Send + 'static,
+{
+    serve_bounded(listener, stop, Arc::default(), limits, handler).await;
+}
+
 /// Accepts connections until `stop` is cancelled, then completes the exchanges in flight.
 ///
 /// A request whose head exceeds the limit is answered with status 431, and its connection is closed.
-/// A connection is closed when it has been idle for too long, or a head has taken too long.
-/// `limits` is called for each new connection, which keeps what it returns.
+/// A connection is closed when it has been idle for too long, a head has taken too long, or its place
+/// goes to another one. `limits` is called for each new connection, which keeps what it returns.
 ///
 /// Returns when the last connection has been closed.
-pub async fn serve_within<H, F>(
+pub async fn serve_bounded<H, F>(
     listener: TcpListener,
     stop: CancellationToken,
+    intake: Arc<Intake>,
     limits: impl Fn() -> ConnectionLimits,
     handler: H,
 ) where
@@ -64,24 +85,10 @@
     F: Future<Output = Response<Body>> + Send + 'static,
 {
     let tracker = TaskTracker::new();
-    loop {
-        let accepted = tokio::select! {
-            () = stop.cancelled() => break,
-            accepted = listener.accept() => accepted,
-        };
-        let (stream, peer) = match accepted {
-            Ok(accepted) => accepted,
-            Err(error) => {
-                log::warn!("net: event=accept_failed cause=\"{error}\"");
-                // While no file descriptor is free, an immediate retry would fail as well.
-                tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
-                continue;
-            }
-        };
-        // Without this, small responses are delayed until earlier data is acknowledged. A failure
-        // costs only latency.
-        let _ = stream.set_nodelay(true);
-        let serving = serve_connection(stream, peer, limits(), stop.clone(), handler.clone());
+    while let Some(accepted) = intake.accept(&listener, &stop).await {
+        let peer = accepted.peer;
+        let (intake, stop) = (Arc::clone(&intake), stop.clone());
+        let serving = serve_connection(accepted, intake, limits(), stop, handler.clone());
         tracker.spawn(async move {
             if let Err(error) = serving.await {
                 log::debug!("net: connection from {peer} failed: {error}");
@@ -95,8 +102,8 @@
 
 /// Serves one connection until it ends.
 async fn serve_connection<H, F>(
-    stream: TcpStream,
-    peer: SocketAddr,
+    accepted: Accepted,
+    intake: Arc<Intake>,
     limits: ConnectionLimits,
     stop: CancellationToken,
     handler: H,
@@ -105,15 +112,18 @@
     H: Fn(Request<Incoming>, SocketAddr) -> F,
     F: Future<Output = Response<Body>>,
 {
-    let activity = Activity::new();
-    let exchanges = activity.clone();
-    let service = service_fn(move |request| {
-        let activity = exchanges.clone();
-        activity.begin_exchange();
-        let response = handler(request, peer);
+    let Accepted { stream, peer, place } = accepted;
+    let activity = place.activity();
+    let service = service_fn(|request: Request<Incoming>| {
+        let activity = activity.clone();
+        let handling =
+            begin_exchange(&request, &activity, &intake).map(|head| (head, handler(request, peer)));
         async move {
-            let response = response.await;
-            activity.end_exchange();
+            let response = match handling {
+                Ok((_head, response)) => response.await,
+                Err(exhausted) => refuse_head(exhausted, peer),
+            };
+            activity.end_exchange(Instant::now().into());
             Ok::<_, Infallible>(response)
         }
     });
@@ -125,15 +135,21 @@
     if limits.timeouts.is_some() {
         builder.header_read_timeout(None);
     }
-    let stream = TokioIo::new(observe(stream, &activity));
+    let head_memory = HeadMemory::new(intake.memory().cloned(), place.close_token());
+    let stream = TokioIo::new(Observed::with_heads(stream, activity.clone(), head_memory));
     let mut connection = std::pin::pin!(builder.serve_connection(stream, service));
     let (mut is_closing, mut has_expired) = (false, false);
     loop {
-        let next_check =
-            limits.timeouts.map(|timeouts| activity.next_check(Instant::now(), timeouts));
+        let next_check = limits
+            .timeouts
+            .map(|timeouts| activity.next_check(Instant::now().into(), timeouts).into());
         tokio::select! {
             biased;
             result = connection.as_mut() => return result,
+            () = place.closed() => {
+                intake.log_closed(peer);
+                return Ok(());
+            }
             () = stop.cancelled(), if !is_closing => {
                 is_closing = true;
                 connection.as_mut().graceful_shutdown();
@@ -141,7 +157,7 @@
             () = sleep_until(next_check.unwrap_or_else(Instant::now)), if next_check.is_some() => {
                 let expired = limits
                     .timeouts
-                    .and_then(|timeouts| activity.expired(Instant::now(), timeouts));
+                    .and_then(|timeouts| activity.expired(Instant::now().into(), timeouts));
                 // After a time in which the process didn't run, bytes that came in it may not have
                 // been read. They are by the second look.
                 let is_confirmed = std::mem::replace(&mut has_expired, expired.is_some());
@@ -154,13 +170,43 @@
                         is_closing = true;
                         connection.as_mut().graceful_shutdown();
                     }
-                    Some(Expired::Idle) | None => {}
+                    // The client reads no further: an idle connection has closed at once.
+                    Some(Expired::Idle) => {
+                        log::debug!("net: event=response_not_read peer={peer}");
+                        return Ok(());
+                    }
+                    None => {}
                 }
             }
         }
     }
 }
 
+/// Records that the head of a request is complete, and counts its memory until the returned
+/// value is dropped.
+fn begin_exchange(
+    request: &Request<Incoming>,
+    activity: &Activity,
+    intake: &Intake,
+) -> Result<Option<Hold>, Exhausted> {
+    let has_body = !request.body().is_end_stream();
+    let received = activity.begin_exchange(Instant::now().into(), has_body);
+    let memory = received * HEAD_MEMORY_FACTOR + request.headers().len() * HEADER_MEMORY_BYTES;
+    let head_bytes = if memory > SMALL_HEAD_MEMORY_BYTES { memory } else { 0 };
+    let bounded = intake.memory().filter(|_| head_bytes > 0);
+    bounded.map(|memory| memory.hold(head_bytes)).transpose()
+}
+
+/// Refuses a request whose head finds no memory. It hasn't run.
+fn refuse_head(exhausted: Exhausted, peer: SocketAddr) -> Response<Body> {
+    log::debug!("net: event=head_refused peer={peer} cause=\"{exhausted}\"");
+    let mut response =
+        text(StatusCode::SERVICE_UNAVAILABLE, "not run: no memory for the head of the request");
+    response.headers_mut().insert(RETRY_AFTER, EXHAUSTED_RETRY_AFTER);
+    response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    response
+}
+
 /// The reason why a request body could not be read.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum BodyError {
--- a/crates/node/src/admin.rs
+++ b/crates/node/src/admin.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use bergamot_net::{Body, serve as serve_http, text};
+use bergamot_net::{Body, ConnectionLimits, serve_bounded, text};
 use hyper::{Method, Response, StatusCode};
 use prometheus::TextEncoder;
 use tokio::net::TcpListener;
@@ -11,8 +11,8 @@
 
 /// Serves `/metrics` and `/state` until the node closes.
 pub(crate) async fn serve(node: Arc<Node>, listener: TcpListener) {
-    let stop = node.stop.clone();
-    serve_http(listener, stop, move |request, _peer| {
+    let (stop, intake) = (node.stop.clone(), node.intakes().for_pages("admin"));
+    serve_bounded(listener, stop, intake, ConnectionLimits::default, move |request, _peer| {
         let response = respond(&node, request.method(), request.uri().path());
         async move { response }
     })
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -15,7 +15,7 @@
 mod signal;
 
 pub use metrics::Metrics;
-pub use node::{ActiveDocument, Dump, LeavingHandler, Node};
+pub use node::{ActiveDocument, Dump, LeavingHandler, Node, machine};
 pub use signal::{ShutdownMode, stop_signal};
 
 /// Re-exported so that services can register metrics with the node's registry.
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -13,8 +13,9 @@
     Digest, Endpoint, Homes, Membership, Outgoing, Record, Role, Rumour, State, Suspicions, Timing,
     View,
 };
-use bergamot_net::{NetworkError, listen};
+use bergamot_net::{Intakes, NetworkError, listen};
 use bergamot_quarantine::Quarantine;
+use bergamot_resources::{Machine, Memory, Shares};
 use prometheus::Registry;
 use rand::RngExt;
 use rand::rngs::StdRng;
@@ -66,6 +67,8 @@
     homes_key: (u64, u64),
 }
 
+const BYTES_PER_MEGABYTE: usize = 1_000_000;
+
 /// One run of a daemon, as known to the other members.
 pub struct Node {
     settings: Arc<Settings>,
@@ -91,6 +94,7 @@
     tasks: TaskSupervisor,
     metrics: Metrics,
     registry: Registry,
+    intakes: Arc<Intakes>,
     dumps: Mutex<Vec<(&'static str, Dump)>>,
 }
 
@@ -100,6 +104,22 @@
     }
 }
 
+/// Returns what the settings let the process use.
+pub fn machine(settings: &Settings) -> Machine {
+    let limits = &settings.limits;
+    let descriptors = match limits.descriptors {
+        // Without a limit of the operating system, the default applies.
+        0 => rlimit::Resource::NOFILE
+            .get()
+            .map_or(Machine::default().descriptors as u64, |(soft, _)| soft),
+        descriptors => descriptors,
+    };
+    Machine {
+        memory_bytes: limits.memory_mb as usize * BYTES_PER_MEGABYTE,
+        descriptors: usize::try_from(descriptors).unwrap_or(usize::MAX),
+    }
+}
+
 impl Node {
     /// Binds the control and admin sockets and starts the control loops.
     ///
@@ -114,6 +134,8 @@
         let stream_listener = listen(address).await?;
         let admin_listener = listen(admin_address(&settings, endpoint)).await?;
         let (registry, stop) = (Registry::new(), CancellationToken::new());
+        let shares = Shares::from(machine(&settings));
+        let intakes = Intakes::new(shares, Memory::new(shares.request_bytes), &registry);
         let quarantine = Arc::default();
         let node = Arc::new(Self {
             endpoint,
@@ -134,6 +156,7 @@
             stop,
             metrics: Metrics::new(&registry),
             registry,
+            intakes,
             dumps: Mutex::default(),
             settings,
         });
@@ -198,6 +221,11 @@
         &self.settings
     }
 
+    /// Returns the intakes of all listeners of the daemon.
+    pub fn intakes(&self) -> &Arc<Intakes> {
+        &self.intakes
+    }
+
     /// Returns the quarantine of queries under which searchers crashed, which all members share.
     pub fn quarantine(&self) -> &Arc<Quarantine> {
         &self.quarantine
@@ -345,6 +373,7 @@
             let _ = write!(text, "clashes {clashes}\n\n[members]\n{}", control.membership.view());
         }
         let _ = write!(text, "\n[homes]\n{}", self.homes());
+        let _ = write!(text, "\n[intakes]\n{}", self.intakes.dump());
         for (title, dump) in self.dumps.lock().unwrap_or_else(PoisonError::into_inner).iter() {
             let _ = write!(text, "\n[{title}]\n{}", dump());
         }
--- a/crates/node/src/pulls.rs
+++ b/crates/node/src/pulls.rs
@@ -27,8 +27,8 @@
 
 /// Serves pulls of peers until the node closes.
 pub(crate) async fn serve(node: Arc<Node>, listener: TcpListener) {
-    let stop = node.stop.clone();
-    serve_pulls(listener, stop, move |request| respond(&node, &request)).await;
+    let (stop, intake) = (node.stop.clone(), node.intakes().for_pages("pulls"));
+    serve_pulls(listener, intake, stop, move |request| respond(&node, &request)).await;
 }
 
 fn respond(node: &Node, request: &PullRequest) -> PullResponse {
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -56,6 +56,8 @@
     pub(crate) monitor: Arc<Monitor>,
     /// Bounds the memory of all responses in progress.
     pub(crate) response_memory: Arc<Memory>,
+    /// Bounds the memory of all requests in progress.
+    request_memory: Arc<Memory>,
     /// The turns in which large responses are read.
     pub(crate) read_turns: ReadTurns,
     /// The period at which searchers stall, shared by all links.
@@ -84,6 +86,7 @@
         let stall_period = StallPeriod::default();
         let monitor = Monitor::new(meter.responses.findings.clone());
         let response_memory = Memory::new(settings.response_memory_bytes);
+        let request_memory = Memory::new(settings.request_memory_bytes);
         let coordinator = PoolCoordinator::new(&settings.policy, meter.admission.clone());
         Arc::new(Self {
             settings,
@@ -101,6 +104,7 @@
             changes,
             monitor,
             response_memory,
+            request_memory,
             read_turns: ReadTurns::default(),
             stall_period,
             quarantine: Arc::default(),
@@ -123,6 +127,11 @@
         self.response_memory.usage()
     }
 
+    /// Returns the memory of requests in progress, of callers and of other members.
+    pub fn request_memory(&self) -> &Arc<Memory> {
+        &self.request_memory
+    }
+
     pub(crate) fn dialect(&self) -> &Dialect {
         &self.dialect
     }
--- a/crates/relay/src/settings.rs
+++ b/crates/relay/src/settings.rs
@@ -40,6 +40,8 @@
     pub response_limits: Limits,
     /// The bound of all responses in progress, in bytes.
     pub response_memory_bytes: usize,
+    /// The bound of all requests in progress, of callers and of other members, in bytes.
+    pub request_memory_bytes: usize,
     /// The mechanisms of the decisions and their parameters.
     pub policy: Arc<Policy>,
 }
@@ -58,6 +60,7 @@
             pause_threshold: Duration::from_millis(700),
             response_limits: Limits::default(),
             response_memory_bytes: 64 << 20,
+            request_memory_bytes: 64 << 20,
             policy: Arc::default(),
         }
     }
--- a/crates/wire/src/channel.rs
+++ b/crates/wire/src/channel.rs
@@ -4,20 +4,24 @@
 //! ID, so a late reply is matched to its request or dropped.
 
 use std::collections::HashMap;
+use std::io;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::Arc;
-use std::time::Duration;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::{Duration, Instant};
 
-use bergamot_net::{NetworkError, dial};
+use bergamot_net::{Accepted, Intake, NetworkError, Observed, dial};
+use bergamot_resources::{Activity, Place, Reservation};
+use bytes::{Bytes, BytesMut};
 use futures::{Stream, StreamExt};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use tarpc::server::BaseChannel;
 use tarpc::tokio_serde::formats::Bincode;
-use tarpc::{ClientMessage, Response, Transport, serde_transport};
+use tarpc::{ClientMessage, Response, Transport, serde_transport, tokio_serde};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Mutex;
-use tokio_util::codec::{Framed, LengthDelimitedCodec};
+use tokio_util::codec::{Decoder, Encoder, Framed, LengthDelimitedCodec};
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
@@ -91,72 +95,163 @@
 /// left to the caller because the types of the handlers' futures are known only there.
 pub async fn serve_requests(
     listener: TcpListener,
+    intake: Arc<Intake>,
     stop: CancellationToken,
     serve: impl Fn(TcpStream, Connection),
 ) {
-    let connection = Connection { tracker: TaskTracker::new(), closed: CancellationToken::new() };
-    while let Some(stream) = accept(&listener, &stop).await {
-        serve(stream, connection.clone());
+    let (tracker, closed) = (TaskTracker::new(), CancellationToken::new());
+    while let Some(Accepted { stream, peer, place }) = intake.accept(&listener, &stop).await {
+        serve(stream, Connection::new(&intake, peer, place, &tracker, &closed));
     }
-    connection.tracker.close();
-    connection.tracker.wait().await;
-    connection.closed.cancel();
+    drop(listener);
+    tracker.close();
+    tracker.wait().await;
+    closed.cancel();
 }
 
-/// State shared by the connections of one listener.
-#[derive(Clone, Debug)]
+/// The state of a connection to a listener.
+#[derive(Debug)]
 pub struct Connection {
-    /// The requests in flight.
+    intake: Arc<Intake>,
+    peer: SocketAddr,
+    place: Place,
+    /// The requests in flight on all connections of the listener.
     tracker: TaskTracker,
     /// Cancelled once the listener has stopped and no requests are in flight.
     closed: CancellationToken,
+    /// The number of requests in flight on this connection.
+    in_flight: Arc<AtomicUsize>,
+}
+
+impl Connection {
+    fn new(
+        intake: &Arc<Intake>,
+        peer: SocketAddr,
+        place: Place,
+        tracker: &TaskTracker,
+        closed: &CancellationToken,
+    ) -> Self {
+        Self {
+            intake: Arc::clone(intake),
+            peer,
+            place,
+            tracker: tracker.clone(),
+            closed: closed.clone(),
+            in_flight: Arc::default(),
+        }
+    }
+
+    /// Waits until the connection must be closed.
+    async fn wait_until_closed(&self) {
+        tokio::select! {
+            () = self.closed.cancelled() => {}
+            () = self.place.closed() => self.intake.log_closed(self.peer),
+        }
+    }
+
+    /// Records a request in flight until the returned value is dropped.
+    fn begin_request(&self) -> InFlight {
+        self.in_flight.fetch_add(1, Ordering::Relaxed);
+        let activity = self.place.activity().clone();
+        activity.begin_exchange(Instant::now(), false);
+        InFlight { activity, count: Arc::clone(&self.in_flight) }
+    }
+}
+
+/// A request in flight, during which its connection keeps its place.
+struct InFlight {
+    activity: Activity,
+    count: Arc<AtomicUsize>,
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        if self.count.fetch_sub(1, Ordering::Relaxed) == 1 {
+            self.activity.end_exchange(Instant::now());
+        }
+    }
 }
 
 /// Creates the server side of a connection.
 pub fn transport<Req, Resp>(
     stream: TcpStream,
-) -> BaseChannel<Req, Resp, impl Transport<Response<Resp>, ClientMessage<Req>>>
+    connection: &Connection,
+) -> BaseChannel<Req, Resp, impl Transport<Response<Resp>, ClientMessage<Req>> + use<Req, Resp>>
 where
     Req: DeserializeOwned,
     Resp: Serialize,
 {
-    BaseChannel::with_defaults(serde_transport::new(framed(stream), Bincode::default()))
-}
-
-/// Accepts the next connection; returns `None` once `stop` is cancelled.
-async fn accept(listener: &TcpListener, stop: &CancellationToken) -> Option<TcpStream> {
-    loop {
-        let accepted = tokio::select! {
-            () = stop.cancelled() => return None,
-            accepted = listener.accept() => accepted,
-        };
-        if let Ok((stream, _)) = accepted {
-            // If this fails, requests only take longer.
-            let _ = stream.set_nodelay(true);
-            return Some(stream);
-        }
-    }
+    let Connection { intake, place, .. } = connection;
+    let message = intake.memory().map(|memory| memory.reservation(place.close_token()));
+    let codec = MeteredCodec { codec: codec(), message };
+    let stream = Observed::new(stream, place.activity().clone());
+    BaseChannel::with_defaults(tokio_serde::Framed::new(
+        Framed::new(stream, codec),
+        Bincode::default(),
+    ))
 }
 
 /// Runs each request of a connection in its own task.
 ///
-/// Returns, which closes the connection, when the peer closes it or the listener has stopped.
+/// Returns, which closes the connection, when the peer closes it, the listener has stopped, or the
+/// connection must be closed for others.
 pub async fn run_requests<F>(requests: impl Stream<Item = F>, connection: Connection)
 where
     F: Future<Output = ()> + Send + 'static,
 {
     let mut requests = std::pin::pin!(requests);
+    let mut closed = std::pin::pin!(connection.wait_until_closed());
     loop {
         let request = tokio::select! {
-            () = connection.closed.cancelled() => return,
+            () = &mut closed => return,
             request = requests.next() => request,
         };
         let Some(request) = request else { return };
-        connection.tracker.spawn(request);
+        let in_flight = connection.begin_request();
+        connection.tracker.spawn(async move {
+            request.await;
+            drop(in_flight);
+        });
+    }
+}
+
+/// A codec that counts the bytes of the message that is being received.
+struct MeteredCodec {
+    codec: LengthDelimitedCodec,
+    /// The message, if the memory of messages is bounded.
+    message: Option<Reservation>,
+}
+
+impl MeteredCodec {
+    fn record(&self, bytes: usize) -> io::Result<()> {
+        let Some(message) = &self.message else { return Ok(()) };
+        message.set(bytes).map_err(|error| io::Error::new(io::ErrorKind::OutOfMemory, error))
+    }
+}
+
+impl Decoder for MeteredCodec {
+    type Item = BytesMut;
+    type Error = io::Error;
+
+    fn decode(&mut self, src: &mut BytesMut) -> io::Result<Option<BytesMut>> {
+        let message = self.codec.decode(src)?;
+        self.record(if message.is_some() { 0 } else { src.len() })?;
+        Ok(message)
     }
 }
 
+impl Encoder<Bytes> for MeteredCodec {
+    type Error = io::Error;
+
+    fn encode(&mut self, item: Bytes, dst: &mut BytesMut) -> io::Result<()> {
+        self.codec.encode(item, dst)
+    }
+}
+
+fn codec() -> LengthDelimitedCodec {
+    LengthDelimitedCodec::builder().max_frame_length(MAX_MESSAGE_LEN).new_codec()
+}
+
 fn framed(stream: TcpStream) -> Framed<TcpStream, LengthDelimitedCodec> {
-    let codec = LengthDelimitedCodec::builder().max_frame_length(MAX_MESSAGE_LEN).new_codec();
-    Framed::new(stream, codec)
+    Framed::new(stream, codec())
 }
--- a/crates/wire/src/stream.rs
+++ b/crates/wire/src/stream.rs
@@ -6,23 +6,27 @@
 
 use std::net::{Ipv4Addr, SocketAddr};
 use std::pin::Pin;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bergamot_base::{Name, Revision};
 use bergamot_config::DocumentTransfer;
 use bergamot_members::Record;
-use bergamot_net::{NetworkError, REPLY_BODY_TIMEOUT, dial};
+use bergamot_net::{Accepted, Intake, NetworkError, Observed, REPLY_BODY_TIMEOUT, dial};
+use bergamot_resources::Reservation;
 use futures::{SinkExt, StreamExt};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::io::{AsyncRead, AsyncWrite};
+use tokio::net::TcpListener;
 use tokio_io_timeout::TimeoutStream;
 use tokio_tungstenite::tungstenite::{Error, Message};
 use tokio_tungstenite::{WebSocketStream, accept_async, client_async};
+use tokio_util::io::InspectReader;
 use tokio_util::sync::CancellationToken;
 
 /// A stream whose reads fail if no data arrives within a timeout.
-type TimedStream = Pin<Box<TimeoutStream<TcpStream>>>;
+type TimedStream<S> = Pin<Box<TimeoutStream<S>>>;
 
 /// The read timeout of the server, before the request is complete and after the response.
 const SERVER_READ_TIMEOUT: Duration = Duration::from_secs(5);
@@ -84,29 +88,37 @@
         .map_err(|elapsed| NetworkError::new("pull", peer, elapsed))?
 }
 
-fn with_read_timeout(stream: TcpStream, read_timeout: Duration) -> TimedStream {
+fn with_read_timeout<S: AsyncRead + AsyncWrite>(
+    stream: S,
+    read_timeout: Duration,
+) -> TimedStream<S> {
     let mut stream = TimeoutStream::new(stream);
     stream.set_read_timeout(Some(read_timeout));
     Box::pin(stream)
 }
 
 /// Serves pull requests until `stop` is cancelled.
-pub async fn serve_pulls<F>(listener: TcpListener, stop: CancellationToken, answer: F)
-where
+pub async fn serve_pulls<F>(
+    listener: TcpListener,
+    intake: Arc<Intake>,
+    stop: CancellationToken,
+    answer: F,
+) where
     F: Fn(PullRequest) -> PullResponse + Clone + Send + Sync + 'static,
 {
-    loop {
-        let accepted = tokio::select! {
-            () = stop.cancelled() => return,
-            accepted = listener.accept() => accepted,
-        };
-        let Ok((stream, peer)) = accepted else {
-            continue;
-        };
-        let answer = answer.clone();
+    while let Some(Accepted { stream, peer, place }) = intake.accept(&listener, &stop).await {
+        let (intake, answer) = (Arc::clone(&intake), answer.clone());
         tokio::spawn(async move {
+            let message = intake.memory().map(|memory| memory.reservation(place.close_token()));
+            let stream = Observed::new(stream, place.activity().clone());
+            let stream = InspectReader::new(stream, count_bytes(message));
             let exchange = serve_one(with_read_timeout(stream, SERVER_READ_TIMEOUT), peer, answer);
-            match tokio::time::timeout(SERVER_READ_TIMEOUT + REPLY_BODY_TIMEOUT, exchange).await {
+            let exchange = tokio::time::timeout(SERVER_READ_TIMEOUT + REPLY_BODY_TIMEOUT, exchange);
+            let served = tokio::select! {
+                served = exchange => served,
+                () = place.closed() => return intake.log_closed(peer),
+            };
+            match served {
                 Ok(Ok(())) => {}
                 Ok(Err(fault)) => log::debug!("wire: Serving a pull failed: {fault}."),
                 Err(elapsed) => log::debug!("wire: Serving a pull by {peer} failed: {elapsed}."),
@@ -115,8 +127,20 @@
     }
 }
 
-async fn serve_one(
-    stream: TimedStream,
+/// Returns a function that counts the bytes of a request as they are read.
+fn count_bytes(message: Option<Reservation>) -> impl FnMut(&[u8]) {
+    let mut received = 0;
+    move |bytes| {
+        received += bytes.len();
+        if let Some(message) = &message {
+            // The connection is closed if the message is discarded.
+            let _discarded = message.set(received);
+        }
+    }
+}
+
+async fn serve_one<S: AsyncRead + AsyncWrite>(
+    stream: TimedStream<S>,
     peer: SocketAddr,
     answer: impl Fn(PullRequest) -> PullResponse,
 ) -> Result<(), NetworkError> {
@@ -129,8 +153,8 @@
     Ok(())
 }
 
-async fn send<T: Serialize>(
-    socket: &mut WebSocketStream<TimedStream>,
+async fn send<T: Serialize, S: AsyncRead + AsyncWrite>(
+    socket: &mut WebSocketStream<TimedStream<S>>,
     message: &T,
     peer: SocketAddr,
 ) -> Result<(), NetworkError> {
@@ -143,8 +167,8 @@
         .map_err(|error| NetworkError::new("send control message", peer, error))
 }
 
-async fn receive<T: DeserializeOwned>(
-    socket: &mut WebSocketStream<TimedStream>,
+async fn receive<T: DeserializeOwned, S: AsyncRead + AsyncWrite>(
+    socket: &mut WebSocketStream<TimedStream<S>>,
     peer: SocketAddr,
 ) -> Result<(T, usize), NetworkError> {
     let message = socket
--- a/crates/wire/tests/compatibility.rs
+++ b/crates/wire/tests/compatibility.rs
@@ -6,6 +6,7 @@
 use std::collections::BTreeMap;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::pin::Pin;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bergamot_base::Position;
@@ -194,8 +195,8 @@
     let listener = TcpListener::bind(("127.0.0.1", 0)).await.expect("bind to a free port");
     let peer = listener.local_addr().expect("listener has an address");
     let stop = CancellationToken::new();
-    tokio::spawn(serve_requests(listener, stop.clone(), |stream, open| {
-        let requests = transport(stream).execute(EarlierMember.serve());
+    tokio::spawn(serve_requests(listener, Arc::default(), stop.clone(), |stream, open| {
+        let requests = transport(stream, &open).execute(EarlierMember.serve());
         tokio::spawn(run_requests(requests, open));
     }));
     let channels = Channels::<MemberClient>::new(Ipv4Addr::LOCALHOST);
--- a/crates/wire/tests/pull.rs
+++ b/crates/wire/tests/pull.rs
@@ -1,6 +1,7 @@
 //! Tests that a pull fails if it makes no progress, but not because the transfer takes long.
 
 use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::Arc;
 use std::time::Duration;
 
 use bergamot_base::Name;
@@ -50,7 +51,9 @@
 
 async fn server() -> SocketAddr {
     let (listener, address) = listener().await;
-    tokio::spawn(serve_pulls(listener, CancellationToken::new(), |_request| bundle()));
+    tokio::spawn(serve_pulls(listener, Arc::default(), CancellationToken::new(), |_request| {
+        bundle()
+    }));
     address
 }
 
