Bodies of requests have one bound for all of them, and end in time

What callers saw: clients that sent bodies of legal size at once, whole, in pieces or in chunks, and stopped short of their end, ended the process: 193 MB on a machine of 64 MB from 200 bodies, 68 MB from 90 KB of content in chunks of one byte. 100 clients whose deadline was 1.5 s kept their connections.

Cause: each body was bounded, all of them were not; a body was kept as the pieces that were read, each of which keeps the read buffer that it lies in; nothing ended a body that its client didn't.

Change: net::read_body copies what comes into one buffer that counts in resources::Memory (a quarter of the machine) with what its head takes, until its last reference is gone, in both interfaces. A body without room is refused with 503 and when to come back, also while its client is silent. It ends with 408 at the caller's deadline or the route's timeout, whichever is earlier, or after the idle time without a byte. 413 stays for what is too large in itself and comes at once if the length says so. A refused body counts and is one bounded line with its request, reason, bytes, held and limit.

Why it works: room is found before bytes are kept, and a form of sending makes no difference to one buffer.

--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -201,6 +201,7 @@
     entry {
         header_bytes: u64 = 16_384, (1024, 262_144), "The maximum size of a request head in bytes, whatever its number of headers.";
         body_bytes: u64 = 65_536, (64, 16_777_216), "The maximum size of a request body in bytes.";
+        body_idle: Duration = Duration::from_secs(30), (100, 600_000), "The longest time without a further byte of a request body.";
         shortest_deadline: Duration = Duration::from_millis(1), (1, 60_000), "The shortest deadline that a caller may request.";
         longest_deadline: Duration = Duration::from_secs(30), (1, 600_000), "The longest deadline that a caller may request.";
         margin: Duration = Duration::from_millis(4), (0, 10_000), "The part of a deadline reserved for merging and returning the response.";
--- a/crates/entry/src/http.rs
+++ b/crates/entry/src/http.rs
@@ -159,7 +159,7 @@
     let services = find_services(&current, workspace, names)?;
     let first = &current.document.services[services[0]];
     let requested = parse_deadline(inner, request.headers(), first.deadline)?;
-    let body = read_request_body(inner, request).await?;
+    let body = read_request_body(inner, id, request, requested).await?;
     let shape = parse_shape(&body)?;
     let row = &current.document.workspaces[first.workspace];
     let _admitted = inner.admission.admit(row, first.class).map_err(|refusal| {
@@ -251,7 +251,7 @@
     let row = &current.document.services[found];
     let deadline = parse_deadline(inner, request.headers(), row.deadline)?;
     let key = parse_key(request.headers())?;
-    let body = read_request_body(inner, request).await?;
+    let body = read_request_body(inner, id, request, deadline).await?;
     let WriteBody { record, body } = parse_write_body(&body)?;
     let workspace_row = &current.document.workspaces[row.workspace];
     let _admitted = inner.admission.admit(workspace_row, row.class).map_err(|refusal| {
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -1,9 +1,10 @@
 //! Parsing and validation of callers' requests. Each error names the step and what is allowed.
 
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use bergamot_base::{Deadline, Name};
-use bergamot_net::{BodyError, read_body};
+use bergamot_net::{BodyError, BodyLimits, read_body};
 use bergamot_query::Shape;
 use bergamot_write::Key;
 use hyper::body::Incoming;
@@ -19,6 +20,8 @@
 const DEADLINE_HEADER: &str = "x-deadline-ms";
 /// The header with a write key.
 const KEY_HEADER: &str = "idempotency-key";
+/// Delay after which to retry a request whose body found no memory.
+const EXHAUSTED_RETRY_AFTER: Duration = Duration::from_millis(500);
 /// Maximum length of a request identifier, in bytes.
 const MAX_REQUEST_ID_BYTES: usize = 64;
 
@@ -100,22 +103,37 @@
     }
 }
 
-/// Reads the request body, up to the size limit in the settings.
+/// Reads the request body within the limits in the settings, until the deadline of the request.
 pub(crate) async fn read_request_body(
     inner: &Inner,
+    id: &Name,
     request: Request<Incoming>,
+    deadline: Deadline,
 ) -> Result<bytes::Bytes, RequestError> {
-    let limit = inner.node.settings().entry.body_bytes as usize;
-    read_body(request, limit).await.map_err(|rejection| {
-        let status = match rejection {
-            BodyError::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
-            BodyError::Incomplete => StatusCode::BAD_REQUEST,
-        };
-        RequestError::invalid_request(
-            status,
-            "read body",
-            format!("{rejection}, allowed: at most {limit} bytes"),
-        )
+    let (intakes, settings) = (inner.node.intakes(), &inner.node.settings().entry);
+    let limits = BodyLimits {
+        bytes: settings.body_bytes as usize,
+        memory: Arc::clone(intakes.memory()),
+        until: deadline.instant().into(),
+        idle: settings.body_idle,
+    };
+    read_body(request, &limits).await.map_err(|error| {
+        intakes.record_refusal(id, &error);
+        match error {
+            BodyError::TooLarge | BodyError::Incomplete | BodyError::Late => {
+                let status = match error {
+                    BodyError::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+                    BodyError::Late => StatusCode::REQUEST_TIMEOUT,
+                    _ => StatusCode::BAD_REQUEST,
+                };
+                let cause = format!("{error}, allowed: at most {} bytes", limits.bytes);
+                RequestError::invalid_request(status, "read body", cause)
+            }
+            BodyError::Exhausted(exhausted) => {
+                let cause = format!("{exhausted}; the request was not run");
+                RequestError::unavailable("read body", "here", cause, EXHAUSTED_RETRY_AFTER)
+            }
+        }
     })
 }
 
--- a/crates/front/src/daemon.rs
+++ b/crates/front/src/daemon.rs
@@ -55,12 +55,12 @@
 /// State shared by the request handlers and the background tasks.
 pub(crate) struct Inner {
     settings: Settings,
-    protocol: CallerProtocol,
+    pub(crate) protocol: CallerProtocol,
     pub(crate) relay: Arc<Relay>,
     pub(crate) peers: Arc<Peers>,
     feed: Arc<FeedState>,
     tasks: TaskSupervisor,
-    intakes: Arc<Intakes>,
+    pub(crate) intakes: Arc<Intakes>,
     leaving: AtomicBool,
     /// The members that serve callers, as of the last tick.
     serving: Mutex<BTreeSet<Ipv4Addr>>,
@@ -158,8 +158,7 @@
         let respond = move |request, _peer| {
             let inner = Arc::clone(&for_callers);
             async move {
-                let mut response =
-                    caller::handle_request(Arc::clone(&inner.relay), inner.protocol, request).await;
+                let mut response = caller::handle_request(&inner, request).await;
                 if inner.is_leaving() {
                     response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
                 }
--- a/crates/net/src/intakes.rs
+++ b/crates/net/src/intakes.rs
@@ -1,15 +1,21 @@
 //! The intakes of all listeners of a process, with their metrics and their part of the state dump.
 
-use std::fmt::Write as _;
+use std::fmt::{self, Write as _};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
+use bergamot_logger::Sampler;
 use bergamot_resources::{Memory, Shares};
 use prometheus::core::{Collector, Desc};
 use prometheus::proto::MetricFamily;
-use prometheus::{IntGauge, IntGaugeVec, Opts, Registry};
+use prometheus::{IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry};
+use tokio::time::Instant;
 
+use crate::body::BodyError;
 use crate::intake::Intake;
 
+/// How many bodies that are refused are logged a second; all are counted.
+const MAX_LINES: u32 = 10;
+
 /// The intakes of a process.
 #[derive(Debug)]
 pub struct Intakes {
@@ -17,12 +23,21 @@
     /// Bounds the requests at all listeners.
     memory: Arc<Memory>,
     all: Mutex<Vec<Arc<Intake>>>,
+    refused: IntCounterVec,
+    log_sampler: Mutex<Sampler>,
 }
 
 impl Intakes {
     /// Creates the intakes of a process and registers their metrics.
     pub fn new(shares: Shares, memory: Arc<Memory>, registry: &Registry) -> Arc<Self> {
-        let intakes = Arc::new(Self { shares, memory, all: Mutex::default() });
+        let refused = Opts::new(
+            "bergamot_intake_bodies_refused_total",
+            "Bodies of requests that were not read completely, by cause.",
+        );
+        let refused = IntCounterVec::new(refused, &["cause"]).expect("the names are valid");
+        registry.register(Box::new(refused.clone())).expect("each metric is registered once");
+        let (all, log_sampler) = (Mutex::default(), Mutex::new(Sampler::new(MAX_LINES)));
+        let intakes = Arc::new(Self { shares, memory, all, refused, log_sampler });
         let meter = Meter::new(Arc::clone(&intakes));
         registry.register(Box::new(meter)).expect("each metric is registered once");
         intakes
@@ -54,6 +69,21 @@
         intake
     }
 
+    /// Counts and logs a request whose body was not read completely.
+    pub fn record_refusal(&self, request: impl fmt::Display, error: &BodyError) {
+        self.refused.with_label_values(&[error.label()]).inc();
+        let mut sampler = self.log_sampler.lock().unwrap_or_else(PoisonError::into_inner);
+        let admitted = sampler.admit(Instant::now().into());
+        drop(sampler);
+        if let Some(left_out) = admitted {
+            log::info!(
+                "net: event=body_refused request={request} reason={} cause=\"{error}\" \
+                 left_out={left_out}",
+                error.label()
+            );
+        }
+    }
+
     /// Formats what is held, with one line for each listener.
     pub fn dump(&self) -> String {
         let (usage, limit) = (self.memory.usage(), self.memory.limit());
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -6,6 +6,7 @@
 //! down without interrupting exchanges in flight, and that what clients send or leave open stays
 //! within the bounds of `bergamot-resources`.
 
+mod body;
 mod client;
 mod dial;
 mod head_limit;
@@ -16,6 +17,7 @@
 mod serve;
 
 pub use bergamot_resources::ConnectionTimeouts;
+pub use body::{BodyError, BodyLimits, read_body, read_body_of};
 pub use client::{Client, REPLY_BODY_TIMEOUT, Reply, ReplyTimeouts, fetch};
 pub use dial::{NetworkError, dial, listen};
 pub use head_limit::HeadLimit;
@@ -23,6 +25,4 @@
 pub use intake::{Accepted, Intake};
 pub use intakes::Intakes;
 pub use observed::Observed;
-pub use serve::{
-    Body, BodyError, ConnectionLimits, json, read_body, serve, serve_bounded, serve_within, text,
-};
+pub use serve::{Body, ConnectionLimits, json, serve, serve_bounded, serve_within, text};
--- a/crates/net/src/serve.rs
+++ b/crates/net/src/serve.rs
@@ -1,13 +1,12 @@
 //! An HTTP server with graceful shutdown.
 
 use std::convert::Infallible;
-use std::fmt;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
 use bergamot_resources::{Activity, ConnectionTimeouts, Exhausted, Expired, Hold};
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::body::{Body as _, Incoming};
 use hyper::header::{CONNECTION, CONTENT_TYPE, HeaderValue, RETRY_AFTER};
 use hyper::server::conn::http1;
@@ -19,6 +18,7 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
+use crate::body::Received;
 use crate::head_limit::HeadLimit;
 use crate::intake::{Accepted, Intake};
 use crate::observed::{HEAD_MEMORY_FACTOR, HeadMemory, Observed};
@@ -114,10 +114,10 @@
 {
     let Accepted { stream, peer, place } = accepted;
     let activity = place.activity();
-    let service = service_fn(|request: Request<Incoming>| {
+    let service = service_fn(|mut request: Request<Incoming>| {
         let activity = activity.clone();
-        let handling =
-            begin_exchange(&request, &activity, &intake).map(|head| (head, handler(request, peer)));
+        let handling = begin_exchange(&mut request, &activity, &intake)
+            .map(|head| (head, handler(request, peer)));
         async move {
             let response = match handling {
                 Ok((_head, response)) => response.await,
@@ -182,10 +182,10 @@
     }
 }
 
-/// Records that the head of a request is complete, and counts its memory until the returned
-/// value is dropped.
+/// Records that the head of a request is complete, and counts its memory: with the body, if the request
+/// has one, and otherwise until the returned value is dropped.
 fn begin_exchange(
-    request: &Request<Incoming>,
+    request: &mut Request<Incoming>,
     activity: &Activity,
     intake: &Intake,
 ) -> Result<Option<Hold>, Exhausted> {
@@ -193,6 +193,11 @@
     let received = activity.begin_exchange(Instant::now().into(), has_body);
     let memory = received * HEAD_MEMORY_FACTOR + request.headers().len() * HEADER_MEMORY_BYTES;
     let head_bytes = if memory > SMALL_HEAD_MEMORY_BYTES { memory } else { 0 };
+    if has_body {
+        let activity = activity.clone();
+        request.extensions_mut().insert(Received { activity, head_bytes });
+        return Ok(None);
+    }
     let bounded = intake.memory().filter(|_| head_bytes > 0);
     bounded.map(|memory| memory.hold(head_bytes)).transpose()
 }
@@ -207,33 +212,6 @@
     response
 }
 
-/// The reason why a request body could not be read.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum BodyError {
-    /// The body is larger than the limit.
-    TooLarge,
-    /// The connection failed before the end of the body.
-    Incomplete,
-}
-
-impl fmt::Display for BodyError {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(match self {
-            Self::TooLarge => "the body is larger than allowed",
-            Self::Incomplete => "the body was cut",
-        })
-    }
-}
-
-/// Reads the complete body of a request, up to `limit` bytes.
-pub async fn read_body(request: Request<Incoming>, limit: usize) -> Result<Bytes, BodyError> {
-    match Limited::new(request.into_body(), limit).collect().await {
-        Ok(body) => Ok(body.to_bytes()),
-        Err(error) if error.is::<http_body_util::LengthLimitError>() => Err(BodyError::TooLarge),
-        Err(_) => Err(BodyError::Incomplete),
-    }
-}
-
 /// Creates a JSON response.
 pub fn json(status: StatusCode, body: impl Into<Bytes>) -> Response<Body> {
     response(status, body, "application/json")
--- a/crates/relay/src/handler.rs
+++ b/crates/relay/src/handler.rs
@@ -21,7 +21,7 @@
 use crate::relay::Relay;
 
 /// The route in metrics and logs of requests that match none.
-const NO_ROUTE: &str = "none";
+pub(crate) const NO_ROUTE: &str = "none";
 
 /// Logs on drop if the caller disconnected before the response.
 struct CallerGuard<'a> {
--- a/crates/relay/src/message.rs
+++ b/crates/relay/src/message.rs
@@ -80,6 +80,8 @@
     NotReady,
     /// No route matches the request.
     NoRoute,
+    /// The body found no memory.
+    NoMemory,
     /// No searcher could be asked, or all that were asked stated that they did not run it.
     NotRun,
     /// The request was sent, but no response was received that can be forwarded.
--- a/crates/relay/src/meter.rs
+++ b/crates/relay/src/meter.rs
@@ -400,6 +400,7 @@
         Reply::Merged(_) => "partial",
         Reply::Refused(refusal) => match refusal.cause {
             Cause::NotReady => "not_ready",
+            Cause::NoMemory => "no_memory",
             Cause::NoRoute => "no_route",
             Cause::NotRun => "not_run",
             Cause::Lost => "lost",
--- a/crates/relay/src/refusal.rs
+++ b/crates/relay/src/refusal.rs
@@ -7,11 +7,13 @@
 use std::time::{Duration, Instant};
 
 use bergamot_base::Name;
+use bergamot_declaration::Route;
 use bergamot_dispatch::{Unavailability, binding_shard, retry_delay};
 use hyper::header::HeaderValue;
 use rand::RngExt;
 
 use crate::choice::Choice;
+use crate::handler::NO_ROUTE;
 use crate::message::{Cause, Job, Refusal, Reply};
 use crate::relay::Relay;
 
@@ -40,6 +42,8 @@
     Records,
     /// This instance stops.
     Stopping,
+    /// The body found no memory.
+    Memory,
 }
 
 impl Reason {
@@ -57,6 +61,7 @@
             Self::Coverage => "coverage",
             Self::Records => "records",
             Self::Stopping => "stopping",
+            Self::Memory => "memory",
         }
     }
 }
@@ -145,6 +150,15 @@
         Reply::Refused(Refusal { cause, retry_after })
     }
 
+    /// Refuses a request whose body found no memory. Whoever read the body logs it, since such requests
+    /// may be many.
+    pub fn refuse_body(&self, route: Option<&Route>) -> Reply {
+        let (name, priority) = route.map_or((NO_ROUTE, 0), |route| (&*route.name, route.priority));
+        self.meter().count_refusal(name, priority, Reason::Memory.label());
+        let retry_after = Some(self.retry_after(Unavailability::Transient));
+        Reply::Refused(Refusal { cause: Cause::NoMemory, retry_after })
+    }
+
     /// Returns a randomised delay after which the caller may retry.
     pub(crate) fn retry_after(&self, unavailability: Unavailability) -> Duration {
         retry_delay(unavailability, &self.settings.policy.comeback, rand::rng().random())
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use bergamot_base::{Name, Revision};
-use bergamot_net::{Body, NetworkError, json, listen, read_body, serve, text};
+use bergamot_net::{Body, BodyLimits, NetworkError, json, listen, read_body, serve, text};
 use hyper::body::Incoming;
 use hyper::{Method, Request, Response, StatusCode};
 use serde::{Deserialize, Serialize};
@@ -198,7 +198,7 @@
     }
 
     async fn handle_publish(&self, request: Request<Incoming>) -> Response<Body> {
-        match read_body(request, MAX_DOCUMENT_LEN)
+        match read_body(request, &BodyLimits::of_size(MAX_DOCUMENT_LEN))
             .await
             .map(|body| String::from_utf8(body.to_vec()))
         {
@@ -211,7 +211,8 @@
     }
 
     async fn handle_set_instances(&self, request: Request<Incoming>) -> Response<Body> {
-        let body = read_body(request, MAX_DOCUMENT_LEN).await.unwrap_or_default();
+        let body =
+            read_body(request, &BodyLimits::of_size(MAX_DOCUMENT_LEN)).await.unwrap_or_default();
         match serde_json::from_slice(&body) {
             Ok(instances) => {
                 *lock(&self.instances) = instances;
--- a/crates/standin/src/searcher.rs
+++ b/crates/standin/src/searcher.rs
@@ -9,7 +9,7 @@
 use std::time::{Duration, Instant};
 
 use bergamot_base::{Epoch, Name, Seed, Version};
-use bergamot_net::{Body, NetworkError, json, listen, read_body, text};
+use bergamot_net::{Body, BodyLimits, NetworkError, json, listen, read_body, text};
 use bergamot_upstream::protocol::{self, Receipt, Search, SearchReply, Write};
 use hyper::body::Incoming;
 use hyper::header::{HeaderName, HeaderValue};
@@ -272,7 +272,7 @@
         self.searches.fetch_add(1, Ordering::Relaxed);
         self.lock().last_search = Some(Instant::now());
         let (id, left) = request_headers(&request);
-        let body = read_body(request, MAX_BODY_LEN).await.ok()?;
+        let body = read_body(request, &BodyLimits::of_size(MAX_BODY_LEN)).await.ok()?;
         let Ok(search) = serde_json::from_slice::<Search>(&body) else {
             return Some(text(StatusCode::BAD_REQUEST, "not a search"));
         };
@@ -324,7 +324,7 @@
         let (_, left) = request_headers(&request);
         let key = request.headers().get(protocol::KEY)?.to_str().ok()?;
         let key = Name::from(key);
-        let body = read_body(request, MAX_BODY_LEN).await.ok()?;
+        let body = read_body(request, &BodyLimits::of_size(MAX_BODY_LEN)).await.ok()?;
         let Ok(write) = serde_json::from_slice::<Write>(&body) else {
             return Some(not_run(StatusCode::BAD_REQUEST, "not a write"));
         };
@@ -379,7 +379,7 @@
     }
 
     async fn replace_faults(&self, request: Request<Incoming>) -> Response<Body> {
-        let body = read_body(request, MAX_BODY_LEN).await.unwrap_or_default();
+        let body = read_body(request, &BodyLimits::of_size(MAX_BODY_LEN)).await.unwrap_or_default();
         match serde_json::from_slice(&body) {
             Ok(faults) => {
                 self.lock().faults = faults;
