Relay: the copies of a body in queries between members count

What callers saw: 150 whole bodies of 1 MiB that pass through a member took 209 to 253 MB at the sender on a machine of 64 MB. Cause: besides the caller's body, each query to a member holds its own copy and the buffer from which it is sent, and the receiver holds the body again; none of these counted.

Change: a query takes room for two copies until its reply, and the receiver for the body until its last attempt is gone. Without room the sender asks the shards directly, as after a member that can't be reached, and the receiver asks nobody, which the sender learns as not run.

--- a/crates/relay/src/member_query.rs
+++ b/crates/relay/src/member_query.rs
@@ -22,6 +22,10 @@
 use crate::partial_results::MemberPart;
 use crate::race::{RacePlan, TriedSearcher};
 
+/// The copies of a request's body that a query to a member makes: its message, and the buffer from which
+/// that is sent.
+const QUERY_COPIES: usize = 2;
+
 /// A query to a member.
 pub(crate) struct MemberQuery {
     ip: Ipv4Addr,
@@ -46,14 +50,24 @@
         let sufficient = relay.initial_record_count(top_k, shards.len(), self.gather.shards.len());
         let Schedule { answer_within, expected_reply, overdue_at } = self.schedule(&location);
         let limits = RecordLimits { top_k, sufficient };
-        let request = delegate::build_query(job, names, limits, answer_within, deadline);
         let number = self.queries.len();
         let query = Query::send(&shards, &mut self.progress);
         self.queries.push(MemberQuery { ip, query, expected_reply });
         job.record_exposure();
+        let copies = match relay.request_memory().hold(QUERY_COPIES * job.request.body.len()) {
+            Ok(copies) => copies,
+            Err(exhausted) => {
+                let error = CallError::NotSent { cause: exhausted.to_string() };
+                self.work.push(Box::pin(async move { WorkResult::Reply(number, Err(error)) }));
+                return;
+            }
+        };
+        let request = delegate::build_query(job, names, limits, answer_within, deadline);
         self.work.push(Box::pin(async move {
             let reply = delegate::query_shards(relay, job, ip, request, overdue_at, deadline);
-            WorkResult::Reply(number, reply.await)
+            let reply = reply.await;
+            drop(copies);
+            WorkResult::Reply(number, reply)
         }));
         self.work.push(Box::pin(async move {
             sleep_until(overdue_at.into()).await;
--- a/crates/relay/src/shard_query.rs
+++ b/crates/relay/src/shard_query.rs
@@ -13,12 +13,14 @@
 use bergamot_dispatch::{Ending, RECORD_LEN, Tally, merge_top_k};
 use bergamot_placement::Constraints;
 use bergamot_registry::Upstream;
+use bergamot_resources::Exhausted;
 use bergamot_wire::{Late, ShardOutcome, ShardQuery, ShardReply};
 use bytes::Bytes;
 use futures::future::BoxFuture;
 use futures::stream::{FuturesUnordered, StreamExt};
 use hyper::header::{HeaderMap, HeaderName, HeaderValue};
-use hyper::{Method, Uri};
+use hyper::{Method, Uri, http};
+use snafu::Snafu;
 use tokio::sync::mpsc;
 use tokio::time::sleep_until;
 use tokio_util::task::AbortOnDropHandle;
@@ -86,6 +88,17 @@
     }
 }
 
+/// Why a query of another member is not answered.
+#[derive(Debug, Snafu)]
+enum QueryRefusal {
+    /// Its request can't be read.
+    #[snafu(display("malformed request in a member query: {source}"), context(false))]
+    Malformed { source: http::Error },
+    /// Its body finds no memory.
+    #[snafu(display("{source}"), context(false))]
+    Exhausted { source: Exhausted },
+}
+
 /// The answer to a query of another member.
 #[derive(Debug)]
 pub(crate) struct Answered {
@@ -106,11 +119,14 @@
     let (names, top_k) = (query.shards.clone(), query.top_k as usize);
     let enough = (query.enough as usize).saturating_mul(RECORD_LEN);
     let mut shards = vec![ShardOutcome::NotAsked; names.len()];
-    let Some(request) = parse_request(query, received) else {
-        log::error!("relay: event=query_refused cause=\"malformed request in a member query\"");
-        let reply =
-            ShardReply { shards, records: Vec::new(), left_out: 0, rest: 0, quiet: Vec::new() };
-        return Answered { reply, busy: 0 };
+    let request = match parse_request(relay, query, received) {
+        Ok(request) => request,
+        Err(cause) => {
+            log::error!("relay: event=query_refused cause=\"{cause}\"");
+            let reply =
+                ShardReply { shards, records: Vec::new(), left_out: 0, rest: 0, quiet: Vec::new() };
+            return Answered { reply, busy: 0 };
+        }
     };
     // Attempts for other members must not affect the latencies that this member learns for its own
     // routes, hence the empty route name.
@@ -305,19 +321,24 @@
     response.signature.as_ref().map(HeaderValue::as_bytes).unwrap_or_default().to_vec()
 }
 
-fn parse_request(query: ShardQuery, received: Instant) -> Option<Request> {
+/// Returns the request of a query, whose body counts until its last copy is gone.
+fn parse_request(
+    relay: &Relay,
+    query: ShardQuery,
+    received: Instant,
+) -> Result<Request, QueryRefusal> {
     let mut headers = HeaderMap::with_capacity(query.headers.len());
     for (name, value) in query.headers {
-        let name = HeaderName::try_from(name).ok()?;
-        headers.append(name, HeaderValue::from_bytes(&value).ok()?);
+        let name = HeaderName::try_from(name).map_err(http::Error::from)?;
+        headers.append(name, HeaderValue::from_bytes(&value).map_err(http::Error::from)?);
     }
-    Some(Request {
-        id: HeaderValue::from_bytes(&query.id).ok()?,
+    Ok(Request {
+        id: HeaderValue::from_bytes(&query.id).map_err(http::Error::from)?,
         host: Name::from(""),
-        method: Method::try_from(&*query.method).ok()?,
-        uri: Uri::try_from(query.uri).ok()?,
+        method: Method::try_from(&*query.method).map_err(http::Error::from)?,
+        uri: Uri::try_from(query.uri).map_err(http::Error::from)?,
         headers,
-        body: Bytes::from(query.body),
+        body: relay.request_memory().complete(query.body)?,
         deadline: Some(query.deadline),
         received,
     })
