Answers: a number that HTTP doesn't know as a status is no answer

What callers saw: an answer of a searcher with status 600, 700 or 999 was passed on as the answer: 23 of 180 requests that may run once, at three daemons as processes. 000, 001 and 099 reached none (0 of 2,160 requests), but only because the HTTP library behind our inspection refuses them.

Cause: no reader said which numbers are statuses; the verdict called all others failed, which may be passed on, and believed their statement that the request did not run.

Change: answer::is_status (100 to 599), asked where the head is judged, for every reader of both interfaces: another number is a malformed answer, and the connection is closed behind it.

Why it works: bytes behind which nothing is believed never reach a reader that could.

--- a/crates/answer/src/inspector.rs
+++ b/crates/answer/src/inspector.rs
@@ -11,6 +11,7 @@
 use crate::filling::{Context, Filling};
 use crate::framing::{Body, Head, STATUS_LINE};
 use crate::limits::Limits;
+use crate::verdict::is_status;
 
 /// The maximum size of line breaks before an answer, in bytes.
 const MAX_LINE_BREAKS: usize = 64;
@@ -308,6 +309,7 @@
         let head = Head::parse(bytes, self.id_header, id, *is_bodiless)?;
         self.begin_head();
         match head.status {
+            status if !is_status(status) => Err(Fault::Malformed { cause: "status" }),
             101 => Err(Fault::Malformed { cause: "switch of protocols" }),
             100..=199 => {
                 self.interim += 1;
--- a/crates/answer/src/lib.rs
+++ b/crates/answer/src/lib.rs
@@ -23,4 +23,4 @@
 pub use fault::{Fault, Limit};
 pub use inspector::{Finding, Inspector, Stray};
 pub use limits::{CHUNK_BYTES, Limits, MAX_HEADERS};
-pub use verdict::{Statement, Verdict, is_encoding, is_signature};
+pub use verdict::{Statement, Verdict, is_encoding, is_signature, is_status};
--- a/crates/answer/src/verdict.rs
+++ b/crates/answer/src/verdict.rs
@@ -4,7 +4,8 @@
 //! one searcher, and the same 503 is sent for a request that ran and for one that didn't. Invariants:
 //! only a signed success with complete content counts as the result of a request; only the searcher's
 //! own statement shows that a request did not run; no answer is passed on whose status promises that
-//! its request did not run. The table is in `docs/design/0021-verdicts.md`.
+//! its request did not run, or is none ([`is_status`]; [`crate::Inspector`] lets no such head pass). The
+//! table is in `docs/design/0021-verdicts.md`.
 
 /// The successes whose body is not the content, but a part of it or its difference from an earlier one:
 /// Partial Content, IM Used.
@@ -14,6 +15,12 @@
 /// Request Timeout, Misdirected Request, Too Many Requests, Service Unavailable.
 const PROMISES_NOT_RUN: [u16; 4] = [408, 421, 429, 503];
 
+/// Returns whether a number is a status that HTTP knows the class of. Bytes with another one are no
+/// answer, whatever else they state.
+pub fn is_status(number: u16) -> bool {
+    (100..=599).contains(&number)
+}
+
 /// What the head of an answer states.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 #[expect(clippy::struct_excessive_bools, reason = "each is a statement of its own")]
@@ -36,7 +43,9 @@
         match Verdict::of(self) {
             Verdict::Success => true,
             Verdict::Rejected | Verdict::Failed => {
-                !self.is_encoded && !PROMISES_NOT_RUN.contains(&self.status)
+                is_status(self.status)
+                    && !self.is_encoded
+                    && !PROMISES_NOT_RUN.contains(&self.status)
             }
             Verdict::NotRun | Verdict::Misdirected | Verdict::Unsigned => false,
         }
--- a/crates/answer/tests/inspector.rs
+++ b/crates/answer/tests/inspector.rs
@@ -186,3 +186,16 @@
     let beyond = answer(MAX_HEADERS + 1);
     assert_eq!(exceeded(Limits::default(), &[&beyond]), Some(Limit::Headers));
 }
+
+/// Guards against bytes that one reader of the status takes for an answer and another one doesn't.
+#[test]
+fn a_head_whose_status_http_does_not_know_is_no_answer() {
+    for status in ["000", "001", "099", "600", "700", "999"] {
+        let text = format!("HTTP/1.1 {status} Status\r\nx-id: r2\r\ncontent-length: 2\r\n\r\nab");
+        assert_found(text.as_bytes(), b"", &["malformed"]);
+    }
+    for status in ["200", "599"] {
+        let text = format!("HTTP/1.1 {status} Status\r\nx-id: r2\r\ncontent-length: 2\r\n\r\nab");
+        assert_found(text.as_bytes(), text.as_bytes(), &[]);
+    }
+}
--- a/crates/relay/tests/statuses.rs
+++ b/crates/relay/tests/statuses.rs
@@ -35,7 +35,7 @@
     let body = if status == 304 { "" } else { "sixteen bytes of" };
     let length = body.len();
     let text = format!(
-        "HTTP/1.1 {status} Status\r\nx-id: {id}\r\nx-signature: {signature}\r\n\
+        "HTTP/1.1 {status:03} Status\r\nx-id: {id}\r\nx-signature: {signature}\r\n\
          content-length: {length}\r\n\r\n{body}"
     );
     vec![Step::Send(text.into_bytes())]
@@ -285,3 +285,32 @@
     let arrived = rejecting.requests().len() - arrived;
     assert!((20..=21).contains(&arrived), "{arrived} arrivals of a request to 20 shards");
 }
+
+/// Numbers in the place of a status that HTTP doesn't know.
+const NO_STATUSES: [u16; 6] = [0, 1, 99, 600, 700, 999];
+
+/// Guards against bytes that are no answer in the protocol and that a caller gets as the answer, and against
+/// a promise that a request behind which they came did not run.
+#[tokio::test]
+async fn an_answer_whose_status_http_does_not_know_is_not_passed_on() {
+    let mut faults = Vec::new();
+    for status in NO_STATUSES {
+        for kind in [Idempotency::Idempotent, Idempotency::NonIdempotent] {
+            let searcher = script(move |seen| answer(seen, status)).await;
+            let routes = vec![route("/one/", kind, Target::Service("p".into()))];
+            let relay = relay(routes, vec![upstream("p1", "p", &searcher)]);
+            match relay.handle(request("/one/")).await {
+                Reply::Refused(refusal) if refusal.cause != Cause::NotRun => {}
+                reply => faults.push(format!("{status:03}, {kind:?}: {reply:?}")),
+            }
+        }
+        let searcher = script(move |seen| answer(seen, status)).await;
+        let routes = vec![route("/q/", Idempotency::Idempotent, gather(&["p"], 1.0))];
+        let relay = relay(routes, vec![upstream("p1", "p", &searcher)]);
+        let reply = relay.answer_shard_query(shard_query(&["p"]), Residency::default()).await;
+        if matches!(reply.shards[0], ShardOutcome::In(_)) {
+            faults.push(format!("{status:03} is a part of a member's reply"));
+        }
+    }
+    assert!(faults.is_empty(), "{faults:#?}");
+}
