Heads: their copies for attempts and members are bounded, and unread answers end

What callers saw: 4 requests without a body, whose heads of 60 KB have as many headers as fit, to a gathered route of 200 shards took 806 MB at a daemon of 64 MB, while it sent them.

Cause: each attempt copies the table of headers (some hundred bytes a header) for the HTTP library, which keeps it for the headers of the response; all shards are asked at once.

Change: copies of heads that take over 16 KiB wait for room (resources::HeadCopies, a quarter of the bound of requests in addition) before a connection is leased, and give it back when the response is read. They wait and don't fail, so that such a request alone is served. The room for a query to a member covers its head, and so does the receiver's. Callers of the own interface have 30 s for a head, between requests and for reading an answer; one that read no further kept its connection for good.

Why it works: a copy exists only while it has room. Ordinary heads take none and are not counted: one comparison a request.

--- a/crates/entry/src/service.rs
+++ b/crates/entry/src/service.rs
@@ -7,7 +7,9 @@
 use bergamot_base::{Deadline, Name};
 use bergamot_config::Settings;
 use bergamot_members::{Role, State};
-use bergamot_net::{ConnectionLimits, HeadLimit, NetworkError, listen, serve_bounded};
+use bergamot_net::{
+    ConnectionLimits, ConnectionTimeouts, HeadLimit, NetworkError, listen, serve_bounded,
+};
 use bergamot_node::Node;
 use bergamot_wire::{Entry as EntryRpc, run_requests, serve_requests, transport};
 use bergamot_write::{Key, Outcome};
@@ -27,6 +29,10 @@
 /// plus the lifetime of address answers.
 const LEAVE_PROPAGATION_TIME: Duration = Duration::from_secs(1);
 
+/// How long callers may take for a head, be idle, or not read an answer.
+const TIMEOUTS: ConnectionTimeouts =
+    ConnectionTimeouts { head: Duration::from_secs(30), idle: Duration::from_secs(30) };
+
 /// The part of the drain time that is left for the last answers to reach their callers.
 const LAST_ANSWERS_PART: f64 = 0.1;
 
@@ -166,7 +172,7 @@
     let (inner, for_limit) = (Arc::clone(inner), Arc::clone(inner));
     let limits = move || {
         let bytes = for_limit.node.settings().entry.header_bytes as usize;
-        ConnectionLimits { head: Some(HeadLimit::new(bytes)), ..Default::default() }
+        ConnectionLimits { head: Some(HeadLimit::new(bytes)), timeouts: Some(TIMEOUTS) }
     };
     let intake = inner.node.intakes().for_callers();
     let serving = serve_bounded(listener, stop, intake, limits, move |request, _peer| {
--- a/crates/net/src/observed.rs
+++ b/crates/net/src/observed.rs
@@ -8,7 +8,7 @@
 use std::sync::Arc;
 use std::task::{Context, Poll};
 
-use bergamot_resources::{Activity, Memory, Reservation};
+use bergamot_resources::{Activity, Memory, Reservation, head_memory};
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, ReadBuf, Take};
 use tokio::net::TcpStream;
 use tokio::time::Instant;
@@ -17,12 +17,6 @@
 /// The most that is read at once, in bytes: less than fills the library's first read buffer.
 const MAX_READ_BYTES: u64 = 8000;
 
-/// The size of a head up to which its memory counts as that of its connection, in bytes.
-const SMALL_HEAD_BYTES: usize = 4096;
-
-/// The memory of a head for each byte of it: a buffer that grows is doubled.
-pub(crate) const HEAD_MEMORY_FACTOR: usize = 2;
-
 /// The memory of an incomplete head beyond a small one, if the memory of heads is bounded.
 #[derive(Debug)]
 pub(crate) struct HeadMemory {
@@ -39,13 +33,13 @@
 
     /// Counts a head of which so many bytes were received, or none.
     fn record(&mut self, bytes: Option<usize>) -> io::Result<()> {
-        let Some(bytes) = bytes.filter(|bytes| *bytes > SMALL_HEAD_BYTES) else {
+        let memory_bytes = bytes.map_or(0, |bytes| head_memory(bytes, 0));
+        let Some(memory) = self.memory.as_ref().filter(|_| memory_bytes > 0) else {
             self.head = None;
             return Ok(());
         };
-        let Some(memory) = &self.memory else { return Ok(()) };
         let head = self.head.get_or_insert_with(|| memory.reservation(self.close.clone()));
-        let reserved = head.set(bytes * HEAD_MEMORY_FACTOR);
+        let reserved = head.set(memory_bytes);
         reserved.map_err(|error| io::Error::new(io::ErrorKind::OutOfMemory, error))
     }
 }
--- a/crates/net/src/serve.rs
+++ b/crates/net/src/serve.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use bergamot_resources::{Activity, ConnectionTimeouts, Exhausted, Expired, Hold};
+use bergamot_resources::{Activity, ConnectionTimeouts, Exhausted, Expired, Hold, head_memory};
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::{Body as _, Incoming};
@@ -21,13 +21,7 @@
 use crate::body::Received;
 use crate::head_limit::HeadLimit;
 use crate::intake::{Accepted, Intake};
-use crate::observed::{HEAD_MEMORY_FACTOR, HeadMemory, Observed};
-
-/// The memory of a header beside its bytes, in bytes.
-const HEADER_MEMORY_BYTES: usize = 128;
-
-/// The memory of a head up to which it counts as that of its connection, in bytes.
-const SMALL_HEAD_MEMORY_BYTES: usize = 16 << 10;
+use crate::observed::{HeadMemory, Observed};
 
 /// When a caller may come back whose head found no memory, in seconds.
 const EXHAUSTED_RETRY_AFTER: HeaderValue = HeaderValue::from_static("1");
@@ -191,8 +185,7 @@
 ) -> Result<Option<Hold>, Exhausted> {
     let has_body = !request.body().is_end_stream();
     let received = activity.begin_exchange(Instant::now().into(), has_body);
-    let memory = received * HEAD_MEMORY_FACTOR + request.headers().len() * HEADER_MEMORY_BYTES;
-    let head_bytes = if memory > SMALL_HEAD_MEMORY_BYTES { memory } else { 0 };
+    let head_bytes = head_memory(received, request.headers().len());
     if has_body {
         let activity = activity.clone();
         request.extensions_mut().insert(Received { activity, head_bytes });
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -121,6 +121,7 @@
     job: &Job,
     limits: AttemptLimits,
 ) -> Result<SearcherResponse, AttemptError> {
+    let copy = relay.head_copies.acquire(job.head_memory).await;
     let lease = lease(link, job, limits).await.map_err(|fault| {
         link.estimator().record_failure(Instant::now());
         AttemptError::new(Ending::NotSent, fault)
@@ -132,7 +133,9 @@
     let sent = Instant::now();
     let mut pending = PendingRequest::start(link, sent);
     job.record_exposure();
-    match send(relay, job, lease, limits.deadline, &mut pending).await {
+    let sent_request = send(relay, job, lease, limits.deadline, &mut pending).await;
+    drop(copy);
+    match sent_request {
         Ok(response) => {
             pending.answered();
             if !job.route.is_empty() && link.distance != Distance::Far {
@@ -195,7 +198,11 @@
         AttemptError { connection_lost, fault, ..AttemptError::new(ending, error) }
     })?;
     pending.record_head();
-    let (parts, body) = response.into_parts();
+    let (mut parts, body) = response.into_parts();
+    if job.head_memory > 0 {
+        // The HTTP library reads the headers of a response into the table of its request.
+        parts.headers = parts.headers.clone();
+    }
     let metadata = (relay.dialect().read_response)(&parts);
     let statement = metadata.statement(&parts);
     let body = link.pool.read_body(body).await.map_err(|error| {
--- a/crates/relay/src/member_query.rs
+++ b/crates/relay/src/member_query.rs
@@ -54,7 +54,8 @@
         let query = Query::send(&shards, &mut self.progress);
         self.queries.push(MemberQuery { ip, query, expected_reply });
         job.record_exposure();
-        let copies = match relay.request_memory().hold(QUERY_COPIES * job.request.body.len()) {
+        let copies = QUERY_COPIES * job.request.body.len() + job.head_memory;
+        let copies = match relay.request_memory().hold(copies) {
             Ok(copies) => copies,
             Err(exhausted) => {
                 let error = CallError::NotSent { cause: exhausted.to_string() };
--- a/crates/relay/src/message.rs
+++ b/crates/relay/src/message.rs
@@ -12,6 +12,7 @@
 use bergamot_dispatch::Tally;
 use bergamot_placement::Constraints;
 use bergamot_quarantine::{Fingerprint, SharedGate};
+use bergamot_resources::{Hold, head_memory};
 use bytes::Bytes;
 use hyper::header::HeaderValue;
 use hyper::{HeaderMap, Method, StatusCode, Uri};
@@ -41,6 +42,12 @@
 }
 
 impl Request {
+    /// Returns the memory of a copy of the head, if it is large.
+    pub(crate) fn head_memory(&self) -> usize {
+        let bytes = self.headers.iter().map(|(name, value)| name.as_str().len() + value.len());
+        head_memory(bytes.sum(), self.headers.len())
+    }
+
     /// Computes the fingerprint of the method, URI and body.
     pub(crate) fn fingerprint(&self) -> Fingerprint {
         Fingerprint::of(self.method.as_str(), &self.uri.to_string(), &self.body)
@@ -154,6 +161,10 @@
 #[derive(Debug)]
 pub(crate) struct Job {
     pub request: Request,
+    /// The memory of a copy of the head, in bytes, if it is large.
+    pub head_memory: usize,
+    /// The head in the memory of all requests, unless whoever sent the request counts it.
+    _held_head: Option<Hold>,
     /// The route, under which the latency of attempts is recorded; empty to record none.
     pub route: Name,
     pub kind: Idempotency,
@@ -192,6 +203,8 @@
     pub fn new(request: Request, route: JobRoute, constraints: Constraints, tally: Tally) -> Self {
         let JobRoute { name, kind, priority, target_latency, max_attempts, is_gathered } = route;
         Self {
+            head_memory: request.head_memory(),
+            _held_head: None,
             request,
             route: name,
             kind,
@@ -212,6 +225,11 @@
         }
     }
 
+    /// Counts what the head takes until the last attempt is gone.
+    pub fn hold_head(self, head: Hold) -> Self {
+        Self { _held_head: Some(head), ..self }
+    }
+
     /// Records that the request is about to be sent to a searcher, or to a member that sends it to
     /// searchers. Unless [`Job::record_not_run`] follows, the request counts as one that may have
     /// run.
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -15,7 +15,7 @@
 use bergamot_placement::{Constraints, WithheldCounts};
 use bergamot_quarantine::Quarantine;
 use bergamot_registry::{Registry, Upstream};
-use bergamot_resources::{Memory, Usage};
+use bergamot_resources::{HeadCopies, Memory, Usage};
 use bergamot_upstream::ReadTurns;
 use bergamot_wire::{Late, ReportingReply, ShardQuery, ShardReply};
 
@@ -31,6 +31,9 @@
 use crate::shard_query::{self, Answered, PendingResults};
 use crate::state::State;
 
+/// The part of the bound of requests that the copies of large heads may take in addition to it.
+const HEAD_COPIES_PART: usize = 4;
+
 /// The current state of this member.
 pub struct Relay {
     pub(crate) settings: Settings,
@@ -58,6 +61,8 @@
     pub(crate) response_memory: Arc<Memory>,
     /// Bounds the memory of all requests in progress.
     request_memory: Arc<Memory>,
+    /// Bounds the copies of large heads for attempts.
+    pub(crate) head_copies: HeadCopies,
     /// The turns in which large responses are read.
     pub(crate) read_turns: ReadTurns,
     /// The period at which searchers stall, shared by all links.
@@ -87,6 +92,7 @@
         let monitor = Monitor::new(meter.responses.findings.clone());
         let response_memory = Memory::new(settings.response_memory_bytes);
         let request_memory = Memory::new(settings.request_memory_bytes);
+        let head_copies = HeadCopies::new(settings.request_memory_bytes / HEAD_COPIES_PART);
         let coordinator = PoolCoordinator::new(&settings.policy, meter.admission.clone());
         Arc::new(Self {
             settings,
@@ -105,6 +111,7 @@
             monitor,
             response_memory,
             request_memory,
+            head_copies,
             read_turns: ReadTurns::default(),
             stall_period,
             quarantine: Arc::default(),
--- a/crates/relay/src/shard_query.rs
+++ b/crates/relay/src/shard_query.rs
@@ -13,7 +13,7 @@
 use bergamot_dispatch::{Ending, RECORD_LEN, Tally, merge_top_k};
 use bergamot_placement::Constraints;
 use bergamot_registry::Upstream;
-use bergamot_resources::Exhausted;
+use bergamot_resources::{Exhausted, Hold};
 use bergamot_wire::{Late, ShardOutcome, ShardQuery, ShardReply};
 use bytes::Bytes;
 use futures::future::BoxFuture;
@@ -119,8 +119,8 @@
     let (names, top_k) = (query.shards.clone(), query.top_k as usize);
     let enough = (query.enough as usize).saturating_mul(RECORD_LEN);
     let mut shards = vec![ShardOutcome::NotAsked; names.len()];
-    let request = match parse_request(relay, query, received) {
-        Ok(request) => request,
+    let (request, head) = match parse_request(relay, query, received) {
+        Ok(held) => held,
         Err(cause) => {
             log::error!("relay: event=query_refused cause=\"{cause}\"");
             let reply =
@@ -139,7 +139,7 @@
         is_gathered: true,
     };
     let tally = Tally::new(names.len(), names.len());
-    let job = Arc::new(Job::new(request, route, constraints, tally));
+    let job = Arc::new(Job::new(request, route, constraints, tally).hold_head(head));
     let mut attempts = start_attempts(relay, &job, &names, (until, deadline), &mut shards);
     let (mut parts, mut rejected) = (Vec::<Bytes>::new(), Vec::new());
     let mut due = std::pin::pin!(sleep_until(until.into()));
@@ -321,18 +321,19 @@
     response.signature.as_ref().map(HeaderValue::as_bytes).unwrap_or_default().to_vec()
 }
 
-/// Returns the request of a query, whose body counts until its last copy is gone.
+/// Returns the request of a query, whose body counts until its last copy is gone, and what its head
+/// takes.
 fn parse_request(
     relay: &Relay,
     query: ShardQuery,
     received: Instant,
-) -> Result<Request, QueryRefusal> {
+) -> Result<(Request, Hold), QueryRefusal> {
     let mut headers = HeaderMap::with_capacity(query.headers.len());
     for (name, value) in query.headers {
         let name = HeaderName::try_from(name).map_err(http::Error::from)?;
         headers.append(name, HeaderValue::from_bytes(&value).map_err(http::Error::from)?);
     }
-    Ok(Request {
+    let request = Request {
         id: HeaderValue::from_bytes(&query.id).map_err(http::Error::from)?,
         host: Name::from(""),
         method: Method::try_from(&*query.method).map_err(http::Error::from)?,
@@ -341,7 +342,9 @@
         body: relay.request_memory().complete(query.body)?,
         deadline: Some(query.deadline),
         received,
-    })
+    };
+    let head = relay.request_memory().hold(request.head_memory())?;
+    Ok((request, head))
 }
 
 impl Relay {
--- a/crates/resources/src/lib.rs
+++ b/crates/resources/src/lib.rs
@@ -7,12 +7,14 @@
 
 mod activity;
 mod connections;
+mod heads;
 mod ledger;
 mod memory;
 mod shares;
 
 pub use activity::{Activity, ConnectionTimeouts, Expired};
 pub use connections::{Admission, ConnectionCounts, Connections, Place, Table};
+pub use heads::{HeadCopies, head_memory};
 pub use ledger::{Cause, Exhausted, Ledger, MemoryLimits, Usage};
 pub use memory::{Buffer, Hold, Memory, Reservation};
 pub use shares::{Machine, Shares};
--- a/crates/standin/src/crowd.rs
+++ b/crates/standin/src/crowd.rs
@@ -52,6 +52,9 @@
     },
     /// A complete body of this length, in bytes.
     Whole(usize),
+    /// A complete request without a body, whose head of at most this size in bytes has as many headers
+    /// as fit.
+    WholeHeaders(usize),
     /// A complete request without a body, whose answer the client doesn't read.
     Unread,
     /// The first bytes of a message between daemons, whose length is declared in four bytes before
@@ -70,10 +73,10 @@
             }
             Self::ManyHeaders(bytes) => {
                 let length = "content-length: 2\r\n";
-                let rest = bytes - head.len() - length.len() - "\r\n".len();
-                let headers = SHORTEST_HEADER.repeat(rest / SHORTEST_HEADER.len());
+                let headers = headers(bytes - head.len() - length.len());
                 vec![[opened(&format!("{length}{headers}")), b"b".to_vec()].concat()]
             }
+            Self::WholeHeaders(bytes) => vec![opened(&headers(bytes - head.len()))],
             Self::Length { bytes, piece } => {
                 let body = vec![b'b'; bytes - 1];
                 let head = opened(&format!("content-length: {bytes}\r\n"));
@@ -112,6 +115,11 @@
     }
 }
 
+/// Returns as many headers as fit into a number of bytes with the end of the head.
+fn headers(bytes: usize) -> String {
+    SHORTEST_HEADER.repeat((bytes - "\r\n".len()) / SHORTEST_HEADER.len())
+}
+
 /// The connections of clients that don't behave. They are closed on drop.
 #[derive(Debug)]
 pub struct Crowd {
