Heads: a complete head can't be discarded, and small messages cost no decision

Found on reading the change: the room of a head of over 8 KB was given back only with the next read of its connection. In an exchange it could still be discarded for others after a second, and its connection would have been closed under a request that was passed on.

--- a/crates/net/src/observed.rs
+++ b/crates/net/src/observed.rs
@@ -8,7 +8,7 @@
 use std::sync::Arc;
 use std::task::{Context, Poll};
 
-use bergamot_resources::{Activity, Memory, Reservation, head_memory};
+use bergamot_resources::{Activity, Memory, head_memory};
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, ReadBuf, Take};
 use tokio::net::TcpStream;
 use tokio::time::Instant;
@@ -17,31 +17,12 @@
 /// The most that is read at once, in bytes: less than fills the library's first read buffer.
 const MAX_READ_BYTES: u64 = 8000;
 
-/// The memory of an incomplete head beyond a small one, if the memory of heads is bounded.
+/// Where the heads of a connection count.
 #[derive(Debug)]
 pub(crate) struct HeadMemory {
-    memory: Option<Arc<Memory>>,
+    pub(crate) memory: Arc<Memory>,
     /// Closes the connection if its head is discarded.
-    close: CancellationToken,
-    head: Option<Reservation>,
-}
-
-impl HeadMemory {
-    pub(crate) fn new(memory: Option<Arc<Memory>>, close: CancellationToken) -> Self {
-        Self { memory, close, head: None }
-    }
-
-    /// Counts a head of which so many bytes were received, or none.
-    fn record(&mut self, bytes: Option<usize>) -> io::Result<()> {
-        let memory_bytes = bytes.map_or(0, |bytes| head_memory(bytes, 0));
-        let Some(memory) = self.memory.as_ref().filter(|_| memory_bytes > 0) else {
-            self.head = None;
-            return Ok(());
-        };
-        let head = self.head.get_or_insert_with(|| memory.reservation(self.close.clone()));
-        let reserved = head.set(memory_bytes);
-        reserved.map_err(|error| io::Error::new(io::ErrorKind::OutOfMemory, error))
-    }
+    pub(crate) close: CancellationToken,
 }
 
 /// The observed socket.
@@ -49,18 +30,35 @@
 pub struct Observed {
     stream: Take<TcpStream>,
     activity: Activity,
-    head: Option<HeadMemory>,
+    /// The memory of heads, if it is bounded.
+    heads: Option<HeadMemory>,
 }
 
 impl Observed {
     /// Observes a socket whose reader counts the memory of what is read.
     pub fn new(stream: TcpStream, activity: Activity) -> Self {
-        Self { stream: stream.take(MAX_READ_BYTES), activity, head: None }
+        Self { stream: stream.take(MAX_READ_BYTES), activity, heads: None }
     }
 
     /// Observes a socket and counts the memory of heads.
-    pub(crate) fn with_heads(stream: TcpStream, activity: Activity, head: HeadMemory) -> Self {
-        Self { head: Some(head), ..Self::new(stream, activity) }
+    pub(crate) fn with_heads(
+        stream: TcpStream,
+        activity: Activity,
+        heads: Option<HeadMemory>,
+    ) -> Self {
+        Self { heads, ..Self::new(stream, activity) }
+    }
+
+    /// Records that bytes were read.
+    fn record_read(&self, count: usize) -> io::Result<()> {
+        let head_bytes = self.activity.record_read(Instant::now().into(), count);
+        let memory_bytes = head_bytes.map_or(0, |bytes| head_memory(bytes, 0));
+        let Some(HeadMemory { memory, close }) = self.heads.as_ref().filter(|_| memory_bytes > 0)
+        else {
+            return Ok(());
+        };
+        let held = self.activity.hold_head(memory, close, memory_bytes);
+        held.map_err(|error| io::Error::new(io::ErrorKind::OutOfMemory, error))
     }
 
     fn socket(self: Pin<&mut Self>) -> Pin<&mut TcpStream> {
@@ -86,10 +84,7 @@
         let polled = Pin::new(&mut this.stream).poll_read(cx, buf)?;
         let count = buf.filled().len() - before;
         if count > 0 {
-            let received = this.activity.record_read(Instant::now().into(), count);
-            if let Some(head) = &mut this.head {
-                head.record(received)?;
-            }
+            this.record_read(count)?;
         }
         polled.map(Ok)
     }
--- a/crates/net/src/serve.rs
+++ b/crates/net/src/serve.rs
@@ -129,8 +129,9 @@
     if limits.timeouts.is_some() {
         builder.header_read_timeout(None);
     }
-    let head_memory = HeadMemory::new(intake.memory().cloned(), place.close_token());
-    let stream = TokioIo::new(Observed::with_heads(stream, activity.clone(), head_memory));
+    let heads =
+        intake.memory().cloned().map(|memory| HeadMemory { memory, close: place.close_token() });
+    let stream = TokioIo::new(Observed::with_heads(stream, activity.clone(), heads));
     let mut connection = std::pin::pin!(builder.serve_connection(stream, service));
     let (mut is_closing, mut has_expired) = (false, false);
     loop {
--- a/crates/resources/src/activity.rs
+++ b/crates/resources/src/activity.rs
@@ -9,6 +9,11 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
+use tokio_util::sync::CancellationToken;
+
+use crate::ledger::Exhausted;
+use crate::memory::{Memory, Reservation};
+
 /// The minimum time between two looks at a connection, in which bytes that have come are read.
 const MIN_CHECK_INTERVAL: Duration = Duration::from_millis(10);
 
@@ -32,12 +37,12 @@
     Idle,
 }
 
-#[derive(Clone, Copy, Debug)]
+#[derive(Debug)]
 enum Phase {
     /// No byte of a request has come since then.
     Idle(Instant),
-    /// The first byte of a head came then, and so many since.
-    Head(Instant, usize),
+    /// The first byte of a head came then, and so many since, whose memory is counted if they are many.
+    Head { since: Instant, bytes: usize, held: Option<Reservation> },
     /// The last byte of a body came then.
     Body(Instant),
     /// A complete request is handled.
@@ -77,7 +82,7 @@
     pub fn begin_exchange(&self, now: Instant, has_body: bool) -> usize {
         let next = if has_body { Phase::Body(now) } else { Phase::Exchange };
         match std::mem::replace(&mut self.state().phase, next) {
-            Phase::Head(_, received) => received,
+            Phase::Head { bytes, .. } => bytes,
             Phase::Idle(_) | Phase::Body(_) | Phase::Exchange => 0,
         }
     }
@@ -97,10 +102,10 @@
         let mut state = self.state();
         match &mut state.phase {
             Phase::Idle(_) => {
-                state.phase = Phase::Head(now, bytes);
+                state.phase = Phase::Head { since: now, bytes, held: None };
                 Some(bytes)
             }
-            Phase::Head(_, received) => {
+            Phase::Head { bytes: received, .. } => {
                 *received += bytes;
                 Some(*received)
             }
@@ -112,6 +117,19 @@
         }
     }
 
+    /// Counts the memory of the head that is being received, until it is complete. `close` is cancelled
+    /// when it is discarded.
+    pub fn hold_head(
+        &self,
+        memory: &Arc<Memory>,
+        close: &CancellationToken,
+        bytes: usize,
+    ) -> Result<(), Exhausted> {
+        let mut state = self.state();
+        let Phase::Head { held, .. } = &mut state.phase else { return Ok(()) };
+        held.get_or_insert_with(|| memory.reservation(close.clone())).set(bytes)
+    }
+
     /// Records that bytes were written.
     pub fn record_write(&self, now: Instant) {
         if let Phase::Idle(since) = &mut self.state().phase {
@@ -123,7 +141,7 @@
     pub fn expired(&self, now: Instant, timeouts: ConnectionTimeouts) -> Option<Expired> {
         let (since, timeout, expired) = match self.state().phase {
             Phase::Idle(since) => (since, timeouts.idle, Expired::Idle),
-            Phase::Head(since, _) => (since, timeouts.head, Expired::Head),
+            Phase::Head { since, .. } => (since, timeouts.head, Expired::Head),
             // Whoever reads a body ends it in time.
             Phase::Body(_) | Phase::Exchange => return None,
         };
@@ -136,7 +154,7 @@
         let interval = match self.state().phase {
             // A head may begin at any time.
             Phase::Idle(since) => timeouts.idle.saturating_sub(passed(since)).min(timeouts.head),
-            Phase::Head(since, _) => timeouts.head.saturating_sub(passed(since)),
+            Phase::Head { since, .. } => timeouts.head.saturating_sub(passed(since)),
             Phase::Body(_) | Phase::Exchange => timeouts.head,
         };
         now + interval.max(MIN_CHECK_INTERVAL)
@@ -147,7 +165,7 @@
     pub(crate) fn wait(&self) -> Option<Wait> {
         let state = self.state();
         let since = match state.phase {
-            Phase::Idle(since) | Phase::Head(since, _) | Phase::Body(since) => since,
+            Phase::Idle(since) | Phase::Head { since, .. } | Phase::Body(since) => since,
             Phase::Exchange => return None,
         };
         Some(Wait { since, has_served: state.has_served })
--- a/crates/wire/src/channel.rs
+++ b/crates/wire/src/channel.rs
@@ -28,6 +28,9 @@
 /// The maximum message size; a larger partial answer is rejected.
 const MAX_MESSAGE_LEN: usize = 64 << 20;
 
+/// The size of a message up to which its memory counts as that of its connection, in bytes.
+const SMALL_MESSAGE_BYTES: usize = 8 << 10;
+
 /// The timeout for connecting to a peer.
 const DIAL_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -183,7 +186,7 @@
 {
     let Connection { intake, place, .. } = connection;
     let message = intake.memory().map(|memory| memory.reservation(place.close_token()));
-    let codec = MeteredCodec { codec: codec(), message };
+    let codec = MeteredCodec { codec: codec(), message, counted: 0 };
     let stream = Observed::new(stream, place.activity().clone());
     BaseChannel::with_defaults(tokio_serde::Framed::new(
         Framed::new(stream, codec),
@@ -220,11 +223,18 @@
     codec: LengthDelimitedCodec,
     /// The message, if the memory of messages is bounded.
     message: Option<Reservation>,
+    /// The bytes of the message that count.
+    counted: usize,
 }
 
 impl MeteredCodec {
-    fn record(&self, bytes: usize) -> io::Result<()> {
-        let Some(message) = &self.message else { return Ok(()) };
+    /// Records how many bytes of a message were received.
+    fn record(&mut self, bytes: usize) -> io::Result<()> {
+        let bytes = if bytes > SMALL_MESSAGE_BYTES { bytes } else { 0 };
+        let Some(message) = self.message.as_ref().filter(|_| bytes != self.counted) else {
+            return Ok(());
+        };
+        self.counted = bytes;
         message.set(bytes).map_err(|error| io::Error::new(io::ErrorKind::OutOfMemory, error))
     }
 }
