--- a/crates/net/src/intake.rs
+++ b/crates/net/src/intake.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use bergamot_logger::Sampler;
-use bergamot_resources::{ConnectionCounts, Connections, Memory, Place};
+use bergamot_resources::{ConnectionCounts, Connections, Exhausted, Memory, Place};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
@@ -114,6 +114,16 @@
         self.log_connection("connection_closed", peer, "its place or memory went to others");
     }
 
+    /// Logs that a request without a body was refused, since its head found no memory.
+    pub(crate) fn log_head_refused(&self, peer: SocketAddr, exhausted: Exhausted) {
+        self.log(|left_out| {
+            log::info!(
+                "net: event=head_refused listener={} peer={peer} cause=\"{exhausted}\" left_out={left_out}",
+                self.name
+            );
+        });
+    }
+
     fn log_connection(&self, event: &str, peer: SocketAddr, cause: &str) {
         self.log(|left_out| {
             log::info!(
--- a/crates/net/src/serve.rs
+++ b/crates/net/src/serve.rs
@@ -109,13 +109,16 @@
     let Accepted { stream, peer, place } = accepted;
     let activity = place.activity();
     let service = service_fn(|mut request: Request<Incoming>| {
-        let activity = activity.clone();
+        let (activity, intake) = (activity.clone(), Arc::clone(&intake));
         let handling = begin_exchange(&mut request, &activity, &intake)
             .map(|head| (head, handler(request, peer)));
         async move {
             let response = match handling {
                 Ok((_head, response)) => response.await,
-                Err(exhausted) => refuse_head(exhausted, peer),
+                Err(exhausted) => {
+                    intake.log_head_refused(peer, exhausted);
+                    refuse_head()
+                }
             };
             activity.end_exchange(Instant::now().into());
             Ok::<_, Infallible>(response)
@@ -197,8 +200,7 @@
 }
 
 /// Refuses a request whose head finds no memory. It hasn't run.
-fn refuse_head(exhausted: Exhausted, peer: SocketAddr) -> Response<Body> {
-    log::debug!("net: event=head_refused peer={peer} cause=\"{exhausted}\"");
+fn refuse_head() -> Response<Body> {
     let mut response =
         text(StatusCode::SERVICE_UNAVAILABLE, "not run: no memory for the head of the request");
     response.headers_mut().insert(RETRY_AFTER, EXHAUSTED_RETRY_AFTER);
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -8,14 +8,16 @@
 
 mod admin;
 mod control;
+mod machine;
 mod metrics;
 mod node;
 mod platform;
 mod pulls;
 mod signal;
 
+pub use machine::machine;
 pub use metrics::Metrics;
-pub use node::{ActiveDocument, Dump, LeavingHandler, Node, machine};
+pub use node::{ActiveDocument, Dump, LeavingHandler, Node};
 pub use signal::{ShutdownMode, stop_signal};
 
 /// Re-exported so that services can register metrics with the node's registry.
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -15,7 +15,7 @@
 };
 use bergamot_net::{Intakes, NetworkError, listen};
 use bergamot_quarantine::Quarantine;
-use bergamot_resources::{Machine, Memory, Shares};
+use bergamot_resources::{Memory, Shares};
 use prometheus::Registry;
 use rand::RngExt;
 use rand::rngs::StdRng;
@@ -23,6 +23,7 @@
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
 
+use crate::machine::machine;
 use crate::metrics::Metrics;
 use crate::{admin, control, platform, pulls};
 
@@ -67,8 +68,6 @@
     homes_key: (u64, u64),
 }
 
-const BYTES_PER_MEGABYTE: usize = 1_000_000;
-
 /// One run of a daemon, as known to the other members.
 pub struct Node {
     settings: Arc<Settings>,
@@ -104,22 +103,6 @@
     }
 }
 
-/// Returns what the settings let the process use.
-pub fn machine(settings: &Settings) -> Machine {
-    let limits = &settings.limits;
-    let descriptors = match limits.descriptors {
-        // Without a limit of the operating system, the default applies.
-        0 => rlimit::Resource::NOFILE
-            .get()
-            .map_or(Machine::default().descriptors as u64, |(soft, _)| soft),
-        descriptors => descriptors,
-    };
-    Machine {
-        memory_bytes: limits.memory_mb as usize * BYTES_PER_MEGABYTE,
-        descriptors: usize::try_from(descriptors).unwrap_or(usize::MAX),
-    }
-}
-
 impl Node {
     /// Binds the control and admin sockets and starts the control loops.
     ///
