Copies of heads are shown; one word for what has stalled; limits of the change

What operators saw: the bound on copies of large heads was in no metric and not in /state, though requests wait for it. Cause: it was added without them. bergamot_relay_head_copies_bytes and a line of /state show it now; resources/tests/heads.rs checks the count. Why it works: the count is that of the room itself, read when it is asked for.

The code named one condition "stalled" and "stands still"; it is the first now.

--- a/crates/relay/src/inspection.rs
+++ b/crates/relay/src/inspection.rs
@@ -22,6 +22,9 @@
             let state = if mechanism.on { "on" } else { "off" };
             let _ = writeln!(text, "mechanism {} {state}", mechanism.name);
         }
+        let (held, limit) = self.head_copies.usage();
+        // Writing to a string can't fail.
+        let _ = writeln!(text, "head_copies held {held} limit {limit}");
         let now = Instant::now();
         for report in self.quarantine().reports(now) {
             // Writing to a string can't fail.
--- a/crates/relay/src/meter.rs
+++ b/crates/relay/src/meter.rs
@@ -215,6 +215,7 @@
     pub(crate) members: IntGauge,
     pub(crate) connections: IntGauge,
     pub(crate) evacuated_zones: IntGauge,
+    pub(crate) head_copies: IntGauge,
 }
 
 impl Meter {
@@ -292,6 +293,10 @@
                 "bergamot_relay_evacuated_zones",
                 "Availability zones whose searchers receive no requests, by order of the operator.",
             ),
+            head_copies: gauge(
+                "bergamot_relay_head_copies_bytes",
+                "Bytes held by copies of large heads for attempts.",
+            ),
             registry,
         }
     }
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -477,6 +477,7 @@
         }
         self.meter.connections.set(self.monitor.open() as i64);
         self.meter.responses.record_memory(self.response_memory.usage());
+        self.meter.head_copies.set(self.head_copies.usage().0 as i64);
         self.meter.searchers.set(state.registry.len() as i64);
         self.meter.members.set(share.members() as i64);
     }
--- a/crates/resources/src/connections.rs
+++ b/crates/resources/src/connections.rs
@@ -1,7 +1,7 @@
 //! Which connections of a listener stay open.
 //!
 //! Algorithm: if all places are taken, a new connection takes that of another one, which is closed:
-//! first of those that have never carried a request and stand still, then of all that wait for their
+//! first of those that have never carried a request and have stalled, then of all that wait for their
 //! clients, each time the one that has waited longest. Invariants: no more connections are open than
 //! there are places; a connection on which a complete request is handled keeps its place.
 
@@ -105,8 +105,8 @@
             return true;
         }
         let rank = |wait: Wait| {
-            let stands_still = now.saturating_duration_since(wait.since) >= STALL;
-            (wait.has_served || !stands_still, wait.since)
+            let has_stalled = now.saturating_duration_since(wait.since) >= STALL;
+            (wait.has_served || !has_stalled, wait.since)
         };
         let waiting =
             self.open.values().filter_map(|open| Some((rank(open.activity.wait()?), open)));
--- a/crates/resources/src/heads.rs
+++ b/crates/resources/src/heads.rs
@@ -41,6 +41,12 @@
         Self { room: Arc::new(Semaphore::new(limit as usize)), limit }
     }
 
+    /// Returns the bytes that copies hold, and the bound.
+    pub fn usage(&self) -> (usize, usize) {
+        let limit = self.limit as usize;
+        ((limit - self.room.available_permits()) * COPY_UNIT, limit * COPY_UNIT)
+    }
+
     /// Waits until there is room for a copy of a head with this memory. It is free after the drop of what
     /// is returned, which is `None` for heads that take little.
     pub async fn acquire(&self, memory: usize) -> Option<OwnedSemaphorePermit> {
--- a/crates/resources/tests/connections.rs
+++ b/crates/resources/tests/connections.rs
@@ -22,7 +22,7 @@
 
 /// Guards against silent connections that keep ordinary callers from theirs.
 #[test]
-fn one_that_never_carried_a_request_and_stands_still_goes_first() {
+fn one_that_never_carried_a_request_and_has_stalled_goes_first() {
     let (mut table, begin) = (Table::new(2), Instant::now());
     let ordinary = open(&mut table, begin);
     ordinary.activity.record_read(begin, 100);
--- a/crates/resources/tests/heads.rs
+++ b/crates/resources/tests/heads.rs
@@ -21,6 +21,7 @@
     let copies = HeadCopies::new(100 << 10);
     let first = copies.acquire(60 << 10).await;
     assert!(timeout(SHORT, copies.acquire(60 << 10)).await.is_err(), "there is no room");
+    assert_eq!(copies.usage(), (60 << 10, 100 << 10));
     let small = timeout(SHORT, copies.acquire(0)).await.expect("a small head needs none");
     assert!(small.is_none());
     drop(first);
--- a/crates/resources/tests/ledger.rs
+++ b/crates/resources/tests/ledger.rs
@@ -41,12 +41,12 @@
 
 /// Guards against a crowd that stops short and keeps out a body that makes progress.
 #[test]
-fn a_message_that_stands_still_goes_before_a_larger_one() {
+fn a_message_that_has_stalled_goes_before_a_larger_one() {
     let mut case = Case::new();
     let still = case.message(20_000).expect("there is room");
     case.pass(LIMITS.stall);
     let larger = case.message(40_000).expect("there is room");
-    case.message(30_000).expect("the one that stands still makes room");
+    case.message(30_000).expect("the one that has stalled makes room");
     assert_eq!((case.cause(still), case.cause(larger)), (Some(Cause::Stalled), None));
 }
 
@@ -71,7 +71,7 @@
 /// Guards against answers of searchers that pause for a moment, and small bodies on a slow link, that
 /// go for large ones.
 #[test]
-fn a_small_message_that_stands_still_keeps_its_room_beside_a_large_one() {
+fn a_small_message_that_has_stalled_keeps_its_room_beside_a_large_one() {
     let mut case = Case::new();
     let small = case.message(500).expect("there is room");
     case.pass(LIMITS.stall);
